A thin version of the whole path, as separate processes

Change: a caller's chat completion goes through one of three nodes, which follow the log and the instance list, choose an engine by rendezvous hashing, order the adapter's load when the engine says "not loaded" (409, which did not run) and stream the answer back. Stand-ins for engine, log and instance list are programs of their own. Settings and declarations are read with all findings at once.

A successful error code has the system category too, so the server closed each connection unanswered until "error &&" was asked first.

--- /dev/null
+++ b/src/Placement/rendezvous.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Core/hash.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Ranks members for a key by rendezvous hashing: each member's place depends
+/// on that member and the key alone, so that a member which comes or goes
+/// moves only the keys that it wins or held.
+/// Reference: D. G. Thaler, C. V. Ravishankar, "Using name-based mappings to
+/// increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+/// @param key     what is placed
+/// @param members the identifiers to choose from, in any order
+/// @param most    how many to return
+/// @returns the members with the highest scores, best first
+template <class Id>
+std::vector<Id> rendezvous_top(
+    std::string_view key, std::vector<Id> const& members, std::size_t most) {
+    struct scored {
+        std::uint64_t score;
+        Id const* id;
+    };
+    std::uint64_t const key_hash = hash_text(key);
+    std::vector<scored> ranked;
+    ranked.reserve(members.size());
+    for (Id const& each : members) {
+        std::uint64_t const member_hash = hash_text(each.str());
+        ranked.push_back({combine_hashes(key_hash, member_hash), &each});
+    }
+    std::size_t const count = std::min(most, ranked.size());
+    auto const better = [](scored const& left, scored const& right) {
+        if (left.score != right.score) {
+            return left.score > right.score;
+        }
+        return *left.id < *right.id;
+    };
+    std::ranges::partial_sort(
+        ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count), better);
+    std::vector<Id> result;
+    result.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        result.push_back(*ranked[index].id);
+    }
+    return result;
+}
+
+} // namespace camphorpoint
