--- /dev/null
+++ b/src/Serving/peer_message.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Scheduling/grant_messages.hpp"
+
+#include <variant>
+
+namespace camphorpoint {
+
+/// All that nodes say to each other over TCP. Each module defines its messages
+/// in its own folder; order matters on the wire.
+using peer_message = std::variant<
+    grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
+    grant_heartbeat>;
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Telemetry/log_event.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace camphorpoint {
+
+/// How serious a log event is.
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+/// The numbered kinds of log events. docs/EVENTS.md lists each number with its
+/// meaning and what to do; a test fails when the two differ. Hundreds by
+/// module: 1 node, 2 configuration, 3 ownership, 4 membership, 5 requests,
+/// 6 scheduling and loads, 7 keys, 8 ports.
+enum class event_code : std::uint16_t {
+    node_started = 101,
+    node_ready = 102,
+    node_draining = 103,
+    node_stopped = 104
+};
+
+/// One line of the log.
+struct log_event {
+    event_code code = event_code::node_started;
+    log_level level = log_level::info;
+    /// What the event's line says, as key=value pairs.
+    std::string detail;
+};
+
+} // namespace camphorpoint
