UDP probes, the end of a drain, and what an attempt received, at the node's edge

The membership probes and the graceful stop had no event or action yet, and a cut stream that is held back for its caller couldn't be resumed, since only tokens that had reached the caller were told.

Added: send_probe and probe_received (opaque datagrams), drain_finished, attempt_ended.received; cancel_attempt is always followed by attempt_ended; peer_unreachable also covers a broken connection that may have held messages.

--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -26,7 +26,8 @@
     /// Named to the engine; the answer's echo must be the same.
     adapter_ref adapter;
     urgency how_urgent = urgency::normal;
-    /// More than 0 resumes a stream on the engine.
+    /// More than 0 resumes a stream on the engine; 0 starts afresh, and what
+    /// was held back from an earlier attempt is thrown away.
     std::uint32_t from_token = 0;
     /// The id that the engine knows the stream by.
     request_id engine_id;
@@ -39,6 +40,7 @@
 };
 
 /// Stop an attempt and close its connection, which cancels it on the endpoint.
+/// An attempt_ended always follows, cancelled or as it had ended before.
 struct cancel_attempt {
     request_id id;
     std::uint32_t attempt = 0;
@@ -74,6 +76,19 @@
     peer_message message;
 };
 
+/// Send a datagram to a peer over UDP; it may be lost.
+struct send_probe {
+    node_id to;
+    /// Where the peer's UDP port is, as Membership knows it; the platform's
+    /// list may not name the peer yet.
+    std::string address;
+    /// Encoded by the core; at most largest_probe bytes.
+    std::string datagram;
+};
+
+/// Nothing of this node is needed any more: it may leave and the process end.
+struct drain_finished {};
+
 /// Tell an operator what became of the change.
 struct publish_ended {
     std::uint64_t number = 0;
@@ -107,6 +122,6 @@
 using node_action = std::variant<
     start_attempt, cancel_attempt, finish_request, read_log, append_log,
     engine_order, send_peer, publish_ended, count_reason, observe_time,
-    log_event>;
+    log_event, send_probe, drain_finished>;
 
 } // namespace camphorpoint
--- a/src/Serving/node_event.hpp
+++ b/src/Serving/node_event.hpp
@@ -8,6 +8,7 @@
 #include "Serving/peer_message.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -82,6 +83,9 @@
     attempt_end how = attempt_end::completed;
     /// Tokens that reached the caller, over all attempts.
     std::uint32_t tokens = 0;
+    /// Tokens that came from the engine whole, over all attempts, also those
+    /// held back for a caller who wants the answer in one piece.
+    std::uint32_t received = 0;
     /// The whole answer, kept for repeats; empty when the request has no key.
     std::string answer;
     int status = 0;
@@ -111,7 +115,17 @@
     peer_message message;
 };
 
-/// A peer could not be reached over TCP.
+/// A datagram from a peer, as it came; it may be broken or forged.
+struct probe_received {
+    std::string datagram;
+};
+
+/// The largest datagram that is sent, so that none is fragmented on an
+/// Ethernet path.
+inline constexpr std::size_t largest_probe = 1400;
+
+/// A peer could not be reached over TCP, or a connection that may have held
+/// messages not yet delivered has broken.
 struct peer_unreachable {
     node_id peer;
 };
@@ -134,7 +148,7 @@
     caller_request, caller_resume, caller_gone, attempt_progress, attempt_ended,
     log_batch, log_read_failed, log_append_ended, instance_list, engine_report,
     order_ended, peer_received, peer_unreachable, publish_request, tick,
-    drain_started>;
+    drain_started, probe_received>;
 
 /// How often a node's decisions see a tick.
 inline constexpr std::chrono::milliseconds tick_period{20};
