--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -3,6 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/outcome.hpp"
 #include "Core/time.hpp"
+#include "Membership/membership_action.hpp"
 #include "Platform/engine_order.hpp"
 #include "Platform/log_record.hpp"
 #include "Serving/peer_message.hpp"
@@ -76,16 +77,6 @@
     peer_message message;
 };
 
-/// Send a datagram to a peer over UDP; it may be lost.
-struct send_probe {
-    node_id to;
-    /// Where the peer's UDP port is, as Membership knows it; the platform's
-    /// list may not name the peer yet.
-    std::string address;
-    /// Encoded by the core; at most largest_probe bytes.
-    std::string datagram;
-};
-
 /// Nothing of this node is needed any more: it may leave and the process end.
 struct drain_finished {};
 
--- /dev/null
+++ b/src/Serving/peer_codec.cpp
@@ -0,0 +1,46 @@
+#include "Serving/peer_codec.hpp"
+
+#include "Core/strict_input_archive.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+namespace camphorpoint {
+
+template <>
+struct last_value_of<urgency> {
+    static constexpr urgency value = urgency::background;
+};
+template <>
+struct last_value_of<reason> {
+    static constexpr reason value = reason::internal_error;
+};
+
+std::string encode_peer_message(peer_message const& message) {
+    std::ostringstream out(std::ios::binary);
+    using archive_type = cereal::PortableBinaryOutputArchive;
+    archive_type archive(out, archive_type::Options::LittleEndian());
+    archive(message);
+    return std::move(out).str();
+}
+
+std::optional<peer_message> decode_peer_message(std::string_view bytes) {
+    if (bytes.size() > largest_peer_message) {
+        return std::nullopt;
+    }
+    try {
+        strict_input_archive archive(bytes);
+        peer_message message;
+        archive(message);
+        archive.require_end();
+        return message;
+    } catch (cereal::Exception const&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace camphorpoint
