The public headers of ownership and membership

Cause: serving and keys compose both, and need their types early. No code behind them yet. Conclusion: the headers compile by themselves; nothing is tested.

--- /dev/null
+++ b/src/Membership/membership.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "Core/ids.hpp"
+#include "Core/time.hpp"
+#include "Membership/endpoint_table.hpp"
+#include "Membership/incarnation.hpp"
+#include "Membership/membership_action.hpp"
+#include "Membership/membership_settings.hpp"
+#include "Membership/probe_message.hpp"
+#include "Membership/probe_rounds.hpp"
+#include "Membership/update_queue.hpp"
+#include "Platform/instance_record.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace camphorpoint {
+
+/// What this node believes of another one.
+enum class node_state : std::uint8_t { live, suspect, dead, leaving };
+
+/// A node that takes part.
+struct live_node {
+    node_id id;
+    domain_id domain;
+    std::string peer_address;
+    /// The run last heard of; 0 when only the platform's list names the node.
+    std::uint64_t run = 0;
+    /// True when the node has said that it stops: it finishes what it has and
+    /// must get nothing new.
+    bool leaving = false;
+};
+
+/// Who is alive: the platform's late list, corrected by probes.
+/// Reference: A. Das, I. Gupta, A. Motivala, "SWIM: scalable weakly-consistent
+/// infection-style process group membership protocol", DSN 2002. Several
+/// accusers before a removal: A. Dadgar, J. Phillips, J. Currey, "Lifeguard:
+/// local health awareness for more accurate failure detection", 2017.
+class membership {
+public:
+    /// @param settings the same on all nodes
+    /// @param self     this node, as the platform's list names it
+    /// @param run      when the process started, calendar milliseconds
+    /// @param random   seeded
+    membership(
+        membership_settings settings, node_instance self, std::uint64_t run,
+        std::mt19937_64 random);
+
+    /// A new answer of the platform's list.
+    void on_instance_list(instance_list const& list, instant now);
+    /// A datagram from a peer; a broken one is counted and dropped.
+    void on_datagram(std::string_view datagram, instant now);
+    /// A message from a peer.
+    void on_probe(probe_message const& message, instant now);
+    /// A peer was heard over TCP, which is as good as an answer to a probe.
+    void on_peer_heard(node_id const& peer, instant now);
+    /// An engine or service refused work because it is leaving. The report is
+    /// spread to all nodes.
+    void report_leaving(endpoint_id const& endpoint, instant now);
+    /// A direct call to an endpoint succeeded or failed. Failures make it
+    /// suspect on this node alone.
+    void
+    on_endpoint_call(endpoint_id const& endpoint, bool succeeded, instant now);
+    /// This node begins a planned stop and says so.
+    void start_leaving(instant now);
+    /// Time has passed.
+    void on_tick(instant now);
+    /// @returns what is to be done, in order; the list is empty afterwards
+    std::vector<membership_action> take_actions();
+
+    /// @returns a counter that grows with each change of what is asked below,
+    /// so that others recompute only then
+    std::uint64_t changes() const noexcept { return changes_; }
+    /// @returns all nodes that are neither dead nor gone, this one included,
+    /// in the order of their names
+    std::vector<live_node> live_nodes() const;
+    /// @returns the node's state; nothing when it is unknown
+    std::optional<node_state> state_of(node_id const& node) const;
+    /// @returns the node's address for TCP and UDP; empty when unknown
+    std::string peer_address(node_id const& node) const;
+    /// @returns endpoints that may get new work, in the order of their names
+    std::vector<endpoint_instance> live_endpoints() const;
+    /// @returns the endpoint's state
+    endpoint_state state_of(endpoint_id const& endpoint) const;
+    /// @returns the endpoint's data; null when the list never named it
+    endpoint_instance const* find(endpoint_id const& endpoint) const;
+    /// @returns datagrams that could not be read
+    std::uint64_t broken_datagrams() const noexcept { return broken_; }
+
+private:
+    struct member {
+        node_instance instance;
+        bool listed = false;
+        node_state state = node_state::live;
+        incarnation at;
+        std::set<node_id> accusers;
+        /// When the suspicion ends in death.
+        instant suspect_until;
+        /// A report that beats the list until then.
+        instant held_until;
+    };
+
+    void list_nodes(std::vector<node_instance> const& nodes, instant now);
+    void list_one(node_instance const& node, instant now);
+    void apply(membership_update const& update, instant now);
+    void apply_alive(membership_update const& update);
+    void apply_suspect(membership_update const& update, instant now);
+    void apply_dead(membership_update const& update, instant now);
+    void apply_leaving(membership_update const& update, instant now);
+    void refute(membership_update const& update);
+    void heard(node_id const& from, incarnation at);
+    void accuse(node_id const& target, instant now);
+    void check_suspicions(instant now);
+    void set_state(node_id const& id, member& who, node_state state);
+    void tell(update_kind kind, node_id const& id, member const& who);
+    void tell_accused(node_id const& to);
+    void probe_round(instant now);
+    void run_probes(instant now);
+    void spread_urgent();
+    void probe_node(node_id const& target, instant now);
+    void
+    send(node_id const& to, probe_message message, std::size_t most_updates);
+    void on_message(probe const& message, instant now);
+    void on_message(probe_ack const& message, instant now);
+    void on_message(probe_request const& message, instant now);
+    std::vector<node_id> pick_random(std::size_t count, node_id const& without);
+    void say(event_code code, log_level level, std::string detail);
+
+    membership_settings settings_;
+    node_instance self_;
+    incarnation at_;
+    bool leaving_ = false;
+    std::mt19937_64 random_;
+    std::map<node_id, member> members_;
+    /// The members' names in order, rebuilt when members come or go.
+    std::vector<node_id> order_;
+    std::set<node_id> suspects_;
+    endpoint_table endpoints_;
+    update_queue updates_;
+    probe_rounds rounds_;
+    std::set<node_id> probe_soon_;
+    std::vector<membership_action> actions_;
+    std::optional<instant> next_round_;
+    std::uint64_t changes_ = 0;
+    std::uint64_t broken_ = 0;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Membership/update_queue.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Membership/probe_message.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorpoint {
+
+/// News that still has to be passed on, each a bounded number of times: a few
+/// times the logarithm of the cluster's size reaches all nodes with high
+/// probability (SWIM, section 4.1).
+class update_queue {
+public:
+    /// Adds news; older news of the same subject is dropped.
+    void add(membership_update update);
+    /// @returns the news passed on least often, at most this many and not more
+    /// bytes than a datagram has left; counts them as passed on
+    /// @param most      how many
+    /// @param room      bytes that are left in the datagram
+    /// @param cluster   how many nodes there are
+    std::vector<membership_update>
+    take(std::size_t most, std::size_t room, std::size_t cluster);
+    /// @returns true when there is news so urgent that it does not wait for
+    /// the next probe
+    bool has_urgent() const noexcept { return urgent_left_ > 0; }
+    /// Counts one message that carries urgent news.
+    void urgent_sent() noexcept;
+    /// Drops news of a subject.
+    void drop(std::string const& name);
+    /// @returns how many pieces of news wait
+    std::size_t size() const noexcept { return waiting_.size(); }
+
+private:
+    struct item {
+        membership_update update;
+        std::uint32_t sent = 0;
+    };
+
+    std::map<std::string, item> waiting_;
+    std::size_t urgent_left_ = 0;
+};
+
+} // namespace camphorpoint
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -16,7 +16,21 @@
     node_started = 101,
     node_ready = 102,
     node_draining = 103,
-    node_stopped = 104
+    node_stopped = 104,
+    ownership_gained = 301,
+    ownership_lost = 302,
+    authority_lapsed = 303,
+    authority_regained = 304,
+    claim_appended = 305,
+    control_record_broken = 306,
+    control_log_trimmed = 307,
+    handover_given_up = 308,
+    node_suspected = 401,
+    node_declared_dead = 402,
+    node_returned = 403,
+    node_leaving = 404,
+    endpoint_leaving = 405,
+    suspicion_refuted = 406
 };
 
 /// One line of the log.
