--- a/src/Core/outcome.cpp
+++ b/src/Core/outcome.cpp
@@ -62,6 +62,8 @@
         return "answer-cut";
     case reason::answer_mismatch:
         return "answer-mismatch";
+    case reason::late_answer:
+        return "late-answer";
     case reason::key_reused:
         return "key-reused";
     case reason::key_too_new:
--- a/src/Core/outcome.hpp
+++ b/src/Core/outcome.hpp
@@ -40,6 +40,7 @@
     endpoint_failed,
     answer_cut,
     answer_mismatch,
+    late_answer,
     key_reused,
     key_too_new,
     key_too_old,
--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -92,9 +92,14 @@
     std::vector<std::string> problems;
 };
 
-/// Count a refusal or a retry under its reason.
+/// Count a refusal, a retry, or something that came too late or to the wrong
+/// place and was dropped, under its reason.
 struct count_reason {
-    enum class kind : std::uint8_t { refusal, retry } what = kind::refusal;
+    enum class kind : std::uint8_t {
+        refusal,
+        retry,
+        dropped
+    } what = kind::refusal;
     reason why = reason::none;
 };
 
--- a/src/Serving/node_event.hpp
+++ b/src/Serving/node_event.hpp
@@ -120,10 +120,6 @@
     std::string datagram;
 };
 
-/// The largest datagram that is sent, so that none is fragmented on an
-/// Ethernet path.
-inline constexpr std::size_t largest_probe = 1400;
-
 /// A peer could not be reached over TCP, or a connection that may have held
 /// messages not yet delivered has broken.
 struct peer_unreachable {
--- a/src/Serving/peer_codec.cpp
+++ b/src/Serving/peer_codec.cpp
@@ -16,6 +16,10 @@
     static constexpr urgency value = urgency::background;
 };
 template <>
+struct last_value_of<resource_kind> {
+    static constexpr resource_kind value = resource_kind::key_shard;
+};
+template <>
 struct last_value_of<reason> {
     static constexpr reason value = reason::internal_error;
 };
