Keys: the headers that the request tracker composes

Cause: serving needs the messages, actions and classes of at most once before their code stands. No code behind them yet, so nothing is measured. Conclusion: the interface to compose; the code follows.

--- a/src/Core/outcome.cpp
+++ b/src/Core/outcome.cpp
@@ -72,6 +72,12 @@
         return "key-unknown-after-takeover";
     case reason::key_table_full:
         return "key-table-full";
+    case reason::key_invalid:
+        return "key-invalid";
+    case reason::key_answer_dropped:
+        return "key-answer-dropped";
+    case reason::key_clock_disagrees:
+        return "key-clock-disagrees";
     case reason::already_running:
         return "already-running";
     case reason::caller_gone:
--- a/src/Core/outcome.hpp
+++ b/src/Core/outcome.hpp
@@ -45,6 +45,9 @@
     key_too_old,
     key_unknown_after_takeover,
     key_table_full,
+    key_invalid,
+    key_answer_dropped,
+    key_clock_disagrees,
     already_running,
     caller_gone,
     internal_error
--- /dev/null
+++ b/src/Keys/entry_keys.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Keys/key_action.hpp"
+#include "Keys/key_clock.hpp"
+#include "Keys/key_settings.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// A request that bears an idempotency key.
+struct keyed_request {
+    request_id id;
+    idempotency_key key;
+    std::uint64_t body_digest = 0;
+    bool idempotent = false;
+    instant deadline;
+};
+
+/// The entry node's side of idempotency keys: asks the owner of the key's shard
+/// for leave to run, asks again while no answer comes, names running keys to
+/// their owners, and tells them how each one ended.
+class entry_keys {
+public:
+    explicit entry_keys(entry_key_settings settings)
+        : settings_(settings) {}
+
+    /// The owner of a shard is now known to be another; an empty id when none.
+    void on_owner(key_shard shard, node_id const& owner);
+    /// Asks for leave to run a request. A key_settled follows.
+    void ask(keyed_request const& request, key_clock const& clock);
+    /// An owner's answer has come.
+    void on_reply(key_reply const& reply, key_clock const& clock);
+    /// An owner has noted an end.
+    void on_noted(key_noted const& noted);
+    /// A request with verdict `run` has ended.
+    /// @param how not_run only while no byte can have reached an endpoint
+    void ended(
+        request_id const& id, outcome how, reason why, std::string answer,
+        key_clock const& clock);
+    /// The request's caller has gone, or its time is over, before the verdict.
+    /// It will not run, whatever reply still comes.
+    void withdraw(request_id const& id, key_clock const& clock);
+    /// Time has passed.
+    void tick(key_clock const& clock);
+
+    /// @returns what is to be done, in order; empties the list
+    std::vector<key_action> take_actions();
+    /// @returns requests that ask, wait or run
+    std::size_t open() const noexcept { return open_.size(); }
+    /// @returns ended requests that are still remembered
+    std::size_t remembered() const noexcept { return ended_.size(); }
+
+private:
+    enum class phase : std::uint8_t { asking, waiting, running };
+    struct open_request {
+        keyed_request request;
+        key_shard shard = 0;
+        phase now_in = phase::asking;
+        instant patience_ends;
+        instant next_ask;
+        std::uint64_t permission = 0;
+        log_offset fencing;
+    };
+    struct ended_request {
+        key_finished end;
+        instant next_send;
+        instant forget_at;
+        bool withdrawn = false;
+        bool noted = false;
+    };
+
+    void send_ask(open_request& each, key_clock const& clock);
+    void settle(
+        open_request const& each, key_verdict verdict, reason why,
+        std::string answer = {});
+    void give_up(open_request const& each, key_clock const& clock);
+    bool settle_reply(
+        open_request& each, key_reply const& reply, key_clock const& clock);
+    void on_late_reply(key_reply const& reply, key_clock const& clock);
+    void remember_end(
+        open_request const& each, outcome how, reason why, std::string answer,
+        bool withdrawn, key_clock const& clock);
+    bool tick_open(open_request& each, key_clock const& clock);
+    void tick_ended(key_clock const& clock);
+    void send_heartbeats(key_clock const& clock);
+
+    entry_key_settings settings_;
+    std::array<node_id, key_shard_count> owners_;
+    std::map<request_id, open_request> open_;
+    std::map<request_id, ended_request> ended_;
+    instant next_heartbeat_;
+    std::vector<key_action> actions_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Keys/key_owner.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Keys/key_action.hpp"
+#include "Keys/key_clock.hpp"
+#include "Keys/key_memory.hpp"
+#include "Keys/key_settings.hpp"
+#include "Keys/key_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorpoint {
+
+/// What the log says of a claim on a shard that took effect for this node.
+struct key_claim {
+    /// The claim's own offset.
+    log_offset fencing;
+    /// The claim that was in force before, when the log still shows it.
+    std::optional<log_offset> previous;
+    /// True when the previous holder released the shard to this node.
+    bool handed_over = false;
+};
+
+/// The key shards that this node owns: it gives each key's permission to run
+/// once, and answers repeats from memory. Its counterpart is entry_keys.
+/// docs/design/at-most-once.md argues why no key runs twice.
+class key_owner {
+public:
+    explicit key_owner(key_settings settings)
+        : settings_(settings)
+        , memory_(settings.most_records, settings.most_answer_bytes) {}
+
+    /// A claim of this node on a shard took effect.
+    void on_shard_taken(
+        key_shard shard, key_claim const& claim, key_clock const& clock);
+    /// Another node's claim on the shard took effect.
+    void on_shard_lost(key_shard shard);
+
+    /// Answers an ask.
+    /// @param authority_until when this node's authority over the shard ends;
+    ///        the epoch when it has none
+    void on_ask(
+        node_id const& from, key_ask const& ask, instant authority_until,
+        key_clock const& clock);
+    /// Notes how the work under a key ended, and answers who waited for it.
+    void on_finished(
+        node_id const& from, key_finished const& end, instant authority_until,
+        key_clock const& clock);
+    /// Notes which keys an entry node still runs.
+    void on_heartbeat(
+        node_id const& from, key_heartbeat const& beat, key_clock const& clock);
+    /// Takes a part of a table that a holder hands over to this node.
+    void on_handover(key_handover const& part, key_clock const& clock);
+    /// Closes a shard for good under its present claim, and sends its table to
+    /// the successor. The release may be appended once the parts were sent.
+    void hand_over(key_shard shard, node_id const& successor);
+    /// Time has passed.
+    void tick(key_clock const& clock);
+
+    /// @returns what is to be done, in order; empties the list
+    std::vector<key_action> take_actions();
+    /// @returns records kept over all shards
+    std::size_t records() const noexcept { return memory_.records(); }
+    /// @returns bytes of answers kept over all shards
+    std::size_t answer_bytes() const noexcept { return memory_.answer_bytes(); }
+
+private:
+    struct staged_table {
+        log_offset fencing;
+        wall_time unknown_up_to;
+        std::map<std::uint32_t, std::vector<key_record>> parts;
+        std::uint32_t expected = 0;
+    };
+
+    bool clocks_agree(
+        node_id const& from, key_ask const& ask, key_clock const& clock);
+    bool adopt_staged(key_shard shard, key_clock const& clock);
+    void refuse(node_id const& to, key_ask const& ask, reason why);
+    void send_replies(key_table& table);
+
+    key_settings settings_;
+    internal::key_memory memory_;
+    std::map<key_shard, key_table> tables_;
+    std::map<key_shard, key_claim> claims_;
+    std::map<key_shard, staged_table> staged_;
+    std::optional<instant> warned_;
+    std::vector<key_action> actions_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Keys/key_table.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Keys/key_clock.hpp"
+#include "Keys/key_memory.hpp"
+#include "Keys/key_messages.hpp"
+#include "Keys/key_record.hpp"
+#include "Keys/key_settings.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// A reply and whom it goes to.
+struct addressed_reply {
+    node_id to;
+    key_reply reply;
+};
+
+/// One shard's memory at its owner.
+class key_table {
+public:
+    /// @param settings bounds and times
+    /// @param memory   counts over all tables of this node; outlives the table
+    /// @param shard    the shard whose keys are kept
+    key_table(
+        key_settings const& settings, internal::key_memory& memory,
+        key_shard shard);
+    key_table(key_table const&) = delete;
+    key_table& operator=(key_table const&) = delete;
+    ~key_table();
+
+    /// Starts a new claim under which permissions are given.
+    void begin(log_offset fencing);
+    /// Says that keys up to a time may have run without this table's knowledge.
+    void know_nothing_up_to(wall_time bound);
+    /// Stops giving permissions until the next claim.
+    void close() noexcept { closed_ = true; }
+
+    /// Answers an ask; the reply is put to the others.
+    /// @param may_decide true while this node's authority holds
+    void
+    ask(node_id const& from, key_ask const& ask, bool may_decide,
+        key_clock const& clock);
+    /// Notes an end.
+    /// @returns true when it stands in the table and need not be sent again
+    bool finish(
+        node_id const& from, key_finished const& end, bool may_decide,
+        key_clock const& clock);
+    /// Notes that an entry node runs a key.
+    void
+    heard(node_id const& from, key_held const& held, key_clock const& clock);
+    /// Lets silent entry nodes' keys become unknown; forgets old records.
+    void tick(key_clock const& clock);
+
+    /// Takes over another holder's records, but for those it knows itself.
+    /// @param bound up to when the other holder itself knew nothing
+    void import_records(
+        std::vector<key_record> records, wall_time bound,
+        key_clock const& clock);
+    /// @returns the whole table in parts of bounded size
+    std::vector<key_handover> export_parts() const;
+
+    /// @returns the claim under which permissions are given
+    log_offset fencing() const noexcept { return fencing_; }
+    /// @returns true when the shard was closed for a handover
+    bool closed() const noexcept { return closed_; }
+    /// @returns the record of a key, or null
+    key_record const* find(idempotency_key const& key) const;
+    /// @returns replies to send, in order; empties the list
+    std::vector<addressed_reply> take_replies();
+
+private:
+    struct waiter {
+        node_id entry;
+        request_id request;
+        std::uint32_t attempt = 0;
+        instant until;
+    };
+    struct entry {
+        key_record record;
+        instant last_heard;
+        std::vector<waiter> waiters;
+    };
+    using entry_map = std::map<idempotency_key, entry>;
+
+    void ask_known(
+        entry& known, node_id const& from, key_ask const& ask, bool may_decide,
+        key_clock const& clock);
+    void
+    ask_new(node_id const& from, key_ask const& ask, key_clock const& clock);
+    void ask_done(
+        entry& known, node_id const& from, key_ask const& ask, bool may_decide,
+        key_clock const& clock);
+    void join(
+        entry& known, node_id const& from, key_ask const& ask,
+        key_clock const& clock);
+    reason time_problem(key_ask const& ask, key_clock const& clock) const;
+    void
+    give(entry& known, node_id const& from, key_ask const& ask, instant now);
+    void give_next_waiter(entry& known, key_clock const& clock);
+    void answer_waiters(entry& known);
+    void keep_answer(entry& known, std::string const& answer);
+    void drop_answer(entry& known);
+    void become_unknown(entry& known, reason why);
+    entry& make_entry(
+        idempotency_key const& key, std::uint64_t digest, bool idempotent,
+        key_clock const& clock);
+    key_reply reply_of(entry const& known) const;
+    void
+    reply(node_id const& to, key_ask const& ask, key_verdict what, reason why);
+
+    key_settings const& settings_;
+    internal::key_memory& memory_;
+    key_shard shard_;
+    log_offset fencing_;
+    bool closed_ = true;
+    wall_time unknown_up_to_{};
+    std::uint64_t next_permission_ = 1;
+    entry_map entries_;
+    /// Keys with kept answers, the oldest first.
+    std::deque<idempotency_key> answered_;
+    std::vector<addressed_reply> replies_;
+};
+
+} // namespace camphorpoint
--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Keys/key_messages.hpp"
 #include "Scheduling/grant_messages.hpp"
 
 #include <variant>
@@ -10,6 +11,7 @@
 /// in its own folder; order matters on the wire.
 using peer_message = std::variant<
     grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
-    grant_heartbeat>;
+    grant_heartbeat, key_ask, key_reply, key_finished, key_noted, key_heartbeat,
+    key_handover>;
 
 } // namespace camphorpoint
