--- /dev/null
+++ b/src/Limits/endpoint_health.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace camphorpoint {
+
+/// When an endpoint is skipped.
+struct health_settings {
+    /// Failures in a row after which it is skipped.
+    std::uint32_t failures = 3;
+    std::chrono::milliseconds first_skip{500};
+    std::chrono::milliseconds longest_skip{15'000};
+};
+
+/// Skips an endpoint that fails again and again, and lets one request at a time
+/// probe it. Guards against a dead endpoint that answers fast with errors and
+/// so draws most of the work: it shows as a high share of failures while the
+/// others idle.
+/// Reference: M. Nygard, "Release It!", 2nd edition, 2018, on circuit breakers.
+class endpoint_health {
+public:
+    /// @returns true when a request may be sent
+    bool usable(health_settings const& settings, instant now) const noexcept {
+        if (failures_ < settings.failures) {
+            return true;
+        }
+        return now >= skip_until_ && !probing_;
+    }
+    /// @returns true while it is skipped or only probed
+    bool suspect(health_settings const& settings) const noexcept {
+        return failures_ >= settings.failures;
+    }
+    /// A request goes out; to a suspect endpoint it is the probe.
+    void on_dispatch(health_settings const& settings) noexcept {
+        probing_ = suspect(settings);
+    }
+    /// The endpoint answered.
+    void on_success() noexcept {
+        failures_ = 0;
+        skips_ = 0;
+        probing_ = false;
+    }
+    /// The endpoint was not reached, or failed.
+    void on_failure(
+        health_settings const& settings, instant now, std::mt19937_64& random) {
+        ++failures_;
+        probing_ = false;
+        if (suspect(settings)) {
+            skip_until_ = now + skip_time(settings, random);
+            skips_ = std::min(skips_ + 1, most_skips);
+        }
+    }
+    /// A request ended that says nothing of the endpoint, such as a
+    /// cancelled one.
+    void on_neutral() noexcept { probing_ = false; }
+    /// @returns when the next probe may go out
+    instant skip_until() const noexcept { return skip_until_; }
+
+private:
+    static constexpr std::uint32_t most_skips = 16;
+
+    duration
+    skip_time(health_settings const& settings, std::mt19937_64& random) const {
+        auto const full = std::min<std::chrono::milliseconds>(
+            settings.longest_skip, settings.first_skip * (1U << skips_));
+        duration const most = full;
+        // From half to the whole, so that nodes do not probe in step.
+        std::uniform_int_distribution<std::int64_t> spread(
+            most.count() / 2, most.count());
+        return duration(spread(random));
+    }
+
+    std::uint32_t failures_ = 0;
+    std::uint32_t skips_ = 0;
+    bool probing_ = false;
+    instant skip_until_;
+};
+
+} // namespace camphorpoint
