--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "Config/config_messages.hpp"
+#include "Keys/key_messages.hpp"
+#include "Loading/load_messages.hpp"
 #include "Ownership/handover_messages.hpp"
 #include "Scheduling/grant_messages.hpp"
 
@@ -11,6 +14,9 @@
 /// in its own folder; order matters on the wire.
 using peer_message = std::variant<
     grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
-    grant_heartbeat, handover_offer, handover_accepted, holder_stopped>;
+    grant_heartbeat, handover_offer, handover_accepted, holder_stopped,
+    config_ask, config_records, config_state, key_ask, key_reply, key_finished,
+    key_noted, key_heartbeat, key_handover, load_ask, load_allowed, load_denied,
+    load_ended, load_cancelled>;
 
 } // namespace camphorpoint
