--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/config_messages.hpp"
 #include "Scheduling/grant_messages.hpp"
 
 #include <variant>
@@ -10,6 +11,6 @@
 /// in its own folder; order matters on the wire.
 using peer_message = std::variant<
     grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
-    grant_heartbeat>;
+    grant_heartbeat, config_ask, config_records, config_state>;
 
 } // namespace camphorpoint
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -16,7 +16,18 @@
     node_started = 101,
     node_ready = 102,
     node_draining = 103,
-    node_stopped = 104
+    node_stopped = 104,
+    config_ready = 201,
+    config_record_invalid = 202,
+    config_place_expired = 203,
+    config_no_checkpoint = 204,
+    config_state_adopted = 205,
+    config_digest_differs = 206,
+    config_stale = 207,
+    config_fresh_again = 208,
+    config_state_broken = 209,
+    config_checkpoint_begun = 210,
+    config_checkpoint_written = 211
 };
 
 /// One line of the log.
