Configuration: replay, records, states in parts

Cause: every node has to reach the same verdict on every change. Change: change and checkpoint records as strict JSON text, the replay with revisions, tombstones, remembered ids and an incremental digest, states cut into parts and put together again; profile_table is gone.

--- a/src/Config/change_publisher.hpp
+++ b/src/Config/change_publisher.hpp
@@ -80,9 +80,11 @@
         : settings_(settings) {}
 
     /// Publishes a change.
-    /// @param number names it in the report
-    std::vector<publish_action>
-    publish(std::uint64_t number, change value, instant now);
+    /// @param number  names it in the report
+    /// @param current the node's configuration
+    std::vector<publish_action> publish(
+        std::uint64_t number, change value, configuration const& current,
+        instant now);
     /// An append has ended.
     /// @param offset of the record; only when it was appended
     std::vector<publish_action> on_append_ended(
--- a/src/Config/checkpoint_writer.hpp
+++ b/src/Config/checkpoint_writer.hpp
@@ -68,10 +68,11 @@
     node_id self_;
     checkpoint_settings settings_;
     std::optional<instant> start_at_;
-    std::deque<std::string> parts_;
+    std::deque<checkpoint_part> parts_;
+    instant not_before_{};
     log_offset covers_;
-    instant began_;
-    instant next_part_;
+    instant began_{};
+    instant next_part_{};
     std::uint64_t last_append_ = 0;
     bool appending_ = false;
 };
--- a/src/Config/config_messages.hpp
+++ b/src/Config/config_messages.hpp
@@ -34,11 +34,15 @@
     log_offset offset;
     /// Milliseconds since 1970, by the log service's clock.
     std::int64_t appended_ms = 0;
+    /// Empty for a record that changes nothing: checkpoints are not handed on,
+    /// since they would be most of the bytes.
     std::string data;
+    /// What a whole checkpoint covers that this record closes; 0 for others.
+    log_offset closes_checkpoint;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(offset, appended_ms, data);
+        archive(offset, appended_ms, data, closes_checkpoint);
     }
 };
 
--- a/src/Config/configuration.hpp
+++ b/src/Config/configuration.hpp
@@ -52,6 +52,11 @@
     std::optional<profile> value;
 };
 
+/// Checks a state that came from outside: order, rules and digest.
+bool is_intact(configuration_state const& state);
+/// @returns a hash of what a change says, without its id
+std::uint64_t content_hash(change const& value);
+
 /// The replay of the log's configuration stream. Every node that applies the
 /// same records reaches the same verdicts, profiles and digest.
 class configuration {
@@ -62,6 +67,9 @@
     /// @returns what became of it
     apply_report apply(log_record const& record);
 
+    /// Steps over the record at next(), which is known to change nothing.
+    void pass(log_offset offset);
+
     /// Takes a whole state from a checkpoint or a peer, if it is ahead of this
     /// one and its digest is right. A state that is not ahead is refused, so
     /// that nothing ever reverts.
@@ -101,11 +109,12 @@
         std::optional<profile_state> before;
     };
 
+    void advance(log_offset offset);
     apply_report judge(change const& value, log_offset offset);
     apply_report judge(change_withdrawal const& value, log_offset offset);
     apply_report judge(checkpoint_part const& value, log_offset offset);
     void accept(profile_edit const& edit, log_offset offset);
-    void put(profile_state state);
+    void replace(profile_state state);
     void remember(remembered_change entry);
     void forget_old();
 
--- a/src/Config/configuration_state.hpp
+++ b/src/Config/configuration_state.hpp
@@ -50,13 +50,16 @@
     /// Where the record stands that brought the verdict.
     log_offset offset;
     verdict first = verdict::accepted;
+    /// Hash of the change's content, which tells an id used twice; 0 when
+    /// withdrawn.
+    std::uint64_t content = 0;
 
     friend bool
     operator==(remembered_change const&, remembered_change const&) = default;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(id, offset, first);
+        archive(id, offset, first, content);
     }
 };
 
--- a/src/Config/declaration_reader.cpp
+++ b/src/Config/declaration_reader.cpp
@@ -1,5 +1,6 @@
 #include "Config/declaration_reader.hpp"
 
+#include "Config/profile_rules.hpp"
 #include "Settings/toml_section.hpp"
 
 #include <fmt/format.h>
@@ -12,8 +13,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds longest_deadline{3'600'000};
-
 profile read_profile(toml_section section) {
     profile result;
     result.name = profile_name(section.required_text("name"));
--- a/src/Config/plan.hpp
+++ b/src/Config/plan.hpp
@@ -31,4 +31,13 @@
     std::vector<profile_state> const& current,
     std::vector<profile> const& declared, undeclared_profiles rest);
 
+/// Cuts a plan into changes that each fit into a record.
+/// @param edits  a plan's edits
+/// @param id     the change's id, with "-1", "-2" ... behind when it is cut
+/// @param author who publishes it
+/// @returns the changes, to be published in this order
+std::vector<change> make_changes(
+    std::vector<profile_edit> const& edits, change_id const& id,
+    std::string const& author);
+
 } // namespace camphorpoint
--- a/src/Node/thin_node.cpp
+++ b/src/Node/thin_node.cpp
@@ -84,7 +84,7 @@
         declaration_reader reader;
         reader.read("log", record.at("data").as_string());
         for (profile const& each : reader.profiles()) {
-            profiles_.put(each);
+            profiles_[each.name] = each;
         }
         next_offset_ = record.at("offset").to_number<std::uint64_t>() + 1;
     }
@@ -150,13 +150,14 @@
         co_return;
     }
     profile_name const name(std::string(body.at("model").as_string()));
-    profile const* wanted = profiles_.find(name);
-    if (wanted == nullptr) {
+    auto const found = profiles_.find(name);
+    if (found == profiles_.end()) {
         co_await exchange.respond(refusal(404, reason::unknown_profile));
         co_return;
     }
-    body.as_object()["model"] = engine_model(wanted->adapter);
-    co_await complete(exchange, *wanted, json::serialize(body));
+    profile const& wanted = found->second;
+    body.as_object()["model"] = engine_model(wanted.adapter);
+    co_await complete(exchange, wanted, json::serialize(body));
 }
 
 asio::awaitable<bool> thin_node::order_load(
--- a/src/Node/thin_node.hpp
+++ b/src/Node/thin_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Config/profile_table.hpp"
+#include "Config/profile.hpp"
 #include "Ports/http_server.hpp"
 #include "Settings/node_settings.hpp"
 
@@ -43,7 +43,7 @@
     boost::asio::io_context& io_;
     node_settings settings_;
     http_server server_;
-    profile_table profiles_;
+    std::map<profile_name, profile> profiles_;
     std::map<endpoint_id, engine_instance> engines_;
     std::uint64_t next_offset_ = 0;
     std::uint64_t next_request_ = 1;
