--- a/src/Config/change_publisher.hpp
+++ b/src/Config/change_publisher.hpp
@@ -109,15 +109,14 @@
     struct pending {
         std::uint64_t number = 0;
         change value;
-        instant began;
+        instant began{};
         stage where = stage::appending;
         /// When the present stage began.
-        instant since;
+        instant since{};
         log_offset offset;
         /// The append under way; 0 when there is none.
         std::uint64_t append = 0;
-        bool withdrawing = false;
-        instant next_withdrawal;
+        instant next_withdrawal{};
     };
     using actions = std::vector<publish_action>;
 
@@ -125,6 +124,8 @@
     void append_withdrawal(pending& each, instant now, actions& out);
     bool
     settle(pending const& each, configuration const& current, actions& out);
+    bool settle_unseen(
+        pending const& each, configuration const& current, actions& out);
     bool advance(pending& each, instant now, actions& out);
 
     publisher_settings settings_;
--- a/src/Config/checkpoint_writer.hpp
+++ b/src/Config/checkpoint_writer.hpp
@@ -62,8 +62,13 @@
     bool due(config_follower const& follower, wall_time calendar) const;
     duration
     wait_by_rank(log_offset since, std::vector<node_id> const& peers) const;
-    void begin(config_follower const& follower, instant now);
-    void stop();
+    void begin(
+        config_follower const& follower, instant now,
+        std::vector<checkpoint_action>& out);
+    void write_on(
+        config_follower const& follower, instant now,
+        std::vector<checkpoint_action>& out);
+    void stop(instant now);
 
     node_id self_;
     checkpoint_settings settings_;
@@ -71,10 +76,12 @@
     std::deque<checkpoint_part> parts_;
     instant not_before_{};
     log_offset covers_;
-    instant began_{};
+    instant give_up_at_{};
     instant next_part_{};
     std::uint64_t last_append_ = 0;
     bool appending_ = false;
+    /// True when the first of parts_ stands in the log.
+    bool part_done_ = false;
 };
 
 } // namespace camphorpoint
--- a/src/Config/config_follower.hpp
+++ b/src/Config/config_follower.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Config/checkpoint_search.hpp"
 #include "Config/config_messages.hpp"
 #include "Config/configuration.hpp"
 #include "Config/follower_settings.hpp"
+#include "Config/record_buffer.hpp"
 #include "Config/state_assembler.hpp"
 #include "Config/state_sender.hpp"
 #include "Core/outcome.hpp"
@@ -10,10 +12,10 @@
 #include "Platform/log_record.hpp"
 #include "Telemetry/log_event.hpp"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -105,16 +107,6 @@
     }
 
 private:
-    /// Looking for a checkpoint, since the records after next() are gone or
-    /// there are too many of them.
-    struct checkpoint_search {
-        /// Where this pass over the log began, and where it is now.
-        log_offset begin;
-        log_offset at;
-        std::uint64_t reach = 0;
-        state_assembler parts;
-        std::optional<configuration_state> best;
-    };
     struct offer {
         node_id peer;
         log_offset next;
@@ -124,7 +116,10 @@
         std::uint64_t number = 0;
         instant sent;
         std::size_t open = 0;
+        /// The highest of the answers.
         std::optional<offer> best;
+        /// True when an answer's records led ahead.
+        bool progress = false;
     };
     struct transfer {
         std::uint64_t number = 0;
@@ -134,39 +129,46 @@
     };
 
     void begin_read(instant now, config_actions& out);
-    void read_ended(instant now);
     void follow(log_batch const& batch, instant now, config_actions& out);
     void take(log_record const& record, config_actions& out);
-    void observe(log_record const& record);
-    void confirm(instant when);
-    void begin_search(log_batch const& batch, config_actions& out);
+    log_offset closed_checkpoint(log_record const& record);
+    void note_checkpoint(log_offset covers, wall_time written);
+    void confirm(instant when, config_actions& out);
+    void begin_search(log_batch const& batch, instant now, config_actions& out);
     void search(log_batch const& batch, instant now, config_actions& out);
     void
     end_search_pass(log_batch const& batch, instant now, config_actions& out);
-    void ask_peers(instant now, config_actions& out);
+    void report_no_checkpoint(
+        log_batch const& batch, instant now, config_actions& out);
+    bool adopt(
+        configuration_state const& state, std::string_view source,
+        config_actions& out);
+    void become_ready(config_actions& out);
+    bool log_is_failing(instant now) const;
+    void ask_when_due(instant now, config_actions& out);
+    void
+    ask(std::vector<node_id> const& peers, instant now, config_actions& out);
     void finish_round(instant now, config_actions& out);
-    void on_ask(
-        node_id const& from, config_ask const& ask, instant now,
+    void begin_transfer(node_id const& peer, instant now, config_actions& out);
+    void handle(
+        node_id const& from, config_ask const& message, instant now,
         config_actions& out);
-    void on_records(
+    void handle(
         node_id const& from, config_records const& message, instant now,
         config_actions& out);
-    void on_state(
+    void handle(
         node_id const& from, config_state const& message, instant now,
         config_actions& out);
-    void take_copies(
-        config_records const& message, instant now, config_actions& out);
+    bool take_copies(config_records const& message, config_actions& out);
     void compare(
         node_id const& from, log_offset next, std::uint64_t digest,
         config_actions& out);
     config_records summary(instant now) const;
+    void add_kept(log_offset since, config_records& message) const;
     void push_news(
         log_offset since, node_id const& but, instant now, config_actions& out);
     std::vector<node_id> some_peers(node_id const& but);
-    bool adopt(
-        configuration_state const& state, instant now, char const* source,
-        config_actions& out);
-    void keep(log_record const& record);
+    void report_staleness(instant now, config_actions& out);
 
     node_id self_;
     follower_settings settings_;
@@ -176,21 +178,30 @@
     bool ready_ = false;
     std::optional<instant> confirmed_at_;
     std::optional<instant> contact_at_;
+
     std::optional<instant> read_began_;
     instant next_read_{};
-    instant next_ask_{};
+    /// True when something newer was heard of during a read.
+    bool read_again_ = false;
     std::uint32_t failures_ = 0;
+    /// True when the records after next() are gone and the log holds no
+    /// checkpoint either.
     bool lost_place_ = false;
+    /// True when there is no checkpoint and the log still has all records.
+    bool replay_all_ = false;
     std::optional<checkpoint_search> search_;
+
     std::uint64_t last_number_ = 0;
+    instant next_ask_{};
     std::optional<ask_round> round_;
     std::optional<transfer> transfer_;
     state_sender sender_;
-    std::deque<copied_record> kept_;
+    record_buffer kept_;
+
     state_assembler passing_checkpoints_;
     std::optional<seen_checkpoint> last_checkpoint_;
     std::optional<wall_time> oldest_record_;
-    /// The last offset at which each peer's digest was found to differ.
+    /// The offset at which a peer's digest was last reported to differ.
     std::map<node_id, log_offset> reported_;
     bool stale_reported_ = false;
 };
--- a/src/Config/follower_settings.hpp
+++ b/src/Config/follower_settings.hpp
@@ -29,6 +29,12 @@
     std::chrono::milliseconds longest_poll{4'000};
     /// A read with no answer after this is taken for failed.
     std::chrono::milliseconds read_timeout{5'000};
+    /// A read that takes longer makes the node ask its peers meanwhile.
+    std::chrono::milliseconds slow_read{1'000};
+    /// Between two reads that something urgent asks for.
+    std::chrono::milliseconds urgent_pause{50};
+    /// After a search through the whole log that found no checkpoint.
+    std::chrono::milliseconds search_pause{10'000};
     /// How many peers get new records unasked, or are asked at once.
     std::size_t fanout = 4;
     /// How long answers to one round of asks are waited for.
