--- a/src/Scheduling/grant_messages.hpp
+++ b/src/Scheduling/grant_messages.hpp
@@ -38,6 +38,8 @@
     /// Expected wait of a new request whose adapter is resident.
     std::chrono::milliseconds expected_wait{};
     bool adapter_resident = false;
+    /// Expected wait until an adapter that is not resident would be.
+    std::chrono::milliseconds expected_load{};
 
     template <class Archive>
     void serialize(Archive& archive);
@@ -134,8 +136,10 @@
 template <class Archive>
 void replica_feedback::serialize(Archive& archive) {
     auto wait = expected_wait.count();
-    archive(queued, running, wait, adapter_resident);
+    auto load = expected_load.count();
+    archive(queued, running, wait, adapter_resident, load);
     expected_wait = std::chrono::milliseconds(wait);
+    expected_load = std::chrono::milliseconds(load);
 }
 
 template <class Archive>
--- /dev/null
+++ b/src/Scheduling/owner_table.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Core/ids.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace camphorpoint {
+
+/// A grant that is in use when a replica changes hands.
+struct handed_grant {
+    node_id node;
+    request_id request;
+    std::uint32_t attempt = 0;
+    std::uint64_t grant = 0;
+    adapter_ref adapter;
+    std::chrono::milliseconds age{};
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        auto how_old = age.count();
+        archive(node, request, attempt, grant, adapter, how_old);
+        age = std::chrono::milliseconds(how_old);
+    }
+};
+
+/// How often an adapter is asked for on a replica.
+struct handed_demand {
+    adapter_ref adapter;
+    double requests_per_second = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(adapter, requests_per_second);
+    }
+};
+
+/// What the owner of a replica hands to its successor in a planned stop.
+struct owner_table {
+    endpoint_id replica;
+    /// The engine's run that the grants belong to.
+    std::uint64_t incarnation = 0;
+    std::vector<handed_grant> grants;
+    std::vector<handed_demand> demand;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, incarnation, grants, demand);
+    }
+};
+
+} // namespace camphorpoint
