Decisions of a replica's owner, of the weight store's owner, and of placement

Cause: grants, loads, evictions and the choice of a replica had interfaces only. Change: replica_scheduler of a grant_manager (queue, batch, ends of grants) and a slot_manager (wants, orders, two-step evictions), both over one replica_state; store_budget; placement over an endpoint_table whose rendezvous order is kept until the usable replicas of the model change.

--- /dev/null
+++ b/src/Loading/store_budget.cpp
@@ -0,0 +1,289 @@
+#include "Loading/store_budget.hpp"
+
+#include "Core/moving_average.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
+
+namespace camphorpoint {
+
+namespace {
+
+/// How much a waiting request of each class counts.
+constexpr std::array<double, urgency_count> class_weight{8, 4, 2, 1};
+/// Loads that take this many times as long as usual mean a slow store.
+constexpr int slow_factor = 3;
+
+double seconds(duration span) {
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+store_budget::store_budget(store_limits const& limits)
+    : limits_(limits) {
+    assert(limits.loads_per_second > 0 && "a store without loads has no owner");
+    assert(limits.concurrency > 0 && "a store must serve one load at a time");
+}
+
+std::size_t store_budget::starts_in_window() const {
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::floor(limits_.loads_per_second)));
+}
+
+duration store_budget::window() const {
+    // A permission may lie unused for valid_for, so that starts which were
+    // allowed in one second could crowd into a shorter one at the store. The
+    // store counts what it sees; what one window allows is never more than
+    // its rate, and permissions are used at once in the usual case.
+    double const length =
+        static_cast<double>(starts_in_window()) / limits_.loads_per_second;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(length));
+}
+
+void store_budget::on_authority(
+    log_offset fencing, instant not_after, instant now) {
+    bool const taken_over = !owned_ || fencing != fencing_;
+    owned_ = true;
+    fencing_ = fencing;
+    not_after_ = not_after;
+    if (taken_over) {
+        // The former owner may have dealt out the whole window just before its
+        // authority ended; without this pause both owners' loads would meet at
+        // the store, which then slows down for all.
+        starts_.assign(starts_in_window(), now);
+        running_.clear();
+    }
+    allow_some(now);
+}
+
+void store_budget::on_authority_lost(instant) {
+    owned_ = false;
+    wants_.clear();
+    running_.clear();
+}
+
+void store_budget::on_ask(
+    node_id const& from, load_ask const& ask, instant now) {
+    want_key const key{ask.replica, ask.adapter};
+    if (crosses_permission(key, now)) {
+        return;
+    }
+    deny_while_paused(from, ask, now);
+    auto const known = wants_.find(key);
+    if (known == wants_.end()) {
+        wants_.emplace(key, want{from, ask, now, now});
+    } else {
+        known->second.from = from;
+        known->second.ask = ask;
+        known->second.heard = now;
+    }
+    allow_some(now);
+}
+
+bool store_budget::crosses_permission(want_key const& key, instant now) {
+    auto const given = std::ranges::find_if(
+        running_, [&](auto const& each) { return each.second.key == key; });
+    if (given == running_.end()) {
+        return false;
+    }
+    // A repeated ask that crossed its permission on the way would earn a
+    // second load of the same adapter. A replica that holds a permission does
+    // not ask, so an ask that comes later means that the word of the load's
+    // end was lost.
+    if (now - given->second.given < limits_.valid_for) {
+        return true;
+    }
+    running_.erase(given);
+    return false;
+}
+
+void store_budget::deny_while_paused(
+    node_id const& to, load_ask const& ask, instant now) {
+    if (now >= paused_until_) {
+        return;
+    }
+    auto const left =
+        std::chrono::ceil<std::chrono::milliseconds>(paused_until_ - now);
+    load_denied const message{ask.replica, ask.adapter, left};
+    actions_.emplace_back(send_load_denied{to, message});
+}
+
+void store_budget::on_cancelled(
+    node_id const&, load_cancelled const& message, instant now) {
+    wants_.erase({message.replica, message.adapter});
+    allow_some(now);
+}
+
+void store_budget::on_ended(
+    node_id const&, load_ended const& message, instant now) {
+    auto const known = running_.find(message.permission);
+    bool const matches =
+        known != running_.end() &&
+        known->second.key == want_key{message.replica, message.adapter};
+    if (!matches) {
+        // A late word on a former owner's permission, or one that was given
+        // up: nothing to free.
+        return;
+    }
+    running_.erase(known);
+    if (message.started && message.ok) {
+        note_success(message, now);
+    } else if (message.started) {
+        note_failure(message, now);
+    }
+    allow_some(now);
+}
+
+void store_budget::note_success(load_ended const& message, instant) {
+    if (down()) {
+        actions_.emplace_back(log_event{
+            event_code::store_recovered, log_level::info,
+            fmt::format("took_ms={}", message.took.count())});
+    }
+    failures_ = 0;
+    paused_until_ = instant{};
+    duration const took = message.took;
+    bool const first = usual_time_ == duration{};
+    recent_time_ = first ? took : move_average(recent_time_, took);
+    // The usual time follows the fast loads at once and slow ones hardly, so
+    // that a slow spell doesn't become the measure of itself.
+    constexpr int slow_drift = 64;
+    usual_time_ = first || took < usual_time_
+                      ? took
+                      : usual_time_ + (took - usual_time_) / slow_drift;
+}
+
+void store_budget::note_failure(load_ended const& message, instant now) {
+    // One adapter that always fails says nothing about the store.
+    if (message.adapter.id == last_failed_ && !down()) {
+        return;
+    }
+    last_failed_ = message.adapter.id;
+    ++failures_;
+    if (!down()) {
+        return;
+    }
+    constexpr std::uint32_t most_doublings = 10;
+    std::uint32_t const doublings =
+        std::min(failures_ - limits_.failures_when_down, most_doublings);
+    auto const pause =
+        std::min(limits_.first_pause * (1 << doublings), limits_.longest_pause);
+    paused_until_ = now + pause;
+    actions_.emplace_back(log_event{
+        event_code::store_down, log_level::warning,
+        fmt::format("failures={} pause_ms={}", failures_, pause.count())});
+}
+
+void store_budget::on_tick(instant now) {
+    forget_silent(now);
+    allow_some(now);
+}
+
+void store_budget::forget_silent(instant now) {
+    // A replica whose owner died asks no more: its wants would take loads that
+    // nobody carries out, and its permissions would block the store for good.
+    std::erase_if(wants_, [&](auto const& each) {
+        return now - each.second.heard > limits_.ask_lifetime;
+    });
+    std::erase_if(running_, [&](auto const& each) {
+        return now - each.second.given > limits_.longest_load;
+    });
+}
+
+bool store_budget::window_is_full(instant now) const {
+    if (starts_.size() < starts_in_window()) {
+        return false;
+    }
+    instant const oldest = starts_[starts_.size() - starts_in_window()];
+    return now - oldest < window();
+}
+
+bool store_budget::may_start(instant now) const {
+    // The deadline is checked with each permission: a paused owner wakes up
+    // in the middle of its work and still believes that it owns the store.
+    bool const owner = owned_ && now < not_after_;
+    std::size_t const at_once = down() ? 1 : limits_.concurrency;
+    return owner && now >= paused_until_ && running_.size() < at_once &&
+           !window_is_full(now);
+}
+
+bool store_budget::may_speculate(instant now) const {
+    bool const slow =
+        usual_time_ > duration{} && recent_time_ > usual_time_ * slow_factor;
+    if (down() || slow || !running_.empty()) {
+        return false;
+    }
+    double const allowed =
+        limits_.speculative_share * static_cast<double>(starts_in_window());
+    auto const recent = std::ranges::count_if(
+        starts_, [&](instant start) { return now - start < window(); });
+    return static_cast<double>(recent) < std::max(1.0, allowed);
+}
+
+double store_budget::weight(want const& each, instant now) const {
+    double const coming =
+        each.ask.expected_demand * seconds(duration(limits_.demand_horizon));
+    double const many = static_cast<double>(each.ask.waiting) + coming;
+    duration const waited = duration(each.ask.oldest_wait) + (now - each.heard);
+    double const aged = 1.0 + seconds(waited) / seconds(limits_.aging);
+    auto const index = static_cast<std::size_t>(each.ask.how_urgent);
+    return class_weight.at(index) * many * aged;
+}
+
+store_budget::want_map::iterator store_budget::best_want(instant now) {
+    auto best = wants_.end();
+    double best_weight = 0;
+    bool const spare = may_speculate(now);
+    for (auto each = wants_.begin(); each != wants_.end(); ++each) {
+        bool const ahead = each->second.ask.speculative();
+        if (ahead && !spare) {
+            continue;
+        }
+        double const own = weight(each->second, now);
+        bool const first = best == wants_.end();
+        bool const best_ahead = !first && best->second.ask.speculative();
+        bool const better = first || (best_ahead && !ahead) ||
+                            (best_ahead == ahead && own > best_weight);
+        if (better) {
+            best = each;
+            best_weight = own;
+        }
+    }
+    return best;
+}
+
+void store_budget::allow_some(instant now) {
+    while (may_start(now)) {
+        auto const best = best_want(now);
+        if (best == wants_.end()) {
+            return;
+        }
+        allow(best, now);
+    }
+}
+
+void store_budget::allow(want_map::iterator which, instant now) {
+    std::uint64_t const number = next_permission_++;
+    want_key const key = which->first;
+    running_.emplace(number, permission{key, now});
+    starts_.push_back(now);
+    while (starts_.size() > starts_in_window()) {
+        starts_.pop_front();
+    }
+    load_allowed const message{
+        key.replica, key.adapter, number, limits_.valid_for};
+    actions_.emplace_back(send_load_allowed{which->second.from, message});
+    wants_.erase(which);
+}
+
+std::vector<budget_action> store_budget::take_actions() {
+    return std::exchange(actions_, {});
+}
+
+} // namespace camphorpoint
--- a/src/Loading/store_budget.hpp
+++ b/src/Loading/store_budget.hpp
@@ -87,6 +87,8 @@
     using want_map = std::map<want_key, want>;
 
     void forget_silent(instant now);
+    bool crosses_permission(want_key const& key, instant now);
+    void deny_while_paused(node_id const& to, load_ask const& ask, instant now);
     void allow_some(instant now);
     bool may_start(instant now) const;
     bool may_speculate(instant now) const;
--- a/src/Placement/placement.hpp
+++ b/src/Placement/placement.hpp
@@ -1,31 +1,23 @@
 #pragma once
 
+#include "Core/decayed_rate.hpp"
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
+#include "Placement/endpoint_table.hpp"
+#include "Placement/placement_endpoint.hpp"
 #include "Placement/placement_policy.hpp"
+#include "Placement/placement_settings.hpp"
+#include "Placement/prefix_hints.hpp"
 #include "Scheduling/grant_messages.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace camphorpoint {
 
-/// What placement knows of a replica, from the membership.
-struct placement_endpoint {
-    endpoint_id id;
-    model_id model;
-    domain_id domain;
-    std::uint32_t batch_limit = 16;
-    std::uint32_t adapter_slots = 8;
-    /// False while it is leaving or suspected: it gets nothing new.
-    bool usable = true;
-
-    friend bool
-    operator==(placement_endpoint const&, placement_endpoint const&) = default;
-};
-
 /// An engine's notice about its prefix cache; late, and with gaps.
 struct prefix_cache_event {
     endpoint_id endpoint;
@@ -36,29 +28,6 @@
     duration age{};
 };
 
-/// What an entry node tells its placement at the start.
-struct placement_settings {
-    /// This node's failure domain.
-    domain_id domain;
-    /// Replicas that are looked at for an adapter.
-    std::size_t candidates = 6;
-    /// Entry nodes that share the callers evenly; scales measured demand.
-    std::size_t nodes = 1;
-    /// Share of a batch that one adapter may fill before it gets a copy.
-    double share_per_copy = 0.5;
-    /// After this time half of a reply's word on queues counts no more.
-    std::chrono::milliseconds queue_memory{1'000};
-    /// After this time half of a reply's word on residency counts no more.
-    std::chrono::milliseconds residency_memory{30'000};
-    /// A prefix hint is believed this long.
-    std::chrono::milliseconds prefix_memory{60'000};
-    /// Prefix hints that are kept.
-    std::size_t prefix_limit = 20'000;
-    /// Assumed until measured.
-    std::chrono::milliseconds service_time{2'000};
-    std::chrono::milliseconds load_time{400};
-};
-
 /// Chooses, at an entry node, the replica that a request is asked for at.
 /// @tparam Policy weighs the candidates
 template <placement_policy Policy = least_expected_wait>
@@ -87,7 +56,41 @@
     void on_served(duration took);
 
 private:
+    /// What a reply said of an adapter's residency on a replica.
+    struct residency_hint {
+        internal::endpoint_index where = 0;
+        bool resident = false;
+        instant heard;
+    };
+    /// Hints and demand of one adapter in one version.
+    struct adapter_entry {
+        std::uint64_t generation = 0;
+        std::vector<internal::endpoint_index> candidates;
+        std::vector<residency_hint> hints;
+        decayed_rate asks{std::chrono::seconds(20)};
+        instant last_use;
+    };
+
+    adapter_entry&
+    entry_of(adapter_ref const& adapter, model_id const& model, instant now);
+    std::size_t copies(adapter_entry const& entry, instant now) const;
+    placement_candidate describe(
+        adapter_entry const& entry, std::size_t rank,
+        endpoint_id const* prefix_home, instant now) const;
+    duration aged_wait(internal::known_endpoint const& each, instant now) const;
+    double
+    residency(adapter_entry const& entry, std::size_t rank, instant now) const;
+    void forget_idle(instant now);
+
     placement_settings settings_;
+    internal::endpoint_table endpoints_;
+    internal::prefix_hints prefixes_;
+    std::unordered_map<adapter_ref, adapter_entry> adapters_;
+    duration service_time_;
+    instant last_forgetting_;
+    Policy policy_;
 };
 
 } // namespace camphorpoint
+
+#include "Placement/placement_decisions.hpp"
--- /dev/null
+++ b/src/Placement/placement_decisions.hpp
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "Core/hash.hpp"
+#include "Core/moving_average.hpp"
+#include "Placement/placement.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace camphorpoint {
+
+// How placement decides.
+
+namespace internal {
+
+/// @returns the part that is left after some time, with this half-life
+inline double remaining(duration passed, duration half_life) {
+    double const spans = static_cast<double>(passed.count()) /
+                         static_cast<double>(half_life.count());
+    return std::exp2(-std::max(0.0, spans));
+}
+
+inline duration scaled(duration span, double factor) {
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
+} // namespace internal
+
+template <placement_policy Policy>
+placement<Policy>::placement(placement_settings const& settings)
+    : settings_(settings)
+    , prefixes_(settings.prefix_limit, settings.prefix_memory)
+    , service_time_(settings.service_time) {
+    assert(settings.candidates > 0 && "a request needs a replica to ask at");
+    assert(settings.queue_memory.count() > 0 && "a half-life is positive");
+}
+
+template <placement_policy Policy>
+void placement<Policy>::set_endpoints(
+    std::vector<placement_endpoint> const& endpoints) {
+    if (endpoints_.set(endpoints)) {
+        // Positions have changed their meaning.
+        for (auto& [adapter, entry] : adapters_) {
+            entry.hints.clear();
+            entry.generation = 0;
+        }
+    }
+}
+
+template <placement_policy Policy>
+void placement<Policy>::set_nodes(std::size_t nodes) {
+    settings_.nodes = std::max<std::size_t>(1, nodes);
+}
+
+template <placement_policy Policy>
+typename placement<Policy>::adapter_entry& placement<Policy>::entry_of(
+    adapter_ref const& adapter, model_id const& model, instant now) {
+    adapter_entry& entry = adapters_[adapter];
+    entry.last_use = now;
+    std::uint64_t const generation = endpoints_.generation(model);
+    if (entry.generation != generation || generation == 0) {
+        // Versions of an adapter share their replicas: their owners can then
+        // warm the newer one before the older is let go.
+        std::uint64_t const key = hash_text(adapter.id.str());
+        entry.candidates = endpoints_.top(model, key, settings_.candidates);
+        entry.generation = generation;
+    }
+    return entry;
+}
+
+template <placement_policy Policy>
+std::size_t
+placement<Policy>::copies(adapter_entry const& entry, instant now) const {
+    if (entry.candidates.empty()) {
+        return 1;
+    }
+    std::uint32_t const batch =
+        endpoints_.at(entry.candidates.front()).about.batch_limit;
+    double const everywhere =
+        entry.asks.per_second(now) * static_cast<double>(settings_.nodes);
+    double const running =
+        everywhere * std::chrono::duration<double>(service_time_).count();
+    double const needed =
+        std::ceil(running / (settings_.share_per_copy * batch));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(needed));
+}
+
+template <placement_policy Policy>
+duration placement<Policy>::aged_wait(
+    internal::known_endpoint const& each, instant now) const {
+    // Requests that went there since the last reply take its free places
+    // first, then its queue; a burst would otherwise all go to one replica.
+    std::uint32_t const limit = std::max(1U, each.about.batch_limit);
+    std::uint32_t const free = limit - std::min(limit, each.running);
+    std::uint32_t const beyond =
+        each.sent_since - std::min(each.sent_since, free);
+    duration const extra = service_time_ * beyond / limit;
+    if (!each.heard) {
+        return extra;
+    }
+    double const left =
+        internal::remaining(now - *each.heard, settings_.queue_memory);
+    return internal::scaled(each.wait + extra, left);
+}
+
+template <placement_policy Policy>
+double placement<Policy>::residency(
+    adapter_entry const& entry, std::size_t rank, instant now) const {
+    // Without word, the home is the best guess: other nodes send there too.
+    double const guess = rank == 0 ? 0.5 : 0.0;
+    internal::endpoint_index const index = entry.candidates[rank];
+    auto const hint =
+        std::ranges::find(entry.hints, index, &residency_hint::where);
+    if (hint == entry.hints.end()) {
+        return guess;
+    }
+    double const left =
+        internal::remaining(now - hint->heard, settings_.residency_memory);
+    double const told = hint->resident ? 1.0 : 0.0;
+    return guess + (told - guess) * left;
+}
+
+template <placement_policy Policy>
+placement_candidate placement<Policy>::describe(
+    adapter_entry const& entry, std::size_t rank,
+    endpoint_id const* prefix_home, instant now) const {
+    internal::known_endpoint const& each =
+        endpoints_.at(entry.candidates[rank]);
+    placement_candidate result;
+    result.rank = rank;
+    result.wait = aged_wait(each, now);
+    result.load =
+        each.load > duration{} ? each.load : duration(settings_.load_time);
+    result.residency = residency(entry, rank, now);
+    result.prefix_cached = prefix_home && *prefix_home == each.about.id;
+    result.same_domain = each.about.domain == settings_.domain;
+    return result;
+}
+
+template <placement_policy Policy>
+std::optional<endpoint_id> placement<Policy>::choose(
+    adapter_ref const& adapter, model_id const& model, urgency how_urgent,
+    std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
+    instant now) {
+    adapter_entry const& entry = entry_of(adapter, model, now);
+    placement_demand const demand{how_urgent, copies(entry, now)};
+    endpoint_id const* const prefix_home =
+        prefix_hash == 0 ? nullptr : prefixes_.find(prefix_hash, now);
+    std::optional<internal::endpoint_index> best;
+    duration least{};
+    for (std::size_t rank = 0; rank < entry.candidates.size(); ++rank) {
+        internal::endpoint_index const index = entry.candidates[rank];
+        endpoint_id const& id = endpoints_.at(index).about.id;
+        if (std::ranges::find(excluded, id) != excluded.end()) {
+            continue;
+        }
+        duration const cost =
+            policy_.cost(describe(entry, rank, prefix_home, now), demand);
+        if (!best || cost < least) {
+            best = index;
+            least = cost;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    internal::known_endpoint& chosen = endpoints_.at(*best);
+    ++chosen.sent_since;
+    if (prefix_hash != 0) {
+        prefixes_.stored(prefix_hash, chosen.about.id, now);
+    }
+    return chosen.about.id;
+}
+
+template <placement_policy Policy>
+void placement<Policy>::on_feedback(
+    endpoint_id const& endpoint, adapter_ref const& adapter,
+    replica_feedback const& feedback, instant now) {
+    auto const index = endpoints_.find(endpoint);
+    if (!index) {
+        return;
+    }
+    internal::known_endpoint& known = endpoints_.at(*index);
+    known.wait = feedback.expected_wait;
+    known.load = feedback.expected_load;
+    known.running = feedback.running;
+    known.heard = now;
+    known.sent_since = 0;
+    auto const entry = adapters_.find(adapter);
+    if (entry == adapters_.end()) {
+        return;
+    }
+    std::vector<residency_hint>& hints = entry->second.hints;
+    auto hint = std::ranges::find(hints, *index, &residency_hint::where);
+    if (hint == hints.end()) {
+        hint = hints.insert(hints.end(), {*index, false, now});
+    }
+    hint->resident = feedback.adapter_resident;
+    hint->heard = now;
+}
+
+template <placement_policy Policy>
+void placement<Policy>::on_cache_event(
+    prefix_cache_event const& event, instant now) {
+    instant const when = now - event.age;
+    if (event.stored) {
+        prefixes_.stored(event.prefix_hash, event.endpoint, when);
+    } else {
+        prefixes_.dropped(event.prefix_hash, event.endpoint, when);
+    }
+}
+
+template <placement_policy Policy>
+void placement<Policy>::on_demand(adapter_ref const& adapter, instant now) {
+    adapter_entry& entry = adapters_[adapter];
+    entry.asks.add(now);
+    entry.last_use = now;
+    forget_idle(now);
+}
+
+template <placement_policy Policy>
+void placement<Policy>::on_served(duration took) {
+    service_time_ = move_average(service_time_, took);
+}
+
+template <placement_policy Policy>
+void placement<Policy>::forget_idle(instant now) {
+    constexpr std::chrono::minutes period{5};
+    constexpr std::chrono::minutes longest_memory{30};
+    if (now - last_forgetting_ < period) {
+        return;
+    }
+    last_forgetting_ = now;
+    std::erase_if(adapters_, [&](auto const& each) {
+        return now - each.second.last_use > longest_memory;
+    });
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Placement/placement_policy.cpp
@@ -0,0 +1,24 @@
+#include "Placement/placement_policy.hpp"
+
+namespace camphorpoint {
+
+duration least_expected_wait::cost(
+    placement_candidate const& each, placement_demand const& demand) const {
+    // Copies that the demand calls for cost a plain load; more than that push
+    // out other adapters for nothing.
+    bool const called_for = each.rank < demand.copies;
+    double const weight = called_for ? 1.0 : load_weight;
+    double const missing = weight * (1.0 - each.residency);
+    auto const load = duration(static_cast<duration::rep>(
+        missing * static_cast<double>(each.load.count())));
+    duration cost = each.wait + load;
+    if (each.prefix_cached) {
+        cost -= prefix_saving;
+    }
+    if (!each.same_domain) {
+        cost += distance;
+    }
+    return cost;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Scheduling/adapter_memory.cpp
@@ -0,0 +1,104 @@
+#include "Scheduling/adapter_memory.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint::internal {
+
+namespace {
+
+/// An adapter that was not asked for in this time is forgotten.
+constexpr std::chrono::minutes longest_memory{15};
+/// Rates below this are not worth handing on.
+constexpr double least_rate = 0.01;
+
+} // namespace
+
+adapter_memory::adapter_memory(scheduler_settings const& settings)
+    : settings_(settings)
+    , random_(settings.seed) {}
+
+void adapter_memory::note_ask(adapter_ref const& adapter, instant now) {
+    adapter_record& record = records_[adapter];
+    record.asks.add(now);
+    record.earlier_ask = record.last_ask;
+    record.last_ask = now;
+}
+
+void adapter_memory::note_rate(
+    adapter_ref const& adapter, double rate, instant now) {
+    adapter_record& record = records_[adapter];
+    if (record.asks.per_second(now) < rate) {
+        record.asks.set_rate(now, rate);
+    }
+    record.last_ask = std::max(record.last_ask, now);
+}
+
+std::uint32_t
+adapter_memory::note_failure(adapter_ref const& adapter, instant now) {
+    adapter_record& record = records_[adapter];
+    ++record.failures;
+    constexpr std::uint32_t most_doublings = 10;
+    std::uint32_t const doublings =
+        std::min(record.failures - 1, most_doublings);
+    duration const whole = std::min<duration>(
+        settings_.first_backoff * (1 << doublings), settings_.longest_backoff);
+    // The jitter keeps replicas whose loads failed together, as in an outage
+    // of the store, from asking again together.
+    std::uniform_real_distribution<double> part(0.5, 1.0);
+    double const pause = part(random_) * static_cast<double>(whole.count());
+    record.retry_at = now + duration(static_cast<duration::rep>(pause));
+    return record.failures;
+}
+
+void adapter_memory::note_loaded(adapter_ref const& adapter) {
+    auto const known = records_.find(adapter);
+    if (known != records_.end()) {
+        known->second.failures = 0;
+        known->second.retry_at = instant{};
+    }
+}
+
+void adapter_memory::pause(adapter_ref const& adapter, instant until) {
+    adapter_record& record = records_[adapter];
+    record.retry_at = std::max(record.retry_at, until);
+}
+
+adapter_record const& adapter_memory::of(adapter_ref const& adapter) const {
+    auto const known = records_.find(adapter);
+    return known == records_.end() ? empty_ : known->second;
+}
+
+double adapter_memory::rate(adapter_ref const& adapter, instant now) const {
+    return of(adapter).asks.per_second(now);
+}
+
+bool adapter_memory::may_load(adapter_ref const& adapter, instant now) const {
+    return now >= of(adapter).retry_at;
+}
+
+bool adapter_memory::given_up(adapter_ref const& adapter, instant now) const {
+    adapter_record const& record = of(adapter);
+    return record.failures >= settings_.failures_before_refusal &&
+           now < record.retry_at;
+}
+
+std::vector<handed_demand> adapter_memory::demand(instant now) const {
+    std::vector<handed_demand> result;
+    for (auto const& [adapter, record] : records_) {
+        double const rate = record.asks.per_second(now);
+        if (rate > least_rate) {
+            result.push_back({adapter, rate});
+        }
+    }
+    std::ranges::sort(result, {}, &handed_demand::adapter);
+    return result;
+}
+
+void adapter_memory::prune(instant now) {
+    std::erase_if(records_, [&](auto const& each) {
+        return now - each.second.last_ask > longest_memory &&
+               now >= each.second.retry_at;
+    });
+}
+
+} // namespace camphorpoint::internal
--- /dev/null
+++ b/src/Scheduling/batch_policy.cpp
@@ -0,0 +1,61 @@
+#include "Scheduling/batch_policy.hpp"
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr auto index_of(urgency value) {
+    return static_cast<std::size_t>(value);
+}
+
+/// Classes that may take the place kept for urgent work.
+constexpr bool uses_reserve(std::size_t index) {
+    return index <= index_of(urgency::high);
+}
+
+bool keeps_reserve(batch_state const& state, instant now) {
+    class_state const& immediate = state.classes[index_of(urgency::immediate)];
+    bool const about = immediate.last_ask &&
+                       now - *immediate.last_ask < urgent_first::reserve_memory;
+    return about && state.batch_limit >= urgent_first::smallest_with_reserve;
+}
+
+} // namespace
+
+std::optional<urgency>
+urgent_first::next_class(batch_state const& state, instant now) const {
+    if (state.running >= state.batch_limit) {
+        return std::nullopt;
+    }
+    // The last free place waits for urgent work: otherwise a licence match
+    // that comes while the batch is full of long answers waits for one to end.
+    bool const last_place = state.running + 1 == state.batch_limit;
+    bool const only_urgent = last_place && keeps_reserve(state, now);
+    std::optional<urgency> best;
+    for (std::size_t index = 0; index < urgency_count; ++index) {
+        class_state const& each = state.classes[index];
+        if (each.ready == 0 || (only_urgent && !uses_reserve(index))) {
+            continue;
+        }
+        bool const due = share[index] > 0 && each.passed_over >= share[index];
+        if (due || !best) {
+            best = static_cast<urgency>(index);
+        }
+    }
+    return best;
+}
+
+std::optional<urgency>
+strict_urgency::next_class(batch_state const& state, instant) const {
+    if (state.running >= state.batch_limit) {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0; index < urgency_count; ++index) {
+        if (state.classes[index].ready > 0) {
+            return static_cast<urgency>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Scheduling/grant_manager_ends.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "Scheduling/grant_manager.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace camphorpoint::internal {
+
+// How grants end in grant_manager.
+
+template <batch_policy Batch>
+std::optional<adapter_ref> grant_manager<Batch>::on_withdrawn(
+    replica_state& state, node_id const& from, grant_withdrawn const& message,
+    instant now) {
+    heard_.insert_or_assign(from, now);
+    waiting_request const* const waiting = state.queue.find(message.request);
+    if (waiting && waiting->ask.attempt <= message.attempt) {
+        state.queue.remove(message.request);
+        return std::nullopt;
+    }
+    // The withdrawal crossed the grant: its entry node will not send, since it
+    // took the ask back before the grant came.
+    running_grant const* const grant =
+        std::as_const(state.grants).find(message.request);
+    if (!grant || grant->attempt > message.attempt) {
+        return std::nullopt;
+    }
+    return state.grants.end(message.request, now)->adapter;
+}
+
+template <batch_policy Batch>
+std::optional<adapter_ref> grant_manager<Batch>::on_released(
+    replica_state& state, node_id const& from, grant_released const& message,
+    instant now) {
+    heard_.insert_or_assign(from, now);
+    running_grant const* const grant =
+        std::as_const(state.grants).find(message.request);
+    if (!grant || grant->attempt != message.attempt) {
+        return std::nullopt;
+    }
+    running_grant const ended = *state.grants.end(message.request, now);
+    bool const ran = message.adapter_was_loaded && message.tokens > 0;
+    if (ran) {
+        state.times.note_service(now - ended.granted, message.tokens);
+    }
+    return ended.adapter;
+}
+
+template <batch_policy Batch>
+std::vector<adapter_ref> grant_manager<Batch>::on_heartbeat(
+    replica_state& state, node_id const& from,
+    std::vector<grant_in_use> const& grants, instant now) {
+    heard_.insert_or_assign(from, now);
+    std::set<request_id> named;
+    for (grant_in_use const& each : grants) {
+        if (each.replica == state.settings.replica) {
+            named.insert(each.request);
+            keep_named(state, from, each, now);
+        }
+    }
+    // Messages of one node come in their order, so that whatever this owner
+    // has of the node was sent before the heartbeat: what the heartbeat leaves
+    // out has ended, and the word of its end was lost.
+    std::vector<adapter_ref> ended;
+    for (request_id const& id : state.grants.ids_of(from)) {
+        running_grant const& grant = *std::as_const(state.grants).find(id);
+        duration const usable =
+            state.settings.send_within + state.settings.grant_margin;
+        bool const unused = !grant.sent && now - grant.granted > usable;
+        if (!named.contains(id) || unused) {
+            ended.push_back(state.grants.end(id, now)->adapter);
+        }
+    }
+    for (request_id const& id : state.queue.ids_from(from)) {
+        if (!named.contains(id)) {
+            state.queue.remove(id);
+        }
+    }
+    return ended;
+}
+
+template <batch_policy Batch>
+void grant_manager<Batch>::keep_named(
+    replica_state& state, node_id const& from, grant_in_use const& each,
+    instant now) {
+    running_grant* const grant = state.grants.find(each.request);
+    if (grant) {
+        grant->sent = grant->sent || each.sent;
+        return;
+    }
+    if (state.queue.find(each.request)) {
+        return;
+    }
+    if (each.sent) {
+        // Granted by a former owner that died: this is how the successor
+        // learns what runs.
+        state.grants.add(
+            {.node = from,
+             .request = each.request,
+             .attempt = each.attempt,
+             .grant = 0,
+             .adapter = each.adapter,
+             .granted = now,
+             .sent = true});
+        return;
+    }
+    // It waits for an ask that a former owner took along, or whose refusal was
+    // lost. Told so, it can ask again at once rather than at its time-out.
+    grant_refused message;
+    message.request = each.request;
+    message.attempt = each.attempt;
+    message.replica = state.settings.replica;
+    message.why = reason::owner_unreachable;
+    state.actions.emplace_back(reply_refusal{from, message});
+}
+
+template <batch_policy Batch>
+void grant_manager<Batch>::adopt(
+    replica_state& state, owner_table const& table, instant now) {
+    for (handed_grant const& each : table.grants) {
+        bool const known = std::as_const(state.grants).find(each.request);
+        if (known) {
+            continue;
+        }
+        state.grants.add(
+            {.node = each.node,
+             .request = each.request,
+             .attempt = each.attempt,
+             .grant = each.grant,
+             .adapter = each.adapter,
+             .granted = now - each.age});
+        heard_.insert_or_assign(each.node, now);
+    }
+}
+
+template <batch_policy Batch>
+template <class Idle>
+std::vector<adapter_ref> grant_manager<Batch>::end_orphans(
+    replica_state& state, Idle const& idle, instant now) {
+    std::vector<adapter_ref> ended;
+    for (running_grant const& grant : state.grants.all()) {
+        auto const heard = heard_.find(grant.node);
+        bool const silent =
+            heard == heard_.end() ||
+            now - heard->second > state.settings.heartbeat_timeout;
+        // A dead entry node's request may run on: the engine doesn't notice at
+        // once. Only a report from after the last time at which it could have
+        // been sent tells that it does not.
+        instant const last_sent = grant.granted + state.settings.send_within +
+                                  state.settings.grant_margin;
+        bool const gone = silent && idle(grant.adapter, last_sent);
+        bool const too_old =
+            now - grant.granted > state.settings.longest_request;
+        if (gone || too_old) {
+            ended.push_back(state.grants.end(grant.request, now)->adapter);
+        }
+    }
+    return ended;
+}
+
+} // namespace camphorpoint::internal
--- a/src/Scheduling/owner_table.hpp
+++ b/src/Scheduling/owner_table.hpp
@@ -2,8 +2,12 @@
 
 #include "Core/ids.hpp"
 
+#include <cereal/types/optional.hpp>
+#include <cereal/types/vector.hpp>
+
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace camphorpoint {
@@ -39,8 +43,8 @@
 /// What the owner of a replica hands to its successor in a planned stop.
 struct owner_table {
     endpoint_id replica;
-    /// The engine's run that the grants belong to.
-    std::uint64_t incarnation = 0;
+    /// The engine's run that the grants belong to, if a report told it.
+    std::optional<std::uint64_t> incarnation;
     std::vector<handed_grant> grants;
     std::vector<handed_demand> demand;
 
--- a/src/Scheduling/replica_scheduler.hpp
+++ b/src/Scheduling/replica_scheduler.hpp
@@ -4,12 +4,16 @@
 #include "Core/time.hpp"
 #include "Loading/load_messages.hpp"
 #include "Platform/engine_order.hpp"
+#include "Scheduling/grant_manager.hpp"
 #include "Scheduling/grant_messages.hpp"
 #include "Scheduling/owner_table.hpp"
 #include "Scheduling/replica_policy.hpp"
 #include "Scheduling/scheduler_action.hpp"
 #include "Scheduling/scheduler_settings.hpp"
+#include "Scheduling/slot_manager.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace camphorpoint {
@@ -63,8 +67,17 @@
     replica_feedback feedback(adapter_ref const& adapter, instant now) const;
 
 private:
-    scheduler_settings settings_;
-    std::vector<scheduler_action> actions_;
+    void grants_ended(std::vector<adapter_ref> const& adapters, instant now);
+    void after_event(instant now);
+
+    internal::replica_state state_;
+    internal::slot_manager<typename Policy::eviction> slots_;
+    internal::grant_manager<typename Policy::batch> grants_;
+    /// The engine's run, once a report told it.
+    std::optional<std::uint64_t> incarnation_;
+    instant last_upkeep_;
 };
 
 } // namespace camphorpoint
+
+#include "Scheduling/replica_scheduler_events.hpp"
--- a/src/Scheduling/scheduler_settings.hpp
+++ b/src/Scheduling/scheduler_settings.hpp
@@ -28,7 +28,7 @@
     std::chrono::milliseconds heartbeat_timeout{5'000};
     /// Requests that wait this long for a load take a slot from an adapter
     /// that is in use.
-    std::chrono::milliseconds blocked_bound{2'000};
+    std::chrono::milliseconds blocked_bound{500};
     /// How often a want is told to the weight store's owner again.
     std::chrono::milliseconds want_refresh{500};
     /// A load's answer is waited for this long.
--- /dev/null
+++ b/src/Scheduling/slot_manager.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "Loading/load_messages.hpp"
+#include "Platform/engine_order.hpp"
+#include "Scheduling/eviction_policy.hpp"
+#include "Scheduling/replica_state.hpp"
+#include "Scheduling/slot_table.hpp"
+#include "Scheduling/want_book.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorpoint::internal {
+
+/// Decides which adapters one engine holds: what is wanted from the weight
+/// store, what is ordered in, and what is evicted for it.
+/// @tparam Eviction says which adapter is worth the least
+template <eviction_policy Eviction>
+class slot_manager {
+public:
+    /// @returns true when requests for the adapter may be granted
+    bool grantable(adapter_ref const& adapter) const;
+    /// A request for an adapter that is not grantable was queued.
+    void
+    on_blocked(replica_state& state, adapter_ref const& adapter, instant now);
+    /// The last grant that used the adapter has ended.
+    void on_idle(adapter_ref const& adapter, instant now);
+    void
+    on_report(replica_state& state, engine_report const& report, instant now);
+    /// @returns false when a newer owner's fencing number was seen
+    bool on_order_ended(
+        replica_state& state, engine_order const& order, order_result how,
+        instant now);
+    void on_load_allowed(
+        replica_state& state, load_allowed const& message, instant now);
+    void on_load_denied(
+        replica_state& state, load_denied const& message, instant now);
+    void on_version_change(
+        replica_state& state, adapter_ref const& from, adapter_ref const& to,
+        instant now);
+    /// Repeats wants, gives back lapsed permissions, looks after orders.
+    void on_tick(replica_state& state, instant now);
+    /// The engine has forgotten all adapters; the hottest are wanted again.
+    void on_cold_start(replica_state& state, instant now);
+    /// This node decides no more: wants are cancelled, slots forgotten.
+    void on_lost(replica_state& state, instant now);
+    /// @returns true when a report measured at or after `since` says that no
+    /// request uses the adapter
+    bool reported_idle(adapter_ref const& adapter, instant since) const {
+        return slots_.reported_idle(adapter, since);
+    }
+    /// @returns how long the store says that it stays down
+    duration store_pause(instant now) const;
+    /// @returns true when the engine's report, or enough time, confirms that
+    /// nothing has used the adapter since its last own grant
+    bool confirmed_idle(
+        replica_state const& state, adapter_ref const& adapter, instant since,
+        instant now) const;
+
+private:
+    using warm_map = std::map<adapter_ref, instant>;
+
+    // Wants: slot_manager_wants.hpp.
+    void plan(replica_state& state, instant now);
+    void plan_blocked(replica_state& state, instant now);
+    void plan_warming(replica_state& state, instant now);
+    bool may_want(
+        replica_state const& state, adapter_ref const& adapter,
+        instant now) const;
+    void
+    ask_store(replica_state& state, adapter_ref const& adapter, instant now);
+    void tell_store(
+        replica_state& state, adapter_ref const& adapter, load_want& want,
+        instant now);
+    void refresh_wants(replica_state& state, instant now);
+    bool still_wanted(
+        replica_state const& state, adapter_ref const& adapter,
+        instant now) const;
+    void drop_want(
+        replica_state& state, adapter_ref const& adapter,
+        load_want const& want);
+    void give_back(
+        replica_state& state, adapter_ref const& adapter,
+        std::uint64_t permission);
+    std::size_t room(replica_state const& state, instant now) const;
+    std::size_t free_slots(replica_state const& state) const;
+
+    // Evictions: slot_manager_evictions.hpp.
+    std::optional<adapter_ref>
+    victim(replica_state const& state, instant now) const;
+    bool evictable(
+        replica_state const& state, adapter_ref const& adapter,
+        slot const& each, instant now) const;
+    double worth(
+        replica_state const& state, adapter_ref const& adapter,
+        slot const& each, instant now) const;
+    bool guarded(adapter_ref const& adapter, instant now) const;
+    void evict(replica_state& state, adapter_ref const& adapter, instant now);
+    void stop_one_by_force(replica_state& state, instant now);
+    void evict_stopped(replica_state& state, instant now);
+    void resume_needless_stops(replica_state& state, instant now);
+    void make_room(replica_state& state, instant now);
+    void resume(replica_state& state, adapter_ref const& adapter, instant now);
+
+    // Orders: slot_manager_orders.hpp.
+    void use_permissions(replica_state& state, instant now);
+    void order_load(
+        replica_state& state, adapter_ref const& adapter, load_want const& want,
+        instant now);
+    void send_order(
+        replica_state& state, engine_order_kind kind,
+        adapter_ref const& adapter, slot& target, duration timeout,
+        instant now);
+    void load_ended_with(
+        replica_state& state, adapter_ref const& adapter, order_result how,
+        instant now);
+    void evict_ended_with(
+        replica_state& state, adapter_ref const& adapter, order_result how,
+        instant now);
+    void
+    load_failed(replica_state& state, adapter_ref const& adapter, instant now);
+    void refuse_waiting(
+        replica_state& state, adapter_ref const& adapter, instant now);
+    void became_resident(
+        replica_state& state, adapter_ref const& adapter, instant now);
+    void settle(replica_state& state, slot_change const& change, instant now);
+    void give_up_late_orders(replica_state& state, instant now);
+    void report_to_store(
+        replica_state& state, adapter_ref const& adapter, slot const& each,
+        bool started, bool ok, instant now);
+
+    slot_table slots_;
+    want_book wants_;
+    /// Loads ahead of demand, with the time up to which they are worth it.
+    warm_map warming_;
+    /// Older version to newer one, while both may be resident.
+    std::map<adapter_ref, adapter_ref> successors_;
+    /// Older versions that are kept until the newer one is resident.
+    std::map<adapter_ref, instant> guarded_until_;
+    /// The store's owner said that it is down until then.
+    instant store_paused_until_;
+    std::uint64_t orders_ = 0;
+    Eviction eviction_;
+};
+
+} // namespace camphorpoint::internal
+
+#include "Scheduling/slot_manager_evictions.hpp"
+#include "Scheduling/slot_manager_orders.hpp"
+#include "Scheduling/slot_manager_wants.hpp"
--- /dev/null
+++ b/src/Scheduling/time_estimates.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Core/moving_average.hpp"
+#include "Core/time.hpp"
+#include "Scheduling/scheduler_settings.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace camphorpoint::internal {
+
+/// How long things take on one replica: assumed at first, then measured.
+class time_estimates {
+public:
+    explicit time_estimates(scheduler_settings const& settings)
+        : token_(settings.token_time)
+        , service_(settings.token_time * settings.answer_tokens)
+        , load_(settings.load_time)
+        , stall_(settings.load_time) {}
+
+    /// A request ran this long and answered so many tokens.
+    void note_service(duration took, std::uint32_t tokens) {
+        service_ = move_average(service_, took);
+        if (tokens > 0) {
+            token_ = move_average(token_, took / tokens);
+        }
+    }
+    /// A load's order took this long.
+    void note_load(duration took) { load_ = move_average(load_, took); }
+    /// An adapter's first request waited this long for it.
+    void note_stall(duration waited) { stall_ = move_average(stall_, waited); }
+
+    /// @param tokens expected; 0 when unknown
+    /// @returns how long a request runs
+    duration service(std::uint32_t tokens) const {
+        return tokens == 0 ? service_ : token_ * tokens;
+    }
+    /// @returns how long a request of which nothing is known runs
+    duration service() const { return service_; }
+    /// @returns how long a load's order takes
+    duration load() const { return load_; }
+    /// @returns how long a request waits for a load, the store's queue included
+    duration stall() const { return std::max(stall_, load_); }
+
+private:
+    duration token_;
+    duration service_;
+    duration load_;
+    duration stall_;
+};
+
+} // namespace camphorpoint::internal
--- /dev/null
+++ b/src/Scheduling/want_book.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Core/ids.hpp"
+#include "Core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace camphorpoint::internal {
+
+/// A load that was asked for at the weight store's owner.
+struct load_want {
+    instant asked;
+    /// When it was last told to the store's owner.
+    instant told;
+    /// Number of the permission; 0 while there is none.
+    std::uint64_t permission = 0;
+    instant valid_until;
+    /// True when nobody waited at the time of the ask.
+    bool speculative = false;
+};
+
+/// The loads that one replica wants and has not ordered yet.
+using want_book = std::map<adapter_ref, load_want>;
+
+} // namespace camphorpoint::internal
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -16,7 +16,17 @@
     node_started = 101,
     node_ready = 102,
     node_draining = 103,
-    node_stopped = 104
+    node_stopped = 104,
+    store_down = 601,
+    store_recovered = 602,
+    load_retrying = 603,
+    load_given_up = 604,
+    engine_restarted = 605,
+    order_unsettled = 606,
+    order_settled = 607,
+    replica_taken_over = 608,
+    replica_lost = 609,
+    slot_taken_by_force = 610
 };
 
 /// One line of the log.
