--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -41,7 +41,17 @@
     node_returned = 403,
     node_leaving = 404,
     endpoint_leaving = 405,
-    suspicion_refuted = 406
+    suspicion_refuted = 406,
+    store_down = 601,
+    store_recovered = 602,
+    load_retrying = 603,
+    load_given_up = 604,
+    engine_restarted = 605,
+    order_unsettled = 606,
+    order_settled = 607,
+    replica_taken_over = 608,
+    replica_lost = 609,
+    slot_taken_by_force = 610
 };
 
 /// One line of the log.
