--- a/bench/preset.hpp
+++ b/bench/preset.hpp
@@ -18,7 +18,7 @@
     urgency how_urgent = urgency::normal;
     /// Its part of all requests to engines.
     double share = 0;
-    /// Tokens of an answer, geometrically distributed.
+    /// Tokens of an answer, log-normally distributed.
     double mean_tokens = 0;
     std::uint32_t prompt_tokens = 0;
     std::chrono::milliseconds deadline{};
