Bench: the product's decisions as a policy, and slopes

Cause: the bench measured only baselines. Change: policy camphorpoint drives placement, replica_scheduler and store_budget over nodes with message latency, authority renewals, lagging reports and heartbeats; slope counts time, bytes and allocations a request.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "report.hpp"
 #include "runner.hpp"
+#include "slope.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -28,6 +29,7 @@
     "  camphorpoint-bench run PRESET [--policy NAME] [--seed N]\n"
     "  camphorpoint-bench compare PRESET [--seeds N]\n"
     "  camphorpoint-bench plot PRESET [--seeds N] --out STEM\n"
+    "  camphorpoint-bench slope\n"
     "Presets: inventarwerk, anthokipos. Faults: none, popularity-shift,\n"
     "cold-start, failed-loads, store-slow, store-down, owner-paused,\n"
     "log-outage. Policies: random, round-robin, least-loaded, rendezvous,\n"
@@ -104,6 +106,11 @@
 }
 
 int run_main(std::vector<char*> const& words) {
+    constexpr std::size_t command_only = 2;
+    if (words.size() == command_only && words[1] == std::string("slope")) {
+        print_slopes();
+        return 0;
+    }
     std::optional<task> const what = read_task(words);
     if (!what) {
         fmt::print(stderr, "{}\n", usage);
--- a/bench/runner.cpp
+++ b/bench/runner.cpp
@@ -1,6 +1,7 @@
 #include "runner.hpp"
 
 #include "baseline.hpp"
+#include "product_policy.hpp"
 
 #include <cassert>
 
@@ -25,6 +26,7 @@
         {"round-robin", drive<baseline<round_robin_chooser>>},
         {"least-loaded", drive<baseline<least_loaded_chooser>>},
         {"rendezvous", drive<baseline<rendezvous_chooser>>},
+        {"camphorpoint", drive<product_policy>},
     };
     return result;
 }
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -151,8 +151,16 @@
     std::uint32_t const adapter = request(index).adapter;
     records_[index].adapter = {adapter, versions_[adapter]};
     loop_.at(deadline(index), [this, index] { expire(index); });
-    loop_.after(
-        workload_.client_latency, [this, index] { hooks_.arrived(index); });
+    instant const reached = now() + workload_.client_latency;
+    instant const taken = std::max(reached, paused_until(request(index).node));
+    loop_.at(taken, [this, index] { hooks_.arrived(index); });
+}
+
+instant world::paused_until(std::uint32_t node) const {
+    instant const start = measured_from() + fault_start;
+    bool const paused =
+        fault_ == fault::owner_paused && node == paused_node && now() >= start;
+    return paused ? start + pause_length : instant{};
 }
 
 void world::feed_calls(std::size_t index) {
--- a/bench/world.hpp
+++ b/bench/world.hpp
@@ -14,6 +14,12 @@
 
 namespace camphorpoint::bench {
 
+/// The node that the owner-paused fault stops: it takes no caller's request,
+/// and decides nothing for what it owns. It does not own the weight store.
+inline constexpr std::uint32_t paused_node = 1;
+/// How long; longer than an owner's authority lasts.
+inline constexpr std::chrono::seconds pause_length{15};
+
 /// Where a request stands.
 enum class request_state : std::uint8_t {
     /// Not started; it may already lie in an engine's queue.
@@ -124,6 +130,9 @@
     /// Frees an idle adapter's slot.
     void evict(std::uint32_t engine, adapter_key key);
 
+    /// @returns until when the node does nothing; in the past when it runs
+    instant paused_until(std::uint32_t node) const;
+
     std::vector<step_sample> const& steps() const { return steps_; }
     std::vector<duration> const& call_waits() const { return call_waits_; }
     std::uint64_t loads_ordered() const { return loads_ordered_; }
