--- a/src/Ports/event_stream.cpp
+++ b/src/Ports/event_stream.cpp
@@ -40,7 +40,13 @@
 }
 
 void event_stream_reader::push(std::string_view piece) {
-    pending_ += piece;
+    // Lines may also end in CR LF. JSON escapes both, so a CR is never part of
+    // the data.
+    for (char const each : piece) {
+        if (each != '\r') {
+            pending_ += each;
+        }
+    }
 }
 
 std::optional<stream_event> event_stream_reader::next() {
--- a/src/Ports/event_stream.hpp
+++ b/src/Ports/event_stream.hpp
@@ -25,7 +25,8 @@
     void push(std::string_view piece);
     /// @returns the next whole event, or nothing until more has come
     std::optional<stream_event> next();
-    /// @returns how many bytes wait for the rest of their event
+    /// @returns how many bytes wait for the rest of their event; a user of the
+    /// reader must bound it
     std::size_t pending_bytes() const noexcept { return pending_.size(); }
 
 private:
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -1,11 +1,13 @@
 #include "Ports/http_client.hpp"
 
+#include "Ports/http_connection.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -16,6 +18,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
+using internal::http_connection;
 
 namespace {
 
@@ -23,67 +26,185 @@
 constexpr unsigned http_1_1 = 11;
 constexpr std::size_t piece_bytes = 16U << 10U;
 
+instant now() noexcept {
+    return std::chrono::steady_clock::now();
+}
+
+http::request<http::string_body> message_of(http_request request) {
+    http::request<http::string_body> message;
+    message.version(http_1_1);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, "camphorpoint");
+    for (http_field const& each : request.fields.all()) {
+        message.set(each.name, each.value);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
 } // namespace
 
 class http_call::state {
 public:
-    explicit state(asio::any_io_executor executor)
-        : stream_(std::move(executor)) {
+    state(asio::any_io_executor executor, http_pool* pool)
+        : executor_(std::move(executor))
+        , pool_(pool) {
         parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    /// @returns when a step that begins now must have ended
+    instant step_end(instant limit) const {
+        return std::min({now() + times_.each_step, times_.close_at, limit});
+    }
+    asio::awaitable<bool> make_connection();
+    asio::awaitable<bool> write(http_request request);
+    asio::awaitable<bool> read_header();
+    asio::awaitable<std::optional<std::string>> read_piece();
+    void give_back();
+    void close();
+
+    asio::any_io_executor executor_;
+    http_pool* pool_;
+    ip_address to_;
+    call_times times_;
+    // Stays allocated until the call ends, since a read may still refer to it
+    // while it is being closed.
+    std::unique_ptr<http_connection> link_;
     http::response_parser<http::buffer_body> parser_;
     std::array<char, piece_bytes> piece_{};
+    bool reused_ = false;
+    bool cancelled_ = false;
 };
 
-http_call::http_call(asio::any_io_executor executor)
-    : state_(std::make_shared<state>(std::move(executor))) {}
+asio::awaitable<bool> http_call::state::make_connection() {
+    if (pool_ != nullptr) {
+        link_ = pool_->take(to_, now());
+    }
+    reused_ = link_ != nullptr;
+    if (reused_) {
+        co_return true;
+    }
+    beast::error_code failure;
+    auto const host = asio::ip::make_address(to_.host, failure);
+    if (failure) {
+        co_return false;
+    }
+    link_ = std::make_unique<http_connection>(executor_);
+    link_->stream.expires_at(step_end(times_.send_before));
+    auto const [error] = co_await link_->stream.async_connect(
+        tcp::endpoint(host, to_.port), use_result);
+    if (!error) {
+        link_->stream.socket().set_option(tcp::no_delay(true), failure);
+    }
+    co_return !error && !cancelled_;
+}
+
+asio::awaitable<bool> http_call::state::write(http_request request) {
+    auto const message = message_of(std::move(request));
+    link_->stream.expires_at(step_end(times_.send_before));
+    auto const [error, size] =
+        co_await http::async_write(link_->stream, message, use_result);
+    co_return !error;
+}
+
+asio::awaitable<bool> http_call::state::read_header() {
+    link_->stream.expires_at(step_end(instant::max()));
+    auto const [error, size] = co_await http::async_read_header(
+        link_->stream, link_->buffer, parser_, use_result);
+    co_return !error;
+}
+
+asio::awaitable<std::optional<std::string>> http_call::state::read_piece() {
+    while (!parser_.is_done()) {
+        if (link_ == nullptr) {
+            co_return std::nullopt;
+        }
+        auto& body = parser_.get().body();
+        body.data = piece_.data();
+        body.size = piece_.size();
+        body.more = true;
+        link_->stream.expires_at(step_end(instant::max()));
+        auto [error, size] = co_await http::async_read_some(
+            link_->stream, link_->buffer, parser_, use_result);
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (error) {
+            close();
+            co_return std::nullopt;
+        }
+        std::size_t const got = piece_.size() - body.size;
+        if (got > 0) {
+            co_return std::string(piece_.data(), got);
+        }
+    }
+    give_back();
+    co_return std::string();
+}
+
+void http_call::state::give_back() {
+    if (link_ == nullptr || cancelled_) {
+        return;
+    }
+    if (pool_ != nullptr && parser_.keep_alive()) {
+        link_->stream.expires_never();
+        pool_->give(to_, std::move(link_), now());
+    }
+    link_ = nullptr;
+}
+
+void http_call::state::close() {
+    if (link_ != nullptr) {
+        link_->abort();
+    }
+}
+
+http_call::http_call(asio::any_io_executor executor, http_pool* pool)
+    : state_(std::make_shared<state>(std::move(executor), pool)) {}
 
 http_call::~http_call() {
     cancel();
 }
 
-asio::awaitable<bool>
-http_call::connect(ip_address const& to, std::chrono::milliseconds timeout) {
+asio::awaitable<call_result>
+http_call::open(ip_address to, http_request request, call_times times) {
     auto const self = state_;
-    beast::error_code failure;
-    auto const host = asio::ip::make_address(to.host, failure);
-    if (failure) {
-        co_return false;
+    self->to_ = std::move(to);
+    self->times_ = times;
+    bool const connected = co_await self->make_connection();
+    // The guard of leases and grants: a process that was paused, or that waited
+    // long for its connection, finds here that its time has run out. It is the
+    // last statement before the first byte, so only a pause between the two is
+    // left, which the owner's margin covers.
+    if (!connected || self->cancelled_ || now() >= times.send_before) {
+        self->close();
+        co_return call_result::not_sent;
     }
-    self->stream_.expires_after(timeout);
-    auto const [error] = co_await self->stream_.async_connect(
-        tcp::endpoint(host, to.port), use_result);
-    if (!error) {
-        self->stream_.socket().set_option(tcp::no_delay(true), failure);
+    bool const sent = co_await self->write(std::move(request));
+    bool const answered = sent && co_await self->read_header();
+    if (!answered) {
+        self->close();
+        co_return call_result::lost;
     }
-    co_return !error;
+    co_return call_result::answered;
+}
+
+asio::awaitable<bool>
+http_call::connect(ip_address const& to, std::chrono::milliseconds timeout) {
+    auto const self = state_;
+    self->to_ = to;
+    self->times_.each_step = timeout;
+    co_return co_await self->make_connection();
 }
 
 asio::awaitable<bool>
 http_call::send(http_request request, std::chrono::milliseconds timeout) {
     auto const self = state_;
-    http::request<http::string_body> message;
-    message.version(http_1_1);
-    message.method_string(request.method);
-    message.target(request.target);
-    message.set(http::field::host, "camphorpoint");
-    for (http_field const& each : request.fields.all()) {
-        message.set(each.name, each.value);
-    }
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    self->stream_.expires_after(timeout);
-    auto const [error, size] =
-        co_await http::async_write(self->stream_, message, use_result);
-    if (error) {
-        co_return false;
-    }
-    auto const [header_error, header_size] = co_await http::async_read_header(
-        self->stream_, self->buffer_, self->parser_, use_result);
-    co_return !header_error;
+    self->times_.each_step = timeout;
+    bool const sent = co_await self->write(std::move(request));
+    co_return sent&& co_await self->read_header();
 }
 
 int http_call::status() const noexcept {
@@ -94,57 +215,64 @@
     return std::string(state_->parser_.get()[name]);
 }
 
+asio::awaitable<std::optional<std::string>> http_call::next_piece() {
+    auto const self = state_;
+    co_return co_await self->read_piece();
+}
+
 asio::awaitable<std::optional<std::string>>
 http_call::next_piece(std::chrono::milliseconds timeout) {
     auto const self = state_;
-    while (!self->parser_.is_done()) {
-        auto& body = self->parser_.get().body();
-        body.data = self->piece_.data();
-        body.size = self->piece_.size();
-        body.more = true;
-        self->stream_.expires_after(timeout);
-        auto [error, size] = co_await http::async_read_some(
-            self->stream_, self->buffer_, self->parser_, use_result);
-        if (error == http::error::need_buffer) {
-            error = {};
-        }
-        if (error) {
-            co_return std::nullopt;
-        }
-        std::size_t const got = self->piece_.size() - body.size;
-        if (got > 0) {
-            co_return std::string(self->piece_.data(), got);
-        }
-    }
-    co_return std::string();
+    self->times_.each_step = timeout;
+    co_return co_await self->read_piece();
 }
 
 void http_call::cancel() {
-    beast::error_code ignored;
-    state_->stream_.socket().close(ignored);
+    state_->cancelled_ = true;
+    state_->close();
 }
 
-asio::awaitable<fetch_result> fetch(
-    asio::any_io_executor executor, ip_address to, http_request request,
-    std::chrono::milliseconds timeout) {
-    http_call call(std::move(executor));
+bool http_call::cancelled() const noexcept {
+    return state_->cancelled_;
+}
+
+bool http_call::reused() const noexcept {
+    return state_->reused_;
+}
+
+asio::awaitable<fetch_result>
+fetch(http_call& call, ip_address to, http_request request, call_times times) {
     fetch_result result;
-    if (!co_await call.connect(to, timeout)) {
+    result.how = co_await call.open(std::move(to), std::move(request), times);
+    if (result.how != call_result::answered) {
         co_return result;
     }
     result.how = call_result::lost;
-    if (!co_await call.send(std::move(request), timeout)) {
-        co_return result;
-    }
     result.response.status = call.status();
-    while (auto piece = co_await call.next_piece(timeout)) {
+    std::string const id = call.field("X-Request-Id");
+    if (!id.empty()) {
+        result.response.fields.add("X-Request-Id", id);
+    }
+    while (auto piece = co_await call.next_piece()) {
         if (piece->empty()) {
             result.how = call_result::answered;
             break;
         }
         result.response.body += *piece;
+        if (result.response.body.size() > largest_answer) {
+            break;
+        }
     }
     co_return result;
 }
 
+asio::awaitable<fetch_result> fetch(
+    asio::any_io_executor executor, ip_address to, http_request request,
+    std::chrono::milliseconds timeout) {
+    http_call call(std::move(executor));
+    call_times times;
+    times.each_step = timeout;
+    co_return co_await fetch(call, std::move(to), std::move(request), times);
+}
+
 } // namespace camphorpoint
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -1,15 +1,19 @@
 #pragma once
 
+#include "Core/time.hpp"
 #include "Ports/http_message.hpp"
+#include "Ports/http_pool.hpp"
 #include "Settings/node_settings.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace camphorpoint {
 
@@ -23,14 +27,38 @@
     lost
 };
 
-/// One call over its own connection, whose answer is read piece by piece.
+/// The times that bound a call.
+struct call_times {
+    /// Not a byte is sent from here on; a call that is still being sent is
+    /// closed.
+    instant send_before = instant::max();
+    /// Here the call is closed, whatever its state.
+    instant close_at = instant::max();
+    /// For the connection, the header, and each piece of the answer.
+    std::chrono::milliseconds each_step{5'000};
+};
+
+/// One call, whose answer is read piece by piece.
 class http_call {
 public:
-    explicit http_call(boost::asio::any_io_executor executor);
+    /// @param executor where it runs
+    /// @param pool     where connections are taken from and given back to; null
+    ///                 for a connection of its own. Must outlive the call.
+    explicit http_call(
+        boost::asio::any_io_executor executor, http_pool* pool = nullptr);
+    /// Closes a call that has not ended.
     ~http_call();
     http_call(http_call const&) = delete;
     http_call& operator=(http_call const&) = delete;
 
+    /// Connects, sends the request and reads the answer's header.
+    /// @param to      the server
+    /// @param request what to send; a copy is made
+    /// @param times   bounds that hold for the whole call
+    /// @returns answered when the header has come; not_sent only when no byte
+    ///          can have left
+    boost::asio::awaitable<call_result>
+    open(ip_address to, http_request request, call_times times);
     /// Connects.
     /// @returns false when no connection was made: nothing was sent
     boost::asio::awaitable<bool>
@@ -39,17 +67,23 @@
     /// @returns false when the header did not come: the request may have run
     boost::asio::awaitable<bool>
     send(http_request request, std::chrono::milliseconds timeout);
-    /// @returns the answer's status, after send
+    /// @returns the answer's status, after open
     int status() const noexcept;
-    /// @returns a header field of the answer, after send
+    /// @returns a header field of the answer, after open
     std::string field(std::string_view name) const;
+    /// Reads on, within the times that open was given.
+    /// @returns a piece; empty at the answer's end; nothing when it was cut
+    boost::asio::awaitable<std::optional<std::string>> next_piece();
     /// Reads on.
     /// @param timeout how long to wait for the next piece
-    /// @returns a piece; empty at the answer's end; nothing when it was cut
     boost::asio::awaitable<std::optional<std::string>>
     next_piece(std::chrono::milliseconds timeout);
     /// Closes the connection; a read in progress ends as cut.
     void cancel();
+    /// @returns true when the call was cancelled
+    bool cancelled() const noexcept;
+    /// @returns true when the connection had served an earlier call
+    bool reused() const noexcept;
 
 private:
     class state;
@@ -62,6 +96,10 @@
     http_response response;
 };
 
+/// An answer that is longer than this is cut: it bounds what a broken server
+/// can make a node keep.
+inline constexpr std::size_t largest_answer = std::size_t{16} << 20U;
+
 /// Makes a whole call.
 /// @param executor where it runs
 /// @param to       the server's address
@@ -72,4 +110,10 @@
     boost::asio::any_io_executor executor, ip_address to, http_request request,
     std::chrono::milliseconds timeout);
 
+/// Makes a whole call over a pooled connection.
+/// @param call  a call that was not used before
+/// @param times bounds that hold for the whole call
+boost::asio::awaitable<fetch_result>
+fetch(http_call& call, ip_address to, http_request request, call_times times);
+
 } // namespace camphorpoint
--- /dev/null
+++ b/src/Ports/http_pool.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Settings/node_settings.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace camphorpoint {
+
+namespace internal {
+struct http_connection;
+} // namespace internal
+
+/// How many idle connections are kept, and how long.
+struct http_pool_limits {
+    std::size_t idle_per_endpoint = 16;
+    std::size_t idle_in_all = 512;
+    /// Below the time after which servers commonly close an idle connection.
+    std::chrono::milliseconds idle_time{4'000};
+};
+
+/// Keeps idle connections for reuse, the newest in use first.
+class http_pool {
+public:
+    using connection_ptr = std::unique_ptr<internal::http_connection>;
+
+    explicit http_pool(http_pool_limits limits = {});
+    ~http_pool();
+    http_pool(http_pool const&) = delete;
+    http_pool& operator=(http_pool const&) = delete;
+
+    /// @returns an idle connection that the server has not closed, or null
+    connection_ptr take(ip_address const& to, instant now);
+    /// Keeps a connection whose last answer was read whole; past the limits
+    /// the oldest is closed.
+    void give(ip_address const& to, connection_ptr connection, instant now);
+    /// @returns how many connections are idle
+    std::size_t idle() const noexcept { return count_; }
+
+private:
+    struct kept {
+        connection_ptr connection;
+        instant since;
+    };
+    using kept_list = std::list<kept>;
+
+    void drop_old(instant now);
+    void drop_oldest();
+
+    http_pool_limits limits_;
+    std::map<ip_address, kept_list> idle_;
+    std::size_t count_ = 0;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ports/service_http.cpp
@@ -0,0 +1,73 @@
+#include "Ports/service_http.hpp"
+
+#include "Ports/json_fields.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+attempt_end end_of_loss(http_call const& call, instant deadline) {
+    if (call.cancelled()) {
+        return attempt_end::cancelled;
+    }
+    return std::chrono::steady_clock::now() >= deadline ? attempt_end::timed_out
+                                                        : attempt_end::cut;
+}
+
+http_request message_of(service_request const& wanted) {
+    http_request message;
+    message.method = "POST";
+    message.target = "/calls";
+    message.fields.add("X-Request-Id", wanted.id.str());
+    message.fields.add("Content-Type", "application/json");
+    if (!wanted.key.empty()) {
+        message.fields.add("Idempotency-Key", wanted.key);
+    }
+    message.body = wanted.body;
+    return message;
+}
+
+} // namespace
+
+asio::awaitable<service_end>
+service_http::run(http_call& call, service_request request) {
+    call_times times;
+    times.send_before = std::min(request.send_before, request.deadline);
+    times.close_at = request.deadline;
+    times.each_step = std::chrono::hours(1);
+    fetch_result got = co_await fetch(
+        call, parse_address(request.address), message_of(request), times);
+    service_end end;
+    if (got.how != call_result::answered) {
+        end.how = got.how == call_result::not_sent
+                      ? attempt_end::not_sent
+                      : end_of_loss(call, request.deadline);
+        co_return end;
+    }
+    end.status = got.response.status;
+    if (end.status != status_ok) {
+        end.how = end.status == status_unavailable ? attempt_end::refused_busy
+                                                   : attempt_end::failed;
+        co_return end;
+    }
+    auto const answer = parse_json_object(got.response.body);
+    // A late answer to an earlier call on the same connection bears that call's
+    // id; it is dropped.
+    if (!answer || json_text(*answer, "id") != request.id.str()) {
+        end.how = attempt_end::mismatch;
+        co_return end;
+    }
+    end.how = attempt_end::completed;
+    end.answer = std::move(got.response.body);
+    co_return end;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ports/service_http.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Core/ids.hpp"
+#include "Core/time.hpp"
+#include "Ports/http_client.hpp"
+#include "Serving/node_event.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+namespace camphorpoint {
+
+/// A call as a plain service is sent it.
+struct service_request {
+    std::string address;
+    /// The answer must bear the same.
+    request_id id;
+    /// Lets the service know a repeat; empty for none.
+    std::string key;
+    std::string body;
+    /// Not a byte is sent from here on.
+    instant send_before = instant::max();
+    /// Here the call is closed.
+    instant deadline = instant::max();
+};
+
+/// How a call ended.
+struct service_end {
+    attempt_end how = attempt_end::not_sent;
+    /// The whole answer; empty unless completed.
+    std::string answer;
+    int status = 0;
+};
+
+/// A plain service over HTTP.
+class service_http {
+public:
+    /// Makes one call.
+    /// @param call    ends it when cancelled
+    /// @param request what to send
+    boost::asio::awaitable<service_end>
+    run(http_call& call, service_request request);
+};
+
+} // namespace camphorpoint
