--- /dev/null
+++ b/src/Ports/async_signal.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace camphorpoint {
+
+/// Lets coroutines of one loop wait until something has changed. Nothing is
+/// missed between a check and the wait that follows it, as no other code runs
+/// in between.
+class async_signal {
+public:
+    explicit async_signal(boost::asio::any_io_executor executor)
+        : timer_(std::move(executor)) {}
+
+    /// Waits for the next notify, or until a time.
+    boost::asio::awaitable<void> wait_until(
+        std::chrono::steady_clock::time_point limit =
+            std::chrono::steady_clock::time_point::max()) {
+        timer_.expires_at(limit);
+        co_await timer_.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    /// Wakes what waits.
+    void notify() { timer_.cancel(); }
+
+private:
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace camphorpoint
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -12,6 +12,20 @@
     event_name{event_code::node_ready, "node-ready"},
     event_name{event_code::node_draining, "node-draining"},
     event_name{event_code::node_stopped, "node-stopped"},
+    event_name{event_code::ownership_gained, "ownership-gained"},
+    event_name{event_code::ownership_lost, "ownership-lost"},
+    event_name{event_code::authority_lapsed, "authority-lapsed"},
+    event_name{event_code::authority_regained, "authority-regained"},
+    event_name{event_code::claim_appended, "claim-appended"},
+    event_name{event_code::control_record_broken, "control-record-broken"},
+    event_name{event_code::control_log_trimmed, "control-log-trimmed"},
+    event_name{event_code::handover_given_up, "handover-given-up"},
+    event_name{event_code::node_suspected, "node-suspected"},
+    event_name{event_code::node_declared_dead, "node-declared-dead"},
+    event_name{event_code::node_returned, "node-returned"},
+    event_name{event_code::node_leaving, "node-leaving"},
+    event_name{event_code::endpoint_leaving, "endpoint-leaving"},
+    event_name{event_code::suspicion_refuted, "suspicion-refuted"},
 };
 
 } // namespace
--- a/test/serving_codec_test.cpp
+++ b/test/serving_codec_test.cpp
@@ -85,8 +85,7 @@
                 *rc::gen::inRange<std::size_t>(0, bytes.size());
             bytes[at] = *rc::gen::arbitrary<char>();
             auto const back = decode_peer_message(bytes);
-            bool const one_form =
-                !back || encode_peer_message(*back) == bytes;
+            bool const one_form = !back || encode_peer_message(*back) == bytes;
             RC_ASSERT(one_form);
         });
     }
