--- a/src/Config/checkpoint_search.cpp
+++ b/src/Config/checkpoint_search.cpp
@@ -31,7 +31,8 @@
 std::size_t checkpoint_search::take(log_batch const& batch) {
     std::size_t broken = 0;
     for (log_record const& record : batch.records) {
-        if (record.offset < at_) {
+        if (record.offset != at_) {
+            // Read before, or a late answer to a read that was given up.
             continue;
         }
         at_ = log_offset{record.offset.value + 1};
--- a/src/Config/checkpoint_writer.cpp
+++ b/src/Config/checkpoint_writer.cpp
@@ -53,7 +53,7 @@
 bool checkpoint_writer::due(
     config_follower const& follower, wall_time calendar) const {
     log_offset const next = follower.current().next();
-    if (!follower.confirmed_at() || next.value == 0) {
+    if (!follower.ready() || next.value == 0) {
         return false;
     }
     auto const& last = follower.last_checkpoint();
--- a/src/Config/config_follower.cpp
+++ b/src/Config/config_follower.cpp
@@ -230,10 +230,6 @@
         next_read_ = now;
         return;
     }
-    if (batch.from != search_->at()) {
-        // A late answer to a read that was given up.
-        return;
-    }
     if (batch.first > search_->at()) {
         // The log trimmed on while it was being read.
         search_.emplace(batch, settings_.first_search);
--- a/src/Config/config_follower.hpp
+++ b/src/Config/config_follower.hpp
@@ -73,9 +73,10 @@
     config_actions
     on_peer(node_id const& from, config_message const& message, instant now);
     /// A request or grant names a configuration offset ahead of this node's:
-    /// reads at once, and asks the peer that named it.
+    /// reads at once, and asks the peer that named it. Also to be called with
+    /// one past the offset that an append of this node was given.
     /// @param wanted what the peer has, its next()
-    /// @param peer   who named it
+    /// @param peer   who named it; empty when nobody did
     config_actions needs(log_offset wanted, node_id const& peer, instant now);
     /// Sets the live nodes, which may include this one.
     void set_peers(std::vector<node_id> peers);
@@ -181,6 +182,8 @@
 
     std::optional<instant> read_began_;
     instant next_read_{};
+    /// Before this, nothing urgent is read for.
+    instant next_urgent_{};
     /// True when something newer was heard of during a read.
     bool read_again_ = false;
     std::uint32_t failures_ = 0;
--- a/src/Config/config_follower_peers.cpp
+++ b/src/Config/config_follower_peers.cpp
@@ -35,8 +35,12 @@
     }
     // A read under way may have begun before the record stood in the log.
     read_again_ = true;
-    instant const soon = now + settings_.urgent_pause;
-    next_read_ = std::min(next_read_, failures_ == 0 ? now : soon);
+    // Not more often while the log fails, nor for each request of many.
+    instant const soon = std::max(now, next_urgent_);
+    if (failures_ == 0 && soon < next_read_) {
+        next_read_ = soon;
+        next_urgent_ = soon + settings_.urgent_pause;
+    }
     begin_read(now, out);
     if (!peer.empty() && peer != self_) {
         ask({peer}, now, out);
