--- /dev/null
+++ b/src/Ownership/control_record.cpp
@@ -0,0 +1,114 @@
+#include "Ownership/control_record.hpp"
+
+#include <cereal/archives/json.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <exception>
+#include <sstream>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::uint32_t format_version = 1;
+
+/// Calls the archive with one named value.
+template <class Archive, class Value>
+void named(Archive& archive, char const* name, Value& value) {
+    archive(cereal::make_nvp(name, value));
+}
+
+template <class Archive>
+void named_resource(Archive& archive, resource_id& resource) {
+    auto kind = static_cast<std::uint32_t>(resource.kind);
+    named(archive, "kind", kind);
+    if (kind > static_cast<std::uint32_t>(resource_kind::key_shard)) {
+        throw cereal::Exception("no such kind of resource");
+    }
+    resource.kind = static_cast<resource_kind>(kind);
+    named(archive, "name", resource.name);
+}
+
+template <class Archive>
+void named_node(Archive& archive, char const* name, node_id& node) {
+    std::string text = node.str();
+    named(archive, name, text);
+    node = node_id(text);
+}
+
+} // namespace
+
+// The functions below are found by cereal through the types' namespace.
+template <class Archive>
+void serialize(Archive& archive, claim& what) {
+    named_resource(archive, what.resource);
+}
+
+template <class Archive>
+void serialize(Archive& archive, renewal& what) {
+    named_resource(archive, what.resource);
+    named(archive, "fencing", what.fencing.value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, release& what) {
+    named_resource(archive, what.resource);
+    named(archive, "fencing", what.fencing.value);
+    named(archive, "stopped", what.stopped);
+    node_run successor = what.successor.value_or(node_run{});
+    named_node(archive, "successor", successor.node);
+    named(archive, "successor_run", successor.run);
+    what.successor.reset();
+    if (!successor.node.empty()) {
+        what.successor = successor;
+    }
+}
+
+template <class Archive>
+void serialize(Archive& archive, control_record& what) {
+    std::uint32_t version = format_version;
+    named(archive, "version", version);
+    if (version != format_version) {
+        throw cereal::Exception("another version of the record");
+    }
+    named_node(archive, "node", what.writer.node);
+    named(archive, "run", what.writer.run);
+    named(archive, "append", what.append);
+    named(archive, "claims", what.claims);
+    named(archive, "renewals", what.renewals);
+    named(archive, "releases", what.releases);
+}
+
+std::string encode_control(control_record const& record) {
+    std::ostringstream stream;
+    {
+        auto const compact = cereal::JSONOutputArchive::Options::NoIndent();
+        cereal::JSONOutputArchive archive(stream, compact);
+        control_record copy = record;
+        archive(cereal::make_nvp("control", copy));
+    }
+    std::string text = stream.str();
+    // Line breaks only lay the text out: within strings JSON escapes them.
+    std::erase(text, '\n');
+    return text;
+}
+
+std::optional<control_record> decode_control(std::string const& text) {
+    control_record result;
+    try {
+        std::istringstream stream(text);
+        cereal::JSONInputArchive archive(stream);
+        archive(cereal::make_nvp("control", result));
+    } catch (std::exception const&) {
+        return std::nullopt;
+    }
+    // cereal skips members that it does not know and reads past the end of the
+    // object; a record that another version wrote must not be taken half.
+    if (encode_control(result) != text) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ownership/log_follower.cpp
@@ -0,0 +1,53 @@
+#include "Ownership/log_follower.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+log_follower::verdict
+log_follower::judge(log_batch const& batch) const noexcept {
+    // A head behind what was applied comes from a copy of the log that lags,
+    // or from an answer that was overtaken. Counting it as fresh would let a
+    // holder live on an old view of the log.
+    if (batch.from > next_ || batch.head < next_) {
+        return verdict::stale;
+    }
+    return batch.first > next_ ? verdict::trimmed : verdict::usable;
+}
+
+void log_follower::restart(log_offset first) noexcept {
+    next_ = first;
+    fresh_at_.reset();
+}
+
+void log_follower::applied(log_offset offset) noexcept {
+    next_ = log_offset{offset.value + 1};
+}
+
+bool log_follower::finished(log_batch const& batch) noexcept {
+    reading_ = false;
+    if (!batch.reaches_head()) {
+        next_read_ = batch.read_started;
+        return false;
+    }
+    // The start counts, not the answer's arrival: a claim may have been
+    // appended any time after the log looked.
+    fresh_at_ = std::max(fresh_at_.value_or(instant{}), batch.read_started);
+    next_read_ = batch.read_started + poll_;
+    return true;
+}
+
+void log_follower::failed(instant now) noexcept {
+    reading_ = false;
+    next_read_ = now + poll_;
+}
+
+bool log_follower::begin_read(instant now) noexcept {
+    if (reading_ || now < next_read_) {
+        return false;
+    }
+    reading_ = true;
+    return true;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ownership/node_ranking.cpp
@@ -0,0 +1,60 @@
+#include "Ownership/node_ranking.hpp"
+
+#include "Core/hash.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+namespace {
+
+/// One node's claim to a resource; the greatest goes first.
+struct score {
+    std::uint64_t value = 0;
+    node_id const* id = nullptr;
+
+    bool beats(score const& other) const {
+        if (value != other.value) {
+            return value > other.value;
+        }
+        return *id < *other.id;
+    }
+};
+
+} // namespace
+
+void node_ranking::set_nodes(std::vector<node_id> const& nodes) {
+    nodes_.clear();
+    nodes_.reserve(nodes.size());
+    for (node_id const& each : nodes) {
+        nodes_.push_back({hash_text(each.str()), each});
+    }
+}
+
+std::size_t
+node_ranking::rank_of(node_id const& node, resource_id const& resource) const {
+    auto const mine = std::ranges::find(nodes_, node, &ranked_node::id);
+    if (mine == nodes_.end()) {
+        return nodes_.size();
+    }
+    std::uint64_t const key = hash_text(to_string(resource));
+    score const own{combine_hashes(key, mine->hash), &mine->id};
+    auto const goes_first = [&](ranked_node const& each) {
+        return score{combine_hashes(key, each.hash), &each.id}.beats(own);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(nodes_, goes_first));
+}
+
+node_id node_ranking::first(resource_id const& resource) const {
+    std::uint64_t const key = hash_text(to_string(resource));
+    score best;
+    for (ranked_node const& each : nodes_) {
+        score const next{combine_hashes(key, each.hash), &each.id};
+        if (best.id == nullptr || next.beats(best)) {
+            best = next;
+        }
+    }
+    return best.id == nullptr ? node_id() : *best.id;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ownership/outgoing_handovers.cpp
@@ -0,0 +1,112 @@
+#include "Ownership/outgoing_handovers.hpp"
+
+#include <utility>
+
+namespace camphorpoint {
+
+void outgoing_handovers::begin(outgoing_handover move, instant now) {
+    move.phase = handover_phase::stopping;
+    move.deadline = now + settings_.stop_limit;
+    moves_.insert_or_assign(move.resource, std::move(move));
+}
+
+outgoing_handover const*
+outgoing_handovers::stopped(resource_id const& resource, instant now) {
+    auto const found = moves_.find(resource);
+    if (found == moves_.end() ||
+        found->second.phase != handover_phase::stopping) {
+        return nullptr;
+    }
+    outgoing_handover& move = found->second;
+    move.stopped = true;
+    if (move.successor.node.empty()) {
+        move.phase = handover_phase::releasing;
+        return nullptr;
+    }
+    move.phase = handover_phase::offered;
+    move.deadline = now + settings_.accept_limit;
+    return &move;
+}
+
+void outgoing_handovers::accepted(
+    resource_id const& resource, node_id const& from, log_offset fencing) {
+    auto const found = moves_.find(resource);
+    if (found == moves_.end()) {
+        return;
+    }
+    outgoing_handover& move = found->second;
+    bool const expected = move.phase == handover_phase::offered &&
+                          move.successor.node == from &&
+                          move.fencing == fencing;
+    if (expected) {
+        move.accepted = true;
+        move.phase = handover_phase::releasing;
+    }
+}
+
+std::vector<resource_id> outgoing_handovers::expire(instant now) {
+    std::vector<resource_id> back;
+    for (auto& [resource, move] : moves_) {
+        bool const waits = move.phase == handover_phase::stopping ||
+                           move.phase == handover_phase::offered;
+        if (!waits || now < move.deadline) {
+            continue;
+        }
+        if (move.draining) {
+            // A successor that did not take the table must not own: it would
+            // be told of a resource that it may be unable to serve.
+            move.phase = handover_phase::releasing;
+        } else {
+            back.push_back(resource);
+        }
+    }
+    for (resource_id const& each : back) {
+        moves_.erase(each);
+    }
+    return back;
+}
+
+std::vector<release> outgoing_handovers::take_releases(instant now) {
+    std::vector<release> result;
+    for (auto& [resource, move] : moves_) {
+        if (move.phase != handover_phase::releasing || now < move.retry_at) {
+            continue;
+        }
+        move.phase = handover_phase::appending;
+        release next;
+        next.resource = resource;
+        next.fencing = move.fencing;
+        if (move.accepted) {
+            next.successor = move.successor;
+        }
+        // Without a successor nobody learns how long evictions must still
+        // wait, so only a holder that need not wait itself spares the next.
+        next.stopped = move.stopped && (move.accepted || move.may_evict);
+        result.push_back(std::move(next));
+    }
+    return result;
+}
+
+void outgoing_handovers::append_failed(
+    resource_id const& resource, instant retry_at) {
+    auto const found = moves_.find(resource);
+    if (found != moves_.end()) {
+        found->second.phase = handover_phase::releasing;
+        found->second.retry_at = retry_at;
+    }
+}
+
+void outgoing_handovers::give_up(resource_id const& resource) {
+    outgoing_handover& move = moves_.at(resource);
+    move.phase = handover_phase::releasing;
+}
+
+void outgoing_handovers::finish(resource_id const& resource) {
+    moves_.erase(resource);
+}
+
+bool outgoing_handovers::moving(resource_id const& resource) const {
+    return moves_.contains(resource);
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/outgoing_handovers.hpp
+++ b/src/Ownership/outgoing_handovers.hpp
@@ -6,9 +6,9 @@
 #include "Ownership/ownership_settings.hpp"
 #include "Ownership/resource_id.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
 namespace camphorpoint {
@@ -39,6 +39,10 @@
     bool stopped = false;
     /// True once the successor has accepted.
     bool accepted = false;
+    /// True when the holder itself was free to evict.
+    bool may_evict = false;
+    /// A release that failed is not appended again before.
+    instant retry_at{};
 };
 
 /// The planned moves under way. Each phase has a limit: past it, a rebalance
@@ -56,13 +60,17 @@
     /// The successor has accepted.
     void accepted(
         resource_id const& resource, node_id const& from, log_offset fencing);
+    /// The holder was never in effect: release at once, without a successor.
+    void give_up(resource_id const& resource);
+    /// Drops all moves, as when the table began anew.
+    void clear() { moves_.clear(); }
     /// Lets limits take effect.
     /// @returns the moves that are given up and go back to holding
     std::vector<resource_id> expire(instant now);
     /// @returns the releases to append; they count as under way
-    std::vector<release> take_releases();
+    std::vector<release> take_releases(instant now);
     /// An append came to nothing: the release is to be appended again.
-    void append_failed(resource_id const& resource);
+    void append_failed(resource_id const& resource, instant retry_at);
     /// The resource is no longer ours.
     void finish(resource_id const& resource);
     /// @returns true when the resource is being moved
--- /dev/null
+++ b/src/Ownership/owner.cpp
@@ -0,0 +1,171 @@
+#include "Ownership/owner.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace camphorpoint {
+
+owner::owner(ownership_settings settings, node_run self, std::mt19937_64 random)
+    : settings_(settings)
+    , self_(std::move(self))
+    , random_(random)
+    , follower_(settings.poll)
+    // Half of the numbers lie above any start, so that the count cannot wrap.
+    , appends_(random_() / 2)
+    , handovers_(settings) {}
+
+void owner::on_tick(instant now) {
+    if (follower_.begin_read(now)) {
+        actions_.push_back(control_read{follower_.next()});
+    }
+    appends_.expire(settings_.append_limit, now);
+    tell_lapse(now);
+    tell_gained(now);
+    run_handovers(now);
+    if (!log_is_current(now)) {
+        return;
+    }
+    rank_some(now);
+    claim_due(now);
+    renew(now);
+    rebalance(now);
+}
+
+void owner::start_drain(instant now) {
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    takeovers_.clear();
+    rank_live();
+    for (auto const& [resource, held] : holdings_) {
+        begin_handover(resource, ranking_.first(resource), now);
+    }
+}
+
+bool owner::drained() const noexcept {
+    return draining_ && holdings_.empty() && appends_.empty();
+}
+
+std::vector<ownership_action> owner::take_actions() {
+    return std::exchange(actions_, {});
+}
+
+// Guards against a holder that was paused, or cut off from the log, past its
+// lease: it would go on ordering beside its successor. The span counts from
+// the start of a read that showed no newer claim, and the successor's wait
+// from after its claim's append, so the two never meet. Whoever sends checks
+// not_after once more, since the process may be paused right here.
+std::optional<authority>
+owner::within(resource_id const& resource, duration span, instant now) const {
+    auto const found = holdings_.find(resource);
+    if (found == holdings_.end() || !found->second.told) {
+        return std::nullopt;
+    }
+    if (now < found->second.effective_from || handovers_.moving(resource)) {
+        return std::nullopt;
+    }
+    std::optional<instant> const fresh = follower_.fresh_at();
+    if (!fresh || now >= *fresh + span) {
+        return std::nullopt;
+    }
+    return authority{found->second.fencing, *fresh + span};
+}
+
+std::optional<authority>
+owner::authority_for(resource_id const& resource, instant now) const {
+    return within(resource, settings_.lease, now);
+}
+
+std::optional<authority> owner::load_authority(
+    resource_id const& resource, bool engine_checks, instant now) const {
+    duration const span =
+        engine_checks ? settings_.grant_lease : settings_.lease;
+    return within(resource, span, now);
+}
+
+std::optional<authority>
+owner::evict_authority(resource_id const& resource, instant now) const {
+    auto const found = holdings_.find(resource);
+    if (found == holdings_.end() || now < found->second.evict_from) {
+        return std::nullopt;
+    }
+    return within(resource, settings_.lease, now);
+}
+
+std::optional<authority>
+owner::grant_authority(resource_id const& resource, instant now) const {
+    return within(resource, settings_.grant_lease, now);
+}
+
+std::optional<owner_info> owner::owner_of(resource_id const& resource) const {
+    ownership_entry const* entry = table_.find(resource);
+    if (entry == nullptr || !entry->owned()) {
+        return std::nullopt;
+    }
+    return owner_info{entry->owner, entry->fencing};
+}
+
+bool owner::fallback_allowed(resource_id const& resource, instant now) const {
+    if (!settings_.engines_refuse_busy_evictions || log_is_current(now)) {
+        return false;
+    }
+    ownership_entry const* entry = table_.find(resource);
+    return entry != nullptr && !(entry->owned() && listed_alive(entry->owner));
+}
+
+bool owner::log_is_current(instant now) const {
+    std::optional<instant> const fresh = follower_.fresh_at();
+    return fresh && now < *fresh + settings_.lease;
+}
+
+void owner::tell_gained(instant now) {
+    std::vector<resource_id> ready;
+    for (resource_id const& each : waiting_) {
+        if (now >= holdings_[each].effective_from && log_is_current(now)) {
+            ready.push_back(each);
+        }
+    }
+    for (resource_id const& each : ready) {
+        waiting_.erase(each);
+        holding& held = holdings_[each];
+        held.told = true;
+        say(event_code::ownership_gained, log_level::info,
+            fmt::format(
+                "resource={} fencing={} planned={}", to_string(each),
+                held.fencing.value, held.planned));
+        actions_.push_back(ownership_gained{
+            each, held.fencing, held.effective_from, held.evict_from,
+            held.planned, held.first, std::exchange(held.table, {})});
+        if (draining_) {
+            begin_handover(each, ranking_.first(each), now);
+        }
+    }
+}
+
+void owner::tell_lapse(instant now) {
+    bool const lapsed = !log_is_current(now);
+    if (lapsed == lapsed_) {
+        return;
+    }
+    lapsed_ = lapsed;
+    say(lapsed ? event_code::authority_lapsed : event_code::authority_regained,
+        lapsed ? log_level::warning : log_level::info,
+        fmt::format("held={}", holdings_.size()));
+}
+
+void owner::append(control_record record, instant now) {
+    record.writer = self_;
+    std::uint64_t const number = appends_.begin(record, now);
+    record.append = number;
+    actions_.push_back(control_append{number, encode_control(record)});
+}
+
+void owner::say(event_code code, log_level level, std::string detail) {
+    actions_.push_back(log_event{code, level, std::move(detail)});
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -38,6 +38,8 @@
     /// The run that was last heard of; 0 when only the platform's list names
     /// the node.
     std::uint64_t run = 0;
+    /// True while it stops: it still holds, but gets nothing new.
+    bool leaving = false;
     friend bool
     operator==(owner_candidate const&, owner_candidate const&) = default;
 };
@@ -136,42 +138,68 @@
         instant effective_from;
         instant evict_from;
         bool planned = false;
+        bool first = false;
         /// True once ownership_gained was told.
         bool told = false;
         std::string table;
     };
+    struct live_run {
+        std::uint64_t run = 0;
+        bool leaving = false;
+        /// Since when this run has been among the live nodes.
+        instant since;
+    };
     struct accepted_offer {
-        node_id from;
         log_offset fencing;
+        instant received;
         instant evict_from;
         std::string table;
     };
 
+    void apply_records(log_batch const& batch, instant now);
     void apply_record(log_record const& record, instant now);
-    void entry_changed(resource_id const& resource, instant now);
+    void reached_head(log_batch const& batch, instant now);
+    void note_alive(node_run const& writer, instant now);
+    void
+    entry_changed(resource_id const& resource, instant learned, instant now);
     void hold(
-        resource_id const& resource, ownership_entry const& entry, instant now);
+        resource_id const& resource, ownership_entry const& entry,
+        instant learned);
+    void use_offer(
+        resource_id const& resource, ownership_entry const& entry,
+        holding& next);
     void lose(resource_id const& resource, node_run const& now_with);
     void restart_table(log_batch const& batch);
+    void set_live(std::vector<owner_candidate> const& live, instant now);
+    void rank_live();
     void consider(resource_id const& resource, instant now);
+    void consider_all(instant now);
     bool orphaned(resource_id const& resource) const;
-    bool alive(node_run const& who, instant now) const;
     bool listed_alive(node_run const& who) const;
+    std::optional<instant> claimable_from(resource_id const& resource) const;
+    void rank_some(instant now);
     void claim_due(instant now);
     void tell_gained(instant now);
-    void renew(instant now);
+    void tell_lapse(instant now);
     void plan_renewal(instant now);
+    void renew(instant now);
+    void prune(log_batch const& batch, instant now);
     void rebalance(instant now);
-    void
-    begin_handover(resource_id const& resource, bool draining, instant now);
+    bool may_move_to(node_id const& successor, instant now) const;
+    void begin_handover(
+        resource_id const& resource, node_id const& successor, instant now);
     void run_handovers(instant now);
-    void expire_appends(instant now);
     void append(control_record record, instant now);
-    void append_lost(pending_append const& lost, instant now);
+    void append_came_to_nothing(control_record const& record, instant now);
     void
-    on_offer(node_id const& from, handover_offer const& offer, instant now);
+    on_ownership(node_id const& from, handover_offer const& offer, instant now);
+    void on_ownership(
+        node_id const& from, handover_accepted const& accepted, instant now);
+    void on_ownership(
+        node_id const& from, holder_stopped const& stopped, instant now);
+    std::optional<authority>
+    within(resource_id const& resource, duration span, instant now) const;
     void say(event_code code, log_level level, std::string detail);
-    holding const* effective(resource_id const& resource, instant now) const;
 
     ownership_settings settings_;
     node_run self_;
@@ -179,7 +207,7 @@
     log_follower follower_;
     ownership_table table_;
     node_ranking ranking_;
-    std::map<node_id, std::uint64_t> live_;
+    std::map<node_id, live_run> live_;
     std::set<resource_id> resources_;
     takeover_queue takeovers_;
     pending_appends appends_;
@@ -187,10 +215,16 @@
     std::map<resource_id, holding> holdings_;
     std::set<resource_id> waiting_;
     std::map<resource_id, accepted_offer> accepted_;
-    std::map<node_run, instant> last_record_;
+    std::map<node_id, instant> last_record_;
     std::vector<ownership_action> actions_;
-    instant next_renewal_;
-    instant next_rebalance_;
+    std::optional<instant> next_renewal_;
+    instant next_claim_{};
+    instant next_rebalance_{};
+    /// Entries that expired before this offset are dropped at the next prune.
+    log_offset prune_before_;
+    instant next_prune_{};
+    /// When a resource that the log does not name may be claimed.
+    std::optional<instant> absent_from_;
     resource_id rebalance_cursor_;
     bool draining_ = false;
     bool lapsed_ = true;
--- /dev/null
+++ b/src/Ownership/owner_moves.cpp
@@ -0,0 +1,354 @@
+// How resources come to this node and leave it.
+#include "Ownership/owner.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace camphorpoint {
+
+namespace {
+
+/// Ranking one resource costs a hash for each live node, so this bounds the
+/// work of a tick: 64 resources and 1,900 nodes are 121,600 short hashes.
+constexpr std::size_t ranked_per_tick = 64;
+/// How many resources one record names; it stays below 32 KB.
+constexpr std::size_t resources_per_record = 256;
+/// At 1,900 nodes each moves one resource in 95 s at most: 20 appends a second.
+constexpr std::chrono::milliseconds rebalance_share{50};
+constexpr std::size_t rebalance_looks = 8;
+/// What becomes due in between goes into one record.
+constexpr std::chrono::seconds claim_spacing{1};
+/// A successor that did not take a table is not asked again so soon.
+constexpr int periods_after_abort = 6;
+constexpr unsigned renewals_per_retention = 4;
+
+} // namespace
+
+void owner::set_candidates(
+    std::vector<owner_candidate> const& live,
+    std::vector<resource_id> const& resources, instant now) {
+    std::set<resource_id> const before = std::exchange(
+        resources_, std::set<resource_id>(resources.begin(), resources.end()));
+    set_live(live, now);
+    for (resource_id const& each : resources_) {
+        if (!before.contains(each)) {
+            consider(each, now);
+        }
+    }
+    for (resource_id const& each : before) {
+        if (!resources_.contains(each)) {
+            takeovers_.remove(each);
+        }
+    }
+}
+
+void owner::set_live(std::vector<owner_candidate> const& live, instant now) {
+    std::map<node_id, live_run> next;
+    for (owner_candidate const& each : live) {
+        auto const known = live_.find(each.id);
+        bool const same = known != live_.end() && known->second.run == each.run;
+        instant const since = same ? known->second.since : now;
+        next[each.id] = {each.run, each.leaving, since};
+    }
+    std::set<node_id> changed;
+    for (auto const& [id, entry] : next) {
+        auto const known = live_.find(id);
+        bool const same = known != live_.end() &&
+                          known->second.run == entry.run &&
+                          known->second.leaving == entry.leaving;
+        if (!same) {
+            changed.insert(id);
+        }
+    }
+    for (auto const& [id, entry] : live_) {
+        if (!next.contains(id)) {
+            changed.insert(id);
+        }
+    }
+    if (changed.empty()) {
+        return;
+    }
+    live_ = std::move(next);
+    rank_live();
+    takeovers_.rank_again();
+    for (node_id const& each : changed) {
+        // A copy, since considering may change what is owned.
+        std::set<resource_id> const owned = table_.owned_by(each);
+        for (resource_id const& resource : owned) {
+            consider(resource, now);
+        }
+    }
+}
+
+void owner::rank_live() {
+    std::vector<node_id> nodes;
+    nodes.reserve(live_.size());
+    for (auto const& [id, entry] : live_) {
+        bool const stops = entry.leaving || (draining_ && id == self_.node);
+        if (!stops) {
+            nodes.push_back(id);
+        }
+    }
+    ranking_.set_nodes(nodes);
+}
+
+void owner::consider_all(instant now) {
+    for (resource_id const& each : resources_) {
+        consider(each, now);
+    }
+}
+
+void owner::consider(resource_id const& resource, instant now) {
+    if (orphaned(resource)) {
+        takeovers_.add(resource, now);
+    } else {
+        takeovers_.remove(resource);
+    }
+}
+
+bool owner::orphaned(resource_id const& resource) const {
+    if (draining_ || !absent_from_ || !resources_.contains(resource)) {
+        return false;
+    }
+    if (holdings_.contains(resource) || appends_.claims(resource)) {
+        return false;
+    }
+    ownership_entry const* entry = table_.find(resource);
+    return entry == nullptr || !entry->owned() || !listed_alive(entry->owner);
+}
+
+bool owner::listed_alive(node_run const& who) const {
+    if (who.node == self_.node) {
+        // What an earlier run of this node claimed is not ours.
+        return who.run == self_.run;
+    }
+    auto const found = live_.find(who.node);
+    return found != live_.end() && found->second.run <= who.run;
+}
+
+std::optional<instant>
+owner::claimable_from(resource_id const& resource) const {
+    ownership_entry const* entry = table_.find(resource);
+    if (entry == nullptr) {
+        return absent_from_;
+    }
+    // Guards against two nodes that cannot see each other but both read the
+    // log, and would take a resource from each other for ever.
+    auto const seen = last_record_.find(entry->owner.node);
+    if (!entry->owned() || seen == last_record_.end()) {
+        return std::nullopt;
+    }
+    auto const listed = live_.find(entry->owner.node);
+    bool const restarted =
+        listed != live_.end() && listed->second.run > entry->owner.run;
+    if (restarted) {
+        return std::nullopt;
+    }
+    return seen->second + settings_.log_evidence;
+}
+
+void owner::rank_some(instant now) {
+    for (resource_id const& each : takeovers_.take_unranked(ranked_per_tick)) {
+        std::size_t const rank = ranking_.rank_of(self_.node, each);
+        duration const delay = settings_.rank_delay;
+        takeovers_.schedule(each, delay * static_cast<std::int64_t>(rank));
+        std::optional<instant> const from = claimable_from(each);
+        if (from && now < *from) {
+            takeovers_.postpone(
+                each, *from + delay * static_cast<std::int64_t>(rank));
+        }
+    }
+}
+
+void owner::claim_due(instant now) {
+    if (now < next_claim_) {
+        return;
+    }
+    control_record record;
+    for (resource_id const& each :
+         takeovers_.take_due(now, resources_per_record)) {
+        std::optional<instant> const from = claimable_from(each);
+        if (from && now < *from) {
+            takeovers_.postpone(each, *from);
+            continue;
+        }
+        takeovers_.remove(each);
+        record.claims.push_back({each});
+    }
+    if (record.claims.empty()) {
+        return;
+    }
+    say(event_code::claim_appended, log_level::info,
+        fmt::format(
+            "resources={} first={}", record.claims.size(),
+            to_string(record.claims.front().resource)));
+    next_claim_ = now + claim_spacing;
+    append(std::move(record), now);
+}
+
+void owner::plan_renewal(instant now) {
+    duration const whole =
+        duration(settings_.retention) / renewals_per_retention;
+    // Spread over the last quarter, so that nodes that started together do
+    // not append together.
+    duration const quarter = whole / 4;
+    auto const part = static_cast<std::int64_t>(
+        random_() % static_cast<std::uint64_t>(quarter.count()));
+    next_renewal_ = now + whole - duration(part);
+}
+
+void owner::renew(instant now) {
+    if (!next_renewal_) {
+        plan_renewal(now);
+    }
+    if (now < *next_renewal_) {
+        return;
+    }
+    plan_renewal(now);
+    control_record record;
+    for (auto const& [resource, held] : holdings_) {
+        if (!resources_.contains(resource) && !handovers_.moving(resource)) {
+            // It left the platform's list long ago.
+            begin_handover(resource, node_id(), now);
+            continue;
+        }
+        record.renewals.push_back({resource, held.fencing});
+        if (record.renewals.size() == resources_per_record) {
+            append(std::exchange(record, {}), now);
+        }
+    }
+    if (!record.renewals.empty()) {
+        append(std::move(record), now);
+    }
+}
+
+bool owner::may_move_to(node_id const& successor, instant now) const {
+    auto const found = live_.find(successor);
+    return successor != self_.node && found != live_.end() &&
+           found->second.run != 0 && !found->second.leaving &&
+           now >= found->second.since + settings_.log_evidence;
+}
+
+void owner::rebalance(instant now) {
+    if (draining_ || holdings_.empty() || now < next_rebalance_) {
+        return;
+    }
+    duration const shared =
+        duration(rebalance_share) * static_cast<std::int64_t>(live_.size());
+    next_rebalance_ = now + std::max(duration(settings_.rebalance), shared);
+    std::size_t const looks = std::min(rebalance_looks, holdings_.size());
+    for (std::size_t count = 0; count < looks; ++count) {
+        auto next = holdings_.upper_bound(rebalance_cursor_);
+        if (next == holdings_.end()) {
+            next = holdings_.begin();
+        }
+        rebalance_cursor_ = next->first;
+        node_id const better = ranking_.first(next->first);
+        if (evict_authority(next->first, now) && may_move_to(better, now)) {
+            begin_handover(next->first, better, now);
+            return;
+        }
+    }
+}
+
+void owner::begin_handover(
+    resource_id const& resource, node_id const& successor, instant now) {
+    holding const& held = holdings_[resource];
+    auto const found = live_.find(successor);
+    outgoing_handover move;
+    move.resource = resource;
+    move.fencing = held.fencing;
+    move.draining = draining_;
+    move.may_evict = now >= held.evict_from;
+    if (held.told && found != live_.end() && found->second.run != 0) {
+        move.successor = {successor, found->second.run};
+    }
+    handovers_.begin(move, now);
+    if (held.told) {
+        actions_.push_back(handover_wanted{resource, successor});
+    } else {
+        // Not in effect yet: the one before may still act, so whoever comes
+        // next must wait.
+        handovers_.give_up(resource);
+    }
+}
+
+void owner::handover_ready(
+    resource_id const& resource, std::string table, instant now) {
+    outgoing_handover const* move = handovers_.stopped(resource, now);
+    auto const held = holdings_.find(resource);
+    if (move == nullptr || held == holdings_.end()) {
+        return;
+    }
+    handover_offer offer;
+    offer.resource = resource;
+    offer.fencing = move->fencing;
+    offer.successor_run = move->successor.run;
+    duration const left =
+        std::max(duration::zero(), held->second.evict_from - now);
+    offer.evict_wait_left = std::chrono::ceil<std::chrono::milliseconds>(left);
+    offer.table = std::move(table);
+    actions_.push_back(
+        send_ownership_message{move->successor.node, std::move(offer)});
+}
+
+void owner::run_handovers(instant now) {
+    for (resource_id const& each : handovers_.expire(now)) {
+        say(event_code::handover_given_up, log_level::warning,
+            fmt::format("resource={}", to_string(each)));
+        actions_.push_back(handover_aborted{each});
+        next_rebalance_ =
+            now + duration(settings_.rebalance) * periods_after_abort;
+    }
+    control_record record;
+    record.releases = handovers_.take_releases(now);
+    if (!record.releases.empty()) {
+        append(std::move(record), now);
+    }
+}
+
+void owner::on_message(
+    node_id const& from, ownership_message const& message, instant now) {
+    std::visit(
+        [&](auto const& each) { on_ownership(from, each, now); }, message);
+}
+
+void owner::on_ownership(
+    node_id const& from, handover_offer const& offer, instant now) {
+    if (draining_ || offer.successor_run != self_.run) {
+        return;
+    }
+    accepted_offer& mine = accepted_[offer.resource];
+    mine.fencing = offer.fencing;
+    mine.received = now;
+    mine.evict_from = now + duration(offer.evict_wait_left) +
+                      duration(offer.evict_wait_left) *
+                          settings_.clock_rate_error / 1'000'000;
+    mine.table = offer.table;
+    handover_accepted const answer{offer.resource, offer.fencing};
+    actions_.push_back(send_ownership_message{from, answer});
+}
+
+void owner::on_ownership(
+    node_id const& from, handover_accepted const& accepted, instant /*now*/) {
+    handovers_.accepted(accepted.resource, from, accepted.fencing);
+}
+
+// The former holder has read our claim and stopped for good, so nothing that
+// it granted can be sent later than its messages travel.
+void owner::on_ownership(
+    node_id const& /*from*/, holder_stopped const& stopped, instant now) {
+    auto const found = holdings_.find(stopped.resource);
+    if (found == holdings_.end() || found->second.previous != stopped.fencing) {
+        return;
+    }
+    holding& held = found->second;
+    instant const from =
+        std::max(held.effective_from, now + duration(settings_.order_travel));
+    held.evict_from = std::min(held.evict_from, from);
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ownership/owner_replay.cpp
@@ -0,0 +1,276 @@
+// How the owner follows the control stream.
+#include "Ownership/owner.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::chrono::minutes prune_period{1};
+
+} // namespace
+
+void owner::on_batch(log_batch const& batch, instant now) {
+    if (batch.stream != log_stream::control) {
+        return;
+    }
+    switch (follower_.judge(batch)) {
+    case log_follower::verdict::stale:
+        follower_.failed(now);
+        return;
+    case log_follower::verdict::trimmed:
+        restart_table(batch);
+        break;
+    case log_follower::verdict::usable:
+        if (follower_.next() == log_offset{} && table_.size() == 0) {
+            table_.restart(true);
+        }
+        break;
+    }
+    apply_records(batch, now);
+    if (follower_.finished(batch)) {
+        reached_head(batch, now);
+    } else if (follower_.begin_read(now)) {
+        actions_.push_back(control_read{follower_.next()});
+    }
+}
+
+void owner::on_read_failed(instant now) {
+    follower_.failed(now);
+}
+
+// Guards against a node that was paused for longer than the log keeps
+// records: claims may have come and gone unread, so nothing that it held or
+// knew counts any more. It shows as control_log_trimmed.
+void owner::restart_table(log_batch const& batch) {
+    bool const first_read = follower_.next() == log_offset{};
+    follower_.restart(batch.first);
+    table_.restart(false);
+    absent_from_.reset();
+    takeovers_.clear();
+    handovers_.clear();
+    accepted_.clear();
+    waiting_.clear();
+    while (!holdings_.empty()) {
+        resource_id const resource = holdings_.begin()->first;
+        lose(resource, node_run{});
+    }
+    if (!first_read) {
+        say(event_code::control_log_trimmed, log_level::warning,
+            fmt::format("first={}", batch.first.value));
+    }
+}
+
+void owner::apply_records(log_batch const& batch, instant now) {
+    for (log_record const& each : batch.records) {
+        if (each.offset >= follower_.next()) {
+            apply_record(each, now);
+            follower_.applied(each.offset);
+        }
+    }
+}
+
+void owner::apply_record(log_record const& record, instant now) {
+    std::optional<control_record> const read = decode_control(record.data);
+    if (!read) {
+        say(event_code::control_record_broken, log_level::error,
+            fmt::format("offset={}", record.offset.value));
+        return;
+    }
+    instant learned = now;
+    if (read->writer == self_) {
+        std::optional<pending_append> const mine =
+            appends_.read_back(read->append);
+        // The answer came after the append, so a wait may begin there.
+        if (mine && mine->answered) {
+            learned = *mine->answered;
+        }
+    } else {
+        note_alive(read->writer, now);
+    }
+    std::vector<resource_id> const changed = table_.apply(record.offset, *read);
+    bool const ours = read->writer != self_ || appends_.ours(read->append);
+    for (resource_id const& each : changed) {
+        // A record that bears this run's name but was not written by it comes
+        // from another process that was started in the same millisecond.
+        if (ours) {
+            entry_changed(each, learned, now);
+        } else {
+            lose(each, node_run{});
+        }
+    }
+}
+
+// Only records that were appended since the last look say that their writer
+// lives now; those read at a start may be old.
+void owner::note_alive(node_run const& writer, instant now) {
+    if (log_is_current(now)) {
+        last_record_[writer.node] = now;
+    }
+}
+
+void owner::entry_changed(
+    resource_id const& resource, instant learned, instant now) {
+    ownership_entry const& entry = *table_.find(resource);
+    if (entry.owner == self_) {
+        hold(resource, entry, learned);
+    } else if (holdings_.contains(resource)) {
+        lose(resource, entry.owner);
+    }
+    accepted_.erase(resource);
+    consider(resource, now);
+}
+
+void owner::hold(
+    resource_id const& resource, ownership_entry const& entry,
+    instant learned) {
+    auto const held = holdings_.find(resource);
+    if (held != holdings_.end()) {
+        // Both claims are this run's and nobody came between: it goes on.
+        held->second.fencing = entry.fencing;
+        return;
+    }
+    holding next;
+    next.fencing = entry.fencing;
+    next.previous = entry.previous;
+    // Guards against two deciders at once: the old holder acts until its
+    // lease, counted from its last read, is over. The wait may begin at the
+    // earliest when the claim stands in the log, by this node's own clock.
+    next.effective_from = learned + settings_.claim_wait();
+    next.evict_from = learned + settings_.evict_wait();
+    if (entry.transferred) {
+        use_offer(resource, entry, next);
+    } else if (entry.predecessor_stopped) {
+        next.first = !entry.previous;
+        next.effective_from = learned;
+        next.evict_from = learned;
+        next.planned = true;
+    }
+    holdings_.emplace(resource, std::move(next));
+    waiting_.insert(resource);
+}
+
+// Only an offer that this run accepted tells how long evictions must still
+// wait. Without it the transfer is like any claim, and waits.
+void owner::use_offer(
+    resource_id const& resource, ownership_entry const& entry, holding& next) {
+    auto const found = accepted_.find(resource);
+    bool const matches = found != accepted_.end() &&
+                         entry.predecessor_stopped &&
+                         entry.previous == found->second.fencing;
+    if (!matches) {
+        return;
+    }
+    accepted_offer& offer = found->second;
+    next.effective_from = offer.received;
+    next.evict_from = std::max(offer.received, offer.evict_from);
+    next.planned = true;
+    next.table = std::move(offer.table);
+}
+
+void owner::lose(resource_id const& resource, node_run const& now_with) {
+    auto const found = holdings_.find(resource);
+    if (found == holdings_.end()) {
+        return;
+    }
+    holding const held = std::move(found->second);
+    holdings_.erase(found);
+    waiting_.erase(resource);
+    bool const planned = handovers_.moving(resource);
+    handovers_.finish(resource);
+    if (held.told) {
+        say(event_code::ownership_lost, log_level::info,
+            fmt::format(
+                "resource={} fencing={} to={}", to_string(resource),
+                held.fencing.value, now_with.node.str()));
+        actions_.push_back(
+            ownership_lost{resource, held.fencing, now_with.node});
+    }
+    bool const other = !now_with.node.empty() && now_with.node != self_.node;
+    if (other && !planned) {
+        holder_stopped const stopped{resource, held.fencing};
+        actions_.push_back(send_ownership_message{now_with.node, stopped});
+    }
+}
+
+void owner::reached_head(log_batch const& batch, instant now) {
+    for (pending_append const& each :
+         appends_.absent(batch.read_started, settings_.read_lag)) {
+        append_came_to_nothing(each.record, now);
+    }
+    if (!absent_from_) {
+        // Nodes whose claims have expired renew them as soon as they read the
+        // log again; until then a missing entry does not mean no owner.
+        absent_from_ = now;
+        if (!table_.complete()) {
+            *absent_from_ += settings_.log_evidence;
+        }
+        consider_all(now);
+    }
+    prune(batch, now);
+}
+
+void owner::prune(log_batch const& batch, instant now) {
+    for (auto const& [resource, held] : holdings_) {
+        ownership_entry const* entry = table_.find(resource);
+        if (entry != nullptr && entry->named_at < batch.first &&
+            appends_.empty()) {
+            next_renewal_ = now;
+        }
+    }
+    if (now < next_prune_) {
+        return;
+    }
+    next_prune_ = now + prune_period;
+    std::vector<resource_id> const dropped =
+        table_.prune(prune_before_, self_.node);
+    for (resource_id const& each : dropped) {
+        consider(each, now);
+    }
+    // What expires now has a whole period to be renewed by its owner.
+    prune_before_ = batch.first;
+}
+
+void owner::on_append_ended(
+    std::uint64_t append, append_result how, log_offset /*offset*/,
+    instant now) {
+    switch (how) {
+    case append_result::appended:
+        appends_.answered(append, now);
+        return;
+    case append_result::lost:
+        appends_.lost(append, now);
+        return;
+    case append_result::not_sent:
+        break;
+    }
+    if (std::optional<pending_append> const none = appends_.read_back(append)) {
+        append_came_to_nothing(none->record, now);
+    }
+}
+
+// A record that was given up may still arrive. That is harmless: a second
+// claim of the same run goes on with the first, a release that does not end
+// the last claim is void, and a claim that comes after another node's is a new
+// one that has to wait.
+void owner::append_came_to_nothing(control_record const& record, instant now) {
+    instant const retry = now + settings_.poll;
+    for (claim const& each : record.claims) {
+        consider(each.resource, now);
+        if (orphaned(each.resource)) {
+            takeovers_.postpone(each.resource, retry);
+        }
+    }
+    if (!record.renewals.empty()) {
+        next_renewal_ = retry;
+    }
+    for (release const& each : record.releases) {
+        handovers_.append_failed(each.resource, retry);
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/ownership_action.hpp
+++ b/src/Ownership/ownership_action.hpp
@@ -40,9 +40,10 @@
     instant since;
     /// Nothing may be evicted before.
     instant evict_from;
-    /// True when the former holder stopped before this node began, or when
-    /// there never was one.
+    /// True when the former holder stopped before this node began.
     bool planned = false;
+    /// True when nobody ever owned the resource, so that nothing can run.
+    bool first = false;
     /// The former holder's table; empty when none was handed over.
     std::string table;
 };
--- /dev/null
+++ b/src/Ownership/ownership_settings.cpp
@@ -0,0 +1,30 @@
+#include "Ownership/ownership_settings.hpp"
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::int64_t million = 1'000'000;
+
+/// A span of another node's clock, as long as it can be on ours.
+duration stretched(duration span, std::uint32_t rate_error) noexcept {
+    return span + span * rate_error / million;
+}
+
+} // namespace
+
+// The old holder's last read that did not show the claim began at most read_lag
+// after the append. Its authority ends one lease later by its own clock, and
+// what it sent last is under way for order_travel more.
+duration ownership_settings::claim_wait() const noexcept {
+    return stretched(lease, clock_rate_error) + order_travel + read_lag;
+}
+
+duration ownership_settings::evict_wait() const noexcept {
+    if (engines_refuse_busy_evictions) {
+        return claim_wait();
+    }
+    return stretched(grant_lease, clock_rate_error) + order_travel + read_lag;
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/ownership_settings.hpp
+++ b/src/Ownership/ownership_settings.hpp
@@ -17,6 +17,10 @@
     /// after that read, so that residents are served through a log outage. A
     /// successor that took over without a handover evicts nothing for as long.
     std::chrono::milliseconds grant_lease{300'000};
+    /// True when all engines refuse to evict an adapter that a running request
+    /// uses. Then no such wait is needed, and entry nodes may send without a
+    /// grant while a log outage keeps a dead owner from being replaced.
+    bool engines_refuse_busy_evictions = false;
     /// How much two nodes' monotonic clocks may differ in rate, in millionths.
     std::uint32_t clock_rate_error{1'000};
     /// The longest time for which an order or a granted request can still be
--- /dev/null
+++ b/src/Ownership/ownership_table.cpp
@@ -0,0 +1,135 @@
+#include "Ownership/ownership_table.hpp"
+
+#include <utility>
+
+namespace camphorpoint {
+
+void ownership_table::restart(bool complete) {
+    entries_.clear();
+    by_owner_.clear();
+    complete_ = complete;
+}
+
+std::vector<resource_id>
+ownership_table::apply(log_offset offset, control_record const& record) {
+    std::vector<resource_id> changed;
+    for (claim const& each : record.claims) {
+        apply_claim(offset, record.writer, each);
+        changed.push_back(each.resource);
+    }
+    for (renewal const& each : record.renewals) {
+        if (apply_renewal(offset, record.writer, each)) {
+            changed.push_back(each.resource);
+        }
+    }
+    for (release const& each : record.releases) {
+        if (apply_release(offset, record.writer, each)) {
+            changed.push_back(each.resource);
+        }
+    }
+    return changed;
+}
+
+void ownership_table::apply_claim(
+    log_offset offset, node_run const& writer, claim const& what) {
+    ownership_entry entry;
+    entry.owner = writer;
+    entry.fencing = offset;
+    entry.named_at = offset;
+    if (ownership_entry const* before = find(what.resource)) {
+        entry.previous = before->fencing;
+        entry.predecessor_stopped =
+            !before->owned() && before->predecessor_stopped;
+    } else {
+        entry.predecessor_stopped = complete_;
+    }
+    set(what.resource, std::move(entry));
+}
+
+// A renewal says only that its writer held this claim when it wrote. It never
+// takes a resource from a later claim, so a renewal that a paused holder
+// appends after it was succeeded changes nothing.
+bool ownership_table::apply_renewal(
+    log_offset offset, node_run const& writer, renewal const& what) {
+    if (what.fencing >= offset) {
+        return false;
+    }
+    ownership_entry const* before = find(what.resource);
+    if (before != nullptr && before->fencing > what.fencing) {
+        return false;
+    }
+    if (before != nullptr && before->fencing == what.fencing) {
+        if (before->owner == writer) {
+            entries_[what.resource].named_at = offset;
+        }
+        return false;
+    }
+    ownership_entry entry;
+    entry.owner = writer;
+    entry.fencing = what.fencing;
+    entry.named_at = offset;
+    set(what.resource, std::move(entry));
+    return true;
+}
+
+// A release that does not end the last claim is void: otherwise one that a
+// paused holder appends late would spare a third node the wait for the second.
+bool ownership_table::apply_release(
+    log_offset offset, node_run const& writer, release const& what) {
+    ownership_entry const* before = find(what.resource);
+    bool const known = before != nullptr;
+    if (known && (before->owner != writer || before->fencing != what.fencing)) {
+        return false;
+    }
+    ownership_entry entry;
+    entry.owner = what.successor.value_or(node_run{});
+    entry.fencing = offset;
+    entry.named_at = offset;
+    entry.previous = what.fencing;
+    entry.predecessor_stopped = known && what.stopped;
+    entry.transferred = what.successor.has_value();
+    set(what.resource, std::move(entry));
+    return true;
+}
+
+std::vector<resource_id>
+ownership_table::prune(log_offset first, node_id const& keep) {
+    std::vector<resource_id> expired;
+    for (auto const& [resource, entry] : entries_) {
+        if (entry.named_at < first && entry.owner.node != keep) {
+            expired.push_back(resource);
+        }
+    }
+    for (resource_id const& each : expired) {
+        by_owner_[entries_[each].owner.node].erase(each);
+        entries_.erase(each);
+        complete_ = false;
+    }
+    return expired;
+}
+
+ownership_entry const*
+ownership_table::find(resource_id const& resource) const {
+    auto const found = entries_.find(resource);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::set<resource_id> const&
+ownership_table::owned_by(node_id const& node) const {
+    static std::set<resource_id> const none;
+    auto const found = by_owner_.find(node);
+    return found == by_owner_.end() ? none : found->second;
+}
+
+void ownership_table::set(resource_id const& resource, ownership_entry entry) {
+    ownership_entry& place = entries_[resource];
+    if (place.owned()) {
+        by_owner_[place.owner.node].erase(resource);
+    }
+    place = std::move(entry);
+    if (place.owned()) {
+        by_owner_[place.owner.node].insert(resource);
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/ownership_table.hpp
+++ b/src/Ownership/ownership_table.hpp
@@ -21,6 +21,8 @@
     std::optional<log_offset> previous;
     /// True when whoever held before had stopped before this record.
     bool predecessor_stopped = false;
+    /// True when a release named this owner, instead of its own claim.
+    bool transferred = false;
     /// The newest record that names the resource.
     log_offset named_at;
 
@@ -59,11 +61,12 @@
 
 private:
     void set(resource_id const& resource, ownership_entry entry);
-    bool
+    void
     apply_claim(log_offset offset, node_run const& writer, claim const& what);
     bool apply_renewal(
         log_offset offset, node_run const& writer, renewal const& what);
-    bool apply_release(log_offset offset, release const& what);
+    bool apply_release(
+        log_offset offset, node_run const& writer, release const& what);
 
     std::map<resource_id, ownership_entry> entries_;
     std::map<node_id, std::set<resource_id>> by_owner_;
--- a/src/Ownership/takeover_queue.hpp
+++ b/src/Ownership/takeover_queue.hpp
@@ -3,6 +3,7 @@
 #include "Core/time.hpp"
 #include "Ownership/resource_id.hpp"
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <vector>
@@ -14,25 +15,31 @@
 class takeover_queue {
 public:
     /// Adds a resource that is to be ranked, unless it is there already.
-    void add(resource_id const& resource);
+    void add(resource_id const& resource, instant now);
     /// Takes a resource out, since it found an owner.
     void remove(resource_id const& resource);
+    /// Takes all out.
+    void clear();
     /// Everything must be ranked again, since the live nodes changed.
     void rank_again();
-    /// @returns at most this many resources that wait to be ranked; they are
-    /// taken out
+    /// @returns at most this many resources that wait to be ranked; each must
+    /// be scheduled or removed next
     std::vector<resource_id> take_unranked(std::size_t most);
-    /// Sets when a ranked resource may be claimed.
-    void schedule(resource_id const& resource, instant due);
-    /// @returns at most this many resources whose time has come; they are
-    /// taken out
+    /// Sets when a resource may be claimed.
+    /// @param after counted from when it was added
+    void schedule(resource_id const& resource, duration after);
+    /// Sets when a resource is looked at again.
+    void postpone(resource_id const& resource, instant due);
+    /// @returns at most this many resources whose time has come; each must be
+    /// postponed or removed next
     std::vector<resource_id> take_due(instant now, std::size_t most);
     /// @returns how many resources wait
-    std::size_t size() const noexcept {
-        return unranked_.size() + due_of_.size();
-    }
+    std::size_t size() const noexcept { return since_.size(); }
 
 private:
+    void unschedule(resource_id const& resource);
+
+    std::map<resource_id, instant> since_;
     std::set<resource_id> unranked_;
     std::map<resource_id, instant> due_of_;
     std::map<instant, std::set<resource_id>> by_due_;
--- /dev/null
+++ b/test/ownership_fixture.cpp
@@ -0,0 +1,167 @@
+#include "ownership_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+namespace camphorpoint::ownership_test {
+
+log_offset control_log::append(std::string data) {
+    log_offset const at{first.value + records.size()};
+    records.push_back({at, wall_time{}, std::move(data)});
+    return at;
+}
+
+log_batch control_log::read(log_offset from, instant started) const {
+    log_batch result;
+    result.stream = log_stream::control;
+    result.from = from;
+    result.first = first;
+    result.head = log_offset{first.value + records.size()};
+    result.read_started = started;
+    for (log_record const& each : records) {
+        if (each.offset >= from) {
+            result.records.push_back(each);
+        }
+    }
+    return result;
+}
+
+void control_log::expire() {
+    first.value += records.size();
+    records.clear();
+}
+
+cluster::cluster(
+    std::vector<resource_id> resources, ownership_settings settings)
+    : resources_(std::move(resources))
+    , settings_(settings) {}
+
+test_node& cluster::start(std::string const& name, std::uint64_t run) {
+    node_run const self{node_id(name), run};
+    nodes_.erase(name);
+    std::mt19937_64 const random(hash_text(name, run));
+    test_node fresh{owner(settings_, self, random), self};
+    return nodes_.emplace(name, std::move(fresh)).first->second;
+}
+
+test_node& cluster::node(std::string const& name) {
+    return nodes_.at(name);
+}
+
+void cluster::set_live(std::vector<std::string> const& names) {
+    live_ = names;
+    std::vector<owner_candidate> live;
+    for (std::string const& each : names) {
+        test_node const& which = nodes_.at(each);
+        live.push_back({which.self.node, which.self.run, which.leaving});
+    }
+    for (auto& [name, each] : nodes_) {
+        if (!each.dead && !each.paused) {
+            each.decider.set_candidates(live, resources_, now);
+        }
+    }
+}
+
+void cluster::run(duration span) {
+    instant const end = now + span;
+    while (now < end) {
+        now += step;
+        for (auto& [name, each] : nodes_) {
+            if (!each.dead && !each.paused) {
+                each.decider.on_tick(now);
+                serve(each);
+            }
+        }
+    }
+}
+
+void cluster::drain(test_node& which) {
+    which.leaving = true;
+    which.decider.start_drain(now);
+    set_live(live_);
+}
+
+std::string cluster::settle(resource_id const& resource) {
+    for (int count = 0; count < 1'000; ++count) {
+        for (std::string const& each : acting(resource)) {
+            if (!nodes_.at(each).paused) {
+                return each;
+            }
+        }
+        run(step);
+    }
+    FAIL("nobody came to own the resource");
+    return {};
+}
+
+std::vector<std::string> cluster::acting(resource_id const& resource) {
+    std::vector<std::string> result;
+    for (auto const& [name, each] : nodes_) {
+        if (!each.dead && each.decider.authority_for(resource, now)) {
+            result.push_back(name);
+        }
+    }
+    return result;
+}
+
+void cluster::serve(test_node& from) {
+    for (ownership_action const& action : from.decider.take_actions()) {
+        if (auto const* read = std::get_if<control_read>(&action)) {
+            serve(from, *read);
+        } else if (auto const* add = std::get_if<control_append>(&action)) {
+            serve(from, *add);
+        } else if (
+            auto const* send = std::get_if<send_ownership_message>(&action)) {
+            serve(from, *send);
+        } else if (auto const* won = std::get_if<ownership_gained>(&action)) {
+            from.gained.push_back(*won);
+        } else if (auto const* lost = std::get_if<ownership_lost>(&action)) {
+            from.lost.push_back(*lost);
+        } else if (auto const* want = std::get_if<handover_wanted>(&action)) {
+            from.wanted.push_back(*want);
+            if (stop_at_once) {
+                from.decider.handover_ready(
+                    want->resource, "table of " + from.self.node.str(), now);
+                serve(from);
+            }
+        } else if (auto const* back = std::get_if<handover_aborted>(&action)) {
+            from.aborted.push_back(*back);
+        }
+    }
+}
+
+void cluster::serve(test_node& from, control_read const& read) {
+    if (log.down || from.cut_from_log) {
+        from.decider.on_read_failed(now);
+        return;
+    }
+    from.decider.on_batch(log.read(read.from, now), now);
+}
+
+void cluster::serve(test_node& from, control_append const& append) {
+    if (log.down || from.cut_from_log) {
+        from.decider.on_append_ended(
+            append.append, append_result::not_sent, {}, now);
+        return;
+    }
+    ++appends;
+    log_offset const at = log.append(append.data);
+    append_result const how =
+        log.lose_answer ? append_result::lost : append_result::appended;
+    log.lose_answer = false;
+    from.decider.on_append_ended(append.append, how, at, now);
+}
+
+void cluster::serve(test_node& from, send_ownership_message const& send) {
+    auto const to = nodes_.find(send.to.str());
+    bool const arrives = messages && to != nodes_.end() && !to->second.dead &&
+                         !to->second.paused;
+    if (!arrives) {
+        return;
+    }
+    to->second.decider.on_message(from.self.node, send.message, now);
+    serve(to->second);
+}
+
+} // namespace camphorpoint::ownership_test
--- /dev/null
+++ b/test/ownership_fixture.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <Camphorpoint/Core>
+#include <Camphorpoint/Ownership>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace camphorpoint::ownership_test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr milliseconds step{100};
+
+/// The platform's log, with what can go wrong on it.
+struct control_log {
+    std::vector<log_record> records;
+    log_offset first;
+    bool down = false;
+    /// The next append takes effect, but its answer is lost.
+    bool lose_answer = false;
+
+    log_offset append(std::string data);
+    log_batch read(log_offset from, instant started) const;
+    /// Drops all records.
+    void expire();
+};
+
+/// One node: its owner, its clock, and what it was told.
+struct test_node {
+    owner decider;
+    node_run self;
+    bool paused = false;
+    bool leaving = false;
+    bool dead = false;
+    bool cut_from_log = false;
+    std::vector<ownership_gained> gained = {};
+    std::vector<ownership_lost> lost = {};
+    std::vector<handover_wanted> wanted = {};
+    std::vector<handover_aborted> aborted = {};
+};
+
+/// Several nodes on one log, on virtual time.
+class cluster {
+public:
+    explicit cluster(
+        std::vector<resource_id> resources, ownership_settings settings = {});
+
+    test_node& start(std::string const& name, std::uint64_t run = 1);
+    test_node& node(std::string const& name);
+    /// Tells all nodes who lives.
+    void set_live(std::vector<std::string> const& names);
+    /// Begins a planned stop, of which all nodes hear.
+    void drain(test_node& which);
+    /// Lets time pass; answers what the nodes ask.
+    void run(duration span);
+    /// Runs until the resource's owner may act.
+    /// @returns the owner's name
+    std::string settle(resource_id const& resource);
+    /// @returns the live, running nodes that may act for the resource now
+    std::vector<std::string> acting(resource_id const& resource);
+
+    control_log log;
+    instant now{seconds(1'000)};
+    std::uint64_t appends = 0;
+    /// Whether services answer handover_wanted at once.
+    bool stop_at_once = true;
+    /// Whether messages between nodes arrive.
+    bool messages = true;
+
+private:
+    void serve(test_node& from);
+    void serve(test_node& from, control_read const& read);
+    void serve(test_node& from, control_append const& append);
+    void serve(test_node& from, send_ownership_message const& send);
+
+    std::vector<resource_id> resources_;
+    ownership_settings settings_;
+    std::map<std::string, test_node> nodes_;
+    std::vector<std::string> live_;
+};
+
+} // namespace camphorpoint::ownership_test
