--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -185,6 +185,7 @@
     void renew(instant now);
     void prune(log_batch const& batch, instant now);
     void rebalance(instant now);
+    std::uint64_t run_of(node_id const& node) const;
     bool may_move_to(node_id const& successor, instant now) const;
     void begin_handover(
         resource_id const& resource, node_id const& successor, instant now);
@@ -216,6 +217,8 @@
     std::set<resource_id> waiting_;
     std::map<resource_id, accepted_offer> accepted_;
     std::map<node_id, instant> last_record_;
+    /// The newest run of each node that wrote a record.
+    std::map<node_id, std::uint64_t> written_runs_;
     std::vector<ownership_action> actions_;
     std::optional<instant> next_renewal_;
     instant next_claim_{};
--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,6 +1,10 @@
 #pragma once
 
+<<<<<<< HEAD
 #include "Ownership/handover_messages.hpp"
+=======
+#include "Config/config_messages.hpp"
+>>>>>>> main
 #include "Scheduling/grant_messages.hpp"
 
 #include <variant>
@@ -11,6 +15,10 @@
 /// in its own folder; order matters on the wire.
 using peer_message = std::variant<
     grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
+<<<<<<< HEAD
     grant_heartbeat, handover_offer, handover_accepted, holder_stopped>;
+=======
+    grant_heartbeat, config_ask, config_records, config_state>;
+>>>>>>> main
 
 } // namespace camphorpoint
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -17,6 +17,7 @@
     node_ready = 102,
     node_draining = 103,
     node_stopped = 104,
+<<<<<<< HEAD
     ownership_gained = 301,
     ownership_lost = 302,
     authority_lapsed = 303,
@@ -31,6 +32,29 @@
     node_leaving = 404,
     endpoint_leaving = 405,
     suspicion_refuted = 406
+=======
+    config_ready = 201,
+    config_record_invalid = 202,
+    config_place_expired = 203,
+    config_no_checkpoint = 204,
+    config_state_adopted = 205,
+    config_digest_differs = 206,
+    config_stale = 207,
+    config_fresh_again = 208,
+    config_state_broken = 209,
+    config_checkpoint_begun = 210,
+    config_checkpoint_written = 211,
+    store_down = 601,
+    store_recovered = 602,
+    load_retrying = 603,
+    load_given_up = 604,
+    engine_restarted = 605,
+    order_unsettled = 606,
+    order_settled = 607,
+    replica_taken_over = 608,
+    replica_lost = 609,
+    slot_taken_by_force = 610
+>>>>>>> main
 };
 
 /// One line of the log.
