Keys: owners, tables and entry nodes decide at most once

Cause: a caller on a poor network repeats a booking through another node. Change: the code behind the headers of keys; tests follow.

--- a/src/Core/outcome.cpp
+++ b/src/Core/outcome.cpp
@@ -78,6 +78,8 @@
         return "key-answer-dropped";
     case reason::key_clock_disagrees:
         return "key-clock-disagrees";
+    case reason::key_entry_lost:
+        return "key-entry-lost";
     case reason::already_running:
         return "already-running";
     case reason::caller_gone:
--- a/src/Core/outcome.hpp
+++ b/src/Core/outcome.hpp
@@ -48,6 +48,7 @@
     key_invalid,
     key_answer_dropped,
     key_clock_disagrees,
+    key_entry_lost,
     already_running,
     caller_gone,
     internal_error
--- a/src/Keys/entry_keys.hpp
+++ b/src/Keys/entry_keys.hpp
@@ -6,7 +6,10 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorpoint {
@@ -69,29 +72,39 @@
         key_finished end;
         instant next_send;
         instant forget_at;
+        /// True when it never ran here, and never will.
         bool withdrawn = false;
-        bool noted = false;
     };
+    /// Whether the owner has to be told of an end.
+    enum class tell : std::uint8_t { no, until_noted };
 
     void send_ask(open_request& each, key_clock const& clock);
+    void send_end(ended_request& each, instant now);
     void settle(
         open_request const& each, key_verdict verdict, reason why,
         std::string answer = {});
-    void give_up(open_request const& each, key_clock const& clock);
-    bool settle_reply(
+    void start(open_request& each);
+    bool give_up(open_request& each, key_clock const& clock);
+    bool take_reply(
         open_request& each, key_reply const& reply, key_clock const& clock);
-    void on_late_reply(key_reply const& reply, key_clock const& clock);
-    void remember_end(
-        open_request const& each, outcome how, reason why, std::string answer,
-        bool withdrawn, key_clock const& clock);
+    bool take_permission(
+        open_request& each, key_reply const& reply, key_clock const& clock);
+    void take_late_permission(key_reply const& reply, instant now);
+    void remember(
+        open_request const& each, key_finished end, bool withdrawn, tell owner,
+        instant now);
     bool tick_open(open_request& each, key_clock const& clock);
-    void tick_ended(key_clock const& clock);
-    void send_heartbeats(key_clock const& clock);
+    void tick_ended(instant now);
+    void send_heartbeats();
 
     entry_key_settings settings_;
     std::array<node_id, key_shard_count> owners_;
     std::map<request_id, open_request> open_;
     std::map<request_id, ended_request> ended_;
+    /// Ended requests, the oldest first.
+    std::deque<request_id> ended_order_;
+    /// Ends that their owners have not noted.
+    std::set<request_id> unnoted_;
     instant next_heartbeat_;
     std::vector<key_action> actions_;
 };
--- /dev/null
+++ b/src/Keys/key_owner.cpp
@@ -0,0 +1,176 @@
+#include "Keys/key_owner.hpp"
+
+#include <utility>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::chrono::seconds between_clock_warnings{10};
+
+} // namespace
+
+void key_owner::on_shard_taken(
+    key_shard shard, key_claim const& claim, key_clock const& clock) {
+    auto const old = tables_.find(shard);
+    bool const continues =
+        old != tables_.end() && claim.previous == old->second.fencing();
+    claims_[shard] = claim;
+    if (continues) {
+        old->second.begin(claim.fencing);
+        return;
+    }
+    tables_.erase(shard);
+    key_table& table =
+        tables_.try_emplace(shard, settings_, memory_, shard).first->second;
+    table.begin(claim.fencing);
+    // The earlier holder's clock may have been ahead of this one by the clock
+    // error, and it took keys ahead of its clock by the limit.
+    table.know_nothing_up_to(
+        clock.wall + settings_.ahead_limit + settings_.clock_error);
+    adopt_staged(shard, clock);
+}
+
+void key_owner::on_shard_lost(key_shard shard) {
+    tables_.erase(shard);
+    claims_.erase(shard);
+}
+
+void key_owner::on_ask(
+    node_id const& from, key_ask const& ask, instant authority_until,
+    key_clock const& clock) {
+    auto const found = tables_.find(ask.shard);
+    if (found == tables_.end()) {
+        refuse(from, ask, reason::owner_unreachable);
+        return;
+    }
+    key_table& table = found->second;
+    bool const agree = clocks_agree(from, ask, clock);
+    if (!agree && !ask.idempotent && table.find(ask.key) == nullptr) {
+        refuse(from, ask, reason::key_clock_disagrees);
+        return;
+    }
+    table.ask(from, ask, clock.now < authority_until, clock);
+    send_replies(table);
+}
+
+void key_owner::on_finished(
+    node_id const& from, key_finished const& end, instant authority_until,
+    key_clock const& clock) {
+    auto const found = tables_.find(end.shard);
+    if (found == tables_.end()) {
+        return;
+    }
+    key_table& table = found->second;
+    bool const may_decide = clock.now < authority_until;
+    if (table.finish(from, end, may_decide, clock)) {
+        actions_.push_back(key_send{from, key_noted{end.request, end.attempt}});
+    }
+    send_replies(table);
+}
+
+void key_owner::on_heartbeat(
+    node_id const& from, key_heartbeat const& beat, key_clock const& clock) {
+    for (key_held const& each : beat.held) {
+        auto const found = tables_.find(each.shard);
+        if (found != tables_.end()) {
+            found->second.heard(from, each, clock);
+        }
+    }
+}
+
+void key_owner::on_handover(key_handover const& part, key_clock const& clock) {
+    staged_table& staged = staged_[part.shard];
+    if (part.fencing < staged.fencing) {
+        return;
+    }
+    if (part.fencing > staged.fencing) {
+        staged = {};
+        staged.fencing = part.fencing;
+    }
+    staged.unknown_up_to = part.unknown_up_to;
+    staged.expected = part.parts;
+    staged.parts[part.part] = part.records;
+    adopt_staged(part.shard, clock);
+}
+
+void key_owner::adopt_staged(key_shard shard, key_clock const& clock) {
+    auto const claim = claims_.find(shard);
+    auto const staged = staged_.find(shard);
+    if (claim == claims_.end() || staged == staged_.end()) {
+        return;
+    }
+    // Only the table of the claim right before this one is whole: a holder
+    // that closed its table gives nothing more under that claim. An older one
+    // lacks what a later holder let run.
+    bool const whole = staged->second.parts.size() == staged->second.expected;
+    bool const right_before = claim->second.handed_over &&
+                              claim->second.previous == staged->second.fencing;
+    if (!whole || !right_before) {
+        return;
+    }
+    std::vector<key_record> all;
+    for (auto const& [part, records] : staged->second.parts) {
+        all.insert(all.end(), records.begin(), records.end());
+    }
+    // The earlier holder's own gap is handed on with its table.
+    tables_.at(shard).import_records(all, staged->second.unknown_up_to, clock);
+    staged_.erase(staged);
+}
+
+void key_owner::hand_over(key_shard shard, node_id const& successor) {
+    auto const found = tables_.find(shard);
+    if (found == tables_.end()) {
+        return;
+    }
+    found->second.close();
+    for (key_handover const& part : found->second.export_parts()) {
+        actions_.push_back(key_send{successor, part});
+    }
+}
+
+void key_owner::tick(key_clock const& clock) {
+    for (auto& [shard, table] : tables_) {
+        table.tick(clock);
+        send_replies(table);
+    }
+}
+
+std::vector<key_action> key_owner::take_actions() {
+    return std::exchange(actions_, {});
+}
+
+bool key_owner::clocks_agree(
+    node_id const& from, key_ask const& ask, key_clock const& clock) {
+    // A node whose calendar clock is off (time synchronisation failed) breaks
+    // the bound of the takeover check; it would show as a second run after a
+    // crash. An ask that was long on its way looks the same, and comes again.
+    auto const ahead = ask.sent - clock.wall;
+    if (ahead <= settings_.clock_error && -ahead <= settings_.clock_error) {
+        return true;
+    }
+    if (!warned_ || clock.now - *warned_ >= between_clock_warnings) {
+        warned_ = clock.now;
+        actions_.push_back(key_clocks_apart{from, ahead});
+    }
+    return false;
+}
+
+void key_owner::refuse(node_id const& to, key_ask const& ask, reason why) {
+    key_reply said;
+    said.request = ask.request;
+    said.attempt = ask.attempt;
+    said.shard = ask.shard;
+    said.verdict = key_verdict::refused;
+    said.why = why;
+    said.retry_after = settings_.retry_after;
+    actions_.push_back(key_send{to, said});
+}
+
+void key_owner::send_replies(key_table& table) {
+    for (addressed_reply& each : table.take_replies()) {
+        actions_.push_back(key_send{each.to, std::move(each.reply)});
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Keys/key_owner.hpp
+++ b/src/Keys/key_owner.hpp
@@ -76,7 +76,7 @@
 
     bool clocks_agree(
         node_id const& from, key_ask const& ask, key_clock const& clock);
-    bool adopt_staged(key_shard shard, key_clock const& clock);
+    void adopt_staged(key_shard shard, key_clock const& clock);
     void refuse(node_id const& to, key_ask const& ask, reason why);
     void send_replies(key_table& table);
 
--- a/src/Keys/key_table.hpp
+++ b/src/Keys/key_table.hpp
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorpoint {
@@ -45,7 +47,7 @@
     ask(node_id const& from, key_ask const& ask, bool may_decide,
         key_clock const& clock);
     /// Notes an end.
-    /// @returns true when it stands in the table and need not be sent again
+    /// @returns true when it need not be sent again
     bool finish(
         node_id const& from, key_finished const& end, bool may_decide,
         key_clock const& clock);
@@ -58,7 +60,7 @@
     /// Takes over another holder's records, but for those it knows itself.
     /// @param bound up to when the other holder itself knew nothing
     void import_records(
-        std::vector<key_record> records, wall_time bound,
+        std::vector<key_record> const& records, wall_time bound,
         key_clock const& clock);
     /// @returns the whole table in parts of bounded size
     std::vector<key_handover> export_parts() const;
@@ -89,28 +91,39 @@
     void ask_known(
         entry& known, node_id const& from, key_ask const& ask, bool may_decide,
         key_clock const& clock);
+    void ask_undone(
+        entry& known, node_id const& from, key_ask const& ask,
+        key_clock const& clock);
     void
     ask_new(node_id const& from, key_ask const& ask, key_clock const& clock);
-    void ask_done(
-        entry& known, node_id const& from, key_ask const& ask, bool may_decide,
-        key_clock const& clock);
     void join(
         entry& known, node_id const& from, key_ask const& ask,
         key_clock const& clock);
     reason time_problem(key_ask const& ask, key_clock const& clock) const;
     void
     give(entry& known, node_id const& from, key_ask const& ask, instant now);
-    void give_next_waiter(entry& known, key_clock const& clock);
+    void finish_new(
+        node_id const& from, key_finished const& end, key_clock const& clock);
+    void finish_known(
+        entry& known, node_id const& from, key_finished const& end,
+        key_clock const& clock);
+    void release(entry& known, key_clock const& clock);
+    void complete(entry& known, std::string const& answer);
     void answer_waiters(entry& known);
     void keep_answer(entry& known, std::string const& answer);
     void drop_answer(entry& known);
     void become_unknown(entry& known, reason why);
-    entry& make_entry(
+    void forget_some(wall_time now);
+    entry* make_entry(
         idempotency_key const& key, std::uint64_t digest, bool idempotent,
-        key_clock const& clock);
-    key_reply reply_of(entry const& known) const;
+        wall_time now);
+    void send(node_id const& to, key_reply const& reply);
     void
     reply(node_id const& to, key_ask const& ask, key_verdict what, reason why);
+    void reply_done(
+        node_id const& to, request_id const& request, std::uint32_t attempt,
+        entry const& known);
+    void reply_run(entry const& known);
 
     key_settings const& settings_;
     internal::key_memory& memory_;
@@ -120,6 +133,10 @@
     wall_time unknown_up_to_{};
     std::uint64_t next_permission_ = 1;
     entry_map entries_;
+    /// Keys in state running, so that a tick need not look at all.
+    std::set<idempotency_key> running_;
+    /// Where the search for records to forget goes on.
+    idempotency_key cursor_;
     /// Keys with kept answers, the oldest first.
     std::deque<idempotency_key> answered_;
     std::vector<addressed_reply> replies_;
--- /dev/null
+++ b/src/Keys/key_time.cpp
@@ -0,0 +1,99 @@
+#include "Keys/key_time.hpp"
+
+#include "Core/hash.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::size_t uuid_length = 36;
+constexpr std::size_t version_place = 14;
+constexpr std::size_t variant_place = 19;
+constexpr std::uint64_t shard_seed = 0x6b657973;
+
+bool is_dash_place(std::size_t place) noexcept {
+    return place == 8 || place == 13 || place == 18 || place == 23;
+}
+
+char lower(char letter) noexcept {
+    return letter >= 'A' && letter <= 'F' ? static_cast<char>(letter + 32)
+                                          : letter;
+}
+
+/// @returns the digit's value, or -1
+int hex_value(char digit) noexcept {
+    char const small = lower(digit);
+    if (small >= '0' && small <= '9') {
+        return small - '0';
+    }
+    return small >= 'a' && small <= 'f' ? small - 'a' + 10 : -1;
+}
+
+bool is_uuid(std::string_view text) noexcept {
+    if (text.size() != uuid_length) {
+        return false;
+    }
+    for (std::size_t place = 0; place < text.size(); ++place) {
+        bool const good = is_dash_place(place) ? text[place] == '-'
+                                               : hex_value(text[place]) >= 0;
+        if (!good) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+key_shard key_shard_of(idempotency_key const& key) noexcept {
+    return static_cast<key_shard>(
+        hash_text(key.str(), shard_seed) % key_shard_count);
+}
+
+idempotency_key canonical_key(idempotency_key const& key) {
+    if (!is_uuid(key.str())) {
+        return key;
+    }
+    std::string text = key.str();
+    std::ranges::transform(text, text.begin(), lower);
+    return idempotency_key(text);
+}
+
+std::optional<wall_time> parse_key_time(idempotency_key const& key) {
+    std::string const& text = key.str();
+    if (!is_uuid(text) || text[version_place] != '7') {
+        return std::nullopt;
+    }
+    int const variant = hex_value(text[variant_place]);
+    if (variant < 0x8 || variant > 0xb) {
+        return std::nullopt;
+    }
+    // The first 48 bits are milliseconds since 1970.
+    std::int64_t time = 0;
+    for (std::size_t place = 0; place < 13; ++place) {
+        if (!is_dash_place(place)) {
+            time = time * 16 + hex_value(text[place]);
+        }
+    }
+    return wall_time(std::chrono::milliseconds(time));
+}
+
+idempotency_key mint_key(wall_time time, std::mt19937_64& random) {
+    constexpr std::uint64_t variant_bits = 0x8000'0000'0000'0000ULL;
+    constexpr std::uint64_t variant_mask = 0x3fff'ffff'ffff'ffffULL;
+    auto const stamp =
+        static_cast<std::uint64_t>(time.time_since_epoch().count());
+    std::uint64_t const first = random() & 0xfffU;
+    std::uint64_t const second = (random() & variant_mask) | variant_bits;
+    return idempotency_key(fmt::format(
+        "{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}", (stamp >> 16U) & 0xffffffffU,
+        stamp & 0xffffU, first, second >> 48U, second & 0xffff'ffff'ffffULL));
+}
+
+} // namespace camphorpoint
