Keys: failure tests, and a property over random schedules

Cause: at most once has to hold while pauses, crashes, handovers, lost and late messages come together. Change: stories in keys_test, keys_takeover_test, keys_entry_test; 2,500 random schedules of 20 to 199 steps with a fixed seed in keys_property_test.

--- a/src/Keys/entry_keys.cpp
+++ b/src/Keys/entry_keys.cpp
@@ -258,6 +258,10 @@
     }
 }
 
+std::vector<key_action> entry_keys::take_actions() {
+    return std::exchange(actions_, {});
+}
+
 /// @returns true when the request is over
 bool entry_keys::tick_open(open_request& each, key_clock const& clock) {
     if (each.now_in == phase::running) {
--- a/src/Keys/key_owner.hpp
+++ b/src/Keys/key_owner.hpp
@@ -31,6 +31,9 @@
     explicit key_owner(key_settings settings)
         : settings_(settings)
         , memory_(settings.most_records, settings.most_answer_bytes) {}
+    // Its tables refer to its settings and to its memory.
+    key_owner(key_owner const&) = delete;
+    key_owner& operator=(key_owner const&) = delete;
 
     /// A claim of this node on a shard took effect.
     void on_shard_taken(
--- a/src/Keys/key_table.cpp
+++ b/src/Keys/key_table.cpp
@@ -414,6 +414,7 @@
     for (key_record const& each : records) {
         auto const [place, is_new] = entries_.try_emplace(each.key);
         if (!is_new) {
+            merge(place->second, each);
             continue;
         }
         // Taken even when the table is full: leaving one out would be silent
@@ -434,6 +435,14 @@
     unknown_up_to_ = bound;
 }
 
+void key_table::merge(entry& known, key_record const& other) {
+    // A heartbeat that was long on its way may have come before the table.
+    bool const ended = known.record.state == key_state::done;
+    if (!ended && other.state == key_state::done) {
+        complete(known, other.answer);
+    }
+}
+
 std::vector<key_handover> key_table::export_parts() const {
     // What a record takes on the wire beside its strings.
     constexpr std::size_t record_overhead = 160;
--- a/src/Keys/key_table.hpp
+++ b/src/Keys/key_table.hpp
@@ -109,6 +109,7 @@
         key_clock const& clock);
     void release(entry& known, key_clock const& clock);
     void complete(entry& known, std::string const& answer);
+    void merge(entry& known, key_record const& other);
     void answer_waiters(entry& known);
     void keep_answer(entry& known, std::string const& answer);
     void drop_answer(entry& known);
--- /dev/null
+++ b/test/keys_property_test.cpp
@@ -0,0 +1,316 @@
+#include "keys_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <iostream>
+#include <rapidcheck.h>
+#include <set>
+
+namespace camphorpoint::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What can happen.
+enum class happening : std::uint8_t {
+    deliver_one,
+    deliver_all,
+    lose_one,
+    repeat_one,
+    ask,
+    start,
+    give_back,
+    end,
+    withdraw,
+    new_key,
+    time_passes,
+    renew,
+    take_over,
+    hand_over,
+    pause_or_resume,
+    crash
+};
+
+/// One thing that happens, with numbers that pick whom it happens to.
+struct step {
+    happening kind = happening::deliver_one;
+    std::uint8_t first = 0;
+    std::uint8_t second = 0;
+    std::uint16_t amount = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, step const& each) {
+    return out << "{" << int(each.kind) << "," << int(each.first) << ","
+               << int(each.second) << "," << each.amount << "}";
+}
+
+/// Plays random steps, and counts the runs of each booking: that is the whole
+/// oracle.
+class scenario {
+public:
+    scenario() {
+        world_.run_at_once = false;
+        // The widest that clocks may be apart.
+        world_.add("a", milliseconds(250));
+        world_.add("b", milliseconds(-250));
+        world_.add("c");
+        world_.claim("a");
+        world_.live(milliseconds(2'200));
+        world_.renew();
+        for (idempotency_key& key : keys_) {
+            key = world_.key_made();
+        }
+    }
+
+    void play(step const& each) {
+        node_id const name = names_[each.first % names_.size()];
+        std::string const& node = name.str();
+        std::size_t const place =
+            world_.letters.empty() ? 0 : each.amount % world_.letters.size();
+        switch (each.kind) {
+        case happening::deliver_one:
+            if (!world_.letters.empty()) {
+                world_.deliver_one(place);
+            }
+            break;
+        case happening::lose_one:
+            if (!world_.letters.empty()) {
+                world_.letters.erase(
+                    world_.letters.begin() +
+                    static_cast<std::ptrdiff_t>(place));
+            }
+            break;
+        case happening::repeat_one:
+            if (!world_.letters.empty()) {
+                world_.letters.push_back(world_.letters[place]);
+            }
+            break;
+        case happening::ask:
+            ask(node, each);
+            break;
+        case happening::time_passes:
+            world_.advance(milliseconds(each.amount % 2'000));
+            break;
+        case happening::start:
+            start(each);
+            break;
+        case happening::give_back:
+            give_back(each);
+            break;
+        case happening::end:
+            end(each);
+            break;
+        case happening::take_over:
+            if (!world_.at(node).paused) {
+                world_.claim(node);
+            }
+            break;
+        case happening::hand_over:
+            hand_over(node, each.second % 4 != 0);
+            break;
+        case happening::pause_or_resume:
+            world_.at(node).paused = !world_.at(node).paused;
+            break;
+        case happening::crash:
+            crash(node);
+            break;
+        case happening::renew:
+            world_.renew();
+            break;
+        case happening::withdraw:
+            withdraw(each);
+            break;
+        case happening::new_key:
+            keys_[each.second % keys_.size()] =
+                world_.key_made(milliseconds(each.amount % 3'200 - 2'000));
+            break;
+        case happening::deliver_all:
+            world_.deliver();
+            break;
+        }
+        check();
+    }
+
+    std::uint32_t runs() const {
+        std::uint32_t all = 0;
+        for (auto const& [key, count] : world_.runs) {
+            all += count;
+        }
+        return all;
+    }
+
+private:
+    void ask(std::string const& node, step const& each) {
+        std::string const id = "r" + std::to_string(++asked_);
+        idempotency_key const& key = keys_[each.second % keys_.size()];
+        asked_at_[request_id(id)] = node;
+        world_.ask(node, id, key, false, 1, milliseconds(15'000));
+    }
+    void start(step const& each) {
+        if (!world_.grants.empty()) {
+            auto const granted = take(each);
+            ++world_.runs[granted.key];
+            running_.push_back(granted);
+        }
+    }
+    void give_back(step const& each) {
+        if (!world_.grants.empty()) {
+            auto const granted = take(each);
+            world_.end(
+                granted.entry.str(), granted.request.str(), outcome::not_run);
+        }
+    }
+    void end(step const& each) {
+        if (running_.empty()) {
+            return;
+        }
+        auto const place = each.amount % running_.size();
+        auto const ended = running_[place];
+        running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(place));
+        bool const done = each.second % 4 != 0;
+        if (done) {
+            done_.insert(ended.key);
+        }
+        world_.end(
+            ended.entry.str(), ended.request.str(),
+            done ? outcome::done : outcome::unknown, ended.key.str());
+    }
+    void hand_over(std::string const& to, bool parts_arrive) {
+        std::string const from = world_.holder_->str();
+        if (from == to || world_.at(to).paused || world_.at(from).paused) {
+            return;
+        }
+        world_.hand_over(from, to);
+        if (parts_arrive) {
+            world_.deliver();
+        }
+        world_.claim(to, true);
+    }
+    void crash(std::string const& node) {
+        world_.kill(node);
+        world_.at(node).dead = false;
+        world_.at(node).paused = false;
+        auto const here = [&node](auto const& each) {
+            return each.entry.str() == node;
+        };
+        std::erase_if(world_.grants, here);
+        std::erase_if(running_, here);
+        world_.tell_owner();
+    }
+    void withdraw(step const& each) {
+        request_id const id("r" + std::to_string(each.amount % (asked_ + 1)));
+        auto const found = asked_at_.find(id);
+        if (found != asked_at_.end()) {
+            auto& node = world_.at(found->second);
+            node.entry->withdraw(id, world_.clock(node));
+        }
+    }
+    keys_world::granted take(step const& each) {
+        auto const place = each.amount % world_.grants.size();
+        auto const granted = world_.grants[place];
+        world_.grants.erase(
+            world_.grants.begin() + static_cast<std::ptrdiff_t>(place));
+        return granted;
+    }
+    void check() {
+        for (auto const& [key, count] : world_.runs) {
+            RC_ASSERT(count <= 1U);
+        }
+        for (auto const& [id, end] : world_.settled) {
+            if (!checked_.insert(id).second) {
+                continue;
+            }
+            idempotency_key const& key = world_.keys_.at(id);
+            if (end.verdict == key_verdict::refused) {
+                RC_ASSERT(world_.runs_of(key) == 0U);
+            }
+            if (end.verdict == key_verdict::answer) {
+                RC_ASSERT(done_.contains(key));
+                RC_ASSERT(end.answer == key.str());
+            }
+        }
+    }
+
+    keys_world world_;
+    std::array<node_id, 3> names_{node_id("a"), node_id("b"), node_id("c")};
+    std::array<idempotency_key, 3> keys_;
+    std::uint32_t asked_ = 0;
+    std::map<request_id, std::string> asked_at_;
+    std::vector<keys_world::granted> running_;
+    std::set<idempotency_key> done_;
+    std::set<request_id> checked_;
+};
+
+} // namespace
+
+} // namespace camphorpoint::test
+
+template <>
+struct rc::Arbitrary<camphorpoint::test::step> {
+    static Gen<camphorpoint::test::happening> kinds() {
+        using enum camphorpoint::test::happening;
+        return gen::weightedElement<camphorpoint::test::happening>(
+            {{8, deliver_one},
+             {4, deliver_all},
+             {1, lose_one},
+             {2, repeat_one},
+             {6, ask},
+             {4, start},
+             {1, give_back},
+             {2, end},
+             {1, withdraw},
+             {3, new_key},
+             {3, time_passes},
+             {4, renew},
+             {1, take_over},
+             {1, hand_over},
+             {1, pause_or_resume},
+             {1, crash}});
+    }
+    static Gen<camphorpoint::test::step> arbitrary() {
+        using camphorpoint::test::step;
+        return gen::build<step>(
+            gen::set(&step::kind, kinds()),
+            gen::set(&step::first, gen::inRange<std::uint8_t>(0, 12)),
+            gen::set(&step::second, gen::inRange<std::uint8_t>(0, 12)),
+            gen::set(&step::amount, gen::inRange<std::uint16_t>(0, 9'999)));
+    }
+};
+
+namespace camphorpoint::test {
+
+// Callers repeat bookings through several nodes while owners pause, crash, hand
+// over and are succeeded, messages are lost, late, twice and out of order, and
+// clocks are as far apart as they may be. No booking runs twice, none that ran
+// is called not run, and no answer is handed out that did not come.
+TEST_CASE("no booking runs twice, whatever comes together") {
+    rc::detail::TestMetadata metadata;
+    metadata.id = "keys";
+    rc::detail::TestParams params;
+    params.seed = 20'261'202;
+    params.maxSuccess = 2'500;
+    params.maxSize = 200;
+    std::uint64_t runs = 0;
+    auto const result = rc::detail::checkTestable(
+        [&runs] {
+            scenario played;
+            auto const count = *rc::gen::inRange<std::size_t>(20, 200);
+            auto const steps = *rc::gen::container<std::vector<step>>(
+                count, rc::gen::arbitrary<step>());
+            for (step const& each : steps) {
+                played.play(each);
+            }
+            runs += played.runs();
+        },
+        metadata, params);
+    if (!result.is<rc::detail::SuccessResult>()) {
+        rc::detail::printResultMessage(result, std::cerr);
+    }
+    CHECK(result.is<rc::detail::SuccessResult>());
+    // The property is worth something only while bookings do run.
+    CHECK(runs > 1'500);
+}
+
+} // namespace camphorpoint::test
--- /dev/null
+++ b/test/keys_takeover_test.cpp
@@ -0,0 +1,284 @@
+#include "keys_world.hpp"
+
+#include <doctest/doctest.h>
+
+namespace camphorpoint::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct three_nodes : keys_world {
+    three_nodes() {
+        add("a");
+        add("b");
+        add("c");
+        claim("a");
+        live(milliseconds(2'000));
+        renew();
+    }
+};
+
+} // namespace
+
+// A booking's answer is lost on the way; its key's owner crashes with its
+// memory. The caller repeats through another node, whose successor of the owner
+// has never heard of the key: it must say unknown, and never book again.
+TEST_CASE("an owner dies with its memory, and a booking is repeated") {
+    three_nodes world;
+    idempotency_key const key = world.key_made();
+    world.ask("c", "first", key);
+    world.deliver();
+    REQUIRE(world.runs_of(key) == 1);
+    world.kill("a");
+
+    SUBCASE("before a successor: unknown after a short patience") {
+        world.ask("b", "second", key);
+        world.live(milliseconds(3'100));
+        CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+        CHECK(world.settled_of("second").why == reason::owner_unreachable);
+        CHECK(world.settled_of("second").retry_after > milliseconds(0));
+    }
+    SUBCASE("the successor says unknown") {
+        world.lose<key_finished>();
+        world.claim("b");
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+        CHECK(
+            world.settled_of("second").why ==
+            reason::key_unknown_after_takeover);
+    }
+    SUBCASE("the entry node runs it still: the repeat waits for its end") {
+        world.claim("b");
+        world.live(milliseconds(1'500));
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK_FALSE(world.has_settled("second"));
+        world.end("c", "first", outcome::done, "booked");
+        world.deliver();
+        CHECK(world.settled_of("second").answer == "booked");
+    }
+    SUBCASE("its end went to the dead owner: it is told to the successor") {
+        world.end("c", "first", outcome::done, "booked");
+        world.deliver();
+        world.claim("b");
+        world.live(milliseconds(1'500));
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").answer == "booked");
+    }
+    SUBCASE("idempotent work may run again") {
+        idempotency_key const other = world.key_made();
+        world.claim("b");
+        world.ask("b", "idempotent", other, true);
+        world.deliver();
+        CHECK(world.settled_of("idempotent").verdict == key_verdict::run);
+    }
+    CHECK(world.runs_of(key) == 1);
+}
+
+// Right after a crash, callers send bookings whose keys were made about the
+// time of the takeover. The dead owner can have taken any key up to its clock
+// plus the limit, and its clock may have been ahead: those are unknown, the
+// next millisecond's are new work.
+TEST_CASE("the edge of the takeover check") {
+    three_nodes world;
+    world.kill("a");
+    world.claim("b");
+    idempotency_key const at_edge = world.key_made(milliseconds(1'500));
+    idempotency_key const past_edge = world.key_made(milliseconds(1'501));
+    world.live(milliseconds(600));
+    world.ask("c", "at", at_edge);
+    world.ask("c", "past", past_edge);
+    world.deliver();
+    CHECK(world.settled_of("at").verdict == key_verdict::unknown);
+    CHECK(world.settled_of("past").verdict == key_verdict::run);
+}
+
+// A phone's clock is an hour behind. After a crash all of its new bookings are
+// answered unknown, though none ran; a key fetched from a node runs.
+TEST_CASE("a phone an hour behind, after a crash") {
+    three_nodes world;
+    world.claim("b");
+    world.live(milliseconds(1'600));
+    world.ask("c", "phone", world.key_made(-std::chrono::hours(1)));
+    world.ask("c", "fetched", world.key_made());
+    world.deliver();
+    CHECK(world.settled_of("phone").verdict == key_verdict::unknown);
+    CHECK(world.settled_of("fetched").verdict == key_verdict::run);
+}
+
+// The owner is paused past its authority, with a booking's ask unread; a
+// successor takes over. When the owner wakes and believes that it still owns,
+// it must not let the booking run beside its successor.
+TEST_CASE("a paused owner wakes after its successor took over") {
+    three_nodes world;
+    idempotency_key const key = world.key_made(milliseconds(900));
+    world.at("a").paused = true;
+    world.ask("c", "first", key);
+
+    SUBCASE("the ask waits in the paused owner's socket") {
+        world.claim("b");
+        world.advance(milliseconds(100));
+        world.at("a").paused = false;
+        world.deliver();
+        CHECK(world.settled_of("first").verdict == key_verdict::unknown);
+        CHECK(world.runs_of(key) == 0);
+    }
+    SUBCASE("a permission that left in time is the only one") {
+        world.at("a").paused = false;
+        REQUIRE(world.deliver_one(0));
+        REQUIRE(std::holds_alternative<key_reply>(world.letters[0].what));
+        auto const held_back = world.letters;
+        world.letters.clear();
+        world.claim("b");
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+        world.letters.insert(
+            world.letters.end(), held_back.begin(), held_back.end());
+        world.deliver();
+        CHECK(world.runs_of(key) <= 1);
+    }
+}
+
+// A planned stop: the owner hands its table over, so that no booking in
+// progress becomes unknown; a repeat joins it at the successor.
+TEST_CASE("an owner hands its shard over") {
+    three_nodes world;
+    idempotency_key const key = world.key_made();
+    world.ask("c", "first", key);
+    world.deliver();
+
+    SUBCASE("whole: the successor knows all, and fresh keys run at once") {
+        world.hand_over("a", "b");
+        world.deliver();
+        world.claim("b", true);
+        world.ask("b", "second", key);
+        world.ask("b", "fresh", world.key_made());
+        world.deliver();
+        CHECK_FALSE(world.has_settled("second"));
+        CHECK(world.settled_of("fresh").verdict == key_verdict::run);
+        world.end("c", "first", outcome::done, "booked");
+        world.deliver();
+        CHECK(world.settled_of("second").answer == "booked");
+    }
+    SUBCASE("once closed, the old owner lets nothing run") {
+        world.hand_over("a", "b");
+        world.at("a").authority_until = world.now_ + milliseconds(5'000);
+        idempotency_key const late = world.key_made();
+        world.ask("c", "late", late);
+        world.deliver();
+        CHECK_FALSE(world.has_settled("late"));
+    }
+    SUBCASE("a part is lost: as after a crash") {
+        world.hand_over("a", "b");
+        CHECK(world.lose<key_handover>() == 1);
+        world.claim("b", true);
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+    }
+    SUBCASE("the table of an older claim is no use") {
+        // b's copy dates from the handover; a claims again, lets another
+        // booking run and dies.
+        world.hand_over("a", "b");
+        world.deliver();
+        world.claim("a");
+        world.live(milliseconds(100));
+        idempotency_key const later = world.key_made();
+        world.ask("c", "later", later);
+        world.deliver();
+        REQUIRE(world.runs_of(later) == 1);
+        world.kill("a");
+        world.claim("b", true);
+        world.ask("b", "repeat", later);
+        world.deliver();
+        CHECK(world.settled_of("repeat").verdict == key_verdict::unknown);
+        CHECK(world.runs_of(later) == 1);
+    }
+    CHECK(world.runs_of(key) == 1);
+}
+
+// Two crashes, or a crash and then a planned stop: the second successor's table
+// has the first one's gap, and must not take it for complete.
+TEST_CASE("a takeover within a takeover") {
+    three_nodes world;
+    idempotency_key const key = world.key_made();
+    world.ask("c", "first", key);
+    world.deliver();
+    world.end("c", "first", outcome::done, "booked");
+    world.deliver();
+    world.kill("a");
+    world.claim("b");
+
+    SUBCASE("the second is planned: the gap is handed on") {
+        world.hand_over("b", "c");
+        world.deliver();
+        world.claim("c", true);
+    }
+    SUBCASE("the second is a crash too: its own time counts") {
+        world.kill("b");
+        world.claim("c");
+    }
+    world.ask("c", "second", key);
+    world.deliver();
+    CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+    CHECK(world.runs_of(key) == 1);
+}
+
+// A node's time synchronisation fails and its calendar clock is a minute off.
+// The takeover check would compare times of different clocks. Bookings through
+// it are not run, and the operator sees the warning.
+TEST_CASE("a node's calendar clock is wrong") {
+    keys_world world;
+    world.add("a");
+    world.add("b", std::chrono::minutes(-1));
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    world.renew();
+    idempotency_key const key = world.key_made();
+    world.ask("b", "booking", key);
+    world.ask("b", "summary", world.key_made(), true);
+    world.live(milliseconds(3'200));
+    CHECK(world.settled_of("booking").verdict == key_verdict::unknown);
+    CHECK(world.settled_of("summary").verdict == key_verdict::run);
+    CHECK(world.runs_of(key) == 0);
+    CHECK(world.clock_warnings == 1);
+}
+
+// A record is forgotten by an owner with a fast clock, and the table goes to a
+// node with a slow one: for it the key must be too old already, or it would
+// run as if it were new.
+TEST_CASE("retention ends on two clocks that are apart") {
+    keys_world world;
+    world.add("a", milliseconds(250));
+    world.add("b", milliseconds(-250));
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    world.renew();
+    idempotency_key const key = world.key_made();
+    world.ask("b", "first", key);
+    world.deliver();
+    world.end("b", "first", outcome::done, "booked");
+    world.deliver();
+
+    SUBCASE("just before it is forgotten, it is known") {
+        world.now_ += std::chrono::hours(24) + milliseconds(600);
+    }
+    SUBCASE("once forgotten, it is too old everywhere") {
+        world.now_ += std::chrono::hours(24) + milliseconds(751);
+    }
+    world.advance(milliseconds(100));
+    world.at("a").authority_until = world.now_ + milliseconds(100);
+    world.hand_over("a", "b");
+    world.deliver();
+    world.claim("b", true);
+    world.ask("b", "second", key);
+    world.deliver();
+    CHECK(world.settled_of("second").verdict != key_verdict::run);
+    CHECK(world.runs_of(key) == 1);
+}
+
+} // namespace camphorpoint::test
--- /dev/null
+++ b/test/keys_test.cpp
@@ -0,0 +1,249 @@
+#include "keys_world.hpp"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace camphorpoint::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+} // namespace
+
+TEST_CASE("a key tells its time and its shard") {
+    idempotency_key const key("017f22e2-79b0-7cc3-98c4-dc0c0c07398f");
+
+    SUBCASE("the example of RFC 9562 bears its time") {
+        auto const time = parse_key_time(key);
+        REQUIRE(time.has_value());
+        CHECK(time->time_since_epoch().count() == 1'645'557'742'000);
+    }
+    SUBCASE("both cases are one key") {
+        idempotency_key const loud("017F22E2-79B0-7CC3-98C4-DC0C0C07398F");
+        CHECK(canonical_key(loud) == key);
+        CHECK(parse_key_time(loud) == parse_key_time(key));
+    }
+    SUBCASE("what is no UUID of version 7 has no time") {
+        for (char const* text :
+             {"", "booking-17", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f",
+              "017f22e2-79b0-7cc3-c8c4-dc0c0c07398f",
+              "017f22e2-79b0-7cc3-98c4-dc0c0c07398g",
+              "017f22e279b0-7cc3-98c4-dc0c0c07398f0"}) {
+            CHECK_FALSE(parse_key_time(idempotency_key(text)));
+        }
+    }
+    SUBCASE("a minted key bears the node's time, and no two are the same") {
+        std::mt19937_64 random(1);
+        wall_time const time(milliseconds(1'800'000'000'123));
+        idempotency_key const first = mint_key(time, random);
+        CHECK(parse_key_time(first) == time);
+        CHECK(first != mint_key(time, random));
+        CHECK(canonical_key(first) == first);
+    }
+    SUBCASE("shards are used evenly") {
+        std::mt19937_64 random(1);
+        std::map<key_shard, int> counts;
+        for (int index = 0; index < 25'600; ++index) {
+            ++counts[key_shard_of(mint_key(wall_time(), random))];
+        }
+        CHECK(counts.size() == key_shard_count);
+        for (auto const& [shard, count] : counts) {
+            CHECK(count < 160);
+        }
+    }
+}
+
+TEST_CASE("a caller repeats a booking through another node") {
+    keys_world world;
+    world.add("a");
+    world.add("b");
+    world.add("c");
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    world.renew();
+    idempotency_key const key = world.key_made();
+    world.ask("b", "first", key);
+    world.deliver();
+    REQUIRE(world.settled_of("first").verdict == key_verdict::run);
+
+    SUBCASE("after its end: the kept answer comes") {
+        world.end("b", "first", outcome::done, "booked");
+        world.deliver();
+        world.ask("c", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::answer);
+        CHECK(world.settled_of("second").answer == "booked");
+        CHECK(world.at("b").entry->remembered() == 0);
+    }
+    SUBCASE("while it runs: it waits, and gets the same answer") {
+        world.ask("c", "second", key);
+        world.live(milliseconds(2'500));
+        world.renew();
+        CHECK_FALSE(world.has_settled("second"));
+        world.end("b", "first", outcome::done, "booked");
+        world.deliver();
+        CHECK(world.settled_of("second").answer == "booked");
+    }
+    SUBCASE("with another body: it is refused, and the first goes on") {
+        world.ask("c", "second", key, false, 2);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::refused);
+        CHECK(world.settled_of("second").why == reason::key_reused);
+    }
+    SUBCASE("the first did not run after all: the one that waits does") {
+        world.ask("c", "second", key);
+        world.deliver();
+        world.runs[key] = 0;
+        world.end("b", "first", outcome::not_run);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::run);
+    }
+    SUBCASE("the first ended unknown: so does the repeat") {
+        world.end("b", "first", outcome::unknown);
+        world.deliver();
+        world.ask("c", "second", key);
+        world.deliver();
+        CHECK(world.settled_of("second").verdict == key_verdict::unknown);
+    }
+    CHECK(world.runs_of(key) == 1);
+}
+
+TEST_CASE("keys that are not taken") {
+    keys_world world;
+    world.add("a");
+    world.add("b");
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    world.renew();
+
+    SUBCASE("a booking's key without a time is refused at once") {
+        world.ask("b", "one", idempotency_key("booking-17"));
+        CHECK(world.settled_of("one").verdict == key_verdict::refused);
+        CHECK(world.settled_of("one").why == reason::key_invalid);
+    }
+    SUBCASE("a key ahead of the clock: at the limit taken, above refused") {
+        world.ask("b", "one", world.key_made(milliseconds(1'000)));
+        world.ask("b", "two", world.key_made(milliseconds(1'001)));
+        world.deliver();
+        CHECK(world.settled_of("one").verdict == key_verdict::run);
+        CHECK(world.settled_of("two").verdict == key_verdict::refused);
+        CHECK(world.settled_of("two").why == reason::key_too_new);
+    }
+    SUBCASE("a key older than the memory may have run: unknown") {
+        world.ask("b", "one", world.key_made(-std::chrono::hours(25)));
+        world.deliver();
+        CHECK(world.settled_of("one").verdict == key_verdict::unknown);
+        CHECK(world.settled_of("one").why == reason::key_too_old);
+    }
+    SUBCASE("idempotent work needs no time in its key") {
+        idempotency_key key;
+        for (int index = 0; key_shard_of(key) != keys_world::shard; ++index) {
+            key = idempotency_key("summary-" + std::to_string(index));
+        }
+        world.ask("b", "one", key, true);
+        world.deliver();
+        CHECK(world.settled_of("one").verdict == key_verdict::run);
+        world.end("b", "one", outcome::done, "text");
+        world.deliver();
+        world.ask("b", "two", key, true);
+        world.deliver();
+        CHECK(world.settled_of("two").answer == "text");
+    }
+}
+
+TEST_CASE("a table's memory is bounded") {
+    key_settings settings;
+    settings.most_records = 3;
+    settings.longest_answer = 100;
+    settings.most_answer_bytes = 150;
+    keys_world world(settings);
+    world.add("a");
+    world.add("b");
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    std::vector<idempotency_key> keys;
+    for (int index = 0; index < 3; ++index) {
+        keys.push_back(world.key_made());
+        std::string const name = "r" + std::to_string(index);
+        world.ask("b", name, keys.back());
+        world.deliver();
+        std::size_t const length = index == 0 ? 101 : 80;
+        world.end("b", name, outcome::done, std::string(length, 'x'));
+        world.deliver();
+        world.renew();
+    }
+    idempotency_key const fourth = world.key_made();
+
+    SUBCASE("full: a new booking is refused, nothing remembered is lost") {
+        world.ask("b", "new", fourth);
+        world.deliver();
+        CHECK(world.settled_of("new").verdict == key_verdict::refused);
+        CHECK(world.settled_of("new").why == reason::key_table_full);
+        CHECK(world.at("a").owner->records() == 3);
+    }
+    SUBCASE("full: idempotent work runs without being remembered") {
+        world.ask("b", "new", fourth, true);
+        world.deliver();
+        CHECK(world.settled_of("new").verdict == key_verdict::run);
+        CHECK(world.at("a").owner->records() == 3);
+    }
+    SUBCASE("long and old answers go, that it ran stays") {
+        CHECK(world.at("a").owner->answer_bytes() == 80);
+        for (int index = 0; index < 3; ++index) {
+            std::string const name = "again" + std::to_string(index);
+            world.ask("b", name, keys[static_cast<std::size_t>(index)]);
+            world.deliver();
+            CHECK(world.settled_of(name).verdict == key_verdict::answer);
+            CHECK(
+                world.settled_of(name).why ==
+                (index == 2 ? reason::none : reason::key_answer_dropped));
+        }
+    }
+    SUBCASE("past the retention, records make room") {
+        world.now_ += std::chrono::hours(24) + std::chrono::seconds(2);
+        world.advance(milliseconds(300));
+        CHECK(world.at("a").owner->records() == 0);
+        CHECK(world.at("a").owner->answer_bytes() == 0);
+    }
+}
+
+TEST_CASE("a handover goes in parts of bounded size") {
+    keys_world world;
+    world.add("a");
+    world.add("b");
+    world.claim("a");
+    world.live(milliseconds(2'000));
+    for (int index = 0; index < 40; ++index) {
+        std::string const name = "r" + std::to_string(index);
+        world.ask("b", name, world.key_made());
+        world.deliver();
+        world.end("b", name, outcome::done, std::string(16'000, 'x'));
+        world.deliver();
+        world.renew();
+    }
+    world.hand_over("a", "b");
+
+    // Four records of 16,000 bytes and their overhead fill a part.
+    std::size_t parts = 0;
+    for (auto const& each : world.letters) {
+        auto const* part = std::get_if<key_handover>(&each.what);
+        REQUIRE(part != nullptr);
+        std::ostringstream wire;
+        cereal::BinaryOutputArchive archive(wire);
+        archive(*part);
+        CHECK(wire.str().size() <= handover_part_bytes);
+        ++parts;
+    }
+    CHECK(parts == 10);
+    world.deliver();
+    world.claim("b", true);
+    CHECK(world.at("b").owner->records() == 40);
+    CHECK(world.at("b").owner->answer_bytes() == 40 * 16'000);
+}
+
+} // namespace camphorpoint::test
--- /dev/null
+++ b/test/keys_world.hpp
@@ -0,0 +1,266 @@
+#pragma once
+
+#include <Camphorpoint/Keys>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace camphorpoint::test {
+
+/// A few nodes that share one key shard, with messages that a test delivers,
+/// loses or holds back. Counts the runs of each key.
+class keys_world {
+public:
+    using message = std::variant<
+        key_ask, key_reply, key_finished, key_noted, key_heartbeat,
+        key_handover>;
+    struct letter {
+        node_id from;
+        node_id to;
+        message what;
+    };
+    struct node {
+        std::optional<key_owner> owner;
+        std::optional<entry_keys> entry;
+        instant authority_until{};
+        std::chrono::milliseconds skew{};
+        bool paused = false;
+        bool dead = false;
+    };
+    struct granted {
+        node_id entry;
+        request_id request;
+        idempotency_key key;
+    };
+
+    explicit keys_world(key_settings settings = {})
+        : settings_(settings) {}
+
+    node& add(std::string const& name, std::chrono::milliseconds skew = {}) {
+        node& made = nodes_[node_id(name)];
+        made.owner.emplace(settings_);
+        made.entry.emplace(entry_settings_);
+        made.skew = skew;
+        return made;
+    }
+    node& at(std::string const& name) { return nodes_.at(node_id(name)); }
+    key_clock clock(node const& each) const { return clock(each.skew); }
+    key_clock clock(std::chrono::milliseconds skew) const {
+        auto const passed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now_.time_since_epoch());
+        return {start_ + passed + skew, now_};
+    }
+    wall_time wall() const { return clock(std::chrono::milliseconds(0)).wall; }
+
+    /// A key whose time is the present one plus an offset, in a fixed shard.
+    idempotency_key key_made(std::chrono::milliseconds offset = {}) {
+        idempotency_key key;
+        do {
+            key = mint_key(wall() + offset, random_);
+        } while (key_shard_of(key) != shard);
+        return key;
+    }
+
+    /// Time passes; nodes that are neither paused nor dead see ticks.
+    void advance(std::chrono::milliseconds time) {
+        constexpr std::chrono::milliseconds step{100};
+        while (time.count() > 0) {
+            auto const part = std::min(step, time);
+            now_ += part;
+            time -= part;
+            for (auto& [name, each] : nodes_) {
+                if (!each.paused && !each.dead) {
+                    each.owner->tick(clock(each));
+                    each.entry->tick(clock(each));
+                }
+            }
+            collect();
+        }
+    }
+    /// The same, with each message delivered as it is sent.
+    void live(std::chrono::milliseconds time) {
+        constexpr std::chrono::milliseconds step{100};
+        for (; time.count() > 0; time -= step) {
+            deliver();
+            advance(std::min(step, time));
+        }
+        deliver();
+    }
+
+    /// A claim takes effect, after the earlier authority has ended.
+    void claim(std::string const& name, bool handed_over = false) {
+        node& taker = at(name);
+        if (holder_ && !handed_over) {
+            now_ = std::max(now_, nodes_.at(*holder_).authority_until);
+        }
+        key_claim claim;
+        claim.fencing = log_offset{++fencing_};
+        if (fencing_ > 1) {
+            claim.previous = log_offset{fencing_ - 1};
+        }
+        claim.handed_over = handed_over;
+        holder_ = node_id(name);
+        taker.owner->on_shard_taken(shard, claim, clock(taker));
+        taker.authority_until = now_ + authority;
+        tell_owner();
+    }
+    /// The holder's reads of the log go on.
+    void renew() {
+        if (holder_ && !nodes_.at(*holder_).paused) {
+            nodes_.at(*holder_).authority_until = now_ + authority;
+        }
+    }
+    /// All nodes learn who owns the shard.
+    void tell_owner() {
+        for (auto& [name, each] : nodes_) {
+            each.entry->on_owner(shard, *holder_);
+            if (name != *holder_ && !each.paused) {
+                each.owner->on_shard_lost(shard);
+            }
+        }
+    }
+    /// A planned handover up to the release; the successor's claim follows.
+    void hand_over(std::string const& from, std::string const& to) {
+        at(from).owner->hand_over(shard, node_id(to));
+        at(from).authority_until = {};
+        collect();
+    }
+    void kill(std::string const& name) {
+        node& each = at(name);
+        each.owner.emplace(settings_);
+        each.entry.emplace(entry_settings_);
+        each.dead = true;
+    }
+
+    /// A caller's request; the answer of the keys is found in `settled`.
+    void
+    ask(std::string const& entry, std::string const& request,
+        idempotency_key const& key, bool idempotent = false,
+        std::uint64_t digest = 1,
+        std::chrono::milliseconds time = std::chrono::seconds(30)) {
+        keyed_request asked{
+            request_id(request), key, digest, idempotent, now_ + time};
+        keys_[asked.id] = key;
+        node& each = at(entry);
+        each.entry->ask(asked, clock(each));
+        collect();
+    }
+    void
+    end(std::string const& entry, std::string const& request, outcome how,
+        std::string const& answer = {}) {
+        node& each = at(entry);
+        each.entry->ended(
+            request_id(request), how, reason::none, answer, clock(each));
+        collect();
+    }
+
+    /// Delivers all messages, and those sent in answer; those to a paused node
+    /// stay, those to a dead one are lost.
+    void deliver() {
+        for (std::size_t place = 0; place < letters.size();) {
+            place = deliver_one(place) ? 0 : place + 1;
+        }
+    }
+    bool deliver_one(std::size_t place) {
+        node& to = nodes_.at(letters[place].to);
+        if (to.paused) {
+            return false;
+        }
+        letter const taken = letters[place];
+        letters.erase(letters.begin() + static_cast<std::ptrdiff_t>(place));
+        if (!to.dead) {
+            receive(to, taken);
+            collect();
+        }
+        return true;
+    }
+    /// Loses all messages of a kind that are on their way.
+    template <class Message>
+    std::size_t lose() {
+        return std::erase_if(letters, [](letter const& each) {
+            return std::holds_alternative<Message>(each.what);
+        });
+    }
+
+    key_settled const& settled_of(std::string const& request) const {
+        return settled.at(request_id(request));
+    }
+    bool has_settled(std::string const& request) const {
+        return settled.contains(request_id(request));
+    }
+    std::uint32_t runs_of(idempotency_key const& key) { return runs[key]; }
+
+    static constexpr key_shard shard = 7;
+    static constexpr std::chrono::milliseconds authority{3'000};
+    std::vector<letter> letters;
+    std::map<request_id, key_settled> settled;
+    /// Requests that a verdict let run, in order.
+    std::vector<granted> grants;
+    std::map<idempotency_key, std::uint32_t> runs;
+    /// False when the test itself says when a grant is used.
+    bool run_at_once = true;
+    std::uint32_t clock_warnings = 0;
+    std::map<request_id, idempotency_key> keys_;
+    std::optional<node_id> holder_;
+    instant now_{std::chrono::hours(1)};
+
+private:
+    void receive(node& to, letter const& taken) {
+        key_clock const time = clock(to);
+        if (auto const* ask = std::get_if<key_ask>(&taken.what)) {
+            to.owner->on_ask(taken.from, *ask, to.authority_until, time);
+        } else if (auto const* reply = std::get_if<key_reply>(&taken.what)) {
+            to.entry->on_reply(*reply, time);
+        } else if (auto const* end = std::get_if<key_finished>(&taken.what)) {
+            to.owner->on_finished(taken.from, *end, to.authority_until, time);
+        } else if (auto const* noted = std::get_if<key_noted>(&taken.what)) {
+            to.entry->on_noted(*noted);
+        } else if (auto const* beat = std::get_if<key_heartbeat>(&taken.what)) {
+            to.owner->on_heartbeat(taken.from, *beat, time);
+        } else if (auto const* part = std::get_if<key_handover>(&taken.what)) {
+            to.owner->on_handover(*part, time);
+        }
+    }
+    void collect() {
+        for (auto& [name, each] : nodes_) {
+            take(name, each.owner->take_actions());
+            take(name, each.entry->take_actions());
+        }
+    }
+    void take(node_id const& from, std::vector<key_action> const& actions) {
+        for (key_action const& each : actions) {
+            if (auto const* send = std::get_if<key_send>(&each)) {
+                letters.push_back({from, send->to, send->message});
+            } else if (auto const* end = std::get_if<key_settled>(&each)) {
+                on_settled(from, *end);
+            } else {
+                ++clock_warnings;
+            }
+        }
+    }
+    void on_settled(node_id const& entry, key_settled const& end) {
+        settled[end.request] = end;
+        if (end.verdict == key_verdict::run) {
+            idempotency_key const& key = keys_.at(end.request);
+            grants.push_back({entry, end.request, key});
+            runs[key] += run_at_once ? 1 : 0;
+        }
+    }
+
+    key_settings settings_;
+    entry_key_settings entry_settings_;
+    std::map<node_id, node> nodes_;
+    std::mt19937_64 random_{42};
+    std::uint64_t fencing_ = 0;
+    wall_time start_{std::chrono::hours(24 * 365 * 50)};
+};
+
+} // namespace camphorpoint::test
