--- a/src/Keys/key_owner.hpp
+++ b/src/Keys/key_owner.hpp
@@ -31,6 +31,9 @@
     explicit key_owner(key_settings settings)
         : settings_(settings)
         , memory_(settings.most_records, settings.most_answer_bytes) {}
+    // Its tables refer to its settings and to its memory.
+    key_owner(key_owner const&) = delete;
+    key_owner& operator=(key_owner const&) = delete;
 
     /// A claim of this node on a shard took effect.
     void on_shard_taken(
@@ -76,7 +79,7 @@
 
     bool clocks_agree(
         node_id const& from, key_ask const& ask, key_clock const& clock);
-    bool adopt_staged(key_shard shard, key_clock const& clock);
+    void adopt_staged(key_shard shard, key_clock const& clock);
     void refuse(node_id const& to, key_ask const& ask, reason why);
     void send_replies(key_table& table);
 
