--- a/src/Loading/store_budget.cpp
+++ b/src/Loading/store_budget.cpp
@@ -131,10 +131,17 @@
         // up: nothing to free.
         return;
     }
+    instant const given = known->second.given;
     running_.erase(known);
-    if (message.started && message.ok) {
+    if (!message.started) {
+        // The store never saw it: the second has room for another.
+        auto const start = std::ranges::find(starts_, given);
+        if (start != starts_.end()) {
+            starts_.erase(start);
+        }
+    } else if (message.ok) {
         note_success(message, now);
-    } else if (message.started) {
+    } else {
         note_failure(message, now);
     }
     allow_some(now);
