One definition of the number of key shards; a doubled grant starts one run

key_shard_count stood in Ownership and in Keys, so that no file could include both. Keys now takes Ownership's. A test for the check of the request's phase at a grant was missing: a grant that comes twice.

--- a/src/Keys/key_time.hpp
+++ b/src/Keys/key_time.hpp
@@ -2,6 +2,7 @@
 
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
+#include "Ownership/resource_id.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -10,11 +11,8 @@
 namespace camphorpoint {
 
 /// Names one of the parts of the key space; each has one owner.
+/// There are key_shard_count of them.
 using key_shard = std::uint16_t;
-/// How many shards there are. It is the same on all nodes for good: a change
-/// would send a key to an owner that does not remember it.
-inline constexpr key_shard key_shard_count = 256;
-
 /// @param key an idempotency key in canonical form
 /// @returns the shard that remembers it, the same on every node
 key_shard key_shard_of(idempotency_key const& key) noexcept;
--- a/src/Ownership/resource_id.hpp
+++ b/src/Ownership/resource_id.hpp
@@ -19,6 +19,10 @@
     key_shard
 };
 
+/// How many parts the idempotency key space has. The same on all nodes for
+/// good: a change would send a key to an owner that does not remember it.
+inline constexpr std::uint32_t key_shard_count = 256;
+
 /// Names one owned resource.
 struct resource_id {
     resource_kind kind = resource_kind::replica;
--- a/test/serving_tracker_test.cpp
+++ b/test/serving_tracker_test.cpp
@@ -123,6 +123,13 @@
         CHECK(one.around.told_of<grant_released>() == 1);
     }
 
+    SUBCASE("a grant that comes twice starts one run, and is kept") {
+        one.grant();
+        one.grant();
+        CHECK(one.starts() == 1);
+        CHECK(one.around.told_of<grant_withdrawn>() == 0);
+    }
+
     SUBCASE(
         "a grant that took too long to arrive has lapsed and starts nothing") {
         one.pass(500);
