node_core joins the decision services

The services knew nothing of one another. node_core takes an event and the time and gives typed actions; a router for each family of messages (grants, loads, keys, configuration, ownership) carries what one service asks to the other, and messages of a node to itself are handled within the event. Grants and orders pass their authority's gate right before they leave.

--- a/src/Ownership/owner.cpp
+++ b/src/Ownership/owner.cpp
@@ -139,7 +139,8 @@
                 held.fencing.value, held.planned));
         actions_.push_back(ownership_gained{
             each, held.fencing, held.effective_from, held.evict_from,
-            held.planned, held.first, std::exchange(held.table, {})});
+            held.planned, held.first, std::exchange(held.table, {}),
+            held.previous});
         if (draining_) {
             begin_handover(each, ranking_.first(each), now);
         }
--- a/src/Ownership/ownership_action.hpp
+++ b/src/Ownership/ownership_action.hpp
@@ -8,6 +8,7 @@
 #include "Telemetry/log_event.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -46,6 +47,8 @@
     bool first = false;
     /// The former holder's table; empty when none was handed over.
     std::string table;
+    /// The claim that was in force before; absent when the log shows none.
+    std::optional<log_offset> previous;
 };
 
 /// This node no longer decides for the resource: drop its queue and table. The
--- /dev/null
+++ b/src/Serving/grant_router.cpp
@@ -0,0 +1,295 @@
+#include "Serving/grant_router.hpp"
+
+#include "Serving/owner_table_codec.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace camphorpoint {
+
+grant_router::scheduler* grant_router::find(endpoint_id const& replica) {
+    auto const found = services_.replicas.find(replica);
+    return found == services_.replicas.end() ? nullptr : found->second.get();
+}
+
+void grant_router::on_message(
+    node_id const& from, grant_ask const& ask, instant now) {
+    resource_id const resource = replica_resource(ask.replica);
+    scheduler* const owned = find(ask.replica);
+    if (owned != nullptr && services_.owning.grant_authority(resource, now)) {
+        owned->on_ask(from, ask, now);
+        return;
+    }
+    grant_refused refused;
+    refused.request = ask.request;
+    refused.attempt = ask.attempt;
+    refused.replica = ask.replica;
+    refused.why = reason::owner_unreachable;
+    outbox_.send(from, refused);
+}
+
+void grant_router::on_message(
+    node_id const& from, grant_withdrawn const& message, instant now) {
+    if (scheduler* const owned = find(message.replica)) {
+        owned->on_withdrawn(from, message, now);
+    }
+}
+
+void grant_router::on_message(
+    node_id const& from, grant_released const& message, instant now) {
+    if (scheduler* const owned = find(message.replica)) {
+        owned->on_released(from, message, now);
+    }
+}
+
+void grant_router::on_message(
+    node_id const& from, grant_heartbeat const& beat, instant now) {
+    for (auto const& [replica, owned] : services_.replicas) {
+        owned->on_heartbeat(from, beat.grants, now);
+    }
+}
+
+void grant_router::on_message(
+    node_id const& /*from*/, load_allowed const& message, instant now) {
+    if (scheduler* const owned = find(message.replica)) {
+        owned->on_load_allowed(message, now);
+    }
+}
+
+void grant_router::on_message(
+    node_id const& /*from*/, load_denied const& message, instant now) {
+    if (scheduler* const owned = find(message.replica)) {
+        owned->on_load_denied(message, now);
+    }
+}
+
+void grant_router::on_report(engine_report const& report, instant now) {
+    if (scheduler* const owned = find(report.replica)) {
+        owned->on_report(report, now);
+    }
+}
+
+void grant_router::on_order_ended(order_ended const& end, instant now) {
+    auto const found = orders_.find(end.order);
+    if (found == orders_.end()) {
+        return;
+    }
+    engine_order const original = found->second;
+    orders_.erase(found);
+    if (scheduler* const owned = find(original.replica)) {
+        owned->on_order_ended(original, end.how, now);
+    }
+}
+
+void grant_router::gained(ownership_gained const& claim, instant now) {
+    endpoint_id const replica(claim.resource.name);
+    scheduler_settings here = settings_.scheduling;
+    here.replica = replica;
+    here.seed = hash_text(replica.str(), settings_.seed);
+    if (auto const* const known = services_.members.find(replica)) {
+        here.adapter_slots = std::max(1U, known->adapter_slots);
+        here.batch_limit = std::max(1U, known->batch_limit);
+    }
+    auto& owned = services_.replicas[replica];
+    owned = std::make_unique<scheduler>(here);
+    renew(replica, *owned, now);
+    if (auto const table = decode_owner_table(claim.table)) {
+        owned->import_table(*table, now);
+    }
+}
+
+void grant_router::lost(resource_id const& replica, instant now) {
+    endpoint_id const id(replica.name);
+    handing_over_.erase(id);
+    scheduler* const owned = find(id);
+    if (owned == nullptr) {
+        return;
+    }
+    owned->on_authority_lost(now);
+    for (scheduler_action const& each : owned->take_actions()) {
+        carry_out(id, each, now);
+    }
+    services_.replicas.erase(id);
+}
+
+void grant_router::hand_over(resource_id const& replica, instant now) {
+    endpoint_id const id(replica.name);
+    if (scheduler* const owned = find(id)) {
+        owned->stop_granting(now);
+    }
+    handing_over_.insert(id);
+}
+
+// The scheduler goes on when it gains the replica; what it knows is kept.
+void grant_router::resume(resource_id const& replica, instant now) {
+    endpoint_id const id(replica.name);
+    handing_over_.erase(id);
+    if (scheduler* const owned = find(id)) {
+        owner_table const known = owned->export_table(now);
+        owned->on_authority_lost(now);
+        renew(id, *owned, now);
+        owned->import_table(known, now);
+    }
+}
+
+void grant_router::refresh_endpoints(instant now) {
+    for (auto const& [replica, owned] : services_.replicas) {
+        auto const state = services_.members.state_of(replica);
+        if (state == endpoint_state::leaving || state == endpoint_state::gone) {
+            owned->stop_granting(now);
+        }
+    }
+}
+
+void grant_router::refresh_versions(instant now) {
+    configuration const& current = services_.follower.current();
+    if (current.next() == versions_at_) {
+        return;
+    }
+    versions_at_ = current.next();
+    for (auto const& [name, state] : current.all()) {
+        profile const* const standing = current.find(name);
+        if (standing == nullptr) {
+            continue;
+        }
+        auto const [known, is_new] =
+            versions_.try_emplace(name, standing->adapter);
+        if (is_new || known->second == standing->adapter) {
+            continue;
+        }
+        for (auto const& [replica, owned] : services_.replicas) {
+            owned->on_version_change(known->second, standing->adapter, now);
+        }
+        known->second = standing->adapter;
+    }
+}
+
+// Prolongs what the scheduler may order for. An engine that checks fencing
+// numbers arbitrates itself, so that loads go on through a log outage.
+void grant_router::renew(
+    endpoint_id const& replica, scheduler& which, instant now) {
+    resource_id const resource = replica_resource(replica);
+    auto const* const known = services_.members.find(replica);
+    bool const checks = known != nullptr && known->checks_fencing;
+    auto const leave = services_.owning.load_authority(resource, checks, now);
+    if (leave) {
+        which.on_authority(leave->fencing, leave->not_after, now);
+    }
+}
+
+void grant_router::on_tick(instant now) {
+    for (auto const& [replica, owned] : services_.replicas) {
+        renew(replica, *owned, now);
+        owned->on_tick(now);
+    }
+}
+
+bool grant_router::order_open(endpoint_id const& replica) const {
+    auto const of_replica = [&](auto const& each) {
+        return each.second.replica == replica;
+    };
+    return std::ranges::any_of(orders_, of_replica);
+}
+
+void grant_router::finish_handovers(instant now) {
+    for (auto each = handing_over_.begin(); each != handing_over_.end();) {
+        if (order_open(*each)) {
+            ++each;
+            continue;
+        }
+        scheduler const* const owned = find(*each);
+        std::string table;
+        if (owned != nullptr) {
+            table = encode_owner_table(owned->export_table(now));
+        }
+        services_.owning.handover_ready(
+            replica_resource(*each), std::move(table), now);
+        each = handing_over_.erase(each);
+    }
+}
+
+bool grant_router::pump(instant now) {
+    bool any = false;
+    for (auto const& [replica, owned] : services_.replicas) {
+        for (scheduler_action const& each : owned->take_actions()) {
+            any = true;
+            carry_out(replica, each, now);
+        }
+    }
+    finish_handovers(now);
+    return any;
+}
+
+void grant_router::carry_out(
+    endpoint_id const& replica, scheduler_action const& action, instant now) {
+    if (auto const* const yes = std::get_if<reply_grant>(&action)) {
+        grant(replica, *yes, now);
+    } else if (auto const* const no = std::get_if<reply_refusal>(&action)) {
+        outbox_.send(no->to, no->message);
+    } else if (auto const* const wanted = std::get_if<engine_order>(&action)) {
+        order(replica, *wanted, now);
+    } else if (auto const* const want = std::get_if<want_load>(&action)) {
+        loads_.tell_store(want->message, now);
+    } else if (auto const* const gone = std::get_if<cancel_want>(&action)) {
+        loads_.tell_store(gone->message, now);
+    } else if (auto const* const end = std::get_if<report_load>(&action)) {
+        loads_.tell_store(end->message, now);
+    } else if (auto const* const wait = std::get_if<observed_wait>(&action)) {
+        outbox_.act(
+            observe_time{observe_time::kind::load_stall, wait->load_stall});
+    } else if (auto const* const said = std::get_if<log_event>(&action)) {
+        outbox_.act(*said);
+    }
+}
+
+// Guards against a paused owner whose successor has begun: it would fill the
+// batch a second time. Its leave is looked up now, on the clock of this event.
+void grant_router::grant(
+    endpoint_id const& replica, reply_grant const& reply, instant now) {
+    resource_id const resource = replica_resource(replica);
+    if (services_.owning.grant_authority(resource, now)) {
+        outbox_.send(reply.to, reply.message);
+        return;
+    }
+    grant_withdrawn unused;
+    unused.request = reply.message.request;
+    unused.attempt = reply.message.attempt;
+    unused.replica = replica;
+    if (scheduler* const owned = find(replica)) {
+        owned->on_withdrawn(reply.to, unused, now);
+    }
+    grant_refused refused;
+    refused.request = reply.message.request;
+    refused.attempt = reply.message.attempt;
+    refused.replica = replica;
+    refused.why = reason::owner_unreachable;
+    outbox_.send(reply.to, refused);
+}
+
+// Guards against orders of an owner whose authority has lapsed: an eviction
+// of its would take an adapter from under a request that the successor granted.
+// Without leave nothing is sent, and the scheduler learns just that.
+void grant_router::order(
+    endpoint_id const& replica, engine_order const& wanted, instant now) {
+    resource_id const resource = replica_resource(replica);
+    auto const* const known = services_.members.find(replica);
+    bool const checks = known != nullptr && known->checks_fencing;
+    auto const leave =
+        wanted.kind == engine_order_kind::evict
+            ? services_.owning.evict_authority(resource, now)
+            : services_.owning.load_authority(resource, checks, now);
+    if (!leave || leave->fencing != wanted.fencing) {
+        if (scheduler* const owned = find(replica)) {
+            owned->on_order_ended(wanted, order_result::not_sent, now);
+        }
+        return;
+    }
+    engine_order sent = wanted;
+    sent.number = ++last_order_;
+    sent.not_after = std::min(wanted.not_after, leave->not_after);
+    orders_[sent.number] = wanted;
+    outbox_.act(sent);
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/grant_router.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Ownership/ownership_action.hpp"
+#include "Serving/load_router.hpp"
+#include "Serving/node_event.hpp"
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace camphorpoint {
+
+/// The owner's side of replicas: carries asks to the replicas' schedulers, and
+/// their grants, orders and wants to where they belong. Each grant and order
+/// passes the gate of its authority right before it leaves the node.
+class grant_router {
+public:
+    grant_router(
+        serving_settings const& settings, node_services& services,
+        node_outbox& outbox, load_router& loads)
+        : settings_(settings)
+        , services_(services)
+        , outbox_(outbox)
+        , loads_(loads) {}
+
+    void on_message(node_id const& from, grant_ask const& ask, instant now);
+    void on_message(
+        node_id const& from, grant_withdrawn const& message, instant now);
+    void
+    on_message(node_id const& from, grant_released const& message, instant now);
+    void
+    on_message(node_id const& from, grant_heartbeat const& beat, instant now);
+    void
+    on_message(node_id const& from, load_allowed const& message, instant now);
+    void
+    on_message(node_id const& from, load_denied const& message, instant now);
+    void on_report(engine_report const& report, instant now);
+    void on_order_ended(order_ended const& end, instant now);
+
+    void gained(ownership_gained const& claim, instant now);
+    void lost(resource_id const& replica, instant now);
+    /// A planned move: stops granting; the table goes once no order is open.
+    void hand_over(resource_id const& replica, instant now);
+    /// The planned move came to nothing.
+    void resume(resource_id const& replica, instant now);
+    /// Endpoints may have begun to leave.
+    void refresh_endpoints(instant now);
+    /// The configuration may have changed adapters' versions.
+    void refresh_versions(instant now);
+    void on_tick(instant now);
+    /// Carries out what the schedulers decided.
+    /// @returns true when there was anything
+    bool pump(instant now);
+
+private:
+    using scheduler = replica_scheduler<>;
+
+    scheduler* find(endpoint_id const& replica);
+    void renew(endpoint_id const& replica, scheduler& which, instant now);
+    void carry_out(
+        endpoint_id const& replica, scheduler_action const& action,
+        instant now);
+    void
+    grant(endpoint_id const& replica, reply_grant const& reply, instant now);
+    void
+    order(endpoint_id const& replica, engine_order const& wanted, instant now);
+    void finish_handovers(instant now);
+    bool order_open(endpoint_id const& replica) const;
+
+    serving_settings const& settings_;
+    node_services& services_;
+    node_outbox& outbox_;
+    load_router& loads_;
+    /// Open orders as their schedulers know them, by the node's own numbers.
+    std::map<std::uint64_t, engine_order> orders_;
+    std::uint64_t last_order_ = 0;
+    std::set<endpoint_id> handing_over_;
+    std::map<profile_name, adapter_ref> versions_;
+    log_offset versions_at_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/heartbeat_sender.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Scheduling/grant_messages.hpp"
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Tells each owner every second what this node has on the owner's replicas.
+/// One on whose replicas nothing runs any more still hears so for a while:
+/// that repairs a release which was lost.
+class heartbeat_sender {
+public:
+    heartbeat_sender(
+        request_settings const& settings, node_services const& services,
+        node_outbox& outbox)
+        : settings_(settings)
+        , services_(services)
+        , outbox_(outbox) {}
+
+    /// @returns true when it is time for the next heartbeats
+    bool due(instant now) const noexcept { return now >= next_; }
+    /// @param all what runs or waits on any replica
+    void send(std::vector<grant_in_use> const& all, instant now) {
+        next_ = now + settings_.heartbeat_period;
+        std::map<node_id, grant_heartbeat> beats;
+        for (grant_in_use const& each : all) {
+            node_id const owner =
+                services_.reachable_owner(replica_resource(each.replica));
+            if (!owner.empty()) {
+                beats[owner].grants.push_back(each);
+                last_used_[owner] = now;
+            }
+        }
+        std::erase_if(last_used_, [&](auto const& each) {
+            return now - each.second > settings_.heartbeat_after_last;
+        });
+        for (auto const& [owner, used] : last_used_) {
+            outbox_.send(owner, std::move(beats[owner]));
+        }
+    }
+
+private:
+    request_settings settings_;
+    node_services const& services_;
+    node_outbox& outbox_;
+    std::map<node_id, instant> last_used_;
+    instant next_{};
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/key_router.cpp
@@ -0,0 +1,114 @@
+#include "Serving/key_router.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cstdint>
+
+namespace camphorpoint {
+
+namespace {
+
+key_shard shard_of(resource_id const& resource) {
+    unsigned number = 0;
+    std::string const& name = resource.name;
+    std::from_chars(name.data(), name.data() + name.size(), number);
+    return static_cast<key_shard>(number);
+}
+
+} // namespace
+
+instant key_router::authority_until(key_shard shard, instant now) const {
+    auto const leave =
+        services_.owning.authority_for(key_shard_resource(shard), now);
+    return leave ? leave->not_after : instant{};
+}
+
+void key_router::on_message(
+    node_id const& from, key_ask const& ask, key_clock const& clock) {
+    services_.shards.on_ask(
+        from, ask, authority_until(ask.shard, clock.now), clock);
+}
+
+void key_router::on_message(
+    node_id const& /*from*/, key_reply const& reply, key_clock const& clock) {
+    services_.keys.on_reply(reply, clock);
+}
+
+void key_router::on_message(
+    node_id const& from, key_finished const& end, key_clock const& clock) {
+    services_.shards.on_finished(
+        from, end, authority_until(end.shard, clock.now), clock);
+}
+
+void key_router::on_message(
+    node_id const& /*from*/, key_noted const& noted,
+    key_clock const& /*clock*/) {
+    services_.keys.on_noted(noted);
+}
+
+void key_router::on_message(
+    node_id const& from, key_heartbeat const& beat, key_clock const& clock) {
+    services_.shards.on_heartbeat(from, beat, clock);
+}
+
+void key_router::on_message(
+    node_id const& /*from*/, key_handover const& part, key_clock const& clock) {
+    services_.shards.on_handover(part, clock);
+}
+
+void key_router::gained(ownership_gained const& claim, key_clock const& clock) {
+    key_claim taken;
+    taken.fencing = claim.fencing;
+    taken.previous = claim.previous;
+    taken.handed_over = claim.planned;
+    services_.shards.on_shard_taken(shard_of(claim.resource), taken, clock);
+}
+
+void key_router::lost(resource_id const& shard) {
+    services_.shards.on_shard_lost(shard_of(shard));
+}
+
+void key_router::hand_over(resource_id const& shard, node_id const& successor) {
+    services_.shards.hand_over(shard_of(shard), successor);
+}
+
+void key_router::refresh_owners() {
+    for (std::uint32_t shard = 0; shard < key_shard_count; ++shard) {
+        auto const known = services_.owning.owner_of(key_shard_resource(shard));
+        services_.keys.on_owner(
+            static_cast<key_shard>(shard),
+            known ? known->owner.node : node_id());
+    }
+}
+
+void key_router::on_tick(key_clock const& clock) {
+    services_.shards.tick(clock);
+    services_.keys.tick(clock);
+}
+
+std::vector<key_settled> key_router::pump() {
+    std::vector<key_action> actions = services_.shards.take_actions();
+    std::vector<key_action> const entry = services_.keys.take_actions();
+    actions.insert(actions.end(), entry.begin(), entry.end());
+    std::vector<key_settled> settled;
+    for (key_action const& each : actions) {
+        if (auto const* const send = std::get_if<key_send>(&each)) {
+            std::visit(
+                [&](auto const& one) { outbox_.send(send->to, one); },
+                send->message);
+        } else if (auto const* const done = std::get_if<key_settled>(&each)) {
+            settled.push_back(*done);
+        } else {
+            auto const& apart = std::get<key_clocks_apart>(each);
+            outbox_.act(log_event{
+                event_code::key_clocks_differ, log_level::warning,
+                fmt::format(
+                    "peer={} ahead_ms={}", apart.peer.str(),
+                    apart.ahead.count())});
+        }
+    }
+    return settled;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/node_core.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Serving/config_router.hpp"
+#include "Serving/grant_router.hpp"
+#include "Serving/heartbeat_sender.hpp"
+#include "Serving/key_router.hpp"
+#include "Serving/load_router.hpp"
+#include "Serving/node_action.hpp"
+#include "Serving/node_event.hpp"
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+#include "Serving/node_status.hpp"
+#include "Serving/ownership_router.hpp"
+#include "Serving/request_services.hpp"
+#include "Serving/request_tracker.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace camphorpoint {
+
+/// All decisions of one node: an event and the time go in, typed actions come
+/// out. It reads no clock, starts no thread and does no input or output, so
+/// that the same object runs in the node, in golden sessions and under the
+/// fuzzer. It only carries: what is decided, the services decide.
+class node_core {
+public:
+    /// @param settings of this node and this run of it
+    explicit node_core(serving_settings settings);
+    // Its parts refer to one another.
+    node_core(node_core const&) = delete;
+    node_core& operator=(node_core const&) = delete;
+
+    /// Handles one event.
+    /// @param event what happened
+    /// @param now   the monotonic clock, read after the calendar clock
+    /// @param wall  the calendar clock
+    /// @param out   what is to be done is put behind what it holds, in order
+    void handle(
+        node_event const& event, instant now, wall_time wall,
+        std::vector<node_action>& out);
+
+    /// @returns a copy of what operators may see
+    node_status status(instant now) const;
+    /// @returns why the node takes no requests; none when it does
+    reason not_ready(instant now) const;
+
+private:
+    void on(caller_request const& event);
+    void on(caller_resume const& event);
+    void on(caller_gone const& event);
+    void on(attempt_progress const& event);
+    void on(attempt_ended const& event);
+    void on(log_batch const& event);
+    void on(log_read_failed const& event);
+    void on(log_append_ended const& event);
+    void on(instance_list const& event);
+    void on(engine_report const& event);
+    void on(order_ended const& event);
+    void on(peer_received const& event);
+    void on(peer_unreachable const& event);
+    void on(publish_request const& event);
+    void on(tick const& event);
+    void on(drain_started const& event);
+    void on(probe_received const& event);
+
+    void on_peer(node_id const& from, peer_message const& message);
+    void settle();
+    void pump_members();
+    void pump_requests();
+    bool pump_plain();
+    void refresh_members();
+    void leave_lost_owners();
+    void refresh_placement();
+    void refresh_plain();
+    void tell_readiness();
+    void finish_drain();
+
+    serving_settings settings_;
+    node_services services_;
+    node_outbox outbox_;
+    load_router loads_;
+    grant_router grants_;
+    key_router keys_;
+    ownership_router ownership_;
+    config_router config_;
+    request_services surroundings_;
+    request_tracker<request_services> requests_;
+    heartbeat_sender heartbeats_;
+    key_clock clock_;
+    std::uint64_t members_seen_ = 0;
+    bool ready_ = false;
+    bool drained_ = false;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/node_outbox.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Core/ids.hpp"
+#include "Platform/log_record.hpp"
+#include "Serving/node_action.hpp"
+#include "Serving/peer_message.hpp"
+
+#include <cassert>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Which service began an append.
+enum class append_source : std::uint8_t { control, change, checkpoint };
+
+/// An append as its service knows it.
+struct append_origin {
+    append_source source = append_source::control;
+    std::uint64_t number = 0;
+};
+
+/// Where the decisions of one node put what is to be done. A message to the
+/// node itself is not sent: it waits here and is handled within the same event,
+/// but after the service that sent it has returned.
+class node_outbox {
+public:
+    explicit node_outbox(node_id self)
+        : self_(std::move(self)) {}
+
+    /// Begins an event.
+    /// @param out where actions go until `finish`
+    void begin(std::vector<node_action>& out) { out_ = &out; }
+    void finish() { out_ = nullptr; }
+
+    void act(node_action action) {
+        assert(
+            out_ != nullptr && "actions arise only while an event is handled");
+        out_->push_back(std::move(action));
+    }
+    void send(node_id const& to, peer_message message) {
+        if (to == self_) {
+            local_.push_back(std::move(message));
+            return;
+        }
+        act(send_peer{to, std::move(message)});
+    }
+    /// @returns the next message to this node itself, if there is one
+    std::optional<peer_message> take_local() {
+        if (local_.empty()) {
+            return std::nullopt;
+        }
+        peer_message next = std::move(local_.front());
+        local_.pop_front();
+        return next;
+    }
+    /// Numbers an append for the whole node and asks for it.
+    void append(append_origin origin, log_stream stream, std::string data) {
+        appends_[++last_append_] = origin;
+        act(append_log{last_append_, stream, std::move(data)});
+    }
+    /// @returns whose append has ended; nothing when it ended before
+    std::optional<append_origin> append_ended(std::uint64_t number) {
+        auto const found = appends_.find(number);
+        if (found == appends_.end()) {
+            return std::nullopt;
+        }
+        append_origin const origin = found->second;
+        appends_.erase(found);
+        return origin;
+    }
+    node_id const& self() const noexcept { return self_; }
+
+private:
+    node_id self_;
+    std::vector<node_action>* out_ = nullptr;
+    std::deque<peer_message> local_;
+    std::map<std::uint64_t, append_origin> appends_;
+    std::uint64_t last_append_ = 0;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/node_services.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Config/change_publisher.hpp"
+#include "Config/checkpoint_writer.hpp"
+#include "Config/config_follower.hpp"
+#include "Keys/entry_keys.hpp"
+#include "Keys/key_owner.hpp"
+#include "Limits/aimd_limit.hpp"
+#include "Limits/retry_budget.hpp"
+#include "Limits/service_router.hpp"
+#include "Loading/store_budget.hpp"
+#include "Membership/membership.hpp"
+#include "Ownership/owner.hpp"
+#include "Placement/placement.hpp"
+#include "Scheduling/replica_scheduler.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <map>
+#include <memory>
+
+namespace camphorpoint {
+
+/// The limits of one plain service's replicas.
+using plain_service = service_router<aimd_limit>;
+
+/// All decision services of one node. They know nothing of each other; the
+/// routers carry what one asks to the other.
+struct node_services {
+    explicit node_services(serving_settings const& settings);
+
+    membership members;
+    owner owning;
+    config_follower follower;
+    change_publisher publisher;
+    checkpoint_writer checkpoints;
+    key_owner shards;
+    entry_keys keys;
+    placement<> choice;
+    retry_budget retries;
+    /// The weight store's budget, while this node owns it.
+    store_budget store;
+    /// This node's share of it, while its owner is out of reach.
+    store_budget own_share;
+    /// The replicas that this node owns.
+    std::map<endpoint_id, std::unique_ptr<replica_scheduler<>>> replicas;
+    std::map<model_id, plain_service> plain;
+
+    /// @returns true when a message to the node may arrive
+    bool reachable(node_id const& node) const;
+    /// @returns who owns the resource and can be reached; empty when nobody
+    node_id reachable_owner(resource_id const& resource) const;
+};
+
+} // namespace camphorpoint
--- a/src/Serving/node_status.hpp
+++ b/src/Serving/node_status.hpp
@@ -15,7 +15,7 @@
 struct member_status {
     node_id id;
     std::uint64_t incarnation = 0;
-    /// alive, suspect, dead or leaving
+    /// live, suspect, dead or leaving
     std::string state;
 };
 
@@ -34,7 +34,6 @@
     endpoint_id replica;
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
-    std::uint32_t resident = 0;
 };
 
 /// What a node shows its operators; a copy, taken at one moment.
--- /dev/null
+++ b/src/Serving/ownership_router.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Serving/grant_router.hpp"
+#include "Serving/key_router.hpp"
+#include "Serving/load_router.hpp"
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+
+namespace camphorpoint {
+
+/// Carries ownership between the control stream, peers and the services whose
+/// resources it decides.
+class ownership_router {
+public:
+    ownership_router(
+        node_services& services, node_outbox& outbox, grant_router& grants,
+        key_router& keys, load_router& loads)
+        : services_(services)
+        , outbox_(outbox)
+        , grants_(grants)
+        , keys_(keys)
+        , loads_(loads) {}
+
+    void on_batch(log_batch const& batch, instant now);
+    /// Who may own and what there is to own may have changed.
+    void refresh_candidates(instant now);
+    /// Carries out what was decided.
+    /// @returns true when there was anything
+    bool pump(key_clock const& clock);
+
+private:
+    void carry_out(ownership_action const& action, key_clock const& clock);
+    void gained(ownership_gained const& claim, key_clock const& clock);
+    void lost(ownership_lost const& loss, instant now);
+    void hand_over(handover_wanted const& wanted, instant now);
+
+    node_services& services_;
+    node_outbox& outbox_;
+    grant_router& grants_;
+    key_router& keys_;
+    load_router& loads_;
+};
+
+} // namespace camphorpoint
--- a/src/Serving/request_environment.hpp
+++ b/src/Serving/request_environment.hpp
@@ -74,6 +74,11 @@
     environment.key_ended(id, how, why, answer, now);
     /// An attempt has ended: for limits, retry budgets and placement.
     environment.attempt_over(request, end, now);
+    /// Hands a plain service's request to the service's limits; a dispatch or
+    /// a refusal follows as an event.
+    environment.submit_service(request, now);
+    /// Takes it back; it was not dispatched.
+    environment.withdraw_service(request);
     environment.act(action);
 };
 
--- /dev/null
+++ b/src/Serving/request_services.cpp
@@ -0,0 +1,184 @@
+#include "Serving/request_services.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace camphorpoint {
+
+namespace {
+
+service_end service_end_of(attempt_end how) {
+    switch (how) {
+    case attempt_end::completed:
+        return service_end::completed;
+    case attempt_end::not_sent:
+        return service_end::not_sent;
+    case attempt_end::refused_not_loaded:
+    case attempt_end::refused_busy:
+        return service_end::overloaded;
+    case attempt_end::timed_out:
+        return service_end::timed_out;
+    case attempt_end::cancelled:
+        return service_end::cancelled;
+    default:
+        return service_end::failed;
+    }
+}
+
+// The endpoint answered, whatever it said.
+bool answered(attempt_end how) {
+    return how == attempt_end::completed || how == attempt_end::refused_busy ||
+           how == attempt_end::refused_not_loaded;
+}
+
+} // namespace
+
+admission request_services::admit(profile_name const& name, instant now) {
+    if (draining_) {
+        // Another node behind the balancer takes it at once.
+        return {reason::draining, {}, {}, settings_.requests.retry_after};
+    }
+    reason const stale = services_.follower.may_serve(now);
+    if (stale != reason::none) {
+        return {stale, {}, {}, settings_.requests.retry_after};
+    }
+    configuration const& current = services_.follower.current();
+    profile const* const found = current.find(name);
+    if (found == nullptr) {
+        return {reason::unknown_profile, {}, {}, {}};
+    }
+    if (found->kind == endpoint_kind::engine) {
+        services_.choice.on_demand(found->adapter, now);
+    }
+    return {reason::none, *found, current.next(), {}};
+}
+
+route request_services::choose(live_request const& request, instant now) {
+    auto const chosen = services_.choice.choose(
+        request.what.adapter, request.what.model, request.what.how_urgent,
+        request.asked.prefix_hash, request.tried, now);
+    if (!chosen) {
+        return {{}, {}, true, reason::no_endpoint, {}};
+    }
+    endpoint_instance const* const instance = services_.members.find(*chosen);
+    if (instance == nullptr) {
+        return {{}, {}, true, reason::no_endpoint, {}};
+    }
+    if (request.attempt == 1) {
+        services_.retries.on_request(*chosen, request.asked.caller_group, now);
+    }
+    bool const alone = may_go_without_grant(*instance, now);
+    if (alone) {
+        ++without_grant_[*chosen];
+    }
+    return {*chosen, instance->address, !alone, reason::none, {}};
+}
+
+// While the log is out of reach and a replica's owner is dead nobody can take
+// over, and nobody evicts: a request may use what is resident there. The
+// engine refuses what is not, and each node keeps to its share of the batch.
+bool request_services::may_go_without_grant(
+    endpoint_instance const& endpoint, instant now) const {
+    resource_id const resource = replica_resource(endpoint.id);
+    if (!services_.owning.fallback_allowed(resource, now)) {
+        return false;
+    }
+    std::size_t const nodes =
+        std::max<std::size_t>(1, services_.members.live_nodes().size());
+    std::size_t const share =
+        std::max<std::size_t>(1, endpoint.batch_limit / nodes);
+    auto const used = without_grant_.find(endpoint.id);
+    return used == without_grant_.end() || used->second < share;
+}
+
+std::string request_services::address_of(endpoint_id const& endpoint) const {
+    endpoint_instance const* const found = services_.members.find(endpoint);
+    return found == nullptr ? std::string() : found->address;
+}
+
+bool request_services::take_retry(live_request const& request, instant now) {
+    return services_.retries.try_retry(
+        request.endpoint, request.asked.caller_group, now);
+}
+
+bool request_services::tell_owner(
+    endpoint_id const& replica, owner_message const& message, instant /*now*/) {
+    node_id const owner = services_.reachable_owner(replica_resource(replica));
+    if (owner.empty()) {
+        return false;
+    }
+    std::visit([&](auto const& each) { outbox_.send(owner, each); }, message);
+    return true;
+}
+
+void request_services::ask_key(live_request const& request, instant /*now*/) {
+    keyed_request asked;
+    asked.id = request.asked.id;
+    asked.key = canonical_key(*request.asked.key);
+    asked.body_digest = request.asked.body_digest;
+    asked.idempotent = request.what.idempotent;
+    asked.deadline = request.deadline;
+    services_.keys.ask(asked, clock_);
+}
+
+void request_services::withdraw_key(request_id const& id, instant /*now*/) {
+    services_.keys.withdraw(id, clock_);
+}
+
+void request_services::key_ended(
+    request_id const& id, outcome how, reason why, std::string const& answer,
+    instant /*now*/) {
+    services_.keys.ended(id, how, why, answer, clock_);
+}
+
+void request_services::attempt_over(
+    live_request const& request, attempt_ended const& end, instant now) {
+    if (end.how != attempt_end::cancelled) {
+        services_.members.on_endpoint_call(
+            request.endpoint, answered(end.how), now);
+    }
+    if (request.what.kind == endpoint_kind::service) {
+        auto const service = services_.plain.find(request.what.model);
+        if (service != services_.plain.end()) {
+            service->second.on_ended(
+                request.asked.id, service_end_of(end.how), now);
+        }
+        return;
+    }
+    if (end.how == attempt_end::completed) {
+        services_.choice.on_served(now - request.admitted);
+    }
+    auto const alone = without_grant_.find(request.endpoint);
+    bool const counted = !request.grant && !request.resumed;
+    if (counted && alone != without_grant_.end() && alone->second > 0) {
+        --alone->second;
+    }
+}
+
+void request_services::submit_service(
+    live_request const& request, instant now) {
+    auto const service = services_.plain.find(request.what.model);
+    service_request asked;
+    asked.id = request.asked.id;
+    asked.how_urgent = request.what.how_urgent;
+    asked.deadline = request.deadline;
+    asked.avoid = request.tried.empty() ? endpoint_id() : request.tried.back();
+    if (service != services_.plain.end()) {
+        service->second.submit(asked, now);
+        return;
+    }
+    // An empty router refuses it as it refuses when all replicas are gone.
+    auto const made = services_.plain.try_emplace(
+        request.what.model, settings_.services, settings_.health,
+        settings_.self.domain, settings_.seed);
+    made.first->second.submit(asked, now);
+}
+
+void request_services::withdraw_service(live_request const& request) {
+    auto const service = services_.plain.find(request.what.model);
+    if (service != services_.plain.end()) {
+        service->second.withdraw(request.asked.id);
+    }
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Serving/request_services.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+#include "Serving/request_environment.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace camphorpoint {
+
+/// What a request's life meets in the running node: the request_environment of
+/// the product.
+class request_services {
+public:
+    request_services(
+        serving_settings const& settings, node_services& services,
+        node_outbox& outbox)
+        : settings_(settings)
+        , services_(services)
+        , outbox_(outbox) {}
+
+    /// The node stops: nothing more is admitted.
+    void start_draining() noexcept { draining_ = true; }
+    bool draining() const noexcept { return draining_; }
+    /// Sets the clocks of the event that is being handled.
+    void set_clock(key_clock clock) noexcept { clock_ = clock; }
+
+    admission admit(profile_name const& name, instant now);
+    route choose(live_request const& request, instant now);
+    std::string address_of(endpoint_id const& endpoint) const;
+    bool take_retry(live_request const& request, instant now);
+    bool tell_owner(
+        endpoint_id const& replica, owner_message const& message, instant now);
+    void ask_key(live_request const& request, instant now);
+    void withdraw_key(request_id const& id, instant now);
+    void key_ended(
+        request_id const& id, outcome how, reason why,
+        std::string const& answer, instant now);
+    void attempt_over(
+        live_request const& request, attempt_ended const& end, instant now);
+    void submit_service(live_request const& request, instant now);
+    void withdraw_service(live_request const& request);
+    void act(node_action const& action) { outbox_.act(action); }
+
+private:
+    bool
+    may_go_without_grant(endpoint_instance const& endpoint, instant now) const;
+
+    serving_settings const& settings_;
+    node_services& services_;
+    node_outbox& outbox_;
+    key_clock clock_;
+    bool draining_ = false;
+    /// Requests that run on a replica without a grant of its owner.
+    std::map<endpoint_id, std::uint32_t> without_grant_;
+};
+
+static_assert(request_environment<request_services>);
+
+} // namespace camphorpoint
--- a/src/Serving/request_tracker.hpp
+++ b/src/Serving/request_tracker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Keys/key_action.hpp"
+#include "Limits/service_messages.hpp"
 #include "Serving/live_request.hpp"
 #include "Serving/request_environment.hpp"
 #include "Serving/request_timers.hpp"
@@ -9,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,12 @@
     void on_grant(node_id const& from, grant_given const& given, instant now);
     void
     on_refusal(node_id const& from, grant_refused const& refused, instant now);
+    /// The limits of a plain service let a request go.
+    /// @returns false when it is no longer waited for: nothing was sent
+    bool
+    on_dispatch(service_dispatch const& dispatch, std::string const& address);
+    /// The limits of a plain service refused a request.
+    void on_service_refusal(service_refusal const& refusal, instant now);
     /// What was sent to the replica's owner may not have arrived, or the owner
     /// is gone: its unsent requests go elsewhere, running ones go on.
     void on_owner_lost(endpoint_id const& replica, instant now);
@@ -64,6 +72,8 @@
 
     /// @returns all that runs or waits on replicas, for the heartbeats
     std::vector<grant_in_use> grants_in_use() const;
+    /// @returns the replicas at whose owners requests wait, each once
+    std::set<endpoint_id> waited_for() const;
     /// @returns requests that wait for a key or a grant
     std::size_t waiting() const;
     /// @returns requests at this node, the closing ones included
--- a/src/Serving/request_tracker_ending.hpp
+++ b/src/Serving/request_tracker_ending.hpp
@@ -56,6 +56,11 @@
 template <request_environment Environment>
 void request_tracker<Environment>::wake(live_request& request, instant now) {
     if (request.phase == request_phase::closing) {
+        attempt_ended silent;
+        silent.id = request.asked.id;
+        silent.attempt = request.attempt;
+        silent.how = attempt_end::cancelled;
+        environment_.attempt_over(request, silent, now);
         release(request, true, now);
         forget(request);
         return;
@@ -164,11 +169,26 @@
     return static_cast<std::size_t>(std::ranges::count_if(live_, waits));
 }
 
+template <request_environment Environment>
+std::set<endpoint_id> request_tracker<Environment>::waited_for() const {
+    std::set<endpoint_id> replicas;
+    for (auto const& [id, request] : live_) {
+        if (request.phase == request_phase::asking &&
+            request.what.kind == endpoint_kind::engine) {
+            replicas.insert(request.endpoint);
+        }
+    }
+    return replicas;
+}
+
 template <request_environment Environment>
 std::vector<grant_in_use> request_tracker<Environment>::grants_in_use() const {
     std::vector<grant_in_use> all;
     for (auto const& [id, request] : live_) {
         bool const waits = request.phase == request_phase::asking;
+        if (request.what.kind == endpoint_kind::service) {
+            continue;
+        }
         if (!waits && !request.grant && !request.resumed) {
             continue;
         }
--- a/src/Serving/request_tracker_routing.hpp
+++ b/src/Serving/request_tracker_routing.hpp
@@ -90,17 +90,22 @@
 void request_tracker<Environment>::seek(live_request& request, instant now) {
     request.phase = request_phase::routing;
     while (now < request.deadline) {
-        route const next = environment_.choose(request, now);
-        if (next.endpoint.empty()) {
-            give_up_seeking(request, next.why, next.retry_after, now);
-            return;
-        }
         if (request.asks == settings_.most_asks) {
             give_up_seeking(request, reason::no_endpoint, {}, now);
             return;
         }
         ++request.asks;
         ++request.attempt;
+        if (request.what.kind == endpoint_kind::service) {
+            enter(request, request_phase::asking, request.deadline);
+            environment_.submit_service(request, now);
+            return;
+        }
+        route const next = environment_.choose(request, now);
+        if (next.endpoint.empty()) {
+            give_up_seeking(request, next.why, next.retry_after, now);
+            return;
+        }
         request.endpoint = next.endpoint;
         request.address = next.address;
         if (!next.needs_grant) {
@@ -219,6 +224,32 @@
     seek(*request, now);
 }
 
+template <request_environment Environment>
+bool request_tracker<Environment>::on_dispatch(
+    service_dispatch const& dispatch, std::string const& address) {
+    live_request* const request = find_live(dispatch.id);
+    if (request == nullptr || request->phase != request_phase::asking) {
+        return false;
+    }
+    request->endpoint = dispatch.endpoint;
+    request->address = address;
+    environment_.act(
+        observe_time{observe_time::kind::queueing, dispatch.queued});
+    start(*request, request->deadline);
+    return true;
+}
+
+template <request_environment Environment>
+void request_tracker<Environment>::on_service_refusal(
+    service_refusal const& refusal, instant now) {
+    live_request* const request = find_live(refusal.id);
+    if (request == nullptr || request->phase != request_phase::asking) {
+        return;
+    }
+    request->phase = request_phase::routing;
+    give_up_seeking(*request, refusal.why, refusal.retry_after, now);
+}
+
 template <request_environment Environment>
 void request_tracker<Environment>::on_owner_lost(
     endpoint_id const& replica, instant now) {
@@ -250,6 +281,10 @@
     taken_back.attempt = request.attempt;
     taken_back.replica = request.endpoint;
     request.grant.reset();
+    if (request.what.kind == endpoint_kind::service) {
+        environment_.withdraw_service(request);
+        return;
+    }
     environment_.tell_owner(request.endpoint, taken_back, now);
 }
 
--- a/src/Serving/serving_settings.hpp
+++ b/src/Serving/serving_settings.hpp
@@ -1,8 +1,23 @@
 #pragma once
 
+#include "Config/change_publisher.hpp"
+#include "Config/checkpoint_writer.hpp"
+#include "Config/follower_settings.hpp"
+#include "Keys/key_settings.hpp"
+#include "Limits/endpoint_health.hpp"
+#include "Limits/retry_budget.hpp"
+#include "Limits/service_messages.hpp"
+#include "Loading/store_limits.hpp"
+#include "Membership/membership_settings.hpp"
+#include "Ownership/ownership_settings.hpp"
+#include "Placement/placement_settings.hpp"
+#include "Platform/instance_record.hpp"
+#include "Scheduling/scheduler_settings.hpp"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace camphorpoint {
 
@@ -34,4 +49,35 @@
     std::chrono::milliseconds retry_after{1'000};
 };
 
+/// All that a node's decisions are told at their start. Each part gives the
+/// reasons for its defaults; ownership and membership must be the same on all
+/// nodes.
+struct serving_settings {
+    /// This node, as the platform's list names it.
+    node_instance self;
+    /// When the process started, in milliseconds of the calendar clock: tells
+    /// this run from the node's earlier ones.
+    std::uint64_t run = 0;
+    /// Of all random choices.
+    std::uint64_t seed = 1;
+    /// The weight store that all replicas load from.
+    std::string store = "weights";
+
+    request_settings requests;
+    membership_settings members;
+    ownership_settings ownership;
+    follower_settings configuration;
+    publisher_settings publishing;
+    checkpoint_settings checkpoints;
+    key_settings key_owner;
+    entry_key_settings keys;
+    placement_settings placing;
+    retry_settings retries;
+    service_settings services;
+    health_settings health;
+    /// For each owned replica; its id, slots and batch come from the list.
+    scheduler_settings scheduling;
+    store_limits loading;
+};
+
 } // namespace camphorpoint
--- a/test/support/scripted_environment.hpp
+++ b/test/support/scripted_environment.hpp
@@ -67,6 +67,8 @@
     void attempt_over(
         live_request const& /*request*/, attempt_ended const& /*end*/,
         instant /*now*/) {}
+    void submit_service(live_request const& /*request*/, instant /*now*/) {}
+    void withdraw_service(live_request const& /*request*/) {}
     void act(node_action const& action) { actions.push_back(action); }
 
     /// @returns all actions of one kind, in order
