A cluster of node cores in tests, and its first stories

Several node_cores joined by a net, a log, engines and an instance list on virtual time: the path of a request over nodes could only be read, not run. Stories: entry node beside the owner, cold adapter, pinned version, no configuration, an owner's death under a stream, a planned stop, a booking repeated through another node.

--- /dev/null
+++ b/test/serving_cluster_test.cpp
@@ -0,0 +1,189 @@
+#include "test/support/cluster.hpp"
+
+#include <doctest/doctest.h>
+
+namespace camphorpoint {
+
+namespace {
+
+using test::milliseconds;
+
+profile audit(std::uint32_t version, bool idempotent = true) {
+    profile made;
+    made.name = profile_name("audit-note");
+    made.model = model_id("base");
+    made.adapter = {adapter_id("audit"), version};
+    made.idempotent = idempotent;
+    return made;
+}
+
+caller_request asks(std::string const& id) {
+    caller_request made;
+    made.id = request_id(id);
+    made.profile = profile_name("audit-note");
+    made.deadline = milliseconds(10'000);
+    return made;
+}
+
+/// Three nodes before two engines, with one profile, all settled.
+struct settled_cluster : test::cluster {
+    explicit settled_cluster(bool idempotent = true)
+        : cluster(3, 2) {
+        publish(audit(1, idempotent));
+        run(milliseconds(30'000));
+    }
+    /// @returns a node that owns neither engine
+    std::size_t stranger() const {
+        for (std::size_t node = 0; node < nodes.size(); ++node) {
+            if (node != owner_of(0) && node != owner_of(1)) {
+                return node;
+            }
+        }
+        return 0;
+    }
+    std::size_t owner_running(std::string const& id) const {
+        for (std::size_t engine = 0; engine < engines.size(); ++engine) {
+            if (engines[engine].running.contains(request_id(id))) {
+                return owner_of(engine);
+            }
+        }
+        FAIL(id << " does not run");
+        return 0;
+    }
+};
+
+} // namespace
+
+TEST_CASE("nodes serve a request together") {
+    settled_cluster all;
+
+    SUBCASE(
+        "the entry node need not own the replica; a cold adapter is loaded") {
+        all.post(all.stranger(), asks("r"));
+        all.run(milliseconds(3'000));
+        CHECK(all.ended("r").how == outcome::done);
+        CHECK(all.begun("r") == 1);
+        CHECK(
+            all.attempts.at(0).adapter == adapter_ref{adapter_id("audit"), 1});
+    }
+
+    SUBCASE("a request keeps the version it was admitted under") {
+        all.engines[0].load_time = milliseconds(2'000);
+        all.engines[1].load_time = milliseconds(2'000);
+        all.post(0, asks("before"));
+        all.publish(audit(2), 1);
+        all.run(milliseconds(1'900));
+        all.post(0, asks("after"));
+        all.run(milliseconds(9'000));
+        CHECK(all.ended("before").how == outcome::done);
+        CHECK(all.ended("after").how == outcome::done);
+        CHECK(all.attempts.front().adapter.version == 1);
+        CHECK(all.attempts.back().adapter.version == 2);
+    }
+
+    SUBCASE("before a configuration is known nothing is served") {
+        all.kill(1);
+        all.kill(2);
+        all.kill(0);
+        all.log.down = true;
+        all.start(0);
+        all.run(milliseconds(1'000));
+        all.post(0, asks("r"));
+        CHECK(all.ended("r").how == outcome::not_run);
+        CHECK(all.ended("r").why == reason::not_ready);
+    }
+}
+
+// What one would see: a stream breaks off in mid-sentence because some other
+// machine died. The owner of the replica dies while the answer streams through
+// another node; it only granted, and is not on the stream's way.
+TEST_CASE("an owner dies while an answer streams") {
+    settled_cluster all;
+    for (auto& engine : all.engines) {
+        engine.tokens = 200;
+    }
+    std::size_t const entry = all.stranger();
+    all.post(entry, asks("r"));
+    all.run(milliseconds(1'000));
+    std::size_t const owner = all.owner_running("r");
+    REQUIRE(owner != entry);
+    all.kill(owner);
+    all.run(milliseconds(8'000));
+
+    CHECK(all.ended("r").how == outcome::done);
+    CHECK(all.begun("r") == 1);
+    SUBCASE(
+        "its successor serves the replica again, and evicts nothing in use") {
+        all.run(milliseconds(20'000));
+        all.post(entry, asks("next"));
+        all.run(milliseconds(5'000));
+        CHECK(all.ended("next").how == outcome::done);
+        CHECK(all.engines[0].evicted_in_use == 0);
+        CHECK(all.engines[1].evicted_in_use == 0);
+    }
+}
+
+// What one would see: a rolling restart cuts answers. A planned stop must let
+// streams finish, refuse new work as not run, and hand over what it owns.
+TEST_CASE("a planned stop cuts nothing") {
+    settled_cluster all;
+    for (auto& engine : all.engines) {
+        engine.tokens = 200;
+    }
+    std::size_t const leaver = all.owner_of(0);
+    std::size_t const other = (leaver + 1) % 3;
+    all.post(leaver, asks("own"));
+    all.post(other, asks("others"));
+    all.run(milliseconds(1'000));
+    all.bring(leaver, drain_started{});
+    CHECK_FALSE(all.nodes[leaver].core->status({}).ready);
+    all.post(leaver, asks("late"));
+    CHECK(all.ended("late").how == outcome::not_run);
+    CHECK(all.ended("late").why == reason::draining);
+    all.run(milliseconds(20'000));
+
+    CHECK(all.ended("own").how == outcome::done);
+    CHECK(all.ended("others").how == outcome::done);
+    CHECK(all.nodes[leaver].drained);
+    all.kill(leaver);
+    all.post(other, asks("after"));
+    all.run(milliseconds(6'000));
+    CHECK(all.ended("after").how == outcome::done);
+}
+
+// What one would see: a booking stands twice. The caller's line breaks, and it
+// sends the same booking with the same key through another node.
+TEST_CASE("a booking is repeated through another node") {
+    settled_cluster all(false);
+    caller_request first = asks("first");
+    first.key = all.new_key();
+    caller_request again = asks("again");
+    again.key = first.key;
+    again.body_digest = first.body_digest;
+
+    SUBCASE("while it runs: the repeat joins it") {
+        all.post(0, first);
+        all.run(milliseconds(100));
+        all.post(1, again);
+        all.run(milliseconds(5'000));
+    }
+    SUBCASE("after it ran: the repeat gets the kept answer") {
+        all.post(0, first);
+        all.run(milliseconds(5'000));
+        all.post(1, again);
+        all.run(milliseconds(5'000));
+    }
+    SUBCASE("after its caller went away: it runs on, and the repeat joins it") {
+        all.post(0, first);
+        all.run(milliseconds(300));
+        all.bring(0, caller_gone{request_id("first")});
+        all.post(1, again);
+        all.run(milliseconds(5'000));
+    }
+    CHECK(all.ended("first").how == outcome::done);
+    CHECK(all.ended("again").how == outcome::done);
+    CHECK(all.ended("again").kept_answer == "answer");
+    CHECK(all.begun("first") + all.begun("again") == 1);
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/test/support/cluster.cpp
@@ -0,0 +1,337 @@
+#include "test/support/cluster.hpp"
+
+#include "Config/config_record.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace camphorpoint::test {
+
+namespace {
+
+constexpr milliseconds net_delay{1};
+constexpr milliseconds list_period{500};
+
+} // namespace
+
+cluster::cluster(std::size_t node_count, std::size_t engine_count) {
+    for (std::size_t index = 0; index < engine_count; ++index) {
+        fake_engine engine;
+        engine.instance.id = endpoint_id(fmt::format("e{}", index));
+        engine.instance.model = model_id("base");
+        engine.instance.address = "address";
+        engine.instance.adapter_slots = 2;
+        engine.instance.batch_limit = 4;
+        engines.push_back(engine);
+    }
+    nodes.resize(node_count);
+    for (std::size_t index = 0; index < node_count; ++index) {
+        node_instance& instance = nodes[index].instance;
+        instance.id = node_id(fmt::format("n{}", index));
+        instance.peer_address = fmt::format("10.0.0.{}:1", index);
+        start(index);
+    }
+    tick_all();
+    list_all();
+}
+
+wall_time cluster::wall() const {
+    constexpr std::chrono::days since_epoch{20'000};
+    return wall_time(
+        since_epoch +
+        std::chrono::floor<milliseconds>(now_.time_since_epoch()));
+}
+
+void cluster::after(duration delay, std::function<void()> what) {
+    queue_.emplace(now_ + delay, std::move(what));
+}
+
+void cluster::run(milliseconds time) {
+    instant const until = now_ + time;
+    while (!queue_.empty() && queue_.begin()->first <= until) {
+        auto next = queue_.extract(queue_.begin());
+        now_ = next.key();
+        next.mapped()();
+    }
+    now_ = until;
+}
+
+void cluster::tick_all() {
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        if (!nodes[index].paused) {
+            bring(index, tick{});
+        }
+    }
+    after(tick_period, [this] { tick_all(); });
+}
+
+void cluster::list_all() {
+    instance_list list;
+    for (cluster_node const& each : nodes) {
+        if (each.core != nullptr) {
+            list.nodes.push_back(each.instance);
+        }
+    }
+    for (fake_engine const& each : engines) {
+        list.endpoints.push_back(each.instance);
+    }
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        later(index, net_delay, list);
+        for (fake_engine const& each : engines) {
+            later(index, net_delay, each.report());
+        }
+    }
+    after(list_period, [this] { list_all(); });
+}
+
+void cluster::start(std::size_t node) {
+    cluster_node& which = nodes[node];
+    ++which.run;
+    serving_settings settings;
+    settings.self = which.instance;
+    settings.run =
+        static_cast<std::uint64_t>(wall().time_since_epoch().count());
+    settings.seed = which.run;
+    which.core = std::make_unique<node_core>(settings);
+    which.paused = false;
+    which.drained = false;
+}
+
+void cluster::kill(std::size_t node) {
+    nodes[node].core.reset();
+    ++nodes[node].run;
+    std::erase_if(
+        running_, [&](auto const& each) { return each.second.node == node; });
+}
+
+void cluster::go_on(std::size_t node) {
+    nodes[node].paused = false;
+    for (node_event& each : std::exchange(nodes[node].held_back, {})) {
+        bring(node, std::move(each));
+    }
+}
+
+void cluster::later(std::size_t node, duration delay, node_event event) {
+    std::uint64_t const run = nodes[node].run;
+    after(delay, [this, node, run, event = std::move(event)] {
+        if (nodes[node].run == run) {
+            bring(node, event);
+        }
+    });
+}
+
+void cluster::bring(std::size_t node, node_event event) {
+    cluster_node& which = nodes[node];
+    if (which.core == nullptr) {
+        return;
+    }
+    if (which.paused) {
+        which.held_back.push_back(std::move(event));
+        return;
+    }
+    std::vector<node_action> actions;
+    which.core->handle(event, now_, wall(), actions);
+    for (node_action const& each : actions) {
+        if (!filter || filter(node, each)) {
+            carry_out(node, each);
+        }
+    }
+}
+
+void cluster::post(std::size_t node, caller_request const& asked) {
+    bring(node, asked);
+}
+
+idempotency_key cluster::new_key() {
+    return mint_key(wall(), random_);
+}
+
+void cluster::publish(profile next, std::uint64_t base_revision) {
+    change edit;
+    edit.id = change_id(fmt::format("{}-{}", next.name.str(), base_revision));
+    edit.author = "a test";
+    edit.edits.push_back(put_profile{base_revision, std::move(next)});
+    log.append(log_stream::configuration, encode(config_record(edit)), wall());
+}
+
+void cluster::carry_out(std::size_t node, node_action const& action) {
+    std::visit(
+        [&](auto const& each) {
+            if constexpr (requires { on(node, each); }) {
+                on(node, each);
+            }
+        },
+        action);
+}
+
+std::size_t cluster::index_of(node_id const& id) const {
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        if (nodes[index].instance.id == id) {
+            return index;
+        }
+    }
+    FAIL("no such node: " << id.str());
+    return 0;
+}
+
+fake_engine& cluster::engine_at(endpoint_id const& id) {
+    for (fake_engine& each : engines) {
+        if (each.instance.id == id) {
+            return each;
+        }
+    }
+    FAIL("no such engine: " << id.str());
+    return engines.front();
+}
+
+void cluster::on(std::size_t node, send_peer const& action) {
+    std::size_t const to = index_of(action.to);
+    if (nodes[to].core == nullptr) {
+        later(node, net_delay, peer_unreachable{action.to});
+        return;
+    }
+    later(
+        to, net_delay, peer_received{nodes[node].instance.id, action.message});
+}
+
+void cluster::on(std::size_t /*node*/, send_probe const& action) {
+    later(
+        index_of(action.to), net_delay,
+        probe_received{encode_probe(action.message)});
+}
+
+void cluster::on(std::size_t node, read_log const& action) {
+    if (log.down) {
+        later(node, net_delay, log_read_failed{action.stream});
+        return;
+    }
+    later(node, net_delay, log.read(action.stream, action.from, now_));
+}
+
+void cluster::on(std::size_t node, append_log const& action) {
+    if (log.down) {
+        later(
+            node, net_delay,
+            log_append_ended{action.append, append_result::not_sent, {}});
+        return;
+    }
+    log_offset const offset = log.append(action.stream, action.data, wall());
+    append_result const how =
+        log.loses_answers ? append_result::lost : append_result::appended;
+    later(node, net_delay, log_append_ended{action.append, how, offset});
+}
+
+void cluster::on(std::size_t node, engine_order const& action) {
+    fake_engine& engine = engine_at(action.replica);
+    bool const load = action.kind == engine_order_kind::load;
+    duration const time = load ? engine.load_time : net_delay;
+    after(time, [this, node, action] {
+        order_result const how = engine_at(action.replica).take(action);
+        later(node, net_delay, order_ended{action.number, how});
+    });
+}
+
+void cluster::on(std::size_t node, start_attempt const& action) {
+    attempts.push_back(action);
+    fake_engine& engine = engine_at(action.endpoint);
+    running_attempt attempt{node, action, action.from_token};
+    if (now_ >= action.send_before) {
+        end_attempt(attempt, attempt_end::not_sent);
+        return;
+    }
+    if (!engine.resident.contains(action.adapter)) {
+        end_attempt(attempt, attempt_end::refused_not_loaded);
+        return;
+    }
+    if (action.from_token == 0) {
+        ++engine.begun[action.engine_id];
+    }
+    engine.running[action.engine_id] = action.adapter;
+    running_[action.id] = attempt;
+    after(engine.token_time, [this, attempt] { step(attempt); });
+}
+
+void cluster::step(running_attempt attempt) {
+    auto const found = running_.find(attempt.order.id);
+    if (found == running_.end() ||
+        found->second.order.attempt != attempt.order.attempt) {
+        return;
+    }
+    fake_engine const& engine = engine_at(attempt.order.endpoint);
+    ++attempt.tokens;
+    later(
+        attempt.node, net_delay,
+        attempt_progress{
+            attempt.order.id, attempt.order.attempt, attempt.tokens});
+    if (attempt.tokens >= engine.tokens) {
+        end_attempt(attempt, attempt_end::completed);
+        return;
+    }
+    after(engine.token_time, [this, attempt] { step(attempt); });
+}
+
+void cluster::end_attempt(running_attempt const& attempt, attempt_end how) {
+    engine_at(attempt.order.endpoint).running.erase(attempt.order.engine_id);
+    running_.erase(attempt.order.id);
+    attempt_ended end;
+    end.id = attempt.order.id;
+    end.attempt = attempt.order.attempt;
+    end.how = how;
+    end.tokens = attempt.tokens;
+    end.answer = attempt.order.keep_answer ? "answer" : "";
+    later(attempt.node, net_delay, end);
+}
+
+void cluster::on(std::size_t /*node*/, cancel_attempt const& action) {
+    auto const found = running_.find(action.id);
+    if (found != running_.end()) {
+        running_attempt const attempt = found->second;
+        end_attempt(attempt, attempt_end::cancelled);
+    }
+}
+
+void cluster::on(std::size_t /*node*/, finish_request const& action) {
+    endings[action.id].push_back(action);
+}
+
+void cluster::on(std::size_t node, drain_finished const& /*action*/) {
+    nodes[node].drained = true;
+}
+
+std::size_t cluster::owner_of(std::size_t engine) const {
+    for (cluster_node const& each : nodes) {
+        if (each.core == nullptr) {
+            continue;
+        }
+        std::string const name = "replica/" + engines[engine].instance.id.str();
+        for (owned_status const& owned : each.core->status(now_).owned) {
+            if (owned.resource == name) {
+                return index_of(each.instance.id);
+            }
+        }
+    }
+    FAIL("nobody owns the replica");
+    return 0;
+}
+
+finish_request cluster::ended(std::string const& id) const {
+    auto const found = endings.find(request_id(id));
+    REQUIRE_MESSAGE(found != endings.end(), id << " has not ended");
+    REQUIRE_MESSAGE(found->second.size() == 1, id << " has ended twice");
+    return found->second.front();
+}
+
+std::size_t cluster::begun(std::string const& id) const {
+    std::size_t times = 0;
+    for (fake_engine const& each : engines) {
+        auto const found = each.begun.find(request_id(id));
+        times += found == each.begun.end() ? 0 : found->second;
+    }
+    return times;
+}
+
+} // namespace camphorpoint::test
