--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -75,7 +75,9 @@
 
     /// @returns a counter that grows with each change of what is asked below,
     /// so that others recompute only then
-    std::uint64_t changes() const noexcept { return changes_; }
+    std::uint64_t changes() const noexcept {
+        return changes_ + endpoints_.changes();
+    }
     /// @returns all nodes that are neither dead nor gone, this one included,
     /// in the order of their names
     std::vector<live_node> live_nodes() const;
@@ -95,40 +97,48 @@
 private:
     struct member {
         node_instance instance;
-        bool listed = false;
+        /// Whether the list that is being read names it.
+        bool seen = false;
         node_state state = node_state::live;
         incarnation at;
+        /// Whose own probes of it failed.
         std::set<node_id> accusers;
         /// When the suspicion ends in death.
         instant suspect_until;
-        /// A report that beats the list until then.
-        instant held_until;
     };
 
-    void list_nodes(std::vector<node_instance> const& nodes, instant now);
-    void list_one(node_instance const& node, instant now);
+    void list_node(node_instance const& node, instant now);
+    void drop_unlisted();
     void apply(membership_update const& update, instant now);
-    void apply_alive(membership_update const& update);
-    void apply_suspect(membership_update const& update, instant now);
-    void apply_dead(membership_update const& update, instant now);
-    void apply_leaving(membership_update const& update, instant now);
-    void refute(membership_update const& update);
+    void apply_to_self(membership_update const& update);
+    void apply_alive(member& who, membership_update const& update);
+    void
+    apply_suspect(member& who, membership_update const& update, instant now);
+    void apply_dead(member& who, membership_update const& update, instant now);
+    void apply_leaving(member& who, membership_update const& update);
+    void set_state(member& who, node_state state);
+    void tell(member const& who);
+    void tell_self();
+    membership_update update_of(member const& who) const;
     void heard(node_id const& from, incarnation at);
     void accuse(node_id const& target, instant now);
     void check_suspicions(instant now);
-    void set_state(node_id const& id, member& who, node_state state);
-    void tell(update_kind kind, node_id const& id, member const& who);
-    void tell_accused(node_id const& to);
     void probe_round(instant now);
     void run_probes(instant now);
     void spread_urgent();
     void probe_node(node_id const& target, instant now);
+    std::vector<node_id> neighbours() const;
+    std::vector<node_id> pick_random(std::size_t count, bool dead_too);
+    static bool accused(member const& who) noexcept;
+    template <class Message>
+    void send(
+        node_id const& to, std::string const& address, Message message,
+        std::size_t most_updates);
     void
-    send(node_id const& to, probe_message message, std::size_t most_updates);
+    send_to_member(node_id const& to, probe message, std::size_t most_updates);
     void on_message(probe const& message, instant now);
     void on_message(probe_ack const& message, instant now);
     void on_message(probe_request const& message, instant now);
-    std::vector<node_id> pick_random(std::size_t count, node_id const& without);
     void say(event_code code, log_level level, std::string detail);
 
     membership_settings settings_;
@@ -137,7 +147,7 @@
     bool leaving_ = false;
     std::mt19937_64 random_;
     std::map<node_id, member> members_;
-    /// The members' names in order, rebuilt when members come or go.
+    /// The other nodes' names in order, rebuilt when members come or go.
     std::vector<node_id> order_;
     std::set<node_id> suspects_;
     endpoint_table endpoints_;
@@ -146,6 +156,7 @@
     std::set<node_id> probe_soon_;
     std::vector<membership_action> actions_;
     std::optional<instant> next_round_;
+    std::optional<instant> last_tick_;
     std::uint64_t changes_ = 0;
     std::uint64_t broken_ = 0;
 };
--- /dev/null
+++ b/src/Membership/probe_rounds.cpp
@@ -0,0 +1,53 @@
+#include "Membership/probe_rounds.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+std::uint32_t
+probe_rounds::begin(node_id const& target, instant ask_at, instant end_at) {
+    ++last_;
+    // Zero marks datagrams that want no answer.
+    if (last_ == 0) {
+        ++last_;
+    }
+    open_[last_] = {target, ask_at, end_at, false};
+    return last_;
+}
+
+void probe_rounds::heard(node_id const& target) {
+    std::erase_if(open_, [&target](auto const& entry) {
+        return entry.second.target == target;
+    });
+}
+
+std::vector<probe_rounds::late_probe> probe_rounds::take_late(instant now) {
+    std::vector<late_probe> result;
+    for (auto& [sequence, each] : open_) {
+        if (!each.asked && now >= each.ask_at) {
+            each.asked = true;
+            result.push_back({sequence, each.target});
+        }
+    }
+    return result;
+}
+
+std::vector<node_id> probe_rounds::take_failed(instant now) {
+    std::vector<node_id> result;
+    std::erase_if(open_, [&](auto const& entry) {
+        if (now < entry.second.end_at) {
+            return false;
+        }
+        result.push_back(entry.second.target);
+        return true;
+    });
+    return result;
+}
+
+bool probe_rounds::probing(node_id const& target) const {
+    return std::ranges::any_of(open_, [&target](auto const& entry) {
+        return entry.second.target == target;
+    });
+}
+
+} // namespace camphorpoint
--- a/src/Ownership/owner_moves.cpp
+++ b/src/Ownership/owner_moves.cpp
@@ -225,6 +225,16 @@
     }
 }
 
+// A node that was never heard over the probes may still be known by what it
+// wrote to the log.
+std::uint64_t owner::run_of(node_id const& node) const {
+    auto const listed = live_.find(node);
+    auto const wrote = written_runs_.find(node);
+    return std::max(
+        listed == live_.end() ? 0 : listed->second.run,
+        wrote == written_runs_.end() ? 0 : wrote->second);
+}
+
 bool owner::may_move_to(node_id const& successor, instant now) const {
     auto const found = live_.find(successor);
     return successor != self_.node && found != live_.end() &&
@@ -257,14 +267,14 @@
 void owner::begin_handover(
     resource_id const& resource, node_id const& successor, instant now) {
     holding const& held = holdings_[resource];
-    auto const found = live_.find(successor);
     outgoing_handover move;
     move.resource = resource;
     move.fencing = held.fencing;
     move.draining = draining_;
     move.may_evict = now >= held.evict_from;
-    if (held.told && found != live_.end() && found->second.run != 0) {
-        move.successor = {successor, found->second.run};
+    std::uint64_t const run = run_of(successor);
+    if (held.told && run != 0) {
+        move.successor = {successor, run};
     }
     handovers_.begin(move, now);
     if (held.told) {
--- a/src/Ownership/owner_replay.cpp
+++ b/src/Ownership/owner_replay.cpp
@@ -108,6 +108,8 @@
 // Only records that were appended since the last look say that their writer
 // lives now; those read at a start may be old.
 void owner::note_alive(node_run const& writer, instant now) {
+    std::uint64_t& run = written_runs_[writer.node];
+    run = std::max(run, writer.run);
     if (log_is_current(now)) {
         last_record_[writer.node] = now;
     }
--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/config_messages.hpp"
 #include "Ownership/handover_messages.hpp"
 #include "Scheduling/grant_messages.hpp"
 
@@ -11,6 +12,7 @@
 /// in its own folder; order matters on the wire.
 using peer_message = std::variant<
     grant_ask, grant_given, grant_refused, grant_withdrawn, grant_released,
-    grant_heartbeat, handover_offer, handover_accepted, holder_stopped>;
+    grant_heartbeat, config_ask, config_records, config_state, handover_offer,
+    handover_accepted, holder_stopped>;
 
 } // namespace camphorpoint
