A former holder's word that it stopped is kept until the claim is read

Cause: the word may come before the new owner has read its own claim back; it was dropped, and evictions stayed frozen for the whole grant lease. Change: it is kept and used when the claim is read; the follower's refusal of an answer that is behind has its own test.

--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -150,6 +150,11 @@
         /// Since when this run has been among the live nodes.
         instant since;
     };
+    /// A former holder's word that came before our claim was read back.
+    struct early_stop {
+        holder_stopped message;
+        instant received;
+    };
     struct accepted_offer {
         log_offset fencing;
         instant received;
@@ -157,6 +162,8 @@
         std::string table;
     };
 
+    void end_evict_wait(
+        holding& held, holder_stopped const& stopped, instant received);
     void apply_records(log_batch const& batch, instant now);
     void apply_record(log_record const& record, instant now);
     void reached_head(log_batch const& batch, instant now);
@@ -220,6 +227,7 @@
     std::map<resource_id, holding> holdings_;
     std::set<resource_id> waiting_;
     std::map<resource_id, accepted_offer> accepted_;
+    std::map<resource_id, early_stop> early_stops_;
     std::map<node_id, instant> last_record_;
     /// The newest run of each node that wrote a record.
     std::map<node_id, std::uint64_t> written_runs_;
--- a/src/Ownership/owner_moves.cpp
+++ b/src/Ownership/owner_moves.cpp
@@ -361,13 +361,21 @@
 void owner::on_ownership(
     node_id const& /*from*/, holder_stopped const& stopped, instant now) {
     auto const found = holdings_.find(stopped.resource);
-    if (found == holdings_.end() || found->second.previous != stopped.fencing) {
+    if (found == holdings_.end()) {
+        early_stops_[stopped.resource] = {stopped, now};
+        return;
+    }
+    end_evict_wait(found->second, stopped, now);
+}
+
+void owner::end_evict_wait(
+    holding& held, holder_stopped const& stopped, instant received) {
+    if (held.previous != stopped.fencing) {
         return;
     }
-    holding& held = found->second;
     instant const from = std::max(
-        {held.effective_from, now + duration(settings_.order_travel),
-         wait_end(stopped.evict_wait_left, now)});
+        {held.effective_from, received + duration(settings_.order_travel),
+         wait_end(stopped.evict_wait_left, received)});
     held.evict_from = std::min(held.evict_from, from);
 }
 
--- a/src/Ownership/owner_replay.cpp
+++ b/src/Ownership/owner_replay.cpp
@@ -54,6 +54,7 @@
     takeovers_.clear();
     handovers_.clear();
     accepted_.clear();
+    early_stops_.clear();
     waiting_.clear();
     while (!holdings_.empty()) {
         resource_id const resource = holdings_.begin()->first;
@@ -152,6 +153,11 @@
         next.evict_from = learned;
         next.planned = true;
     }
+    auto const early = early_stops_.find(resource);
+    if (early != early_stops_.end()) {
+        end_evict_wait(next, early->second.message, early->second.received);
+        early_stops_.erase(early);
+    }
     holdings_.emplace(resource, std::move(next));
     waiting_.insert(resource);
 }
--- a/test/ownership_handover_test.cpp
+++ b/test/ownership_handover_test.cpp
@@ -133,6 +133,25 @@
     CHECK(table.find(replica)->fencing == log_offset{11});
 }
 
+// One copy of the log is behind the others, or the log was put back to an
+// earlier state. A holder that took such an answer for fresh would go on for
+// as long as it is asked, without ever seeing its successor's claim.
+TEST_CASE("an answer from a log that is behind prolongs nothing") {
+    log_follower follower{seconds(1)};
+    log_batch batch;
+    batch.read_started = instant(seconds(10));
+    batch.head = log_offset{2};
+    batch.records = {{log_offset{0}, {}, ""}, {log_offset{1}, {}, ""}};
+    REQUIRE(follower.judge(batch) == log_follower::verdict::usable);
+    follower.applied(log_offset{1});
+    CHECK(follower.finished(batch));
+    batch.head = log_offset{1};
+    batch.records.pop_back();
+    batch.read_started = instant(seconds(20));
+    CHECK(follower.judge(batch) == log_follower::verdict::stale);
+    CHECK(follower.fresh_at() == instant(seconds(10)));
+}
+
 // A record that another version wrote, or that was cut, must not be taken by
 // halves: nodes would disagree about who owns what.
 TEST_CASE("the control stream's records are read strictly") {
