Configuration: pulls between nodes, cheaper checkpoints

Cause: in a trial of 1,900 nodes in one process the last node took 4.4 s to see a change, as news misses a few nodes in a hundred; and a checkpoint's part took 2.5 ms to decode, twice on each node. Change: where polls are more than a second apart, each node asks one peer a second; checkpoints are told by their first key and decoded once; parts are written 0.5 s apart.

--- a/src/Config/checkpoint_writer.cpp
+++ b/src/Config/checkpoint_writer.cpp
@@ -19,7 +19,7 @@
 /// The log may take this long to show a checkpoint to its own writer.
 constexpr std::chrono::seconds settle_time{30};
 /// Nodes of a higher rank than this wait no longer than it.
-constexpr std::size_t last_rank = 360;
+constexpr std::size_t last_rank = 60;
 
 } // namespace
 
--- a/src/Config/checkpoint_writer.hpp
+++ b/src/Config/checkpoint_writer.hpp
@@ -22,9 +22,12 @@
     /// A checkpoint is due after so many records.
     std::uint64_t records_between = 2'048;
     /// By how much longer each next node in rank waits before it writes.
-    std::chrono::milliseconds rank_delay{10'000};
+    /// More than a whole checkpoint takes, or two nodes would write.
+    std::chrono::milliseconds rank_delay{120'000};
     /// Time between two parts, and before a failed one is sent again.
-    std::chrono::milliseconds part_pause{100};
+    /// Each part takes every node a few milliseconds to read: spread out,
+    /// they hold up no stream.
+    std::chrono::milliseconds part_pause{500};
     /// Bound of one record.
     std::size_t part_bytes = 65'536;
 };
--- a/src/Config/config_follower.cpp
+++ b/src/Config/config_follower.cpp
@@ -154,7 +154,7 @@
         std::min(oldest_record_.value_or(record.appended), record.appended);
     log_offset closes{};
     if (report.what == verdict::not_a_change) {
-        closes = closed_checkpoint(record);
+        closes = closed_checkpoint(record, out);
         note_checkpoint(closes, record.appended);
     }
     if (report.what == verdict::rejected_invalid) {
@@ -168,16 +168,25 @@
     out.emplace_back(config_applied{record.offset, std::move(report)});
 }
 
-log_offset config_follower::closed_checkpoint(log_record const& record) {
+log_offset config_follower::closed_checkpoint(
+    log_record const& record, config_actions& out) {
     decoded_record const decoded = decode(record.data);
-    auto const* found = std::get_if<checkpoint_part>(&decoded.value());
-    if (found == nullptr || found->part.covers > record.offset) {
-        return {};
+    auto const* found =
+        decoded ? std::get_if<checkpoint_part>(&decoded.value()) : nullptr;
+    std::optional<configuration_state> whole;
+    bool broken = found == nullptr || found->part.covers > record.offset;
+    if (!broken) {
+        whole = passing_checkpoints_.add(found->writer.str(), found->part);
+        broken = whole && !is_intact(*whole);
     }
-    std::optional<configuration_state> const whole =
-        passing_checkpoints_.add(found->writer.str(), found->part);
     // A broken one must not keep the nodes from writing a good one.
-    return whole && is_intact(*whole) ? whole->next : log_offset{};
+    if (broken) {
+        out.emplace_back(event(
+            event_code::config_state_broken, log_level::error,
+            fmt::format("source=checkpoint offset={}", record.offset.value)));
+        return {};
+    }
+    return whole ? whole->next : log_offset{};
 }
 
 void config_follower::note_checkpoint(log_offset covers, wall_time written) {
--- a/src/Config/config_follower.hpp
+++ b/src/Config/config_follower.hpp
@@ -132,7 +132,7 @@
     void begin_read(instant now, config_actions& out);
     void follow(log_batch const& batch, instant now, config_actions& out);
     void take(log_record const& record, config_actions& out);
-    log_offset closed_checkpoint(log_record const& record);
+    log_offset closed_checkpoint(log_record const& record, config_actions& out);
     void note_checkpoint(log_offset covers, wall_time written);
     void confirm(instant when, config_actions& out);
     void begin_search(log_batch const& batch, instant now, config_actions& out);
@@ -168,7 +168,7 @@
     void add_kept(log_offset since, config_records& message) const;
     void push_news(
         log_offset since, node_id const& but, instant now, config_actions& out);
-    std::vector<node_id> some_peers(node_id const& but);
+    std::vector<node_id> some_peers(node_id const& but, std::size_t most);
     void report_staleness(instant now, config_actions& out);
 
     node_id self_;
--- a/src/Config/config_follower_peers.cpp
+++ b/src/Config/config_follower_peers.cpp
@@ -53,11 +53,12 @@
            (read_began_ && now - *read_began_ >= settings_.slow_read);
 }
 
-std::vector<node_id> config_follower::some_peers(node_id const& but) {
+std::vector<node_id>
+config_follower::some_peers(node_id const& but, std::size_t most) {
     std::vector<node_id> others = peers_;
     std::erase(others, but);
     std::vector<node_id> chosen;
-    std::size_t const count = std::min(settings_.fanout, others.size());
+    std::size_t const count = std::min(most, others.size());
     for (std::size_t index = 0; index < count; ++index) {
         std::uniform_int_distribution<std::size_t> pick(
             index, others.size() - 1);
@@ -68,12 +69,16 @@
 }
 
 void config_follower::ask_when_due(instant now, config_actions& out) {
-    bool const needed = lost_place_ || log_is_failing(now);
-    if (!needed || transfer_ || now < next_ask_) {
+    if (transfer_ || now < next_ask_) {
         return;
     }
-    next_ask_ = now + poll_interval();
-    ask(some_peers(node_id()), now, out);
+    if (lost_place_ || log_is_failing(now)) {
+        next_ask_ = now + std::min(poll_interval(), settings_.pull_every);
+        ask(some_peers(node_id(), settings_.fanout), now, out);
+    } else if (ready_ && poll_interval() > settings_.pull_every) {
+        next_ask_ = now + settings_.pull_every;
+        ask(some_peers(node_id(), 1), now, out);
+    }
 }
 
 void config_follower::ask(
@@ -106,6 +111,9 @@
             ask({round.best->peer}, now, out);
         } else if (lost_place_ || log_is_failing(now)) {
             begin_transfer(round.best->peer, now, out);
+        } else {
+            config_actions more = needs(round.best->next, node_id(), now);
+            std::ranges::move(more, std::back_inserter(out));
         }
         return;
     }
@@ -263,7 +271,7 @@
     if (std::ranges::none_of(news.records, says_something)) {
         return;
     }
-    for (node_id const& peer : some_peers(but)) {
+    for (node_id const& peer : some_peers(but, settings_.fanout)) {
         out.emplace_back(config_send{peer, news});
     }
 }
--- a/src/Config/config_record.cpp
+++ b/src/Config/config_record.cpp
@@ -65,7 +65,10 @@
     // Guards against two versions of the program reading one record in two
     // ways: cereal passes over keys that it does not know, and cuts text at a
     // zero byte. What was understood must be all that is there.
-    if (record && json::parse(encode(record.value())) != tree) {
+    // A checkpoint is left out for its size: its digest says the same.
+    bool const checked =
+        record && !std::holds_alternative<checkpoint_part>(record.value());
+    if (checked && json::parse(encode(record.value())) != tree) {
         return record_error{"it says more than its format knows"};
     }
     return record;
@@ -88,6 +91,17 @@
     return stream.str();
 }
 
+bool looks_like_checkpoint(std::string_view text) noexcept {
+    constexpr std::string_view white = " \t\r\n";
+    constexpr std::string_view start = "\"checkpoint\"";
+    std::size_t const brace = text.find_first_not_of(white);
+    if (brace == text.npos || text[brace] != '{') {
+        return false;
+    }
+    std::size_t const key = text.find_first_not_of(white, brace + 1);
+    return key != text.npos && text.substr(key).starts_with(start);
+}
+
 decoded_record decode(std::string_view text) noexcept {
     if (text.size() > longest_config_record) {
         return record_error{"it is too long"};
--- a/src/Config/config_record.hpp
+++ b/src/Config/config_record.hpp
@@ -41,9 +41,15 @@
 /// @returns the text to append to the log
 std::string encode(config_record const& record);
 
+/// Tells a checkpoint's part by its first key alone, since reading it all
+/// takes a hundred times as long as a change. What is told so can be no
+/// change: decode takes a record with one key only.
+bool looks_like_checkpoint(std::string_view text) noexcept;
+
 /// Reads a record strictly: text that is not exactly such a record (broken
 /// JSON, missing or further keys, values out of range, a broken rule of
 /// check_change) gives an error. Nothing is thrown, whatever the bytes.
+/// Keys that a checkpoint has too many are passed over; its digest guards it.
 /// @param text a record's data
 /// @returns the record or what is wrong
 decoded_record decode(std::string_view text) noexcept;
--- a/src/Config/configuration.cpp
+++ b/src/Config/configuration.cpp
@@ -105,6 +105,10 @@
         return {};
     }
     advance(record.offset);
+    if (looks_like_checkpoint(record.data)) {
+        // It says again what replay has made of the records before it.
+        return {};
+    }
     decoded_record const decoded = decode(record.data);
     if (!decoded) {
         apply_report report;
@@ -165,7 +169,6 @@
 }
 
 apply_report configuration::judge(checkpoint_part const&, log_offset) {
-    // It says again what replay has made of the records before it.
     return {};
 }
 
--- a/src/Config/follower_settings.hpp
+++ b/src/Config/follower_settings.hpp
@@ -37,6 +37,9 @@
     std::chrono::milliseconds search_pause{10'000};
     /// How many peers get new records unasked, or are asked at once.
     std::size_t fanout = 4;
+    /// Where the poll interval is longer than this, one peer is asked so often:
+    /// new records miss a few nodes of many, and these need not wait.
+    std::chrono::milliseconds pull_every{1'000};
     /// How long answers to one round of asks are waited for.
     std::chrono::milliseconds ask_timeout{500};
     /// A state transfer without a new part for this long is given up.
