--- a/src/Core/outcome.hpp
+++ b/src/Core/outcome.hpp
@@ -46,6 +46,10 @@
     key_too_old,
     key_unknown_after_takeover,
     key_table_full,
+    key_invalid,
+    key_answer_dropped,
+    key_clock_disagrees,
+    key_entry_lost,
     already_running,
     caller_gone,
     internal_error
--- a/src/Membership/probe_message.hpp
+++ b/src/Membership/probe_message.hpp
@@ -48,6 +48,9 @@
 struct probe {
     node_id from;
     incarnation at;
+    /// Where the answer goes: a new node may not be in the receiver's late
+    /// list yet, and must not take silence for death.
+    std::string from_address;
     std::uint32_t sequence = 0;
     /// For whom the answer is, when it is an indirect probe.
     node_id on_behalf_of;
@@ -56,7 +59,9 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(from, at, sequence, on_behalf_of, their_sequence, updates);
+        archive(
+            from, at, from_address, sequence, on_behalf_of, their_sequence,
+            updates);
     }
 };
 
@@ -67,11 +72,14 @@
     incarnation at;
     /// The probe that is answered.
     std::uint32_t sequence = 0;
+    /// Copied from an indirect probe: to whom the answer is passed on.
+    node_id on_behalf_of;
+    std::uint32_t their_sequence = 0;
     std::vector<membership_update> updates;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(from, at, sequence, updates);
+        archive(from, at, sequence, on_behalf_of, their_sequence, updates);
     }
 };
 
