--- a/src/Config/checkpoint_writer.cpp
+++ b/src/Config/checkpoint_writer.cpp
@@ -19,7 +19,7 @@
 /// The log may take this long to show a checkpoint to its own writer.
 constexpr std::chrono::seconds settle_time{30};
 /// Nodes of a higher rank than this wait no longer than it.
-constexpr std::size_t last_rank = 360;
+constexpr std::size_t last_rank = 60;
 
 } // namespace
 
@@ -53,7 +53,7 @@
 bool checkpoint_writer::due(
     config_follower const& follower, wall_time calendar) const {
     log_offset const next = follower.current().next();
-    if (!follower.confirmed_at() || next.value == 0) {
+    if (!follower.ready() || next.value == 0) {
         return false;
     }
     auto const& last = follower.last_checkpoint();
