--- /dev/null
+++ b/src/Telemetry/event_names.cpp
@@ -0,0 +1,77 @@
+#include "Telemetry/event_names.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr std::array names{
+    event_name{event_code::node_started, "node-started"},
+    event_name{event_code::node_ready, "node-ready"},
+    event_name{event_code::node_draining, "node-draining"},
+    event_name{event_code::node_stopped, "node-stopped"},
+    event_name{event_code::config_ready, "config-ready"},
+    event_name{event_code::config_record_invalid, "config-record-invalid"},
+    event_name{event_code::config_place_expired, "config-place-expired"},
+    event_name{event_code::config_no_checkpoint, "config-no-checkpoint"},
+    event_name{event_code::config_state_adopted, "config-state-adopted"},
+    event_name{event_code::config_digest_differs, "config-digest-differs"},
+    event_name{event_code::config_stale, "config-stale"},
+    event_name{event_code::config_fresh_again, "config-fresh-again"},
+    event_name{event_code::config_state_broken, "config-state-broken"},
+    event_name{event_code::config_checkpoint_begun, "config-checkpoint-begun"},
+    event_name{event_code::config_checkpoint_written, "config-checkpoint-written"},
+    event_name{event_code::ownership_gained, "ownership-gained"},
+    event_name{event_code::ownership_lost, "ownership-lost"},
+    event_name{event_code::authority_lapsed, "authority-lapsed"},
+    event_name{event_code::authority_regained, "authority-regained"},
+    event_name{event_code::claim_appended, "claim-appended"},
+    event_name{event_code::control_record_broken, "control-record-broken"},
+    event_name{event_code::control_log_trimmed, "control-log-trimmed"},
+    event_name{event_code::handover_given_up, "handover-given-up"},
+    event_name{event_code::node_suspected, "node-suspected"},
+    event_name{event_code::node_declared_dead, "node-declared-dead"},
+    event_name{event_code::node_returned, "node-returned"},
+    event_name{event_code::node_leaving, "node-leaving"},
+    event_name{event_code::endpoint_leaving, "endpoint-leaving"},
+    event_name{event_code::suspicion_refuted, "suspicion-refuted"},
+    event_name{event_code::store_down, "store-down"},
+    event_name{event_code::store_recovered, "store-recovered"},
+    event_name{event_code::load_retrying, "load-retrying"},
+    event_name{event_code::load_given_up, "load-given-up"},
+    event_name{event_code::engine_restarted, "engine-restarted"},
+    event_name{event_code::order_unsettled, "order-unsettled"},
+    event_name{event_code::order_settled, "order-settled"},
+    event_name{event_code::replica_taken_over, "replica-taken-over"},
+    event_name{event_code::replica_lost, "replica-lost"},
+    event_name{event_code::slot_taken_by_force, "slot-taken-by-force"},
+};
+
+} // namespace
+
+std::span<event_name const> event_names() noexcept {
+    return names;
+}
+
+std::string_view to_string(event_code code) noexcept {
+    auto const found = std::ranges::find(names, code, &event_name::code);
+    return found == names.end() ? "unnamed" : found->name;
+}
+
+std::string_view to_string(log_level level) noexcept {
+    switch (level) {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "error";
+}
+
+} // namespace camphorpoint
