--- a/src/Keys/key_owner.cpp
+++ b/src/Keys/key_owner.cpp
@@ -26,8 +26,10 @@
     table.begin(claim.fencing);
     // The earlier holder's clock may have been ahead of this one by the clock
     // error, and it took keys ahead of its clock by the limit.
-    table.know_nothing_up_to(
-        clock.wall + settings_.ahead_limit + settings_.clock_error);
+    if (!claim.first) {
+        table.know_nothing_up_to(
+            clock.wall + settings_.ahead_limit + settings_.clock_error);
+    }
     adopt_staged(shard, clock);
 }
 
@@ -118,14 +120,25 @@
     staged_.erase(staged);
 }
 
-void key_owner::hand_over(key_shard shard, node_id const& successor) {
+std::vector<key_handover> key_owner::close_and_export(key_shard shard) {
     auto const found = tables_.find(shard);
     if (found == tables_.end()) {
-        return;
+        return {};
     }
     found->second.close();
-    for (key_handover const& part : found->second.export_parts()) {
-        actions_.push_back(key_send{successor, part});
+    return found->second.export_parts();
+}
+
+void key_owner::reopen(key_shard shard) {
+    auto const found = tables_.find(shard);
+    if (found != tables_.end()) {
+        found->second.begin(found->second.fencing());
+    }
+}
+
+void key_owner::hand_over(key_shard shard, node_id const& successor) {
+    for (key_handover& part : close_and_export(shard)) {
+        actions_.push_back(key_send{successor, std::move(part)});
     }
 }
 
--- a/src/Keys/key_owner.hpp
+++ b/src/Keys/key_owner.hpp
@@ -21,6 +21,8 @@
     std::optional<log_offset> previous;
     /// True when the previous holder released the shard to this node.
     bool handed_over = false;
+    /// True when ownership knows that nobody ever owned the shard.
+    bool first = false;
 };
 
 /// The key shards that this node owns: it gives each key's permission to run
@@ -56,8 +58,15 @@
         node_id const& from, key_heartbeat const& beat, key_clock const& clock);
     /// Takes a part of a table that a holder hands over to this node.
     void on_handover(key_handover const& part, key_clock const& clock);
-    /// Closes a shard for good under its present claim, and sends its table to
-    /// the successor. The release may be appended once the parts were sent.
+    /// Closes a shard: it gives nothing more under its present claim.
+    /// @returns its table in parts; the composer sends them with the ownership
+    ///          lane's offer, or as messages before the release is appended
+    std::vector<key_handover> close_and_export(key_shard shard);
+    /// The handover came to nothing and its copy is void: go on. Safe only when
+    /// the copy travelled inside the offer that was aborted, never as messages,
+    /// which a successor might still take for complete.
+    void reopen(key_shard shard);
+    /// Closes a shard for good, and sends its table as messages.
     void hand_over(key_shard shard, node_id const& successor);
     /// Time has passed.
     void tick(key_clock const& clock);
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -51,7 +51,8 @@
     order_settled = 607,
     replica_taken_over = 608,
     replica_lost = 609,
-    slot_taken_by_force = 610
+    slot_taken_by_force = 610,
+    key_clocks_disagree = 701
 };
 
 /// One line of the log.
--- a/test/keys_takeover_test.cpp
+++ b/test/keys_takeover_test.cpp
@@ -96,6 +96,29 @@
     CHECK(world.settled_of("past").verdict == key_verdict::run);
 }
 
+TEST_CASE("the first owner ever knows that nothing ran") {
+    keys_world world;
+    node_id const name("b");
+    world.add("b");
+    key_clock const clock = world.clock(world.at("b"));
+    key_claim claim;
+    claim.fencing = log_offset{1};
+    claim.first = true;
+    key_owner& owner = *world.at("b").owner;
+    owner.on_shard_taken(keys_world::shard, claim, clock);
+    key_ask ask;
+    ask.request = request_id("one");
+    ask.key = world.key_made();
+    ask.shard = keys_world::shard;
+    ask.sent = clock.wall;
+    owner.on_ask(name, ask, clock.now + milliseconds(1), clock);
+    auto const actions = owner.take_actions();
+    REQUIRE(actions.size() == 1);
+    auto const& said =
+        std::get<key_reply>(std::get<key_send>(actions[0]).message);
+    CHECK(said.verdict == key_verdict::run);
+}
+
 // A phone's clock is an hour behind. After a crash all of its new bookings are
 // answered unknown, though none ran; a key fetched from a node runs.
 TEST_CASE("a phone an hour behind, after a crash") {
@@ -203,6 +226,20 @@
         world.deliver();
         CHECK_FALSE(world.has_settled("late"));
     }
+    SUBCASE("aborted: it goes on, and knows what it knew") {
+        key_owner& owner = *world.at("a").owner;
+        CHECK(owner.close_and_export(keys_world::shard).size() == 1);
+        idempotency_key const other = world.key_made();
+        world.ask("c", "other", other);
+        world.deliver();
+        CHECK_FALSE(world.has_settled("other"));
+        owner.reopen(keys_world::shard);
+        world.live(milliseconds(300));
+        CHECK(world.settled_of("other").verdict == key_verdict::run);
+        world.ask("b", "second", key);
+        world.deliver();
+        CHECK_FALSE(world.has_settled("second"));
+    }
     SUBCASE("a part is lost: as after a crash") {
         world.hand_over("a", "b");
         CHECK(world.lose<key_handover>() == 1);
