--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -20,6 +20,8 @@
 public:
     class connection;
 
+    /// @param link    where the answer goes; must outlive the exchange
+    /// @param request what the caller asked
     http_exchange(connection& link, http_request request);
 
     /// @returns what the caller asked
@@ -55,6 +57,8 @@
     /// How long a caller may leave a piece of the answer unread.
     std::chrono::milliseconds write_timeout{10'000};
     std::size_t connections = 4'096;
+    /// Bytes of all requests' bodies together; past it a request is refused.
+    std::uint64_t bodies_in_all = 64U << 20U;
 };
 
 /// Answers one exchange.
--- /dev/null
+++ b/src/Ports/http_server_connection.cpp
@@ -0,0 +1,325 @@
+#include "Ports/http_server_connection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <exception>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned http_1_1 = 11;
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_failure = 500;
+constexpr int status_unavailable = 503;
+
+template <class Message>
+void copy_fields(http_fields const& from, Message& to) {
+    for (http_field const& each : from.all()) {
+        to.insert(each.name, each.value);
+    }
+}
+
+http_response error_response(int status, std::string_view what) {
+    http_response response;
+    response.status = status;
+    response.fields.add("Content-Type", "application/json");
+    response.fields.add("X-Outcome", "not-run");
+    response.fields.add("X-Reason", std::string(what));
+    response.body = "{\"error\":{\"outcome\":\"not-run\",\"reason\":\"" +
+                    std::string(what) + "\"}}\n";
+    return response;
+}
+
+http_request plain_request(http::request<http::string_body> message) {
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (auto const& field : message) {
+        request.fields.add(
+            std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// Ends what a stream waits for when a time has passed. Beast's own timeout
+/// closes the socket, which leaves no way to tell the caller why.
+class cancel_guard {
+public:
+    cancel_guard(beast::tcp_stream& stream, std::chrono::milliseconds time)
+        : timer_(stream.get_executor(), time)
+        , passed_(std::make_shared<bool>(false)) {
+        timer_.async_wait([passed = passed_, &stream](beast::error_code error) {
+            if (!error && !*passed) {
+                *passed = true;
+                stream.cancel();
+            }
+        });
+    }
+    ~cancel_guard() {
+        // A timer that has already fired can't be cancelled; its handler must
+        // not touch a stream that is gone.
+        *passed_ = true;
+    }
+    cancel_guard(cancel_guard const&) = delete;
+    cancel_guard& operator=(cancel_guard const&) = delete;
+
+private:
+    asio::steady_timer timer_;
+    std::shared_ptr<bool> passed_;
+};
+
+} // namespace
+
+http_exchange::connection::connection(
+    tcp::socket socket, http_limits const& limits,
+    std::shared_ptr<byte_budget> bodies)
+    : stream_(std::move(socket))
+    , limits_(limits)
+    , bodies_(std::move(bodies)) {}
+
+void http_exchange::connection::close() {
+    beast::error_code ignored;
+    stream_.socket().close(ignored);
+}
+
+asio::awaitable<void>
+http_exchange::connection::refuse_with(int status, std::string_view why) {
+    keep_alive_ = false;
+    http_response response = error_response(status, why);
+    co_await respond(std::move(response));
+}
+
+asio::awaitable<void>
+http_exchange::connection::refuse(beast::error_code error, bool anything_read) {
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit) {
+        co_await refuse_with(status_too_large, "request-too-large");
+    } else if (error == asio::error::operation_aborted && anything_read) {
+        // A caller that sends its header byte by byte holds a connection for
+        // read_timeout at the most.
+        co_await refuse_with(status_timeout, "bad-request");
+    } else if (
+        error.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message) {
+        co_await refuse_with(status_bad_request, "bad-request");
+    }
+    broken_ = true;
+}
+
+asio::awaitable<std::optional<http_request>>
+http_exchange::connection::read_request() {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(limits_.body_bytes);
+    parser.header_limit(limits_.header_bytes);
+    stream_.expires_never();
+    cancel_guard const guard(stream_, limits_.read_timeout);
+    auto const [header_error, header_size] =
+        co_await http::async_read_header(stream_, buffer_, parser, use_result);
+    if (header_error) {
+        bool const anything = buffer_.size() > 0 || header_size > 0;
+        co_await refuse(header_error, anything);
+        co_return std::nullopt;
+    }
+    // Thousands of connections with a large body each would add up to more
+    // than a node has; a chunked body counts as the largest.
+    std::uint64_t const expected = parser.chunked()
+                                       ? limits_.body_bytes
+                                       : parser.content_length().value_or(0);
+    if (!bodies_->has(expected)) {
+        co_await refuse_with(status_unavailable, "limit-reached");
+        broken_ = true;
+        co_return std::nullopt;
+    }
+    body_share_.emplace(*bodies_, expected);
+    auto const [error, size] =
+        co_await http::async_read(stream_, buffer_, parser, use_result);
+    if (error) {
+        co_await refuse(error, true);
+        co_return std::nullopt;
+    }
+    http::request<http::string_body> message = parser.release();
+    keep_alive_ = message.keep_alive();
+    co_return plain_request(std::move(message));
+}
+
+asio::awaitable<void> http_exchange::connection::run_handler(
+    http_handler const& handler, http_request request) {
+    http_exchange exchange(*this, std::move(request));
+    answered_ = false;
+    bool failed = false;
+    try {
+        co_await handler(exchange);
+    } catch (std::exception const&) {
+        failed = true;
+    }
+    gone_ = nullptr;
+    ++exchange_number_;
+    // A handler that failed, or that gave no answer since the caller is gone,
+    // leaves a connection whose state nobody knows.
+    broken_ = broken_ || failed || !answered_;
+    if (failed && !answered_) {
+        co_await refuse_with(status_failure, "internal-error");
+    }
+}
+
+asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
+    while (keep_alive_ && !broken_) {
+        std::optional<http_request> request = co_await read_request();
+        if (request) {
+            co_await run_handler(handler, std::move(*request));
+        }
+        body_share_.reset();
+    }
+    co_await finish();
+}
+
+asio::awaitable<void> http_exchange::connection::finish() {
+    constexpr std::chrono::milliseconds patience{500};
+    constexpr std::size_t most_discarded = 4U << 20U;
+    constexpr std::size_t step = 16U << 10U;
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // Closing with unread bytes resets the connection, and the reset can
+    // overtake the answer: the caller of an oversized request would never see
+    // why. So the rest is read and thrown away for a moment.
+    std::array<char, step> rest{};
+    std::size_t discarded = 0;
+    stream_.expires_after(patience);
+    while (!ignored && discarded < most_discarded) {
+        auto const [error, size] =
+            co_await stream_.async_read_some(asio::buffer(rest), use_result);
+        discarded += size;
+        if (error) {
+            break;
+        }
+    }
+    close();
+}
+
+bool http_exchange::connection::note_write(beast::error_code error) {
+    stream_.expires_never();
+    broken_ = broken_ || error;
+    return !error;
+}
+
+asio::awaitable<bool>
+http_exchange::connection::respond(http_response response) {
+    http::response<http::string_body> message(
+        static_cast<http::status>(response.status), http_1_1);
+    copy_fields(response.fields, message);
+    message.body() = std::move(response.body);
+    message.keep_alive(keep_alive_);
+    message.prepare_payload();
+    answered_ = true;
+    stream_.expires_after(limits_.write_timeout);
+    auto const [error, size] =
+        co_await http::async_write(stream_, message, use_result);
+    co_return note_write(error);
+}
+
+asio::awaitable<bool>
+http_exchange::connection::begin_stream(int status, http_fields fields) {
+    http::response<http::empty_body> message(
+        static_cast<http::status>(status), http_1_1);
+    copy_fields(fields, message);
+    message.keep_alive(keep_alive_);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    stream_.expires_after(limits_.write_timeout);
+    auto const [error, size] =
+        co_await http::async_write_header(stream_, serializer, use_result);
+    co_return note_write(error);
+}
+
+asio::awaitable<bool>
+http_exchange::connection::write_piece(std::string_view piece) {
+    if (piece.empty()) {
+        // An empty chunk would end the answer.
+        co_return !broken_;
+    }
+    stream_.expires_after(limits_.write_timeout);
+    auto const [error, size] = co_await asio::async_write(
+        stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+        use_result);
+    co_return note_write(error);
+}
+
+asio::awaitable<bool> http_exchange::connection::end_stream() {
+    answered_ = true;
+    stream_.expires_after(limits_.write_timeout);
+    auto const [error, size] = co_await asio::async_write(
+        stream_, http::make_chunk_last(), use_result);
+    co_return note_write(error);
+}
+
+bool http_exchange::connection::closed_by_peer() {
+    std::array<char, 1> byte{};
+    beast::error_code error;
+    stream_.socket().non_blocking(true, error);
+    stream_.socket().receive(
+        asio::buffer(byte), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
+void http_exchange::connection::watch(std::function<void()> gone) {
+    gone_ = std::move(gone);
+    std::uint64_t const number = exchange_number_;
+    // Readable with nothing to read is how a closed connection shows. Bytes to
+    // read are the caller's next request, which waits its turn.
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), number](beast::error_code error) {
+            if (error || number != self->exchange_number_ || !self->gone_) {
+                return;
+            }
+            if (self->closed_by_peer()) {
+                self->broken_ = true;
+                std::exchange(self->gone_, nullptr)();
+            }
+        });
+}
+
+http_exchange::http_exchange(connection& link, http_request request)
+    : link_(&link)
+    , request_(std::move(request)) {}
+
+asio::awaitable<bool> http_exchange::respond(http_response response) {
+    return link_->respond(std::move(response));
+}
+
+asio::awaitable<bool>
+http_exchange::begin_stream(int status, http_fields fields) {
+    return link_->begin_stream(status, std::move(fields));
+}
+
+asio::awaitable<bool> http_exchange::write_piece(std::string_view piece) {
+    return link_->write_piece(piece);
+}
+
+asio::awaitable<bool> http_exchange::end_stream() {
+    return link_->end_stream();
+}
+
+void http_exchange::on_caller_gone(std::function<void()> gone) {
+    link_->watch(std::move(gone));
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Ports/http_server_connection.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Ports/http_server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace camphorpoint {
+
+/// Counts bytes that all connections of a server hold, within a limit.
+class byte_budget {
+public:
+    explicit byte_budget(std::uint64_t limit)
+        : left_(limit) {}
+
+    /// Bytes taken from the budget, for as long as this lives.
+    class share {
+    public:
+        share(byte_budget& from, std::uint64_t bytes)
+            : from_(&from)
+            , bytes_(bytes) {
+            from.left_ -= bytes;
+        }
+        ~share() { from_->left_ += bytes_; }
+        share(share const&) = delete;
+        share& operator=(share const&) = delete;
+
+    private:
+        byte_budget* from_;
+        std::uint64_t bytes_;
+    };
+
+    /// @returns true when so many bytes are left
+    bool has(std::uint64_t bytes) const noexcept { return bytes <= left_; }
+
+private:
+    std::uint64_t left_;
+};
+
+/// One connection of a server: its requests are answered one after another.
+class http_exchange::connection
+    : public std::enable_shared_from_this<connection> {
+public:
+    connection(
+        boost::asio::ip::tcp::socket socket, http_limits const& limits,
+        std::shared_ptr<byte_budget> bodies);
+
+    /// Answers requests until the connection ends.
+    boost::asio::awaitable<void> run(http_handler handler);
+    /// Closes at once.
+    void close();
+
+    /// The parts of http_exchange.
+    boost::asio::awaitable<bool> respond(http_response response);
+    boost::asio::awaitable<bool> begin_stream(int status, http_fields fields);
+    boost::asio::awaitable<bool> write_piece(std::string_view piece);
+    boost::asio::awaitable<bool> end_stream();
+    void watch(std::function<void()> gone);
+
+private:
+    boost::asio::awaitable<std::optional<http_request>> read_request();
+    boost::asio::awaitable<void>
+    refuse(boost::beast::error_code error, bool anything_read);
+    boost::asio::awaitable<void> refuse_with(int status, std::string_view why);
+    boost::asio::awaitable<void>
+    run_handler(http_handler const& handler, http_request request);
+    boost::asio::awaitable<void> finish();
+    bool closed_by_peer();
+    bool note_write(boost::beast::error_code error);
+
+    boost::beast::tcp_stream stream_;
+    http_limits limits_;
+    std::shared_ptr<byte_budget> bodies_;
+    std::optional<byte_budget::share> body_share_;
+    boost::beast::flat_buffer buffer_;
+    std::function<void()> gone_;
+    std::uint64_t exchange_number_ = 0;
+    bool keep_alive_ = true;
+    bool broken_ = false;
+    bool answered_ = false;
+};
+
+} // namespace camphorpoint
