--- /dev/null
+++ b/src/Node/operator_interface.cpp
@@ -0,0 +1,120 @@
+#include "Node/operator_interface.hpp"
+
+#include "Node/status_json.hpp"
+
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view changes_path = "/changes";
+constexpr std::string_view change_prefix = "/changes/";
+constexpr std::chrono::milliseconds publish_wait{10'000};
+constexpr int ok = 200;
+constexpr int accepted = 202;
+constexpr int not_found = 404;
+constexpr int not_allowed = 405;
+constexpr int conflict = 409;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+
+http_response json_answer(int status, std::string body) {
+    http_response response;
+    response.status = status;
+    response.fields.add("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+http_response text_answer(std::string body, std::string type) {
+    http_response response;
+    response.fields.add("Content-Type", std::move(type));
+    response.body = std::move(body);
+    return response;
+}
+
+int status_of_change(std::optional<publish_ended> const& end) {
+    if (!end) {
+        return accepted;
+    }
+    if (!end->known) {
+        return gateway_timeout;
+    }
+    return end->accepted ? ok : conflict;
+}
+
+} // namespace
+
+operator_interface::operator_interface(
+    asio::any_io_executor executor, http_limits limits, operator_view view)
+    : view_(std::move(view))
+    , desk_(executor)
+    , server_(executor, limits, [this](http_exchange& exchange) {
+        return answer(exchange);
+    }) {}
+
+std::string operator_interface::listen(ip_address const& address) {
+    return server_.listen(address);
+}
+
+asio::awaitable<void> operator_interface::answer(http_exchange& exchange) {
+    http_request const& request = exchange.request();
+    std::string_view const path = path_of(request.target);
+    http_response response = json_answer(not_allowed, "{}\n");
+    if (request.method == "GET") {
+        response = read(path);
+    } else if (request.method == "POST" && path == changes_path) {
+        std::string record = request.body;
+        response = co_await publish(std::move(record));
+    } else if (request.method == "POST" && path == "/drain") {
+        view_.drain();
+        response = json_answer(accepted, "{\"draining\":true}\n");
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+http_response operator_interface::read(std::string_view path) {
+    if (path == "/healthz") {
+        return text_answer("ok\n", "text/plain");
+    }
+    if (path == "/readyz") {
+        node_status const status = view_.status();
+        return json_answer(
+            status.ready ? ok : unavailable, write_readiness(status));
+    }
+    if (path == "/status") {
+        return json_answer(ok, write_status(view_.status()));
+    }
+    if (path == "/metrics") {
+        return text_answer(view_.metrics(), "text/plain; version=0.0.4");
+    }
+    if (path.starts_with(change_prefix)) {
+        return change(path.substr(change_prefix.size()));
+    }
+    return json_answer(not_found, "{}\n");
+}
+
+http_response operator_interface::change(std::string_view text) const {
+    std::uint64_t number = 0;
+    char const* const end = text.data() + text.size();
+    auto const [stop, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || stop != end || !desk_.knows(number)) {
+        return json_answer(not_found, "{}\n");
+    }
+    return json_answer(ok, write_change(number, desk_.result(number)));
+}
+
+asio::awaitable<http_response> operator_interface::publish(std::string record) {
+    std::uint64_t const number = desk_.open();
+    view_.publish(number, std::move(record));
+    co_await desk_.wait(number, publish_wait);
+    auto const end = desk_.result(number);
+    co_return json_answer(status_of_change(end), write_change(number, end));
+}
+
+} // namespace camphorpoint
--- a/src/Settings/node_settings.hpp
+++ b/src/Settings/node_settings.hpp
@@ -27,10 +27,16 @@
     domain_id domain;
     ip_address caller_address;
     ip_address operator_address;
+    /// TCP and UDP between nodes.
+    ip_address peer_address;
     ip_address log_address;
     ip_address instance_list_address;
     std::chrono::milliseconds log_poll{200};
     std::chrono::milliseconds instance_poll{500};
+    /// How often an owner asks its replicas for their reports.
+    std::chrono::milliseconds report_poll{500};
+    /// Bounds each call to the platform.
+    std::chrono::milliseconds platform_timeout{5'000};
     std::chrono::milliseconds drain_limit{120'000};
     std::uint64_t body_limit = 1U << 20U;
 };
