The stand-ins whole: log, instances, engine, service, weight store

Cause: the thin stand-ins knew no retention, no slots, no faults and kept no records, so no failure could be caused and no proof read off.

Change: each stand-in is a plain logic class or more (streams, slots, batch, reports, capacity, pace), a thin HTTP form and a main with its flags. Faults are switched by flags or POST /admin. The thin node follows the new paths; that is all that changes there.

--- a/app/apply_command.cpp
+++ b/app/apply_command.cpp
@@ -28,7 +28,7 @@
     boost::asio::io_context io(1);
     http_request request;
     request.method = "POST";
-    request.target = "/append";
+    request.target = "/streams/configuration/records";
     request.body = text;
     constexpr std::chrono::milliseconds timeout{5'000};
     auto result = boost::asio::co_spawn(
--- a/src/Node/thin_node.cpp
+++ b/src/Node/thin_node.cpp
@@ -63,7 +63,8 @@
     asio::steady_timer timer(io_);
     for (;;) {
         http_request request;
-        request.target = fmt::format("/records?from={}", next_offset_);
+        request.target =
+            fmt::format("/streams/configuration/records?from={}", next_offset_);
         fetch_result const got = co_await fetch(
             io_.get_executor(), settings_.log_address, request, call_timeout);
         if (got.how == call_result::answered) {
@@ -113,7 +114,7 @@
         return;
     }
     engines_.clear();
-    for (json::value const& each : answer.at("instances").as_array()) {
+    for (json::value const& each : answer.at("endpoints").as_array()) {
         if (each.at("kind").as_string() != "engine") {
             continue;
         }
@@ -160,12 +161,14 @@
 }
 
 asio::awaitable<bool> thin_node::order_load(
-    engine_instance const& engine, std::string const& adapter) {
+    engine_instance const& engine, adapter_ref const& adapter) {
     http_request order;
     order.method = "POST";
     order.target = "/orders";
-    order.body =
-        json::serialize(json::object{{"order", "load"}, {"adapter", adapter}});
+    order.body = json::serialize(json::object{
+        {"order", "load"},
+        {"adapter", adapter.id.str()},
+        {"version", adapter.version}});
     fetch_result const got =
         co_await fetch(io_.get_executor(), engine.address, order, call_timeout);
     co_return got.how == call_result::answered&& got.response.status == 200;
@@ -193,7 +196,7 @@
                     co_await call->send(onward, call_timeout);
     if (answered && call->status() == conflict_status) {
         call = &second;
-        answered = co_await order_load(engine, engine_model(wanted.adapter)) &&
+        answered = co_await order_load(engine, wanted.adapter) &&
                    co_await call->connect(engine.address, call_timeout) &&
                    co_await call->send(onward, call_timeout);
     }
--- a/src/Node/thin_node.hpp
+++ b/src/Node/thin_node.hpp
@@ -35,7 +35,7 @@
     boost::asio::awaitable<void>
     complete(http_exchange& exchange, profile wanted, std::string body);
     boost::asio::awaitable<bool>
-    order_load(engine_instance const& engine, std::string const& adapter);
+    order_load(engine_instance const& engine, adapter_ref const& adapter);
     void take_records(std::string const& body);
     void take_instances(std::string const& body);
     engine_instance const* choose(profile const& wanted) const;
--- a/standins/common/standin_main.cpp
+++ b/standins/common/standin_main.cpp
@@ -1,10 +1,15 @@
 #include "common/standin_main.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
 #include <cstdio>
+#include <memory>
 #include <utility>
 
 namespace standins {
@@ -36,4 +41,27 @@
     return response;
 }
 
+camphorpoint::instant clock_now() noexcept {
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t in_milliseconds(camphorpoint::instant at) noexcept {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               at.time_since_epoch())
+        .count();
+}
+
+asio::awaitable<void> wait_for(std::chrono::milliseconds time) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> lose_answer(
+    camphorpoint::http_exchange& exchange, std::chrono::milliseconds most) {
+    auto timer = std::make_shared<asio::steady_timer>(
+        co_await asio::this_coro::executor, most);
+    exchange.on_caller_gone([timer] { timer->cancel(); });
+    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 } // namespace standins
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,122 +1,73 @@
-#include "Ports/event_stream.hpp"
 #include "common/standin_main.hpp"
+#include "engine/engine_http.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
+#include <absl/flags/usage.h>
 #include <fmt/format.h>
 
 #include <chrono>
-#include <set>
+#include <cstdio>
 #include <string>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:7101", "address to serve on");
-ABSL_FLAG(int, step_ms, 20, "time between two tokens of one answer");
-ABSL_FLAG(int, load_ms, 200, "time that an adapter takes to load");
-
-namespace standins {
-
-namespace asio = boost::asio;
-namespace json = boost::json;
-
-/// A model engine: loads adapters on order, and streams answers.
-class engine_standin {
-public:
-    explicit engine_standin(asio::io_context& io)
-        : io_(io) {}
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
 
-    asio::awaitable<void> answer(camphorpoint::http_exchange& exchange) {
-        camphorpoint::http_request const& request = exchange.request();
-        auto const path = camphorpoint::path_of(request.target);
-        if (request.method == "POST" && path == "/orders") {
-            co_await take_order(exchange);
-        } else if (request.method == "POST" && path == "/v1/chat/completions") {
-            co_await complete(exchange);
-        } else {
-            co_await exchange.respond(json_response(404, "{}"));
-        }
-    }
-
-private:
-    asio::awaitable<void> pause(std::chrono::milliseconds time) {
-        asio::steady_timer timer(io_, time);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
-    asio::awaitable<void> take_order(camphorpoint::http_exchange& exchange) {
-        json::error_code error;
-        json::value const order = json::parse(exchange.request().body, error);
-        if (error || !order.is_object()) {
-            co_await exchange.respond(json_response(400, "{}"));
-            co_return;
-        }
-        std::string const adapter(order.at("adapter").as_string());
-        if (order.at("order").as_string() == "load") {
-            co_await pause(
-                std::chrono::milliseconds(absl::GetFlag(FLAGS_load_ms)));
-            loaded_.insert(adapter);
-        } else {
-            loaded_.erase(adapter);
-        }
-        co_await exchange.respond(json_response(200, "{\"ok\":true}"));
-    }
+ABSL_FLAG(std::string, listen, "127.0.0.1:7101", "address to serve on");
+ABSL_FLAG(std::string, store, "", "address of the weight store, if any");
+ABSL_FLAG(int, step_ms, 10, "time of a step, without its sequences");
+ABSL_FLAG(int, step_us_per_sequence, 500, "added for each sequence");
+ABSL_FLAG(std::uint32_t, batch, 8, "sequences in a batch");
+ABSL_FLAG(std::uint32_t, waiting, 32, "requests that may wait");
+ABSL_FLAG(std::uint32_t, slots, 8, "adapter slots");
+ABSL_FLAG(int, load_ms, 100, "time of a load, without its fetch");
+ABSL_FLAG(bool, check_fencing, false, "refuse orders of an older owner");
+ABSL_FLAG(
+    std::string, evict_under_use, "refuse",
+    "allow: evicts under a request, and records it as a violation");
+ABSL_FLAG(double, fail_loads, 0, "share of loads that fail");
+ABSL_FLAG(std::uint64_t, seed, 1, "of the failing loads and event gaps");
+ABSL_FLAG(int, report_lag_ms, 200, "how far load reports lag");
+ABSL_FLAG(int, grace_ms, 5000, "how long an unread run goes on");
+ABSL_FLAG(int, keep_streams_ms, 60000, "how long an ended stream is kept");
+ABSL_FLAG(std::string, faults, "{}", "faults from the start, as for /admin");
 
-    asio::awaitable<void> complete(camphorpoint::http_exchange& exchange) {
-        json::error_code error;
-        json::value const body = json::parse(exchange.request().body, error);
-        if (error || !body.is_object() || !body.as_object().contains("model")) {
-            co_await exchange.respond(json_response(400, "{}"));
-            co_return;
-        }
-        std::string const adapter(body.at("model").as_string());
-        std::string const id(exchange.request().fields.get("X-Request-Id"));
-        if (!loaded_.contains(adapter)) {
-            co_await exchange.respond(
-                json_response(409, "{\"error\":\"not-loaded\"}"));
-            co_return;
-        }
-        camphorpoint::http_fields fields;
-        fields.add("Content-Type", "text/event-stream");
-        fields.add("X-Request-Id", id);
-        co_await exchange.begin_stream(200, fields);
-        int tokens = 16;
-        if (auto const* most = body.as_object().if_contains("max_tokens")) {
-            tokens = static_cast<int>(most->to_number<std::int64_t>(error));
-        }
-        for (int index = 0; index < tokens; ++index) {
-            co_await pause(
-                std::chrono::milliseconds(absl::GetFlag(FLAGS_step_ms)));
-            json::object chunk{
-                {"id", id}, {"model", adapter}, {"token", index}};
-            chunk["choices"] = json::array{json::object{
-                {"index", 0},
-                {"delta", {{"content", fmt::format("w{} ", index)}}}}};
-            camphorpoint::stream_event const event{
-                std::to_string(index), "", json::serialize(chunk)};
-            std::string const text = camphorpoint::write_event(event);
-            bool const sent = co_await exchange.write_piece(text);
-            if (!sent) {
-                co_return;
-            }
-        }
-        camphorpoint::stream_event const last{"", "", "[DONE]"};
-        std::string const text = camphorpoint::write_event(last);
-        co_await exchange.write_piece(text);
-        co_await exchange.end_stream();
-    }
+namespace {
 
-    asio::io_context& io_;
-    std::set<std::string> loaded_;
-};
+standins::engine_settings settings_from_flags() {
+    standins::engine_settings result;
+    result.step_base = milliseconds(absl::GetFlag(FLAGS_step_ms));
+    result.step_per_sequence =
+        microseconds(absl::GetFlag(FLAGS_step_us_per_sequence));
+    result.batch_limit = absl::GetFlag(FLAGS_batch);
+    result.waiting_limit = absl::GetFlag(FLAGS_waiting);
+    result.adapter_slots = absl::GetFlag(FLAGS_slots);
+    result.load_time = milliseconds(absl::GetFlag(FLAGS_load_ms));
+    result.checks_fencing = absl::GetFlag(FLAGS_check_fencing);
+    result.evicts_under_use = absl::GetFlag(FLAGS_evict_under_use) == "allow";
+    result.failing_loads = absl::GetFlag(FLAGS_fail_loads);
+    result.seed = absl::GetFlag(FLAGS_seed);
+    result.report_lag = milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
+    result.unread_grace = milliseconds(absl::GetFlag(FLAGS_grace_ms));
+    result.kept_streams = milliseconds(absl::GetFlag(FLAGS_keep_streams_ms));
+    return result;
+}
 
-} // namespace standins
+} // namespace
 
 int main(int argc, char** argv) {
+    absl::SetProgramUsageMessage("A stand-in of a model engine.");
     absl::ParseCommandLine(argc, argv);
+    std::string const under_use = absl::GetFlag(FLAGS_evict_under_use);
+    if (under_use != "allow" && under_use != "refuse") {
+        fmt::print(stderr, "--evict_under_use must be allow or refuse\n");
+        return 2;
+    }
     boost::asio::io_context io(1);
-    standins::engine_standin engine(io);
+    standins::engine_http engine(
+        io, settings_from_flags(), absl::GetFlag(FLAGS_store));
+    engine.administer(standins::json_body(absl::GetFlag(FLAGS_faults)));
+    engine.start();
     return standins::serve_standin(
         io, absl::GetFlag(FLAGS_listen),
         [&](camphorpoint::http_exchange& exchange) {
