--- a/standins/common/async_signal.hpp
+++ b/standins/common/async_signal.hpp
@@ -6,16 +6,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <utility>
-
 namespace standins {
 
 /// Lets coroutines wait until something has changed. On one loop nothing is
 /// missed between a check and the wait that follows it.
 class async_signal {
 public:
-    explicit async_signal(boost::asio::any_io_executor executor)
-        : timer_(std::move(executor)) {
+    explicit async_signal(boost::asio::any_io_executor const& executor)
+        : timer_(executor) {
         timer_.expires_at(boost::asio::steady_timer::time_point::max());
     }
 
--- a/standins/engine/model_engine.cpp
+++ b/standins/engine/model_engine.cpp
@@ -128,8 +128,9 @@
         snapshot.in_use.push_back(each->order.adapter);
     }
     std::ranges::sort(snapshot.in_use);
-    auto const repeats = std::ranges::unique(snapshot.in_use);
-    snapshot.in_use.erase(repeats.begin(), repeats.end());
+    snapshot.in_use.erase(
+        std::unique(snapshot.in_use.begin(), snapshot.in_use.end()),
+        snapshot.in_use.end());
     reports_.add(std::move(snapshot));
 }
 
