The command line: one table of commands, with help and exit codes

Cause: the binary knew serve, a thin apply and version, and its exit codes said nothing. Change: app/ has serve, check-config, apply, diff, status, history, drain, load (still empty) and version, each in its file, found through one table with help texts. Exit codes are 0 ok, 1 failed, 2 usage or findings, 3 conflict, 4 unknown outcome.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,24 +1,43 @@
-#include "app/commands.hpp"
+#include "app/arguments.hpp"
+#include "app/command.hpp"
 
-#include <absl/flags/parse.h>
 #include <fmt/format.h>
 
 #include <cstdio>
-#include <string>
 
-int main(int argc, char** argv) {
-    auto const words = absl::ParseCommandLine(argc, argv);
-    std::string const command = words.size() > 1 ? words[1] : "";
-    if (command == "serve") {
-        return camphorpoint::serve_command();
+namespace camphorpoint {
+
+namespace {
+
+exit_code run(arguments const& given) {
+    std::string const name = given.words.empty() ? "" : given.words.front();
+    command const* wanted = find_command(name);
+    if (wanted == nullptr && given.help && name.empty()) {
+        fmt::print("{}", usage_text());
+        return exit_code::ok;
+    }
+    if (wanted == nullptr) {
+        fmt::print(stderr, "{}", usage_text());
+        return exit_code::usage;
+    }
+    if (given.help) {
+        fmt::print("{}", help_text(*wanted));
+        return exit_code::ok;
     }
-    if (command == "apply" && words.size() == 3) {
-        return camphorpoint::apply_command(words[2]);
+    for (std::string const& each : given.problems) {
+        fmt::print(stderr, "{}\n", each);
     }
-    if (command == "version") {
-        fmt::print("camphorpoint {}\n", CAMPHORPOINT_VERSION);
-        return 0;
+    if (!given.problems.empty()) {
+        return exit_code::usage;
     }
-    fmt::print(stderr, "usage: camphorpoint serve|apply FILE|version\n");
-    return 2;
+    return wanted->run({given.words.begin() + 1, given.words.end()});
+}
+
+} // namespace
+
+} // namespace camphorpoint
+
+int main(int argc, char** argv) {
+    auto const given = camphorpoint::parse_arguments({argv + 1, argv + argc});
+    return static_cast<int>(camphorpoint::run(given));
 }
--- a/src/Operator/publish_answer.cpp
+++ b/src/Operator/publish_answer.cpp
@@ -19,6 +19,7 @@
     return json::serialize(json::object{
         {"accepted", answer.accepted},
         {"known", answer.known},
+        {"conflict", answer.conflict},
         {"offset", answer.offset.value},
         {"problems", std::move(problems)}});
 }
@@ -31,6 +32,7 @@
     publish_answer result;
     result.accepted = body.flag("accepted");
     result.known = body.flag("known");
+    result.conflict = body.flag("conflict");
     result.offset = log_offset{body.number("offset")};
     result.problems = body.texts("problems");
     return result;
--- a/src/Operator/publish_answer.hpp
+++ b/src/Operator/publish_answer.hpp
@@ -15,6 +15,9 @@
     bool accepted = false;
     /// False when it is not known whether the change stands in the log.
     bool known = true;
+    /// True when another change of one of its profiles came first; the HTTP
+    /// status is then 409.
+    bool conflict = false;
     log_offset offset;
     /// Why it was rejected, all reasons.
     std::vector<std::string> problems;
--- a/test/operator_test.cpp
+++ b/test/operator_test.cpp
@@ -33,12 +33,14 @@
     SUBCASE("what became of a change") {
         publish_answer answer;
         answer.known = true;
+        answer.conflict = true;
         answer.offset = log_offset{9};
         answer.problems = {"licence-match: revision 2 is in force, not 1"};
         auto const back = decode_publish_answer(encode(answer));
         REQUIRE(back);
         CHECK_FALSE(back->accepted);
         CHECK(back->known);
+        CHECK(back->conflict);
         CHECK(back->offset == answer.offset);
         CHECK(back->problems == answer.problems);
     }
