--- a/app/command.cpp
+++ b/app/command.cpp
@@ -46,8 +46,8 @@
     "verify_records",
     "json",
     "write_declarations",
-    "version_of_adapters",
-    "tolerate"};
+    "versions",
+    "allow_cuts"};
 
 constexpr std::array<command, 9> commands{{
     {"serve", "--settings=FILE", "runs a node until SIGTERM", serve_flags,
--- a/src/Operator/json_reading.cpp
+++ b/src/Operator/json_reading.cpp
@@ -53,6 +53,13 @@
     return result;
 }
 
+json_reading json_reading::object(std::string_view key) const {
+    json::value const* found = object_.if_contains(key);
+    return found != nullptr && found->is_object()
+               ? json_reading(found->as_object())
+               : json_reading("");
+}
+
 std::vector<json_reading> json_reading::objects(std::string_view key) const {
     std::vector<json_reading> result;
     json::value const* found = object_.if_contains(key);
--- a/src/Operator/json_reading.hpp
+++ b/src/Operator/json_reading.hpp
@@ -27,6 +27,8 @@
     std::uint64_t number(std::string_view key) const;
     bool flag(std::string_view key) const;
     std::vector<std::string> texts(std::string_view key) const;
+    /// @returns the object at the key; an invalid one when there is none
+    json_reading object(std::string_view key) const;
     /// @returns the objects of the array at the key
     std::vector<json_reading> objects(std::string_view key) const;
 
