--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -3,6 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/outcome.hpp"
 #include "Core/time.hpp"
+#include "Membership/membership_action.hpp"
 #include "Platform/engine_order.hpp"
 #include "Platform/log_record.hpp"
 #include "Serving/peer_message.hpp"
@@ -26,7 +27,8 @@
     /// Named to the engine; the answer's echo must be the same.
     adapter_ref adapter;
     urgency how_urgent = urgency::normal;
-    /// More than 0 resumes a stream on the engine.
+    /// More than 0 resumes a stream on the engine; 0 starts afresh, and what
+    /// was held back from an earlier attempt is thrown away.
     std::uint32_t from_token = 0;
     /// The id that the engine knows the stream by.
     request_id engine_id;
@@ -39,6 +41,7 @@
 };
 
 /// Stop an attempt and close its connection, which cancels it on the endpoint.
+/// An attempt_ended always follows, cancelled or as it had ended before.
 struct cancel_attempt {
     request_id id;
     std::uint32_t attempt = 0;
@@ -74,6 +77,9 @@
     peer_message message;
 };
 
+/// Nothing of this node is needed any more: it may leave and the process end.
+struct drain_finished {};
+
 /// Tell an operator what became of the change.
 struct publish_ended {
     std::uint64_t number = 0;
@@ -86,9 +92,14 @@
     std::vector<std::string> problems;
 };
 
-/// Count a refusal or a retry under its reason.
+/// Count a refusal, a retry, or something that came too late or to the wrong
+/// place and was dropped, under its reason.
 struct count_reason {
-    enum class kind : std::uint8_t { refusal, retry } what = kind::refusal;
+    enum class kind : std::uint8_t {
+        refusal,
+        retry,
+        dropped
+    } what = kind::refusal;
     reason why = reason::none;
 };
 
@@ -107,6 +118,6 @@
 using node_action = std::variant<
     start_attempt, cancel_attempt, finish_request, read_log, append_log,
     engine_order, send_peer, publish_ended, count_reason, observe_time,
-    log_event>;
+    log_event, send_probe, drain_finished>;
 
 } // namespace camphorpoint
