--- a/src/Config/change.cpp
+++ b/src/Config/change.cpp
@@ -9,9 +9,10 @@
 namespace camphorpoint {
 
 profile_name const& edited_profile(profile_edit const& edit) noexcept {
-    auto const* put = std::get_if<put_profile>(&edit);
-    return put != nullptr ? put->next.name
-                          : std::get_if<remove_profile>(&edit)->name;
+    if (auto const* put = std::get_if<put_profile>(&edit)) {
+        return put->next.name;
+    }
+    return std::get<remove_profile>(edit).name;
 }
 
 std::uint64_t base_revision(profile_edit const& edit) noexcept {
--- a/src/Config/config_follower_peers.cpp
+++ b/src/Config/config_follower_peers.cpp
@@ -86,7 +86,7 @@
     if (round_ || peers.empty()) {
         return;
     }
-    round_.emplace();
+    round_ = ask_round{};
     round_->number = ++last_number_;
     round_->sent = now;
     round_->open = peers.size();
@@ -127,7 +127,7 @@
     if (transfer_) {
         return;
     }
-    transfer_.emplace();
+    transfer_ = transfer{};
     transfer_->number = ++last_number_;
     transfer_->peer = peer;
     transfer_->last_part = now;
--- a/test/config_follower_test.cpp
+++ b/test/config_follower_test.cpp
@@ -88,6 +88,7 @@
 
     SUBCASE("more nodes poll less often") {
         std::vector<node_id> many;
+        many.reserve(1'900);
         for (int each = 0; each < 1'900; ++each) {
             many.emplace_back("m" + std::to_string(each));
         }
--- a/test/config_plan_test.cpp
+++ b/test/config_plan_test.cpp
@@ -51,6 +51,7 @@
 
     SUBCASE("a plan of thousands of profiles is cut into changes that fit") {
         std::vector<profile_edit> edits;
+        edits.reserve(3'000);
         for (int each = 0; each < 3'000; ++each) {
             edits.push_back(put("profile-" + std::to_string(each), 0));
         }
