--- a/test/config_record_test.cpp
+++ b/test/config_record_test.cpp
@@ -60,7 +60,7 @@
              {std::string(), std::string("{}"), std::string("[1]"),
               std::string("{\"change\":[]}"), std::string("{\"change\":{}}"),
               std::string("{\"change\":7}"), std::string(200'000, '['),
-              std::string(longest_config_record + 1, ' '),
+              good + std::string(longest_config_record, ' '),
               std::string("{\"checkpoint\":{\"format\":1}}")}) {
             CHECK_FALSE(decode(text));
         }
