--- a/src/Limits/service_router.hpp
+++ b/src/Limits/service_router.hpp
@@ -108,6 +108,7 @@
     problem_of(internal::service_queue::item const& each, instant now) const;
     duration service_time() const;
     std::uint32_t total_limit(instant now) const;
+    std::uint32_t total_in_flight() const;
     bool any_usable(instant now) const;
     std::chrono::milliseconds come_back(instant now) const;
 
@@ -258,7 +259,7 @@
 template <concurrency_limiter Limiter>
 auto service_router<Limiter>::choose(endpoint_id const& avoid, instant now)
     -> replica* {
-    if (running_.size() >= total_limit(now)) {
+    if (total_in_flight() >= total_limit(now)) {
         return nullptr;
     }
     std::vector<replica*> free;
@@ -329,6 +330,16 @@
     return whole(total);
 }
 
+/// What still runs on leaving replicas takes nothing from the others.
+template <concurrency_limiter Limiter>
+std::uint32_t service_router<Limiter>::total_in_flight() const {
+    std::uint32_t total = 0;
+    for (auto const& [id, each] : replicas_) {
+        total += each.facts.leaving ? 0 : each.in_flight;
+    }
+    return total;
+}
+
 template <concurrency_limiter Limiter>
 bool service_router<Limiter>::any_usable(instant now) const {
     return std::ranges::any_of(replicas_, [this, now](auto const& each) {
--- a/test/limits_router_test.cpp
+++ b/test/limits_router_test.cpp
@@ -144,6 +144,29 @@
     CHECK(world.refused["d"].why == reason::no_endpoint);
 }
 
+// A replica that has room leaves while a request runs on it. It gets nothing
+// more, and what it still runs takes nothing from the room of the other.
+TEST_CASE("a replica with room leaves") {
+    two_replicas world;
+    for (service_endpoint& each : world.list) {
+        each.capacity = 2;
+    }
+    world.router.set_endpoints(world.list, world.now);
+    world.submit("a");
+    std::string const leaving = world.sent["a"];
+    for (service_endpoint& each : world.list) {
+        each.leaving = each.id.str() == leaving;
+    }
+    world.router.set_endpoints(world.list, world.now);
+    world.submit("b");
+    world.submit("c");
+    world.submit("d");
+    REQUIRE(world.sent.contains("c"));
+    CHECK(world.sent["b"] != leaving);
+    CHECK(world.sent["c"] != leaving);
+    CHECK_FALSE(world.sent.contains("d"));
+}
+
 // A replica dies and answers each request with an error at once. Being always
 // idle, it would draw all the work.
 TEST_CASE("a replica fails again and again") {
