Owners send first asks elsewhere when they are busy; one estimate of the store

Change: an owner refuses the first two asks of a request when it would wait more than 1.5 s, or when the adapter is in steady demand and the batch nearly full; entry nodes hold one estimate of the wait for a load, for all replicas; a busy batch costs, so that copies share their work; rank counts for more than distance, so that nodes agree on a cold adapter's home.

--- a/src/Placement/endpoint_table.hpp
+++ b/src/Placement/endpoint_table.hpp
@@ -22,7 +22,6 @@
     std::uint64_t hash = 0;
     /// What its owner last said, and when.
     duration wait{};
-    duration load{};
     std::uint32_t running = 0;
     std::optional<instant> heard;
     /// Requests sent there since.
--- a/src/Placement/placement.hpp
+++ b/src/Placement/placement.hpp
@@ -77,6 +77,7 @@
     placement_candidate describe(
         adapter_entry const& entry, std::size_t rank,
         endpoint_id const* prefix_home, instant now) const;
+    double busy(internal::known_endpoint const& each, instant now) const;
     duration aged_wait(internal::known_endpoint const& each, instant now) const;
     double
     residency(adapter_entry const& entry, std::size_t rank, instant now) const;
@@ -87,6 +88,8 @@
     internal::prefix_hints prefixes_;
     std::unordered_map<adapter_ref, adapter_entry> adapters_;
     duration service_time_;
+    /// Wait for a load, by the replies of all replicas.
+    duration load_time_;
     instant last_forgetting_;
     Policy policy_;
 };
--- a/src/Placement/placement_decisions.hpp
+++ b/src/Placement/placement_decisions.hpp
@@ -32,7 +32,8 @@
 placement<Policy>::placement(placement_settings const& settings)
     : settings_(settings)
     , prefixes_(settings.prefix_limit, settings.prefix_memory)
-    , service_time_(settings.service_time) {
+    , service_time_(settings.service_time)
+    , load_time_(settings.load_time) {
     assert(settings.candidates > 0 && "a request needs a replica to ask at");
     assert(settings.queue_memory.count() > 0 && "a half-life is positive");
 }
@@ -105,6 +106,21 @@
     return internal::scaled(each.wait + extra, left);
 }
 
+template <placement_policy Policy>
+double placement<Policy>::busy(
+    internal::known_endpoint const& each, instant now) const {
+    // Replicas of which nothing is known are taken as this busy.
+    constexpr double unknown = 0.6;
+    if (!each.heard) {
+        return unknown;
+    }
+    double const limit = std::max(1U, each.about.batch_limit);
+    double const told = std::min(1.0, (each.running + each.sent_since) / limit);
+    double const left =
+        internal::remaining(now - *each.heard, settings_.queue_memory);
+    return unknown + (told - unknown) * left;
+}
+
 template <placement_policy Policy>
 double placement<Policy>::residency(
     adapter_entry const& entry, std::size_t rank, instant now) const {
@@ -131,8 +147,8 @@
     placement_candidate result;
     result.rank = rank;
     result.wait = aged_wait(each, now);
-    result.load =
-        each.load > duration{} ? each.load : duration(settings_.load_time);
+    result.load = load_time_;
+    result.busy = busy(each, now);
     result.residency = residency(entry, rank, now);
     result.prefix_cached = prefix_home && *prefix_home == each.about.id;
     result.same_domain = each.about.domain == settings_.domain;
@@ -184,7 +200,9 @@
     }
     internal::known_endpoint& known = endpoints_.at(*index);
     known.wait = feedback.expected_wait;
-    known.load = feedback.expected_load;
+    // The replicas share the weight store: a long wait for it at one is no
+    // reason to load at another.
+    load_time_ = move_average(load_time_, feedback.expected_load);
     known.running = feedback.running;
     known.heard = now;
     known.sent_since = 0;
--- a/src/Placement/placement_policy.cpp
+++ b/src/Placement/placement_policy.cpp
@@ -11,7 +11,15 @@
     double const missing = weight * (1.0 - each.residency);
     auto const load = duration(static_cast<duration::rep>(
         missing * static_cast<double>(each.load.count())));
+    // All nodes must send a cold adapter to the same replica, so that its rank
+    // counts for more than the distance.
+    auto const order = static_cast<std::int64_t>(each.rank) * rank_cost;
     duration cost = each.wait + load;
+    cost += std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(order) * (1.0 - each.residency));
+    double const squared = each.busy * each.busy;
+    cost += std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(crowding) * squared * squared);
     if (each.prefix_cached) {
         cost -= prefix_saving;
     }
--- a/src/Placement/placement_policy.hpp
+++ b/src/Placement/placement_policy.hpp
@@ -16,6 +16,8 @@
     duration wait{};
     /// Expected wait for a load.
     duration load{};
+    /// How full its batch is, from 0 to 1, aged.
+    double busy = 0;
     /// How sure it is that the adapter is resident, from 0 to 1.
     double residency = 0;
     /// True when the prompt's prefix was cached there of late.
@@ -47,6 +49,11 @@
     static constexpr std::chrono::milliseconds prefix_saving{30};
     /// Breaks ties in favour of the near replica.
     static constexpr std::chrono::microseconds distance{500};
+    /// What a full batch costs: requests that come next would wait. Less full
+    /// batches cost far less, by the fourth power.
+    static constexpr std::chrono::milliseconds crowding{400};
+    /// Each place further down the order of an adapter that is not resident.
+    static constexpr std::chrono::milliseconds rank_cost{20};
     /// A load elsewhere costs the store a load and some other adapter its
     /// slot, so it must be worth this many times its time.
     static constexpr double load_weight = 2.0;
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -12,13 +12,13 @@
     /// This node's failure domain.
     domain_id domain;
     /// Replicas that are looked at for an adapter.
-    std::size_t candidates = 6;
+    std::size_t candidates = 12;
     /// Entry nodes that share the callers evenly; scales measured demand.
     std::size_t nodes = 1;
     /// Share of a batch that one adapter may fill before it gets a copy.
     double share_per_copy = 0.5;
     /// After this time half of a reply's word on queues counts no more.
-    std::chrono::milliseconds queue_memory{1'000};
+    std::chrono::milliseconds queue_memory{5'000};
     /// After this time half of a reply's word on residency counts no more.
     std::chrono::milliseconds residency_memory{30'000};
     /// A prefix hint is believed this long.
--- a/src/Scheduling/grant_manager.hpp
+++ b/src/Scheduling/grant_manager.hpp
@@ -32,7 +32,7 @@
     /// Refuses what can't meet its deadline any more.
     void shed_late(replica_state& state, instant now);
     /// Refuses all that waits.
-    void refuse_all(replica_state& state, reason why);
+    void refuse_all(replica_state& state, reason why, instant now);
     /// Takes back an ask or an unused grant.
     /// @returns the adapter of a grant that has ended
     std::optional<adapter_ref> on_withdrawn(
@@ -64,6 +64,9 @@
     reason refusal(
         replica_state const& state, grant_ask const& ask, bool ready,
         instant now) const;
+    bool sent_elsewhere(
+        replica_state const& state, grant_ask const& ask, duration queued,
+        instant now) const;
     void refuse(
         replica_state& state, node_id const& to, grant_ask const& ask,
         reason why, duration retry_after, replica_feedback const& feedback);
@@ -80,7 +83,8 @@
         replica_state& state, node_id const& from, grant_in_use const& each,
         instant now);
     replica_feedback after_grant(
-        replica_state const& state, urgency how_urgent, duration pause) const;
+        replica_state const& state, urgency how_urgent, duration pause,
+        instant now) const;
 
     Batch batch_;
     std::array<std::uint32_t, urgency_count> passed_over_{};
--- a/src/Scheduling/grant_manager_asks.hpp
+++ b/src/Scheduling/grant_manager_asks.hpp
@@ -35,6 +35,30 @@
            static_cast<std::int64_t>(limit);
 }
 
+template <batch_policy Batch>
+bool grant_manager<Batch>::sent_elsewhere(
+    replica_state const& state, grant_ask const& ask, duration queued,
+    instant now) const {
+    // Entry nodes know queues only from replies, which at many nodes are few
+    // and old; only the owner knows its queue now. Refusing costs one round
+    // trip, waiting here may cost seconds. The last ask is always taken, so
+    // that a request isn't passed round for ever when all are busy.
+    if (ask.attempt > state.settings.redirect_attempts) {
+        return false;
+    }
+    // A copy elsewhere takes a load and a slot: adapters in steady demand pay
+    // that back and leave this replica to those that have no other.
+    double const limit = state.settings.batch_limit;
+    double const service =
+        std::chrono::duration<double>(state.times.service()).count();
+    double const share = state.memory.rate(ask.adapter, now) * service / limit;
+    double const taken =
+        state.grants.taken() + static_cast<double>(state.queue.size());
+    bool const crowded = taken >= state.settings.nearly_full * limit;
+    bool const worth_copy = share >= state.settings.copy_share;
+    return (worth_copy && crowded) || queued > state.settings.redirect_wait;
+}
+
 template <batch_policy Batch>
 reason grant_manager<Batch>::refusal(
     replica_state const& state, grant_ask const& ask, bool ready,
@@ -53,6 +77,9 @@
     }
     instant const deadline = now + ask.time_left;
     duration const queued = expected_wait(state, ask.how_urgent, deadline);
+    if (sent_elsewhere(state, ask, queued, now)) {
+        return reason::queue_full;
+    }
     duration const wait = ready ? queued : std::max(queued, state.times.load());
     duration const needed = wait + state.times.service(ask.expected_tokens);
     bool const too_late = now + surely(needed) > deadline;
@@ -71,8 +98,10 @@
     last_ask_[static_cast<std::size_t>(ask.how_urgent)] = now;
     reason const why = refusal(state, ask, ready, now);
     if (why != reason::none) {
-        bool const full =
-            why == reason::queue_full || why == reason::deadline_unreachable;
+        // One that is sent elsewhere needs no pause.
+        bool const early = ask.attempt <= state.settings.redirect_attempts;
+        bool const full = (why == reason::queue_full && !early) ||
+                          why == reason::deadline_unreachable;
         duration const back =
             full ? expected_wait(state, ask.how_urgent, now + ask.time_left)
                  : duration{};
@@ -192,7 +221,8 @@
 
 template <batch_policy Batch>
 replica_feedback grant_manager<Batch>::after_grant(
-    replica_state const& state, urgency how_urgent, duration pause) const {
+    replica_state const& state, urgency how_urgent, duration pause,
+    instant now) const {
     using std::chrono::milliseconds;
     duration const wait = expected_wait(state, how_urgent, instant::max());
     replica_feedback result;
@@ -201,7 +231,7 @@
     result.expected_wait = std::chrono::ceil<milliseconds>(wait);
     result.adapter_resident = true;
     result.expected_load =
-        std::chrono::ceil<milliseconds>(state.times.stall() + pause);
+        std::chrono::ceil<milliseconds>(state.times.stall(now) + pause);
     return result;
 }
 
@@ -221,7 +251,7 @@
     message.grant = grant.grant;
     message.fencing = state.fencing;
     message.send_within = left;
-    message.feedback = after_grant(state, urgency::normal, pause);
+    message.feedback = after_grant(state, urgency::normal, pause, now);
     state.actions.emplace_back(reply_grant{grant.node, message});
 }
 
@@ -234,18 +264,19 @@
         duration const back =
             expected_wait(state, each.ask.how_urgent, instant::max());
         replica_feedback feedback =
-            after_grant(state, each.ask.how_urgent, duration{});
+            after_grant(state, each.ask.how_urgent, duration{}, now);
         feedback.adapter_resident = each.ready;
         refuse(state, each.from, each.ask, why, back, feedback);
     }
 }
 
 template <batch_policy Batch>
-void grant_manager<Batch>::refuse_all(replica_state& state, reason why) {
+void grant_manager<Batch>::refuse_all(
+    replica_state& state, reason why, instant now) {
     for (request_id const& id : state.queue.all_ids()) {
         waiting_request const each = *state.queue.remove(id);
         replica_feedback feedback =
-            after_grant(state, each.ask.how_urgent, duration{});
+            after_grant(state, each.ask.how_urgent, duration{}, now);
         feedback.adapter_resident = each.ready;
         refuse(state, each.from, each.ask, why, duration{}, feedback);
     }
--- a/src/Scheduling/replica_scheduler_events.hpp
+++ b/src/Scheduling/replica_scheduler_events.hpp
@@ -29,7 +29,7 @@
     using std::chrono::milliseconds;
     duration const wait =
         grants_.expected_wait(state_, urgency::normal, instant::max());
-    duration const load = state_.times.stall() + slots_.store_pause(now);
+    duration const load = state_.times.stall(now) + slots_.store_pause(now);
     replica_feedback result;
     result.queued = static_cast<std::uint32_t>(state_.queue.size());
     result.running = state_.grants.taken();
@@ -175,7 +175,7 @@
     state_.actions.emplace_back(log_event{
         event_code::replica_lost, log_level::info,
         fmt::format("replica={}", state_.settings.replica.str())});
-    grants_.refuse_all(state_, reason::owner_unreachable);
+    grants_.refuse_all(state_, reason::owner_unreachable, now);
     slots_.on_lost(state_, now);
     grants_.on_lost();
     state_.grants.clear();
@@ -207,7 +207,7 @@
 template <replica_policy Policy>
 void replica_scheduler<Policy>::stop_granting(instant now) {
     state_.stopped = true;
-    grants_.refuse_all(state_, reason::draining);
+    grants_.refuse_all(state_, reason::draining, now);
     slots_.on_tick(state_, now);
 }
 
--- a/src/Scheduling/scheduler_settings.hpp
+++ b/src/Scheduling/scheduler_settings.hpp
@@ -50,6 +50,16 @@
     /// but no newer claim is known, as in an outage of the log. Orders never
     /// do. See docs/design/load-scheduling.md for what that asks of engines.
     bool grants_when_lapsed = true;
+    /// The first asks of a request are refused when it would wait longer than
+    /// this for a place in the batch: its entry node then asks elsewhere.
+    std::chrono::milliseconds redirect_wait{1'500};
+    /// An adapter that fills this share of the batch by itself is worth a copy
+    /// elsewhere: its asks are refused as soon as the batch is nearly full.
+    double copy_share = 0.06;
+    /// How full the batch is then.
+    double nearly_full = 0.9;
+    /// How many asks of one request may be refused so.
+    std::uint32_t redirect_attempts = 2;
     /// Orders are numbered from here; keeps a node's replicas apart.
     std::uint64_t first_order = 1;
     /// Seed of the jitter of backoffs.
--- a/src/Scheduling/slot_manager_orders.hpp
+++ b/src/Scheduling/slot_manager_orders.hpp
@@ -162,7 +162,7 @@
 void slot_manager<Eviction>::became_resident(
     replica_state& state, adapter_ref const& adapter, instant now) {
     if (auto const waited = state.queue.blocked(adapter)) {
-        state.times.note_stall(now - waited->oldest);
+        state.times.note_stall(now - waited->oldest, now);
     }
     slots_.insert(
         adapter,
--- a/src/Scheduling/time_estimates.hpp
+++ b/src/Scheduling/time_estimates.hpp
@@ -5,6 +5,7 @@
 #include "Scheduling/scheduler_settings.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace camphorpoint::internal {
@@ -28,7 +29,10 @@
     /// A load's order took this long.
     void note_load(duration took) { load_ = move_average(load_, took); }
     /// An adapter's first request waited this long for it.
-    void note_stall(duration waited) { stall_ = move_average(stall_, waited); }
+    void note_stall(duration waited, instant now) {
+        stall_ = move_average(stall(now), waited);
+        stalled_ = now;
+    }
 
     /// @param tokens expected; 0 when unknown
     /// @returns how long a request runs
@@ -39,14 +43,24 @@
     duration service() const { return service_; }
     /// @returns how long a load's order takes
     duration load() const { return load_; }
-    /// @returns how long a request waits for a load, the store's queue included
-    duration stall() const { return std::max(stall_, load_); }
+    /// @returns how long a request waits for a load, the store's queue
+    /// included; a long wait of the past is forgotten by and by
+    duration stall(instant now) const {
+        constexpr std::chrono::seconds half_life{5};
+        double const passed =
+            std::chrono::duration<double>(now - stalled_) / half_life;
+        double const left = std::exp2(-std::max(0.0, passed));
+        duration const beyond = std::max(duration{}, stall_ - load_);
+        double const kept = left * static_cast<double>(beyond.count());
+        return load_ + duration(static_cast<duration::rep>(kept));
+    }
 
 private:
     duration token_;
     duration service_;
     duration load_;
     duration stall_;
+    instant stalled_;
 };
 
 } // namespace camphorpoint::internal
