--- a/src/Scheduling/slot_manager_evictions.hpp
+++ b/src/Scheduling/slot_manager_evictions.hpp
@@ -87,7 +87,6 @@
     slot& target = *slots_.find(adapter);
     target.phase = slot_phase::evicting;
     target.since = now;
-    state.queue.close(adapter, now);
     send_order(
         state, engine_order_kind::evict, adapter, target,
         state.settings.evict_timeout, now);
--- a/test/scheduling_owner_test.cpp
+++ b/test/scheduling_owner_test.cpp
@@ -180,6 +180,25 @@
     }
 }
 
+// In an outage of the log one adapter is not served, though it is resident: it
+// was about to be evicted when the owner's authority lapsed.
+TEST_CASE("an adapter that was stopped is served on when authority lapses") {
+    replica_story story;
+    story.take_over(2, milliseconds(2'400));
+    story.pass(settled);
+    story.report({audit, labels});
+    story.ask("a", audit);
+    story.ask("l", labels);
+    story.ask("new", licences);
+    story.pass(milliseconds(520));
+    // The one in the least demand, or the first by name, is stopped.
+    story.release("a");
+    story.ask("a2", audit);
+    REQUIRE(story.granted() == names{"a", "l"});
+    story.pass(milliseconds(400));
+    CHECK(story.granted() == names{"a", "l", "a2"});
+}
+
 TEST_CASE("an owner that stops refuses what waits and lets run what runs") {
     replica_story story;
     story.report({audit});
--- a/test/scheduling_queue_test.cpp
+++ b/test/scheduling_queue_test.cpp
@@ -78,6 +78,33 @@
     CHECK(served);
 }
 
+// A licence match waits for a long answer to end, since the batch was filled
+// up with work that could have waited.
+TEST_CASE("the last place of a batch is kept for urgent work") {
+    urgent_first const policy;
+    instant const now = instant{} + std::chrono::hours(1);
+    batch_state state;
+    state.batch_limit = 32;
+    state.running = 31;
+    state.classes[2].ready = 5;
+    CHECK(policy.next_class(state, now) == urgency::normal);
+
+    SUBCASE("while some is about") {
+        state.classes[0].last_ask = now - seconds(4);
+        CHECK_FALSE(policy.next_class(state, now));
+        state.classes[1].ready = 1;
+        CHECK(policy.next_class(state, now) == urgency::high);
+        state.classes[1].ready = 0;
+        state.running = 30;
+        CHECK(policy.next_class(state, now) == urgency::normal);
+    }
+
+    SUBCASE("but not for ever") {
+        state.classes[0].last_ask = now - seconds(5);
+        CHECK(policy.next_class(state, now) == urgency::normal);
+    }
+}
+
 // A caller is told "too late" only after its whole deadline, having waited in
 // a queue that could never have served it in time. Its next try then comes too
 // late as well. The owner knows how long a request takes, and says so at once.
--- a/test/scheduling_slots_test.cpp
+++ b/test/scheduling_slots_test.cpp
@@ -42,6 +42,26 @@
             CHECK(story.last<report_load>().message.ok);
         }
 
+        // An adapter that was just evicted is granted again: an older report,
+        // which came late, still names it.
+        SUBCASE("a report from before the eviction doesn't bring it back") {
+            story.allow(licences);
+            engine_order const evict = story.last<engine_order>();
+            story.pass(milliseconds(40));
+            story.end_order(evict, order_result::done);
+            story.report({audit, labels}, {audit}, 1, milliseconds(20));
+            story.ask("late", labels);
+            CHECK(story.granted() == names{"a", "l"});
+        }
+
+        SUBCASE("a second permission for it is given back") {
+            story.allow(licences, 1);
+            story.allow(licences, 2);
+            load_ended const back = story.last<report_load>().message;
+            CHECK(back.permission == 2);
+            CHECK_FALSE(back.started);
+        }
+
         // A caller's stream breaks off because its adapter vanished. The
         // adapter was chosen for eviction while idle, and a request for it
         // came before the eviction had taken place.
@@ -70,6 +90,15 @@
         CHECK(story.all<want_load>().size() == 1);
     }
 
+    // Reports overtake each other on the way.
+    SUBCASE("an older report that comes later confirms nothing") {
+        story.pass(milliseconds(100));
+        story.report({audit, labels}, {audit, labels});
+        story.report({audit, labels}, {audit}, 1, milliseconds(50));
+        story.ask("new", licences);
+        CHECK(story.all<want_load>().empty());
+    }
+
     SUBCASE("a permission that can't be used is given back") {
         story.report({audit, labels}, {audit});
         story.ask("new", licences);
@@ -167,6 +196,25 @@
     }
 }
 
+// As above: a report that was taken before the eviction was ordered must not
+// free the slot, or a further load finds none.
+TEST_CASE("a report from before a lost eviction settles nothing") {
+    replica_story story;
+    story.pass(settled);
+    story.report({audit, labels});
+    story.pass(milliseconds(100));
+    story.ask("new", licences);
+    story.allow(licences);
+    engine_order const evict = story.last<engine_order>();
+    REQUIRE(evict.adapter == audit);
+    story.end_order(evict, order_result::lost);
+    story.pass(milliseconds(100));
+    story.report({labels}, {}, 1, milliseconds(150));
+    CHECK(story.orders(engine_order_kind::load).empty());
+    story.report({labels});
+    CHECK(story.orders(engine_order_kind::load).size() == 1);
+}
+
 // All requests of one adapter wait until their deadlines, though another
 // replica could have served them: its load fails on this one again and again.
 TEST_CASE("a load that fails is tried again, and then elsewhere") {
