--- a/src/Config/checkpoint_writer.hpp
+++ b/src/Config/checkpoint_writer.hpp
@@ -22,9 +22,12 @@
     /// A checkpoint is due after so many records.
     std::uint64_t records_between = 2'048;
     /// By how much longer each next node in rank waits before it writes.
-    std::chrono::milliseconds rank_delay{10'000};
+    /// More than a whole checkpoint takes, or two nodes would write.
+    std::chrono::milliseconds rank_delay{120'000};
     /// Time between two parts, and before a failed one is sent again.
-    std::chrono::milliseconds part_pause{100};
+    /// Each part takes every node a few milliseconds to read: spread out,
+    /// they hold up no stream.
+    std::chrono::milliseconds part_pause{500};
     /// Bound of one record.
     std::size_t part_bytes = 65'536;
 };
@@ -62,18 +65,26 @@
     bool due(config_follower const& follower, wall_time calendar) const;
     duration
     wait_by_rank(log_offset since, std::vector<node_id> const& peers) const;
-    void begin(config_follower const& follower, instant now);
-    void stop();
+    void begin(
+        config_follower const& follower, instant now,
+        std::vector<checkpoint_action>& out);
+    void write_on(
+        config_follower const& follower, instant now,
+        std::vector<checkpoint_action>& out);
+    void stop(instant now);
 
     node_id self_;
     checkpoint_settings settings_;
     std::optional<instant> start_at_;
-    std::deque<std::string> parts_;
+    std::deque<checkpoint_part> parts_;
+    instant not_before_{};
     log_offset covers_;
-    instant began_;
-    instant next_part_;
+    instant give_up_at_{};
+    instant next_part_{};
     std::uint64_t last_append_ = 0;
     bool appending_ = false;
+    /// True when the first of parts_ stands in the log.
+    bool part_done_ = false;
 };
 
 } // namespace camphorpoint
--- a/src/Node/thin_node.hpp
+++ b/src/Node/thin_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Config/profile_table.hpp"
+#include "Config/profile.hpp"
 #include "Ports/http_server.hpp"
 #include "Settings/node_settings.hpp"
 
@@ -35,7 +35,7 @@
     boost::asio::awaitable<void>
     complete(http_exchange& exchange, profile wanted, std::string body);
     boost::asio::awaitable<bool>
-    order_load(engine_instance const& engine, std::string const& adapter);
+    order_load(engine_instance const& engine, adapter_ref const& adapter);
     void take_records(std::string const& body);
     void take_instances(std::string const& body);
     engine_instance const* choose(profile const& wanted) const;
@@ -43,7 +43,7 @@
     boost::asio::io_context& io_;
     node_settings settings_;
     http_server server_;
-    profile_table profiles_;
+    std::map<profile_name, profile> profiles_;
     std::map<endpoint_id, engine_instance> engines_;
     std::uint64_t next_offset_ = 0;
     std::uint64_t next_request_ = 1;
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -28,6 +28,20 @@
     config_state_broken = 209,
     config_checkpoint_begun = 210,
     config_checkpoint_written = 211,
+    ownership_gained = 301,
+    ownership_lost = 302,
+    authority_lapsed = 303,
+    authority_regained = 304,
+    claim_appended = 305,
+    control_record_broken = 306,
+    control_log_trimmed = 307,
+    handover_given_up = 308,
+    node_suspected = 401,
+    node_declared_dead = 402,
+    node_returned = 403,
+    node_leaving = 404,
+    endpoint_leaving = 405,
+    suspicion_refuted = 406,
     store_down = 601,
     store_recovered = 602,
     load_retrying = 603,
@@ -37,7 +51,8 @@
     order_settled = 607,
     replica_taken_over = 608,
     replica_lost = 609,
-    slot_taken_by_force = 610
+    slot_taken_by_force = 610,
+    key_clocks_disagree = 701
 };
 
 /// One line of the log.
