--- a/src/Node/operator_interface.cpp
+++ b/src/Node/operator_interface.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::string_view changes_path = "/changes";
 constexpr std::string_view change_prefix = "/changes/";
-constexpr std::chrono::milliseconds publish_wait{10'000};
+// Longer than a publisher tries before it says "unknown".
+constexpr std::chrono::milliseconds publish_wait{25'000};
 constexpr int ok = 200;
 constexpr int accepted = 202;
 constexpr int not_found = 404;
@@ -38,6 +39,21 @@
     return response;
 }
 
+/// Counts for as long as it lives.
+class count_guard {
+public:
+    explicit count_guard(std::size_t& count)
+        : count_(&count) {
+        ++count;
+    }
+    ~count_guard() { --*count_; }
+    count_guard(count_guard const&) = delete;
+    count_guard& operator=(count_guard const&) = delete;
+
+private:
+    std::size_t* count_;
+};
+
 int status_of_change(std::optional<publish_ended> const& end) {
     if (!end) {
         return accepted;
@@ -63,19 +79,26 @@
 }
 
 asio::awaitable<void> operator_interface::answer(http_exchange& exchange) {
-    http_request const& request = exchange.request();
+    count_guard const counted(answering_);
+    http_response response = co_await respond(exchange.request());
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<http_response>
+operator_interface::respond(http_request const& request) {
     std::string_view const path = path_of(request.target);
-    http_response response = json_answer(not_allowed, "{}\n");
     if (request.method == "GET") {
-        response = read(path);
-    } else if (request.method == "POST" && path == changes_path) {
+        co_return read(path);
+    }
+    if (request.method == "POST" && path == changes_path) {
         std::string record = request.body;
-        response = co_await publish(std::move(record));
-    } else if (request.method == "POST" && path == "/drain") {
+        co_return co_await publish(std::move(record));
+    }
+    if (request.method == "POST" && path == "/drain") {
         view_.drain();
-        response = json_answer(accepted, "{\"draining\":true}\n");
+        co_return json_answer(accepted, "{\"draining\":true}\n");
     }
-    co_await exchange.respond(std::move(response));
+    co_return json_answer(not_allowed, "{}\n");
 }
 
 http_response operator_interface::read(std::string_view path) {
--- a/src/Node/operator_interface.hpp
+++ b/src/Node/operator_interface.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -42,17 +43,21 @@
     void publish_ended(camphorpoint::publish_ended const& end) {
         desk_.close(end);
     }
+    /// @returns how many operators wait for an answer
+    std::size_t answering() const noexcept { return answering_; }
     /// Closes everything.
     void close() { server_.close(); }
 
 private:
     boost::asio::awaitable<void> answer(http_exchange& exchange);
+    boost::asio::awaitable<http_response> respond(http_request const& request);
     boost::asio::awaitable<http_response> publish(std::string record);
     http_response change(std::string_view number) const;
     http_response read(std::string_view path);
 
     operator_view view_;
     change_desk desk_;
+    std::size_t answering_ = 0;
     http_server server_;
 };
 
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -1,5 +1,6 @@
 #include "Node/ports_driver.hpp"
 
+#include "Membership/probe_message.hpp"
 #include "Serving/peer_codec.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -303,11 +304,11 @@
     if (address.port != 0) {
         peer_addresses_.try_emplace(action.to, address);
     }
-    probes_.send(address, action.bytes);
+    probes_.send(address, encode_probe(action.message));
 }
 
 void ports_driver::carry_out(drain_finished& /*action*/) {
-    asio::co_spawn(io_, wait_for_callers(), asio::detached);
+    asio::co_spawn(io_, wait_for_answers(), asio::detached);
 }
 
 void ports_driver::write_log(event_code code, std::string detail) {
@@ -387,12 +388,12 @@
     handle(drain_started{});
 }
 
-asio::awaitable<void> ports_driver::wait_for_callers() {
+asio::awaitable<void> ports_driver::wait_for_answers() {
     constexpr std::chrono::milliseconds step{5};
     asio::steady_timer timer(io_);
     // The decisions are done, but the last bytes of the last answers may still
-    // be on their way to the callers.
-    while (callers_.waiting() > 0 && !closed_) {
+    // be on their way: closing now would cut them.
+    while (callers_.waiting() + operators_.answering() > 0 && !closed_) {
         timer.expires_after(step);
         co_await timer.async_wait(use_result);
     }
--- a/src/Node/ports_driver.hpp
+++ b/src/Node/ports_driver.hpp
@@ -90,7 +90,7 @@
     boost::asio::awaitable<void> follow_instances();
     boost::asio::awaitable<void> follow_reports();
     boost::asio::awaitable<void> read_report(endpoint_id replica);
-    boost::asio::awaitable<void> wait_for_callers();
+    boost::asio::awaitable<void> wait_for_answers();
     void take_instances(instance_list const& list);
     void receive(peer_identity const& from, std::string const& message);
     void write_log(event_code code, std::string detail);
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -22,7 +22,8 @@
     event_name{event_code::config_fresh_again, "config-fresh-again"},
     event_name{event_code::config_state_broken, "config-state-broken"},
     event_name{event_code::config_checkpoint_begun, "config-checkpoint-begun"},
-    event_name{event_code::config_checkpoint_written, "config-checkpoint-written"},
+    event_name{
+        event_code::config_checkpoint_written, "config-checkpoint-written"},
     event_name{event_code::ownership_gained, "ownership-gained"},
     event_name{event_code::ownership_lost, "ownership-lost"},
     event_name{event_code::authority_lapsed, "authority-lapsed"},
