The operator wire as the node speaks it, and the views it still lacks

Cause: the ports lane answers POST /changes with a state word and nests the configuration in /status; and no node can yet list profiles or tell the verdict on a change's id, without which apply can neither plan nor find out after a lost answer. Operator has list_profiles, answer_about and list_changes over a replayed configuration, for GET /profiles, GET /changes/ID and GET /changes. Conclusion: the node only has to hand out their encoded text.

--- a/app/node_state.cpp
+++ b/app/node_state.cpp
@@ -27,8 +27,9 @@
     result.reached = true;
     result.ready = body.flag("ready");
     result.draining = body.flag("draining");
-    result.configuration = log_offset{body.number("configuration")};
-    result.digest = body.text("configuration_digest");
+    json_reading const configuration = body.object("configuration");
+    result.configuration = log_offset{configuration.number("offset")};
+    result.digest = configuration.text("digest");
     result.not_ready = body.texts("not_ready");
     result.text = std::move(got.response.body);
     return result;
--- a/test/operator_test.cpp
+++ b/test/operator_test.cpp
@@ -1,7 +1,11 @@
+#include "Config/config_record.hpp"
+
 #include <Camphorpoint/Operator>
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 namespace camphorpoint {
 
 TEST_CASE("the operator interface's answers come back as they were written") {
@@ -65,6 +69,40 @@
     }
 }
 
+// A publisher loses the node's answer, and asks another node for the verdict on
+// its change's id. Without the verdict of replay it could only guess: a change
+// that lost the race to another operator would look like one still under way.
+TEST_CASE("any node tells what became of a change by its id") {
+    configuration current;
+    profile_edit const edit =
+        put_profile{0, [] {
+                        profile value;
+                        value.name = profile_name("scan");
+                        value.kind = endpoint_kind::service;
+                        value.model = model_id("inventory-app");
+                        return value;
+                    }()};
+    for (std::uint64_t at = 0; at < 2; ++at) {
+        change next{change_id("c-" + std::to_string(at)), "anna", {edit}};
+        current.apply({log_offset{at}, wall_time{}, encode(next)});
+    }
+
+    publish_answer const first = answer_about(current, change_id("c-0"));
+    CHECK(first.accepted);
+    publish_answer const second = answer_about(current, change_id("c-1"));
+    CHECK(second.known);
+    CHECK_FALSE(second.accepted);
+    CHECK(second.conflict);
+    CHECK_FALSE(answer_about(current, change_id("c-2")).known);
+
+    CHECK(list_changes(current).size() == 2);
+    CHECK(list_changes(current).back().verdict_code == "rejected-conflict");
+    profile_listing const listing = list_profiles(current);
+    CHECK(listing.next == log_offset{2});
+    REQUIRE(listing.profiles.size() == 1);
+    CHECK(listing.profiles.front().value.revision == 1);
+}
+
 TEST_CASE("an answer of another form is no answer") {
     for (char const* const text : {"", "[]", "{}", "{\"next\":1}", "<html>"}) {
         CHECK_FALSE(decode_profile_listing(text));
