--- a/app/load/service_caller.cpp
+++ b/app/load/service_caller.cpp
@@ -57,7 +57,7 @@
     result.end = seen_end::no_node;
     for (std::uint32_t tries = 0; tries < most_tries; ++tries) {
         http_call call(executor);
-        ip_address const to = nodes.at(planned.entry_node + tries);
+        ip_address const& to = nodes.at(planned.entry_node + tries);
         if (!co_await call.connect(to, connect_timeout)) {
             ++result.refused_connections;
             continue;
--- a/app/load/stream_caller.cpp
+++ b/app/load/stream_caller.cpp
@@ -21,7 +21,7 @@
 
 asio::awaitable<void>
 pause(asio::any_io_executor executor, std::chrono::milliseconds time) {
-    asio::steady_timer timer(std::move(executor), time);
+    asio::steady_timer timer(executor, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
