--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -14,6 +14,7 @@
 #include "Ownership/takeover_queue.hpp"
 #include "Platform/log_record.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -149,6 +150,11 @@
         /// Since when this run has been among the live nodes.
         instant since;
     };
+    /// A former holder's word that came before our claim was read back.
+    struct early_stop {
+        holder_stopped message;
+        instant received;
+    };
     struct accepted_offer {
         log_offset fencing;
         instant received;
@@ -156,6 +162,8 @@
         std::string table;
     };
 
+    void end_evict_wait(
+        holding& held, holder_stopped const& stopped, instant received);
     void apply_records(log_batch const& batch, instant now);
     void apply_record(log_record const& record, instant now);
     void reached_head(log_batch const& batch, instant now);
@@ -168,8 +176,9 @@
     void use_offer(
         resource_id const& resource, ownership_entry const& entry,
         holding& next);
-    void lose(resource_id const& resource, node_run const& now_with);
-    void restart_table(log_batch const& batch);
+    void
+    lose(resource_id const& resource, node_run const& now_with, instant now);
+    void restart_table(log_batch const& batch, instant now);
     void set_live(std::vector<owner_candidate> const& live, instant now);
     void rank_live();
     void consider(resource_id const& resource, instant now);
@@ -198,6 +207,8 @@
         node_id const& from, handover_accepted const& accepted, instant now);
     void on_ownership(
         node_id const& from, holder_stopped const& stopped, instant now);
+    static std::chrono::milliseconds wait_left(instant end, instant now);
+    instant wait_end(std::chrono::milliseconds left, instant now) const;
     std::optional<authority>
     within(resource_id const& resource, duration span, instant now) const;
     void say(event_code code, log_level level, std::string detail);
@@ -216,6 +227,7 @@
     std::map<resource_id, holding> holdings_;
     std::set<resource_id> waiting_;
     std::map<resource_id, accepted_offer> accepted_;
+    std::map<resource_id, early_stop> early_stops_;
     std::map<node_id, instant> last_record_;
     /// The newest run of each node that wrote a record.
     std::map<node_id, std::uint64_t> written_runs_;
