--- a/src/Scheduling/grant_manager_asks.hpp
+++ b/src/Scheduling/grant_manager_asks.hpp
@@ -211,6 +211,7 @@
         .grant = next_grant_++,
         .adapter = each.ask.adapter,
         .granted = now,
+        .asked = each.arrived,
         .expected_tokens = each.ask.expected_tokens};
     state.grants.add(grant);
     send_grant(state, grant, pause, now);
@@ -250,6 +251,8 @@
     message.replica = state.settings.replica;
     message.grant = grant.grant;
     message.fencing = state.fencing;
+    message.queued =
+        std::chrono::floor<std::chrono::milliseconds>(now - grant.asked);
     message.send_within = left;
     message.feedback = after_grant(state, urgency::normal, pause, now);
     state.actions.emplace_back(reply_grant{grant.node, message});
--- a/src/Scheduling/grant_manager_ends.hpp
+++ b/src/Scheduling/grant_manager_ends.hpp
@@ -103,6 +103,7 @@
              .grant = 0,
              .adapter = each.adapter,
              .granted = now,
+             .asked = now,
              .sent = true});
         return;
     }
@@ -130,7 +131,8 @@
              .attempt = each.attempt,
              .grant = each.grant,
              .adapter = each.adapter,
-             .granted = now - each.age});
+             .granted = now - each.age,
+             .asked = now - each.age});
         heard_.insert_or_assign(each.node, now);
     }
 }
--- a/src/Scheduling/grant_messages.hpp
+++ b/src/Scheduling/grant_messages.hpp
@@ -54,8 +54,12 @@
     std::uint64_t grant = 0;
     /// The claim under which it was given.
     log_offset fencing;
-    /// The entry node must have sent within this time of its ask's sending or
-    /// of the reply's receipt, whichever it can prove to be the earlier.
+    /// How long the ask was at the owner when this was sent.
+    std::chrono::milliseconds queued{};
+    /// The entry node must have sent within this time of this reply's sending.
+    /// By its own clock that is at the latest `queued` and this time after its
+    /// ask went out, however long the reply is under way: the ask can't have
+    /// reached the owner before it was sent.
     std::chrono::milliseconds send_within{};
     replica_feedback feedback;
 
@@ -145,7 +149,10 @@
 template <class Archive>
 void grant_given::serialize(Archive& archive) {
     auto within = send_within.count();
-    archive(request, attempt, replica, grant, fencing, within, feedback);
+    auto waited = queued.count();
+    archive(
+        request, attempt, replica, grant, fencing, waited, within, feedback);
+    queued = std::chrono::milliseconds(waited);
     send_within = std::chrono::milliseconds(within);
 }
 
--- a/src/Scheduling/grant_table.hpp
+++ b/src/Scheduling/grant_table.hpp
@@ -21,6 +21,8 @@
     std::uint64_t grant = 0;
     adapter_ref adapter;
     instant granted;
+    /// When its ask arrived; as `granted` where that is not known.
+    instant asked;
     std::uint32_t expected_tokens = 0;
     /// True once its entry node said that it was sent.
     bool sent = false;
--- a/src/Serving/request_tracker_routing.hpp
+++ b/src/Serving/request_tracker_routing.hpp
@@ -188,11 +188,12 @@
         }
         return;
     }
-    // The owner counts send_within from when it took the ask, which was not
-    // before the ask was sent: by this node's clock the grant has lapsed at
-    // the latest then, however long the reply was under way.
-    instant const send_before =
-        std::min(request->asked_at + given.send_within, request->deadline);
+    // The owner counts from its reply's sending. Seen from here that was at the
+    // latest `queued` after the ask went out, so that a reply which was long
+    // under way, or read late by a paused node, is known to have lapsed.
+    instant const send_before = std::min(
+        request->asked_at + given.queued + given.send_within,
+        request->deadline);
     request->grant =
         held_grant{request->endpoint, request->attempt, given.grant};
     if (now >= send_before) {
--- a/test/serving_tracker_test.cpp
+++ b/test/serving_tracker_test.cpp
@@ -123,6 +123,19 @@
         CHECK(one.around.told_of<grant_released>() == 1);
     }
 
+    SUBCASE("time in the owner's queue does not count against a grant") {
+        one.pass(900);
+        grant_given given;
+        given.request = one.id;
+        given.attempt = 1;
+        given.replica = endpoint_id("e1");
+        given.queued = milliseconds(890);
+        given.send_within = milliseconds(50);
+        one.tracker.on_grant(node_id("owner"), given, one.now);
+        auto const start = one.around.all<start_attempt>().at(0);
+        CHECK(start.send_before == instant{} + milliseconds(940));
+    }
+
     SUBCASE("a grant that comes twice starts one run, and is kept") {
         one.grant();
         one.grant();
