--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -48,7 +48,6 @@
     event_name{event_code::replica_taken_over, "replica-taken-over"},
     event_name{event_code::replica_lost, "replica-lost"},
     event_name{event_code::slot_taken_by_force, "slot-taken-by-force"},
-    event_name{event_code::key_clocks_disagree, "key-clocks-disagree"},
     event_name{event_code::key_clocks_differ, "key-clocks-differ"},
 };
 
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -52,7 +52,6 @@
     replica_taken_over = 608,
     replica_lost = 609,
     slot_taken_by_force = 610,
-    key_clocks_disagree = 701,
     key_clocks_differ = 701
 };
 
