--- a/test/config_follower_test.cpp
+++ b/test/config_follower_test.cpp
@@ -152,6 +152,7 @@
         CHECK(cluster.said(paused, event_code::config_no_checkpoint));
         CHECK(paused.follower.stale_for(cluster.now) > milliseconds(1'900));
         CHECK_FALSE(fresh.follower.ready());
+        CHECK_FALSE(cluster.said(fresh, event_code::config_state_adopted));
 
         // This one was up all the time.
         config_cluster::node& peer = cluster.add("n2");
