Configuration: a peer that has more confirms nothing, with a test

Cause: taking out the check that a peer's confirmation needs this node to have all that the peer has failed no test. Change: a test of it; without the check it fails.

--- a/test/config_follower_test.cpp
+++ b/test/config_follower_test.cpp
@@ -20,6 +20,15 @@
     return node.follower.current().next().value;
 }
 
+std::uint64_t number_of_ask(config_actions const& actions) {
+    for (config_action const& each : actions) {
+        if (auto const* sent = std::get_if<config_send>(&each)) {
+            return std::get<config_ask>(sent->message).number;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE("nodes follow the log") {
@@ -59,6 +68,21 @@
         CHECK_FALSE(ahead.ready());
     }
 
+    SUBCASE("nor does a peer that has more than this node") {
+        config_follower node(node_id("n9"), {}, 1);
+        node.set_peers({node_id("n1")});
+        node.on_batch(cluster.log.read({}, cluster.now), cluster.now);
+        node.on_read_failed(cluster.now);
+        instant const later = cluster.now + seconds(10);
+        config_records answer;
+        answer.number = number_of_ask(node.on_tick(later));
+        answer.next = log_offset{9};
+        answer.confirmed = true;
+        node.on_peer(node_id("n1"), answer, later);
+        CHECK(node.stale_for(later) == seconds(10));
+        CHECK(node.contact_at() == later);
+    }
+
     SUBCASE("a higher offset in a request is read at once") {
         publish(cluster.log, 3, 4);
         std::size_t const reads = one.reads;
@@ -307,12 +331,7 @@
         node.cut_from_log = true;
         node.follower.on_read_failed(cluster.now);
         config_actions const asks = node.follower.on_tick(cluster.now);
-        std::uint64_t number = 0;
-        for (config_action const& each : asks) {
-            if (auto const* sent = std::get_if<config_send>(&each)) {
-                number = std::get<config_ask>(sent->message).number;
-            }
-        }
+        std::uint64_t const number = number_of_ask(asks);
         REQUIRE(number > 0);
         config_records answer;
         answer.number = number;
