--- a/src/Membership/probe_rounds.hpp
+++ b/src/Membership/probe_rounds.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace camphorpoint {
@@ -19,9 +18,7 @@
     /// @param end_at when the probe has failed
     /// @returns the probe's sequence number
     std::uint32_t begin(node_id const& target, instant ask_at, instant end_at);
-    /// @returns whom the sequence probed, when it was still open; it is closed
-    std::optional<node_id> answered(std::uint32_t sequence);
-    /// The target was heard in another way: its probes are closed.
+    /// The target was heard: its probes are closed.
     void heard(node_id const& target);
 
     /// A probe whose direct answer is late.
--- a/src/Ownership/ownership_action.hpp
+++ b/src/Ownership/ownership_action.hpp
@@ -8,6 +8,7 @@
 #include "Telemetry/log_event.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -40,11 +41,14 @@
     instant since;
     /// Nothing may be evicted before.
     instant evict_from;
-    /// True when the former holder stopped before this node began, or when
-    /// there never was one.
+    /// True when the former holder stopped before this node began.
     bool planned = false;
+    /// True when nobody ever owned the resource, so that nothing can run.
+    bool first = false;
     /// The former holder's table; empty when none was handed over.
     std::string table;
+    /// The claim that was in force before; absent when the log shows none.
+    std::optional<log_offset> previous;
 };
 
 /// This node no longer decides for the resource: drop its queue and table. The
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -22,7 +22,8 @@
     event_name{event_code::config_fresh_again, "config-fresh-again"},
     event_name{event_code::config_state_broken, "config-state-broken"},
     event_name{event_code::config_checkpoint_begun, "config-checkpoint-begun"},
-    event_name{event_code::config_checkpoint_written, "config-checkpoint-written"},
+    event_name{
+        event_code::config_checkpoint_written, "config-checkpoint-written"},
     event_name{event_code::ownership_gained, "ownership-gained"},
     event_name{event_code::ownership_lost, "ownership-lost"},
     event_name{event_code::authority_lapsed, "authority-lapsed"},
@@ -47,6 +48,8 @@
     event_name{event_code::replica_taken_over, "replica-taken-over"},
     event_name{event_code::replica_lost, "replica-lost"},
     event_name{event_code::slot_taken_by_force, "slot-taken-by-force"},
+    event_name{event_code::key_clocks_disagree, "key-clocks-disagree"},
+    event_name{event_code::key_clocks_differ, "key-clocks-differ"},
 };
 
 } // namespace
