Configuration: records with a gap, with a test

Cause: taking out the check for a gap in a peer's records failed no test, though a gap before a record without bytes would end the node. Change: a test of it.

--- a/test/config_follower_test.cpp
+++ b/test/config_follower_test.cpp
@@ -107,6 +107,7 @@
         node.on_batch(before, cluster.now);
         config_actions const soon =
             node.on_tick(cluster.now + milliseconds(60));
+        REQUIRE_FALSE(soon.empty());
         CHECK(std::holds_alternative<config_read>(soon.front()));
     }
 
@@ -327,6 +328,14 @@
         }
     }
 
+    SUBCASE("or records with a gap before them") {
+        config_records news;
+        news.next = log_offset{9};
+        news.digest = digest;
+        news.records.push_back({log_offset{12}, 0, "", {}});
+        cluster.hand("n1", "n2", news);
+    }
+
     SUBCASE("as the answer to an ask, while the log is away") {
         node.cut_from_log = true;
         node.follower.on_read_failed(cluster.now);
