--- a/src/Keys/key_table.cpp
+++ b/src/Keys/key_table.cpp
@@ -408,69 +408,6 @@
     return &made;
 }
 
-void key_table::import_records(
-    std::vector<key_record> const& records, wall_time bound,
-    key_clock const& clock) {
-    for (key_record const& each : records) {
-        auto const [place, is_new] = entries_.try_emplace(each.key);
-        if (!is_new) {
-            merge(place->second, each);
-            continue;
-        }
-        // Taken even when the table is full: leaving one out would be silent
-        // forgetting, and the key could run again.
-        memory_.add_records(1);
-        entry& made = place->second;
-        made.record = each;
-        made.record.answer_kept = false;
-        made.record.answer = std::string();
-        made.last_heard = clock.now;
-        if (each.state == key_state::running) {
-            running_.insert(each.key);
-        }
-        if (each.answer_kept) {
-            keep_answer(made, each.answer);
-        }
-    }
-    unknown_up_to_ = bound;
-}
-
-void key_table::merge(entry& known, key_record const& other) {
-    // A heartbeat that was long on its way may have come before the table.
-    bool const ended = known.record.state == key_state::done;
-    if (!ended && other.state == key_state::done) {
-        complete(known, other.answer);
-    }
-}
-
-std::vector<key_handover> key_table::export_parts() const {
-    // What a record takes on the wire beside its strings.
-    constexpr std::size_t record_overhead = 160;
-    key_handover empty;
-    empty.shard = shard_;
-    empty.fencing = fencing_;
-    empty.unknown_up_to = unknown_up_to_;
-    std::vector<key_handover> parts{empty};
-    std::size_t used = record_overhead;
-    for (auto const& [key, each] : entries_) {
-        key_record const& record = each.record;
-        std::size_t const size =
-            record_overhead + key.str().size() + record.answer.size() +
-            record.entry.str().size() + record.request.str().size();
-        if (used + size > handover_part_bytes) {
-            parts.push_back(empty);
-            used = record_overhead;
-        }
-        parts.back().records.push_back(record);
-        used += size;
-    }
-    for (std::size_t place = 0; place < parts.size(); ++place) {
-        parts[place].part = static_cast<std::uint32_t>(place);
-        parts[place].parts = static_cast<std::uint32_t>(parts.size());
-    }
-    return parts;
-}
-
 key_record const* key_table::find(idempotency_key const& key) const {
     auto const found = entries_.find(key);
     return found == entries_.end() ? nullptr : &found->second.record;
@@ -480,48 +417,4 @@
     return std::exchange(replies_, {});
 }
 
-void key_table::send(node_id const& to, key_reply const& reply) {
-    replies_.push_back({to, reply});
-}
-
-void key_table::reply(
-    node_id const& to, key_ask const& ask, key_verdict what, reason why) {
-    key_reply said;
-    said.request = ask.request;
-    said.attempt = ask.attempt;
-    said.shard = shard_;
-    said.verdict = what;
-    said.why = why;
-    said.fencing = fencing_;
-    said.retry_after = settings_.retry_after;
-    send(to, said);
-}
-
-void key_table::reply_done(
-    node_id const& to, request_id const& request, std::uint32_t attempt,
-    entry const& known) {
-    key_reply said;
-    said.request = request;
-    said.attempt = attempt;
-    said.shard = shard_;
-    said.verdict = key_verdict::answer;
-    said.why =
-        known.record.answer_kept ? reason::none : reason::key_answer_dropped;
-    said.answer = known.record.answer;
-    said.permission = known.record.permission;
-    said.fencing = known.record.fencing;
-    send(to, said);
-}
-
-void key_table::reply_run(entry const& known) {
-    key_reply said;
-    said.request = known.record.request;
-    said.attempt = known.record.attempt;
-    said.shard = shard_;
-    said.verdict = key_verdict::run;
-    said.permission = known.record.permission;
-    said.fencing = known.record.fencing;
-    send(known.record.entry, said);
-}
-
 } // namespace camphorpoint
