--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -153,6 +153,7 @@
     }
     story.of().set_endpoints(story.endpoints);
     std::vector<endpoint_id> before;
+    before.reserve(300);
     for (int count = 0; count < 300; ++count) {
         before.push_back(*story.choose(named("a" + std::to_string(count))));
     }
--- a/test/scheduling_owner_test.cpp
+++ b/test/scheduling_owner_test.cpp
@@ -39,6 +39,14 @@
         }
     }
 
+    SUBCASE("what the engine runs beyond its grants takes up the batch") {
+        story.report({audit, labels}, {audit, labels});
+        story.ask("a", audit);
+        CHECK(story.granted().empty());
+        story.report({audit, labels});
+        CHECK(story.granted() == names{"a"});
+    }
+
     SUBCASE("heartbeats tell what runs") {
         story.heartbeat({story.use("old", audit, true)}, "n2");
         CHECK(story.scheduler().feedback(audit, story.now()).running == 1);
