Settings by sections, from one schema that also writes their reference

Cause: the modules' settings could not be set, and clashing addresses were found only between two of five. Change: peer_address, [limits], [ownership], [configuration], [keys] and [membership]; one visit names each key with range and meaning, for reading and for docs/SETTINGS.md; relations between values are checked. The demo names the peers' addresses. Conclusion: every setting has a place and a reference that can't drift.

--- a/src/Settings/node_settings.hpp
+++ b/src/Settings/node_settings.hpp
@@ -1,10 +1,16 @@
 #pragma once
 
+#include "Config/follower_settings.hpp"
 #include "Core/findings.hpp"
 #include "Core/ids.hpp"
+#include "Keys/key_settings.hpp"
+#include "Membership/membership_settings.hpp"
+#include "Ownership/ownership_settings.hpp"
+#include "Serving/serving_settings.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,8 +45,20 @@
     std::chrono::milliseconds platform_timeout{5'000};
     std::chrono::milliseconds drain_limit{120'000};
     std::uint64_t body_limit = 1U << 20U;
+
+    /// Section [limits].
+    request_settings requests;
+    ownership_settings ownership;
+    follower_settings configuration;
+    key_settings keys;
+    membership_settings members;
 };
 
+/// @returns the policy's code in settings, such as refuse-when-isolated
+std::string_view staleness_name(staleness_policy policy) noexcept;
+/// @returns the policy of that code, or nothing
+std::optional<staleness_policy> parse_staleness(std::string_view name) noexcept;
+
 /// Reads a node's settings; whatever is wrong goes to the findings.
 /// @param file     the name that findings bear
 /// @param text     the file's content (TOML)
