The thin node replays changes and answers the command line

Cause: apply speaks to a node's operator interface, which the thin node did not have, so that the demo had no way to publish. Change: it replays the configuration stream through Config's configuration and answers POST /changes, GET /profiles, /changes, /changes/ID and /status with Operator's functions.

--- a/src/Node/thin_node.cpp
+++ b/src/Node/thin_node.cpp
@@ -1,7 +1,8 @@
 #include "Node/thin_node.hpp"
 
-#include "Config/declaration_reader.hpp"
+#include "Config/config_record.hpp"
 #include "Core/outcome.hpp"
+#include "Operator/configuration_view.hpp"
 #include "Placement/rendezvous.hpp"
 #include "Ports/http_client.hpp"
 
@@ -12,7 +13,9 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace camphorpoint {
@@ -48,10 +51,17 @@
     , settings_(std::move(settings))
     , server_(
           io.get_executor(), http_limits{.body_bytes = settings_.body_limit},
-          [this](http_exchange& exchange) { return answer(exchange); }) {}
+          [this](http_exchange& exchange) { return answer(exchange); })
+    , operators_(
+          io.get_executor(), http_limits{}, [this](http_exchange& exchange) {
+              return answer_operator(exchange);
+          }) {}
 
 std::string thin_node::start() {
     std::string problem = server_.listen(settings_.caller_address);
+    if (problem.empty()) {
+        problem = operators_.listen(settings_.operator_address);
+    }
     if (problem.empty()) {
         asio::co_spawn(io_, follow_log(), asio::detached);
         asio::co_spawn(io_, follow_instances(), asio::detached);
@@ -63,8 +73,8 @@
     asio::steady_timer timer(io_);
     for (;;) {
         http_request request;
-        request.target =
-            fmt::format("/streams/configuration/records?from={}", next_offset_);
+        request.target = fmt::format(
+            "/streams/configuration/records?from={}", profiles_.next().value);
         fetch_result const got = co_await fetch(
             io_.get_executor(), settings_.log_address, request, call_timeout);
         if (got.how == call_result::answered) {
@@ -82,13 +92,74 @@
         return;
     }
     for (json::value const& record : answer.at("records").as_array()) {
-        declaration_reader reader;
-        reader.read("log", record.at("data").as_string());
-        for (profile const& each : reader.profiles()) {
-            profiles_[each.name] = each;
-        }
-        next_offset_ = record.at("offset").to_number<std::uint64_t>() + 1;
+        log_record next;
+        next.offset =
+            log_offset{record.at("offset").to_number<std::uint64_t>()};
+        next.data = std::string(record.at("data").as_string());
+        profiles_.apply(next);
+    }
+}
+
+asio::awaitable<void> thin_node::answer_operator(http_exchange& exchange) {
+    std::string const path(path_of(exchange.request().target));
+    http_response response;
+    if (exchange.request().method == "POST" && path == "/changes") {
+        std::string record = exchange.request().body;
+        response = co_await publish(std::move(record));
+    } else {
+        response = read_operator(path);
     }
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<http_response> thin_node::publish(std::string record) {
+    http_response response;
+    decoded_record const decoded = decode(record);
+    change const* const wanted =
+        decoded ? std::get_if<change>(&decoded.value()) : nullptr;
+    if (wanted == nullptr) {
+        response.status = 400;
+        co_return response;
+    }
+    http_request request;
+    request.method = "POST";
+    request.target = "/streams/configuration/records";
+    request.body = std::move(record);
+    co_await fetch(
+        io_.get_executor(), settings_.log_address, request, call_timeout);
+    // Replay tells what became of it, also when the log's answer was lost.
+    publish_answer answer;
+    auto const end = std::chrono::steady_clock::now() + call_timeout;
+    asio::steady_timer timer(io_);
+    do {
+        timer.expires_after(settings_.log_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+        answer = answer_about(profiles_, wanted->id);
+    } while (!answer.known && std::chrono::steady_clock::now() < end);
+    response.body = encode(answer);
+    co_return response;
+}
+
+http_response thin_node::read_operator(std::string const& path) const {
+    constexpr std::string_view one_change = "/changes/";
+    http_response response;
+    if (path == "/profiles") {
+        response.body = encode(list_profiles(profiles_));
+    } else if (path == "/changes") {
+        response.body = encode(list_changes(profiles_));
+    } else if (path.starts_with(one_change)) {
+        change_id const id(path.substr(one_change.size()));
+        response.body = encode(answer_about(profiles_, id));
+    } else if (path == "/status") {
+        json::object const applied{
+            {"offset", profiles_.next().value},
+            {"digest", fmt::format("{:016x}", profiles_.digest())}};
+        response.body = json::serialize(
+            json::object{{"ready", true}, {"configuration", applied}});
+    } else if (path != "/healthz" && path != "/readyz") {
+        response.status = 404;
+    }
+    return response;
 }
 
 asio::awaitable<void> thin_node::follow_instances() {
@@ -151,12 +222,12 @@
         co_return;
     }
     profile_name const name(std::string(body.at("model").as_string()));
-    auto const found = profiles_.find(name);
-    if (found == profiles_.end()) {
+    profile const* found = profiles_.find(name);
+    if (found == nullptr) {
         co_await exchange.respond(refusal(404, reason::unknown_profile));
         co_return;
     }
-    profile const& wanted = found->second;
+    profile const wanted = *found;
     body.as_object()["model"] = engine_model(wanted.adapter);
     co_await complete(exchange, wanted, json::serialize(body));
 }
