--- a/app/history_command.cpp
+++ b/app/history_command.cpp
@@ -10,6 +10,19 @@
 
 namespace camphorpoint {
 
+namespace {
+
+/// @returns the time, or a dash when the node does not remember it
+std::string time_text(wall_time at) {
+    if (at == wall_time{}) {
+        return "-";
+    }
+    return absl::FormatTime(
+        "%Y-%m-%dT%H:%M:%SZ", absl::FromChrono(at), absl::UTCTimeZone());
+}
+
+} // namespace
+
 exit_code run_history(command_words const&) {
     node_client const node(absl::GetFlag(FLAGS_node));
     fetch_result const got = node.get("/changes");
@@ -19,11 +32,9 @@
         return exit_code::failed;
     }
     for (history_entry const& each : *entries) {
-        std::string const time = absl::FormatTime(
-            "%Y-%m-%dT%H:%M:%SZ", absl::FromChrono(each.appended),
-            absl::UTCTimeZone());
+        std::string const time = time_text(each.appended);
         fmt::print(
-            "{:>8} {} {:<18} {:<32} {} {}\n", each.offset.value, time,
+            "{:>8} {:<20} {:<18} {:<32} {} {}\n", each.offset.value, time,
             each.verdict_code, each.id.str(), each.author,
             fmt::join(each.profiles, ","));
     }
