--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -64,7 +64,7 @@
     done
     if [ "$status" -ne 0 ]; then
         echo "failed; the last lines of each log:" >&2
-        tail -n 5 "$work"/*.log >&2 || true
+        find "$work" -name '*.log' -size +0 -exec tail -n 5 {} + >&2 || true
     fi
     [ -n "${KEEP_WORK:-}" ] && echo "logs: $work" >&2 || rm -rf "$work"
     exit "$status"
