Load: a draining node is left for the next one; scripts set peer_address

Change: such a refusal goes to the next node, as a refused connection does. The nodes' settings now always name their peer_address.

--- a/app/load/caller_wire.cpp
+++ b/app/load/caller_wire.cpp
@@ -1,6 +1,7 @@
 #include "app/load/caller_wire.hpp"
 
 #include "Core/hash.hpp"
+#include "Core/outcome.hpp"
 #include "Load/expected_text.hpp"
 #include "Operator/json_reading.hpp"
 
@@ -86,6 +87,12 @@
     return request;
 }
 
+bool sends_elsewhere(stated_end const& end) {
+    return end.outcome == to_string(outcome::not_run) &&
+           (end.why == to_string(reason::draining) ||
+            end.why == to_string(reason::not_ready));
+}
+
 stated_end read_outcome_event(std::string_view data) {
     json_reading const body(data);
     stated_end end;
--- a/app/load/caller_wire.hpp
+++ b/app/load/caller_wire.hpp
@@ -36,6 +36,11 @@
     std::string why;
 };
 
+/// @returns true when the request did not run because the node is on its way
+/// out or not ready yet: the platform's balancer, whose place the load tool
+/// takes, sends it to another node
+bool sends_elsewhere(stated_end const& end);
+
 /// Reads the outcome of a stream's last event.
 stated_end read_outcome_event(std::string_view data);
 
--- a/app/load/service_caller.cpp
+++ b/app/load/service_caller.cpp
@@ -5,6 +5,7 @@
 #include "app/load/caller_wire.hpp"
 
 #include <chrono>
+#include <string>
 #include <utility>
 
 namespace camphorpoint {
@@ -66,7 +67,12 @@
         if (co_await call.send(request, answer_timeout)) {
             co_await read_answer(call, planned, result);
         }
-        break;
+        stated_end const stated{
+            true, std::string(to_string(result.end)), result.why};
+        if (!sends_elsewhere(stated)) {
+            break;
+        }
+        ++result.refused_connections;
     }
     result.total = duration_cast<microseconds>(steady_clock::now() - began);
 }
--- a/app/load/stream_caller.cpp
+++ b/app/load/stream_caller.cpp
@@ -95,6 +95,11 @@
         end_.outcome = "unknown";
         end_.why = "status-" + std::to_string(call.status());
     }
+    if (last_event_.empty() && sends_elsewhere(end_)) {
+        end_ = {};
+        result.end = seen_end::no_node;
+        co_return link_end::refused;
+    }
     // A resume that is refused leaves the stream cut, whatever it says of
     // itself.
     if (!last_event_.empty()) {
--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -170,11 +170,6 @@
         -d "$(instances_json)"
 }
 
-# Settings are strict: a key that the node does not know yet is left out.
-peer_setting() {
-    ! grep -q '"peer_address"' src/Settings/node_settings.cpp ||
-        echo "peer_address = \"$(peer_address "$1")\""
-}
 start_node() {
     cat > "$work/node-$1.toml" <<SETTINGS
 [node]
@@ -182,7 +177,7 @@
 failure_domain = "$(domain_of "$1")"
 caller_address = "$(caller_address "$1")"
 operator_address = "$(operator_address "$1")"
-$(peer_setting "$1")
+peer_address = "$(peer_address "$1")"
 [platform]
 log_address = "$log_address"
 instance_list_address = "$list_address"
