--- a/app/serve_command.cpp
+++ b/app/serve_command.cpp
@@ -1,4 +1,7 @@
-#include "Node/thin_node.hpp"
+#include "Node/node.hpp"
+#include "Node/serving_setup.hpp"
+#include "Serving/node_core.hpp"
+#include "Telemetry/log_writer.hpp"
 #include "app/command.hpp"
 #include "app/files.hpp"
 #include "app/flags.hpp"
@@ -7,8 +10,11 @@
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
+#include <random>
 
 namespace camphorpoint {
 
@@ -25,15 +31,28 @@
         fmt::print(stderr, "{}", problems.report());
         return exit_code::usage;
     }
+    auto const run = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
     boost::asio::io_context io(1);
-    thin_node node(io, settings);
-    std::string const problem = node.start();
-    if (!problem.empty()) {
-        fmt::print(stderr, "cannot start: {}\n", problem);
+    log_writer log;
+    node_core core(
+        make_serving_settings(settings, run, std::random_device()()));
+    node running(io, settings, run, make_decisions(core), log);
+    // A stop that drain_limit cut off is a planned stop all the same; the log
+    // says drained=false.
+    running.on_stopped([&](bool) { io.stop(); });
+    if (!running.start(problems)) {
+        fmt::print(stderr, "{}", problems.report());
         return exit_code::failed;
     }
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](auto const&, int) { io.stop(); });
+    signals.async_wait([&](auto const& error, int) {
+        if (!error) {
+            running.drain();
+        }
+    });
     io.run();
     return exit_code::ok;
 }
--- a/src/Node/attempt_runner.cpp
+++ b/src/Node/attempt_runner.cpp
@@ -141,14 +141,15 @@
 asio::awaitable<attempt_ended>
 attempt_runner::run_service(running_ptr attempt) {
     start_attempt const& what = attempt->what;
-    service_request request;
+    service_call request;
     request.address = what.address;
     request.id = what.engine_id.empty() ? what.id : what.engine_id;
     request.key = attempt->caller->key();
     request.body = attempt->caller->body();
     request.send_before = what.send_before;
     request.deadline = what.deadline;
-    service_end got = co_await services_.run(attempt->http, std::move(request));
+    service_call_end got =
+        co_await services_.run(attempt->http, std::move(request));
     attempt_ended end;
     end.how = got.how;
     end.status = got.status;
--- a/src/Node/change_desk.hpp
+++ b/src/Node/change_desk.hpp
@@ -10,12 +10,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
+#include <utility>
 
 namespace camphorpoint {
 
-/// Remembers what became of the changes that operators published through this
-/// node; the oldest are forgotten first.
+/// Where operators wait for the changes that they publish through this node.
 class change_desk {
 public:
     explicit change_desk(boost::asio::any_io_executor executor)
@@ -23,24 +22,17 @@
 
     /// @returns the number of a change that is about to be published
     std::uint64_t open();
-    /// Notes how a change ended.
+    /// Notes how a change ended; without effect when nobody waits for it.
     void close(publish_ended const& end);
-    /// Waits until the change has ended or the time has passed.
-    boost::asio::awaitable<void>
+    /// Waits until the change has ended or the time has passed, and forgets it.
+    /// @returns how it ended, or nothing when it is still under way
+    boost::asio::awaitable<std::optional<publish_ended>>
     wait(std::uint64_t number, std::chrono::milliseconds longest);
-    /// @returns true when the number was given out and is not forgotten
-    bool knows(std::uint64_t number) const { return changes_.contains(number); }
-    /// @returns how the change ended, or nothing while it is under way
-    std::optional<publish_ended> result(std::uint64_t number) const;
 
 private:
     std::uint64_t next_ = 1;
-    std::map<std::uint64_t, std::optional<publish_ended>> changes_;
+    std::map<std::uint64_t, std::optional<publish_ended>> waiting_;
     async_signal changed_;
 };
 
-/// @returns what GET /changes/{number} answers: state, offset and problems
-std::string
-write_change(std::uint64_t number, std::optional<publish_ended> const& end);
-
 } // namespace camphorpoint
--- a/src/Node/node_decisions.hpp
+++ b/src/Node/node_decisions.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/configuration.hpp"
 #include "Core/time.hpp"
 #include "Serving/node_action.hpp"
 #include "Serving/node_event.hpp"
@@ -7,6 +8,7 @@
 
 #include <concepts>
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace camphorpoint {
@@ -19,9 +21,10 @@
     wall_time wall, std::vector<node_action>& out) {
     core.handle(event, now, wall, out);
     { view.status(now) } -> std::convertible_to<node_status>;
+    { view.in_force() } -> std::convertible_to<configuration const&>;
 };
 
-/// A decision core behind two functions, so that the translation units with
+/// A decision core behind three functions, so that the translation units with
 /// Asio in them compile once for every core.
 struct node_decisions {
     std::function<void(
@@ -29,6 +32,7 @@
         std::vector<node_action>& out)>
         handle;
     std::function<node_status(instant now)> status;
+    std::function<configuration const&()> in_force;
 };
 
 /// @param core must outlive the result
@@ -43,6 +47,9 @@
     result.status = [&core](instant now) {
         return node_status(std::as_const(core).status(now));
     };
+    result.in_force = [&core]() -> configuration const& {
+        return std::as_const(core).in_force();
+    };
     return result;
 }
 
--- a/src/Node/operator_interface.cpp
+++ b/src/Node/operator_interface.cpp
@@ -1,10 +1,15 @@
 #include "Node/operator_interface.hpp"
 
+#include "Config/config_record.hpp"
 #include "Node/status_json.hpp"
+#include "Operator/change_history.hpp"
+#include "Operator/configuration_view.hpp"
+#include "Operator/profile_listing.hpp"
+#include "Operator/publish_answer.hpp"
 
-#include <charconv>
 #include <chrono>
 #include <utility>
+#include <variant>
 
 namespace camphorpoint {
 
@@ -18,6 +23,7 @@
 constexpr std::chrono::milliseconds publish_wait{25'000};
 constexpr int ok = 200;
 constexpr int accepted = 202;
+constexpr int bad_request = 400;
 constexpr int not_found = 404;
 constexpr int not_allowed = 405;
 constexpr int conflict = 409;
@@ -54,14 +60,14 @@
     std::size_t* count_;
 };
 
-int status_of_change(std::optional<publish_ended> const& end) {
-    if (!end) {
-        return accepted;
-    }
-    if (!end->known) {
+int status_of_answer(publish_answer const& answer) {
+    if (!answer.known) {
         return gateway_timeout;
     }
-    return end->accepted ? ok : conflict;
+    if (answer.accepted) {
+        return ok;
+    }
+    return answer.conflict ? conflict : bad_request;
 }
 
 } // namespace
@@ -116,28 +122,40 @@
     if (path == "/metrics") {
         return text_answer(view_.metrics(), "text/plain; version=0.0.4");
     }
+    if (path == "/profiles") {
+        return json_answer(ok, encode(list_profiles(view_.in_force())));
+    }
+    if (path == changes_path) {
+        return json_answer(ok, encode(list_changes(view_.in_force())));
+    }
     if (path.starts_with(change_prefix)) {
-        return change(path.substr(change_prefix.size()));
+        change_id const id(std::string(path.substr(change_prefix.size())));
+        return json_answer(ok, encode(answer_about(view_.in_force(), id)));
     }
     return json_answer(not_found, "{}\n");
 }
 
-http_response operator_interface::change(std::string_view text) const {
-    std::uint64_t number = 0;
-    char const* const end = text.data() + text.size();
-    auto const [stop, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || stop != end || !desk_.knows(number)) {
-        return json_answer(not_found, "{}\n");
-    }
-    return json_answer(ok, write_change(number, desk_.result(number)));
-}
-
 asio::awaitable<http_response> operator_interface::publish(std::string record) {
+    publish_answer answer;
+    auto const decoded = decode(record);
+    change const* wanted =
+        decoded ? std::get_if<change>(&decoded.value()) : nullptr;
+    if (wanted == nullptr) {
+        answer.problems = {
+            decoded ? "the record is no change" : decoded.error().what};
+        co_return json_answer(bad_request, encode(answer));
+    }
     std::uint64_t const number = desk_.open();
     view_.publish(number, std::move(record));
-    co_await desk_.wait(number, publish_wait);
-    auto const end = desk_.result(number);
-    co_return json_answer(status_of_change(end), write_change(number, end));
+    auto const end = co_await desk_.wait(number, publish_wait);
+    answer.known = end && end->known;
+    if (answer.known) {
+        answer.accepted = end->accepted;
+        answer.offset = end->offset;
+        answer.problems = end->problems;
+        answer.conflict = answer_about(view_.in_force(), wanted->id).conflict;
+    }
+    co_return json_answer(status_of_answer(answer), encode(answer));
 }
 
 } // namespace camphorpoint
--- a/src/Node/operator_interface.hpp
+++ b/src/Node/operator_interface.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/configuration.hpp"
 #include "Node/change_desk.hpp"
 #include "Ports/http_server.hpp"
 #include "Serving/node_status.hpp"
@@ -12,12 +13,14 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace camphorpoint {
 
 /// What operators can see and do through their interface.
 struct operator_view {
     std::function<node_status()> status;
+    std::function<configuration const&()> in_force;
     std::function<std::string()> metrics;
     /// Publishes an encoded change under a number.
     std::function<void(std::uint64_t number, std::string record)> publish;
@@ -52,7 +55,6 @@
     boost::asio::awaitable<void> answer(http_exchange& exchange);
     boost::asio::awaitable<http_response> respond(http_request const& request);
     boost::asio::awaitable<http_response> publish(std::string record);
-    http_response change(std::string_view number) const;
     http_response read(std::string_view path);
 
     operator_view view_;
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -116,6 +116,9 @@
     view.status = [this] {
         return decisions_.status(now());
     };
+    view.in_force = [this]() -> configuration const& {
+        return decisions_.in_force();
+    };
     view.metrics = [this] {
         return metrics_text();
     };
--- a/src/Node/status_json.cpp
+++ b/src/Node/status_json.cpp
@@ -50,8 +50,7 @@
         result.push_back(json::object{
             {"replica", each.replica.str()},
             {"queued", each.queued},
-            {"running", each.running},
-            {"resident", each.resident}});
+            {"running", each.running}});
     }
     return result;
 }
--- a/src/Ports/service_http.cpp
+++ b/src/Ports/service_http.cpp
@@ -22,7 +22,7 @@
                                                         : attempt_end::cut;
 }
 
-http_request message_of(service_request const& wanted) {
+http_request message_of(service_call const& wanted) {
     http_request message;
     message.method = "POST";
     message.target = "/calls";
@@ -37,15 +37,15 @@
 
 } // namespace
 
-asio::awaitable<service_end>
-service_http::run(http_call& call, service_request request) {
+asio::awaitable<service_call_end>
+service_http::run(http_call& call, service_call request) {
     call_times times;
     times.send_before = std::min(request.send_before, request.deadline);
     times.close_at = request.deadline;
     times.each_step = std::chrono::hours(1);
     fetch_result got = co_await fetch(
         call, parse_address(request.address), message_of(request), times);
-    service_end end;
+    service_call_end end;
     if (got.how != call_result::answered) {
         end.how = got.how == call_result::not_sent
                       ? attempt_end::not_sent
--- a/src/Ports/service_http.hpp
+++ b/src/Ports/service_http.hpp
@@ -12,7 +12,7 @@
 namespace camphorpoint {
 
 /// A call as a plain service is sent it.
-struct service_request {
+struct service_call {
     std::string address;
     /// The answer must bear the same.
     request_id id;
@@ -26,7 +26,7 @@
 };
 
 /// How a call ended.
-struct service_end {
+struct service_call_end {
     attempt_end how = attempt_end::not_sent;
     /// The whole answer; empty unless completed.
     std::string answer;
@@ -39,8 +39,8 @@
     /// Makes one call.
     /// @param call    ends it when cancelled
     /// @param request what to send
-    boost::asio::awaitable<service_end>
-    run(http_call& call, service_request request);
+    boost::asio::awaitable<service_call_end>
+    run(http_call& call, service_call request);
 };
 
 } // namespace camphorpoint
--- a/src/Serving/node_core.hpp
+++ b/src/Serving/node_core.hpp
@@ -43,6 +43,10 @@
 
     /// @returns a copy of what operators may see
     node_status status(instant now) const;
+    /// @returns the configuration in force on this node
+    configuration const& in_force() const noexcept {
+        return services_.follower.current();
+    }
     /// @returns why the node takes no requests; none when it does
     reason not_ready(instant now) const;
 
--- a/src/Serving/node_services.hpp
+++ b/src/Serving/node_services.hpp
@@ -5,7 +5,7 @@
 #include "Config/config_follower.hpp"
 #include "Keys/entry_keys.hpp"
 #include "Keys/key_owner.hpp"
-#include "Limits/aimd_limit.hpp"
+#include "Limits/fixed_limit.hpp"
 #include "Limits/retry_budget.hpp"
 #include "Limits/service_router.hpp"
 #include "Loading/store_budget.hpp"
@@ -21,7 +21,7 @@
 namespace camphorpoint {
 
 /// The limits of one plain service's replicas.
-using plain_service = service_router<aimd_limit>;
+using plain_service = service_router<fixed_limit>;
 
 /// All decision services of one node. They know nothing of each other; the
 /// routers carry what one asks to the other.
