--- a/src/Node/operator_interface.hpp
+++ b/src/Node/operator_interface.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/configuration.hpp"
 #include "Node/change_desk.hpp"
 #include "Ports/http_server.hpp"
 #include "Serving/node_status.hpp"
@@ -11,13 +12,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 
 namespace camphorpoint {
 
 /// What operators can see and do through their interface.
 struct operator_view {
     std::function<node_status()> status;
+    std::function<configuration const&()> in_force;
     std::function<std::string()> metrics;
     /// Publishes an encoded change under a number.
     std::function<void(std::uint64_t number, std::string record)> publish;
@@ -44,7 +48,7 @@
         desk_.close(end);
     }
     /// @returns how many operators wait for an answer
-    std::size_t answering() const noexcept { return answering_; }
+    std::size_t answering() const noexcept { return *answering_; }
     /// Closes everything.
     void close() { server_.close(); }
 
@@ -52,12 +56,12 @@
     boost::asio::awaitable<void> answer(http_exchange& exchange);
     boost::asio::awaitable<http_response> respond(http_request const& request);
     boost::asio::awaitable<http_response> publish(std::string record);
-    http_response change(std::string_view number) const;
     http_response read(std::string_view path);
 
     operator_view view_;
     change_desk desk_;
-    std::size_t answering_ = 0;
+    // Shared with the coroutines that answer, which may outlive this object.
+    std::shared_ptr<std::size_t> answering_ = std::make_shared<std::size_t>(0);
     http_server server_;
 };
 
