--- a/src/Node/change_desk.hpp
+++ b/src/Node/change_desk.hpp
@@ -10,15 +10,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <utility>
 
 namespace camphorpoint {
 
 /// Where operators wait for the changes that they publish through this node.
 class change_desk {
 public:
-    explicit change_desk(boost::asio::any_io_executor executor)
-        : changed_(std::move(executor)) {}
+    explicit change_desk(boost::asio::any_io_executor const& executor)
+        : changed_(executor) {}
 
     /// @returns the number of a change that is about to be published
     std::uint64_t open();
--- a/src/Node/operator_interface.cpp
+++ b/src/Node/operator_interface.cpp
@@ -73,7 +73,8 @@
 } // namespace
 
 operator_interface::operator_interface(
-    asio::any_io_executor executor, http_limits limits, operator_view view)
+    asio::any_io_executor const& executor, http_limits limits,
+    operator_view view)
     : view_(std::move(view))
     , desk_(executor)
     , server_(executor, limits, [this](http_exchange& exchange) {
--- a/src/Node/operator_interface.hpp
+++ b/src/Node/operator_interface.hpp
@@ -35,7 +35,7 @@
     /// @param limits   what one connection may ask for
     /// @param view     what stands behind it
     operator_interface(
-        boost::asio::any_io_executor executor, http_limits limits,
+        boost::asio::any_io_executor const& executor, http_limits limits,
         operator_view view);
 
     /// Binds and listens.
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -74,7 +74,7 @@
     , peers_(
           io.get_executor(), peer_identity{settings_.name, run},
           peer_link_limits(), run,
-          [this](peer_identity const& from, std::string message) {
+          [this](peer_identity const& from, std::string const& message) {
               receive(from, message);
           },
           [this](node_id const& peer) { handle(peer_unreachable{peer}); })
--- a/src/Ports/async_signal.hpp
+++ b/src/Ports/async_signal.hpp
@@ -6,7 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <utility>
+#include <chrono>
 
 namespace camphorpoint {
 
@@ -15,8 +15,8 @@
 /// in between.
 class async_signal {
 public:
-    explicit async_signal(boost::asio::any_io_executor executor)
-        : timer_(std::move(executor)) {}
+    explicit async_signal(boost::asio::any_io_executor const& executor)
+        : timer_(executor) {}
 
     /// Waits for the next notify, or until a time.
     boost::asio::awaitable<void> wait_until(
--- a/src/Ports/caller_call.cpp
+++ b/src/Ports/caller_call.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 caller_call::caller_call(
-    asio::any_io_executor executor, request_id id, answer_form form,
+    asio::any_io_executor const& executor, request_id id, answer_form form,
     std::string body, std::string key)
     : id_(std::move(id))
     , form_(form)
--- a/src/Ports/caller_call.hpp
+++ b/src/Ports/caller_call.hpp
@@ -29,8 +29,8 @@
     /// @param body     what endpoints are sent
     /// @param key      the caller's idempotency key; empty for none
     caller_call(
-        boost::asio::any_io_executor executor, request_id id, answer_form form,
-        std::string body, std::string key);
+        boost::asio::any_io_executor const& executor, request_id id,
+        answer_form form, std::string body, std::string key);
 
     /// @returns the request's id
     request_id const& id() const noexcept { return id_; }
--- a/src/Ports/caller_interface.cpp
+++ b/src/Ports/caller_interface.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 caller_interface::caller_interface(
-    asio::any_io_executor executor, http_limits limits, node_id node,
+    asio::any_io_executor const& executor, http_limits limits, node_id node,
     std::uint64_t run, event_sink events)
     : executor_(executor)
     , node_(std::move(node))
--- a/src/Ports/caller_interface.hpp
+++ b/src/Ports/caller_interface.hpp
@@ -31,8 +31,8 @@
     /// @param run      tells the ids of two runs of the process apart
     /// @param events   called for each request, and when a caller goes away
     caller_interface(
-        boost::asio::any_io_executor executor, http_limits limits, node_id node,
-        std::uint64_t run, event_sink events);
+        boost::asio::any_io_executor const& executor, http_limits limits,
+        node_id node, std::uint64_t run, event_sink events);
 
     /// Binds and listens.
     /// @returns the reason when the address cannot be had, empty on success
--- a/src/Ports/peer_link.cpp
+++ b/src/Ports/peer_link.cpp
@@ -82,9 +82,9 @@
 
     /// The way to one peer.
     struct outgoing {
-        outgoing(asio::any_io_executor executor, node_id peer)
+        outgoing(asio::any_io_executor const& executor, node_id peer)
             : id(std::move(peer))
-            , changed(std::move(executor)) {}
+            , changed(executor) {}
 
         node_id id;
         ip_address address;
