Load: a broken stream whose last try finds no node counts as cut

Cause: in a trial one request whose resumes failed ended on a refused connection and was counted as no-node, which the verdict on cuts passed over. Change: no-node is only a request of which no event ever came.

--- a/app/load/stream_caller.cpp
+++ b/app/load/stream_caller.cpp
@@ -68,7 +68,8 @@
     http_request request, ip_address to, request_result& result) {
     http_call call(executor_);
     if (!co_await call.connect(to, connect_timeout)) {
-        result.end = seen_end::no_node;
+        // A stream that has begun and finds no node to go on from is cut.
+        result.end = last_event_.empty() ? seen_end::no_node : seen_end::cut;
         co_return link_end::refused;
     }
     result.end = seen_end::cut;
