--- a/src/Ports/peer_link.cpp
+++ b/src/Ports/peer_link.cpp
@@ -40,9 +40,9 @@
 class close_guard {
 public:
     close_guard(
-        asio::any_io_executor executor, std::shared_ptr<tcp::socket> socket,
-        std::chrono::milliseconds time)
-        : timer_(std::move(executor), time) {
+        asio::any_io_executor const& executor,
+        std::shared_ptr<tcp::socket> socket, std::chrono::milliseconds time)
+        : timer_(executor, time) {
         timer_.async_wait([socket = std::move(socket)](error_code error) {
             if (!error) {
                 error_code ignored;
@@ -396,7 +396,7 @@
 }
 
 void peer_link::send(
-    node_id const& to, ip_address const& address, std::string message) {
+    node_id const& to, ip_address const& address, std::string const& message) {
     state_->send(to, address, internal::make_frame(message));
 }
 
--- a/src/Ports/peer_link.hpp
+++ b/src/Ports/peer_link.hpp
@@ -74,8 +74,9 @@
     /// @param to      the peer
     /// @param address where it listens now
     /// @param message its bytes
-    void
-    send(node_id const& to, ip_address const& address, std::string message);
+    void send(
+        node_id const& to, ip_address const& address,
+        std::string const& message);
     /// Closes everything at once.
     void close();
     /// @returns bytes that wait for all peers
