--- a/app/apply_command.cpp
+++ b/app/apply_command.cpp
@@ -32,7 +32,7 @@
 using std::chrono::steady_clock;
 
 std::string author() {
-    std::string const given = absl::GetFlag(FLAGS_author);
+    std::string given = absl::GetFlag(FLAGS_author);
     if (!given.empty()) {
         return given;
     }
