--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -50,9 +50,20 @@
     for (figure const& each : run.figures) {
         figures[each.name] = each.value;
     }
+    boost::json::array stalls;
+    boost::json::array fullness;
+    for (second_sample const& each : run.series) {
+        stalls.push_back(each.mean_stall_ms);
+        fullness.push_back(each.batch_fullness);
+    }
     return {
-        {"preset", run.preset}, {"policy", run.policy}, {"fault", run.fault},
-        {"seed", run.seed},     {"figures", figures},
+        {"preset", run.preset},
+        {"policy", run.policy},
+        {"fault", run.fault},
+        {"seed", run.seed},
+        {"figures", figures},
+        {"mean stall by second, ms", stalls},
+        {"batch fullness by second", fullness},
     };
 }
 
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -18,7 +18,7 @@
     /// Share of a batch that one adapter may fill before it gets a copy.
     double share_per_copy = 0.5;
     /// After this time half of a reply's word on queues counts no more.
-    std::chrono::milliseconds queue_memory{1'000};
+    std::chrono::milliseconds queue_memory{4'000};
     /// After this time half of a reply's word on residency counts no more.
     std::chrono::milliseconds residency_memory{30'000};
     /// A prefix hint is believed this long.
