--- a/bench/product_owner.hpp
+++ b/bench/product_owner.hpp
@@ -33,6 +33,8 @@
     /// Replicas that refused it.
     std::vector<endpoint_id> excluded;
     bool counted = false;
+    /// Refused asks that were bounded by a wait.
+    std::uint32_t probes = 0;
 };
 
 /// An entry node in the bench.
--- a/bench/product_requests.cpp
+++ b/bench/product_requests.cpp
@@ -12,6 +12,8 @@
 
 /// Replicas that a request is tried on at once before it waits a while.
 constexpr std::size_t most_tries = 4;
+/// Asks that may be refused because another replica is believed better.
+constexpr std::uint32_t most_probes = 3;
 constexpr milliseconds pause_without_replica{100};
 
 request_id id_of(std::size_t index) {
@@ -44,13 +46,13 @@
         node.choice->on_demand(adapter, world_.now());
         entry.counted = true;
     }
-    auto const chosen = node.choice->choose(
+    auto const chosen = node.choice->choose_bounded(
         adapter, model_, how_urgent, from.prefix, entry.excluded, world_.now());
     if (!chosen) {
         retry(index, pause_without_replica);
         return;
     }
-    entry.engine = engine_of(*chosen);
+    entry.engine = engine_of(chosen->endpoint);
     entry.where = entry_request::phase::asked;
     ++entry.attempt;
     node.active.insert(index);
@@ -58,7 +60,7 @@
     grant_ask message;
     message.request = id_of(index);
     message.attempt = entry.attempt;
-    message.replica = *chosen;
+    message.replica = chosen->endpoint;
     message.adapter = adapter;
     message.how_urgent = how_urgent;
     message.time_left = std::chrono::duration_cast<milliseconds>(
@@ -66,6 +68,9 @@
     message.expected_tokens =
         static_cast<std::uint32_t>(world_.kind(index).mean_tokens);
     message.prefix_hash = from.prefix;
+    if (entry.probes < most_probes) {
+        message.longest_wait = chosen->longest_wait;
+    }
     on_owner(
         from.node, entry.engine,
         [this, message, node = from.node](auto& scheduler) {
@@ -163,6 +168,12 @@
         message.replica, ref(world_.record(index).adapter), message.feedback,
         world_.now());
     leave(index);
+    if (message.why == reason::queue_full && entry.probes < most_probes) {
+        // Its wait is known now; the best of all is asked, maybe this again.
+        ++entry.probes;
+        retry(index, duration::zero());
+        return;
+    }
     entry.excluded.push_back(message.replica);
     if (entry.excluded.size() < most_tries) {
         retry(index, duration::zero());
--- a/src/Placement/placement.hpp
+++ b/src/Placement/placement.hpp
@@ -28,6 +28,13 @@
     duration age{};
 };
 
+/// A replica for a request.
+struct placement_choice {
+    endpoint_id endpoint;
+    /// Past this expected wait another replica is believed to be better.
+    std::chrono::milliseconds longest_wait = any_wait;
+};
+
 /// Chooses, at an entry node, the replica that a request is asked for at.
 /// @tparam Policy weighs the candidates
 template <placement_policy Policy = least_expected_wait>
@@ -45,6 +52,13 @@
         adapter_ref const& adapter, model_id const& model, urgency how_urgent,
         std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
         instant now);
+    /// As choose(), with the wait up to which the choice is believed to be the
+    /// best. An owner that refuses for it has told its true wait, so that the
+    /// same replica may be chosen again: it is not to be excluded.
+    std::optional<placement_choice> choose_bounded(
+        adapter_ref const& adapter, model_id const& model, urgency how_urgent,
+        std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
+        instant now);
     /// What an owner's reply said of its replica and the adapter.
     void on_feedback(
         endpoint_id const& endpoint, adapter_ref const& adapter,
@@ -66,6 +80,8 @@
     struct adapter_entry {
         std::uint64_t generation = 0;
         std::vector<internal::endpoint_index> candidates;
+        /// True when there are no further replicas.
+        bool complete = false;
         std::vector<residency_hint> hints;
         decayed_rate asks{std::chrono::seconds(20)};
         instant last_use;
@@ -74,10 +90,14 @@
     adapter_entry&
     entry_of(adapter_ref const& adapter, model_id const& model, instant now);
     std::size_t copies(adapter_entry const& entry, instant now) const;
+    void widen(
+        adapter_entry& entry, adapter_ref const& adapter, model_id const& model,
+        std::size_t copies);
     placement_candidate describe(
         adapter_entry const& entry, std::size_t rank,
         endpoint_id const* prefix_home, instant now) const;
     duration aged_wait(internal::known_endpoint const& each, instant now) const;
+    duration aged_load(internal::known_endpoint const& each, instant now) const;
     double
     residency(adapter_entry const& entry, std::size_t rank, instant now) const;
     void forget_idle(instant now);
@@ -87,6 +107,8 @@
     internal::prefix_hints prefixes_;
     std::unordered_map<adapter_ref, adapter_entry> adapters_;
     duration service_time_;
+    /// Requests that run on a replica, over all that were heard of.
+    double usual_running_ = 0;
     instant last_forgetting_;
     Policy policy_;
 };
--- a/src/Placement/placement_decisions.hpp
+++ b/src/Placement/placement_decisions.hpp
@@ -65,6 +65,7 @@
         // warm the newer one before the older is let go.
         std::uint64_t const key = hash_text(adapter.id.str());
         entry.candidates = endpoints_.top(model, key, settings_.candidates);
+        entry.complete = entry.candidates.size() < settings_.candidates;
         entry.generation = generation;
     }
     return entry;
@@ -87,22 +88,57 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(needed));
 }
 
+template <placement_policy Policy>
+void placement<Policy>::widen(
+    adapter_entry& entry, adapter_ref const& adapter, model_id const& model,
+    std::size_t copies) {
+    // An adapter that needs as many copies as it has candidates would queue at
+    // them for good, while the other replicas stand idle.
+    std::size_t const wanted = settings_.candidates + 2 * copies;
+    if (entry.complete || entry.candidates.size() >= wanted) {
+        return;
+    }
+    std::size_t const most = 2 * wanted;
+    std::uint64_t const key = hash_text(adapter.id.str());
+    entry.candidates = endpoints_.top(model, key, most);
+    entry.complete = entry.candidates.size() < most;
+}
+
 template <placement_policy Policy>
 duration placement<Policy>::aged_wait(
     internal::known_endpoint const& each, instant now) const {
-    // Requests that went there since the last reply take its free places
-    // first, then its queue; a burst would otherwise all go to one replica.
-    std::uint32_t const limit = std::max(1U, each.about.batch_limit);
-    std::uint32_t const free = limit - std::min(limit, each.running);
-    std::uint32_t const beyond =
-        each.sent_since - std::min(each.sent_since, free);
-    duration const extra = service_time_ * beyond / limit;
-    if (!each.heard) {
-        return extra;
+    // What is not known of late is taken for the usual: an old word of an
+    // empty replica would draw a burst to it, one of a full replica would keep
+    // requests away for good.
+    double const left =
+        each.heard
+            ? internal::remaining(now - *each.heard, settings_.queue_memory)
+            : 0.0;
+    double const limit = std::max(1U, each.about.batch_limit);
+    double const told = left * each.running + (1 - left) * usual_running_;
+    double const taken = (told + each.sent_since) / limit;
+    // A batch that is nearly full may be full by the time that the ask comes.
+    double const near = std::clamp(
+        (taken - settings_.nearly_full) / (1 - settings_.nearly_full), 0.0,
+        1.0);
+    double const beyond = std::max(0.0, taken - 1.0);
+    return internal::scaled(each.wait, left) +
+           internal::scaled(settings_.nearly_full_wait, near) +
+           internal::scaled(service_time_, beyond);
+}
+
+template <placement_policy Policy>
+duration placement<Policy>::aged_load(
+    internal::known_endpoint const& each, instant now) const {
+    // A replica that once waited long for the store would never be tried, and
+    // so never heard of, again.
+    duration const usual = settings_.load_time;
+    if (!each.heard || each.load <= usual) {
+        return usual;
     }
     double const left =
-        internal::remaining(now - *each.heard, settings_.queue_memory);
-    return internal::scaled(each.wait + extra, left);
+        internal::remaining(now - *each.heard, settings_.load_memory);
+    return usual + internal::scaled(each.load - usual, left);
 }
 
 template <placement_policy Policy>
@@ -131,8 +167,7 @@
     placement_candidate result;
     result.rank = rank;
     result.wait = aged_wait(each, now);
-    result.load =
-        each.load > duration{} ? each.load : duration(settings_.load_time);
+    result.load = aged_load(each, now);
     result.residency = residency(entry, rank, now);
     result.prefix_cached = prefix_home && *prefix_home == each.about.id;
     result.same_domain = each.about.domain == settings_.domain;
@@ -144,12 +179,24 @@
     adapter_ref const& adapter, model_id const& model, urgency how_urgent,
     std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
     instant now) {
-    adapter_entry const& entry = entry_of(adapter, model, now);
+    auto const chosen =
+        choose_bounded(adapter, model, how_urgent, prefix_hash, excluded, now);
+    return chosen ? std::optional(chosen->endpoint) : std::nullopt;
+}
+
+template <placement_policy Policy>
+std::optional<placement_choice> placement<Policy>::choose_bounded(
+    adapter_ref const& adapter, model_id const& model, urgency how_urgent,
+    std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
+    instant now) {
+    adapter_entry& entry = entry_of(adapter, model, now);
     placement_demand const demand{how_urgent, copies(entry, now)};
+    widen(entry, adapter, model, demand.copies);
     endpoint_id const* const prefix_home =
         prefix_hash == 0 ? nullptr : prefixes_.find(prefix_hash, now);
     std::optional<internal::endpoint_index> best;
     duration least{};
+    std::optional<duration> next;
     for (std::size_t rank = 0; rank < entry.candidates.size(); ++rank) {
         internal::endpoint_index const index = entry.candidates[rank];
         endpoint_id const& id = endpoints_.at(index).about.id;
@@ -159,8 +206,11 @@
         duration const cost =
             policy_.cost(describe(entry, rank, prefix_home, now), demand);
         if (!best || cost < least) {
+            next = best ? std::optional(least) : std::nullopt;
             best = index;
             least = cost;
+        } else if (!next || cost < *next) {
+            next = cost;
         }
     }
     if (!best) {
@@ -171,7 +221,15 @@
     if (prefix_hash != 0) {
         prefixes_.stored(prefix_hash, chosen.about.id, now);
     }
-    return chosen.about.id;
+    placement_choice result{chosen.about.id};
+    if (next) {
+        // A little more than the next one's cost: two replicas of about the
+        // same wait would otherwise send a request back and forth.
+        constexpr std::chrono::milliseconds slack{20};
+        result.longest_wait = std::chrono::ceil<std::chrono::milliseconds>(
+            std::max(duration{}, *next) + slack);
+    }
+    return result;
 }
 
 template <placement_policy Policy>
@@ -186,6 +244,8 @@
     known.wait = feedback.expected_wait;
     known.load = feedback.expected_load;
     known.running = feedback.running;
+    constexpr double usual_part = 1.0 / 32;
+    usual_running_ += usual_part * (feedback.running - usual_running_);
     known.heard = now;
     known.sent_since = 0;
     auto const entry = adapters_.find(adapter);
--- a/src/Placement/placement_policy.cpp
+++ b/src/Placement/placement_policy.cpp
@@ -7,7 +7,7 @@
     // Copies that the demand calls for cost a plain load; more than that push
     // out other adapters for nothing.
     bool const called_for = each.rank < demand.copies;
-    double const weight = called_for ? 1.0 : load_weight;
+    double const weight = called_for ? copy_weight : load_weight;
     double const missing = weight * (1.0 - each.residency);
     auto const load = duration(static_cast<duration::rep>(
         missing * static_cast<double>(each.load.count())));
--- a/src/Placement/placement_policy.hpp
+++ b/src/Placement/placement_policy.hpp
@@ -50,6 +50,8 @@
     /// A load elsewhere costs the store a load and some other adapter its
     /// slot, so it must be worth this many times its time.
     static constexpr double load_weight = 2.0;
+    /// A copy that the demand calls for serves many later requests.
+    static constexpr double copy_weight = 0.1;
 
     duration
     cost(placement_candidate const& each, placement_demand const& demand) const;
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -16,9 +16,15 @@
     /// Entry nodes that share the callers evenly; scales measured demand.
     std::size_t nodes = 1;
     /// Share of a batch that one adapter may fill before it gets a copy.
-    double share_per_copy = 0.5;
+    double share_per_copy = 0.2;
+    /// From this part of its batch on a replica counts as nearly full.
+    double nearly_full = 0.75;
+    /// What the last free place of a batch counts as waiting.
+    std::chrono::milliseconds nearly_full_wait{100};
     /// After this time half of a reply's word on queues counts no more.
-    std::chrono::milliseconds queue_memory{4'000};
+    std::chrono::milliseconds queue_memory{2'000};
+    /// After this time half of a reply's word on long loads counts no more.
+    std::chrono::milliseconds load_memory{5'000};
     /// After this time half of a reply's word on residency counts no more.
     std::chrono::milliseconds residency_memory{30'000};
     /// A prefix hint is believed this long.
--- a/src/Scheduling/grant_manager_asks.hpp
+++ b/src/Scheduling/grant_manager_asks.hpp
@@ -55,8 +55,16 @@
     duration const queued = expected_wait(state, ask.how_urgent, deadline);
     duration const wait = ready ? queued : std::max(queued, state.times.load());
     duration const needed = wait + state.times.service(ask.expected_tokens);
-    bool const too_late = now + surely(needed) > deadline;
-    return too_late ? reason::deadline_unreachable : reason::none;
+    if (now + surely(needed) > deadline) {
+        return reason::deadline_unreachable;
+    }
+    // The entry node's word of this replica is as old as its last reply. A
+    // request that was sent here by it would wait in a long queue while other
+    // replicas have room; a refusal costs one message there and back.
+    duration const expected =
+        ready ? queued : std::max(queued, state.times.stall());
+    bool const better_elsewhere = expected > ask.longest_wait;
+    return better_elsewhere ? reason::queue_full : reason::none;
 }
 
 template <batch_policy Batch>
@@ -71,8 +79,9 @@
     last_ask_[static_cast<std::size_t>(ask.how_urgent)] = now;
     reason const why = refusal(state, ask, ready, now);
     if (why != reason::none) {
-        bool const full =
-            why == reason::queue_full || why == reason::deadline_unreachable;
+        bool const bounded = ask.longest_wait < any_wait;
+        bool const full = why == reason::deadline_unreachable ||
+                          (why == reason::queue_full && !bounded);
         duration const back =
             full ? expected_wait(state, ask.how_urgent, now + ask.time_left)
                  : duration{};
--- a/src/Scheduling/grant_messages.hpp
+++ b/src/Scheduling/grant_messages.hpp
@@ -10,6 +10,10 @@
 
 namespace camphorpoint {
 
+/// Longer than any request waits. Not the type's largest value, which
+/// overflows when it is compared with nanoseconds.
+inline constexpr std::chrono::milliseconds any_wait = std::chrono::hours(24);
+
 /// Entry node to owner: may this request run on your replica?
 struct grant_ask {
     request_id request;
@@ -26,6 +30,9 @@
     std::uint64_t prefix_hash = 0;
     /// The configuration offset that the request was admitted under.
     log_offset configuration;
+    /// An owner that expects a longer wait refuses at once, since the entry
+    /// node knows of a replica that it believes to be better.
+    std::chrono::milliseconds longest_wait = any_wait;
 
     template <class Archive>
     void serialize(Archive& archive);
@@ -127,10 +134,12 @@
 template <class Archive>
 void grant_ask::serialize(Archive& archive) {
     auto left = time_left.count();
+    auto wait = longest_wait.count();
     archive(
         request, attempt, replica, adapter, how_urgent, left, expected_tokens,
-        prefix_hash, configuration);
+        prefix_hash, configuration, wait);
     time_left = std::chrono::milliseconds(left);
+    longest_wait = std::chrono::milliseconds(wait);
 }
 
 template <class Archive>
