--- a/src/Placement/endpoint_table.cpp
+++ b/src/Placement/endpoint_table.cpp
@@ -60,6 +60,7 @@
     for (auto& [model, members] : usable) {
         model_members& group = models_[model];
         if (group.usable != members) {
+            number(members);
             group.usable = std::move(members);
             group.generation = ++generations_;
         }
@@ -72,6 +73,23 @@
     return known == by_id_.end() ? std::nullopt : std::optional(known->second);
 }
 
+void endpoint_table::number(std::vector<endpoint_index> members) {
+    std::ranges::sort(members, [&](auto left, auto right) {
+        known_endpoint const& one = all_[left];
+        known_endpoint const& other = all_[right];
+        return one.hash != other.hash ? one.hash < other.hash
+                                      : one.about.id < other.about.id;
+    });
+    for (std::size_t order = 0; order < members.size(); ++order) {
+        all_[members[order]].order = order;
+    }
+}
+
+std::size_t endpoint_table::usable(model_id const& model) const {
+    auto const group = models_.find(model);
+    return group == models_.end() ? 0 : group->second.usable.size();
+}
+
 std::uint64_t endpoint_table::generation(model_id const& model) const {
     auto const group = models_.find(model);
     return group == models_.end() ? 0 : group->second.generation;
--- a/src/Placement/endpoint_table.hpp
+++ b/src/Placement/endpoint_table.hpp
@@ -20,6 +20,9 @@
 struct known_endpoint {
     placement_endpoint about;
     std::uint64_t hash = 0;
+    /// Place among the model's usable replicas, in an order that is the same
+    /// on all nodes.
+    std::size_t order = 0;
     /// What its owner last said, and when.
     duration wait{};
     duration load{};
@@ -43,6 +46,8 @@
     known_endpoint const& at(endpoint_index index) const { return all_[index]; }
     /// @returns the model's generation; 0 when it has no replica
     std::uint64_t generation(model_id const& model) const;
+    /// @returns how many usable replicas the model has
+    std::size_t usable(model_id const& model) const;
     /// The best of a model's usable replicas for a key, by rendezvous hashing.
     /// @param most how many
     /// @returns positions, best first
@@ -56,6 +61,7 @@
     };
 
     endpoint_index enter(placement_endpoint const& endpoint);
+    void number(std::vector<endpoint_index> members);
     void regroup(std::vector<endpoint_index> const& present);
 
     std::vector<known_endpoint> all_;
--- a/src/Placement/placement.hpp
+++ b/src/Placement/placement.hpp
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -87,28 +88,49 @@
         instant last_use;
     };
 
+    /// Demand of one base model, and what was made of it last.
+    struct model_demand {
+        decayed_rate asks{std::chrono::seconds(30)};
+        std::size_t needed = 0;
+        /// When it was first asked for.
+        instant since;
+        instant lowered;
+    };
+
     adapter_entry&
     entry_of(adapter_ref const& adapter, model_id const& model, instant now);
     std::size_t copies(adapter_entry const& entry, instant now) const;
     void widen(
         adapter_entry& entry, adapter_ref const& adapter, model_id const& model,
         std::size_t copies);
+    /// Replicas that the model's demand fills, of those that are usable.
+    std::size_t needed_replicas(model_id const& model, instant now);
     placement_candidate describe(
-        adapter_entry const& entry, std::size_t rank,
+        adapter_entry const& entry, std::size_t at, std::size_t rank,
         endpoint_id const* prefix_home, instant now) const;
     duration aged_wait(internal::known_endpoint const& each, instant now) const;
     duration aged_load(internal::known_endpoint const& each, instant now) const;
-    double
-    residency(adapter_entry const& entry, std::size_t rank, instant now) const;
+    double residency(
+        adapter_entry const& entry, std::size_t at, std::size_t rank,
+        instant now) const;
     void forget_idle(instant now);
 
     placement_settings settings_;
     internal::endpoint_table endpoints_;
     internal::prefix_hints prefixes_;
     std::unordered_map<adapter_ref, adapter_entry> adapters_;
+    std::map<model_id, model_demand> models_;
     duration service_time_;
+    /// In seconds, over many requests.
+    double usual_service_;
+    double served_ = 0;
+    /// Requests, and choices made for them.
+    decayed_rate demand_{std::chrono::seconds(30)};
+    decayed_rate choices_{std::chrono::seconds(30)};
     /// Requests that run on a replica, over all that were heard of.
     double usual_running_ = 0;
+    /// Of the largest replica.
+    double batch_limit_ = 1;
     instant last_forgetting_;
     Policy policy_;
 };
--- a/src/Placement/placement_decisions.hpp
+++ b/src/Placement/placement_decisions.hpp
@@ -32,7 +32,9 @@
 placement<Policy>::placement(placement_settings const& settings)
     : settings_(settings)
     , prefixes_(settings.prefix_limit, settings.prefix_memory)
-    , service_time_(settings.service_time) {
+    , service_time_(settings.service_time)
+    , usual_service_(
+          std::chrono::duration<double>(settings.service_time).count()) {
     assert(settings.candidates > 0 && "a request needs a replica to ask at");
     assert(settings.queue_memory.count() > 0 && "a half-life is positive");
 }
@@ -40,6 +42,10 @@
 template <placement_policy Policy>
 void placement<Policy>::set_endpoints(
     std::vector<placement_endpoint> const& endpoints) {
+    batch_limit_ = 1;
+    for (placement_endpoint const& each : endpoints) {
+        batch_limit_ = std::max<double>(batch_limit_, each.batch_limit);
+    }
     if (endpoints_.set(endpoints)) {
         // Positions have changed their meaning.
         for (auto& [adapter, entry] : adapters_) {
@@ -143,10 +149,11 @@
 
 template <placement_policy Policy>
 double placement<Policy>::residency(
-    adapter_entry const& entry, std::size_t rank, instant now) const {
+    adapter_entry const& entry, std::size_t at, std::size_t rank,
+    instant now) const {
     // Without word, the home is the best guess: other nodes send there too.
     double const guess = rank == 0 ? 0.5 : 0.0;
-    internal::endpoint_index const index = entry.candidates[rank];
+    internal::endpoint_index const index = entry.candidates[at];
     auto const hint =
         std::ranges::find(entry.hints, index, &residency_hint::where);
     if (hint == entry.hints.end()) {
@@ -158,17 +165,57 @@
     return guess + (told - guess) * left;
 }
 
+template <placement_policy Policy>
+std::size_t
+placement<Policy>::needed_replicas(model_id const& model, instant now) {
+    std::size_t const usable = endpoints_.usable(model);
+    if (settings_.target_filling <= 0) {
+        return usable;
+    }
+    // Steps of an engine cost about the same full or empty, so that the same
+    // tokens take fewer steps on fewer engines. Requests that run at once are
+    // their rate times their length (J. D. C. Little, "A proof for the queuing
+    // formula L = lambda W", Operations Research 9(3), 1961).
+    model_demand& demand = models_[model];
+    // A request that is asked for several times counts once.
+    double const choices = std::max(choices_.per_second(now), 1e-9);
+    double const once = std::min(1.0, demand_.per_second(now) / choices);
+    double const rate = once * demand.asks.per_second(now) *
+                        static_cast<double>(settings_.nodes);
+    double const running = rate * usual_service_;
+    double const places = settings_.target_filling * batch_limit_;
+    double const wanted = running / places;
+    constexpr std::chrono::seconds lower_every{5};
+    auto const have = static_cast<double>(demand.needed);
+    if (demand.needed == 0) {
+        demand.since = now;
+    }
+    // A rate that decays takes some half-lives to be measured; until then it
+    // is too low, and requests would crowd on a few replicas.
+    constexpr std::chrono::seconds measured_after{90};
+    if (now - demand.since < measured_after) {
+        demand.needed = usable;
+        demand.lowered = now;
+    } else if (wanted > have + 0.5) {
+        demand.needed = static_cast<std::size_t>(std::ceil(wanted));
+        demand.lowered = now;
+    } else if (wanted < have - 1.5 && now - demand.lowered >= lower_every) {
+        --demand.needed;
+        demand.lowered = now;
+    }
+    return std::min(demand.needed, usable);
+}
+
 template <placement_policy Policy>
 placement_candidate placement<Policy>::describe(
-    adapter_entry const& entry, std::size_t rank,
+    adapter_entry const& entry, std::size_t at, std::size_t rank,
     endpoint_id const* prefix_home, instant now) const {
-    internal::known_endpoint const& each =
-        endpoints_.at(entry.candidates[rank]);
+    internal::known_endpoint const& each = endpoints_.at(entry.candidates[at]);
     placement_candidate result;
     result.rank = rank;
     result.wait = aged_wait(each, now);
     result.load = aged_load(each, now);
-    result.residency = residency(entry, rank, now);
+    result.residency = residency(entry, at, rank, now);
     result.prefix_cached = prefix_home && *prefix_home == each.about.id;
     result.same_domain = each.about.domain == settings_.domain;
     return result;
@@ -192,19 +239,28 @@
     adapter_entry& entry = entry_of(adapter, model, now);
     placement_demand const demand{how_urgent, copies(entry, now)};
     widen(entry, adapter, model, demand.copies);
+    models_[model].asks.add(now);
+    choices_.add(now);
     endpoint_id const* const prefix_home =
         prefix_hash == 0 ? nullptr : prefixes_.find(prefix_hash, now);
     std::optional<internal::endpoint_index> best;
     duration least{};
     std::optional<duration> next;
-    for (std::size_t rank = 0; rank < entry.candidates.size(); ++rank) {
-        internal::endpoint_index const index = entry.candidates[rank];
-        endpoint_id const& id = endpoints_.at(index).about.id;
+    std::size_t const needed = needed_replicas(model, now);
+    std::size_t rank = 0;
+    for (std::size_t at = 0; at < entry.candidates.size(); ++at) {
+        internal::endpoint_index const index = entry.candidates[at];
+        internal::known_endpoint const& each = endpoints_.at(index);
+        bool const spare = each.order >= needed;
+        std::size_t const own_rank = spare ? entry.candidates.size() : rank++;
+        endpoint_id const& id = each.about.id;
         if (std::ranges::find(excluded, id) != excluded.end()) {
             continue;
         }
-        duration const cost =
-            policy_.cost(describe(entry, rank, prefix_home, now), demand);
+        placement_candidate candidate =
+            describe(entry, at, own_rank, prefix_home, now);
+        candidate.spare = spare;
+        duration const cost = policy_.cost(candidate, demand);
         if (!best || cost < least) {
             next = best ? std::optional(least) : std::nullopt;
             best = index;
@@ -277,12 +333,21 @@
     adapter_entry& entry = adapters_[adapter];
     entry.asks.add(now);
     entry.last_use = now;
+    demand_.add(now);
     forget_idle(now);
 }
 
 template <placement_policy Policy>
 void placement<Policy>::on_served(duration took) {
     service_time_ = move_average(service_time_, took);
+    // Lengths of answers vary widely, and the number of replicas in use must
+    // not follow each long one.
+    // The first ones count in full: too short a time taken for granted would
+    // crowd all requests on a few replicas for minutes after a start.
+    constexpr double most_counted = 128;
+    served_ = std::min(served_ + 1, most_counted);
+    double const seconds = std::chrono::duration<double>(took).count();
+    usual_service_ += (seconds - usual_service_) / served_;
 }
 
 template <placement_policy Policy>
--- a/src/Placement/placement_policy.cpp
+++ b/src/Placement/placement_policy.cpp
@@ -15,6 +15,9 @@
     if (each.prefix_cached) {
         cost -= prefix_saving;
     }
+    if (each.spare) {
+        cost += spare_cost;
+    }
     if (!each.same_domain) {
         cost += distance;
     }
--- a/src/Placement/placement_policy.hpp
+++ b/src/Placement/placement_policy.hpp
@@ -22,6 +22,8 @@
     bool prefix_cached = false;
     /// True when the replica is in this node's failure domain.
     bool same_domain = false;
+    /// True when the other replicas suffice for the demand.
+    bool spare = false;
 };
 
 /// What is asked for.
@@ -52,6 +54,8 @@
     static constexpr double load_weight = 2.0;
     /// A copy that the demand calls for serves many later requests.
     static constexpr double copy_weight = 0.1;
+    /// A spare replica is used when the others make a request wait this long.
+    static constexpr std::chrono::milliseconds spare_cost{200};
 
     duration
     cost(placement_candidate const& each, placement_demand const& demand) const;
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -19,6 +19,10 @@
     double share_per_copy = 0.2;
     /// From this part of its batch on a replica counts as nearly full.
     double nearly_full = 0.75;
+    /// Replicas are left spare while the others' batches are filled less than
+    /// this by the demand; 0 uses all. Spare replicas' slots lie idle, so that
+    /// fuller steps are paid for with more loads.
+    double target_filling = 0;
     /// What the last free place of a batch counts as waiting.
     std::chrono::milliseconds nearly_full_wait{100};
     /// After this time half of a reply's word on queues counts no more.
