--- a/src/Membership/endpoint_table.hpp
+++ b/src/Membership/endpoint_table.hpp
@@ -39,6 +39,8 @@
     bool leaving(endpoint_id const& endpoint, instant now);
     /// Takes the end of a direct call.
     void called(endpoint_id const& endpoint, bool succeeded, instant now);
+    /// Lets reports end that the list has contradicted for long enough.
+    void end_holds(instant now);
     /// Lets suspect endpoints be tried again.
     void on_tick(instant now);
 
@@ -55,6 +57,8 @@
     struct entry {
         endpoint_instance instance;
         bool listed = false;
+        /// Whether the list that is being read names it.
+        bool seen = false;
         /// A report beats a list that says live until then.
         std::optional<instant> leaving_until;
         std::size_t failures = 0;
@@ -62,12 +66,13 @@
     };
 
     static endpoint_state state_of(entry const& which);
-    void unlist(instant now);
+    void unlist();
+    void note_end(instant end);
 
     membership_settings settings_;
     std::map<endpoint_id, entry> entries_;
     std::uint64_t changes_ = 0;
-    std::optional<instant> next_avoid_end_;
+    std::optional<instant> next_end_;
 };
 
 } // namespace camphorpoint
--- /dev/null
+++ b/src/Membership/membership.cpp
@@ -0,0 +1,197 @@
+#include "Membership/membership.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace camphorpoint {
+
+membership::membership(
+    membership_settings settings, node_instance self, std::uint64_t run,
+    std::mt19937_64 random)
+    : settings_(settings)
+    , self_(std::move(self))
+    , at_{run, 0}
+    , random_(random)
+    , endpoints_(settings) {
+    tell_self();
+}
+
+void membership::on_instance_list(instance_list const& list, instant now) {
+    // The list names at least this node; an empty one is a fault of the
+    // platform, and taking it for true would end all work.
+    if (list.nodes.empty()) {
+        return;
+    }
+    for (node_instance const& each : list.nodes) {
+        if (each.id != self_.id) {
+            list_node(each, now);
+        }
+    }
+    drop_unlisted();
+    for (endpoint_id const& each : endpoints_.on_list(list.endpoints, now)) {
+        updates_.add({update_kind::endpoint_leaving, each.str(), {}, {}});
+    }
+    endpoints_.end_holds(now);
+}
+
+// A node that was found dead stays dead whatever the list says, since the list
+// is late: only the node itself can say otherwise.
+void membership::list_node(node_instance const& node, instant /*now*/) {
+    auto const [place, added] = members_.try_emplace(node.id);
+    member& who = place->second;
+    who.seen = true;
+    if (added || who.instance != node) {
+        ++changes_;
+    }
+    who.instance = node;
+    if (added) {
+        order_.clear();
+    }
+    bool const leaves = node.state == instance_state::leaving;
+    if (leaves && who.state != node_state::dead &&
+        who.state != node_state::leaving) {
+        set_state(who, node_state::leaving);
+        tell(who);
+    }
+}
+
+void membership::drop_unlisted() {
+    for (auto place = members_.begin(); place != members_.end();) {
+        member& who = place->second;
+        if (std::exchange(who.seen, false)) {
+            ++place;
+            continue;
+        }
+        suspects_.erase(place->first);
+        rounds_.heard(place->first);
+        place = members_.erase(place);
+        order_.clear();
+        ++changes_;
+    }
+    if (order_.empty()) {
+        for (auto const& [id, who] : members_) {
+            order_.push_back(id);
+        }
+    }
+}
+
+void membership::on_datagram(std::string_view datagram, instant now) {
+    std::optional<probe_message> const message = decode_probe(datagram);
+    if (!message) {
+        ++broken_;
+        return;
+    }
+    on_probe(*message, now);
+}
+
+void membership::on_peer_heard(node_id const& peer, instant /*now*/) {
+    rounds_.heard(peer);
+    probe_soon_.erase(peer);
+}
+
+void membership::report_leaving(endpoint_id const& endpoint, instant now) {
+    if (!endpoints_.leaving(endpoint, now)) {
+        return;
+    }
+    say(event_code::endpoint_leaving, log_level::info,
+        fmt::format("endpoint={}", endpoint.str()));
+    updates_.add({update_kind::endpoint_leaving, endpoint.str(), {}, {}});
+}
+
+void membership::on_endpoint_call(
+    endpoint_id const& endpoint, bool succeeded, instant now) {
+    endpoints_.called(endpoint, succeeded, now);
+}
+
+void membership::start_leaving(instant /*now*/) {
+    leaving_ = true;
+    ++changes_;
+    tell_self();
+}
+
+void membership::on_tick(instant now) {
+    // Guards against a node that was paused: the answers to its probes lie
+    // unread, and it would accuse nodes that are well. It shows as a wave of
+    // suspicions when the node wakes.
+    bool const paused = last_tick_ && now - *last_tick_ >= settings_.ack_limit;
+    bool const long_paused = last_tick_ && now - *last_tick_ >= settings_.hold;
+    last_tick_ = now;
+    if (paused) {
+        rounds_ = probe_rounds();
+    }
+    if (long_paused) {
+        updates_.clear();
+        tell_self();
+    }
+    endpoints_.on_tick(now);
+    spread_urgent();
+    run_probes(now);
+    check_suspicions(now);
+    probe_round(now);
+}
+
+std::vector<membership_action> membership::take_actions() {
+    return std::exchange(actions_, {});
+}
+
+std::vector<live_node> membership::live_nodes() const {
+    std::vector<live_node> result;
+    result.reserve(members_.size() + 1);
+    live_node const own{
+        self_.id, self_.domain, self_.peer_address, at_.run, leaving_};
+    bool own_added = false;
+    for (auto const& [id, who] : members_) {
+        if (!own_added && self_.id < id) {
+            result.push_back(own);
+            own_added = true;
+        }
+        if (who.state != node_state::dead) {
+            result.push_back(
+                {id, who.instance.domain, who.instance.peer_address, who.at.run,
+                 who.state == node_state::leaving});
+        }
+    }
+    if (!own_added) {
+        result.push_back(own);
+    }
+    return result;
+}
+
+std::optional<node_state> membership::state_of(node_id const& node) const {
+    if (node == self_.id) {
+        return leaving_ ? node_state::leaving : node_state::live;
+    }
+    auto const found = members_.find(node);
+    if (found == members_.end()) {
+        return std::nullopt;
+    }
+    return found->second.state;
+}
+
+std::string membership::peer_address(node_id const& node) const {
+    if (node == self_.id) {
+        return self_.peer_address;
+    }
+    auto const found = members_.find(node);
+    return found == members_.end() ? std::string()
+                                   : found->second.instance.peer_address;
+}
+
+std::vector<endpoint_instance> membership::live_endpoints() const {
+    return endpoints_.live();
+}
+
+endpoint_state membership::state_of(endpoint_id const& endpoint) const {
+    return endpoints_.state_of(endpoint);
+}
+
+endpoint_instance const* membership::find(endpoint_id const& endpoint) const {
+    return endpoints_.find(endpoint);
+}
+
+void membership::say(event_code code, log_level level, std::string detail) {
+    actions_.push_back(log_event{code, level, std::move(detail)});
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Membership/membership_probes.cpp
@@ -0,0 +1,225 @@
+// How membership probes, and how news travels on the probes.
+#include "Membership/membership.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace camphorpoint {
+
+namespace {
+
+/// How many nodes that others suspect are probed in one period besides.
+constexpr std::size_t probed_soon = 3;
+/// News in a message that carries nothing else.
+constexpr std::size_t urgent_updates = 12;
+/// The room that an accusation of the receiver itself takes at the most.
+constexpr std::size_t accusation_room = 200;
+
+} // namespace
+
+void membership::probe_round(instant now) {
+    if (next_round_ && now < *next_round_) {
+        return;
+    }
+    if (!next_round_) {
+        // Spreads the rounds of nodes that started together.
+        auto const period =
+            static_cast<std::uint64_t>(duration(settings_.period).count());
+        next_round_ = now + duration(random_() % period);
+        return;
+    }
+    next_round_ = now + settings_.period;
+    for (node_id const& each : neighbours()) {
+        probe_node(each, now);
+    }
+    for (node_id const& each : pick_random(1, true)) {
+        probe_node(each, now);
+    }
+    for (std::size_t count = 0; count < probed_soon; ++count) {
+        if (probe_soon_.empty()) {
+            return;
+        }
+        // Each node begins elsewhere, so that not all ask for the same one.
+        auto next = probe_soon_.begin();
+        std::advance(next, random_() % probe_soon_.size());
+        node_id const target = *next;
+        probe_soon_.erase(next);
+        probe_node(target, now);
+    }
+}
+
+void membership::probe_node(node_id const& target, instant now) {
+    if (!members_.contains(target) || rounds_.probing(target)) {
+        return;
+    }
+    probe message;
+    message.sequence = rounds_.begin(
+        target, now + settings_.ack_limit, now + settings_.period);
+    send_to_member(target, message, settings_.updates_per_probe);
+}
+
+void membership::run_probes(instant now) {
+    for (probe_rounds::late_probe const& each : rounds_.take_late(now)) {
+        for (node_id const& helper : pick_random(settings_.helpers, false)) {
+            if (helper == each.target) {
+                continue;
+            }
+            probe_request message;
+            message.from = self_.id;
+            message.at = at_;
+            message.sequence = each.sequence;
+            message.target = each.target;
+            send(
+                helper, peer_address(helper), message,
+                settings_.updates_per_probe);
+        }
+    }
+    for (node_id const& each : rounds_.take_failed(now)) {
+        accuse(each, now);
+    }
+}
+
+// A leaving endpoint must get no new work after two seconds; by the probes
+// alone, one period to a step, the news would need too long.
+void membership::spread_urgent() {
+    if (!updates_.has_urgent()) {
+        return;
+    }
+    updates_.urgent_sent();
+    for (node_id const& each : pick_random(1, false)) {
+        send_to_member(each, probe(), urgent_updates);
+    }
+}
+
+std::vector<node_id> membership::neighbours() const {
+    std::vector<node_id> result;
+    auto const after = std::upper_bound(order_.begin(), order_.end(), self_.id);
+    auto const first = static_cast<std::size_t>(after - order_.begin());
+    for (std::size_t step = 0; step < order_.size(); ++step) {
+        if (result.size() == settings_.neighbours) {
+            break;
+        }
+        node_id const& next = order_[(first + step) % order_.size()];
+        if (members_.at(next).state != node_state::dead) {
+            result.push_back(next);
+        }
+    }
+    return result;
+}
+
+std::vector<node_id> membership::pick_random(std::size_t count, bool dead_too) {
+    std::vector<node_id> result;
+    if (order_.empty()) {
+        return result;
+    }
+    // Dead ones are skipped by trying again; the bound keeps a node that sees
+    // nearly all others dead from trying for long.
+    std::size_t const tries = 8 * count;
+    for (std::size_t tried = 0; tried < tries; ++tried) {
+        node_id const& next = order_[random_() % order_.size()];
+        bool const usable =
+            dead_too || members_.at(next).state != node_state::dead;
+        if (usable && std::ranges::find(result, next) == result.end()) {
+            result.push_back(next);
+        }
+        if (result.size() == count) {
+            break;
+        }
+    }
+    return result;
+}
+
+template <class Message>
+void membership::send(
+    node_id const& to, std::string const& address, Message message,
+    std::size_t most_updates) {
+    std::size_t const base = encode_probe(message).size() + accusation_room;
+    std::size_t const room =
+        longest_datagram - std::min(longest_datagram, base);
+    message.updates = updates_.take(most_updates, room, members_.size() + 1);
+    auto const found = members_.find(to);
+    // The accused must hear of it, to refute it.
+    if (found != members_.end() && accused(found->second)) {
+        message.updates.push_back(update_of(found->second));
+    }
+    send_probe action{to, address, std::move(message)};
+    actions_.emplace_back(std::move(action));
+}
+
+void membership::send_to_member(
+    node_id const& to, probe message, std::size_t most_updates) {
+    message.from = self_.id;
+    message.at = at_;
+    message.from_address = self_.peer_address;
+    send(to, peer_address(to), std::move(message), most_updates);
+}
+
+void membership::on_probe(probe_message const& message, instant now) {
+    std::visit(
+        [&](auto const& each) {
+            if (each.from == self_.id) {
+                return;
+            }
+            on_message(each, now);
+        },
+        message);
+}
+
+void membership::on_message(probe const& message, instant now) {
+    heard(message.from, message.at);
+    for (membership_update const& each : message.updates) {
+        apply(each, now);
+    }
+    if (message.sequence == 0) {
+        return;
+    }
+    probe_ack answer;
+    answer.from = self_.id;
+    answer.at = at_;
+    answer.sequence = message.sequence;
+    answer.on_behalf_of = message.on_behalf_of;
+    answer.their_sequence = message.their_sequence;
+    send(
+        message.from, message.from_address, answer,
+        settings_.updates_per_probe);
+}
+
+void membership::on_message(probe_ack const& message, instant now) {
+    heard(message.from, message.at);
+    for (membership_update const& each : message.updates) {
+        apply(each, now);
+    }
+    bool const for_other =
+        !message.on_behalf_of.empty() && message.on_behalf_of != self_.id;
+    if (!for_other) {
+        return;
+    }
+    probe_ack passed_on;
+    passed_on.from = message.from;
+    passed_on.at = message.at;
+    passed_on.sequence = message.their_sequence;
+    if (members_.contains(message.on_behalf_of)) {
+        send(
+            message.on_behalf_of, peer_address(message.on_behalf_of), passed_on,
+            settings_.updates_per_probe);
+    }
+}
+
+void membership::on_message(probe_request const& message, instant now) {
+    heard(message.from, message.at);
+    for (membership_update const& each : message.updates) {
+        apply(each, now);
+    }
+    probe indirect;
+    indirect.sequence = message.sequence;
+    indirect.on_behalf_of = message.from;
+    indirect.their_sequence = message.sequence;
+    if (members_.contains(message.target)) {
+        send_to_member(message.target, indirect, settings_.updates_per_probe);
+    }
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Membership/probe_message.cpp
@@ -0,0 +1,56 @@
+#include "Membership/probe_message.hpp"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <exception>
+#include <sstream>
+
+namespace camphorpoint {
+
+namespace {
+
+/// cereal reads a length before it allocates; a hostile one must not.
+bool kinds_are_known(std::vector<membership_update> const& updates) {
+    for (membership_update const& each : updates) {
+        if (each.kind > update_kind::endpoint_leaving) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::string encode_probe(probe_message const& message) {
+    std::ostringstream stream;
+    cereal::BinaryOutputArchive archive(stream);
+    archive(message);
+    return stream.str();
+}
+
+std::optional<probe_message> decode_probe(std::string_view datagram) {
+    if (datagram.size() > longest_datagram) {
+        return std::nullopt;
+    }
+    probe_message result;
+    try {
+        std::istringstream stream{std::string(datagram)};
+        cereal::BinaryInputArchive archive(stream);
+        archive(result);
+    } catch (std::exception const&) {
+        return std::nullopt;
+    }
+    auto const known = [](auto const& each) {
+        return kinds_are_known(each.updates);
+    };
+    // Bytes left over, or read otherwise than written, mean another format.
+    if (!std::visit(known, result) || encode_probe(result) != datagram) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace camphorpoint
--- a/src/Membership/update_queue.hpp
+++ b/src/Membership/update_queue.hpp
@@ -2,6 +2,7 @@
 
 #include "Membership/probe_message.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -9,6 +10,9 @@
 
 namespace camphorpoint {
 
+/// @returns the bytes that an update takes in a datagram
+std::size_t encoded_size(membership_update const& update) noexcept;
+
 /// News that still has to be passed on, each a bounded number of times: a few
 /// times the logarithm of the cluster's size reaches all nodes with high
 /// probability (SWIM, section 4.1).
@@ -26,10 +30,10 @@
     /// @returns true when there is news so urgent that it does not wait for
     /// the next probe
     bool has_urgent() const noexcept { return urgent_left_ > 0; }
+    /// Drops all news, as when it is too old to be passed on.
+    void clear();
     /// Counts one message that carries urgent news.
     void urgent_sent() noexcept;
-    /// Drops news of a subject.
-    void drop(std::string const& name);
     /// @returns how many pieces of news wait
     std::size_t size() const noexcept { return waiting_.size(); }
 
@@ -39,6 +43,7 @@
         std::uint32_t sent = 0;
     };
 
+    /// By kind of subject and name.
     std::map<std::string, item> waiting_;
     std::size_t urgent_left_ = 0;
 };
--- a/src/Placement/endpoint_table.hpp
+++ b/src/Placement/endpoint_table.hpp
@@ -25,7 +25,6 @@
     std::size_t order = 0;
     /// What its owner last said, and when.
     duration wait{};
-    duration load{};
     std::uint32_t running = 0;
     std::optional<instant> heard;
     /// Requests sent there since.
--- a/src/Placement/placement.hpp
+++ b/src/Placement/placement.hpp
@@ -29,13 +29,6 @@
     duration age{};
 };
 
-/// A replica for a request.
-struct placement_choice {
-    endpoint_id endpoint;
-    /// Past this expected wait another replica is believed to be better.
-    std::chrono::milliseconds longest_wait = any_wait;
-};
-
 /// Chooses, at an entry node, the replica that a request is asked for at.
 /// @tparam Policy weighs the candidates
 template <placement_policy Policy = least_expected_wait>
@@ -53,13 +46,6 @@
         adapter_ref const& adapter, model_id const& model, urgency how_urgent,
         std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
         instant now);
-    /// As choose(), with the wait up to which the choice is believed to be the
-    /// best. An owner that refuses for it has told its true wait, so that the
-    /// same replica may be chosen again: it is not to be excluded.
-    std::optional<placement_choice> choose_bounded(
-        adapter_ref const& adapter, model_id const& model, urgency how_urgent,
-        std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
-        instant now);
     /// What an owner's reply said of its replica and the adapter.
     void on_feedback(
         endpoint_id const& endpoint, adapter_ref const& adapter,
@@ -81,8 +67,6 @@
     struct adapter_entry {
         std::uint64_t generation = 0;
         std::vector<internal::endpoint_index> candidates;
-        /// True when there are no further replicas.
-        bool complete = false;
         std::vector<residency_hint> hints;
         decayed_rate asks{std::chrono::seconds(20)};
         instant last_use;
@@ -94,22 +78,22 @@
         std::size_t needed = 0;
         /// When it was first asked for.
         instant since;
+        /// When fewer replicas were needed last.
         instant lowered;
     };
 
     adapter_entry&
     entry_of(adapter_ref const& adapter, model_id const& model, instant now);
     std::size_t copies(adapter_entry const& entry, instant now) const;
-    void widen(
-        adapter_entry& entry, adapter_ref const& adapter, model_id const& model,
-        std::size_t copies);
     /// Replicas that the model's demand fills, of those that are usable.
     std::size_t needed_replicas(model_id const& model, instant now);
+    /// @param at   place in the adapter's candidates
+    /// @param rank place among those that are not spare
     placement_candidate describe(
         adapter_entry const& entry, std::size_t at, std::size_t rank,
         endpoint_id const* prefix_home, instant now) const;
+    double busy(internal::known_endpoint const& each, instant now) const;
     duration aged_wait(internal::known_endpoint const& each, instant now) const;
-    duration aged_load(internal::known_endpoint const& each, instant now) const;
     double residency(
         adapter_entry const& entry, std::size_t at, std::size_t rank,
         instant now) const;
@@ -127,10 +111,10 @@
     /// Requests, and choices made for them.
     decayed_rate demand_{std::chrono::seconds(30)};
     decayed_rate choices_{std::chrono::seconds(30)};
-    /// Requests that run on a replica, over all that were heard of.
-    double usual_running_ = 0;
     /// Of the largest replica.
     double batch_limit_ = 1;
+    /// Wait for a load, by the replies of all replicas.
+    duration load_time_;
     instant last_forgetting_;
     Policy policy_;
 };
--- a/src/Placement/placement_decisions.hpp
+++ b/src/Placement/placement_decisions.hpp
@@ -34,7 +34,8 @@
     , prefixes_(settings.prefix_limit, settings.prefix_memory)
     , service_time_(settings.service_time)
     , usual_service_(
-          std::chrono::duration<double>(settings.service_time).count()) {
+          std::chrono::duration<double>(settings.service_time).count())
+    , load_time_(settings.load_time) {
     assert(settings.candidates > 0 && "a request needs a replica to ask at");
     assert(settings.queue_memory.count() > 0 && "a half-life is positive");
 }
@@ -71,7 +72,6 @@
         // warm the newer one before the older is let go.
         std::uint64_t const key = hash_text(adapter.id.str());
         entry.candidates = endpoints_.top(model, key, settings_.candidates);
-        entry.complete = entry.candidates.size() < settings_.candidates;
         entry.generation = generation;
     }
     return entry;
@@ -94,57 +94,37 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(needed));
 }
 
-template <placement_policy Policy>
-void placement<Policy>::widen(
-    adapter_entry& entry, adapter_ref const& adapter, model_id const& model,
-    std::size_t copies) {
-    // An adapter that needs as many copies as it has candidates would queue at
-    // them for good, while the other replicas stand idle.
-    std::size_t const wanted = settings_.candidates + 2 * copies;
-    if (entry.complete || entry.candidates.size() >= wanted) {
-        return;
-    }
-    std::size_t const most = 2 * wanted;
-    std::uint64_t const key = hash_text(adapter.id.str());
-    entry.candidates = endpoints_.top(model, key, most);
-    entry.complete = entry.candidates.size() < most;
-}
-
 template <placement_policy Policy>
 duration placement<Policy>::aged_wait(
     internal::known_endpoint const& each, instant now) const {
-    // What is not known of late is taken for the usual: an old word of an
-    // empty replica would draw a burst to it, one of a full replica would keep
-    // requests away for good.
+    // Requests that went there since the last reply take its free places
+    // first, then its queue; a burst would otherwise all go to one replica.
+    std::uint32_t const limit = std::max(1U, each.about.batch_limit);
+    std::uint32_t const free = limit - std::min(limit, each.running);
+    std::uint32_t const beyond =
+        each.sent_since - std::min(each.sent_since, free);
+    duration const extra = service_time_ * beyond / limit;
+    if (!each.heard) {
+        return extra;
+    }
     double const left =
-        each.heard
-            ? internal::remaining(now - *each.heard, settings_.queue_memory)
-            : 0.0;
-    double const limit = std::max(1U, each.about.batch_limit);
-    double const told = left * each.running + (1 - left) * usual_running_;
-    double const taken = (told + each.sent_since) / limit;
-    // A batch that is nearly full may be full by the time that the ask comes.
-    double const near = std::clamp(
-        (taken - settings_.nearly_full) / (1 - settings_.nearly_full), 0.0,
-        1.0);
-    double const beyond = std::max(0.0, taken - 1.0);
-    return internal::scaled(each.wait, left) +
-           internal::scaled(settings_.nearly_full_wait, near) +
-           internal::scaled(service_time_, beyond);
+        internal::remaining(now - *each.heard, settings_.queue_memory);
+    return internal::scaled(each.wait + extra, left);
 }
 
 template <placement_policy Policy>
-duration placement<Policy>::aged_load(
+double placement<Policy>::busy(
     internal::known_endpoint const& each, instant now) const {
-    // A replica that once waited long for the store would never be tried, and
-    // so never heard of, again.
-    duration const usual = settings_.load_time;
-    if (!each.heard || each.load <= usual) {
-        return usual;
+    // Replicas of which nothing is known are taken as this busy.
+    constexpr double unknown = 0.6;
+    if (!each.heard) {
+        return unknown;
     }
+    double const limit = std::max(1U, each.about.batch_limit);
+    double const told = std::min(1.0, (each.running + each.sent_since) / limit);
     double const left =
-        internal::remaining(now - *each.heard, settings_.load_memory);
-    return usual + internal::scaled(each.load - usual, left);
+        internal::remaining(now - *each.heard, settings_.queue_memory);
+    return unknown + (told - unknown) * left;
 }
 
 template <placement_policy Policy>
@@ -169,24 +149,12 @@
 std::size_t
 placement<Policy>::needed_replicas(model_id const& model, instant now) {
     std::size_t const usable = endpoints_.usable(model);
+    model_demand& demand = models_[model];
+    demand.asks.add(now);
+    choices_.add(now);
     if (settings_.target_filling <= 0) {
         return usable;
     }
-    // Steps of an engine cost about the same full or empty, so that the same
-    // tokens take fewer steps on fewer engines. Requests that run at once are
-    // their rate times their length (J. D. C. Little, "A proof for the queuing
-    // formula L = lambda W", Operations Research 9(3), 1961).
-    model_demand& demand = models_[model];
-    // A request that is asked for several times counts once.
-    double const choices = std::max(choices_.per_second(now), 1e-9);
-    double const once = std::min(1.0, demand_.per_second(now) / choices);
-    double const rate = once * demand.asks.per_second(now) *
-                        static_cast<double>(settings_.nodes);
-    double const running = rate * usual_service_;
-    double const places = settings_.target_filling * batch_limit_;
-    double const wanted = running / places;
-    constexpr std::chrono::seconds lower_every{5};
-    auto const have = static_cast<double>(demand.needed);
     if (demand.needed == 0) {
         demand.since = now;
     }
@@ -195,8 +163,24 @@
     constexpr std::chrono::seconds measured_after{90};
     if (now - demand.since < measured_after) {
         demand.needed = usable;
-        demand.lowered = now;
-    } else if (wanted > have + 0.5) {
+        return usable;
+    }
+    // Steps of an engine cost about the same full or empty, so that the same
+    // tokens take fewer steps on fewer engines. Requests that run at once are
+    // their rate times their length: J. D. C. Little, "A proof for the queuing
+    // formula L = lambda W", Operations Research 9(3), 1961. A request that is
+    // asked for several times counts once.
+    double const choices = std::max(choices_.per_second(now), 1e-9);
+    double const once = std::min(1.0, demand_.per_second(now) / choices);
+    double const rate = once * demand.asks.per_second(now) *
+                        static_cast<double>(settings_.nodes);
+    double const wanted =
+        rate * usual_service_ / (settings_.target_filling * batch_limit_);
+    // More at once when they are needed, fewer only one by one: each replica
+    // that comes or goes moves some adapters.
+    constexpr std::chrono::seconds lower_every{5};
+    auto const have = static_cast<double>(demand.needed);
+    if (wanted > have + 0.5) {
         demand.needed = static_cast<std::size_t>(std::ceil(wanted));
         demand.lowered = now;
     } else if (wanted < have - 1.5 && now - demand.lowered >= lower_every) {
@@ -214,7 +198,8 @@
     placement_candidate result;
     result.rank = rank;
     result.wait = aged_wait(each, now);
-    result.load = aged_load(each, now);
+    result.load = load_time_;
+    result.busy = busy(each, now);
     result.residency = residency(entry, at, rank, now);
     result.prefix_cached = prefix_home && *prefix_home == each.about.id;
     result.same_domain = each.about.domain == settings_.domain;
@@ -226,26 +211,12 @@
     adapter_ref const& adapter, model_id const& model, urgency how_urgent,
     std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
     instant now) {
-    auto const chosen =
-        choose_bounded(adapter, model, how_urgent, prefix_hash, excluded, now);
-    return chosen ? std::optional(chosen->endpoint) : std::nullopt;
-}
-
-template <placement_policy Policy>
-std::optional<placement_choice> placement<Policy>::choose_bounded(
-    adapter_ref const& adapter, model_id const& model, urgency how_urgent,
-    std::uint64_t prefix_hash, std::vector<endpoint_id> const& excluded,
-    instant now) {
-    adapter_entry& entry = entry_of(adapter, model, now);
+    adapter_entry const& entry = entry_of(adapter, model, now);
     placement_demand const demand{how_urgent, copies(entry, now)};
-    widen(entry, adapter, model, demand.copies);
-    models_[model].asks.add(now);
-    choices_.add(now);
     endpoint_id const* const prefix_home =
         prefix_hash == 0 ? nullptr : prefixes_.find(prefix_hash, now);
     std::optional<internal::endpoint_index> best;
     duration least{};
-    std::optional<duration> next;
     std::size_t const needed = needed_replicas(model, now);
     std::size_t rank = 0;
     for (std::size_t at = 0; at < entry.candidates.size(); ++at) {
@@ -262,11 +233,8 @@
         candidate.spare = spare;
         duration const cost = policy_.cost(candidate, demand);
         if (!best || cost < least) {
-            next = best ? std::optional(least) : std::nullopt;
             best = index;
             least = cost;
-        } else if (!next || cost < *next) {
-            next = cost;
         }
     }
     if (!best) {
@@ -277,15 +245,7 @@
     if (prefix_hash != 0) {
         prefixes_.stored(prefix_hash, chosen.about.id, now);
     }
-    placement_choice result{chosen.about.id};
-    if (next) {
-        // A little more than the next one's cost: two replicas of about the
-        // same wait would otherwise send a request back and forth.
-        constexpr std::chrono::milliseconds slack{20};
-        result.longest_wait = std::chrono::ceil<std::chrono::milliseconds>(
-            std::max(duration{}, *next) + slack);
-    }
-    return result;
+    return chosen.about.id;
 }
 
 template <placement_policy Policy>
@@ -298,10 +258,10 @@
     }
     internal::known_endpoint& known = endpoints_.at(*index);
     known.wait = feedback.expected_wait;
-    known.load = feedback.expected_load;
+    // The replicas share the weight store: a long wait for it at one is no
+    // reason to load at another.
+    load_time_ = move_average(load_time_, feedback.expected_load);
     known.running = feedback.running;
-    constexpr double usual_part = 1.0 / 32;
-    usual_running_ += usual_part * (feedback.running - usual_running_);
     known.heard = now;
     known.sent_since = 0;
     auto const entry = adapters_.find(adapter);
@@ -341,9 +301,8 @@
 void placement<Policy>::on_served(duration took) {
     service_time_ = move_average(service_time_, took);
     // Lengths of answers vary widely, and the number of replicas in use must
-    // not follow each long one.
-    // The first ones count in full: too short a time taken for granted would
-    // crowd all requests on a few replicas for minutes after a start.
+    // not follow each long one. The first ones count in full: too short a time
+    // taken for granted would crowd requests on a few replicas after a start.
     constexpr double most_counted = 128;
     served_ = std::min(served_ + 1, most_counted);
     double const seconds = std::chrono::duration<double>(took).count();
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -12,23 +12,17 @@
     /// This node's failure domain.
     domain_id domain;
     /// Replicas that are looked at for an adapter.
-    std::size_t candidates = 6;
+    std::size_t candidates = 12;
     /// Entry nodes that share the callers evenly; scales measured demand.
     std::size_t nodes = 1;
     /// Share of a batch that one adapter may fill before it gets a copy.
-    double share_per_copy = 0.2;
-    /// From this part of its batch on a replica counts as nearly full.
-    double nearly_full = 0.75;
-    /// Replicas are left spare while the others' batches are filled less than
-    /// this by the demand; 0 uses all. Spare replicas' slots lie idle, so that
-    /// fuller steps are paid for with more loads.
+    double share_per_copy = 0.5;
+    /// Replicas are left spare while the demand fills the others' batches less
+    /// than this; 0 uses all. Spare replicas' slots lie idle, so that fuller
+    /// steps are paid for with more loads.
     double target_filling = 0;
-    /// What the last free place of a batch counts as waiting.
-    std::chrono::milliseconds nearly_full_wait{100};
     /// After this time half of a reply's word on queues counts no more.
-    std::chrono::milliseconds queue_memory{2'000};
-    /// After this time half of a reply's word on long loads counts no more.
-    std::chrono::milliseconds load_memory{5'000};
+    std::chrono::milliseconds queue_memory{5'000};
     /// After this time half of a reply's word on residency counts no more.
     std::chrono::milliseconds residency_memory{30'000};
     /// A prefix hint is believed this long.
--- a/src/Settings/node_settings.hpp
+++ b/src/Settings/node_settings.hpp
@@ -1,10 +1,16 @@
 #pragma once
 
+#include "Config/follower_settings.hpp"
 #include "Core/findings.hpp"
 #include "Core/ids.hpp"
+#include "Keys/key_settings.hpp"
+#include "Membership/membership_settings.hpp"
+#include "Ownership/ownership_settings.hpp"
+#include "Serving/serving_settings.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,14 +33,32 @@
     domain_id domain;
     ip_address caller_address;
     ip_address operator_address;
+    /// TCP and UDP between nodes.
+    ip_address peer_address;
     ip_address log_address;
     ip_address instance_list_address;
     std::chrono::milliseconds log_poll{200};
     std::chrono::milliseconds instance_poll{500};
+    /// How often an owner asks its replicas for their reports.
+    std::chrono::milliseconds report_poll{500};
+    /// Bounds each call to the platform.
+    std::chrono::milliseconds platform_timeout{5'000};
     std::chrono::milliseconds drain_limit{120'000};
     std::uint64_t body_limit = 1U << 20U;
+
+    /// Section [limits].
+    request_settings requests;
+    ownership_settings ownership;
+    follower_settings configuration;
+    key_settings keys;
+    membership_settings members;
 };
 
+/// @returns the policy's code in settings, such as refuse-when-isolated
+std::string_view staleness_name(staleness_policy policy) noexcept;
+/// @returns the policy of that code, or nothing
+std::optional<staleness_policy> parse_staleness(std::string_view name) noexcept;
+
 /// Reads a node's settings; whatever is wrong goes to the findings.
 /// @param file     the name that findings bear
 /// @param text     the file's content (TOML)
