--- a/bench/preset.cpp
+++ b/bench/preset.cpp
@@ -146,6 +146,7 @@
 std::vector<fault> const& all_faults() {
     static std::vector<fault> const result = [] {
         std::vector<fault> list;
+        list.reserve(fault_names.size());
         for (fault_name const& each : fault_names) {
             list.push_back(each.value);
         }
--- a/bench/product_orders.cpp
+++ b/bench/product_orders.cpp
@@ -10,6 +10,9 @@
 struct overloaded : Each... {
     using Each::operator()...;
 };
+// clang 14 does not deduce an aggregate's arguments by itself.
+template <class... Each>
+overloaded(Each...) -> overloaded<Each...>;
 
 } // namespace
 
