--- a/bench/preset.cpp
+++ b/bench/preset.cpp
@@ -59,6 +59,7 @@
     preset result = common_preset();
     result.name = "inventarwerk";
     result.engines = 18;
+    result.target_filling = 0.75;
     result.domains = {"graz-a", "graz-b", "leoben"};
     result.domain_latency = microseconds(500);
     result.store = {5.0, 2};
@@ -145,6 +146,7 @@
 std::vector<fault> const& all_faults() {
     static std::vector<fault> const result = [] {
         std::vector<fault> list;
+        list.reserve(fault_names.size());
         for (fault_name const& each : fault_names) {
             list.push_back(each.value);
         }
