Tests: a successor stops at any moment; an owner whose leave has ended

The skip of shards not yet in effect is taken out again: tell_gained begins their handover anew before their release is appended.

--- a/src/Ownership/owner.cpp
+++ b/src/Ownership/owner.cpp
@@ -45,11 +45,7 @@
     note_awaited(now);
     rank_live();
     for (auto const& [resource, held] : holdings_) {
-        // What was just handed to this node takes effect with the next tick
-        // and goes on from there; released at once it would lose its table.
-        if (held.told || !held.planned) {
-            begin_handover(resource, ranking_.first(resource), now);
-        }
+        begin_handover(resource, ranking_.first(resource), now);
     }
 }
 
--- /dev/null
+++ b/test/serving_authority_test.cpp
@@ -0,0 +1,75 @@
+#include "test/support/cluster.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace camphorpoint {
+
+namespace {
+
+using test::milliseconds;
+
+profile note(std::string const& adapter) {
+    profile made;
+    made.name = profile_name(adapter);
+    made.model = model_id("base");
+    made.adapter = {adapter_id(adapter), 1};
+    return made;
+}
+
+caller_request asks(std::string const& id, std::string const& adapter) {
+    caller_request made;
+    made.id = request_id(id);
+    made.profile = profile_name(adapter);
+    made.deadline = milliseconds(60'000);
+    return made;
+}
+
+} // namespace
+
+// What one would see: an engine serves more than its batch, or a request's
+// adapter is evicted under it. An owner that has not read the log for longer
+// than its lease may have a successor, and must neither order nor grant.
+TEST_CASE("an owner whose leave has ended neither orders nor grants") {
+    test::cluster all(3, 1);
+    all.publish(note("warm"));
+    all.publish(note("cold"));
+    all.run(milliseconds(30'000));
+    all.post(0, asks("first", "warm"));
+    all.run(milliseconds(3'000));
+    REQUIRE(all.ended("first").how == outcome::done);
+    std::size_t loads = 0;
+    all.filter = [&](std::size_t, node_action const& action) {
+        loads += std::holds_alternative<engine_order>(action) ? 1 : 0;
+        return true;
+    };
+    all.log.down = true;
+
+    SUBCASE("past the lease no order leaves; what is resident is served") {
+        all.run(milliseconds(7'000));
+        all.post(0, asks("cold", "cold"));
+        all.post(0, asks("warm", "warm"));
+        all.run(milliseconds(10'000));
+        CHECK(loads == 0);
+        CHECK(all.ended("warm").how == outcome::done);
+    }
+    SUBCASE("past the grants' lease nothing new starts, queued or asked") {
+        all.engines[0].token_time = milliseconds(1'000);
+        all.engines[0].tokens = 15;
+        all.run(milliseconds(290'000));
+        for (int each = 0; each < 8; ++each) {
+            all.post(0, asks(fmt::format("queued{}", each), "warm"));
+        }
+        all.run(milliseconds(5'000));
+        std::size_t const started = all.attempts.size();
+        REQUIRE(started > 1);
+        REQUIRE(started < 9);
+        all.run(milliseconds(6'000));
+        all.post(0, asks("late", "warm"));
+        all.run(milliseconds(60'000));
+        CHECK(all.attempts.size() == started);
+        CHECK(all.ended("late").how == outcome::not_run);
+    }
+}
+
+} // namespace camphorpoint
--- a/test/serving_handover_test.cpp
+++ b/test/serving_handover_test.cpp
@@ -94,7 +94,8 @@
         all.run(settled);
         all.drain(3);
         all.drain(4);
-        all.book(milliseconds(15'000), {0, 1, 2});
+        // Sooner than an unanswered offer is given up.
+        all.book(milliseconds(1'800), {0, 1, 2});
         CHECK(all.nodes[3].drained);
         CHECK(all.nodes[4].drained);
         all.kill(3);
@@ -124,6 +125,16 @@
     SUBCASE("a drained node ends as soon as it may") {
         SUBCASE("all read the log at the same times") { all.run(settled); }
         SUBCASE("it leaves the list before others read its releases") {
+            // The list comes at 0 ms of each half second. Started without the
+            // log, all come to own their own share, and then write no more.
+            all.log.down = true;
+            all.start_again({0, 1, 2, 4}, milliseconds(120));
+            all.start_again({3}, milliseconds(100));
+            all.run(milliseconds(5'000));
+            all.log.down = false;
+            all.run(settled);
+        }
+        SUBCASE("others read how it came to own after they have its offer") {
             // The list comes at 0 ms of each half second.
             all.kill(0);
             all.kill(1);
@@ -150,4 +161,33 @@
     CHECK(all.ended_as(reason::none) > all.booked / 2);
 }
 
+// The order: a node gets another's shards and is itself told to stop, at each
+// moment from the offer to the first ticks as their owner.
+TEST_CASE("a successor stops at any moment of the handover") {
+    std::size_t unknown = 0;
+    std::size_t twice = 0;
+    for (milliseconds gap{5}; gap < milliseconds(600); gap += tick_period) {
+        booking_cluster all;
+        all.kill(4);
+        all.run(milliseconds(20'000));
+        // Too short a time to be given anything but by a stop.
+        all.start(4);
+        all.run(milliseconds(8'000));
+        all.drain(3);
+        all.run(gap);
+        all.drain(4);
+        for (int waits = 0; !all.nodes[4].drained && waits < 400; ++waits) {
+            all.book(milliseconds(25), {0, 1, 2});
+        }
+        REQUIRE(all.nodes[4].drained);
+        all.kill(4);
+        all.book(milliseconds(10'000), {0, 1, 2});
+        all.run(milliseconds(10'000));
+        unknown += all.ended_as(reason::key_unknown_after_takeover);
+        twice += all.begun_twice();
+    }
+    CHECK(unknown == 0);
+    CHECK(twice == 0);
+}
+
 } // namespace camphorpoint
