--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -98,16 +99,49 @@
     settings.seed = which.run;
     which.core = std::make_unique<node_core>(settings);
     which.paused = false;
+    which.held_back.clear();
+    which.draining = false;
     which.drained = false;
 }
 
 void cluster::kill(std::size_t node) {
     nodes[node].core.reset();
     ++nodes[node].run;
+    // The engines see the connections close, and cancel.
+    for (auto const& [id, attempt] : running_) {
+        if (attempt.node == node) {
+            engine_at(attempt.order.endpoint)
+                .running.erase(attempt.order.engine_id);
+        }
+    }
     std::erase_if(
         running_, [&](auto const& each) { return each.second.node == node; });
 }
 
+void cluster::restart_engine(std::size_t engine) {
+    cut_streams(engine);
+    engines[engine].resident.clear();
+    engines[engine].known.clear();
+    ++engines[engine].incarnation;
+}
+
+void cluster::cut_streams(std::size_t engine) {
+    std::vector<running_attempt> cut;
+    for (auto const& [id, attempt] : running_) {
+        if (attempt.order.endpoint == engines[engine].instance.id) {
+            cut.push_back(attempt);
+        }
+    }
+    for (running_attempt const& each : cut) {
+        end_attempt(each, attempt_end::cut);
+    }
+}
+
+bool cluster::streams(std::size_t node) const {
+    return std::ranges::any_of(
+        running_, [&](auto const& each) { return each.second.node == node; });
+}
+
 void cluster::go_on(std::size_t node) {
     nodes[node].paused = false;
     for (node_event& each : std::exchange(nodes[node].held_back, {})) {
@@ -133,6 +167,12 @@
         which.held_back.push_back(std::move(event));
         return;
     }
+    if (watch) {
+        watch(node, event);
+    }
+    if (std::holds_alternative<drain_started>(event)) {
+        which.draining = true;
+    }
     std::vector<node_action> actions;
     which.core->handle(event, now_, wall(), actions);
     for (node_action const& each : actions) {
@@ -190,18 +230,21 @@
 
 void cluster::on(std::size_t node, send_peer const& action) {
     std::size_t const to = index_of(action.to);
-    if (nodes[to].core == nullptr) {
-        later(node, net_delay, peer_unreachable{action.to});
+    transit const way = net.send(node, to, now_, net_delay);
+    if (nodes[to].core == nullptr || way.lost) {
+        later(node, way.delay, peer_unreachable{action.to});
         return;
     }
     later(
-        to, net_delay, peer_received{nodes[node].instance.id, action.message});
+        to, way.delay, peer_received{nodes[node].instance.id, action.message});
 }
 
-void cluster::on(std::size_t /*node*/, send_probe const& action) {
-    later(
-        index_of(action.to), net_delay,
-        probe_received{encode_probe(action.message)});
+void cluster::on(std::size_t node, send_probe const& action) {
+    std::size_t const to = index_of(action.to);
+    transit const way = net.datagram(node, to, net_delay);
+    if (!way.lost) {
+        later(to, way.delay, probe_received{encode_probe(action.message)});
+    }
 }
 
 void cluster::on(std::size_t node, read_log const& action) {
@@ -229,12 +272,26 @@
     fake_engine& engine = engine_at(action.replica);
     bool const load = action.kind == engine_order_kind::load;
     duration const time = load ? engine.load_time : net_delay;
-    after(time, [this, node, action] {
-        order_result const how = engine_at(action.replica).take(action);
-        later(node, net_delay, order_ended{action.number, how});
+    after(time, [this, node, action, run = engine.incarnation] {
+        if (engine_at(action.replica).incarnation != run) {
+            later(
+                node, net_delay,
+                order_ended{action.number, order_result::lost});
+            return;
+        }
+        take_order(node, action);
     });
 }
 
+void cluster::take_order(std::size_t node, engine_order const& order) {
+    fake_engine& engine = engine_at(order.replica);
+    order_result const how = engine.take(order);
+    later(
+        node, net_delay,
+        order_ended{
+            order.number, engine.loses_answers ? order_result::lost : how});
+}
+
 void cluster::on(std::size_t node, start_attempt const& action) {
     attempts.push_back(action);
     fake_engine& engine = engine_at(action.endpoint);
@@ -247,8 +304,14 @@
         end_attempt(attempt, attempt_end::refused_not_loaded);
         return;
     }
+    if (action.from_token > 0 && !engine.known.contains(action.engine_id)) {
+        end_attempt(attempt, attempt_end::failed);
+        return;
+    }
     if (action.from_token == 0) {
         ++engine.begun[action.engine_id];
+        engine.known.insert(action.engine_id);
+        runs.push_back(action);
     }
     engine.running[action.engine_id] = action.adapter;
     running_[action.id] = attempt;
@@ -261,6 +324,10 @@
         found->second.order.attempt != attempt.order.attempt) {
         return;
     }
+    if (now_ >= attempt.order.deadline) {
+        end_attempt(attempt, attempt_end::timed_out);
+        return;
+    }
     fake_engine const& engine = engine_at(attempt.order.endpoint);
     ++attempt.tokens;
     later(
@@ -275,8 +342,14 @@
 }
 
 void cluster::end_attempt(running_attempt const& attempt, attempt_end how) {
-    engine_at(attempt.order.endpoint).running.erase(attempt.order.engine_id);
-    running_.erase(attempt.order.id);
+    // A refused attempt leaves a running one of the same request alone.
+    auto const found = running_.find(attempt.order.id);
+    if (found != running_.end() &&
+        found->second.order.attempt == attempt.order.attempt) {
+        engine_at(attempt.order.endpoint)
+            .running.erase(attempt.order.engine_id);
+        running_.erase(found);
+    }
     attempt_ended end;
     end.id = attempt.order.id;
     end.attempt = attempt.order.attempt;
@@ -288,7 +361,8 @@
 
 void cluster::on(std::size_t /*node*/, cancel_attempt const& action) {
     auto const found = running_.find(action.id);
-    if (found != running_.end()) {
+    if (found != running_.end() &&
+        found->second.order.attempt == action.attempt) {
         running_attempt const attempt = found->second;
         end_attempt(attempt, attempt_end::cancelled);
     }
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -3,6 +3,7 @@
 #include "Serving/node_core.hpp"
 #include "test/support/fake_engine.hpp"
 #include "test/support/fake_log.hpp"
+#include "test/support/fake_net.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,7 @@
     /// A paused node handles nothing until it goes on; events wait.
     bool paused = false;
     std::vector<node_event> held_back;
+    bool draining = false;
     bool drained = false;
 };
 
@@ -50,7 +52,15 @@
     void kill(std::size_t node);
     void start(std::size_t node);
     void go_on(std::size_t node);
+    /// The engine's process ends and begins anew: its streams break off, its
+    /// memory is empty.
+    void restart_engine(std::size_t engine);
+    /// Breaks the connections of an engine's streams; it cancels them.
+    void cut_streams(std::size_t engine);
 
+    instant now() const { return now_; }
+    /// @returns true while the node has a stream on an engine
+    bool streams(std::size_t node) const;
     /// @returns the node that owns a replica, by the first live node's word
     std::size_t owner_of(std::size_t engine) const;
     /// @returns how a request ended; fails the test when it has not
@@ -64,9 +74,14 @@
     std::vector<cluster_node> nodes;
     std::vector<fake_engine> engines;
     fake_log log;
+    fake_net net;
     std::map<request_id, std::vector<finish_request>> endings;
     /// Attempts as they were started, in order.
     std::vector<start_attempt> attempts;
+    /// Attempts that an engine took up as a new run, in order.
+    std::vector<start_attempt> runs;
+    /// Sees each event before a node handles it.
+    std::function<void(std::size_t, node_event const&)> watch;
     /// Sees each action before it is carried out; false drops it.
     std::function<bool(std::size_t, node_action const&)> filter;
 
@@ -91,6 +106,7 @@
     void on(std::size_t node, cancel_attempt const& action);
     void on(std::size_t node, finish_request const& action);
     void on(std::size_t node, drain_finished const& action);
+    void take_order(std::size_t node, engine_order const& order);
     void step(running_attempt attempt);
     void end_attempt(running_attempt const& attempt, attempt_end how);
     std::size_t index_of(node_id const& id) const;
--- a/test/support/fake_engine.hpp
+++ b/test/support/fake_engine.hpp
@@ -20,6 +20,13 @@
     std::map<request_id, adapter_ref> running;
     /// How often each request was begun: more than once is a second run.
     std::map<request_id, std::size_t> begun;
+    /// Streams that it can resume: of this run of its process.
+    std::set<request_id> known;
+    std::uint64_t incarnation = 1;
+    /// True while loads fail, or while orders are carried out but the answers
+    /// to them are lost.
+    bool fails_loads = false;
+    bool loses_answers = false;
     /// Evictions of an adapter that a stream was using: never to happen.
     std::size_t evicted_in_use = 0;
     /// Tokens of each answer, and the time of one.
@@ -43,6 +50,12 @@
             resident.erase(order.adapter);
             return order_result::done;
         }
+        if (fails_loads) {
+            return order_result::failed;
+        }
+        if (resident.contains(order.adapter)) {
+            return order_result::done;
+        }
         if (resident.size() >= instance.adapter_slots) {
             return order_result::refused_busy;
         }
@@ -52,7 +65,7 @@
     engine_report report() const {
         engine_report result;
         result.replica = instance.id;
-        result.incarnation = 1;
+        result.incarnation = incarnation;
         result.running = static_cast<std::uint32_t>(running.size());
         result.resident.assign(resident.begin(), resident.end());
         for (auto const& [id, used] : running) {
--- a/test/support/fake_log.hpp
+++ b/test/support/fake_log.hpp
@@ -39,6 +39,10 @@
         }
         return batch;
     }
+    /// @returns the stream's records, oldest first
+    std::vector<log_record> const& records(log_stream stream) {
+        return streams_[stream];
+    }
 
 private:
     std::map<log_stream, std::vector<log_record>> streams_;
