Mend a node that hung on an eviction without leave; found by the fuzzer

Cause: an eviction that was not sent started the adapter's idle time at the same instant as an engine report that had already confirmed it, so it was ordered again at once, in one event, without end. Change: the idle time starts just behind that instant. A named test tells it.

--- a/src/Scheduling/slot_manager_orders.hpp
+++ b/src/Scheduling/slot_manager_orders.hpp
@@ -119,8 +119,11 @@
         return;
     }
     // It is resident still. Its idle time starts anew, so that a report from
-    // after the refusal has to confirm that nothing runs.
+    // after the refusal has to confirm that nothing runs. One measured at this
+    // very moment is not from after it: taken for that, an eviction without
+    // leave was ordered again at once, without end, and the node hung.
     resume(state, adapter, now);
+    slots_.find(adapter)->idle_since = now + duration(1);
 }
 
 template <eviction_policy Eviction>
