--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "capacity.hpp"
 #include "report.hpp"
 #include "runner.hpp"
 #include "slope.hpp"
@@ -30,6 +31,7 @@
     "  camphorpoint-bench compare PRESET [--seeds N]\n"
     "  camphorpoint-bench plot PRESET [--seeds N] --out STEM\n"
     "  camphorpoint-bench slope\n"
+    "  camphorpoint-bench capacity\n"
     "Presets: inventarwerk, anthokipos. Faults: none, popularity-shift,\n"
     "cold-start, failed-loads, store-slow, store-down, owner-paused,\n"
     "log-outage. Policies: random, round-robin, least-loaded, rendezvous,\n"
@@ -111,6 +113,10 @@
         print_slopes();
         return 0;
     }
+    if (words.size() == command_only && words[1] == std::string("capacity")) {
+        print_capacity();
+        return 0;
+    }
     std::optional<task> const what = read_task(words);
     if (!what) {
         fmt::print(stderr, "{}\n", usage);
