--- a/bench/capacity_ownership.cpp
+++ b/bench/capacity_ownership.cpp
@@ -1,3 +1,4 @@
+#include "Ownership/node_ranking.hpp"
 #include "capacity_line.hpp"
 #include "capacity_parts.hpp"
 
@@ -79,6 +80,29 @@
     return meter.read(1);
 }
 
+/// Finding the node that should own one resource.
+capacity_cost rank_cost(std::uint32_t live) {
+    std::vector<node_id> names;
+    for (std::uint32_t at = 0; at < live; ++at) {
+        names.emplace_back(fmt::format("node-{:04}", at));
+    }
+    node_ranking subject;
+    subject.set_nodes(names);
+    constexpr std::uint32_t count = 2'000;
+    std::size_t length = 0;
+    capacity_meter const meter;
+    for (std::uint32_t at = 0; at < count; ++at) {
+        length += subject
+                      .first(replica_resource(
+                          endpoint_id(fmt::format("engine-{:05}", at))))
+                      .str()
+                      .size();
+    }
+    capacity_cost const cost = meter.read(count);
+    // Else the loop could be left out as without effect.
+    return length == 0 ? capacity_cost{} : cost;
+}
+
 } // namespace
 
 void print_ownership_capacity() {
@@ -86,6 +110,9 @@
     print_lines("owner-resource", cost_figures::memory, sizes, table_memory);
     print_lines("owner-record", cost_figures::time, sizes, record_cost);
     print_lines("owner-prune", cost_figures::time, sizes, prune_cost);
+    print_lines(
+        "owner-first-rank", cost_figures::time, {9, 100, 900, 1'900},
+        rank_cost);
 }
 
 } // namespace camphorpoint::bench
--- a/bench/capacity_work.cpp
+++ b/bench/capacity_work.cpp
@@ -332,6 +332,47 @@
     return meter.read(asks);
 }
 
+/// One load ends, the next is chosen among so many wants, and one comes.
+capacity_cost budget_turn(std::uint32_t wants) {
+    store_limits limits;
+    constexpr double no_bound = 1e6;
+    limits.loads_per_second = no_bound;
+    limits.concurrency = 1;
+    store_budget subject(limits);
+    instant now{hours(1)};
+    subject.on_authority({1}, now + hours(24), now);
+    // A new owner's first window counts as used up.
+    now += std::chrono::milliseconds(1'500);
+    for (std::uint32_t at = 0; at <= wants; ++at) {
+        subject.on_ask(node_id("node-1000"), make_want(at), now);
+    }
+    constexpr std::uint32_t turns = 2'000;
+    std::uint32_t allowed = 0;
+    capacity_meter const meter;
+    for (std::uint32_t at = 0; at < turns; ++at) {
+        now += microseconds(10);
+        for (budget_action const& each : subject.take_actions()) {
+            auto const* const send = std::get_if<send_load_allowed>(&each);
+            if (send == nullptr) {
+                continue;
+            }
+            ++allowed;
+            load_allowed const& given = send->message;
+            load_ended end;
+            end.replica = given.replica;
+            end.adapter = given.adapter;
+            end.permission = given.permission;
+            end.ok = true;
+            subject.on_ended(node_id("node-1000"), end, now);
+            break;
+        }
+        subject.on_ask(node_id("node-1000"), make_want(wants + 1 + at), now);
+    }
+    capacity_cost const cost = meter.read(turns);
+    // A rig that gave no permissions would measure something else.
+    return allowed + 1 >= turns ? cost : capacity_cost{-1, -1, -1};
+}
+
 capacity_cost budget_memory(std::uint32_t wants) {
     capacity_meter const meter;
     store_budget subject(store_limits{});
@@ -352,6 +393,7 @@
         "replica-waiting", cost_figures::memory, queues, schedule_memory);
     std::vector<std::uint32_t> const wants{50, 100, 200, 400};
     print_lines("store-ask", cost_figures::time, wants, budget_cost);
+    print_lines("store-turn", cost_figures::time, wants, budget_turn);
     print_lines("store-want", cost_figures::memory, wants, budget_memory);
     std::vector<std::uint32_t> const keys{12'500, 25'000, 50'000, 100'000};
     print_lines("key-booking", cost_figures::time, keys, key_cost);
