--- a/bench/capacity_membership.cpp
+++ b/bench/capacity_membership.cpp
@@ -70,7 +70,7 @@
             now_ += step;
             deliver();
             for (std::uint32_t at = 0; at < nodes_.size(); ++at) {
-                if (at != dead_) {
+                if (!dead(at)) {
                     nodes_[at]->on_tick(now_);
                     collect(at);
                 }
@@ -78,7 +78,8 @@
         }
     }
 
-    void kill(std::uint32_t which) { dead_ = which; }
+    /// Ends the first so many nodes of one failure domain.
+    void kill(std::uint32_t count) { dead_ = count; }
 
     /// @returns mean bytes sent and received by a node since the last call
     double take_bytes() {
@@ -96,11 +97,15 @@
         std::string text;
     };
 
+    bool dead(std::uint32_t which) const {
+        return which % domains == 0 && which / domains < dead_;
+    }
+
     void deliver() {
         std::deque<datagram> arriving;
         arriving.swap(under_way_);
         for (datagram const& each : arriving) {
-            if (each.to != dead_) {
+            if (!dead(each.to)) {
                 bytes_[each.to] += each.text.size() + header_bytes;
                 nodes_[each.to]->on_datagram(each.text, now_);
             }
@@ -122,22 +127,18 @@
         }
     }
 
-    static constexpr std::uint32_t nobody = ~0U;
-
     std::vector<std::unique_ptr<membership>> nodes_;
     std::vector<std::size_t> bytes_;
     std::deque<datagram> under_way_;
-    std::uint32_t dead_ = nobody;
+    std::uint32_t dead_ = 0;
     instant now_{seconds(1'000)};
 };
 
 /// Of one node in one second; bytes on the wire stand in the retained figure.
-capacity_cost probe_cost(std::uint32_t nodes, bool death) {
+capacity_cost probe_cost(std::uint32_t nodes, std::uint32_t deaths) {
     probe_network net(nodes);
     net.run(seconds(3));
-    if (death) {
-        net.kill(nodes / 2);
-    }
+    net.kill(deaths);
     net.take_bytes();
     constexpr int span = 5;
     capacity_meter const meter;
@@ -193,10 +194,14 @@
     // "retained" is here the bytes sent and received by a node in a second.
     print_lines(
         "member-second-calm", cost_figures::both, nodes,
-        [](std::uint32_t count) { return probe_cost(count, false); });
+        [](std::uint32_t count) { return probe_cost(count, 0); });
     print_lines(
         "member-second-death", cost_figures::both, nodes,
-        [](std::uint32_t count) { return probe_cost(count, true); });
+        [](std::uint32_t count) { return probe_cost(count, 1); });
+    // Of 1,900 nodes; 54 are a failure domain.
+    print_lines(
+        "member-second-deaths", cost_figures::both, {1, 6, 18, 54},
+        [](std::uint32_t deaths) { return probe_cost(1'900, deaths); });
 }
 
 } // namespace camphorpoint::bench
--- a/bench/capacity_messages.cpp
+++ b/bench/capacity_messages.cpp
@@ -185,6 +185,23 @@
     return cost;
 }
 
+/// Writing and reading one heartbeat of so many grants.
+capacity_cost codec_cost(std::uint32_t grants) {
+    auto use = grant_message<grant_in_use>();
+    use.adapter = some_adapter();
+    grant_heartbeat beat;
+    beat.grants.assign(grants, use);
+    constexpr int times = 500;
+    std::size_t read = 0;
+    capacity_meter const meter;
+    for (int at = 0; at < times; ++at) {
+        std::string const bytes = encode_peer_message(peer_message(beat));
+        read += decode_peer_message(bytes).has_value() ? 1U : 0U;
+    }
+    capacity_cost const cost = meter.read(times);
+    return read == times ? cost : capacity_cost{-1, -1, -1};
+}
+
 } // namespace
 
 void print_message_sizes() {
@@ -207,6 +224,9 @@
         {1'500, 3'000, 6'000, 12'000}, list_text);
     print_lines(
         "engine report, text", cost_figures::both, {4, 8, 16, 32}, report_text);
+    print_lines(
+        "codec, heartbeat of grants", cost_figures::time, {1, 8, 64, 512},
+        codec_cost);
 }
 
 } // namespace camphorpoint::bench
--- a/bench/capacity_work.cpp
+++ b/bench/capacity_work.cpp
@@ -416,7 +416,7 @@
     print_lines(
         "entry-adapter", cost_figures::memory, adapters, adapter_memory);
     print_lines(
-        "entry-replica", cost_figures::memory, {1'500, 3'000, 6'000, 12'000},
+        "entry-replica", cost_figures::both, {1'500, 3'000, 6'000, 12'000},
         replica_memory);
 }
 
