--- a/bench/capacity_line.cpp
+++ b/bench/capacity_line.cpp
@@ -38,6 +38,7 @@
     std::vector<line_fit> fits;
     for (auto const& run : runs) {
         std::vector<reading> readings;
+        readings.reserve(sizes.size());
         for (std::size_t at = 0; at < sizes.size(); ++at) {
             readings.push_back(
                 {static_cast<double>(sizes[at]), run[at].*which});
@@ -53,6 +54,7 @@
         middle.intercept, middle.r_squared, middle.largest_residual);
     for (std::size_t at = 0; at < sizes.size(); ++at) {
         std::vector<double> values;
+        values.reserve(runs.size());
         for (auto const& run : runs) {
             values.push_back(run[at].*which);
         }
