--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -13,6 +13,7 @@
     print_message_sizes();
     print_configuration_capacity();
     print_ownership_capacity();
+    print_entry_capacity();
     print_work_capacity();
     print_membership_capacity();
 }
--- a/bench/capacity_parts.hpp
+++ b/bench/capacity_parts.hpp
@@ -8,7 +8,9 @@
 void print_membership_capacity();
 /// Ownership: memory and time against owned resources.
 void print_ownership_capacity();
-/// The work of requests: scheduling, placement, keys, the store's budget.
+/// A caller's entry: placement against replicas and adapters.
+void print_entry_capacity();
+/// The owners' work: scheduling, keys, the store's budget.
 void print_work_capacity();
 /// Bytes of what is sent and read.
 void print_message_sizes();
