A broken caller connection leaves its stream to the engine's grace

Cause: the entry node sent DELETE to the engine as soon as a caller's connection broke in mid-stream, so that a resume through another node found nothing and the caller saw a cut answer. Change: cancel_attempt::keep_for_resume, decided in the request tracker (tokens have reached the caller, so it has an event id), carried out by the attempt runner: the connection is closed, the engine isn't told. Deadlines and callers without a token still send DELETE.

--- a/src/Node/attempt_runner.cpp
+++ b/src/Node/attempt_runner.cpp
@@ -58,7 +58,7 @@
     running_attempt& attempt = *found->second;
     attempt.cancelled = true;
     attempt.http.cancel();
-    if (attempt.what.kind == endpoint_kind::engine) {
+    if (attempt.what.kind == endpoint_kind::engine && !what.keep_for_resume) {
         asio::co_spawn(
             executor_,
             engines_->cancel_stream(
--- a/src/Node/attempt_runner.hpp
+++ b/src/Node/attempt_runner.hpp
@@ -38,7 +38,8 @@
 
     /// Begins an attempt. An attempt_ended always follows.
     void start(start_attempt what);
-    /// Stops an attempt and tells the engine; does nothing when it has ended.
+    /// Stops an attempt, and tells the engine unless the run is to be kept for
+    /// a resume; does nothing when it has ended.
     void cancel(cancel_attempt const& what);
     /// @returns how many attempts are under way
     std::size_t running() const noexcept { return running_.size(); }
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -62,7 +62,8 @@
     , log_(&log)
     , platform_log_(
           io.get_executor(), settings_.log_address, pool_,
-          settings_.platform_timeout)
+          settings_.platform_timeout,
+          log_caller{settings_.name, settings_.domain})
     , instances_(
           io.get_executor(), settings_.instance_list_address, pool_,
           settings_.platform_timeout)
--- a/src/Ports/platform_log_http.cpp
+++ b/src/Ports/platform_log_http.cpp
@@ -73,16 +73,24 @@
 
 platform_log_http::platform_log_http(
     asio::any_io_executor executor, ip_address address, http_pool& pool,
-    std::chrono::milliseconds timeout)
+    std::chrono::milliseconds timeout, log_caller self)
     : executor_(std::move(executor))
     , address_(std::move(address))
     , pool_(&pool)
-    , timeout_(timeout) {}
+    , timeout_(timeout)
+    , self_(std::move(self)) {}
+
+http_request platform_log_http::named_request() const {
+    http_request request;
+    request.fields.add("X-Node", self_.node.str());
+    request.fields.add("X-Domain", self_.domain.str());
+    return request;
+}
 
 asio::awaitable<std::optional<log_batch>>
 platform_log_http::read(log_stream stream, log_offset from) {
     instant const started = std::chrono::steady_clock::now();
-    http_request request;
+    http_request request = named_request();
     request.target = fmt::format(
         "/streams/{}/records?from={}&limit={}", stream_name(stream), from.value,
         most_records);
@@ -100,7 +108,7 @@
 
 asio::awaitable<append_outcome>
 platform_log_http::append(log_stream stream, std::string data) {
-    http_request request;
+    http_request request = named_request();
     request.method = "POST";
     request.target = fmt::format("/streams/{}/records", stream_name(stream));
     request.body = std::move(data);
--- a/src/Ports/platform_log_http.hpp
+++ b/src/Ports/platform_log_http.hpp
@@ -27,16 +27,24 @@
     std::string_view body, log_stream stream, log_offset from,
     instant read_started);
 
-/// The platform's log over HTTP.
+/// Who calls the platform's log, so that its operators can tell its users apart.
+struct log_caller {
+    node_id node;
+    domain_id domain;
+};
+
+/// The platform's log over HTTP. Each call says who makes it by X-Node and
+/// X-Domain.
 class platform_log_http {
 public:
     /// @param executor where calls run
     /// @param address  of the log service
     /// @param pool     must outlive the port
     /// @param timeout  bounds a whole call
+    /// @param self     who calls
     platform_log_http(
         boost::asio::any_io_executor executor, ip_address address,
-        http_pool& pool, std::chrono::milliseconds timeout);
+        http_pool& pool, std::chrono::milliseconds timeout, log_caller self);
 
     /// Reads records from an offset on.
     /// @returns the records, or nothing when the log did not answer in time
@@ -48,10 +56,13 @@
     append(log_stream stream, std::string data);
 
 private:
+    http_request named_request() const;
+
     boost::asio::any_io_executor executor_;
     ip_address address_;
     http_pool* pool_;
     std::chrono::milliseconds timeout_;
+    log_caller self_;
 };
 
 static_assert(platform_log<platform_log_http>);
--- a/src/Serving/live_request.hpp
+++ b/src/Serving/live_request.hpp
@@ -77,6 +77,9 @@
     std::chrono::milliseconds refusal_retry{};
     /// True when the caller has gone but the answer is kept for its key.
     bool detached = false;
+    /// True when the caller's connection broke after tokens reached it, so that
+    /// it may resume the stream through any node.
+    bool resumable_by_caller = false;
     /// When the phase must be looked at again.
     instant wake_at;
 
--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -40,11 +40,15 @@
     bool keep_answer = false;
 };
 
-/// Stop an attempt and close its connection, which cancels it on the endpoint.
+/// Stop an attempt and close its connection.
 /// An attempt_ended always follows, cancelled or as it had ended before.
 struct cancel_attempt {
     request_id id;
     std::uint32_t attempt = 0;
+    /// False: the engine is told to end the run at once. True: it is left to
+    /// the engine's grace for runs that nobody reads, since the caller has
+    /// event ids and may resume the stream through any node.
+    bool keep_for_resume = false;
 };
 
 /// Tell the caller how its request ended. It is the request's last action.
--- a/src/Serving/request_tracker_ending.hpp
+++ b/src/Serving/request_tracker_ending.hpp
@@ -38,6 +38,12 @@
         request->detached = true;
         return;
     }
+    // Guards against a break of the caller's connection that ends its answer:
+    // a run that is cancelled has no rest to resume, and the caller sees a cut
+    // answer. Only who has got a token has an event id to resume by; a caller
+    // that is gone for good costs the engine its grace and no more.
+    request->resumable_by_caller =
+        request->what.kind == endpoint_kind::engine && request->tokens > 0;
     finish(
         *request, request->may_run() ? outcome::unknown : outcome::not_run,
         reason::caller_gone, {}, now);
@@ -99,7 +105,10 @@
         forget(request);
         return;
     default:
-        environment_.act(cancel_attempt{request.asked.id, request.attempt});
+        environment_.act(
+            cancel_attempt{
+                request.asked.id, request.attempt,
+                request.resumable_by_caller});
         enter(request, request_phase::closing, now + settings_.close_wait);
     }
 }
