Load tool: count resumes that succeed; name probes that met a stopped node

Cause: a resume was counted only when it broke again, and a probe that met a stopped node carried the caller's own pause of 200 ms into the node's p99.

--- a/app/load/stream_caller.cpp
+++ b/app/load/stream_caller.cpp
@@ -45,6 +45,7 @@
         bool const resumes = !last_event_.empty();
         http_request const next =
             resumes ? resume_request(request_id_, last_event_) : request;
+        result.resumes += resumes ? 1 : 0;
         link_end const how = co_await follow(next, nodes_->at(node), result);
         if (how == link_end::closed) {
             break;
@@ -56,7 +57,6 @@
             // sent may run: sending it again is not the caller's to decide.
             break;
         }
-        result.resumes += resumes ? 1 : 0;
         ++node;
         co_await pause(executor_, before_resume);
     }
--- a/src/Load/load_report.cpp
+++ b/src/Load/load_report.cpp
@@ -63,7 +63,12 @@
     if (!result.probe) {
         return result.task;
     }
-    return result.direct ? "probe-direct" : "probe-node";
+    if (result.direct) {
+        return "probe-direct";
+    }
+    // A probe that met a stopped node waited by its own rule before it tried
+    // the next one: that pause says nothing of a node's own latency.
+    return result.refused_connections == 0 ? "probe-node" : "probe-refused";
 }
 
 } // namespace
--- a/src/Ports/platform_log_http.hpp
+++ b/src/Ports/platform_log_http.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Ports/concepts.hpp"
+#include "Ports/http_message.hpp"
 #include "Ports/http_pool.hpp"
 #include "Settings/node_settings.hpp"
 
