--- a/src/Ports/platform_log_http.hpp
+++ b/src/Ports/platform_log_http.hpp
@@ -28,7 +28,8 @@
     std::string_view body, log_stream stream, log_offset from,
     instant read_started);
 
-/// Who calls the platform's log, so that its operators can tell its users apart.
+/// Who calls the platform's log, so that its operators can tell its users
+/// apart.
 struct log_caller {
     node_id node;
     domain_id domain;
--- a/src/Serving/request_tracker_ending.hpp
+++ b/src/Serving/request_tracker_ending.hpp
@@ -105,10 +105,8 @@
         forget(request);
         return;
     default:
-        environment_.act(
-            cancel_attempt{
-                request.asked.id, request.attempt,
-                request.resumable_by_caller});
+        environment_.act(cancel_attempt{
+            request.asked.id, request.attempt, request.resumable_by_caller});
         enter(request, request_phase::closing, now + settings_.close_wait);
     }
 }
--- a/test/load_test.cpp
+++ b/test/load_test.cpp
@@ -225,6 +225,14 @@
         result.probe = true;
         report.add(result);
         CHECK(report.share_done() == 0.5);
+        CHECK(report.table().find("probe-node: 1") != std::string::npos);
+    }
+    SUBCASE("probes that met a stopped node count apart") {
+        result.probe = true;
+        result.refused_connections = 1;
+        report.add(result);
+        CHECK(report.table().find("probe-node") == std::string::npos);
+        CHECK(report.table().find("probe-refused: 1") != std::string::npos);
     }
 }
 
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -385,7 +385,9 @@
     // comes back through another node, a run that was ended leaves it with a
     // cut answer. The decisions say which of the two it is to be.
     bool keep = false;
-    SUBCASE("for good: the engine is told") { keep = false; }
+    SUBCASE("for good: the engine is told") {
+        keep = false;
+    }
     SUBCASE("to resume elsewhere: the engine is left to its grace") {
         keep = true;
     }
