Cluster script: a node that ended is not taken for one that answers

Cause: a run whose ports another cluster still held took that cluster's nodes for its own (seen once: two proofs one after the other on the same ports). Change: the process that was started must live.

--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -191,6 +191,8 @@
     for n in $(seq "$nodes"); do start_node "$n"; done
     for n in $(seq "$nodes"); do
         wait_until 20 is_alive "$n" || fail "node-$n does not answer"
+        # Another cluster's node may have answered on a port that it holds.
+        kill -0 "${pids[node-$n]}" 2>/dev/null || fail "node-$n has ended"
     done
 }
 wait_ready() {
