--- a/bench/product_requests.cpp
+++ b/bench/product_requests.cpp
@@ -12,6 +12,7 @@
 
 /// Replicas that a request is tried on at once before it waits a while.
 constexpr std::size_t most_tries = 4;
+
 constexpr milliseconds pause_without_replica{100};
 
 request_id id_of(std::size_t index) {
@@ -66,6 +67,7 @@
     message.expected_tokens =
         static_cast<std::uint32_t>(world_.kind(index).mean_tokens);
     message.prefix_hash = from.prefix;
+
     on_owner(
         from.node, entry.engine,
         [this, message, node = from.node](auto& scheduler) {
@@ -163,6 +165,7 @@
         message.replica, ref(world_.record(index).adapter), message.feedback,
         world_.now());
     leave(index);
+
     entry.excluded.push_back(message.replica);
     if (entry.excluded.size() < most_tries) {
         retry(index, duration::zero());
--- a/src/Placement/placement_settings.hpp
+++ b/src/Placement/placement_settings.hpp
@@ -17,6 +17,10 @@
     std::size_t nodes = 1;
     /// Share of a batch that one adapter may fill before it gets a copy.
     double share_per_copy = 0.5;
+    /// Replicas are left spare while the demand fills the others' batches less
+    /// than this; 0 uses all. Spare replicas' slots lie idle, so that fuller
+    /// steps are paid for with more loads.
+    double target_filling = 0;
     /// After this time half of a reply's word on queues counts no more.
     std::chrono::milliseconds queue_memory{5'000};
     /// After this time half of a reply's word on residency counts no more.
