The last node of all no longer sends its keys to nobody; found by the fuzzer

Cause: a planned stop without a successor still sent the shards' tables, 256 messages to a node without a name. Change: the shard is closed, and nothing is sent. The named test failed before (256 messages) and passes after.

--- a/src/Keys/key_owner.cpp
+++ b/src/Keys/key_owner.cpp
@@ -137,7 +137,13 @@
 }
 
 void key_owner::hand_over(key_shard shard, node_id const& successor) {
-    for (key_handover& part : close_and_export(shard)) {
+    std::vector<key_handover> parts = close_and_export(shard);
+    if (successor.empty()) {
+        // The last node of all stops: whoever claims the shard later finds no
+        // table, and judges keys by the time of its takeover.
+        return;
+    }
+    for (key_handover& part : parts) {
         actions_.push_back(key_send{successor, std::move(part)});
     }
 }
--- a/test/fuzz/findings_test.cpp
+++ b/test/fuzz/findings_test.cpp
@@ -1,6 +1,7 @@
 // Counterexamples that the fuzzer found, each as a short story.
 
 #include "test/scheduling_fixture.hpp"
+#include "test/support/cluster.hpp"
 
 #include <doctest/doctest.h>
 
@@ -36,4 +37,23 @@
     }
 }
 
+// What one would see: while the last live node stops, its log fills with peers
+// that cannot be found. It had no successor for its keys and sent them all the
+// same, to a node without a name.
+TEST_CASE("the last node of all stops without a word to nobody") {
+    cluster alone(1, 1);
+    alone.run(seconds(30));
+    std::size_t to_nobody = 0;
+    alone.filter = [&](std::size_t, node_action const& action) {
+        auto const* const sent = std::get_if<send_peer>(&action);
+        bool const nobody = sent != nullptr && sent->to.empty();
+        to_nobody += nobody ? 1 : 0;
+        return !nobody;
+    };
+    alone.bring(0, drain_started{});
+    alone.run(seconds(30));
+    CHECK(to_nobody == 0);
+    CHECK(alone.nodes[0].drained);
+}
+
 } // namespace camphorpoint::test
--- a/test/fuzz/oracle.cpp
+++ b/test/fuzz/oracle.cpp
@@ -68,8 +68,7 @@
         see(node, event);
     };
     all_.filter = [this](std::size_t node, node_action const& action) {
-        see(node, action);
-        return true;
+        return see(node, action);
     };
 }
 
@@ -106,7 +105,14 @@
     }
 }
 
-void oracle::see(std::size_t node, node_action const& action) {
+bool oracle::see(std::size_t node, node_action const& action) {
+    auto const* const sent = std::get_if<send_peer>(&action);
+    if (sent != nullptr && sent->to.empty()) {
+        breach(fmt::format(
+            "n{} sends a message of kind {} to nobody", node,
+            sent->message.index()));
+        return false;
+    }
     if (auto const* const start = std::get_if<start_attempt>(&action)) {
         see_start(*start);
     }
@@ -116,6 +122,7 @@
     if (std::holds_alternative<drain_finished>(action)) {
         check_drained(node);
     }
+    return true;
 }
 
 void oracle::see_start(start_attempt const& action) {
--- a/test/fuzz/oracle.hpp
+++ b/test/fuzz/oracle.hpp
@@ -68,7 +68,8 @@
     };
 
     void see(std::size_t node, node_event const& event);
-    void see(std::size_t node, node_action const& action);
+    /// @returns false for an action that cannot be carried out
+    bool see(std::size_t node, node_action const& action);
     void see_start(start_attempt const& action);
     void see_cancel(std::size_t node, cancel_attempt const& action);
     void check_runs();
