--- a/test/fuzz/cluster_fuzz_test.cpp
+++ b/test/fuzz/cluster_fuzz_test.cpp
@@ -3,12 +3,12 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
-#include <rapidcheck.h>
 
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
+#include <rapidcheck.h>
 #include <sstream>
 #include <string>
 #include <vector>
--- a/test/fuzz/commands.hpp
+++ b/test/fuzz/commands.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <rapidcheck.h>
-
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <ostream>
+#include <rapidcheck.h>
 #include <string_view>
 #include <vector>
 
@@ -42,19 +41,32 @@
 };
 
 inline constexpr std::array<std::string_view, 26> command_names{
-    "request",       "keyed_request",
-    "repeat_key",    "caller_leaves",
-    "apply",         "conflicting_apply",
-    "repeat_change", "pause",
-    "go_on",         "kill",
-    "start",         "cut_off",
-    "heal",          "lose_messages",
-    "delay_messages", "log_down",
-    "log_loses_answers", "log_up",
-    "loads_fail",    "orders_unanswered",
-    "engine_well",   "restart_engine",
-    "cut_streams",   "engine_leaves",
-    "engine_returns", "stop"};
+    "request",
+    "keyed_request",
+    "repeat_key",
+    "caller_leaves",
+    "apply",
+    "conflicting_apply",
+    "repeat_change",
+    "pause",
+    "go_on",
+    "kill",
+    "start",
+    "cut_off",
+    "heal",
+    "lose_messages",
+    "delay_messages",
+    "log_down",
+    "log_loses_answers",
+    "log_up",
+    "loads_fail",
+    "orders_unanswered",
+    "engine_well",
+    "restart_engine",
+    "cut_streams",
+    "engine_leaves",
+    "engine_returns",
+    "stop"};
 
 /// One step of a case. The numbers pick among what there is.
 struct command {
@@ -71,8 +83,7 @@
 inline std::ostream& operator<<(std::ostream& out, command const& value) {
     return out << "{command_kind::"
                << command_names[static_cast<std::size_t>(value.kind)] << ", "
-               << value.at << ", " << value.which << ", " << value.pause
-               << "}";
+               << value.at << ", " << value.which << ", " << value.pause << "}";
 }
 
 /// @returns a generator of one command; requests come as often as all faults
@@ -96,7 +107,7 @@
         rc::gen::set(&command::which, rc::gen::inRange<std::uint32_t>(0, 6)),
         rc::gen::set(
             &command::pause, rc::gen::elementOf(std::vector<std::uint32_t>{
-                                 0, 1, 20, 150, 400, 1'500, 6'000})));
+                                 0, 1, 20, 150, 400, 1'500, 6'000, 12'000})));
 }
 
 } // namespace camphorpoint::fuzz
--- a/test/fuzz/oracle.cpp
+++ b/test/fuzz/oracle.cpp
@@ -43,8 +43,8 @@
     }
 }
 
-adapter_ref plain_replay::adapter_at(
-    log_offset offset, profile_name const& name) const {
+adapter_ref
+plain_replay::adapter_at(log_offset offset, profile_name const& name) const {
     if (offset.value == 0 || offset.value > after_.size()) {
         return {};
     }
--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -121,9 +121,7 @@
 void world::apply(command const& what) {
     if (what.kind == command_kind::repeat_change) {
         if (!changes_.empty()) {
-            std::string const record = changes_[what.which % changes_.size()];
-            all.bring(
-                what.at % node_count, publish_request{changes_.size(), record});
+            repeat_change(changes_[what.which % changes_.size()], what.at);
         }
         return;
     }
@@ -144,6 +142,15 @@
     all.bring(what.at % node_count, publish_request{changes_.size(), record});
 }
 
+// An operator sends a change again, or a retry below the publisher does.
+void world::repeat_change(std::string const& record, std::uint32_t at) {
+    if (at < node_count) {
+        all.bring(at, publish_request{changes_.size(), record});
+    } else {
+        all.log.append(log_stream::configuration, record, all.wall());
+    }
+}
+
 void world::disturb_node(command const& what) {
     std::size_t const node = what.at % node_count;
     bool const lives = all.nodes[node].core != nullptr;
--- a/test/fuzz/world.hpp
+++ b/test/fuzz/world.hpp
@@ -33,6 +33,7 @@
     void disturb_engine(command const& what);
     void post(command const& what);
     void apply(command const& what);
+    void repeat_change(std::string const& record, std::uint32_t at);
     void start_stopped();
 
     std::vector<caller_request> posted_;
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -59,6 +59,7 @@
     void cut_streams(std::size_t engine);
 
     instant now() const { return now_; }
+    wall_time wall() const;
     /// @returns true while the node has a stream on an engine
     bool streams(std::size_t node) const;
     /// @returns the node that owns a replica, by the first live node's word
@@ -111,7 +112,6 @@
     void end_attempt(running_attempt const& attempt, attempt_end how);
     std::size_t index_of(node_id const& id) const;
     fake_engine& engine_at(endpoint_id const& id);
-    wall_time wall() const;
 
     instant now_{std::chrono::hours(1)};
     std::mt19937_64 random_{1};
--- a/test/support/fake_net.hpp
+++ b/test/support/fake_net.hpp
@@ -41,8 +41,8 @@
             random_() % (static_cast<std::uint64_t>(lateness.count()) + 1);
         return {cut || lost, shortest + std::chrono::milliseconds(more)};
     }
-    transit send(
-        std::size_t from, std::size_t to, instant now, duration shortest) {
+    transit
+    send(std::size_t from, std::size_t to, instant now, duration shortest) {
         transit way = datagram(from, to, shortest);
         instant& last = last_arrival_[{from, to}];
         last = std::max(last, now + way.delay);
