--- a/test/fuzz/cluster_fuzz_test.cpp
+++ b/test/fuzz/cluster_fuzz_test.cpp
@@ -19,7 +19,9 @@
 
 // What tools/check runs: the same cases each time.
 constexpr std::uint64_t ci_seed = 20'261'202;
-constexpr int ci_cases = 60;
+constexpr int ci_cases = 250;
+// Of a long run, between two looks at the clock.
+constexpr int round_cases = 60;
 constexpr int size = 60;
 
 struct totals {
@@ -109,7 +111,7 @@
     std::size_t findings = 0;
     for (std::uint64_t round = 0;
          round < rounds && std::chrono::steady_clock::now() < end; ++round) {
-        check_result const result = check(seed, ci_cases, sum);
+        check_result const result = check(seed, round_cases, sum);
         if (!result.held) {
             ++findings;
             std::cout << "fuzz: finding of seed " << seed << "\n"
--- a/test/fuzz/oracle.cpp
+++ b/test/fuzz/oracle.cpp
@@ -26,10 +26,10 @@
         change const* const made =
             record ? std::get_if<change>(&record.value()) : nullptr;
         if (record) {
-            auto const* const void_ =
+            auto const* const withdrawn =
                 std::get_if<change_withdrawal>(&record.value());
-            if (void_ != nullptr) {
-                seen_[void_->id] = true;
+            if (withdrawn != nullptr) {
+                seen_[withdrawn->id] = true;
             }
         }
         if (made != nullptr && !std::exchange(seen_[made->id], true)) {
--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -62,9 +62,8 @@
         post(what);
     } else if (what.kind <= command_kind::repeat_change) {
         apply(what);
-    } else if (what.kind <= command_kind::start) {
-        disturb_node(what);
-    } else if (what.kind == command_kind::stop) {
+    } else if (
+        what.kind <= command_kind::start || what.kind == command_kind::stop) {
         disturb_node(what);
     } else if (what.kind <= command_kind::log_up) {
         disturb_world(what);
