--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -176,6 +176,7 @@
     void use_offer(
         resource_id const& resource, ownership_entry const& entry,
         holding& next);
+    void drop_old_offer(resource_id const& resource, log_offset in_force);
     void
     lose(resource_id const& resource, node_run const& now_with, instant now);
     void restart_table(log_batch const& batch, instant now);
@@ -186,6 +187,7 @@
     bool orphaned(resource_id const& resource) const;
     bool listed_alive(node_run const& who) const;
     std::optional<instant> claimable_from(resource_id const& resource) const;
+    bool read_since(instant missed) const;
     void rank_some(instant now);
     void claim_due(instant now);
     void tell_gained(instant now);
@@ -199,6 +201,8 @@
     void begin_handover(
         resource_id const& resource, node_id const& successor, instant now);
     void run_handovers(instant now);
+    void offer_elsewhere(instant now);
+    void note_awaited(instant now);
     void append(control_record record, instant now);
     void append_came_to_nothing(control_record const& record, instant now);
     void
@@ -242,6 +246,8 @@
     std::optional<instant> absent_from_;
     resource_id rebalance_cursor_;
     bool draining_ = false;
+    /// True while an accepted offer's release may still make this node owner.
+    bool awaits_transfer_ = false;
     bool lapsed_ = true;
 };
 
--- a/src/Placement/placement_policy.hpp
+++ b/src/Placement/placement_policy.hpp
@@ -24,6 +24,8 @@
     bool prefix_cached = false;
     /// True when the replica is in this node's failure domain.
     bool same_domain = false;
+    /// True when the other replicas suffice for the demand.
+    bool spare = false;
 };
 
 /// What is asked for.
@@ -57,6 +59,8 @@
     /// A load elsewhere costs the store a load and some other adapter its
     /// slot, so it must be worth this many times its time.
     static constexpr double load_weight = 2.0;
+    /// A spare replica is used when the others cost this much more.
+    static constexpr std::chrono::milliseconds spare_cost{200};
 
     duration
     cost(placement_candidate const& each, placement_demand const& demand) const;
