--- a/test/fuzz/oracle.cpp
+++ b/test/fuzz/oracle.cpp
@@ -26,10 +26,10 @@
         change const* const made =
             record ? std::get_if<change>(&record.value()) : nullptr;
         if (record) {
-            auto const* const void_ =
+            auto const* const withdrawn =
                 std::get_if<change_withdrawal>(&record.value());
-            if (void_ != nullptr) {
-                seen_[void_->id] = true;
+            if (withdrawn != nullptr) {
+                seen_[withdrawn->id] = true;
             }
         }
         if (made != nullptr && !std::exchange(seen_[made->id], true)) {
@@ -43,8 +43,8 @@
     }
 }
 
-adapter_ref plain_replay::adapter_at(
-    log_offset offset, profile_name const& name) const {
+adapter_ref
+plain_replay::adapter_at(log_offset offset, profile_name const& name) const {
     if (offset.value == 0 || offset.value > after_.size()) {
         return {};
     }
@@ -68,8 +68,7 @@
         see(node, event);
     };
     all_.filter = [this](std::size_t node, node_action const& action) {
-        see(node, action);
-        return true;
+        return see(node, action);
     };
 }
 
@@ -106,7 +105,14 @@
     }
 }
 
-void oracle::see(std::size_t node, node_action const& action) {
+bool oracle::see(std::size_t node, node_action const& action) {
+    auto const* const sent = std::get_if<send_peer>(&action);
+    if (sent != nullptr && sent->to.empty()) {
+        breach(fmt::format(
+            "n{} sends a message of kind {} to nobody", node,
+            sent->message.index()));
+        return false;
+    }
     if (auto const* const start = std::get_if<start_attempt>(&action)) {
         see_start(*start);
     }
@@ -116,6 +122,7 @@
     if (std::holds_alternative<drain_finished>(action)) {
         check_drained(node);
     }
+    return true;
 }
 
 void oracle::see_start(start_attempt const& action) {
