Test: a node leaves the list before its heir reads its release

Without the wait for a log read since the node was missed (taken out by hand) the heir appends a needless claim over the release: 3 appends in place of 2.

--- a/test/ownership_handover_test.cpp
+++ b/test/ownership_handover_test.cpp
@@ -83,6 +83,21 @@
         CHECK(next.gained.front().table.empty());
     }
 
+    SUBCASE("it leaves the list before its heir has read its release") {
+        next.cut_from_log = true;
+        nodes.drain(old);
+        for (int count = 0; !old.decider.drained() && count < 1'000; ++count) {
+            nodes.run(std::chrono::milliseconds(100));
+        }
+        REQUIRE(old.decider.drained());
+        old.dead = true;
+        next.cut_from_log = false;
+        nodes.set_live({heir});
+        nodes.run(seconds(3));
+        CHECK(nodes.acting(replica) == std::vector<std::string>{heir});
+        CHECK(nodes.appends == 2);
+    }
+
     SUBCASE("the release's answer is lost") {
         nodes.log.lose_answer = true;
         nodes.drain(old);
