--- a/src/Ports/probe_link.cpp
+++ b/src/Ports/probe_link.cpp
@@ -19,8 +19,8 @@
 
 class probe_link::state : public std::enable_shared_from_this<state> {
 public:
-    state(asio::any_io_executor executor, receive_handler receive)
-        : socket_(std::move(executor))
+    state(asio::any_io_executor const& executor, receive_handler receive)
+        : socket_(executor)
         , receive_(std::move(receive)) {}
 
     std::string listen(ip_address const& address);
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -108,7 +108,7 @@
     http_server server;
 };
 
-start_attempt attempt_on(stub_engine const& engine, request_id id) {
+start_attempt attempt_on(stub_engine const& engine, request_id const& id) {
     start_attempt start;
     start.id = id;
     start.attempt = 1;
@@ -151,8 +151,8 @@
 
     /// Sends a request to a port. @returns all that comes back
     std::string
-    ask(std::uint16_t port, std::string line, std::string fields = "",
-        std::string body = "") {
+    ask(std::uint16_t port, std::string const& line,
+        std::string const& fields = "", std::string const& body = "") {
         std::string answer;
         std::string const text =
             line + " HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
@@ -166,11 +166,13 @@
         return answer;
     }
     std::string ask_caller(
-        std::string line, std::string fields = "", std::string body = "") {
+        std::string const& line, std::string const& fields = "",
+        std::string const& body = "") {
         return ask(running.driver().caller_port(), line, fields, body);
     }
     std::string ask_operator(
-        std::string line, std::string fields = "", std::string body = "") {
+        std::string const& line, std::string const& fields = "",
+        std::string const& body = "") {
         return ask(running.driver().operator_port(), line, fields, body);
     }
 
--- a/test/ownership_fuzz_test.cpp
+++ b/test/ownership_fuzz_test.cpp
@@ -22,7 +22,7 @@
 /// Lets something go wrong, or right again.
 void disturb(cluster& nodes, std::mt19937_64& random, std::uint64_t& run) {
     std::vector<std::string> const names{"a", "b", "c"};
-    std::string const name = names[random() % names.size()];
+    std::string const& name = names[random() % names.size()];
     test_node& which = nodes.node(name);
     switch (random() % choices) {
     case 0:
--- a/test/ports/platform_ports_test.cpp
+++ b/test/ports/platform_ports_test.cpp
@@ -15,7 +15,7 @@
 
 /// A platform service or endpoint that gives one answer.
 struct fixed_server {
-    fixed_server(loopback& loop, int status, std::string body)
+    fixed_server(loopback& loop, int status, std::string const& body)
         : server(
               loop.executor(), {},
               [this, status,
@@ -46,14 +46,14 @@
     http_pool pool;
     std::optional<log_batch> batch;
     append_outcome appended;
-    auto const read = [&](ip_address address) {
+    auto const read = [&](ip_address const& address) {
         loop.run([&, address]() -> asio::awaitable<void> {
             platform_log_http log(
                 loop.executor(), address, pool, patience, self);
             batch = co_await log.read(log_stream::control, log_offset{4});
         });
     };
-    auto const append = [&](ip_address address) {
+    auto const append = [&](ip_address const& address) {
         loop.run([&, address]() -> asio::awaitable<void> {
             platform_log_http log(
                 loop.executor(), address, pool, patience, self);
@@ -154,7 +154,7 @@
     loopback loop;
     http_pool pool;
     service_call_end end;
-    auto const call_it = [&](ip_address address) {
+    auto const call_it = [&](ip_address const& address) {
         loop.run([&, address]() -> asio::awaitable<void> {
             service_http port;
             service_call request;
