A story test: a successor evicts nothing for the grants' lease

Change: the story, as a test: after an owner's death a full replica evicts nothing for 300 s, the early request ends as not-run at once, the late one is done after one eviction.

--- a/test/serving_authority_test.cpp
+++ b/test/serving_authority_test.cpp
@@ -99,4 +99,40 @@
     CHECK(all.begun("waits") == 0);
 }
 
+// What one would see: a running answer turns to garbage after some node died,
+// since its adapter was evicted. The dead owner's last grants may run for as
+// long as the grants' lease, unknown to the successor.
+TEST_CASE("a successor after a crash evicts nothing for the grants' lease") {
+    test::cluster all(3, 1);
+    for (char const* const each : {"one", "two", "three"}) {
+        all.publish(note(each));
+    }
+    all.run(milliseconds(30'000));
+    std::size_t const owner = all.owner_of(0);
+    std::size_t const entry = (owner + 1) % 3;
+    all.post(entry, asks("a", "one"));
+    all.post(entry, asks("b", "two"));
+    all.run(milliseconds(10'000));
+    REQUIRE(all.ended("a").how == outcome::done);
+    REQUIRE(all.ended("b").how == outcome::done);
+    std::size_t evictions = 0;
+    all.filter = [&](std::size_t, node_action const& action) {
+        auto const* const order = std::get_if<engine_order>(&action);
+        evictions +=
+            order != nullptr && order->kind == engine_order_kind::evict ? 1 : 0;
+        return true;
+    };
+    all.kill(owner);
+    all.run(milliseconds(20'000));
+    all.post(entry, asks("early", "three"));
+    all.run(milliseconds(70'000));
+    CHECK(evictions == 0);
+    CHECK(all.ended("early").how == outcome::not_run);
+    all.run(milliseconds(300'000));
+    all.post(entry, asks("late", "three"));
+    all.run(milliseconds(20'000));
+    CHECK(evictions == 1);
+    CHECK(all.ended("late").how == outcome::done);
+}
+
 } // namespace camphorpoint
