--- a/src/Ports/probe_link.cpp
+++ b/src/Ports/probe_link.cpp
@@ -97,9 +97,9 @@
     return socket_.local_endpoint(ignored).port();
 }
 
-probe_link::probe_link(asio::any_io_executor executor, receive_handler receive)
-    : state_(std::make_shared<state>(std::move(executor), std::move(receive))) {
-}
+probe_link::probe_link(
+    asio::any_io_executor const& executor, receive_handler receive)
+    : state_(std::make_shared<state>(executor, std::move(receive))) {}
 
 probe_link::~probe_link() {
     state_->close();
--- a/src/Ports/probe_link.hpp
+++ b/src/Ports/probe_link.hpp
@@ -24,7 +24,8 @@
 
     /// @param executor where everything runs
     /// @param receive  called for each datagram
-    probe_link(boost::asio::any_io_executor executor, receive_handler receive);
+    probe_link(
+        boost::asio::any_io_executor const& executor, receive_handler receive);
     /// Closes the socket.
     ~probe_link();
     probe_link(probe_link const&) = delete;
