--- a/test/ports/peer_link_test.cpp
+++ b/test/ports/peer_link_test.cpp
@@ -20,7 +20,7 @@
 
 struct test_node {
     test_node(
-        loopback& loop, std::string name, std::uint64_t incarnation,
+        loopback& loop, std::string const& name, std::uint64_t incarnation,
         peer_link_limits limits = {})
         : link(
               loop.executor(), {node_id(name), incarnation}, limits, 1,
