--- a/app/check_config_command.cpp
+++ b/app/check_config_command.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/gateway_settings.hpp"
 #include "Settings/node_settings.hpp"
 #include "app/command.hpp"
 #include "app/files.hpp"
@@ -20,7 +21,11 @@
         return 1;
     }
     findings problems;
-    read_node_settings(file, *text, problems);
+    if (is_gateway_settings(*text)) {
+        read_gateway_settings(file, *text, problems);
+    } else {
+        read_node_settings(file, *text, problems);
+    }
     fmt::print(stderr, "{}", problems.report());
     return problems.all().size();
 }
--- a/app/serve_command.cpp
+++ b/app/serve_command.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/gateway_settings.hpp"
 #include "Node/node.hpp"
 #include "Node/serving_setup.hpp"
 #include "Serving/node_core.hpp"
@@ -5,6 +6,8 @@
 #include "app/command.hpp"
 #include "app/files.hpp"
 #include "app/flags.hpp"
+#include "app/gateway_command.hpp"
+#include "platform/settings_place.hpp"
 
 #include <absl/flags/flag.h>
 #include <boost/asio/signal_set.hpp>
@@ -19,12 +22,18 @@
 namespace camphorpoint {
 
 exit_code run_serve(command_words const& words) {
-    std::string const file = absl::GetFlag(FLAGS_settings);
+    std::string file = absl::GetFlag(FLAGS_settings);
+    if (file.empty()) {
+        file = platform::settings_path();
+    }
     std::optional<std::string> const text = read_file(file);
     if (!text || !words.empty()) {
         fmt::print(stderr, "serve: --settings must name a readable file\n");
         return exit_code::usage;
     }
+    if (is_gateway_settings(*text)) {
+        return run_gateway(file, *text);
+    }
     findings problems;
     node_settings const settings = read_node_settings(file, *text, problems);
     if (!problems.empty()) {
--- a/src/Config/change_publisher.hpp
+++ b/src/Config/change_publisher.hpp
@@ -3,7 +3,7 @@
 #include "Config/change.hpp"
 #include "Config/configuration.hpp"
 #include "Core/time.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/src/Config/checkpoint_search.hpp
+++ b/src/Config/checkpoint_search.hpp
@@ -2,7 +2,7 @@
 
 #include "Config/configuration_state.hpp"
 #include "Config/state_assembler.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/Config/checkpoint_writer.hpp
+++ b/src/Config/checkpoint_writer.hpp
@@ -3,7 +3,7 @@
 #include "Config/config_follower.hpp"
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/src/Config/config_follower.hpp
+++ b/src/Config/config_follower.hpp
@@ -9,7 +9,7 @@
 #include "Config/state_sender.hpp"
 #include "Core/outcome.hpp"
 #include "Core/time.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 #include "Telemetry/log_event.hpp"
 
 #include <map>
--- a/src/Config/configuration.hpp
+++ b/src/Config/configuration.hpp
@@ -3,7 +3,7 @@
 #include "Config/config_record.hpp"
 #include "Config/configuration_state.hpp"
 #include "Config/profile.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <cstdint>
 #include <deque>
--- /dev/null
+++ b/src/Delivery/second_send_budget.cpp
@@ -0,0 +1,54 @@
+#include "Delivery/second_send_budget.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+namespace {
+
+constexpr int steps_of_window = 10;
+/// The part of the bound that is used: windows slide by less than a step, and a
+/// node that has just come shares the slack before the others know.
+constexpr double used_part = 0.85;
+
+} // namespace
+
+second_send_budget::step&
+second_send_budget::current(history& of, instant now) const {
+    auto const width =
+        std::chrono::duration_cast<duration>(limits_.window) / steps_of_window;
+    std::int64_t const number = now.time_since_epoch() / width;
+    while (!of.steps.empty() &&
+           of.steps.front().number < number - steps_of_window) {
+        of.steps.pop_front();
+    }
+    if (of.steps.empty() || of.steps.back().number != number) {
+        of.steps.push_back({number, 0, 0});
+    }
+    return of.steps.back();
+}
+
+void second_send_budget::on_request(service_id const& service, instant now) {
+    current(services_[service], now).requests += 1;
+}
+
+bool second_send_budget::take(
+    service_id const& service, unsigned nodes, instant now) {
+    history& past = services_[service];
+    step& newest = current(past, now);
+    double requests = 0;
+    double sent = 0;
+    for (step const& each : past.steps) {
+        requests += each.requests;
+        sent += each.second_sends;
+    }
+    double const share = limits_.slack / std::max(1U, nodes);
+    double const most = used_part * (limits_.ratio * requests + share);
+    if (sent + 1 > most) {
+        return false;
+    }
+    newest.second_sends += 1;
+    return true;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/adapter_demand.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Core/decayed_rate.hpp"
+#include "Core/ids.hpp"
+#include "Core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <unordered_map>
+
+namespace camphorpoint {
+
+/// How much of a service's work each adapter is, measured by the prompt tokens
+/// of this node's own requests. The balancer spreads callers over nodes by a
+/// hash, so one node's sample stands for all.
+class adapter_demand {
+public:
+    /// A request for the adapter has come.
+    void add(adapter_id const& adapter, unsigned prompt_tokens, instant now);
+    /// @returns how many replicas should hold the adapter
+    /// @param replicas how many there are
+    std::size_t copies(
+        adapter_id const& adapter, std::size_t replicas, instant now) const;
+
+private:
+    /// A shift of demand shows within seconds, and a burst of a few requests
+    /// does not yet make copies.
+    static constexpr duration half_life = std::chrono::seconds(4);
+
+    void forget_idle(instant now);
+
+    std::unordered_map<adapter_id, decayed_rate> rates_;
+    decayed_rate total_{half_life};
+    instant looked_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/fleet.cpp
@@ -0,0 +1,209 @@
+#include "Fleet/fleet.hpp"
+
+#include "Core/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace {
+
+/// How long word from an orderer counts more than the list: an entry is
+/// written about every 1.2 s and read up to a second later.
+constexpr duration word_outlasts_list = std::chrono::milliseconds(2'500);
+/// Entries that lapsed while the store was down are back within two seconds of
+/// its return, says the platform; the rest is for this node's own reading.
+constexpr duration return_time = std::chrono::milliseconds(2'300);
+/// A gone replica is remembered for as long as requests may still run there.
+constexpr duration memory_of_gone = std::chrono::seconds(60);
+/// A node that tells nothing for so long has stopped: its requests are over.
+constexpr duration telling_ends = std::chrono::seconds(3);
+
+} // namespace
+
+std::uint64_t fleet::short_name(endpoint_id const& id) {
+    return hash_text(id.str());
+}
+
+void fleet::index() {
+    by_service_.clear();
+    by_short_name_.clear();
+    for (auto& [id, each] : all_) {
+        by_service_[each.record.service].push_back(&each);
+        by_short_name_[short_name(id)] = &each;
+    }
+}
+
+void fleet::take_adapters(
+    replica& target, replica_record const& record, instant now) {
+    std::unordered_map<adapter_id, held_adapter> next;
+    for (adapter_ref const& each : record.adapters) {
+        next[each.id] = {each.version, {}, false};
+    }
+    for (auto const& [id, held] : target.adapters) {
+        if (held.told != instant{} && now < held.told + word_outlasts_list) {
+            next[id] = held;
+        }
+    }
+    target.adapters = std::move(next);
+}
+
+fleet_change fleet::apply(replica_record const& record, instant now) {
+    auto [place, fresh] = all_.try_emplace(record.id);
+    replica& target = place->second;
+    bool const was_leaving = target.record.leaving;
+    bool const moved = fresh || target.record.service != record.service;
+    take_adapters(target, record, now);
+    target.record = record;
+    // A replica that has said that it leaves never stays after all.
+    target.record.leaving = record.leaving || was_leaving;
+    target.missing = false;
+    target.missing_since = instant::max();
+    if (record.remaining) {
+        target.gone_at = std::min(target.gone_at, now + *record.remaining);
+    }
+    if (moved) {
+        index();
+        recount(now);
+    }
+    if (fresh) {
+        return record.leaving ? fleet_change::leaving : fleet_change::seen;
+    }
+    return target.record.leaving && !was_leaving ? fleet_change::leaving
+                                                 : fleet_change::none;
+}
+
+fleet_change fleet::lost(endpoint_id const& id, bool keep, instant now) {
+    replica* const target = find(id);
+    if (target == nullptr || target->missing) {
+        return fleet_change::none;
+    }
+    if (target->missing_since == instant::max()) {
+        target->missing_since = now;
+    }
+    if (keep) {
+        return fleet_change::none;
+    }
+    target->missing = true;
+    return fleet_change::gone;
+}
+
+std::vector<endpoint_id> fleet::lost_beside(
+    std::vector<endpoint_id> const& listed, bool keep, instant now) {
+    std::vector<endpoint_id> gone;
+    for (auto const& [id, each] : all_) {
+        if (std::ranges::find(listed, id) == listed.end() &&
+            lost(id, keep, now) == fleet_change::gone) {
+            gone.push_back(id);
+        }
+    }
+    return gone;
+}
+
+std::vector<endpoint_id> fleet::settle_missing(bool store_calm, instant now) {
+    std::vector<endpoint_id> gone;
+    std::vector<endpoint_id> forgotten;
+    for (auto& [id, each] : all_) {
+        if (each.missing_since == instant::max()) {
+            continue;
+        }
+        if (!each.missing && store_calm &&
+            now >= each.missing_since + return_time) {
+            each.missing = true;
+            gone.push_back(id);
+        }
+        if (each.missing && each.running_here == 0 &&
+            now >= each.missing_since + memory_of_gone) {
+            forgotten.push_back(id);
+        }
+    }
+    for (endpoint_id const& id : forgotten) {
+        all_.erase(id);
+    }
+    if (!forgotten.empty()) {
+        index();
+    }
+    return gone;
+}
+
+void fleet::told_held(
+    endpoint_id const& id, adapter_ref const& adapter, instant now) {
+    if (replica* const target = find(id)) {
+        target->adapters[adapter.id] = {adapter.version, now, false};
+    }
+}
+
+void fleet::told_dropped(
+    endpoint_id const& id, adapter_id const& adapter, instant now) {
+    if (replica* const target = find(id)) {
+        held_adapter& held = target->adapters[adapter];
+        held.told = now;
+        held.dropped = true;
+    }
+}
+
+void fleet::told_loads(
+    std::string const& node, std::unordered_map<std::uint64_t, told_load> loads,
+    instant now) {
+    told_[node] = {std::move(loads), now};
+    recount(now);
+}
+
+void fleet::recount(instant now) {
+    for (auto& [id, each] : all_) {
+        each.running_elsewhere = 0;
+        each.backlog_elsewhere = {};
+    }
+    for (auto it = told_.begin(); it != told_.end();) {
+        if (now >= it->second.when + telling_ends) {
+            it = told_.erase(it);
+            continue;
+        }
+        for (auto const& [name, load] : it->second.loads) {
+            auto const found = by_short_name_.find(name);
+            if (found != by_short_name_.end()) {
+                found->second->running_elsewhere += load.running;
+                found->second->backlog_elsewhere.add(
+                    load.backlog_tokens, it->second.when);
+            }
+        }
+        ++it;
+    }
+}
+
+void fleet::began(
+    endpoint_id const& id, unsigned prompt_tokens, instant now) {
+    if (replica* const target = find(id)) {
+        ++target->running_here;
+        target->backlog_here.add(prompt_tokens, now);
+    }
+}
+
+void fleet::ended(endpoint_id const& id) {
+    replica* const target = find(id);
+    if (target != nullptr && target->running_here > 0) {
+        --target->running_here;
+    }
+}
+
+replica* fleet::find(endpoint_id const& id) {
+    auto const found = all_.find(id);
+    return found == all_.end() ? nullptr : &found->second;
+}
+
+replica const* fleet::find(endpoint_id const& id) const {
+    auto const found = all_.find(id);
+    return found == all_.end() ? nullptr : &found->second;
+}
+
+std::vector<replica*> const& fleet::of_service(service_id const& service) {
+    return by_service_[service];
+}
+
+replica* fleet::find_short(std::uint64_t name) {
+    auto const found = by_short_name_.find(name);
+    return found == by_short_name_.end() ? nullptr : found->second;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/fleet.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Fleet/prompt_backlog.hpp"
+#include "Fleet/replica_health.hpp"
+#include "Fleet/replica_record.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// An adapter as a node believes it to lie on a replica.
+struct held_adapter {
+    std::uint32_t version = 0;
+    /// When the belief was formed from word that is newer than the list; the
+    /// list may not take it back before `word_outlasts_list` has passed.
+    instant told;
+    /// The replica was ordered to drop or replace it.
+    bool dropped = false;
+};
+
+/// One replica as a node believes it to be.
+struct replica {
+    replica_record record;
+    replica_health health;
+    std::unordered_map<adapter_id, held_adapter> adapters;
+    /// Requests of this node that are at the replica now.
+    unsigned running_here = 0;
+    /// Requests of all other nodes there, as they told last.
+    unsigned running_elsewhere = 0;
+    /// Prompts that this node and all others have sent there.
+    prompt_backlog backlog_here;
+    prompt_backlog backlog_elsewhere;
+    /// The mean time in which it answered, 0 before the first answer. Only
+    /// plain services have one: a stream's time is its length.
+    duration answer_time{0};
+    /// When the list no longer had it.
+    instant missing_since = instant::max();
+    bool missing = false;
+    /// When it leaves at short notice.
+    instant gone_at = instant::max();
+
+    /// @returns requests that are there
+    unsigned running() const noexcept {
+        return running_here + running_elsewhere;
+    }
+    /// @returns requests there for each slot
+    double load() const noexcept {
+        return static_cast<double>(running()) / std::max(1U, record.slots);
+    }
+    /// @returns prompt tokens that it has still to read
+    double backlog(instant now) const {
+        return backlog_here.tokens_left(now) +
+               backlog_elsewhere.tokens_left(now);
+    }
+    /// @returns true when new requests may be sent there
+    bool open() const noexcept { return !record.leaving && !missing; }
+};
+
+/// What one node tells of its requests at one replica.
+struct told_load {
+    unsigned running = 0;
+    unsigned backlog_tokens = 0;
+};
+
+/// A change in a node's belief about a replica, for the log.
+enum class fleet_change : std::uint8_t { none, seen, leaving, gone };
+
+/// What a node believes about all replicas: the list's word, corrected by
+/// newer word from the nodes that order loads and by this node's own use.
+class fleet {
+public:
+    /// Takes up a replica's entry in the list.
+    /// @returns what has changed
+    fleet_change apply(replica_record const& record, instant now);
+    /// The list has lost the entry. During a store's outage entries lapse that
+    /// come back after it, so the replica stays in use then.
+    /// @param keep true while the store is or was just disturbed
+    fleet_change lost(endpoint_id const& id, bool keep, instant now);
+    /// The list was read whole: entries that are not in it are lost.
+    std::vector<endpoint_id>
+    lost_beside(std::vector<endpoint_id> const& listed, bool keep, instant now);
+    /// Forgets replicas whose entry stayed away until this time, and those that
+    /// are long gone.
+    /// @returns those that are to be treated as gone from now on
+    std::vector<endpoint_id> settle_missing(bool store_calm, instant now);
+
+    /// Newer word than the list's: the adapter lies there, ready.
+    void
+    told_held(endpoint_id const& id, adapter_ref const& adapter, instant now);
+    /// Newer word: the adapter is about to go from there.
+    void
+    told_dropped(endpoint_id const& id, adapter_id const& adapter, instant now);
+    /// Another node's requests at each replica.
+    void told_loads(
+        std::string const& node,
+        std::unordered_map<std::uint64_t, told_load> loads, instant now);
+
+    /// A request was sent, with a prompt of so many tokens.
+    void began(endpoint_id const& id, unsigned prompt_tokens, instant now);
+    /// A request has ended there.
+    void ended(endpoint_id const& id);
+
+    /// @returns the replica, or null
+    replica* find(endpoint_id const& id);
+    replica const* find(endpoint_id const& id) const;
+    /// @returns all replicas of a service, in the order of their ids
+    std::vector<replica*> const& of_service(service_id const& service);
+    /// @returns every replica
+    std::map<endpoint_id, replica> const& all() const noexcept { return all_; }
+    /// @returns a short name of a replica for messages between nodes
+    static std::uint64_t short_name(endpoint_id const& id);
+    /// @returns the replica of a short name, or null
+    replica* find_short(std::uint64_t name);
+
+private:
+    struct told_counts {
+        std::unordered_map<std::uint64_t, told_load> loads;
+        instant when;
+    };
+    void index();
+    void recount(instant now);
+    static void
+    take_adapters(replica& target, replica_record const& record, instant now);
+
+    std::map<endpoint_id, replica> all_;
+    std::unordered_map<service_id, std::vector<replica*>> by_service_;
+    std::unordered_map<std::uint64_t, replica*> by_short_name_;
+    std::unordered_map<std::string, told_counts> told_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/prompt_backlog.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+/// How much of the prompts sent to a replica it has still to read. While it
+/// reads, every stream of its batch pauses: the pause that callers take for
+/// good is soon used up when a few long prompts come together.
+class prompt_backlog {
+public:
+    /// A prompt was sent there.
+    void add(unsigned tokens, instant now) {
+        left_ = tokens_left(now) + tokens;
+        at_ = now;
+    }
+    /// Takes over what another node tells.
+    void set(double tokens, instant now) {
+        left_ = tokens;
+        at_ = now;
+    }
+    /// @returns the prompt tokens that it has still to read
+    double tokens_left(instant now) const {
+        std::chrono::duration<double, std::milli> const passed = now - at_;
+        return std::max(0.0, left_ - passed.count() * tokens_per_ms);
+    }
+
+private:
+    /// What today's engines read while their batch goes on, from the sheets of
+    /// both users (29 and 38); being off by half only shifts the balance.
+    static constexpr double tokens_per_ms = 30;
+
+    double left_ = 0;
+    instant at_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/replica_choice.cpp
@@ -0,0 +1,156 @@
+#include "Fleet/replica_choice.hpp"
+
+#include "Placement/rendezvous.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace camphorpoint {
+
+namespace {
+
+/// A replica under this load takes a further adapter as its home. Above it the
+/// next in the adapter's order is nearer to free.
+constexpr double roomy_load = 0.75;
+/// A suspected replica costs as much as one that is so many times full: it is
+/// taken only when all others are out.
+constexpr double suspicion_cost = 1'000;
+/// What failures cost: a replica that fails four in ten of its requests more
+/// than its peers counts as two slots' worth fuller.
+constexpr double failure_cost = 5;
+
+/// Prompt tokens still to be read that count as much as a full batch: they
+/// make all its streams pause for as long as callers take for good.
+constexpr double backlog_as_full = 6'000;
+/// Holders of an adapter that are compared.
+constexpr std::size_t most_looks = 3;
+
+bool holds_model(replica const& each, model_id const& model) {
+    return model.empty() || std::ranges::find(each.record.models, model) !=
+                                each.record.models.end();
+}
+
+} // namespace
+
+bool replica_choice::holds(
+    replica const& each, replica_need const& need) const {
+    if (need.adapter.empty()) {
+        return holds_model(each, need.model);
+    }
+    auto const found = each.adapters.find(need.adapter);
+    return found != each.adapters.end() && !found->second.dropped &&
+           found->second.version >= need.least_version;
+}
+
+bool replica_choice::usable(
+    replica const& each, replica_need const& need, instant now) const {
+    return each.open() && each.gone_at > now + need.expected_time &&
+           std::ranges::find(need.tried, each.record.id) == need.tried.end();
+}
+
+double replica_choice::cost(
+    replica const& each, replica_need const& need, double mean,
+    instant now) const {
+    double const excess = std::max(0.0, each.health.failure_share() - mean);
+    double result = excess * failure_cost;
+    result += each.health.suspected(now) ? suspicion_cost : 0;
+    if (!need.adapter.empty() || each.answer_time == duration::zero()) {
+        return result + each.load() + each.backlog(now) / backlog_as_full;
+    }
+    // The request's own share counts, so that idle replicas differ by their
+    // speed.
+    double const share = 1.0 / std::max(1U, each.record.slots);
+    std::chrono::duration<double> const time = each.answer_time;
+    return result + (each.load() + share) * time.count();
+}
+
+std::vector<replica*>
+replica_choice::candidates(replica_need const& need, instant now) const {
+    std::vector<replica*> found;
+    for (replica* const each : fleet_->of_service(need.service)) {
+        if (usable(*each, need, now) && holds(*each, need)) {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
+replica* replica_choice::best(replica_need const& need, instant now) const {
+    auto const all = candidates(need, now);
+    if (all.empty()) {
+        return nullptr;
+    }
+    double failures = 0;
+    for (replica const* const each : all) {
+        failures += each->health.failure_share();
+    }
+    double const mean = failures / static_cast<double>(all.size());
+    // Word from other nodes is older than the time between two requests. All
+    // that pick the least loaded one by the same old word would pick the same
+    // one; the better of two drawn at random spreads as well as fresh word.
+    // Reference: M. Mitzenmacher, "How useful is old information?", IEEE
+    // Transactions on Parallel and Distributed Systems 11(1), 2000.
+    std::size_t const first = need.draw % all.size();
+    replica* chosen = all[first];
+    double least = cost(*chosen, need, mean, now);
+    std::size_t const looks = need.adapter.empty()
+                                  ? all.size()
+                                  : std::min(all.size(), most_looks);
+    std::uint64_t rest = need.draw / all.size();
+    std::size_t place = first;
+    for (std::size_t look = 1; look < looks; ++look) {
+        std::size_t const left = all.size() - look;
+        place = (place + 1 + rest % left) % all.size();
+        rest /= left;
+        double const price = cost(*all[place], need, mean, now);
+        if (price < least) {
+            least = price;
+            chosen = all[place];
+        }
+    }
+    return chosen;
+}
+
+replica*
+replica_choice::next_home(replica_need const& need, instant now) const {
+    std::vector<endpoint_id> open;
+    for (replica const* const each : fleet_->of_service(need.service)) {
+        if (usable(*each, need, now) && !holds(*each, need) &&
+            holds_model(*each, need.model) && !each->health.suspected(now)) {
+            open.push_back(each->record.id);
+        }
+    }
+    auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
+    replica* least = nullptr;
+    for (endpoint_id const& id : ranked) {
+        replica* const each = fleet_->find(id);
+        if (each->load() < roomy_load) {
+            return each;
+        }
+        if (least == nullptr || each->load() < least->load()) {
+            least = each;
+        }
+    }
+    return least;
+}
+
+std::size_t
+replica_choice::holders(replica_need const& need, instant now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        fleet_->of_service(need.service), [&](replica const* each) {
+            return usable(*each, need, now) && holds(*each, need);
+        }));
+}
+
+std::optional<double>
+replica_choice::least_load(service_id const& service, instant now) const {
+    std::optional<double> least;
+    for (replica const* const each : fleet_->of_service(service)) {
+        if (each->open() && !each->health.suspected(now)) {
+            least = std::min(least.value_or(each->load()), each->load());
+        }
+    }
+    return least;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/replica_choice.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Fleet/fleet.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace camphorpoint {
+
+/// What a request asks of the replica that it is sent to.
+struct replica_need {
+    service_id service;
+    /// Empty for a plain service.
+    adapter_id adapter;
+    /// Empty when any model does.
+    model_id model;
+    /// Older versions of the adapter won't do.
+    std::uint32_t least_version = 0;
+    /// Replicas that this request has been at.
+    std::vector<endpoint_id> tried;
+    /// Any number: requests with other numbers look at other replicas first, so
+    /// that nodes with the same view do not all send to the same one.
+    std::uint64_t draw = 0;
+    /// The request may still run for so long: replicas that are gone sooner
+    /// are left out.
+    duration expected_time{0};
+};
+
+/// Picks replicas for requests. Reads a fleet, changes nothing.
+class replica_choice {
+public:
+    /// @param replicas what is believed; must outlive the choice
+    explicit replica_choice(fleet& replicas)
+        : fleet_(&replicas) {}
+
+    /// @returns the replica that should run the request now: for an adapter the
+    ///          less loaded of two that hold it, for a plain service the one
+    ///          that should answer first; null when none can
+    replica* best(replica_need const& need, instant now) const;
+    /// @returns the replica that should be made to hold the adapter next: the
+    ///          first in the adapter's own order that has room; null when all
+    ///          that are open hold it already
+    replica* next_home(replica_need const& need, instant now) const;
+    /// @returns how many open replicas hold the adapter
+    std::size_t holders(replica_need const& need, instant now) const;
+    /// @returns the least load of the service's open replicas, in requests for
+    ///          each slot; nothing when none is open
+    std::optional<double>
+    least_load(service_id const& service, instant now) const;
+
+private:
+    bool holds(replica const& each, replica_need const& need) const;
+    bool
+    usable(replica const& each, replica_need const& need, instant now) const;
+    double cost(
+        replica const& each, replica_need const& need, double mean,
+        instant now) const;
+    std::vector<replica*>
+    candidates(replica_need const& need, instant now) const;
+
+    fleet* fleet_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/replica_health.cpp
@@ -0,0 +1,42 @@
+#include "Fleet/replica_health.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+namespace {
+
+/// A share over about the last sixteen attempts: less jumps with each failure,
+/// more lets a failing replica take dozens of requests before it shows.
+constexpr double newest_weight = 1.0 / 16;
+/// The first silence rests a replica for as long as two polls of the list take,
+/// in which a crashed one leaves it.
+constexpr duration first_rest = std::chrono::milliseconds(1'500);
+/// Longer than any restart takes nobody waits before asking again.
+constexpr duration longest_rest = std::chrono::seconds(6);
+
+} // namespace
+
+bool replica_health::note(health_evidence what, instant now) {
+    double const failed = what == health_evidence::answered ? 0.0 : 1.0;
+    failures_ += (failed - failures_) * newest_weight;
+    if (what != health_evidence::silent) {
+        silences_ = 0;
+        until_ = {};
+        return false;
+    }
+    if (suspected(now)) {
+        // Attempts that were under way together tell of one failure.
+        return false;
+    }
+    duration const rest = first_rest * (1U << std::min(silences_, 4U));
+    ++silences_;
+    until_ = now + std::min(rest, longest_rest);
+    return true;
+}
+
+void replica_health::note_hearsay(instant until) {
+    until_ = std::max(until_, until);
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/replica_health.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+namespace camphorpoint {
+
+/// How an attempt at a replica ended, as far as the replica's health goes.
+enum class health_evidence : unsigned char {
+    /// It answered as it should.
+    answered,
+    /// It answered that it failed. Some services do so now and then in health.
+    failed,
+    /// It could not be reached, fell silent or broke off.
+    silent
+};
+
+/// What one node has seen of one replica's health. Judges by use alone, since a
+/// health check can be good while requests fail.
+class replica_health {
+public:
+    /// Takes up how an attempt ended.
+    /// @returns true when the replica has become suspected by this
+    bool note(health_evidence what, instant now);
+    /// Another node suspects the replica.
+    void note_hearsay(instant until);
+
+    /// @returns true while no request should go there unless all others are
+    ///          out as well
+    bool suspected(instant now) const noexcept { return now < until_; }
+    /// @returns until when it is suspected
+    instant suspected_until() const noexcept { return until_; }
+    /// @returns the share of recent attempts that failed, 0 to 1
+    double failure_share() const noexcept { return failures_; }
+
+private:
+    double failures_ = 0;
+    unsigned silences_ = 0;
+    instant until_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/gateway.cpp
@@ -0,0 +1,233 @@
+#include "Gateway/gateway.hpp"
+
+#include "Gateway/request_flow.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <unistd.h>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+/// Log lines wait no longer than this for their writing.
+constexpr milliseconds tick_time{100};
+/// New connections come for about two seconds after a node says that it is not
+/// ready, since the platform asks once a second and wants two misses.
+constexpr milliseconds connections_come{2'600};
+/// What is left of a stop's limit for closing and ending.
+constexpr milliseconds ending_time{400};
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+http_limits first_limits() {
+    http_limits limits;
+    limits.body_bytes = 4U << 20U;
+    limits.connections = 3'000;
+    return limits;
+}
+
+http_limits limits_of(caller_limits const& declared) {
+    http_limits limits = first_limits();
+    limits.body_bytes = declared.body_bytes;
+    limits.header_bytes = declared.header_bytes;
+    limits.read_timeout =
+        std::max(declared.header_time, std::chrono::milliseconds(3'000));
+    limits.idle_timeout = declared.idle_time;
+    return limits;
+}
+
+start_result started(std::string problem, ip_address const& address) {
+    if (problem.empty()) {
+        return boost::outcome_v2::success();
+    }
+    return start_error{
+        fmt::format("{}:{}: {}", address.host, address.port, problem)};
+}
+
+} // namespace
+
+gateway::gateway(asio::io_context& io, gateway_settings settings)
+    : io_(&io)
+    , beliefs_(io, std::move(settings), STDOUT_FILENO)
+    , store_(
+          io.get_executor(), beliefs_.settings.store_address,
+          beliefs_.settings.store_timeout)
+    , orderer_(beliefs_, store_)
+    , words_(
+          beliefs_, {[this](peer_want const& asked) { orderer_.want(asked); },
+                     [this](peer_use const& told) {
+                         orderer_.use(told);
+                     }})
+    , follower_(beliefs_, store_, [this] { changed(); })
+    , callers_(
+          io.get_executor(), first_limits(),
+          [this](http_exchange& exchange) { return answer(exchange); })
+    , readiness_(
+          io.get_executor(), http_limits(),
+          [this](http_exchange& exchange) {
+              return answer_readiness(exchange);
+          })
+    , metrics_(
+          io.get_executor(), http_limits(),
+          [this](http_exchange& exchange) { return answer_metrics(exchange); })
+    , kernel_(services_) {
+    orderer_.set_words(words_);
+    add_services();
+}
+
+void gateway::add_services() {
+    gateway_settings const& settings = beliefs_.settings;
+    peers_service_ = {
+        [this, &settings] {
+            return started(words_.start(), settings.peer_address);
+        },
+        [this] {
+            words_.stop();
+        }};
+    store_service_ = {
+        [this]() -> start_result {
+            follower_.start();
+            orderer_.start();
+            asio::co_spawn(
+                *io_, [this] { return tick(); }, asio::detached);
+            return boost::outcome_v2::success();
+        },
+        [this] {
+            running_ = false;
+            follower_.stop();
+        }};
+    readiness_service_ = {
+        [this, &settings]() -> start_result {
+            std::string problem = metrics_.listen(settings.metrics_address);
+            if (!problem.empty()) {
+                return started(problem, settings.metrics_address);
+            }
+            return started(
+                readiness_.listen(settings.readiness_address),
+                settings.readiness_address);
+        },
+        [this] {
+            readiness_.close();
+            metrics_.close();
+        }};
+    callers_service_ = {
+        [this, &settings] {
+            beliefs_.note(log_line(event_code::gateway_started)
+                              .with("node", settings.name.str())
+                              .with("domain", settings.domain.str()));
+            return started(
+                callers_.listen(settings.caller_address),
+                settings.caller_address);
+        },
+        [this] {
+            callers_.close();
+        }};
+    services_.add(service_name("peers"), {}, peers_service_);
+    services_.add(
+        service_name("store"), {service_name("peers")}, store_service_);
+    services_.add(service_name("readiness"), {}, readiness_service_);
+    services_.add(
+        service_name("callers"), {service_name("store")}, callers_service_);
+}
+
+bool gateway::ready() const {
+    return beliefs_.configured && !beliefs_.stopping &&
+           !beliefs_.replicas.all().empty();
+}
+
+void gateway::changed() {
+    orderer_.look_again();
+    if (beliefs_.configuration.version != limits_version_) {
+        limits_version_ = beliefs_.configuration.version;
+        callers_.set_limits(limits_of(beliefs_.configuration.limits));
+    }
+    if (ready() && !told_ready_) {
+        told_ready_ = true;
+        beliefs_.note(log_line(event_code::gateway_ready)
+                          .with("version", limits_version_));
+    }
+}
+
+asio::awaitable<void> gateway::answer(http_exchange& exchange) {
+    request_flow flow(beliefs_, words_, exchange);
+    co_await flow.run();
+}
+
+asio::awaitable<void> gateway::answer_readiness(http_exchange& exchange) {
+    http_response answer;
+    answer.status = ready() ? status_ok : status_unavailable;
+    co_await exchange.respond(std::move(answer));
+}
+
+asio::awaitable<void> gateway::answer_metrics(http_exchange& exchange) {
+    beliefs_.metrics.set("requests", beliefs_.live_requests);
+    beliefs_.metrics.set("waiting_for_loads", beliefs_.waiters.size());
+    beliefs_.metrics.set("partitions", beliefs_.leases.held().size());
+    beliefs_.metrics.set("nodes", beliefs_.nodes());
+    beliefs_.metrics.set("store_calls", store_.calls());
+    http_response answer;
+    answer.fields.add("Content-Type", "text/plain");
+    answer.body = beliefs_.metrics.text();
+    co_await exchange.respond(std::move(answer));
+}
+
+asio::awaitable<void> gateway::tick() {
+    while (running_) {
+        beliefs_.log.flush(boot_clock::now());
+        asio::steady_timer timer(*io_, tick_time);
+        co_await timer.async_wait(use_result);
+    }
+}
+
+void gateway::reload(gateway_settings const& settings) {
+    beliefs_.settings.second_sends = settings.second_sends;
+    beliefs_.settings.stop_limit = settings.stop_limit;
+    beliefs_.second_sends.set_limits(settings.second_sends);
+    beliefs_.note(log_line(event_code::settings_reloaded));
+}
+
+void gateway::drain(std::function<void()> stopped) {
+    if (beliefs_.stopping) {
+        return;
+    }
+    beliefs_.stopping = true;
+    beliefs_.note(log_line(event_code::gateway_stopping)
+                      .with("running", beliefs_.live_requests));
+    orderer_.stop();
+    callers_.announce_end();
+    asio::co_spawn(
+        *io_,
+        [this, stopped = std::move(stopped)] { return drain_all(stopped); },
+        asio::detached);
+}
+
+asio::awaitable<void> gateway::drain_all(std::function<void()> stopped) {
+    instant const began = boot_clock::now();
+    instant const limit = began + beliefs_.settings.stop_limit - ending_time;
+    asio::steady_timer timer(*io_, connections_come);
+    co_await timer.async_wait(use_result);
+    callers_.finish_connections();
+    while (beliefs_.live_requests > 0 && boot_clock::now() < limit) {
+        timer.expires_after(milliseconds(50));
+        co_await timer.async_wait(use_result);
+    }
+    beliefs_.note(log_line(event_code::gateway_stopped)
+                      .with("running", beliefs_.live_requests)
+                      .with("took_ms", boot_clock::now() - began));
+    beliefs_.log.flush(boot_clock::now());
+    kernel_.stop();
+    stopped();
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/gateway.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/findings.hpp"
+#include "Gateway/gateway_beliefs.hpp"
+#include "Gateway/peer_words.hpp"
+#include "Gateway/slot_orderer.hpp"
+#include "Gateway/store_follower.hpp"
+#include "Kernel/kernel.hpp"
+#include "Kernel/service_registry.hpp"
+#include "Node/port_service.hpp"
+#include "Ports/http_server.hpp"
+#include "platform/store_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+
+namespace camphorpoint {
+
+/// A running gateway node: requests by host and path, to replicas of services,
+/// on the right adapter. Its parts are services of one kernel.
+class gateway {
+public:
+    /// @param io       the loop that owns everything
+    /// @param settings checked settings
+    gateway(boost::asio::io_context& io, gateway_settings settings);
+
+    /// Starts all services.
+    /// @param problems takes what went wrong; then nothing runs
+    /// @returns true when the node runs
+    bool start(findings& problems) { return kernel_.start(problems); }
+    /// Begins a planned stop: unready at once, no new orders, running requests
+    /// finish within the stop's limit.
+    /// @param stopped called when it has ended
+    void drain(std::function<void()> stopped);
+    /// Takes up new settings, as far as they can change while it runs.
+    void reload(gateway_settings const& settings);
+
+private:
+    boost::asio::awaitable<void> answer(http_exchange& exchange);
+    boost::asio::awaitable<void> answer_readiness(http_exchange& exchange);
+    boost::asio::awaitable<void> answer_metrics(http_exchange& exchange);
+    boost::asio::awaitable<void> drain_all(std::function<void()> stopped);
+    boost::asio::awaitable<void> tick();
+    void add_services();
+    void changed();
+    bool ready() const;
+
+    boost::asio::io_context* io_;
+    gateway_beliefs beliefs_;
+    platform::store_client store_;
+    slot_orderer orderer_;
+    peer_words words_;
+    store_follower follower_;
+    http_server callers_;
+    http_server readiness_;
+    http_server metrics_;
+    port_service peers_service_;
+    port_service store_service_;
+    port_service readiness_service_;
+    port_service callers_service_;
+    service_registry services_;
+    kernel kernel_;
+    std::uint64_t limits_version_ = 0;
+    bool told_ready_ = false;
+    bool running_ = true;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -0,0 +1,61 @@
+#include "Gateway/gateway_beliefs.hpp"
+
+#include <fmt/format.h>
+
+namespace camphorpoint {
+
+namespace {
+
+/// For so long after the word of a new version requests may still begin on the
+/// old one: the platform allows five seconds, a load and its order take one.
+constexpr duration old_version_ends = std::chrono::milliseconds(2'800);
+/// Entries of replicas that lapsed with the store's outage are back by then.
+constexpr duration store_settles = std::chrono::milliseconds(2'300);
+/// Idle connections to a replica are few: all nodes share its limit.
+constexpr http_pool_limits connection_limits{
+    12, 512, std::chrono::milliseconds(4'000)};
+
+} // namespace
+
+gateway_beliefs::gateway_beliefs(
+    boost::asio::io_context& loop, gateway_settings given, int log_handle)
+    : io(loop)
+    , settings(std::move(given))
+    , own_name(fmt::format(
+          "{}:{}", settings.peer_address.host, settings.peer_address.port))
+    , log(log_handle)
+    , random(std::random_device()())
+    , waiters(loop.get_executor())
+    , second_sends(settings.second_sends)
+    , replica_connections(connection_limits)
+    , leases(settings.leases) {}
+
+std::uint32_t
+gateway_beliefs::least_version(adapter_id const& adapter, instant now) const {
+    auto const found = versions.find(adapter);
+    if (found == versions.end() ||
+        now < found->second.learned + old_version_ends) {
+        return 0;
+    }
+    return found->second.version;
+}
+
+std::optional<std::uint32_t>
+gateway_beliefs::newest_version(adapter_id const& adapter) const {
+    auto const found = versions.find(adapter);
+    if (found == versions.end()) {
+        return std::nullopt;
+    }
+    return found->second.version;
+}
+
+unsigned gateway_beliefs::nodes() const {
+    return static_cast<unsigned>(peers.size()) + 1;
+}
+
+bool gateway_beliefs::store_calm(instant now) const {
+    return store_lost_since == instant::max() &&
+           now >= store_back + store_settles;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Delivery/second_send_budget.hpp"
+#include "Fleet/adapter_demand.hpp"
+#include "Fleet/fleet.hpp"
+#include "Fleet/replica_choice.hpp"
+#include "Gateway/gateway_metrics.hpp"
+#include "Gateway/gateway_settings.hpp"
+#include "Gateway/waiter_list.hpp"
+#include "Holding/partition_leases.hpp"
+#include "Ports/http_pool.hpp"
+#include "Routing/route_table.hpp"
+#include "Telemetry/decision_log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace camphorpoint {
+
+/// An adapter's newest version, and when this node learned of it.
+struct version_word {
+    std::uint32_t version = 0;
+    instant learned;
+};
+
+/// Everything that a gateway node knows; its services share it. One loop owns
+/// it, so there are no locks.
+struct gateway_beliefs {
+    gateway_beliefs(
+        boost::asio::io_context& loop, gateway_settings given, int log_handle);
+
+    /// @returns the version that a request must run on at least, by now
+    std::uint32_t least_version(adapter_id const& adapter, instant now) const;
+    /// @returns the newest version that is known, nothing when none was named
+    std::optional<std::uint32_t>
+    newest_version(adapter_id const& adapter) const;
+    /// @returns how many nodes there are, this one included
+    unsigned nodes() const;
+    /// @returns true when the store has answered lately and without a break
+    bool store_calm(instant now) const;
+    /// Writes a line.
+    void note(log_line const& line) { log.write(line, boot_clock::now()); }
+
+    boost::asio::io_context& io;
+    gateway_settings settings;
+    std::string own_name;
+    decision_log log;
+    gateway_metrics metrics;
+
+    routing_configuration configuration;
+    route_table routes;
+    bool configured = false;
+    bool stopping = false;
+    std::unordered_map<adapter_id, version_word> versions;
+
+    fleet replicas;
+    adapter_demand demand;
+    std::mt19937_64 random;
+    replica_choice choice{replicas};
+    waiter_list waiters;
+    second_send_budget second_sends;
+    http_pool replica_connections;
+    partition_leases leases;
+    /// Peer addresses of nodes heard of, with the time of the last word.
+    std::map<std::string, instant> peers;
+    /// Since when calls to the store fail; max while they don't.
+    instant store_lost_since = instant::max();
+    /// When the store came back last.
+    instant store_back;
+    unsigned live_requests = 0;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/gateway_settings.cpp
@@ -0,0 +1,113 @@
+#include "Gateway/gateway_settings.hpp"
+
+#include "Settings/toml_section.hpp"
+
+#include <optional>
+
+namespace camphorpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds longest_time{600'000};
+
+void read_address(
+    toml_section& from, std::string const& key, ip_address& into) {
+    std::string const text = from.required_text(key);
+    into = parse_address(text);
+    if (!text.empty() && into.port == 0) {
+        from.complain(key, "must be an address such as \"127.0.0.1:8080\"");
+    }
+}
+
+double read_real(
+    toml_section& from, std::string const& key, double fallback, double most) {
+    std::string const text = from.text(key, std::to_string(fallback));
+    char* end = nullptr;
+    double const value = std::strtod(text.c_str(), &end);
+    bool const whole = end != text.c_str() && *end == '\0';
+    if (!whole || value < 0 || value > most) {
+        from.complain(key, "must be a number such as \"0.2\"");
+        return fallback;
+    }
+    return value;
+}
+
+void read_node(toml_section section, gateway_settings& into) {
+    into.name = node_id(section.required_text("name"));
+    into.domain = domain_id(section.required_text("failure_domain"));
+    read_address(section, "caller_address", into.caller_address);
+    read_address(section, "readiness_address", into.readiness_address);
+    read_address(section, "peer_address", into.peer_address);
+    read_address(section, "metrics_address", into.metrics_address);
+    into.stop_limit = section.time(
+        "stop_limit", into.stop_limit, milliseconds(1'000), longest_time);
+    section.refuse_unknown_keys();
+}
+
+void read_store(toml_section section, gateway_settings& into) {
+    read_address(section, "address", into.store_address);
+    into.store_timeout = section.time(
+        "timeout", into.store_timeout, milliseconds(10), longest_time);
+    into.list_pause = section.time(
+        "list_pause", into.list_pause, milliseconds(10), longest_time);
+    section.refuse_unknown_keys();
+}
+
+void read_second_sends(toml_section section, second_send_limits& into) {
+    constexpr double most_ratio = 10;
+    constexpr double most_slack = 1e6;
+    into.ratio = read_real(section, "ratio", into.ratio, most_ratio);
+    into.slack = read_real(section, "slack", into.slack, most_slack);
+    milliseconds const window =
+        section.time("window", into.window, milliseconds(1'000), longest_time);
+    into.window = std::chrono::duration_cast<std::chrono::seconds>(window);
+    section.refuse_unknown_keys();
+}
+
+void read_leases(toml_section section, lease_times& into) {
+    into.lease =
+        section.time("lease", into.lease, milliseconds(200), longest_time);
+    into.renewal =
+        section.time("renewal", into.renewal, milliseconds(50), longest_time);
+    into.settling =
+        section.time("settling", into.settling, milliseconds(0), longest_time);
+    into.outage_extension = section.time(
+        "outage_extension", into.outage_extension, milliseconds(0),
+        longest_time);
+    into.fences_checked =
+        section.boolean("fences_checked", into.fences_checked);
+    if (into.lease < 2 * into.renewal) {
+        section.complain(
+            "lease", "must be at least twice the renewal, or one lost answer "
+                     "ends it");
+    }
+    section.refuse_unknown_keys();
+}
+
+} // namespace
+
+gateway_settings read_gateway_settings(
+    std::string const& file, std::string_view text, findings& problems) {
+    gateway_settings result;
+    std::optional<toml::table> const parsed = parse_toml(file, text, problems);
+    if (!parsed) {
+        return result;
+    }
+    toml_section root(file, "", *parsed, problems);
+    read_node(root.table("gateway"), result);
+    read_store(root.table("store"), result);
+    read_second_sends(root.table("second_sends"), result.second_sends);
+    read_leases(root.table("leases"), result.leases);
+    root.refuse_unknown_keys();
+    return result;
+}
+
+bool is_gateway_settings(std::string_view text) {
+    findings ignored;
+    auto const parsed = parse_toml("", text, ignored);
+    return parsed && parsed->contains("gateway");
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/peer_datagram.cpp
@@ -0,0 +1,37 @@
+#include "Gateway/peer_datagram.hpp"
+
+#include "Core/strict_input_archive.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <exception>
+#include <sstream>
+
+namespace camphorpoint {
+
+std::string encode(peer_datagram const& message) {
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    return stream.str();
+}
+
+std::optional<peer_datagram> decode_peer_datagram(std::string_view bytes) {
+    peer_datagram message;
+    try {
+        strict_input_archive archive(bytes);
+        archive(message);
+        archive.require_end();
+    } catch (std::exception const&) {
+        // Bytes of another program or another format: as good as lost.
+        return std::nullopt;
+    }
+    if (message.format != peer_datagram::current_format) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/peer_datagram.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Somebody's requests wait for an adapter at a replica.
+struct peer_want {
+    std::uint64_t replica = 0;
+    std::string adapter;
+    std::uint32_t version = 0;
+    bool urgent = false;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, adapter, version, urgent);
+    }
+};
+
+/// The sender's requests use an adapter at a replica.
+struct peer_use {
+    std::uint64_t replica = 0;
+    std::string adapter;
+    std::uint32_t running = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, adapter, running);
+    }
+};
+
+/// The sender orders for a replica, which now holds an adapter, or is about to
+/// lose it.
+struct peer_word {
+    std::uint64_t replica = 0;
+    std::string adapter;
+    std::uint32_t version = 0;
+    bool held = false;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, adapter, version, held);
+    }
+};
+
+/// The sender orders for a partition, by this fencing number.
+struct peer_claim {
+    std::uint32_t partition = 0;
+    std::uint64_t token = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(partition, token);
+    }
+};
+
+/// The sender has met silence at a replica.
+struct peer_suspicion {
+    std::uint64_t replica = 0;
+    std::uint32_t milliseconds = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, milliseconds);
+    }
+};
+
+/// The sender's requests at a replica.
+struct peer_load {
+    std::uint64_t replica = 0;
+    std::uint16_t running = 0;
+    std::uint16_t backlog_tokens = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, running, backlog_tokens);
+    }
+};
+
+/// One message between nodes. Datagrams may be lost: whatever one says is said
+/// again, or is read from the list of replicas a little later.
+struct peer_datagram {
+    /// Tells two formats apart.
+    std::uint32_t format = current_format;
+    /// The sender's peer address, by which its group knows it.
+    std::string from;
+    /// Set when `loads` are all that the sender has.
+    bool counts = false;
+    std::vector<peer_load> loads;
+    std::vector<peer_want> wants;
+    std::vector<peer_use> uses;
+    std::vector<peer_word> words;
+    std::vector<peer_claim> claims;
+    std::vector<peer_suspicion> suspicions;
+
+    static constexpr std::uint32_t current_format = 1;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(
+            format, from, counts, loads, wants, uses, words, claims,
+            suspicions);
+    }
+    /// @returns true when there is nothing to say
+    bool empty() const noexcept {
+        return !counts && wants.empty() && uses.empty() && words.empty() &&
+               claims.empty() && suspicions.empty();
+    }
+};
+
+/// @returns the message's bytes
+std::string encode(peer_datagram const& message);
+/// @returns the message; nothing when the bytes are none of this format
+std::optional<peer_datagram> decode_peer_datagram(std::string_view bytes);
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/peer_words.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Gateway/gateway_beliefs.hpp"
+#include "Gateway/peer_datagram.hpp"
+#include "Ports/probe_link.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorpoint {
+
+/// What nodes tell each other, by datagrams: wants of adapters to the node that
+/// orders for the replica, word of what was loaded or is about to go to all,
+/// and counts of running requests.
+class peer_words {
+public:
+    /// Takes wants and uses that are this node's to heed.
+    struct receiver {
+        std::function<void(peer_want const& want)> want;
+        std::function<void(peer_use const& use)> use;
+    };
+
+    /// @param beliefs where word from others goes; must outlive this
+    peer_words(gateway_beliefs& beliefs, receiver to);
+
+    /// Binds and begins to tell counts.
+    /// @returns the reason when the address can't be had, empty on success
+    std::string start();
+    /// Ends.
+    void stop();
+
+    /// Asks whoever orders for the replica to load the adapter there.
+    void want(replica const& at, adapter_ref const& adapter, bool urgent);
+    /// Tells all nodes of changes at a replica that this node orders for.
+    void tell(endpoint_id const& at, std::vector<peer_word> words);
+    /// Tells all nodes that this one orders for a partition.
+    void claim(std::size_t partition, std::uint64_t token);
+    /// Tells all nodes that a replica is silent.
+    void suspect(replica const& at, duration rest);
+    /// Notes that a request uses an adapter, until `release`.
+    void use(endpoint_id const& at, adapter_id const& adapter);
+    void release(endpoint_id const& at, adapter_id const& adapter);
+    /// A node orders for a partition, as the group's list says.
+    void set_owner(std::size_t partition, std::string member);
+
+private:
+    struct use_count {
+        unsigned running = 0;
+        bool used = true;
+    };
+    struct use_key {
+        endpoint_id replica;
+        adapter_id adapter;
+        friend auto operator<=>(use_key const&, use_key const&) = default;
+    };
+
+    boost::asio::awaitable<void> tell_counts();
+    void receive(std::string const& bytes);
+    void take(peer_datagram const& message);
+    void send(std::string const& peer, peer_datagram message);
+    void send_all(peer_datagram const& message);
+    void send_uses();
+    void forget_peers(instant now);
+
+    gateway_beliefs* beliefs_;
+    receiver to_;
+    probe_link link_;
+    std::map<std::size_t, std::string> owners_;
+    std::map<use_key, use_count> uses_;
+    bool running_ = false;
+};
+
+/// How many partitions the replicas fall into.
+inline constexpr std::size_t partition_count = 96;
+
+/// @returns the partition of a replica
+std::size_t partition_of(endpoint_id const& replica);
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/request_flow.cpp
@@ -0,0 +1,555 @@
+#include "Gateway/request_flow.hpp"
+
+#include "Core/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using platform::answer_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int status_not_found = 404;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_ok = 200;
+
+/// A replica below this load takes a request at once: it still has room in its
+/// batch when the other nodes think the same.
+constexpr double easy_load = 0.6;
+/// From here on a replica has a queue of its own as long as a quarter of its
+/// batch; what comes then would miss its objective by waiting.
+constexpr double full_load = 1.25;
+/// Wants are repeated so often: datagrams may be lost, holders may change.
+constexpr milliseconds want_again{300};
+/// A connection to a replica takes two milliseconds; longer means that it is
+/// gone or cut off.
+constexpr milliseconds connect_time{300};
+/// A stream that may go on elsewhere is given up after this silence: twice the
+/// longest pause that any installation's callers take for good.
+constexpr milliseconds stream_silence{1'500};
+/// Attempts that a replica refused, or that never reached one, beside those
+/// that the route allows.
+constexpr unsigned most_tries = 4;
+/// Callers give a stream up when its first event takes four times the
+/// objective. Who waits for a load so long gets "not run" while there is time
+/// to come back.
+constexpr unsigned load_wait_objectives = 3;
+/// Least time that a replica needs for anything.
+constexpr milliseconds least_run{20};
+
+} // namespace
+
+struct request_flow::leaving {
+    bool gone = false;
+    std::shared_ptr<http_call> call;
+    waiter_list* waiters = nullptr;
+    adapter_id adapter;
+};
+
+request_flow::request_flow(
+    gateway_beliefs& beliefs, peer_words& words, http_exchange& exchange)
+    : beliefs_(&beliefs)
+    , words_(&words)
+    , exchange_(&exchange)
+    , arrived_(boot_clock::now())
+    , deadline_(arrived_)
+    , demand_(platform::read_demand(exchange.request()))
+    , leaving_(std::make_shared<leaving>()) {
+    ++beliefs_->live_requests;
+}
+
+request_flow::~request_flow() {
+    --beliefs_->live_requests;
+    // The caller's leaving may still call back.
+    leaving_->call = nullptr;
+    leaving_->waiters = nullptr;
+}
+
+bool request_flow::admit() {
+    http_request const& request = exchange_->request();
+    service_route const* const found = beliefs_->routes.find(
+        request.fields.get("Host"), path_of(request.target));
+    if (found == nullptr) {
+        return false;
+    }
+    // Copied: the configuration may change while the request runs.
+    route_ = *found;
+    ledger_ = attempt_ledger(route_->idempotent());
+    relay_ = event_relay(demand_.last_event);
+    milliseconds const patience =
+        std::min(demand_.patience.value_or(route_->timeout), route_->timeout);
+    deadline_ = arrived_ + patience;
+    need_.service = pick_service(*route_, hash_text(demand_.id.str()));
+    need_.adapter = demand_.adapter;
+    need_.model = demand_.model;
+    need_.draw = beliefs_->random();
+    if (!need_.adapter.empty()) {
+        beliefs_->demand.add(need_.adapter, demand_.prompt_tokens, arrived_);
+    }
+    beliefs_->second_sends.on_request(need_.service, arrived_);
+    return true;
+}
+
+asio::awaitable<void> request_flow::run() {
+    if (!beliefs_->configured) {
+        status_ = status_unavailable;
+        co_await finish("no-configuration");
+        co_return;
+    }
+    if (!admit()) {
+        status_ = status_not_found;
+        co_await finish("no-route");
+        co_return;
+    }
+    leaving_->waiters = &beliefs_->waiters;
+    leaving_->adapter = need_.adapter;
+    exchange_->on_caller_gone([state = leaving_] {
+        state->gone = true;
+        if (state->call) {
+            state->call->cancel();
+        }
+        if (state->waiters != nullptr) {
+            state->waiters->notify(state->adapter);
+        }
+    });
+    co_await answer_all();
+}
+
+asio::awaitable<void> request_flow::answer_all() {
+    while (!leaving_->gone) {
+        replica* const at = co_await find_replica();
+        if (at == nullptr) {
+            co_await finish(reason_);
+            co_return;
+        }
+        endpoint_id const id = at->record.id;
+        attempt_end const end = co_await attempt(*at);
+        note_evidence(id, end);
+        note_attempt(id, end);
+        if (end == attempt_end::finished) {
+            co_await finish("answered");
+            co_return;
+        }
+        need_.tried.push_back(id);
+        if (!may_go_on(end)) {
+            co_await finish(reason_);
+            co_return;
+        }
+    }
+    co_await finish("caller-gone");
+}
+
+replica* request_flow::plain_replica(instant now) {
+    replica* const best = beliefs_->choice.best(need_, now);
+    if (best == nullptr) {
+        reason_ = "no-replica";
+        return nullptr;
+    }
+    // A plain service queues a few requests itself, and says when it is full.
+    return best;
+}
+
+void request_flow::ask_for_copy(replica* home, bool urgent, instant now) {
+    if (home == nullptr) {
+        return;
+    }
+    std::uint32_t const version = beliefs_->least_version(need_.adapter, now);
+    words_->want(*home, {need_.adapter, version}, urgent);
+}
+
+void request_flow::want_copies(instant now) {
+    std::size_t const replicas =
+        beliefs_->replicas.of_service(need_.service).size();
+    std::size_t const wanted =
+        beliefs_->demand.copies(need_.adapter, replicas, now);
+    if (beliefs_->choice.holders(need_, now) < wanted) {
+        ask_for_copy(beliefs_->choice.next_home(need_, now), false, now);
+    }
+}
+
+std::optional<replica*> request_flow::adapter_replica(instant now) {
+    need_.least_version = beliefs_->least_version(need_.adapter, now);
+    replica* const best = beliefs_->choice.best(need_, now);
+    if (best != nullptr && best->load() < easy_load &&
+        !best->health.suspected(now)) {
+        want_copies(now);
+        return best;
+    }
+    replica* const home = beliefs_->choice.next_home(need_, now);
+    bool const home_better = home != nullptr && home->load() < full_load;
+    if (best != nullptr && !best->health.suspected(now) &&
+        best->load() < full_load) {
+        if (home_better && home->load() < best->load()) {
+            ask_for_copy(home, false, now);
+        }
+        return best;
+    }
+    if (home_better) {
+        ask_for_copy(home, true, now);
+        return std::nullopt;
+    }
+    reason_ = best == nullptr && home == nullptr ? "no-replica" : "all-full";
+    return nullptr;
+}
+
+asio::awaitable<replica*> request_flow::find_replica() {
+    instant const began = boot_clock::now();
+    instant const give_up = std::min(
+        deadline_ - least_run,
+        began + load_wait_objectives * route_->objective);
+    bool waited = false;
+    while (!leaving_->gone) {
+        instant const now = boot_clock::now();
+        if (now >= deadline_ - least_run) {
+            reason_ = "too-late";
+            co_return nullptr;
+        }
+        std::optional<replica*> const found =
+            need_.adapter.empty() ? plain_replica(now) : adapter_replica(now);
+        if (found) {
+            if (waited) {
+                beliefs_->metrics.observe_load_wait(now - began);
+            }
+            co_return *found;
+        }
+        if (now >= give_up) {
+            reason_ = "load-takes-too-long";
+            co_return nullptr;
+        }
+        if (!waited) {
+            beliefs_->note(log_line(event_code::request_waits)
+                               .with("id", demand_.id.str())
+                               .with("adapter", need_.adapter.str()));
+        }
+        waited = true;
+        adapter_id adapter = need_.adapter;
+        co_await beliefs_->waiters.wait(
+            std::move(adapter), std::min(give_up, now + want_again));
+    }
+    reason_ = "caller-gone";
+    co_return nullptr;
+}
+
+platform::send_terms
+request_flow::terms_of(replica const& at, instant now) const {
+    platform::send_terms terms;
+    terms.replica = at.record.id;
+    terms.remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
+    terms.priority = route_->priority;
+    if (beliefs_->least_version(need_.adapter, now) > 0) {
+        terms.version = beliefs_->newest_version(need_.adapter);
+    }
+    if (begun_) {
+        terms.after_event = relay_.last();
+    }
+    return terms;
+}
+
+call_times request_flow::times_of_send(instant now) const {
+    call_times times;
+    times.send_before = deadline_ - least_run;
+    times.close_at = deadline_ + milliseconds(100);
+    times.each_step =
+        std::chrono::duration_cast<milliseconds>(deadline_ - now) +
+        milliseconds(100);
+    times.connect = connect_time;
+    times.echoed = std::string(platform::id_field);
+    return times;
+}
+
+asio::awaitable<request_flow::attempt_end> request_flow::attempt(replica& at) {
+    instant const now = boot_clock::now();
+    endpoint_id const id = at.record.id;
+    ip_address to = at.record.address;
+    http_request request =
+        platform::make_send(exchange_->request(), terms_of(at, now));
+    auto const call = std::make_shared<http_call>(
+        beliefs_->io.get_executor(), &beliefs_->replica_connections);
+    leaving_->call = call;
+    ledger_.begin();
+    ++tries_;
+    beliefs_->note(log_line(event_code::request_sent)
+                       .with("id", demand_.id.str())
+                       .with("replica", id.str())
+                       .with("adapter", need_.adapter.str())
+                       .with("backlog", static_cast<int>(at.backlog(now)))
+                       .with("load", static_cast<int>(100 * at.load()))
+                       .with("try", tries_)
+                       .with("waited_ms", now - arrived_));
+    beliefs_->replicas.began(id, demand_.prompt_tokens, now);
+    words_->use(id, need_.adapter);
+    if (begun_) {
+        relay_.begin_run();
+    }
+    call_times times = times_of_send(now);
+    call_result const opened = co_await call->open(
+        std::move(to), std::move(request), std::move(times));
+    attempt_end end = attempt_end::unreached;
+    if (opened != call_result::not_sent) {
+        ledger_.written();
+        end = attempt_end::silent;
+    }
+    if (opened == call_result::answered) {
+        end = co_await read_answer(id, call);
+    }
+    leaving_->call = nullptr;
+    beliefs_->replicas.ended(id);
+    words_->release(id, need_.adapter);
+    bool const late = boot_clock::now() >= deadline_;
+    if (late && end != attempt_end::finished && end != attempt_end::refused) {
+        end = attempt_end::late;
+    }
+    co_return end;
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::read_answer(endpoint_id at, std::shared_ptr<http_call> call) {
+    int const status = call->status();
+    answer_kind const kind = platform::judge_answer(status, call->fields());
+    if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
+        ledger_.not_executed();
+        if (kind == answer_kind::misdirected && !need_.adapter.empty()) {
+            beliefs_->replicas.told_dropped(
+                at, need_.adapter, boot_clock::now());
+        }
+        // Read to its end, so that the connection can be kept.
+        while (auto const piece = co_await call->next_piece()) {
+            if (piece->empty()) {
+                break;
+            }
+        }
+        co_return attempt_end::refused;
+    }
+    ledger_.answering();
+    if (kind == answer_kind::spoiled) {
+        co_return attempt_end::silent;
+    }
+    bool const stream =
+        route_->kind == route_kind::streaming && kind == answer_kind::success;
+    if (stream) {
+        co_return co_await pass_stream(call);
+    }
+    co_return co_await pass_whole(call, status);
+}
+
+asio::awaitable<bool> request_flow::forward(std::string_view piece) {
+    if (piece.empty()) {
+        co_return true;
+    }
+    instant const now = boot_clock::now();
+    if (first_sent_ == instant{}) {
+        first_sent_ = now;
+    } else {
+        longest_pause_ = std::max(longest_pause_, now - last_sent_);
+    }
+    last_sent_ = now;
+    bool const passed = co_await exchange_->write_piece(piece);
+    leaving_->gone = leaving_->gone || !passed;
+    co_return passed;
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::pass_stream(std::shared_ptr<http_call> call) {
+    bool const resumable = route_->resumable;
+    while (true) {
+        auto const left = std::chrono::duration_cast<milliseconds>(
+            deadline_ + milliseconds(100) - boot_clock::now());
+        milliseconds const wait =
+            resumable ? std::min(left, stream_silence) : left;
+        auto const piece =
+            co_await call->next_piece(std::max(wait, milliseconds(1)));
+        if (leaving_->gone) {
+            co_return attempt_end::finished;
+        }
+        if (!piece) {
+            co_return attempt_end::silent;
+        }
+        std::string events;
+        if (piece->empty()) {
+            if (relay_.inside_event()) {
+                co_return attempt_end::silent;
+            }
+            break;
+        }
+        if (relay_.push(*piece, events) == relay_verdict::broken) {
+            call->cancel();
+            co_return attempt_end::silent;
+        }
+        if (events.empty()) {
+            continue;
+        }
+        if (!begun_) {
+            begun_ = true;
+            status_ = call->status();
+            beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
+            http_fields fields = platform::pass_fields(call->fields());
+            bool const begun =
+                co_await exchange_->begin_stream(status_, std::move(fields));
+            leaving_->gone = leaving_->gone || !begun;
+        }
+        bool const passed = co_await forward(events);
+        if (!passed || leaving_->gone) {
+            call->cancel();
+            co_return attempt_end::finished;
+        }
+    }
+    ledger_.ended();
+    if (begun_) {
+        ended_ = co_await exchange_->end_stream();
+        co_return attempt_end::finished;
+    }
+    // A success without any event is passed on as it is.
+    http_response empty;
+    empty.status = call->status();
+    empty.fields = platform::pass_fields(call->fields());
+    status_ = empty.status;
+    ended_ = co_await exchange_->respond(std::move(empty));
+    co_return attempt_end::finished;
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::pass_whole(std::shared_ptr<http_call> call, int status) {
+    http_response answer;
+    answer.status = status;
+    answer.fields = platform::pass_fields(call->fields());
+    while (true) {
+        auto const piece = co_await call->next_piece();
+        if (!piece || answer.body.size() > largest_answer) {
+            co_return attempt_end::silent;
+        }
+        if (piece->empty()) {
+            break;
+        }
+        answer.body += *piece;
+    }
+    ledger_.ended();
+    constexpr int first_failure = 500;
+    if (status >= first_failure) {
+        failure_ = std::move(answer);
+        co_return attempt_end::failed;
+    }
+    status_ = status;
+    beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
+    ended_ = co_await exchange_->respond(std::move(answer));
+    co_return attempt_end::finished;
+}
+
+bool request_flow::may_go_on(attempt_end end) {
+    instant const now = boot_clock::now();
+    switch (end) {
+    case attempt_end::finished:
+        return false;
+    case attempt_end::late:
+        reason_ = "too-late";
+        return false;
+    case attempt_end::unreached:
+        reason_ = "unreachable";
+        return tries_ < most_tries;
+    case attempt_end::refused:
+        reason_ = "refused-by-replica";
+        if (tries_ >= most_tries || !ledger_.may_send_again()) {
+            return false;
+        }
+        break;
+    case attempt_end::failed:
+    case attempt_end::silent:
+        reason_ = end == attempt_end::failed ? "replica-failed" : "broken-off";
+        if (ledger_.sends() >= route_->attempts || !ledger_.may_send_again()) {
+            return false;
+        }
+        break;
+    }
+    if (!beliefs_->second_sends.take(need_.service, beliefs_->nodes(), now)) {
+        reason_ += "-no-budget";
+        return false;
+    }
+    beliefs_->metrics.count_second_send(reason_);
+    return true;
+}
+
+void request_flow::note_evidence(endpoint_id const& at, attempt_end end) {
+    replica* const target = beliefs_->replicas.find(at);
+    if (target == nullptr || leaving_->gone) {
+        return;
+    }
+    instant const now = boot_clock::now();
+    health_evidence evidence = health_evidence::answered;
+    if (end == attempt_end::silent || end == attempt_end::unreached) {
+        evidence = health_evidence::silent;
+    } else if (end == attempt_end::failed || end == attempt_end::late) {
+        evidence = health_evidence::failed;
+    }
+    if (target->health.note(evidence, now)) {
+        duration const rest = target->health.suspected_until() - now;
+        beliefs_->note(
+            log_line(event_code::replica_suspected, log_level::warning)
+                .with("replica", at.str())
+                .with("rest_ms", rest));
+        words_->suspect(*target, rest);
+    }
+}
+
+void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
+    constexpr std::string_view names[] = {"finished", "refused", "unreached",
+                                          "failed",   "silent",  "late"};
+    beliefs_->note(log_line(event_code::attempt_ended)
+                       .with("id", demand_.id.str())
+                       .with("replica", at.str())
+                       .with("end", names[static_cast<std::size_t>(end)])
+                       .with("may_run", static_cast<int>(ledger_.may_run()))
+                       .with("events", relay_.last()));
+}
+
+milliseconds request_flow::come_back() const {
+    // Long enough for a load, short enough that one more try fits.
+    constexpr milliseconds base{400};
+    return base;
+}
+
+asio::awaitable<void> request_flow::finish(std::string_view why) {
+    std::string const reason(why);
+    if (!ended_ && !leaving_->gone && !begun_) {
+        std::optional<milliseconds> retry;
+        http_response answer;
+        if (status_ == status_not_found) {
+            answer = platform::own_answer(
+                status_, exchange_->request(), std::nullopt);
+        } else if (failure_) {
+            answer = std::move(*failure_);
+        } else if (!ledger_.may_run()) {
+            retry = come_back();
+            answer = platform::own_answer(
+                status_unavailable, exchange_->request(), retry);
+        } else {
+            bool const late = boot_clock::now() >= deadline_;
+            answer = platform::own_answer(
+                late ? status_gateway_timeout : status_bad_gateway,
+                exchange_->request(), std::nullopt);
+        }
+        status_ = answer.status;
+        ended_ = co_await exchange_->respond(std::move(answer));
+    }
+    beliefs_->metrics.count_end(
+        leaving_->gone ? "caller-gone" : std::string_view(reason));
+    duration const first = first_sent_ == instant{} ? duration::zero()
+                                                    : first_sent_ - arrived_;
+    beliefs_->note(log_line(event_code::request_ended)
+                       .with("id", demand_.id.str())
+                       .with("first_ms", first)
+                       .with("pause_ms", longest_pause_)
+                       .with("route", route_ ? route_->name : "")
+                       .with("reason", reason)
+                       .with("status", status_)
+                       .with("whole", static_cast<int>(ended_))
+                       .with("may_run", static_cast<int>(ledger_.may_run()))
+                       .with("sends", ledger_.sends())
+                       .with("took_ms", boot_clock::now() - arrived_));
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/request_flow.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "Delivery/attempt_ledger.hpp"
+#include "Delivery/event_relay.hpp"
+#include "Gateway/gateway_beliefs.hpp"
+#include "Gateway/peer_words.hpp"
+#include "Ports/http_client.hpp"
+#include "Ports/http_server.hpp"
+#include "platform/request_wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorpoint {
+
+/// One request's way from its caller to a replica and back.
+class request_flow {
+public:
+    /// @param beliefs  what the node knows; must outlive the flow
+    /// @param words    for wants of adapters; must outlive the flow
+    /// @param exchange the caller's request; must outlive the flow
+    request_flow(
+        gateway_beliefs& beliefs, peer_words& words, http_exchange& exchange);
+    ~request_flow();
+    request_flow(request_flow const&) = delete;
+    request_flow& operator=(request_flow const&) = delete;
+
+    /// Answers the request.
+    boost::asio::awaitable<void> run();
+
+private:
+    /// How one attempt ended.
+    enum class attempt_end : std::uint8_t {
+        /// The caller has its whole answer, or is gone.
+        finished,
+        /// The replica, or one at its address, has not run it.
+        refused,
+        /// No byte of it was sent.
+        unreached,
+        /// The replica ran it and failed.
+        failed,
+        /// It fell silent, broke off or answered with what can't be meant.
+        silent,
+        /// The time is over.
+        late
+    };
+
+    bool admit();
+    boost::asio::awaitable<void> answer_all();
+    boost::asio::awaitable<replica*> find_replica();
+    replica* plain_replica(instant now);
+    std::optional<replica*> adapter_replica(instant now);
+    void want_copies(instant now);
+    void ask_for_copy(replica* home, bool urgent, instant now);
+    boost::asio::awaitable<attempt_end> attempt(replica& at);
+    boost::asio::awaitable<attempt_end>
+    read_answer(endpoint_id at, std::shared_ptr<http_call> call);
+    boost::asio::awaitable<attempt_end>
+    pass_stream(std::shared_ptr<http_call> call);
+    boost::asio::awaitable<attempt_end>
+    pass_whole(std::shared_ptr<http_call> call, int status);
+    boost::asio::awaitable<bool> forward(std::string_view piece);
+    boost::asio::awaitable<void> finish(std::string_view why);
+    bool may_go_on(attempt_end end);
+    bool resumes() const noexcept { return begun_; }
+    void note_evidence(endpoint_id const& at, attempt_end end);
+    void note_attempt(endpoint_id const& at, attempt_end end);
+    std::chrono::milliseconds come_back() const;
+    call_times times_of_send(instant now) const;
+    platform::send_terms terms_of(replica const& at, instant now) const;
+
+    gateway_beliefs* beliefs_;
+    peer_words* words_;
+    http_exchange* exchange_;
+    instant arrived_;
+    instant deadline_;
+    platform::caller_demand demand_;
+    std::optional<service_route> route_;
+    replica_need need_;
+    attempt_ledger ledger_{false};
+    event_relay relay_;
+    bool begun_ = false;
+    /// What the caller saw, for the log: when its first bytes left, and the
+    /// longest pause between bytes since.
+    instant first_sent_;
+    instant last_sent_;
+    duration longest_pause_{0};
+    bool ended_ = false;
+    unsigned tries_ = 0;
+    std::optional<http_response> failure_;
+    std::string reason_ = "unanswered";
+    int status_ = 0;
+    /// Shared with the call-back that the caller's leaving triggers, which may
+    /// outlive the flow.
+    struct leaving;
+    std::shared_ptr<leaving> leaving_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/slot_orderer.cpp
@@ -0,0 +1,484 @@
+#include "Gateway/slot_orderer.hpp"
+
+#include "Placement/rendezvous.hpp"
+#include "Ports/http_client.hpp"
+#include "platform/configuration_reader.hpp"
+#include "platform/order_wire.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+std::string const group_name = "holders";
+/// The store deals out partitions of topics; a topic has so many.
+constexpr std::size_t parts_of_topic = 12;
+constexpr std::size_t topic_count = partition_count / parts_of_topic;
+
+/// A replica answers an order or a report within a few milliseconds; longer
+/// means that it, or the way to it, is down.
+constexpr milliseconds replica_timeout{700};
+/// Owners may change without a new generation reaching this node.
+constexpr duration owners_again = std::chrono::seconds(5);
+/// A worker without the right to order asks again.
+constexpr milliseconds no_right_pause{100};
+/// The span over which the loads of base models are counted.
+constexpr duration load_window = std::chrono::seconds(5);
+
+std::string topic_name(std::size_t number) {
+    return fmt::format("holding{}", number);
+}
+
+/// @returns the partition's number among all topics; nothing for others' topics
+std::optional<std::size_t>
+partition_number(std::string const& topic, unsigned part) {
+    std::string const prefix = "holding";
+    if (!topic.starts_with(prefix) || part >= parts_of_topic) {
+        return std::nullopt;
+    }
+    std::size_t number = 0;
+    char const* const end = topic.data() + topic.size();
+    auto const [stop, error] =
+        std::from_chars(topic.data() + prefix.size(), end, number);
+    if (error != std::errc() || stop != end || number >= topic_count) {
+        return std::nullopt;
+    }
+    return number * parts_of_topic + part;
+}
+
+std::string_view to_string(slot_order_kind kind) {
+    switch (kind) {
+    case slot_order_kind::load_model:
+        return "load-model";
+    case slot_order_kind::load_adapter:
+        return "load-adapter";
+    case slot_order_kind::unload_adapter:
+        return "unload-adapter";
+    }
+    return "";
+}
+
+std::string_view to_string(slot_answer answer) {
+    switch (answer) {
+    case slot_answer::accepted:
+        return "accepted";
+    case slot_answer::holds:
+        return "holds";
+    case slot_answer::out_of_step:
+        return "out-of-step";
+    case slot_answer::fenced:
+        return "fenced";
+    case slot_answer::other_replica:
+        return "other-replica";
+    case slot_answer::rejected:
+        return "rejected";
+    case slot_answer::unsent:
+        return "unsent";
+    case slot_answer::lost:
+        return "lost";
+    }
+    return "";
+}
+
+} // namespace
+
+slot_orderer::slot_orderer(
+    gateway_beliefs& beliefs, platform::store_client& store)
+    : beliefs_(&beliefs)
+    , store_(&store) {}
+
+void slot_orderer::start() {
+    running_ = true;
+    asio::co_spawn(
+        beliefs_->io, [this] { return renew(); }, asio::detached);
+}
+
+void slot_orderer::stop() {
+    if (!running_) {
+        return;
+    }
+    running_ = false;
+    beliefs_->leases.clear();
+    look_again();
+    asio::co_spawn(
+        beliefs_->io,
+        [this]() -> asio::awaitable<void> {
+            std::string member = beliefs_->own_name;
+            auto const left = co_await store_->leave(group_name, member);
+            if (!left) {
+                // The lease lapses by itself; others wait for it.
+                beliefs_->note(log_line(event_code::partition_lost)
+                                   .with("why", to_string(left.error())));
+            }
+        },
+        asio::detached);
+}
+
+void slot_orderer::look_again() {
+    for (auto const& [id, held] : held_) {
+        held->wake.cancel();
+    }
+    if (running_) {
+        spawn_workers();
+    }
+}
+
+std::optional<slot_limits> slot_orderer::limits_of(replica const& at) const {
+    service_form const* const service =
+        beliefs_->configuration.find_service(at.record.service);
+    if (service == nullptr || !service->engine) {
+        return std::nullopt;
+    }
+    slot_limits limits;
+    limits.slots = service->engine->adapter_slots;
+    return limits;
+}
+
+void slot_orderer::spawn_workers() {
+    instant const now = boot_clock::now();
+    for (auto const& [id, at] : beliefs_->replicas.all()) {
+        auto const token = beliefs_->leases.token(partition_of(id), now);
+        auto const limits = limits_of(at);
+        if (!token || !limits || !at.open() || held_.contains(id)) {
+            continue;
+        }
+        auto const held = std::make_shared<held_replica>(
+            slot_account(*limits), beliefs_->io, *token);
+        held_[id] = held;
+        by_short_name_[fleet::short_name(id)] = id;
+        asio::co_spawn(
+            beliefs_->io, [this, id = id, held] { return work(id, held); },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> slot_orderer::renew() {
+    while (running_) {
+        co_await renew_once();
+        for (std::size_t const each : beliefs_->leases.without_token()) {
+            bool const used = std::ranges::any_of(
+                beliefs_->replicas.all(), [&](auto const& other) {
+                    return partition_of(other.first) == each &&
+                           limits_of(other.second);
+                });
+            if (used && running_) {
+                co_await claim(each);
+            }
+        }
+        spawn_workers();
+        asio::steady_timer timer(
+            beliefs_->io, beliefs_->settings.leases.renewal);
+        co_await timer.async_wait(use_result);
+    }
+}
+
+asio::awaitable<void> slot_orderer::renew_once() {
+    std::vector<std::string> topics;
+    for (std::size_t each = 0; each < topic_count; ++each) {
+        topics.push_back(topic_name(each));
+    }
+    partition_leases& leases = beliefs_->leases;
+    std::string group = group_name;
+    std::string member = beliefs_->own_name;
+    // The lease counts from before the call: the store's own count begins when
+    // the call arrives, which is later.
+    instant const started = boot_clock::now();
+    auto const grant = co_await store_->join(
+        std::move(group), std::move(member), std::move(topics),
+        beliefs_->settings.leases.lease, leases.generation());
+    instant const now = boot_clock::now();
+    if (!running_) {
+        co_return;
+    }
+    if (!grant) {
+        leases.failed(now);
+        co_return;
+    }
+    std::vector<std::size_t> partitions;
+    for (auto const& [topic, part] : grant.value().parts) {
+        if (auto const number = partition_number(topic, part)) {
+            partitions.push_back(*number);
+        }
+    }
+    auto const before = leases.held();
+    leases.granted(started, grant.value().generation, partitions, now);
+    auto const after = leases.held();
+    if (before != after) {
+        beliefs_->note(log_line(event_code::partition_gained)
+                           .with("held", after.size())
+                           .with("before", before.size())
+                           .with("generation", grant.value().generation));
+        for (std::size_t const each : after) {
+            words_->set_owner(each, beliefs_->own_name);
+        }
+    }
+    bool const changed = owners_generation_ != grant.value().generation;
+    if (changed || now >= owners_read_ + owners_again) {
+        co_await read_owners();
+        owners_generation_ = grant.value().generation;
+    }
+}
+
+asio::awaitable<void> slot_orderer::read_owners() {
+    std::string group = group_name;
+    auto const owners = co_await store_->owners(std::move(group));
+    owners_read_ = boot_clock::now();
+    if (!owners) {
+        co_return;
+    }
+    for (platform::part_owner const& each : owners.value()) {
+        auto const number = partition_number(each.topic, each.part);
+        if (number && !each.member.empty()) {
+            words_->set_owner(*number, each.member);
+        }
+    }
+}
+
+asio::awaitable<void> slot_orderer::claim(std::size_t partition) {
+    // The place of a record in the log is had by one node only, and a later
+    // holder's is higher: it is the fencing number.
+    std::string topic = topic_name(partition / parts_of_topic);
+    std::string record = beliefs_->own_name;
+    auto const offset = co_await store_->append(
+        std::move(topic), static_cast<unsigned>(partition % parts_of_topic),
+        std::move(record));
+    if (!offset) {
+        co_return;
+    }
+    std::uint64_t const token = offset.value() + 1;
+    beliefs_->leases.fenced_as(partition, token);
+    words_->claim(partition, token);
+}
+
+void slot_orderer::want(peer_want const& asked) {
+    auto const id = by_short_name_.find(asked.replica);
+    auto const held =
+        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    if (held == held_.end()) {
+        return;
+    }
+    adapter_ref const adapter{adapter_id(asked.adapter), asked.version};
+    slot_account& account = held->second->account;
+    if (account.ready(adapter)) {
+        // Whoever asks has missed the word of it.
+        publish(id->second, account);
+        std::vector<peer_word> words{{0, asked.adapter, asked.version, true}};
+        words_->tell(id->second, std::move(words));
+        beliefs_->replicas.told_held(id->second, adapter, boot_clock::now());
+        beliefs_->waiters.notify(adapter.id);
+        return;
+    }
+    account.want(adapter, asked.urgent, boot_clock::now());
+    held->second->wake.cancel();
+}
+
+void slot_orderer::use(peer_use const& told) {
+    auto const id = by_short_name_.find(told.replica);
+    auto const held =
+        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    if (held != held_.end()) {
+        held->second->account.used(adapter_id(told.adapter), boot_clock::now());
+    }
+}
+
+void slot_orderer::publish(endpoint_id const& id, slot_account& account) {
+    instant const now = boot_clock::now();
+    std::vector<peer_word> words;
+    for (slot_change const& each : account.take_changes()) {
+        if (each.held) {
+            beliefs_->replicas.told_held(id, each.adapter, now);
+            beliefs_->waiters.notify(each.adapter.id);
+        } else {
+            beliefs_->replicas.told_dropped(id, each.adapter.id, now);
+        }
+        words.push_back(
+            {0, each.adapter.id.str(), each.adapter.version, each.held});
+    }
+    words_->tell(id, std::move(words));
+}
+
+asio::awaitable<void> slot_orderer::work(endpoint_id id, held_ptr held) {
+    while (running_ && !held->ended) {
+        co_await work_once(id, held);
+    }
+    held_.erase(id);
+    by_short_name_.erase(fleet::short_name(id));
+}
+
+asio::awaitable<void> slot_orderer::work_once(endpoint_id id, held_ptr held) {
+    replica const* const at = beliefs_->replicas.find(id);
+    instant const now = boot_clock::now();
+    auto const token = beliefs_->leases.token(partition_of(id), now);
+    if (at == nullptr || !at->open() || !token || *token != held->token) {
+        held->ended = true;
+        co_return;
+    }
+    slot_account& account = held->account;
+    if (account.report_due(now)) {
+        co_await report(id, held);
+        co_return;
+    }
+    want_newer_versions(id, account);
+    service_form const* const service =
+        beliefs_->configuration.find_service(at->record.service);
+    if (account.known() && !account.has_model() && !account.model_named() &&
+        service != nullptr && !service->engine->models.empty() &&
+        may_load_model(*service)) {
+        account.set_model(service->engine->models.front().name);
+    }
+    auto const next = account.next(now);
+    publish(id, account);
+    if (next) {
+        co_await order(id, held, *next);
+        co_return;
+    }
+    held->wake.expires_after(std::max<duration>(
+        time_until(account.next_look(now)), milliseconds(5)));
+    co_await held->wake.async_wait(use_result);
+}
+
+asio::awaitable<void> slot_orderer::report(endpoint_id id, held_ptr held) {
+    replica const* const at = beliefs_->replicas.find(id);
+    ip_address to = at->record.address;
+    bool const first = !held->account.known();
+    http_call call(beliefs_->io.get_executor(), &beliefs_->replica_connections);
+    call_times times;
+    times.each_step = replica_timeout;
+    http_request request = platform::make_report_request(id);
+    auto const got =
+        co_await fetch(call, std::move(to), std::move(request), times);
+    instant const now = boot_clock::now();
+    constexpr int status_ok = 200;
+    bool const answered =
+        got.how == call_result::answered && got.response.status == status_ok;
+    auto const read =
+        answered ? platform::read_report(got.response.body) : std::nullopt;
+    if (!read) {
+        held->account.report_failed(now);
+        asio::steady_timer timer(beliefs_->io, no_right_pause);
+        co_await timer.async_wait(use_result);
+        co_return;
+    }
+    held->account.reported(*read, now);
+    if (first) {
+        beliefs_->note(log_line(event_code::replica_reported)
+                           .with("replica", id.str())
+                           .with("sequence", read->sequence)
+                           .with("adapters", read->adapters.size())
+                           .with("models", read->models.size()));
+    }
+    publish(id, held->account);
+}
+
+asio::awaitable<void>
+slot_orderer::order(endpoint_id id, held_ptr held, slot_order order) {
+    replica const* const at = beliefs_->replicas.find(id);
+    ip_address to = at->record.address;
+    http_call call(beliefs_->io.get_executor(), &beliefs_->replica_connections);
+    call_times times;
+    times.each_step = replica_timeout;
+    http_request request = platform::make_order(
+        order, id, beliefs_->settings.name.str(), held->token);
+    // Read again right before the act: the node may have been suspended.
+    instant const now = boot_clock::now();
+    auto const token = beliefs_->leases.token(partition_of(id), now);
+    if (!token || *token != held->token) {
+        held->account.answered(order, slot_answer::unsent, now);
+        co_return;
+    }
+    auto const got =
+        co_await fetch(call, std::move(to), std::move(request), times);
+    slot_answer answer = slot_answer::lost;
+    if (got.how == call_result::answered) {
+        answer = platform::read_order_answer(got.response.status);
+    } else if (got.how == call_result::not_sent) {
+        answer = slot_answer::unsent;
+    }
+    beliefs_->metrics.count_order(to_string(answer));
+    beliefs_->note(log_line(event_code::order_answered)
+                       .with("replica", id.str())
+                       .with("order", to_string(order.kind))
+                       .with("adapter", order.adapter.id.str())
+                       .with("expect", order.expect)
+                       .with("token", held->token)
+                       .with("body", got.response.body)
+                       .with("answer", to_string(answer)));
+    if (answer == slot_answer::fenced) {
+        beliefs_->leases.overtaken(partition_of(id), held->token + 1);
+    }
+    held->account.answered(order, answer, boot_clock::now());
+    publish(id, held->account);
+    if (answer == slot_answer::unsent) {
+        asio::steady_timer timer(beliefs_->io, no_right_pause);
+        co_await timer.async_wait(use_result);
+    }
+}
+
+bool slot_orderer::goes_first(
+    endpoint_id const& id, adapter_id const& adapter) const {
+    std::vector<endpoint_id> holders;
+    std::uint32_t const newest = *beliefs_->newest_version(adapter);
+    for (auto const& [other, each] : beliefs_->replicas.all()) {
+        auto const found = each.adapters.find(adapter);
+        if (!each.open() || found == each.adapters.end()) {
+            continue;
+        }
+        if (found->second.version >= newest && !found->second.dropped) {
+            return true;
+        }
+        holders.push_back(other);
+    }
+    auto const ranked = rendezvous_top(adapter.str(), holders, 1);
+    return ranked.empty() || ranked.front() == id;
+}
+
+void slot_orderer::want_newer_versions(
+    endpoint_id const& id, slot_account& account) {
+    // One replica takes a new version first, so that the others serve the old
+    // one meanwhile; then they follow, at the latest after this.
+    constexpr duration others_follow = std::chrono::milliseconds(1'000);
+    instant const now = boot_clock::now();
+    for (auto const& [adapter, word] : beliefs_->versions) {
+        bool const outdated = account.ready({adapter, 0}) &&
+                              !account.ready({adapter, word.version});
+        if (outdated &&
+            (now >= word.learned + others_follow || goes_first(id, adapter))) {
+            account.want({adapter, word.version}, true, now);
+        }
+    }
+}
+
+bool slot_orderer::may_load_model(service_form const& service) {
+    // Loads of base models are rated over all replicas. Each holder takes a
+    // share as large as its part of the partitions.
+    instant const now = boot_clock::now();
+    std::erase_if(model_loads_, [&](instant const each) {
+        return now >= each + load_window;
+    });
+    std::chrono::duration<double> const window = load_window;
+    double const share = static_cast<double>(beliefs_->leases.held().size()) /
+                         static_cast<double>(partition_count);
+    double const most = std::max(
+        1.0, service.engine->loads_per_second * window.count() * share);
+    if (static_cast<double>(model_loads_.size()) + 1 > most) {
+        return false;
+    }
+    model_loads_.push_back(now);
+    return true;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/slot_orderer.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Gateway/gateway_beliefs.hpp"
+#include "Gateway/peer_words.hpp"
+#include "Holding/slot_account.hpp"
+#include "platform/store_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace camphorpoint {
+
+/// Orders loads at the replicas of the partitions that this node holds: one
+/// worker for each replica, and the renewal of the leases.
+class slot_orderer {
+public:
+    /// @param beliefs must outlive this
+    /// @param store   must outlive this
+    slot_orderer(gateway_beliefs& beliefs, platform::store_client& store);
+
+    /// Where word to other nodes goes; set before start.
+    void set_words(peer_words& words) { words_ = &words; }
+    /// Begins to hold partitions.
+    void start();
+    /// Gives all partitions up.
+    void stop();
+
+    /// Somebody wants an adapter at a replica.
+    void want(peer_want const& asked);
+    /// Somebody uses an adapter at a replica.
+    void use(peer_use const& told);
+    /// Replicas or versions have changed.
+    void look_again();
+
+private:
+    /// A replica's account, and the worker that goes by it.
+    struct held_replica {
+        held_replica(
+            slot_account fresh, boost::asio::io_context& io,
+            std::uint64_t fence)
+            : account(std::move(fresh))
+            , wake(io)
+            , token(fence) {}
+        slot_account account;
+        boost::asio::steady_timer wake;
+        std::uint64_t token;
+        /// Requests of each adapter that run, by the node that told last.
+        bool ended = false;
+    };
+    using held_ptr = std::shared_ptr<held_replica>;
+
+    boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<void> renew_once();
+    boost::asio::awaitable<void> claim(std::size_t partition);
+    boost::asio::awaitable<void> read_owners();
+    boost::asio::awaitable<void> work(endpoint_id id, held_ptr held);
+    boost::asio::awaitable<void> work_once(endpoint_id id, held_ptr held);
+    boost::asio::awaitable<void> report(endpoint_id id, held_ptr held);
+    boost::asio::awaitable<void>
+    order(endpoint_id id, held_ptr held, slot_order order);
+    void spawn_workers();
+    void want_newer_versions(endpoint_id const& id, slot_account& account);
+    bool goes_first(endpoint_id const& id, adapter_id const& adapter) const;
+    bool may_load_model(service_form const& service);
+    void publish(endpoint_id const& id, slot_account& account);
+    std::optional<slot_limits> limits_of(replica const& at) const;
+
+    gateway_beliefs* beliefs_;
+    platform::store_client* store_;
+    peer_words* words_ = nullptr;
+    std::map<endpoint_id, held_ptr> held_;
+    std::map<std::uint64_t, endpoint_id> by_short_name_;
+    std::uint64_t owners_generation_ = 0;
+    instant owners_read_;
+    bool running_ = false;
+    std::vector<instant> model_loads_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Holding/partition_leases.cpp
@@ -0,0 +1,101 @@
+#include "Holding/partition_leases.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+std::vector<std::size_t> partition_leases::granted(
+    instant started, std::uint64_t generation,
+    std::vector<std::size_t> const& partitions, instant now) {
+    bool const lapsed = !valid(now);
+    renewed_ = started;
+    generation_ = generation;
+    failing_since_ = instant::max();
+    std::map<std::size_t, holding> next;
+    std::vector<std::size_t> fresh;
+    for (std::size_t const each : partitions) {
+        auto const found = held_.find(each);
+        bool const kept =
+            found != held_.end() && !found->second.lost && !lapsed;
+        if (kept) {
+            next[each] = found->second;
+        } else {
+            next[each] = {now, std::nullopt, false};
+            fresh.push_back(each);
+        }
+    }
+    held_ = std::move(next);
+    return fresh;
+}
+
+void partition_leases::failed(instant now) {
+    bool const in_lease = now < renewed_ + times_.lease;
+    bool const in_row =
+        failing_since_ != instant::max() && now < last_failure_ + times_.lease;
+    if (in_lease || in_row) {
+        failing_since_ = std::min(failing_since_, now);
+    } else {
+        failing_since_ = instant::max();
+    }
+    last_failure_ = now;
+}
+
+void partition_leases::fenced_as(std::size_t partition, std::uint64_t token) {
+    auto const found = held_.find(partition);
+    if (found != held_.end()) {
+        found->second.token = token;
+    }
+}
+
+void partition_leases::overtaken(std::size_t partition, std::uint64_t token) {
+    auto const found = held_.find(partition);
+    if (found != held_.end() && found->second.token.value_or(0) < token) {
+        found->second.lost = true;
+    }
+}
+
+void partition_leases::clear() {
+    held_.clear();
+}
+
+bool partition_leases::valid(instant now) const {
+    if (now < renewed_ + times_.lease) {
+        return true;
+    }
+    bool const outage =
+        failing_since_ != instant::max() && now < last_failure_ + times_.lease;
+    return times_.fences_checked && outage &&
+           now < renewed_ + times_.outage_extension;
+}
+
+std::optional<std::uint64_t>
+partition_leases::token(std::size_t partition, instant now) const {
+    auto const found = held_.find(partition);
+    if (found == held_.end() || found->second.lost || !valid(now) ||
+        now < found->second.gained + times_.settling) {
+        return std::nullopt;
+    }
+    return found->second.token;
+}
+
+std::vector<std::size_t> partition_leases::held() const {
+    std::vector<std::size_t> all;
+    for (auto const& [partition, each] : held_) {
+        if (!each.lost) {
+            all.push_back(partition);
+        }
+    }
+    return all;
+}
+
+std::vector<std::size_t> partition_leases::without_token() const {
+    std::vector<std::size_t> all;
+    for (auto const& [partition, each] : held_) {
+        if (!each.token && !each.lost) {
+            all.push_back(partition);
+        }
+    }
+    return all;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Holding/partition_leases.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Times of the leases by which a node orders for a part of the replicas.
+struct lease_times {
+    /// A node that has sent nothing for so long loses its partitions.
+    std::chrono::milliseconds lease{2'000};
+    /// How often a node says that it is there.
+    std::chrono::milliseconds renewal{600};
+    /// How long a new holder waits before its first order. The one before may
+    /// have been dealt out without a word and learns of it at its next renewal.
+    std::chrono::milliseconds settling{700};
+    /// While the store answers nobody no other node can take a partition over.
+    /// A holder that is cut off can't tell this from its own cut, so it goes on
+    /// only where replicas check the fencing number, and no longer than this.
+    std::chrono::milliseconds outage_extension{15'000};
+    /// Replicas refuse an order with a lower fencing number than one they saw.
+    bool fences_checked = true;
+};
+
+/// Which partitions of the replicas this node orders for, and until when.
+/// Guards against two nodes that order for one replica: a holder stops by its
+/// own reading of the boot clock, counted from the start of its last renewal
+/// that was granted, before any other can have been given the partition.
+class partition_leases {
+public:
+    explicit partition_leases(lease_times times)
+        : times_(times) {}
+
+    /// A renewal was granted.
+    /// @param started    when it was sent
+    /// @param generation the group's generation in the answer
+    /// @param partitions all that this node holds now
+    /// @returns the partitions that are new to it: each needs a fencing number
+    std::vector<std::size_t> granted(
+        instant started, std::uint64_t generation,
+        std::vector<std::size_t> const& partitions, instant now);
+    /// A renewal was not granted, or had no answer.
+    void failed(instant now);
+    /// The fencing number for a partition was had from the log.
+    void fenced_as(std::size_t partition, std::uint64_t token);
+    /// Another node has shown a higher fencing number for the partition.
+    void overtaken(std::size_t partition, std::uint64_t token);
+    /// This node gives all up.
+    void clear();
+
+    /// @returns the fencing number to order with right now, nothing when this
+    ///          node must not order for the partition
+    std::optional<std::uint64_t>
+    token(std::size_t partition, instant now) const;
+    /// @returns all partitions that this node was given last, and those whose
+    ///          fencing number is still missing
+    std::vector<std::size_t> held() const;
+    std::vector<std::size_t> without_token() const;
+    /// @returns the group's generation as told last
+    std::uint64_t generation() const noexcept { return generation_; }
+    /// @returns true when the lease counts at this time
+    bool valid(instant now) const;
+
+private:
+    struct holding {
+        instant gained;
+        std::optional<std::uint64_t> token;
+        bool lost = false;
+    };
+
+    lease_times times_;
+    std::map<std::size_t, holding> held_;
+    std::uint64_t generation_ = 0;
+    instant renewed_;
+    /// The last failed renewal of an unbroken row that began in the lease.
+    instant failing_since_ = instant::max();
+    instant last_failure_;
+};
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Holding/slot_account.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Fleet/replica_record.hpp"
+#include "Holding/slot_order.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// What the account goes by.
+struct slot_limits {
+    /// Adapters that the replica has room for, those under way included. One
+    /// more crashes it.
+    unsigned slots = 1;
+    /// Loads under way at once. The replica takes four; fewer at a time come
+    /// sooner each, as all replicas share the way from the store.
+    unsigned loads_at_once = 1;
+    /// How long a load should take at full speed.
+    std::chrono::milliseconds load_time{250};
+    /// An adapter that was used a shorter time ago is not made to go for one
+    /// that nobody waits for.
+    std::chrono::milliseconds rest_before_drop{400};
+};
+
+/// A change of what a replica holds, to be told to all nodes.
+struct slot_change {
+    adapter_ref adapter;
+    /// False when it is about to go.
+    bool held = true;
+};
+
+/// The account of one replica's adapter slots, kept by the one node that orders
+/// for it. Guards against loads beyond the slots, at which a replica crashes:
+/// the replica's own list is seconds old, so what was ordered, what is on its
+/// way and what is being dropped is counted here. It holds through lost and
+/// late answers since each order names how many came before it: after an order
+/// without answer nothing is ordered until a report shows whether it counted.
+class slot_account {
+public:
+    explicit slot_account(slot_limits limits)
+        : limits_(limits) {}
+
+    /// Takes a report as the truth, but for orders that it is too old to show.
+    void reported(replica_report const& report, instant now);
+    /// @returns true when a report must be read before anything is ordered, or
+    ///          to see whether a load has come
+    bool report_due(instant now) const;
+    /// A report could not be read.
+    void report_failed(instant now);
+
+    /// Requests wait for this adapter here, or should find it here.
+    /// @param version the least version that will do; 0 for any
+    /// @param urgent  somebody waits for it now
+    void want(adapter_ref const& adapter, bool urgent, instant now);
+    /// Requests use this adapter here, or have just done so. Nodes repeat it
+    /// while requests run.
+    void used(adapter_id const& adapter, instant now);
+
+    /// @returns what to order next; nothing while there is nothing to do, or
+    ///          while a report is due
+    std::optional<slot_order> next(instant now);
+    /// Takes up what became of the order that `next` gave last.
+    void answered(slot_order const& order, slot_answer answer, instant now);
+
+    /// @returns true when the adapter lies there ready, in this version or a
+    ///          newer one
+    bool ready(adapter_ref const& adapter) const;
+    /// @returns true when the report has been read and a base model lies there
+    bool has_model() const noexcept { return !models_.empty(); }
+    /// @returns true when a report was taken
+    bool known() const noexcept { return known_; }
+    /// @returns adapters that take a slot
+    std::size_t taken() const noexcept { return slots_.size(); }
+    /// @returns loads under way
+    std::size_t loading() const;
+    /// @returns wants that are not met yet
+    std::size_t waiting() const noexcept { return wants_.size(); }
+    /// @returns what has changed since the last call
+    std::vector<slot_change> take_changes();
+    /// @returns when `next` or `report_due` should be asked again at the latest
+    instant next_look(instant now) const;
+    /// The base model that an empty replica is to load.
+    void set_model(model_id model) { wanted_model_ = std::move(model); }
+    /// @returns true when that model was named
+    bool model_named() const noexcept { return !wanted_model_.empty(); }
+
+private:
+    enum class slot_state : std::uint8_t { loading, resident, dropping };
+    struct slot {
+        std::uint32_t version = 0;
+        slot_state state = slot_state::resident;
+        instant since;
+        instant last_used;
+        /// The count of orders from which on a report shows it.
+        std::uint64_t shown_from = 0;
+    };
+    struct wanted {
+        std::uint32_t version = 0;
+        instant first;
+        instant last;
+        bool urgent = false;
+    };
+
+    void forget_old_wants(instant now);
+    std::optional<adapter_id> first_want() const;
+    std::optional<adapter_id> victim(wanted const& by, instant now) const;
+    std::optional<slot_order> load_order(adapter_id const& id, instant now);
+    void set_ready(adapter_id const& id, slot& of, std::uint32_t version);
+    void take_resident(adapter_ref const& each, instant now);
+
+    slot_limits limits_;
+    bool known_ = false;
+    bool must_report_ = true;
+    bool busy_ = false;
+    bool model_loading_ = false;
+    instant model_ordered_;
+    instant report_after_;
+    std::uint64_t sequence_ = 0;
+    model_id wanted_model_;
+    std::vector<model_id> models_;
+    std::unordered_map<adapter_id, slot> slots_;
+    std::unordered_map<adapter_id, wanted> wants_;
+    std::vector<slot_change> changes_;
+};
+
+} // namespace camphorpoint
--- a/src/Membership/endpoint_table.hpp
+++ b/src/Membership/endpoint_table.hpp
@@ -3,7 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
 #include "Membership/membership_settings.hpp"
-#include "Platform/instance_record.hpp"
+#include "Records/instance_record.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -9,7 +9,7 @@
 #include "Membership/probe_message.hpp"
 #include "Membership/probe_rounds.hpp"
 #include "Membership/update_queue.hpp"
-#include "Platform/instance_record.hpp"
+#include "Records/instance_record.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/Node/change_desk.cpp
+++ b/src/Node/change_desk.cpp
@@ -20,8 +20,8 @@
 
 asio::awaitable<std::optional<publish_ended>>
 change_desk::wait(std::uint64_t number, std::chrono::milliseconds longest) {
-    auto const end = std::chrono::steady_clock::now() + longest;
-    while (!waiting_.at(number) && std::chrono::steady_clock::now() < end) {
+    auto const end = boot_clock::now() + longest;
+    while (!waiting_.at(number) && boot_clock::now() < end) {
         co_await changed_.wait_until(end);
     }
     std::optional<publish_ended> result = waiting_.at(number);
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -21,12 +21,7 @@
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 
 instant now() noexcept {
-    return std::chrono::steady_clock::now();
-}
-
-wall_time wall_now() noexcept {
-    return std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
+    return boot_clock::now();
 }
 
 http_limits caller_limits(node_settings const& settings) {
--- a/src/Ownership/log_follower.hpp
+++ b/src/Ownership/log_follower.hpp
@@ -2,7 +2,7 @@
 
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <optional>
 
--- a/src/Ownership/owner.hpp
+++ b/src/Ownership/owner.hpp
@@ -12,7 +12,7 @@
 #include "Ownership/ownership_table.hpp"
 #include "Ownership/pending_appends.hpp"
 #include "Ownership/takeover_queue.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/src/Ownership/ownership_action.hpp
+++ b/src/Ownership/ownership_action.hpp
@@ -4,7 +4,7 @@
 #include "Core/time.hpp"
 #include "Ownership/handover_messages.hpp"
 #include "Ownership/resource_id.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 #include "Telemetry/log_event.hpp"
 
 #include <cstdint>
--- a/src/Ports/async_signal.hpp
+++ b/src/Ports/async_signal.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "Core/time.hpp"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <chrono>
-
 namespace camphorpoint {
 
 /// Lets coroutines of one loop wait until something has changed. Nothing is
@@ -19,10 +19,8 @@
         : timer_(executor) {}
 
     /// Waits for the next notify, or until a time.
-    boost::asio::awaitable<void> wait_until(
-        std::chrono::steady_clock::time_point limit =
-            std::chrono::steady_clock::time_point::max()) {
-        timer_.expires_at(limit);
+    boost::asio::awaitable<void> wait_until(instant limit = instant::max()) {
+        timer_.expires_after(time_until(limit));
         co_await timer_.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
     }
--- a/src/Ports/caller_interface.cpp
+++ b/src/Ports/caller_interface.cpp
@@ -16,11 +16,6 @@
 
 namespace {
 
-wall_time wall_now() {
-    return std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 /// Removes a call from the table when its exchange ends, however it ends.
 class call_entry {
 public:
--- a/src/Ports/concepts.hpp
+++ b/src/Ports/concepts.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Core/ids.hpp"
-#include "Platform/engine_order.hpp"
-#include "Platform/instance_record.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/engine_order.hpp"
+#include "Records/instance_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/Ports/engine_http.cpp
+++ b/src/Ports/engine_http.cpp
@@ -70,9 +70,8 @@
     if (call.cancelled()) {
         return attempt_end::cancelled;
     }
-    return std::chrono::steady_clock::now() >= request.deadline
-               ? attempt_end::timed_out
-               : loss;
+    return boot_clock::now() >= request.deadline ? attempt_end::timed_out
+                                                 : loss;
 }
 
 std::vector<adapter_ref>
@@ -229,7 +228,7 @@
     request.method = "DELETE";
     request.target = "/v1/streams/" + id.str();
     call_times times;
-    times.close_at = std::chrono::steady_clock::now() + timeout_;
+    times.close_at = boot_clock::now() + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
     co_await fetch(call, parse_address(address), std::move(request), times);
@@ -264,7 +263,7 @@
     http_request request;
     request.target = "/report";
     call_times times;
-    times.close_at = std::chrono::steady_clock::now() + timeout_;
+    times.close_at = boot_clock::now() + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
     fetch_result const got =
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -6,9 +6,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -27,7 +31,7 @@
 constexpr std::size_t piece_bytes = 16U << 10U;
 
 instant now() noexcept {
-    return std::chrono::steady_clock::now();
+    return boot_clock::now();
 }
 
 http::request<http::string_body> message_of(http_request request) {
@@ -35,15 +39,52 @@
     message.version(http_1_1);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, "camphorpoint");
+    if (request.fields.get("Host").empty()) {
+        message.set(http::field::host, "camphorpoint");
+    }
     for (http_field const& each : request.fields.all()) {
-        message.set(each.name, each.value);
+        message.insert(each.name, each.value);
     }
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
 }
 
+/// A connection that goes silent without a reset, as behind a partition, would
+/// hold what it carries for minutes. The kernel gives unacknowledged bytes up
+/// after this, and asks an idle server once a second.
+constexpr int silence_limit_ms = 1'500;
+constexpr int keep_alive_seconds = 1;
+constexpr int keep_alive_probes = 2;
+
+void bound_silence(tcp::socket& socket) {
+    int const handle = socket.native_handle();
+    int const on = 1;
+    auto const set = [&](int level, int name, int value) {
+        ::setsockopt(handle, level, name, &value, sizeof value);
+    };
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, silence_limit_ms);
+    set(SOL_SOCKET, SO_KEEPALIVE, on);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+/// @returns how long a server keeps an idle connection, as its answer tells,
+///          less the time that a request may take on its way
+duration kept_by_server(std::string_view keep_alive) {
+    constexpr std::string_view name = "timeout=";
+    constexpr duration margin = std::chrono::milliseconds(400);
+    std::size_t const place = keep_alive.find(name);
+    if (place == std::string_view::npos) {
+        return duration::max();
+    }
+    std::string_view const number = keep_alive.substr(place + name.size());
+    int seconds = 0;
+    std::from_chars(number.data(), number.data() + number.size(), seconds);
+    return std::chrono::seconds(seconds) - margin;
+}
+
 } // namespace
 
 class http_call::state {
@@ -51,7 +92,13 @@
     state(asio::any_io_executor executor, http_pool* pool)
         : executor_(std::move(executor))
         , pool_(pool) {
-        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+        begin_answer();
+    }
+
+    /// A parser reads one answer.
+    void begin_answer() {
+        parser_.emplace();
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
     /// @returns when a step that begins now must have ended
@@ -62,6 +109,8 @@
     asio::awaitable<bool> write(http_request request);
     asio::awaitable<bool> read_header();
     asio::awaitable<std::optional<std::string>> read_piece();
+    asio::awaitable<std::optional<std::string>> read_some();
+    asio::awaitable<bool> read_own_header(std::string sent);
     void give_back();
     void close();
 
@@ -72,14 +121,14 @@
     // Stays allocated until the call ends, since a read may still refer to it
     // while it is being closed.
     std::unique_ptr<http_connection> link_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, piece_bytes> piece_{};
     bool reused_ = false;
     bool cancelled_ = false;
 };
 
 asio::awaitable<bool> http_call::state::make_connection() {
-    if (pool_ != nullptr) {
+    if (pool_ != nullptr && !times_.fresh) {
         link_ = pool_->take(to_, now());
     }
     reused_ = link_ != nullptr;
@@ -92,7 +141,12 @@
         co_return false;
     }
     link_ = std::make_unique<http_connection>(executor_);
-    link_->stream.expires_at(step_end(times_.send_before));
+    link_->stream.socket().open(tcp::v4(), failure);
+    if (!failure) {
+        bound_silence(link_->stream.socket());
+    }
+    instant const limit = std::min(times_.send_before, now() + times_.connect);
+    link_->stream.expires_after(time_until(step_end(limit)));
     auto const [error] = co_await link_->stream.async_connect(
         tcp::endpoint(host, to_.port), use_result);
     if (!error) {
@@ -103,31 +157,55 @@
 
 asio::awaitable<bool> http_call::state::write(http_request request) {
     auto const message = message_of(std::move(request));
-    link_->stream.expires_at(step_end(times_.send_before));
+    link_->stream.expires_after(time_until(step_end(times_.send_before)));
     auto const [error, size] =
         co_await http::async_write(link_->stream, message, use_result);
     co_return !error;
 }
 
 asio::awaitable<bool> http_call::state::read_header() {
-    link_->stream.expires_at(step_end(instant::max()));
+    link_->stream.expires_after(time_until(step_end(instant::max())));
     auto const [error, size] = co_await http::async_read_header(
-        link_->stream, link_->buffer, parser_, use_result);
+        link_->stream, link_->buffer, *parser_, use_result);
     co_return !error;
 }
 
-asio::awaitable<std::optional<std::string>> http_call::state::read_piece() {
-    while (!parser_.is_done()) {
+asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
+    // More than one answer too many is no accident of timing.
+    constexpr int most_strays = 2;
+    for (int strays = 0; strays <= most_strays; ++strays) {
+        bool const read = co_await read_header();
+        if (!read) {
+            co_return false;
+        }
+        std::string_view const got = parser_->get()[times_.echoed];
+        if (sent.empty() || got.empty() || got == sent) {
+            co_return true;
+        }
+        bool whole = !parser_->need_eof();
+        while (whole && !parser_->is_done()) {
+            whole = (co_await read_some()).has_value();
+        }
+        if (!whole || link_ == nullptr) {
+            co_return false;
+        }
+        begin_answer();
+    }
+    co_return false;
+}
+
+asio::awaitable<std::optional<std::string>> http_call::state::read_some() {
+    while (!parser_->is_done()) {
         if (link_ == nullptr) {
             co_return std::nullopt;
         }
-        auto& body = parser_.get().body();
+        auto& body = parser_->get().body();
         body.data = piece_.data();
         body.size = piece_.size();
         body.more = true;
-        link_->stream.expires_at(step_end(instant::max()));
+        link_->stream.expires_after(time_until(step_end(instant::max())));
         auto [error, size] = co_await http::async_read_some(
-            link_->stream, link_->buffer, parser_, use_result);
+            link_->stream, link_->buffer, *parser_, use_result);
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -140,17 +218,25 @@
             co_return std::string(piece_.data(), got);
         }
     }
-    give_back();
     co_return std::string();
 }
 
+asio::awaitable<std::optional<std::string>> http_call::state::read_piece() {
+    auto piece = co_await read_some();
+    if (piece && piece->empty()) {
+        give_back();
+    }
+    co_return piece;
+}
+
 void http_call::state::give_back() {
     if (link_ == nullptr || cancelled_) {
         return;
     }
-    if (pool_ != nullptr && parser_.keep_alive()) {
+    if (pool_ != nullptr && parser_->keep_alive()) {
         link_->stream.expires_never();
-        pool_->give(to_, std::move(link_), now());
+        duration const kept = kept_by_server(parser_->get()["Keep-Alive"]);
+        pool_->give(to_, std::move(link_), now(), kept);
     }
     link_ = nullptr;
 }
@@ -182,8 +268,10 @@
         self->close();
         co_return call_result::not_sent;
     }
+    std::string echo(request.fields.get(self->times_.echoed));
     bool const sent = co_await self->write(std::move(request));
-    bool const answered = sent && co_await self->read_header();
+    bool const answered =
+        sent && co_await self->read_own_header(std::move(echo));
     if (!answered) {
         self->close();
         co_return call_result::lost;
@@ -208,11 +296,23 @@
 }
 
 int http_call::status() const noexcept {
-    return static_cast<int>(state_->parser_.get().result_int());
+    return static_cast<int>(state_->parser_->get().result_int());
+}
+
+http_fields http_call::fields() const {
+    http_fields all;
+    for (auto const& each : state_->parser_->get()) {
+        all.add(std::string(each.name_string()), std::string(each.value()));
+    }
+    return all;
+}
+
+bool http_call::ends_with_connection() const {
+    return state_->parser_->need_eof();
 }
 
 std::string http_call::field(std::string_view name) const {
-    return std::string(state_->parser_.get()[name]);
+    return std::string(state_->parser_->get()[name]);
 }
 
 asio::awaitable<std::optional<std::string>> http_call::next_piece() {
@@ -249,10 +349,7 @@
     }
     result.how = call_result::lost;
     result.response.status = call.status();
-    std::string const id = call.field("X-Request-Id");
-    if (!id.empty()) {
-        result.response.fields.add("X-Request-Id", id);
-    }
+    result.response.fields = call.fields();
     while (auto piece = co_await call.next_piece()) {
         if (piece->empty()) {
             result.how = call_result::answered;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -36,6 +36,15 @@
     instant close_at = instant::max();
     /// For the connection, the header, and each piece of the answer.
     std::chrono::milliseconds each_step{5'000};
+    /// For the connection alone; a shorter each_step goes first.
+    std::chrono::milliseconds connect{5'000};
+    /// Takes a connection of its own, not a kept one: after a silence the kept
+    /// ones may be silent too.
+    bool fresh = false;
+    /// A header field that the answer must repeat from the request, when it
+    /// bears it. Guards against an answer to an earlier request that comes
+    /// late, where the next one is expected: it is read and thrown away.
+    std::string echoed;
 };
 
 /// One call, whose answer is read piece by piece.
@@ -69,6 +78,10 @@
     send(http_request request, std::chrono::milliseconds timeout);
     /// @returns the answer's status, after open
     int status() const noexcept;
+    /// @returns all header fields of the answer, after open
+    http_fields fields() const;
+    /// @returns true when the answer's end is told by the connection's end
+    bool ends_with_connection() const;
     /// @returns a header field of the answer, after open
     std::string field(std::string_view name) const;
     /// Reads on, within the times that open was given.
--- a/src/Ports/http_pool.cpp
+++ b/src/Ports/http_pool.cpp
@@ -52,13 +52,15 @@
     }
     connection_ptr result;
     while (!found->second.empty() && result == nullptr) {
+        duration const longest = found->second.back().longest;
+        duration const age = now - found->second.back().since;
         result = std::move(found->second.back().connection);
         found->second.pop_back();
         --count_;
         // A server that closed an idle connection would answer the next
         // request with a reset, whose fate is then unknown. Asking the socket
         // first turns nearly all of these into a fresh connection.
-        if (!result->idle()) {
+        if (!result->idle() || age >= longest) {
             result = nullptr;
         }
     }
@@ -68,11 +70,21 @@
     return result;
 }
 
+void http_pool::drop(ip_address const& to) {
+    auto const found = idle_.find(to);
+    if (found != idle_.end()) {
+        count_ -= found->second.size();
+        idle_.erase(found);
+    }
+}
+
 void http_pool::give(
-    ip_address const& to, connection_ptr connection, instant now) {
+    ip_address const& to, connection_ptr connection, instant now,
+    duration longest) {
     drop_old(now);
+    duration const kept = std::min<duration>(longest, limits_.idle_time);
     kept_list& list = idle_[to];
-    list.push_back({std::move(connection), now});
+    list.push_back({std::move(connection), now, kept});
     ++count_;
     if (list.size() > limits_.idle_per_endpoint) {
         list.pop_front();
--- a/src/Ports/http_pool.hpp
+++ b/src/Ports/http_pool.hpp
@@ -37,7 +37,13 @@
     connection_ptr take(ip_address const& to, instant now);
     /// Keeps a connection whose last answer was read whole; past the limits
     /// the oldest is closed.
-    void give(ip_address const& to, connection_ptr connection, instant now);
+    /// @param longest how long the server keeps it at the most, if it said so
+    void give(
+        ip_address const& to, connection_ptr connection, instant now,
+        duration longest = duration::max());
+    /// Closes all idle connections to a server, as when one of them has gone
+    /// silent: what silenced it may have silenced the others.
+    void drop(ip_address const& to);
     /// @returns how many connections are idle
     std::size_t idle() const noexcept { return count_; }
 
@@ -45,6 +51,7 @@
     struct kept {
         connection_ptr connection;
         instant since;
+        duration longest;
     };
     using kept_list = std::list<kept>;
 
--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -44,6 +44,13 @@
 
     tcp::acceptor& acceptor() noexcept { return acceptor_; }
     std::size_t open() const noexcept { return open_.size(); }
+    void set_limits(http_limits limits) { limits_ = limits; }
+    void end_connections(bool idle_too) {
+        ending_ = true;
+        for (auto const& link : open_) {
+            link->end_soon(idle_too);
+        }
+    }
 
 private:
     asio::any_io_executor executor_;
@@ -52,6 +59,7 @@
     http_handler handler_;
     std::shared_ptr<byte_budget> bodies_;
     std::set<std::shared_ptr<http_exchange::connection>> open_;
+    bool ending_ = false;
 };
 
 std::string http_server::state::listen(ip_address const& address) {
@@ -102,6 +110,9 @@
         socket.set_option(tcp::no_delay(true), error);
         auto link = std::make_shared<http_exchange::connection>(
             std::move(socket), limits_, bodies_);
+        if (ending_) {
+            link->end_soon(false);
+        }
         open_.insert(link);
         asio::co_spawn(
             executor_,
@@ -147,6 +158,18 @@
     state_->acceptor().close(ignored);
 }
 
+void http_server::finish_connections() {
+    state_->end_connections(true);
+}
+
+void http_server::announce_end() {
+    state_->end_connections(false);
+}
+
+void http_server::set_limits(http_limits limits) {
+    state_->set_limits(limits);
+}
+
 void http_server::close() {
     state_->close();
 }
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -54,6 +54,8 @@
     std::uint32_t header_bytes = 16U << 10U;
     /// How long a caller may take to send a request's header and body.
     std::chrono::milliseconds read_timeout{10'000};
+    /// How long a connection may stay without a request.
+    std::chrono::milliseconds idle_timeout{15'000};
     /// How long a caller may leave a piece of the answer unread.
     std::chrono::milliseconds write_timeout{10'000};
     std::size_t connections = 4'096;
@@ -83,6 +85,13 @@
     std::uint16_t port() const noexcept;
     /// Takes no further connections; those that are open go on.
     void stop_accepting();
+    /// Lets each connection end: those without a request now, the others with
+    /// their answer, which says so.
+    void finish_connections();
+    /// Each answer from here on ends its connection.
+    void announce_end();
+    /// Limits for connections that are accepted from here on.
+    void set_limits(http_limits limits);
     /// Closes everything.
     void close();
     /// @returns how many connections are open
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -124,8 +124,35 @@
     broken_ = true;
 }
 
+void http_exchange::connection::end_soon(bool idle_too) {
+    ending_ = true;
+    if (idle_ && idle_too) {
+        stream_.cancel();
+    }
+}
+
+asio::awaitable<bool> http_exchange::connection::await_request() {
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    constexpr std::size_t first_read = 4U << 10U;
+    stream_.expires_never();
+    cancel_guard const guard(stream_, limits_.idle_timeout);
+    idle_ = true;
+    auto const [error, size] = co_await stream_.async_read_some(
+        buffer_.prepare(first_read), use_result);
+    idle_ = false;
+    buffer_.commit(size);
+    broken_ = broken_ || error;
+    co_return !error;
+}
+
 asio::awaitable<std::optional<http_request>>
 http_exchange::connection::read_request() {
+    bool const begun = co_await await_request();
+    if (!begun) {
+        co_return std::nullopt;
+    }
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits_.body_bytes);
     parser.header_limit(limits_.header_bytes);
@@ -156,7 +183,7 @@
         co_return std::nullopt;
     }
     http::request<http::string_body> message = parser.release();
-    keep_alive_ = message.keep_alive();
+    keep_alive_ = message.keep_alive() && !ending_;
     co_return plain_request(std::move(message));
 }
 
@@ -226,6 +253,7 @@
         static_cast<http::status>(response.status), http_1_1);
     copy_fields(response.fields, message);
     message.body() = std::move(response.body);
+    keep_alive_ = keep_alive_ && !ending_;
     message.keep_alive(keep_alive_);
     message.prepare_payload();
     answered_ = true;
@@ -240,6 +268,7 @@
     http::response<http::empty_body> message(
         static_cast<http::status>(status), http_1_1);
     copy_fields(fields, message);
+    keep_alive_ = keep_alive_ && !ending_;
     message.keep_alive(keep_alive_);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -58,6 +58,9 @@
     boost::asio::awaitable<void> run(http_handler handler);
     /// Closes at once.
     void close();
+    /// Ends with the next answer.
+    /// @param idle_too ends now when no request has begun
+    void end_soon(bool idle_too);
 
     /// The parts of http_exchange.
     boost::asio::awaitable<bool> respond(http_response response);
@@ -68,6 +71,7 @@
 
 private:
     boost::asio::awaitable<std::optional<http_request>> read_request();
+    boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void>
     refuse(boost::beast::error_code error, bool anything_read);
     boost::asio::awaitable<void> refuse_with(int status, std::string_view why);
@@ -85,6 +89,8 @@
     std::function<void()> gone_;
     std::uint64_t exchange_number_ = 0;
     bool keep_alive_ = true;
+    bool ending_ = false;
+    bool idle_ = false;
     bool broken_ = false;
     bool answered_ = false;
 };
--- a/src/Ports/instance_list_http.cpp
+++ b/src/Ports/instance_list_http.cpp
@@ -89,7 +89,7 @@
     http_request request;
     request.target = "/instances";
     call_times times;
-    times.close_at = std::chrono::steady_clock::now() + timeout_;
+    times.close_at = boot_clock::now() + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
     fetch_result const got =
--- a/src/Ports/peer_link.cpp
+++ b/src/Ports/peer_link.cpp
@@ -29,7 +29,7 @@
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 
 instant now() noexcept {
-    return std::chrono::steady_clock::now();
+    return boot_clock::now();
 }
 
 /// Bounds how long sent data may stay unacknowledged (RFC 5482).
--- a/src/Ports/platform_log_http.cpp
+++ b/src/Ports/platform_log_http.cpp
@@ -89,7 +89,7 @@
 
 asio::awaitable<std::optional<log_batch>>
 platform_log_http::read(log_stream stream, log_offset from) {
-    instant const started = std::chrono::steady_clock::now();
+    instant const started = boot_clock::now();
     http_request request = named_request();
     request.target = fmt::format(
         "/streams/{}/records?from={}&limit={}", stream_name(stream), from.value,
@@ -113,7 +113,7 @@
     request.target = fmt::format("/streams/{}/records", stream_name(stream));
     request.body = std::move(data);
     call_times times;
-    times.close_at = std::chrono::steady_clock::now() + timeout_;
+    times.close_at = boot_clock::now() + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
     fetch_result const got =
--- a/src/Ports/service_http.cpp
+++ b/src/Ports/service_http.cpp
@@ -18,8 +18,8 @@
     if (call.cancelled()) {
         return attempt_end::cancelled;
     }
-    return std::chrono::steady_clock::now() >= deadline ? attempt_end::timed_out
-                                                        : attempt_end::cut;
+    return boot_clock::now() >= deadline ? attempt_end::timed_out
+                                         : attempt_end::cut;
 }
 
 http_request message_of(service_call const& wanted) {
--- /dev/null
+++ b/src/Routing/route_table.cpp
@@ -0,0 +1,71 @@
+#include "Routing/route_table.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace camphorpoint {
+
+namespace {
+
+/// A host holds no line break, so that the two parts can't run together.
+std::string place_key(std::string_view host, std::string_view prefix) {
+    std::string key;
+    key.reserve(host.size() + prefix.size() + 1);
+    key.append(host);
+    key.push_back('\n');
+    key.append(prefix);
+    return key;
+}
+
+} // namespace
+
+service_form const*
+routing_configuration::find_service(service_id const& wanted) const noexcept {
+    auto const found = std::ranges::find(services, wanted, &service_form::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+route_table::route_table(routing_configuration const& configuration)
+    : routes_(configuration.routes) {
+    for (std::size_t place = 0; place < routes_.size(); ++place) {
+        service_route const& each = routes_[place];
+        places_.emplace(place_key(each.host, each.path_prefix), place);
+    }
+}
+
+service_route const*
+route_table::find(std::string_view host, std::string_view path) const {
+    host = host.substr(0, host.find(':'));
+    path = path.substr(0, path.find('?'));
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        auto const found =
+            places_.find(place_key(host, path.substr(0, slash + 1)));
+        if (found != places_.end()) {
+            return &routes_[found->second];
+        }
+        slash =
+            slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+service_id const& pick_service(service_route const& route, std::uint64_t draw) {
+    assert(!route.shares.empty() && "a route leads to a service");
+    double total = 0;
+    for (service_share const& each : route.shares) {
+        total += each.weight;
+    }
+    constexpr auto most = std::numeric_limits<std::uint64_t>::max();
+    double left = total * static_cast<double>(draw) / static_cast<double>(most);
+    for (service_share const& each : route.shares) {
+        left -= each.weight;
+        if (left < 0) {
+            return each.service;
+        }
+    }
+    return route.shares.back().service;
+}
+
+} // namespace camphorpoint
--- a/src/Scheduling/scheduler_action.hpp
+++ b/src/Scheduling/scheduler_action.hpp
@@ -3,7 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
 #include "Loading/load_messages.hpp"
-#include "Platform/engine_order.hpp"
+#include "Records/engine_order.hpp"
 #include "Scheduling/grant_messages.hpp"
 #include "Telemetry/log_event.hpp"
 
--- a/src/Scheduling/slot_manager.hpp
+++ b/src/Scheduling/slot_manager.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Loading/load_messages.hpp"
-#include "Platform/engine_order.hpp"
+#include "Records/engine_order.hpp"
 #include "Scheduling/eviction_policy.hpp"
 #include "Scheduling/replica_state.hpp"
 #include "Scheduling/slot_table.hpp"
--- a/src/Scheduling/slot_table.hpp
+++ b/src/Scheduling/slot_table.hpp
@@ -2,7 +2,7 @@
 
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
-#include "Platform/engine_order.hpp"
+#include "Records/engine_order.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/Serving/node_action.hpp
+++ b/src/Serving/node_action.hpp
@@ -4,8 +4,8 @@
 #include "Core/outcome.hpp"
 #include "Core/time.hpp"
 #include "Membership/membership_action.hpp"
-#include "Platform/engine_order.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/engine_order.hpp"
+#include "Records/log_record.hpp"
 #include "Serving/peer_message.hpp"
 #include "Telemetry/log_event.hpp"
 
--- a/src/Serving/node_event.hpp
+++ b/src/Serving/node_event.hpp
@@ -2,9 +2,9 @@
 
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
-#include "Platform/engine_order.hpp"
-#include "Platform/instance_record.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/engine_order.hpp"
+#include "Records/instance_record.hpp"
+#include "Records/log_record.hpp"
 #include "Serving/peer_message.hpp"
 
 #include <chrono>
--- a/src/Serving/node_outbox.hpp
+++ b/src/Serving/node_outbox.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/ids.hpp"
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 #include "Serving/node_action.hpp"
 #include "Serving/peer_message.hpp"
 
--- a/src/Serving/serving_settings.hpp
+++ b/src/Serving/serving_settings.hpp
@@ -11,7 +11,7 @@
 #include "Membership/membership_settings.hpp"
 #include "Ownership/ownership_settings.hpp"
 #include "Placement/placement_settings.hpp"
-#include "Platform/instance_record.hpp"
+#include "Records/instance_record.hpp"
 #include "Scheduling/scheduler_settings.hpp"
 
 #include <chrono>
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -11,7 +11,7 @@
 /// The numbered kinds of log events. docs/EVENTS.md lists each number with its
 /// meaning and what to do; a test fails when the two differ. Hundreds by
 /// module: 1 node, 2 configuration, 3 ownership, 4 membership, 5 requests,
-/// 6 scheduling and loads, 7 keys, 8 ports.
+/// 6 scheduling and loads, 7 keys, 8 ports, 9 gateway.
 enum class event_code : std::uint16_t {
     node_started = 101,
     node_ready = 102,
@@ -52,7 +52,31 @@
     replica_taken_over = 608,
     replica_lost = 609,
     slot_taken_by_force = 610,
-    key_clocks_differ = 701
+    key_clocks_differ = 701,
+    gateway_started = 901,
+    gateway_ready = 902,
+    gateway_stopping = 903,
+    gateway_stopped = 904,
+    settings_reloaded = 905,
+    dependency_lost = 906,
+    dependency_regained = 907,
+    request_routed = 911,
+    request_sent = 912,
+    request_waits = 913,
+    attempt_ended = 914,
+    request_ended = 915,
+    configuration_in_force = 921,
+    configuration_rejected = 922,
+    version_known = 923,
+    replica_seen = 931,
+    replica_leaving = 932,
+    replica_gone = 933,
+    replica_suspected = 934,
+    partition_gained = 941,
+    partition_lost = 942,
+    order_answered = 943,
+    replica_reported = 944,
+    lines_left_out = 991
 };
 
 /// One line of the log.
--- a/standins/common/standin_main.cpp
+++ b/standins/common/standin_main.cpp
@@ -1,5 +1,7 @@
+#include "Core/time.hpp"
 #include "common/standin_main.hpp"
 
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -42,7 +44,7 @@
 }
 
 camphorpoint::instant clock_now() noexcept {
-    return std::chrono::steady_clock::now();
+    return camphorpoint::boot_clock::now();
 }
 
 std::int64_t in_milliseconds(camphorpoint::instant at) noexcept {
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -116,8 +116,7 @@
     start.address = "127.0.0.1:" + std::to_string(engine.server.port());
     start.adapter = {adapter_id("audit"), 3};
     start.engine_id = request_id("engine-7");
-    start.send_before =
-        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    start.send_before = boot_clock::now() + std::chrono::seconds(30);
     start.deadline = start.send_before;
     return start;
 }
--- a/test/ownership_takeover_test.cpp
+++ b/test/ownership_takeover_test.cpp
@@ -1,4 +1,4 @@
-#include "Platform/engine_order.hpp"
+#include "Records/engine_order.hpp"
 #include "ownership_fixture.hpp"
 
 #include <doctest/doctest.h>
--- a/test/ports/engine_http_test.cpp
+++ b/test/ports/engine_http_test.cpp
@@ -188,8 +188,7 @@
 TEST_CASE("an engine is given orders") {
     loopback loop;
     scripted_engine engine(loop);
-    instant const later =
-        std::chrono::steady_clock::now() + std::chrono::minutes(1);
+    instant const later = boot_clock::now() + std::chrono::minutes(1);
 
     SUBCASE("its status says how the order ended") {
         engine.status = 200;
@@ -209,7 +208,7 @@
     // A holder is paused past its lease. Its order to evict must not go out:
     // the engine would drop an adapter that the next owner has put to use.
     SUBCASE("nothing is sent when the authority has ended") {
-        instant const past = std::chrono::steady_clock::now();
+        instant const past = boot_clock::now();
         CHECK(engine.order(past) == order_result::not_sent);
         CHECK(engine.asked.empty());
     }
--- a/test/ports/http_client_test.cpp
+++ b/test/ports/http_client_test.cpp
@@ -16,7 +16,7 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 instant now() {
-    return std::chrono::steady_clock::now();
+    return boot_clock::now();
 }
 
 fetch_result fetch_once(
--- a/test/ports/loopback.cpp
+++ b/test/ports/loopback.cpp
@@ -42,11 +42,11 @@
 } // namespace
 
 bool loopback::run_until(std::function<bool()> const& holds) {
-    auto const end = std::chrono::steady_clock::now() + patience;
+    auto const end = boot_clock::now() + patience;
     while (!holds()) {
         io_.restart();
         io_.run_one_until(end);
-        if (std::chrono::steady_clock::now() >= end) {
+        if (boot_clock::now() >= end) {
             return false;
         }
     }
--- a/test/support/fake_engine.hpp
+++ b/test/support/fake_engine.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Core/ids.hpp"
-#include "Platform/engine_order.hpp"
-#include "Platform/instance_record.hpp"
+#include "Records/engine_order.hpp"
+#include "Records/instance_record.hpp"
 
 #include <chrono>
 #include <cstddef>
--- a/test/support/fake_log.hpp
+++ b/test/support/fake_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Platform/log_record.hpp"
+#include "Records/log_record.hpp"
 
 #include <cstddef>
 #include <map>
