Loads: completion by repeated orders, copies by share of demand, no order on adapters in use

Cause: loads were seen through reports 100 ms old; a hot adapter lay on one replica; a load that lies there already was counted, which blocked a replica's account for good; an unload or replacement of an adapter in use holds up every other order of its replica for seconds.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -172,8 +172,7 @@
     }
 }
 
-void fleet::began(
-    endpoint_id const& id, unsigned prompt_tokens, instant now) {
+void fleet::began(endpoint_id const& id, unsigned prompt_tokens, instant now) {
     if (replica* const target = find(id)) {
         ++target->running_here;
         target->backlog_here.add(prompt_tokens, now);
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// A replica under this load takes a further adapter as its home. Above it the
-/// next in the adapter's order is nearer to free.
-constexpr double roomy_load = 0.75;
+/// A replica less crowded than this takes a further adapter as its home. Above
+/// it the next in the adapter's order is nearer to free.
+constexpr double roomy = 0.5;
 /// A suspected replica costs as much as one that is so many times full: it is
 /// taken only when all others are out.
 constexpr double suspicion_cost = 1'000;
@@ -25,6 +25,11 @@
 /// Holders of an adapter that are compared.
 constexpr std::size_t most_looks = 3;
 
+/// @returns how full the replica is, by its batch and by what it has to read
+double crowding(replica const& each, instant now) {
+    return each.load() + each.backlog(now) / backlog_as_full;
+}
+
 bool holds_model(replica const& each, model_id const& model) {
     return model.empty() || std::ranges::find(each.record.models, model) !=
                                 each.record.models.end();
@@ -55,7 +60,7 @@
     double result = excess * failure_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
     if (!need.adapter.empty() || each.answer_time == duration::zero()) {
-        return result + each.load() + each.backlog(now) / backlog_as_full;
+        return result + crowding(each, now);
     }
     // The request's own share counts, so that idle replicas differ by their
     // speed.
@@ -93,9 +98,8 @@
     std::size_t const first = need.draw % all.size();
     replica* chosen = all[first];
     double least = cost(*chosen, need, mean, now);
-    std::size_t const looks = need.adapter.empty()
-                                  ? all.size()
-                                  : std::min(all.size(), most_looks);
+    std::size_t const looks =
+        need.adapter.empty() ? all.size() : std::min(all.size(), most_looks);
     std::uint64_t rest = need.draw / all.size();
     std::size_t place = first;
     for (std::size_t look = 1; look < looks; ++look) {
@@ -115,7 +119,9 @@
 replica_choice::next_home(replica_need const& need, instant now) const {
     std::vector<endpoint_id> open;
     for (replica const* const each : fleet_->of_service(need.service)) {
-        if (usable(*each, need, now) && !holds(*each, need) &&
+        // One that holds an older version would have to end its runs first.
+        if (usable(*each, need, now) &&
+            !each->adapters.contains(need.adapter) &&
             holds_model(*each, need.model) && !each->health.suspected(now)) {
             open.push_back(each->record.id);
         }
@@ -124,10 +130,10 @@
     replica* least = nullptr;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (each->load() < roomy_load) {
+        if (crowding(*each, now) < roomy) {
             return each;
         }
-        if (least == nullptr || each->load() < least->load()) {
+        if (least == nullptr || crowding(*each, now) < crowding(*least, now)) {
             least = each;
         }
     }
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -155,11 +155,13 @@
     return best;
 }
 
-void request_flow::ask_for_copy(replica* home, bool urgent, instant now) {
+void request_flow::ask_for_copy(replica* home, bool urgent) {
     if (home == nullptr) {
         return;
     }
-    std::uint32_t const version = beliefs_->least_version(need_.adapter, now);
+    asked_ = home->record.id;
+    std::uint32_t const version =
+        beliefs_->newest_version(need_.adapter).value_or(0);
     words_->want(*home, {need_.adapter, version}, urgent);
 }
 
@@ -169,13 +171,22 @@
     std::size_t const wanted =
         beliefs_->demand.copies(need_.adapter, replicas, now);
     if (beliefs_->choice.holders(need_, now) < wanted) {
-        ask_for_copy(beliefs_->choice.next_home(need_, now), false, now);
+        ask_for_copy(beliefs_->choice.next_home(need_, now), true);
     }
 }
 
 std::optional<replica*> request_flow::adapter_replica(instant now) {
-    need_.least_version = beliefs_->least_version(need_.adapter, now);
-    replica* const best = beliefs_->choice.best(need_, now);
+    std::uint32_t const newest =
+        beliefs_->newest_version(need_.adapter).value_or(0);
+    need_.least_version = newest;
+    replica* best = beliefs_->choice.best(need_, now);
+    if (best == nullptr && newest > 0 &&
+        beliefs_->least_version(need_.adapter, now) == 0) {
+        // The old version serves until the new one lies somewhere.
+        ask_for_copy(beliefs_->choice.next_home(need_, now), true);
+        need_.least_version = 0;
+        best = beliefs_->choice.best(need_, now);
+    }
     if (best != nullptr && best->load() < easy_load &&
         !best->health.suspected(now)) {
         want_copies(now);
@@ -186,12 +197,12 @@
     if (best != nullptr && !best->health.suspected(now) &&
         best->load() < full_load) {
         if (home_better && home->load() < best->load()) {
-            ask_for_copy(home, false, now);
+            ask_for_copy(home, false);
         }
         return best;
     }
     if (home_better) {
-        ask_for_copy(home, true, now);
+        ask_for_copy(home, true);
         return std::nullopt;
     }
     reason_ = best == nullptr && home == nullptr ? "no-replica" : "all-full";
@@ -225,7 +236,8 @@
         if (!waited) {
             beliefs_->note(log_line(event_code::request_waits)
                                .with("id", demand_.id.str())
-                               .with("adapter", need_.adapter.str()));
+                               .with("adapter", need_.adapter.str())
+                               .with("at", asked_.str()));
         }
         waited = true;
         adapter_id adapter = need_.adapter;
@@ -537,8 +549,8 @@
     }
     beliefs_->metrics.count_end(
         leaving_->gone ? "caller-gone" : std::string_view(reason));
-    duration const first = first_sent_ == instant{} ? duration::zero()
-                                                    : first_sent_ - arrived_;
+    duration const first =
+        first_sent_ == instant{} ? duration::zero() : first_sent_ - arrived_;
     beliefs_->note(log_line(event_code::request_ended)
                        .with("id", demand_.id.str())
                        .with("first_ms", first)
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -56,7 +56,7 @@
     replica* plain_replica(instant now);
     std::optional<replica*> adapter_replica(instant now);
     void want_copies(instant now);
-    void ask_for_copy(replica* home, bool urgent, instant now);
+    void ask_for_copy(replica* home, bool urgent);
     boost::asio::awaitable<attempt_end> attempt(replica& at);
     boost::asio::awaitable<attempt_end>
     read_answer(endpoint_id at, std::shared_ptr<http_call> call);
@@ -82,6 +82,8 @@
     platform::caller_demand demand_;
     std::optional<service_route> route_;
     replica_need need_;
+    /// The replica that was asked last to hold the adapter.
+    endpoint_id asked_;
     attempt_ledger ledger_{false};
     event_relay relay_;
     bool begun_ = false;
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -1,6 +1,5 @@
 #include "Gateway/slot_orderer.hpp"
 
-#include "Placement/rendezvous.hpp"
 #include "Ports/http_client.hpp"
 #include "platform/configuration_reader.hpp"
 #include "platform/order_wire.hpp"
@@ -157,7 +156,7 @@
             continue;
         }
         auto const held = std::make_shared<held_replica>(
-            slot_account(*limits), beliefs_->io, *token);
+            slot_account(*limits, pace_), beliefs_->io, *token);
         held_[id] = held;
         by_short_name_[fleet::short_name(id)] = id;
         asio::co_spawn(
@@ -332,7 +331,7 @@
         co_await report(id, held);
         co_return;
     }
-    want_newer_versions(id, account);
+    want_newer_versions(account);
     service_form const* const service =
         beliefs_->configuration.find_service(at->record.service);
     if (account.known() && !account.has_model() && !account.model_named() &&
@@ -409,14 +408,12 @@
         answer = slot_answer::unsent;
     }
     beliefs_->metrics.count_order(to_string(answer));
-    beliefs_->note(log_line(event_code::order_answered)
-                       .with("replica", id.str())
-                       .with("order", to_string(order.kind))
-                       .with("adapter", order.adapter.id.str())
-                       .with("expect", order.expect)
-                       .with("token", held->token)
-                       .with("body", got.response.body)
-                       .with("answer", to_string(answer)));
+    // An order that is given again to see how far it is decides nothing.
+    bool const same_again = held->account.under_way(order.adapter.id) &&
+                            answer == slot_answer::accepted;
+    if (!same_again) {
+        note_order(id, *held, order, answer);
+    }
     if (answer == slot_answer::fenced) {
         beliefs_->leases.overtaken(partition_of(id), held->token + 1);
     }
@@ -428,36 +425,27 @@
     }
 }
 
-bool slot_orderer::goes_first(
-    endpoint_id const& id, adapter_id const& adapter) const {
-    std::vector<endpoint_id> holders;
-    std::uint32_t const newest = *beliefs_->newest_version(adapter);
-    for (auto const& [other, each] : beliefs_->replicas.all()) {
-        auto const found = each.adapters.find(adapter);
-        if (!each.open() || found == each.adapters.end()) {
-            continue;
-        }
-        if (found->second.version >= newest && !found->second.dropped) {
-            return true;
-        }
-        holders.push_back(other);
-    }
-    auto const ranked = rendezvous_top(adapter.str(), holders, 1);
-    return ranked.empty() || ranked.front() == id;
+void slot_orderer::note_order(
+    endpoint_id const& id, held_replica const& held, slot_order const& order,
+    slot_answer answer) {
+    beliefs_->note(log_line(event_code::order_answered)
+                       .with("replica", id.str())
+                       .with("order", to_string(order.kind))
+                       .with("adapter", order.adapter.id.str())
+                       .with("expect", order.expect)
+                       .with("token", held.token)
+                       .with("answer", to_string(answer)));
 }
 
-void slot_orderer::want_newer_versions(
-    endpoint_id const& id, slot_account& account) {
-    // One replica takes a new version first, so that the others serve the old
-    // one meanwhile; then they follow, at the latest after this.
-    constexpr duration others_follow = std::chrono::milliseconds(1'000);
+void slot_orderer::want_newer_versions(slot_account& account) {
+    // What is in use is left as it is, and the account sees to that: requests
+    // go to a replica that gets the new version in a slot of its own.
     instant const now = boot_clock::now();
     for (auto const& [adapter, word] : beliefs_->versions) {
         bool const outdated = account.ready({adapter, 0}) &&
                               !account.ready({adapter, word.version});
-        if (outdated &&
-            (now >= word.learned + others_follow || goes_first(id, adapter))) {
-            account.want({adapter, word.version}, true, now);
+        if (outdated) {
+            account.want({adapter, word.version}, false, now);
         }
     }
 }
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -48,7 +48,6 @@
         slot_account account;
         boost::asio::steady_timer wake;
         std::uint64_t token;
-        /// Requests of each adapter that run, by the node that told last.
         bool ended = false;
     };
     using held_ptr = std::shared_ptr<held_replica>;
@@ -62,9 +61,11 @@
     boost::asio::awaitable<void> report(endpoint_id id, held_ptr held);
     boost::asio::awaitable<void>
     order(endpoint_id id, held_ptr held, slot_order order);
+    void note_order(
+        endpoint_id const& id, held_replica const& held,
+        slot_order const& order, slot_answer answer);
     void spawn_workers();
-    void want_newer_versions(endpoint_id const& id, slot_account& account);
-    bool goes_first(endpoint_id const& id, adapter_id const& adapter) const;
+    void want_newer_versions(slot_account& account);
     bool may_load_model(service_form const& service);
     void publish(endpoint_id const& id, slot_account& account);
     std::optional<slot_limits> limits_of(replica const& at) const;
@@ -78,6 +79,7 @@
     instant owners_read_;
     bool running_ = false;
     std::vector<instant> model_loads_;
+    load_pace pace_;
 };
 
 } // namespace camphorpoint
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -12,8 +12,17 @@
 constexpr duration want_lasts = std::chrono::milliseconds(1'200);
 /// A report shows the state of some hundred milliseconds ago.
 constexpr duration report_pause = std::chrono::milliseconds(60);
+/// No report is older than this.
+constexpr duration report_age = std::chrono::milliseconds(600);
 /// After a report that could not be read.
 constexpr duration report_retry = std::chrono::milliseconds(250);
+/// An order is given again this often to see whether it has been carried out:
+/// a request that waits for it waits half of this longer.
+constexpr duration check_pause = std::chrono::milliseconds(15);
+/// Loads of what lay on the replica a short time ago take a tenth.
+constexpr duration kept_load = std::chrono::milliseconds(24);
+/// Replicas keep copies of about so many adapters in their memory.
+constexpr std::size_t most_recent = 150;
 /// A base model takes about this long to load; the report tells when.
 constexpr duration model_look = std::chrono::milliseconds(250);
 /// A load that a report does not show for so long has been lost, as when the
@@ -38,12 +47,7 @@
     if (!known_ || must_report_ || busy_ || model_loading_) {
         return true;
     }
-    return std::ranges::any_of(slots_, [&](auto const& each) {
-        slot const& of = each.second;
-        return (of.state == slot_state::loading &&
-                now >= of.since + limits_.load_time) ||
-               of.state == slot_state::dropping;
-    });
+    return false;
 }
 
 void slot_account::report_failed(instant now) {
@@ -54,6 +58,11 @@
     adapter_id const& id, slot& of, std::uint32_t version) {
     of.state = slot_state::resident;
     of.version = version;
+    std::erase(recent_, id);
+    recent_.push_back(id);
+    if (recent_.size() > most_recent) {
+        recent_.erase(recent_.begin());
+    }
     changes_.push_back({{id, version}, true});
     auto const want = wants_.find(id);
     if (want != wants_.end() && want->second.version <= version) {
@@ -82,13 +91,12 @@
 
 void slot_account::reported(replica_report const& report, instant now) {
     report_after_ = now + report_pause;
-    if (known_ && report.sequence < sequence_) {
+    if (known_ && report.sequence < sequence_ &&
+        now < last_counted_ + report_age) {
         // Older than the newest accepted order: it can't show its effect.
         return;
     }
-    if (must_report_ || !known_ || report.sequence > sequence_) {
-        sequence_ = report.sequence;
-    }
+    sequence_ = report.sequence;
     known_ = true;
     must_report_ = false;
     busy_ = report.busy;
@@ -98,8 +106,12 @@
     for (adapter_ref const& each : report.pending) {
         auto const [place, fresh] = slots_.try_emplace(each.id);
         if (fresh) {
-            place->second = {
-                each.version, slot_state::loading, now, now, sequence_};
+            place->second.version = each.version;
+            place->second.state = slot_state::loading;
+            place->second.since = now;
+            place->second.last_used = now;
+            place->second.check_at = now;
+            place->second.shown_from = sequence_;
         }
     }
     for (adapter_ref const& each : report.adapters) {
@@ -118,7 +130,7 @@
             return false;
         }
         if (of.state == slot_state::loading &&
-            now < of.since + limits_.load_time) {
+            now < of.since + pace_->expected()) {
             return false;
         }
         if (of.state != slot_state::dropping) {
@@ -156,20 +168,34 @@
            found->second.version >= adapter.version;
 }
 
+bool slot_account::under_way(adapter_id const& adapter) const {
+    auto const found = slots_.find(adapter);
+    return found != slots_.end() && found->second.state != slot_state::resident;
+}
+
 void slot_account::forget_old_wants(instant now) {
     std::erase_if(wants_, [&](auto const& each) {
         return now >= each.second.last + want_lasts;
     });
 }
 
-std::optional<adapter_id> slot_account::first_want() const {
+bool slot_account::resting(slot const& of, instant now) const {
+    return now >= of.last_used + limits_.rest_before_drop;
+}
+
+std::optional<adapter_id> slot_account::first_want(instant now) const {
     std::optional<adapter_id> best;
     wanted const* best_want = nullptr;
     for (auto const& [id, each] : wants_) {
         auto const slot_of = slots_.find(id);
-        bool const under_way = slot_of != slots_.end() &&
-                               slot_of->second.state != slot_state::resident;
-        if (under_way) {
+        // A replacement waits for the adapter's runs, and the replica takes no
+        // other order meanwhile: one that is in use stays as it is, and the
+        // new version comes to another replica.
+        bool const in_the_way =
+            slot_of != slots_.end() &&
+            (slot_of->second.state != slot_state::resident ||
+             !resting(slot_of->second, now));
+        if (in_the_way) {
             continue;
         }
         bool const better = best_want == nullptr ||
@@ -183,21 +209,16 @@
     return best;
 }
 
-std::optional<adapter_id>
-slot_account::victim(wanted const& by, instant now) const {
+std::optional<adapter_id> slot_account::victim(instant now) const {
     std::optional<adapter_id> best;
     slot const* best_slot = nullptr;
     for (auto const& [id, each] : slots_) {
-        if (each.state != slot_state::resident || wants_.contains(id)) {
-            continue;
-        }
-        bool const resting = now >= each.last_used + limits_.rest_before_drop;
-        if (!resting && !by.urgent) {
+        // As with replacements: what is in use would hold up every order.
+        if (each.state != slot_state::resident || wants_.contains(id) ||
+            !resting(each, now)) {
             continue;
         }
-        bool const better =
-            best_slot == nullptr || each.last_used < best_slot->last_used;
-        if (better) {
+        if (best_slot == nullptr || each.last_used < best_slot->last_used) {
             best = id;
             best_slot = &each;
         }
@@ -211,7 +232,7 @@
     model_id const model(id.str().substr(0, id.str().find('/')));
     bool const replaces = slots_.contains(id);
     if (replaces || slots_.size() < limits_.slots) {
-        if (loading() >= limits_.loads_at_once) {
+        if (loading() >= pace_->at_once()) {
             return std::nullopt;
         }
         return slot_order{
@@ -223,7 +244,7 @@
     if (dropping) {
         return std::nullopt;
     }
-    auto const least_used = victim(by, now);
+    auto const least_used = victim(now);
     if (!least_used) {
         return std::nullopt;
     }
@@ -248,7 +269,10 @@
         return slot_order{
             slot_order_kind::load_model, wanted_model_, {}, sequence_};
     }
-    auto const wanted_now = first_want();
+    if (auto const check = check_order(now)) {
+        return check;
+    }
+    auto const wanted_now = first_want(now);
     if (!wanted_now) {
         return std::nullopt;
     }
@@ -256,6 +280,7 @@
     if (order && order->kind == slot_order_kind::unload_adapter) {
         // Told before the order leaves, so that no request goes there any more.
         slot& going = slots_.at(order->adapter.id);
+        going.check_at = {};
         going.state = slot_state::dropping;
         going.since = now;
         changes_.push_back({{order->adapter.id, going.version}, false});
@@ -263,51 +288,110 @@
     return order;
 }
 
-void slot_account::answered(
-    slot_order const& order, slot_answer answer, instant now) {
-    bool const accepted = answer == slot_answer::accepted;
-    bool const done = accepted || answer == slot_answer::holds;
-    if (!done) {
-        bool const unload = order.kind == slot_order_kind::unload_adapter;
-        auto const found = slots_.find(order.adapter.id);
-        if (unload && found != slots_.end() && answer != slot_answer::lost) {
-            found->second.state = slot_state::resident;
-            changes_.push_back(
-                {{order.adapter.id, found->second.version}, true});
-        }
-        must_report_ = answer != slot_answer::unsent;
-        report_after_ = answer == slot_answer::lost ? now + report_retry : now;
-        if (answer == slot_answer::rejected) {
-            wants_.erase(order.adapter.id);
+std::optional<slot_order> slot_account::check_order(instant now) const {
+    for (auto const& [id, each] : slots_) {
+        if (each.state == slot_state::resident || now < each.check_at) {
+            continue;
         }
+        bool const load = each.state == slot_state::loading;
+        model_id const model(id.str().substr(0, id.str().find('/')));
+        return slot_order{
+            load ? slot_order_kind::load_adapter
+                 : slot_order_kind::unload_adapter,
+            model,
+            {id, load ? each.version : 0},
+            sequence_};
+    }
+    return std::nullopt;
+}
+
+void slot_account::ordered_again(
+    slot_order const& order, slot_answer answer, instant now) {
+    slot& of = slots_.at(order.adapter.id);
+    of.check_at = now + check_pause;
+    if (answer != slot_answer::holds) {
+        return;
+    }
+    if (order.kind == slot_order_kind::unload_adapter) {
+        slots_.erase(order.adapter.id);
         return;
     }
-    sequence_ = order.expect + 1;
-    switch (order.kind) {
-    case slot_order_kind::load_model:
+    if (of.timed) {
+        pace_->note(now - of.since);
+    }
+    set_ready(order.adapter.id, of, of.version);
+}
+
+void slot_account::began(slot_order const& order, bool done, instant now) {
+    adapter_id const& id = order.adapter.id;
+    bool const load = order.kind != slot_order_kind::unload_adapter;
+    // A load of what lies there already is not counted by the replica.
+    if (!done || !load) {
+        sequence_ = order.expect + 1;
+        last_counted_ = now;
+    }
+    if (order.kind == slot_order_kind::load_model) {
         model_loading_ = true;
         model_ordered_ = now;
         report_after_ = now + model_look;
-        break;
-    case slot_order_kind::load_adapter: {
-        bool const replaces = slots_.contains(order.adapter.id);
-        slot& of = slots_[order.adapter.id];
-        if (replaces && accepted) {
-            changes_.push_back({{order.adapter.id, of.version}, false});
-        }
-        of = {order.adapter.version, slot_state::loading, now, now, sequence_};
-        if (answer == slot_answer::holds) {
-            set_ready(order.adapter.id, of, order.adapter.version);
+        return;
+    }
+    if (order.kind == slot_order_kind::unload_adapter) {
+        slots_.at(id).shown_from = sequence_;
+        slots_.at(id).check_at = now + check_pause;
+        if (done) {
+            slots_.erase(id);
         }
-        break;
+        return;
     }
-    case slot_order_kind::unload_adapter:
-        if (answer == slot_answer::holds) {
-            slots_.erase(order.adapter.id);
+    bool const replaces = slots_.contains(id);
+    slot& of = slots_[id];
+    if (replaces && !done) {
+        changes_.push_back({{id, of.version}, false});
+    }
+    of.version = order.adapter.version;
+    of.state = slot_state::loading;
+    of.since = now;
+    of.last_used = now;
+    of.shown_from = sequence_;
+    bool const kept = std::ranges::find(recent_, id) != recent_.end();
+    // A replacement waits for its runs, so its time tells nothing of the store.
+    of.timed = !replaces && !kept;
+    of.check_at = now + (kept ? kept_load : pace_->expected());
+    if (done) {
+        set_ready(id, of, order.adapter.version);
+    }
+}
+
+void slot_account::answered(
+    slot_order const& order, slot_answer answer, instant now) {
+    auto const found = slots_.find(order.adapter.id);
+    bool const done = answer == slot_answer::holds;
+    // An order that was accepted is given again to see whether it has been
+    // carried out; the replica does not count it a second time.
+    bool const again = found != slots_.end() &&
+                       found->second.state != slot_state::resident &&
+                       found->second.check_at != instant{};
+    if (done || answer == slot_answer::accepted) {
+        if (again) {
+            ordered_again(order, answer, now);
         } else {
-            slots_[order.adapter.id].shown_from = sequence_;
+            began(order, done, now);
         }
-        break;
+        return;
+    }
+    if (again) {
+        found->second.check_at = now + check_pause;
+    } else if (
+        found != slots_.end() && answer != slot_answer::lost &&
+        order.kind == slot_order_kind::unload_adapter) {
+        found->second.state = slot_state::resident;
+        changes_.push_back({{order.adapter.id, found->second.version}, true});
+    }
+    must_report_ = answer != slot_answer::unsent;
+    report_after_ = answer == slot_answer::lost ? now + report_retry : now;
+    if (answer == slot_answer::rejected) {
+        wants_.erase(order.adapter.id);
     }
 }
 
@@ -321,12 +405,8 @@
         look = std::max(report_after_, now);
     }
     for (auto const& [id, each] : slots_) {
-        if (each.state == slot_state::loading) {
-            look = std::min(
-                look, std::max(report_after_, each.since + limits_.load_time));
-        }
-        if (each.state == slot_state::dropping) {
-            look = std::min(look, report_after_);
+        if (each.state != slot_state::resident) {
+            look = std::min(look, each.check_at);
         }
     }
     if (!wants_.empty()) {
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -2,6 +2,7 @@
 
 #include "Core/time.hpp"
 #include "Fleet/replica_record.hpp"
+#include "Holding/load_pace.hpp"
 #include "Holding/slot_order.hpp"
 
 #include <chrono>
@@ -19,11 +20,8 @@
     unsigned slots = 1;
     /// Loads under way at once. The replica takes four; fewer at a time come
     /// sooner each, as all replicas share the way from the store.
-    unsigned loads_at_once = 1;
-    /// How long a load should take at full speed.
-    std::chrono::milliseconds load_time{250};
-    /// An adapter that was used a shorter time ago is not made to go for one
-    /// that nobody waits for.
+    /// An adapter that was used a shorter time ago counts as in use. Nodes
+    /// repeat their uses every 100 ms while requests run.
     std::chrono::milliseconds rest_before_drop{400};
 };
 
@@ -42,8 +40,11 @@
 /// without answer nothing is ordered until a report shows whether it counted.
 class slot_account {
 public:
-    explicit slot_account(slot_limits limits)
-        : limits_(limits) {}
+    /// @param limits what the replica has room for
+    /// @param pace   how long loads take; shared, must outlive the account
+    slot_account(slot_limits limits, load_pace& pace)
+        : limits_(limits)
+        , pace_(&pace) {}
 
     /// Takes a report as the truth, but for orders that it is too old to show.
     void reported(replica_report const& report, instant now);
@@ -76,6 +77,8 @@
     bool known() const noexcept { return known_; }
     /// @returns adapters that take a slot
     std::size_t taken() const noexcept { return slots_.size(); }
+    /// @returns true when an order on the adapter is being carried out
+    bool under_way(adapter_id const& adapter) const;
     /// @returns loads under way
     std::size_t loading() const;
     /// @returns wants that are not met yet
@@ -96,6 +99,11 @@
         slot_state state = slot_state::resident;
         instant since;
         instant last_used;
+        /// When the order is given again, to see whether it has been carried
+        /// out.
+        instant check_at;
+        /// Its load comes from the store, and tells how busy the way is.
+        bool timed = false;
         /// The count of orders from which on a report shows it.
         std::uint64_t shown_from = 0;
     };
@@ -107,13 +115,21 @@
     };
 
     void forget_old_wants(instant now);
-    std::optional<adapter_id> first_want() const;
-    std::optional<adapter_id> victim(wanted const& by, instant now) const;
+    bool resting(slot const& of, instant now) const;
+    std::optional<adapter_id> first_want(instant now) const;
+    std::optional<adapter_id> victim(instant now) const;
+    std::optional<slot_order> check_order(instant now) const;
+    void
+    ordered_again(slot_order const& order, slot_answer answer, instant now);
+    void began(slot_order const& order, bool done, instant now);
     std::optional<slot_order> load_order(adapter_id const& id, instant now);
     void set_ready(adapter_id const& id, slot& of, std::uint32_t version);
     void take_resident(adapter_ref const& each, instant now);
 
     slot_limits limits_;
+    load_pace* pace_;
+    /// Adapters that lay here, newest last; the replica keeps copies of some.
+    std::vector<adapter_id> recent_;
     bool known_ = false;
     bool must_report_ = true;
     bool busy_ = false;
@@ -121,6 +137,8 @@
     instant model_ordered_;
     instant report_after_;
     std::uint64_t sequence_ = 0;
+    /// When the replica counted an order last.
+    instant last_counted_;
     model_id wanted_model_;
     std::vector<model_id> models_;
     std::unordered_map<adapter_id, slot> slots_;
--- a/standins/common/standin_main.cpp
+++ b/standins/common/standin_main.cpp
@@ -1,6 +1,6 @@
-#include "Core/time.hpp"
 #include "common/standin_main.hpp"
 
+#include "Core/time.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/signal_set.hpp>
