--- a/src/Fleet/adapter_demand.cpp
+++ b/src/Fleet/adapter_demand.cpp
@@ -10,7 +10,12 @@
 /// Copies beyond an adapter's even share of the replicas. With this factor the
 /// replicas of the busiest adapter are a third busy with it at the average, so
 /// that a clump of its prompts finds another with room.
-constexpr double spread = 3;
+constexpr double spread = 2;
+/// An adapter with less than this stays in the lane that it lies in: a copy
+/// costs a load and a slot.
+constexpr double steady_copies = 0.5;
+/// With fewer replicas a lane of its own would be too small to share.
+constexpr std::size_t least_replicas = 6;
 /// Rates below this in tokens a second are as good as none.
 constexpr double least_rate = 1;
 constexpr duration forgetting_pause = std::chrono::seconds(10);
@@ -23,26 +28,52 @@
     double const tokens = std::max(1U, prompt_tokens);
     rates_.try_emplace(adapter, half_life).first->second.add(now, tokens);
     total_.add(now, tokens);
+    all_prompts_.add(now, tokens);
+    if (prompt_tokens >= long_prompt) {
+        long_prompts_.add(now, tokens);
+    }
     if (now >= looked_ + forgetting_pause) {
         looked_ = now;
         forget_idle(now);
     }
 }
 
-std::size_t adapter_demand::copies(
+double adapter_demand::wanted_copies(
     adapter_id const& adapter, std::size_t replicas, instant now) const {
     auto const found = rates_.find(adapter);
     double const all = total_.per_second(now);
     if (found == rates_.end() || all < least_rate) {
-        return 1;
+        return 0;
     }
     double const share = found->second.per_second(now) / all;
-    double const wanted = share * static_cast<double>(replicas) * spread;
-    auto const rounded = static_cast<std::size_t>(std::lround(wanted));
+    return share * static_cast<double>(replicas) * spread;
+}
+
+std::size_t adapter_demand::copies(
+    adapter_id const& adapter, std::size_t replicas, instant now) const {
+    auto const rounded = static_cast<std::size_t>(
+        std::lround(wanted_copies(adapter, replicas, now)));
     return std::clamp<std::size_t>(
         rounded, 1, std::max<std::size_t>(1, replicas));
 }
 
+bool adapter_demand::steady(
+    adapter_id const& adapter, std::size_t replicas, instant now) const {
+    return wanted_copies(adapter, replicas, now) >= steady_copies;
+}
+
+std::size_t
+adapter_demand::long_lane(std::size_t replicas, instant now) const {
+    double const all = all_prompts_.per_second(now);
+    if (all < least_rate || replicas < least_replicas) {
+        return 0;
+    }
+    double const share = long_prompts_.per_second(now) / all;
+    auto const lane = static_cast<std::size_t>(
+        std::lround(share * static_cast<double>(replicas)));
+    return std::min(lane, replicas / 2);
+}
+
 void adapter_demand::forget_idle(instant now) {
     std::erase_if(rates_, [&](auto const& each) {
         return each.second.per_second(now) < least_rate;
--- a/src/Fleet/adapter_demand.hpp
+++ b/src/Fleet/adapter_demand.hpp
@@ -10,6 +10,11 @@
 
 namespace camphorpoint {
 
+/// Prompts of so many tokens make all streams of their batch pause noticeably
+/// while they are read: 50 ms at today's engines, a sixth of the pause that
+/// callers take for good.
+inline constexpr unsigned long_prompt = 1'500;
+
 /// How much of a service's work each adapter is, measured by the prompt tokens
 /// of this node's own requests. The balancer spreads callers over nodes by a
 /// hash, so one node's sample stands for all.
@@ -19,18 +24,31 @@
     void add(adapter_id const& adapter, unsigned prompt_tokens, instant now);
     /// @returns how many replicas should hold the adapter
     /// @param replicas how many there are
-    std::size_t
-    copies(adapter_id const& adapter, std::size_t replicas, instant now) const;
+    std::size_t copies(
+        adapter_id const& adapter, std::size_t replicas, instant now) const;
+    /// @returns true when the adapter is asked for often enough to lie in both
+    ///          lanes
+    bool
+    steady(adapter_id const& adapter, std::size_t replicas, instant now) const;
+    /// @returns how many replicas the long prompts need for themselves
+    std::size_t long_lane(std::size_t replicas, instant now) const;
 
 private:
     /// A shift of demand shows within seconds, and a burst of a few requests
     /// does not yet make copies.
     static constexpr duration half_life = std::chrono::seconds(4);
+    /// The lanes' border moves slowly: replicas that change lanes hold the
+    /// other lane's adapters.
+    static constexpr duration lane_half_life = std::chrono::seconds(20);
 
+    double wanted_copies(
+        adapter_id const& adapter, std::size_t replicas, instant now) const;
     void forget_idle(instant now);
 
     std::unordered_map<adapter_id, decayed_rate> rates_;
     decayed_rate total_{half_life};
+    decayed_rate long_prompts_{lane_half_life};
+    decayed_rate all_prompts_{lane_half_life};
     instant looked_;
 };
 
--- a/src/Fleet/prompt_backlog.hpp
+++ b/src/Fleet/prompt_backlog.hpp
@@ -28,11 +28,13 @@
     }
 
 private:
-    /// What today's engines read while their batch goes on, from the sheets of
-    /// both users (29 and 38); being off by half only shifts the balance.
-    static constexpr double tokens_per_ms = 30;
+    /// Two thirds of what the slower of today's engines reads (29 a ms, from
+    /// the users' sheets). The rest is for the streams that go on meanwhile: at
+    /// the full speed an event of five tokens takes five steps full of prompt,
+    /// which is longer than callers take for good.
+    static constexpr double tokens_per_ms = 20;
 
-    double left_ = 0;
+double left_ = 0;
     instant at_;
 };
 
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -11,7 +11,7 @@
 
 /// A replica less crowded than this takes a further adapter as its home. Above
 /// it the next in the adapter's order is nearer to free.
-constexpr double roomy = 0.5;
+constexpr double roomy = 0.8;
 /// A suspected replica costs as much as one that is so many times full: it is
 /// taken only when all others are out.
 constexpr double suspicion_cost = 1'000;
@@ -21,14 +21,17 @@
 
 /// Prompt tokens still to be read that count as much as a full batch: they
 /// make all its streams pause for as long as callers take for good.
-constexpr double backlog_as_full = 6'000;
+constexpr double backlog_as_full = 8'000;
 /// Holders of an adapter that are compared.
 constexpr std::size_t most_looks = 3;
 
-/// @returns how full the replica is, by its batch and by what it has to read
-double crowding(replica const& each, instant now) {
-    return each.load() + each.backlog(now) / backlog_as_full;
-}
+
+
+
+/// A lane keeps its requests until its replicas are this crowded.
+constexpr double lane_full = 0.9;
+/// A replica of the other lane counts as so much fuller.
+constexpr double lane_cost = 0.25;
 
 bool holds_model(replica const& each, model_id const& model) {
     return model.empty() || std::ranges::find(each.record.models, model) !=
@@ -37,6 +40,10 @@
 
 } // namespace
 
+double replica_choice::crowding(replica const& each, instant now) {
+    return each.load() + each.backlog(now) / backlog_as_full;
+}
+
 bool replica_choice::holds(
     replica const& each, replica_need const& need) const {
     if (need.adapter.empty()) {
@@ -58,6 +65,7 @@
     instant now) const {
     double const excess = std::max(0.0, each.health.failure_share() - mean);
     double result = excess * failure_cost;
+    result += in_lane(each, need) ? 0 : lane_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
     if (!need.adapter.empty() || each.answer_time == duration::zero()) {
         return result + crowding(each, now);
@@ -69,6 +77,17 @@
     return result + (each.load() + share) * time.count();
 }
 
+bool replica_choice::in_lane(
+    replica const& each, replica_need const& need) const {
+    if (need.long_lane == 0) {
+        return true;
+    }
+    auto const& all = fleet_->of_service(need.service);
+    auto const place = std::ranges::find(all, &each) - all.begin();
+    bool const in_long = static_cast<std::size_t>(place) < need.long_lane;
+    return in_long == need.long_prompt;
+}
+
 std::vector<replica*>
 replica_choice::candidates(replica_need const& need, instant now) const {
     std::vector<replica*> found;
@@ -81,10 +100,17 @@
 }
 
 replica* replica_choice::best(replica_need const& need, instant now) const {
-    auto const all = candidates(need, now);
+    auto all = candidates(need, now);
     if (all.empty()) {
         return nullptr;
     }
+    auto const others = std::ranges::partition(all, [&](replica* each) {
+        return in_lane(*each, need) && !each->health.suspected(now) &&
+               crowding(*each, now) < lane_full;
+    });
+    if (others.begin() != all.begin()) {
+        all.erase(others.begin(), others.end());
+    }
     double failures = 0;
     for (replica const* const each : all) {
         failures += each->health.failure_share();
@@ -130,7 +156,7 @@
     replica* least = nullptr;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (crowding(*each, now) < roomy) {
+        if (crowding(*each, now) < roomy && in_lane(*each, need)) {
             return each;
         }
         if (least == nullptr || crowding(*each, now) < crowding(*least, now)) {
@@ -144,7 +170,8 @@
 replica_choice::holders(replica_need const& need, instant now) const {
     return static_cast<std::size_t>(std::ranges::count_if(
         fleet_->of_service(need.service), [&](replica const* each) {
-            return usable(*each, need, now) && holds(*each, need);
+            return usable(*each, need, now) && holds(*each, need) &&
+                   in_lane(*each, need);
         }));
 }
 
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -24,6 +24,10 @@
     /// Any number: requests with other numbers look at other replicas first, so
     /// that nodes with the same view do not all send to the same one.
     std::uint64_t draw = 0;
+    /// The request belongs to the lane of long prompts.
+    bool long_prompt = false;
+    /// How many replicas, the first by their ids, make up that lane.
+    std::size_t long_lane = 0;
     /// The request may still run for so long: replicas that are gone sooner
     /// are left out.
     duration expected_time{0};
@@ -44,7 +48,12 @@
     ///          first in the adapter's own order that has room; null when all
     ///          that are open hold it already
     replica* next_home(replica_need const& need, instant now) const;
-    /// @returns how many open replicas hold the adapter
+    /// @returns how full the replica is, by its batch and by what it has to
+    ///          read; 1 is full
+    static double crowding(replica const& each, instant now);
+    /// @returns true when the replica is one of the request's own lane
+    bool in_lane(replica const& each, replica_need const& need) const;
+    /// @returns how many open replicas of its lane hold the adapter
     std::size_t holders(replica_need const& need, instant now) const;
     /// @returns the least load of the service's open replicas, in requests for
     ///          each slot; nothing when none is open
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -217,6 +217,9 @@
     instant const limit = began + beliefs_.settings.stop_limit - ending_time;
     asio::steady_timer timer(*io_, connections_come);
     co_await timer.async_wait(use_result);
+    // Who comes now must see at once that nobody serves here: a request that
+    // is read late in the stop would be cut off by its end.
+    callers_.stop_accepting();
     callers_.finish_connections();
     while (beliefs_.live_requests > 0 && boot_clock::now() < limit) {
         timer.expires_after(milliseconds(50));
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -25,7 +25,7 @@
     /// Bounds each call to the store beside its own waiting.
     std::chrono::milliseconds store_timeout{800};
     /// How often the list of replicas is read at the most.
-    std::chrono::milliseconds list_pause{700};
+    std::chrono::milliseconds list_pause{1'000};
     /// A planned stop is cut off after this.
     std::chrono::milliseconds stop_limit{8'000};
     second_send_limits second_sends;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -17,10 +17,12 @@
     std::string adapter;
     std::uint32_t version = 0;
     bool urgent = false;
-
+    /// It is the first that is said of a request: that one can still be
+    /// answered in time.
+    bool fresh = false;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter, version, urgent);
+        archive(replica, adapter, version, urgent, fresh);
     }
 };
 
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -100,12 +100,13 @@
 }
 
 void peer_words::want(
-    replica const& at, adapter_ref const& adapter, bool urgent) {
+    replica const& at, adapter_ref const& adapter, bool urgent, bool fresh) {
     peer_want asked;
     asked.replica = fleet::short_name(at.record.id);
     asked.adapter = adapter.id.str();
     asked.version = adapter.version;
     asked.urgent = urgent;
+    asked.fresh = fresh;
     auto const owner = owners_.find(partition_of(at.record.id));
     if (owner == owners_.end()) {
         return;
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -33,7 +33,10 @@
     void stop();
 
     /// Asks whoever orders for the replica to load the adapter there.
-    void want(replica const& at, adapter_ref const& adapter, bool urgent);
+    /// @param urgent somebody waits for it
+    /// @param fresh  somebody has begun to wait for it just now
+    void want(
+        replica const& at, adapter_ref const& adapter, bool urgent, bool fresh);
     /// Tells all nodes of changes at a replica that this node orders for.
     void tell(endpoint_id const& at, std::vector<peer_word> words);
     /// Tells all nodes that this one orders for a partition.
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -40,6 +40,19 @@
 /// objective. Who waits for a load so long gets "not run" while there is time
 /// to come back.
 constexpr unsigned load_wait_objectives = 3;
+/// Prompt tokens that a replica may still have to read when a further prompt
+/// is sent there. More make its streams pause for longer than their callers
+/// take for good, and the objective leaves time to wait here.
+constexpr double most_backlog = 2'500;
+/// A request is held for this at the most: a third of the tightest objective
+/// of a stream, so that a load still fits.
+constexpr milliseconds longest_hold{260};
+constexpr milliseconds hold_look{15};
+/// From this crowding of the best holder on a copy is as urgent as a first
+/// load.
+constexpr double copy_crowding = 0.4;
+/// The home of an adapter is asked for this long before another is.
+constexpr milliseconds home_stays{900};
 /// Least time that a replica needs for anything.
 constexpr milliseconds least_run{20};
 
@@ -91,6 +104,9 @@
     need_.draw = beliefs_->random();
     if (!need_.adapter.empty()) {
         beliefs_->demand.add(need_.adapter, demand_.prompt_tokens, arrived_);
+        need_.long_prompt = demand_.prompt_tokens >= long_prompt;
+        need_.long_lane = beliefs_->demand.long_lane(
+            beliefs_->replicas.of_service(need_.service).size(), arrived_);
     }
     beliefs_->second_sends.on_request(need_.service, arrived_);
     return true;
@@ -159,23 +175,47 @@
     if (home == nullptr) {
         return;
     }
+    bool const fresh = asked_.empty();
     asked_ = home->record.id;
     std::uint32_t const version =
         beliefs_->newest_version(need_.adapter).value_or(0);
-    words_->want(*home, {need_.adapter, version}, urgent);
+    words_->want(*home, {need_.adapter, version}, urgent, fresh);
 }
 
-void request_flow::want_copies(instant now) {
+void request_flow::want_copies(replica const& best, instant now) {
     std::size_t const replicas =
         beliefs_->replicas.of_service(need_.service).size();
+    std::size_t const here = beliefs_->choice.holders(need_, now);
     std::size_t const wanted =
         beliefs_->demand.copies(need_.adapter, replicas, now);
-    if (beliefs_->choice.holders(need_, now) < wanted) {
-        ask_for_copy(beliefs_->choice.next_home(need_, now), true);
+    bool const lane_lacks =
+        here == 0 && beliefs_->demand.steady(need_.adapter, replicas, now);
+    if (lane_lacks || (here > 0 && here < wanted)) {
+        // While its holders have room the copy waits for loads that somebody
+        // waits for.
+        bool const urgent =
+            replica_choice::crowding(best, now) >= copy_crowding;
+        ask_for_copy(beliefs_->choice.next_home(need_, now), urgent);
+    }
+}
+
+replica* request_flow::home_for(instant now) {
+    // A home that was asked stays the one while it can: the load may be under
+    // way, and another would be a second one for nothing.
+    replica* const asked = beliefs_->replicas.find(asked_);
+    if (asked != nullptr && asked->open() && !asked->health.suspected(now) &&
+        now < arrived_ + home_stays) {
+        return asked;
     }
+    return beliefs_->choice.next_home(need_, now);
+}
+
+bool request_flow::should_hold(replica const& at, instant now) const {
+    return at.backlog(now) > most_backlog && now < arrived_ + longest_hold;
 }
 
 std::optional<replica*> request_flow::adapter_replica(instant now) {
+    holding_ = false;
     std::uint32_t const newest =
         beliefs_->newest_version(need_.adapter).value_or(0);
     need_.least_version = newest;
@@ -189,10 +229,14 @@
     }
     if (best != nullptr && best->load() < easy_load &&
         !best->health.suspected(now)) {
-        want_copies(now);
+        want_copies(*best, now);
+        holding_ = should_hold(*best, now);
+        if (holding_) {
+            return std::nullopt;
+        }
         return best;
     }
-    replica* const home = beliefs_->choice.next_home(need_, now);
+    replica* const home = home_for(now);
     bool const home_better = home != nullptr && home->load() < full_load;
     if (best != nullptr && !best->health.suspected(now) &&
         best->load() < full_load) {
@@ -233,16 +277,17 @@
             reason_ = "load-takes-too-long";
             co_return nullptr;
         }
-        if (!waited) {
+        if (!waited && !holding_) {
             beliefs_->note(log_line(event_code::request_waits)
                                .with("id", demand_.id.str())
                                .with("adapter", need_.adapter.str())
                                .with("at", asked_.str()));
         }
-        waited = true;
+        waited = waited || !holding_;
         adapter_id adapter = need_.adapter;
+        instant const look = holding_ ? now + hold_look : now + want_again;
         co_await beliefs_->waiters.wait(
-            std::move(adapter), std::min(give_up, now + want_again));
+            std::move(adapter), std::min(give_up, look));
     }
     reason_ = "caller-gone";
     co_return nullptr;
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -55,7 +55,9 @@
     boost::asio::awaitable<replica*> find_replica();
     replica* plain_replica(instant now);
     std::optional<replica*> adapter_replica(instant now);
-    void want_copies(instant now);
+    replica* home_for(instant now);
+    bool should_hold(replica const& at, instant now) const;
+    void want_copies(replica const& best, instant now);
     void ask_for_copy(replica* home, bool urgent);
     boost::asio::awaitable<attempt_end> attempt(replica& at);
     boost::asio::awaitable<attempt_end>
@@ -86,6 +88,8 @@
     endpoint_id asked_;
     attempt_ledger ledger_{false};
     event_relay relay_;
+    /// It waits for its replica to read other prompts.
+    bool holding_ = false;
     bool begun_ = false;
     /// What the caller saw, for the log: when its first bytes left, and the
     /// longest pause between bytes since.
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -281,7 +281,7 @@
         beliefs_->waiters.notify(adapter.id);
         return;
     }
-    account.want(adapter, asked.urgent, boot_clock::now());
+    account.want(adapter, asked.urgent, asked.fresh, boot_clock::now());
     held->second->wake.cancel();
 }
 
@@ -445,7 +445,7 @@
         bool const outdated = account.ready({adapter, 0}) &&
                               !account.ready({adapter, word.version});
         if (outdated) {
-            account.want({adapter, word.version}, false, now);
+            account.want({adapter, word.version}, false, false, now);
         }
     }
 }
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -1,6 +1,7 @@
 #include "Holding/slot_account.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace camphorpoint {
@@ -12,6 +13,10 @@
 constexpr duration want_lasts = std::chrono::milliseconds(1'200);
 /// A report shows the state of some hundred milliseconds ago.
 constexpr duration report_pause = std::chrono::milliseconds(60);
+/// Whoever waits longer misses its objective, as the load takes half a second
+/// when many are under way. When loads queue, those that still serve somebody
+/// in time go first: in the order of coming, all would be late.
+constexpr duration hope = std::chrono::milliseconds(450);
 /// No report is older than this.
 constexpr duration report_age = std::chrono::milliseconds(600);
 /// After a report that could not be read.
@@ -140,15 +145,19 @@
     });
 }
 
-void slot_account::want(adapter_ref const& adapter, bool urgent, instant now) {
+void slot_account::want(
+    adapter_ref const& adapter, bool urgent, bool fresh, instant now) {
     if (ready(adapter)) {
         return;
     }
-    auto const [place, fresh] = wants_.try_emplace(adapter.id);
+    auto const [place, added] = wants_.try_emplace(adapter.id);
     wanted& of = place->second;
-    if (fresh) {
+    if (added) {
         of.first = now;
     }
+    if (fresh) {
+        of.fresh = now;
+    }
     of.version = std::max(of.version, adapter.version);
     of.last = now;
     of.urgent = of.urgent || urgent;
@@ -183,6 +192,15 @@
     return now >= of.last_used + limits_.rest_before_drop;
 }
 
+bool slot_account::goes_before(
+    wanted const& left, wanted const& right, instant now) {
+    auto const hopeless = [&](wanted const& each) {
+        return now >= each.fresh + hope;
+    };
+    return std::tuple(!left.urgent, hopeless(left), left.first) <
+           std::tuple(!right.urgent, hopeless(right), right.first);
+}
+
 std::optional<adapter_id> slot_account::first_want(instant now) const {
     std::optional<adapter_id> best;
     wanted const* best_want = nullptr;
@@ -198,10 +216,7 @@
         if (in_the_way) {
             continue;
         }
-        bool const better = best_want == nullptr ||
-                            std::pair(!each.urgent, each.first) <
-                                std::pair(!best_want->urgent, best_want->first);
-        if (better) {
+        if (best_want == nullptr || goes_before(each, *best_want, now)) {
             best = id;
             best_want = &each;
         }
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -57,7 +57,9 @@
     /// Requests wait for this adapter here, or should find it here.
     /// @param version the least version that will do; 0 for any
     /// @param urgent  somebody waits for it now
-    void want(adapter_ref const& adapter, bool urgent, instant now);
+    /// @param fresh   somebody has begun to wait for it just now
+    void want(
+        adapter_ref const& adapter, bool urgent, bool fresh, instant now);
     /// Requests use this adapter here, or have just done so. Nodes repeat it
     /// while requests run.
     void used(adapter_id const& adapter, instant now);
@@ -111,11 +113,15 @@
         std::uint32_t version = 0;
         instant first;
         instant last;
+        /// When somebody began to wait for it last.
+        instant fresh;
         bool urgent = false;
     };
 
     void forget_old_wants(instant now);
     bool resting(slot const& of, instant now) const;
+    static bool goes_before(
+        wanted const& left, wanted const& right, instant now);
     std::optional<adapter_id> first_want(instant now) const;
     std::optional<adapter_id> victim(instant now) const;
     std::optional<slot_order> check_order(instant now) const;
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -126,6 +126,7 @@
 
 void http_exchange::connection::end_soon(bool idle_too) {
     ending_ = true;
+    closing_ = closing_ || idle_too;
     if (idle_ && idle_too) {
         stream_.cancel();
     }
@@ -135,6 +136,10 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
+    if (closing_) {
+        broken_ = true;
+        co_return false;
+    }
     constexpr std::size_t first_read = 4U << 10U;
     stream_.expires_never();
     cancel_guard const guard(stream_, limits_.idle_timeout);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -91,6 +91,7 @@
     bool keep_alive_ = true;
     bool ending_ = false;
     bool idle_ = false;
+    bool closing_ = false;
     bool broken_ = false;
     bool answered_ = false;
 };
