--- a/src/Fleet/adapter_demand.cpp
+++ b/src/Fleet/adapter_demand.cpp
@@ -62,8 +62,7 @@
     return wanted_copies(adapter, replicas, now) >= steady_copies;
 }
 
-std::size_t
-adapter_demand::long_lane(std::size_t replicas, instant now) const {
+std::size_t adapter_demand::long_lane(std::size_t replicas, instant now) const {
     double const all = all_prompts_.per_second(now);
     if (all < least_rate || replicas < least_replicas) {
         return 0;
--- a/src/Fleet/adapter_demand.hpp
+++ b/src/Fleet/adapter_demand.hpp
@@ -10,10 +10,10 @@
 
 namespace camphorpoint {
 
-/// Prompts of so many tokens make all streams of their batch pause noticeably
-/// while they are read: 50 ms at today's engines, a sixth of the pause that
-/// callers take for good.
-inline constexpr unsigned long_prompt = 1'500;
+/// Prompts of so many tokens make all streams of their batch pause for a third
+/// of what callers take for good, and two of them for most of it: 100 ms each
+/// at today's engines.
+inline constexpr unsigned long_prompt = 3'000;
 
 /// How much of a service's work each adapter is, measured by the prompt tokens
 /// of this node's own requests. The balancer spreads callers over nodes by a
@@ -24,8 +24,8 @@
     void add(adapter_id const& adapter, unsigned prompt_tokens, instant now);
     /// @returns how many replicas should hold the adapter
     /// @param replicas how many there are
-    std::size_t copies(
-        adapter_id const& adapter, std::size_t replicas, instant now) const;
+    std::size_t
+    copies(adapter_id const& adapter, std::size_t replicas, instant now) const;
     /// @returns true when the adapter is asked for often enough to lie in both
     ///          lanes
     bool
--- a/src/Fleet/prompt_backlog.hpp
+++ b/src/Fleet/prompt_backlog.hpp
@@ -34,7 +34,7 @@
     /// which is longer than callers take for good.
     static constexpr double tokens_per_ms = 20;
 
-double left_ = 0;
+    double left_ = 0;
     instant at_;
 };
 
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -25,9 +25,6 @@
 /// Holders of an adapter that are compared.
 constexpr std::size_t most_looks = 3;
 
-
-
-
 /// A lane keeps its requests until its replicas are this crowded.
 constexpr double lane_full = 0.9;
 /// A replica of the other lane counts as so much fuller.
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -40,10 +40,13 @@
 /// objective. Who waits for a load so long gets "not run" while there is time
 /// to come back.
 constexpr unsigned load_wait_objectives = 3;
-/// Prompt tokens that a replica may still have to read when a further prompt
-/// is sent there. More make its streams pause for longer than their callers
-/// take for good, and the objective leaves time to wait here.
-constexpr double most_backlog = 2'500;
+/// Prompt tokens that a replica should have to read at a time, a further
+/// prompt included. More make its streams pause for longer than their callers
+/// take for good, and the objective leaves time to wait here. Below the least
+/// a long prompt goes at once: it would never find less.
+constexpr double most_together = 4'500;
+constexpr double least_backlog = 500;
+
 /// A request is held for this at the most: a third of the tightest objective
 /// of a stream, so that a load still fits.
 constexpr milliseconds longest_hold{260};
@@ -211,7 +214,10 @@
 }
 
 bool request_flow::should_hold(replica const& at, instant now) const {
-    return at.backlog(now) > most_backlog && now < arrived_ + longest_hold;
+    double const waiting = at.backlog(now);
+    return waiting > least_backlog &&
+           waiting + demand_.prompt_tokens > most_together &&
+           now < arrived_ + longest_hold;
 }
 
 std::optional<replica*> request_flow::adapter_replica(instant now) {
@@ -337,6 +343,7 @@
                        .with("adapter", need_.adapter.str())
                        .with("backlog", static_cast<int>(at.backlog(now)))
                        .with("load", static_cast<int>(100 * at.load()))
+                       .with("prompt", demand_.prompt_tokens)
                        .with("try", tries_)
                        .with("waited_ms", now - arrived_));
     beliefs_->replicas.began(id, demand_.prompt_tokens, now);
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -58,8 +58,7 @@
     /// @param version the least version that will do; 0 for any
     /// @param urgent  somebody waits for it now
     /// @param fresh   somebody has begun to wait for it just now
-    void want(
-        adapter_ref const& adapter, bool urgent, bool fresh, instant now);
+    void want(adapter_ref const& adapter, bool urgent, bool fresh, instant now);
     /// Requests use this adapter here, or have just done so. Nodes repeat it
     /// while requests run.
     void used(adapter_id const& adapter, instant now);
@@ -120,8 +119,8 @@
 
     void forget_old_wants(instant now);
     bool resting(slot const& of, instant now) const;
-    static bool goes_before(
-        wanted const& left, wanted const& right, instant now);
+    static bool
+    goes_before(wanted const& left, wanted const& right, instant now);
     std::optional<adapter_id> first_want(instant now) const;
     std::optional<adapter_id> victim(instant now) const;
     std::optional<slot_order> check_order(instant now) const;
