Tests of the gateway's modules, stand-ins of the platform's store and replicas

Cause found by a test: a replica that had failed was never tried again while others were idle, since its share of failures only faded with use; it now halves every 4 s.

--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -30,6 +30,9 @@
 /// A replica of the other lane counts as so much fuller.
 constexpr double lane_cost = 0.25;
 
+/// Smaller differences of failures are chance.
+constexpr double noticed_failures = 0.02;
+
 bool holds_model(replica const& each, model_id const& model) {
     return model.empty() || std::ranges::find(each.record.models, model) !=
                                 each.record.models.end();
@@ -60,7 +63,8 @@
 double replica_choice::cost(
     replica const& each, replica_need const& need, double mean,
     instant now) const {
-    double const excess = std::max(0.0, each.health.failure_share() - mean);
+    double const more = each.health.failure_share(now) - mean;
+    double const excess = more < noticed_failures ? 0 : more;
     double result = excess * failure_cost;
     result += in_lane(each, need) ? 0 : lane_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
@@ -110,7 +114,7 @@
     }
     double failures = 0;
     for (replica const* const each : all) {
-        failures += each->health.failure_share();
+        failures += each->health.failure_share(now);
     }
     double const mean = failures / static_cast<double>(all.size());
     // Word from other nodes is older than the time between two requests. All
--- a/src/Fleet/replica_health.cpp
+++ b/src/Fleet/replica_health.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/replica_health.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorpoint {
 
@@ -9,6 +10,10 @@
 /// A share over about the last sixteen attempts: less jumps with each failure,
 /// more lets a failing replica take dozens of requests before it shows.
 constexpr double newest_weight = 1.0 / 16;
+/// Failures count for half after this: long enough that a replica which fails
+/// four in ten is tried only now and then, short enough that one which is well
+/// again takes its part within seconds.
+constexpr duration failures_fade = std::chrono::seconds(4);
 /// The first silence rests a replica for as long as two polls of the list take,
 /// in which a crashed one leaves it.
 constexpr duration first_rest = std::chrono::milliseconds(1'500);
@@ -17,9 +22,17 @@
 
 } // namespace
 
+double replica_health::failure_share(instant now) const {
+    std::chrono::duration<double> const passed = now - noted_;
+    std::chrono::duration<double> const half = failures_fade;
+    return failures_ * std::exp2(-passed.count() / half.count());
+}
+
 bool replica_health::note(health_evidence what, instant now) {
     double const failed = what == health_evidence::answered ? 0.0 : 1.0;
+    failures_ = failure_share(now);
     failures_ += (failed - failures_) * newest_weight;
+    noted_ = now;
     if (what != health_evidence::silent) {
         silences_ = 0;
         until_ = {};
--- a/src/Fleet/replica_health.hpp
+++ b/src/Fleet/replica_health.hpp
@@ -29,11 +29,13 @@
     bool suspected(instant now) const noexcept { return now < until_; }
     /// @returns until when it is suspected
     instant suspected_until() const noexcept { return until_; }
-    /// @returns the share of recent attempts that failed, 0 to 1
-    double failure_share() const noexcept { return failures_; }
+    /// @returns the share of recent attempts that failed, 0 to 1; it fades with
+    ///          time, so that a replica which nobody uses is tried again
+    double failure_share(instant now) const;
 
 private:
     double failures_ = 0;
+    instant noted_;
     unsigned silences_ = 0;
     instant until_;
 };
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -22,9 +22,7 @@
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 /// Log lines wait no longer than this for their writing.
 constexpr milliseconds tick_time{100};
-/// New connections come for about two seconds after a node says that it is not
-/// ready, since the platform asks once a second and wants two misses.
-constexpr milliseconds connections_come{2'600};
+
 /// What is left of a stop's limit for closing and ending.
 constexpr milliseconds ending_time{400};
 constexpr int status_ok = 200;
@@ -215,7 +213,7 @@
 asio::awaitable<void> gateway::drain_all(std::function<void()> stopped) {
     instant const began = boot_clock::now();
     instant const limit = began + beliefs_.settings.stop_limit - ending_time;
-    asio::steady_timer timer(*io_, connections_come);
+    asio::steady_timer timer(*io_, beliefs_.settings.stop_accepts);
     co_await timer.async_wait(use_result);
     // Who comes now must see at once that nobody serves here: a request that
     // is read late in the stop would be cut off by its end.
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -33,6 +33,16 @@
     /// finish within the stop's limit.
     /// @param stopped called when it has ended
     void drain(std::function<void()> stopped);
+    /// @returns true when requests can be served
+    bool ready() const;
+    /// @returns the version of the configuration in force, 0 for none
+    std::uint64_t configuration_version() const noexcept {
+        return beliefs_.configuration.version;
+    }
+    /// @returns true when the replica is in the list
+    bool knows(endpoint_id const& id) const {
+        return beliefs_.replicas.find(id) != nullptr;
+    }
     /// Takes up new settings, as far as they can change while it runs.
     void reload(gateway_settings const& settings);
 
@@ -44,7 +54,6 @@
     boost::asio::awaitable<void> tick();
     void add_services();
     void changed();
-    bool ready() const;
 
     boost::asio::io_context* io_;
     gateway_beliefs beliefs_;
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -43,6 +43,8 @@
     read_address(section, "metrics_address", into.metrics_address);
     into.stop_limit = section.time(
         "stop_limit", into.stop_limit, milliseconds(1'000), longest_time);
+    into.stop_accepts = section.time(
+        "stop_accepts", into.stop_accepts, milliseconds(0), longest_time);
     section.refuse_unknown_keys();
 }
 
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -28,6 +28,10 @@
     std::chrono::milliseconds list_pause{1'000};
     /// A planned stop is cut off after this.
     std::chrono::milliseconds stop_limit{8'000};
+    /// New connections are taken for so long after a stop has begun. They come
+    /// for about two seconds, since the platform asks once a second whether a
+    /// node is ready and wants two misses.
+    std::chrono::milliseconds stop_accepts{2'600};
     second_send_limits second_sends;
     lease_times leases;
 };
--- /dev/null
+++ b/standins/metadata/metadata_http.cpp
@@ -0,0 +1,149 @@
+#include "metadata/metadata_http.hpp"
+
+#include "common/json_body.hpp"
+#include "common/standin_main.hpp"
+
+#include <absl/strings/escaping.h>
+#include <boost/json.hpp>
+
+#include <cstdlib>
+
+namespace standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using camphorpoint::http_exchange;
+using camphorpoint::http_response;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string query(std::string_view target, std::string_view name) {
+    return std::string(camphorpoint::query_value(target, name));
+}
+
+std::uint64_t number(std::string const& text) {
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+/// Numbers stand with their highest byte first.
+void add_number(std::string& to, std::uint64_t value, int bytes) {
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        to.push_back(static_cast<char>(value >> shift));
+    }
+}
+
+std::string keyed_bytes(stored_record const& record) {
+    std::string bytes;
+    add_number(bytes, 1 + record.key.size() + record.value.size(), 4);
+    add_number(bytes, record.key.size(), 1);
+    return bytes + record.key + record.value;
+}
+
+} // namespace
+
+asio::awaitable<void> metadata_http::answer(http_exchange& exchange) {
+    ++calls;
+    std::string const target = exchange.request().target;
+    if (turns_away) {
+        co_await exchange.respond(json_response(503, "{}"));
+        co_return;
+    }
+    http_response response;
+    if (camphorpoint::path_of(target) == "/log-read") {
+        response = co_await read(target);
+    } else {
+        response = respond(target, exchange.request().body);
+    }
+    if (loses_answers) {
+        co_await lose_answer(exchange, milliseconds(5'000));
+        co_return;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+http_response
+metadata_http::respond(std::string const& target, std::string const& body) {
+    std::string_view const path = camphorpoint::path_of(target);
+    if (path == "/log-newest") {
+        return newest(query(target, "topic"));
+    }
+    if (path == "/log-join") {
+        return join(body);
+    }
+    if (path == "/log-leave") {
+        store_.leave(json_body(body).text("member"));
+        return json_response(200, "{}");
+    }
+    if (path == "/log-owners") {
+        return owners();
+    }
+    if (path == "/log-append") {
+        auto const part = static_cast<unsigned>(number(query(target, "part")));
+        std::uint64_t const place =
+            store_.append(query(target, "topic"), part, body);
+        json::object const answer{{"offset", place}, {"end", place + 1}};
+        return json_response(200, json::serialize(answer));
+    }
+    return json_response(404, "{}");
+}
+
+http_response metadata_http::newest(std::string const& topic) const {
+    json::array items;
+    for (auto const& [key, value] : store_.newest(topic)) {
+        std::string encoded;
+        absl::Base64Escape(value, &encoded);
+        items.push_back(json::object{{"key", key}, {"value", encoded}});
+    }
+    json::object const page{
+        {"items", std::move(items)},
+        {"more_pages", false},
+        {"end", store_.end(topic)}};
+    return json_response(200, json::serialize(page));
+}
+
+http_response metadata_http::join(std::string const& body) {
+    json_body const asked(body);
+    auto const held = store_.join(
+        asked.text("member"), asked.texts("topics"),
+        milliseconds(asked.integer("ttl_ms", 1'000)), clock_now());
+    json::array rows;
+    for (auto const& [topic, part] : held) {
+        rows.push_back(json::array{topic, part, 0});
+    }
+    json::object const answer{
+        {"generation", store_.generation()}, {"parts", std::move(rows)}};
+    return json_response(200, json::serialize(answer));
+}
+
+http_response metadata_http::owners() const {
+    json::array rows;
+    for (auto const& [part, member] : store_.owners()) {
+        rows.push_back(json::array{part.first, part.second, member, 0});
+    }
+    return json_response(
+        200, json::serialize(json::object{{"rows", std::move(rows)}}));
+}
+
+asio::awaitable<http_response> metadata_http::read(std::string target) {
+    std::string const topic = query(target, "topic");
+    std::uint64_t const from = number(query(target, "from"));
+    auto const until =
+        clock_now() + milliseconds(number(query(target, "wait_ms")));
+    while (store_.end(topic) <= from && clock_now() < until) {
+        co_await wait_for(milliseconds(5));
+    }
+    auto const records = store_.read(topic, from);
+    if (!records) {
+        co_return json_response(410, "{\"first\":0}");
+    }
+    http_response response;
+    add_number(response.body, store_.end(topic), 8);
+    add_number(response.body, 0, 8);
+    for (stored_record const& each : *records) {
+        response.body += keyed_bytes(each);
+    }
+    co_return response;
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/replica/replica_engine.cpp
@@ -0,0 +1,206 @@
+#include "replica/replica_engine.hpp"
+
+#include "common/json_body.hpp"
+#include "common/standin_main.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdlib>
+#include <utility>
+
+namespace standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using camphorpoint::http_exchange;
+using camphorpoint::http_fields;
+using camphorpoint::http_response;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string adapter_of(std::string const& asked) {
+    std::size_t const slash = asked.find('/');
+    return slash == std::string::npos ? "" : asked.substr(slash + 1);
+}
+
+http_response not_run(int status) {
+    http_response response = json_response(status, "{}");
+    response.fields.add("X-Not-Executed", "1");
+    return response;
+}
+
+} // namespace
+
+replica_engine::replica_engine(
+    std::string id, std::string model, unsigned slots)
+    : id_(std::move(id))
+    , model_(std::move(model))
+    , slots_(slots) {}
+
+std::string replica_engine::entry(
+    std::string const& service, std::string const& address) const {
+    json::array models;
+    if (!model_.empty()) {
+        models.push_back(json::object{
+            {"name", model_}, {"version", 1}, {"adapters", json::array()}});
+    }
+    json::object const text{{"service", service}, {"address", address},
+                            {"zone", "z"},        {"slots", 8},
+                            {"state", "ready"},   {"models", std::move(models)},
+                            {"sequence", 1}};
+    return json::serialize(text);
+}
+
+bool replica_engine::holds(std::string const& asked) const {
+    std::string const adapter = adapter_of(asked);
+    if (adapter.empty()) {
+        return true;
+    }
+    auto const found = adapters_.find(adapter);
+    return found != adapters_.end() && found->second.ready <= clock_now();
+}
+
+http_response replica_engine::order(std::string const& body) {
+    json_body const asked(body);
+    auto const fence =
+        static_cast<std::uint64_t>(asked.integer("fencing_token", 0));
+    if (fence < fence_) {
+        return json_response(412, "{}");
+    }
+    fence_ = fence;
+    std::string const adapter = asked.text("adapter");
+    bool const unload = asked.text("operation") == "unload";
+    auto const found = adapters_.find(adapter);
+    auto const version = static_cast<unsigned>(asked.integer("version", 1));
+    bool const there = found != adapters_.end();
+    if (!unload && there && found->second.version >= version) {
+        bool const ready = found->second.ready <= clock_now();
+        return json_response(ready ? 200 : 202, "{}");
+    }
+    auto const expect = static_cast<std::uint64_t>(asked.integer("expect", 0));
+    if (expect != sequence_) {
+        return json_response(409, "{}");
+    }
+    ++sequence_;
+    if (unload) {
+        adapters_.erase(adapter);
+        return json_response(200, "{}");
+    }
+    adapters_[adapter] = {version, clock_now() + load_time};
+    overfilled = overfilled || adapters_.size() > slots_;
+    return json_response(202, "{}");
+}
+
+http_response replica_engine::report() const {
+    json::array names;
+    json::array pending;
+    for (auto const& [name, each] : adapters_) {
+        std::string const listed = name + "@" + std::to_string(each.version);
+        if (each.ready <= clock_now()) {
+            names.emplace_back(listed);
+        } else {
+            pending.emplace_back(model_ + "/" + listed);
+        }
+    }
+    json::array models;
+    if (!model_.empty()) {
+        models.push_back(json::object{
+            {"name", model_}, {"version", 1}, {"adapters", std::move(names)}});
+    }
+    json::object const text{
+        {"models", std::move(models)},
+        {"busy", false},
+        {"sequence", sequence_},
+        {"pending", std::move(pending)}};
+    return json_response(200, json::serialize(text));
+}
+
+asio::awaitable<void> replica_engine::answer(http_exchange& exchange) {
+    std::string const target = exchange.request().target;
+    std::string_view const meant =
+        exchange.request().fields.get("X-Target-Instance");
+    http_response response;
+    if (!meant.empty() && meant != id_) {
+        response = json_response(421, "{}");
+    } else if (target == "/order") {
+        response = order(exchange.request().body);
+    } else if (target == "/report") {
+        response = report();
+    } else {
+        co_await run(exchange);
+        co_return;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> replica_engine::run(http_exchange& exchange) {
+    http_fields const& fields = exchange.request().fields;
+    std::string const model(fields.get("X-Model"));
+    if (!holds(model)) {
+        http_response response = json_response(421, "{}");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    replica_fault fault = replica_fault::none;
+    if (!faults.empty()) {
+        fault = faults.front();
+        faults.pop_front();
+    }
+    if (fault == replica_fault::full) {
+        http_response response = not_run(503);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ++runs[std::string(fields.get("X-Request-Id"))];
+    if (fault == replica_fault::answer_lost) {
+        // Returning without an answer ends the connection.
+        co_return;
+    }
+    if (fault == replica_fault::silence) {
+        co_await lose_answer(exchange, milliseconds(20'000));
+        co_return;
+    }
+    if (!model.empty() && fault != replica_fault::failure) {
+        co_await stream(exchange, fault);
+        co_return;
+    }
+    http_response response;
+    response.status = fault == replica_fault::failure ? 500 : 200;
+    if (fault != replica_fault::unsigned_answer) {
+        response.fields.add("X-Response-Signature", "signed." + id_);
+    }
+    response.fields.add(
+        "X-Request-Id", std::string(fields.get("X-Request-Id")));
+    response.body = "answer of " + id_ + " to " + exchange.request().body;
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void>
+replica_engine::stream(http_exchange& exchange, replica_fault fault) {
+    http_fields answer;
+    answer.add("Content-Type", "text/event-stream");
+    answer.add("X-Response-Signature", "signed." + id_);
+    co_await exchange.begin_stream(200, std::move(answer));
+    std::string const last(exchange.request().fields.get("Last-Event-Id"));
+    unsigned const from =
+        static_cast<unsigned>(std::strtoul(last.c_str(), nullptr, 10)) + 1;
+    for (unsigned number = from; number <= events; ++number) {
+        co_await wait_for(pause);
+        std::string const event = "id: " + std::to_string(number) +
+                                  "\ndata: w" + std::to_string(number) + "\n\n";
+        if (fault == replica_fault::cut && number == from + 2) {
+            std::string const half = event.substr(0, event.size() / 2);
+            co_await exchange.write_piece(half);
+            co_return;
+        }
+        bool const passed = co_await exchange.write_piece(event);
+        if (!passed) {
+            ++cancelled;
+            co_return;
+        }
+    }
+    co_await exchange.end_stream();
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/replica/replica_engine.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Ports/http_server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace standins {
+
+/// What goes wrong with one request.
+enum class replica_fault : std::uint8_t {
+    none,
+    /// It is full: the request is not run.
+    full,
+    /// The request is run and its answer lost with the connection.
+    answer_lost,
+    /// The answer breaks off in the middle of its third event.
+    cut,
+    /// A success without the replica's signature.
+    unsigned_answer,
+    /// The request is run and fails.
+    failure,
+    /// The request is taken and never answered.
+    silence
+};
+
+/// A replica of the users' platform: requests, orders for adapters, a report.
+class replica_engine {
+public:
+    /// @param id    names it
+    /// @param model the base model it holds; empty for a plain service
+    /// @param slots places for adapters
+    replica_engine(std::string id, std::string model, unsigned slots);
+
+    /// Answers one call.
+    boost::asio::awaitable<void> answer(camphorpoint::http_exchange& exchange);
+    /// @returns its entry in the list
+    std::string
+    entry(std::string const& service, std::string const& address) const;
+
+    /// What befalls the next requests, in order.
+    std::deque<replica_fault> faults;
+    /// How often each request has run.
+    std::map<std::string, unsigned> runs;
+    /// Set when it was ordered to hold more than it can.
+    bool overfilled = false;
+    /// How long a load takes.
+    std::chrono::milliseconds load_time{60};
+    /// Events of a stream, and the pause between them.
+    unsigned events = 8;
+    std::chrono::milliseconds pause{5};
+    /// Where the caller has left before a stream's end, and how long ago.
+    unsigned cancelled = 0;
+
+private:
+    struct held {
+        unsigned version = 1;
+        camphorpoint::instant ready;
+    };
+    camphorpoint::http_response order(std::string const& body);
+    camphorpoint::http_response report() const;
+    boost::asio::awaitable<void> run(camphorpoint::http_exchange& exchange);
+    boost::asio::awaitable<void>
+    stream(camphorpoint::http_exchange& exchange, replica_fault fault);
+    bool holds(std::string const& model) const;
+
+    std::string id_;
+    std::string model_;
+    unsigned slots_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t fence_ = 0;
+    std::map<std::string, held> adapters_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/test/fleet_test.cpp
@@ -0,0 +1,313 @@
+#include <Camphorpoint/Fleet>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <set>
+#include <string>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+replica_record
+entry(std::string const& name, std::vector<adapter_ref> adapters = {}) {
+    replica_record record;
+    record.id = endpoint_id(name);
+    record.service = service_id("llm");
+    record.address = {"127.0.0.1", 9'000};
+    record.slots = 10;
+    record.models = {model_id("m")};
+    record.adapters = std::move(adapters);
+    return record;
+}
+
+adapter_ref hot(std::uint32_t version = 1) {
+    return {adapter_id("m/hot"), version};
+}
+
+struct fleet_world {
+    fleet replicas;
+    replica_choice choice{replicas};
+    instant now = instant() + seconds(100);
+
+    replica_need need(std::uint32_t version = 0) const {
+        replica_need asked;
+        asked.service = service_id("llm");
+        asked.adapter = hot().id;
+        asked.model = model_id("m");
+        asked.least_version = version;
+        return asked;
+    }
+    std::string best(replica_need const& asked) const {
+        replica const* const found = choice.best(asked, now);
+        return found == nullptr ? "none" : found->record.id.str();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request goes to a replica that holds its adapter") {
+    fleet_world world;
+    world.replicas.apply(entry("r1"), world.now);
+    world.replicas.apply(entry("r2", {hot()}), world.now);
+    CHECK(world.best(world.need()) == "r2");
+
+    SUBCASE("not to one that it has been at") {
+        replica_need asked = world.need();
+        asked.tried.emplace_back("r2");
+        CHECK(world.best(asked) == "none");
+    }
+    SUBCASE("not to an older version than it must run on") {
+        CHECK(world.best(world.need(2)) == "none");
+        world.replicas.told_held(endpoint_id("r1"), hot(2), world.now);
+        CHECK(world.best(world.need(2)) == "r1");
+    }
+    SUBCASE("not where the adapter is about to go") {
+        world.replicas.told_dropped(endpoint_id("r2"), hot().id, world.now);
+        CHECK(world.best(world.need()) == "none");
+    }
+    SUBCASE("the list, which is older, takes newer word back only later") {
+        world.replicas.told_held(endpoint_id("r1"), hot(), world.now);
+        world.replicas.apply(entry("r1"), world.now + seconds(1));
+        CHECK(world.choice.holders(world.need(), world.now) == 2);
+        world.replicas.apply(entry("r1"), world.now + seconds(3));
+        CHECK(world.choice.holders(world.need(), world.now) == 1);
+    }
+}
+
+TEST_CASE("the home of an adapter that nobody holds") {
+    fleet_world world;
+    for (std::string const name : {"r1", "r2", "r3", "r4"}) {
+        world.replicas.apply(entry(name), world.now);
+    }
+    replica* const home = world.choice.next_home(world.need(), world.now);
+    REQUIRE(home != nullptr);
+    SUBCASE("stays the same from request to request") {
+        CHECK(world.choice.next_home(world.need(), world.now) == home);
+    }
+    SUBCASE("is another while the first is crowded") {
+        for (int each = 0; each < 9; ++each) {
+            world.replicas.began(home->record.id, 100, world.now);
+        }
+        CHECK(world.choice.next_home(world.need(), world.now) != home);
+    }
+    SUBCASE("is not one that holds an older version, which would have to wait "
+            "for its runs") {
+        world.replicas.told_held(home->record.id, hot(1), world.now);
+        CHECK(world.choice.next_home(world.need(2), world.now) != home);
+    }
+}
+
+// A replica leaves; its list entry says so. Requests that reach it after its
+// two seconds are cut off with it.
+TEST_CASE("a leaving replica gets nothing new") {
+    fleet_world world;
+    world.replicas.apply(entry("r1", {hot()}), world.now);
+    replica_record leaving = entry("r1", {hot()});
+    leaving.leaving = true;
+    CHECK(world.replicas.apply(leaving, world.now) == fleet_change::leaving);
+    CHECK(world.best(world.need()) == "none");
+
+    SUBCASE("also when an older entry is read afterwards") {
+        world.replicas.apply(entry("r1", {hot()}), world.now);
+        CHECK(world.best(world.need()) == "none");
+    }
+    SUBCASE("one that leaves at short notice gets nothing that outlasts it") {
+        replica_record soon = entry("r2", {hot()});
+        soon.remaining = milliseconds(500);
+        world.replicas.apply(soon, world.now);
+        replica_need asked = world.need();
+        asked.expected_time = seconds(1);
+        CHECK(world.best(asked) == "none");
+        asked.expected_time = milliseconds(100);
+        CHECK(world.best(asked) == "r2");
+    }
+}
+
+// The store is down, and the list loses all entries. With them gone nothing
+// would be served, though every replica is there.
+TEST_CASE("entries that lapse with the store stay in use") {
+    fleet_world world;
+    world.replicas.apply(entry("r1", {hot()}), world.now);
+    world.replicas.apply(entry("r2", {hot()}), world.now);
+    world.replicas.lost_beside({}, true, world.now);
+    CHECK(world.choice.holders(world.need(), world.now) == 2);
+
+    SUBCASE("those that come back are as before") {
+        world.replicas.apply(entry("r1", {hot()}), world.now + seconds(1));
+        auto const gone =
+            world.replicas.settle_missing(true, world.now + seconds(3));
+        REQUIRE(gone.size() == 1);
+        CHECK(gone.front().str() == "r2");
+        CHECK(world.best(world.need()) == "r1");
+    }
+    SUBCASE("in a calm time an entry that is lost is gone at once") {
+        CHECK(
+            world.replicas.lost(endpoint_id("r2"), false, world.now) ==
+            fleet_change::gone);
+        CHECK(world.best(world.need()) == "r1");
+    }
+}
+
+TEST_CASE("nodes tell each other of their requests") {
+    fleet_world world;
+    world.replicas.apply(entry("r1", {hot()}), world.now);
+    world.replicas.apply(entry("r2", {hot()}), world.now);
+    std::uint64_t const first = fleet::short_name(endpoint_id("r1"));
+    world.replicas.told_loads("n2", {{first, {8, 0}}}, world.now);
+    for (std::uint64_t draw = 0; draw < 4; ++draw) {
+        replica_need asked = world.need();
+        asked.draw = draw;
+        CHECK(world.best(asked) == "r2");
+    }
+
+    SUBCASE("prompts still to be read count like requests") {
+        world.replicas.told_loads("n2", {{first, {0, 8'000}}}, world.now);
+        CHECK(world.best(world.need()) == "r2");
+        CHECK(world.replicas.find(endpoint_id("r1"))->backlog(world.now) > 0);
+        CHECK(
+            world.replicas.find(endpoint_id("r1"))
+                ->backlog(world.now + seconds(1)) == 0);
+    }
+    SUBCASE("what a node told that has fallen silent is forgotten") {
+        instant const later = world.now + seconds(5);
+        world.replicas.told_loads("n3", {}, later);
+        CHECK(world.replicas.find(endpoint_id("r1"))->running() == 0);
+    }
+}
+
+// A replica answers its health check and fails two in five of its requests; or
+// it goes dark. Callers of one replica in three would see it for seconds.
+TEST_CASE("health is judged by use") {
+    fleet_world world;
+    for (std::string const name : {"r1", "r2", "r3"}) {
+        world.replicas.apply(entry(name, {hot()}), world.now);
+    }
+    replica* const bad = world.replicas.find(endpoint_id("r1"));
+    auto const times_chosen = [&] {
+        int count = 0;
+        for (std::uint64_t draw = 0; draw < 12; ++draw) {
+            replica_need asked = world.need();
+            asked.draw = draw;
+            count += world.best(asked) == "r1" ? 1 : 0;
+        }
+        return count;
+    };
+
+    SUBCASE("silence rests it at once, and longer each time") {
+        CHECK(bad->health.note(health_evidence::silent, world.now));
+        CHECK(times_chosen() == 0);
+        duration const first = bad->health.suspected_until() - world.now;
+        CHECK_FALSE(bad->health.note(health_evidence::silent, world.now));
+        world.now = bad->health.suspected_until();
+        bad->health.note(health_evidence::silent, world.now);
+        CHECK(bad->health.suspected_until() - world.now > first);
+        SUBCASE("one answer clears it") {
+            bad->health.note(health_evidence::answered, world.now);
+            CHECK_FALSE(bad->health.suspected(world.now));
+            SUBCASE("and after some seconds it takes its part") {
+                world.now += seconds(20);
+                CHECK(times_chosen() > 0);
+            }
+        }
+    }
+    SUBCASE("failures beyond its peers' push requests away") {
+        for (int each = 0; each < 20; ++each) {
+            bad->health.note(
+                each % 5 < 2 ? health_evidence::failed
+                             : health_evidence::answered,
+                world.now);
+        }
+        CHECK(times_chosen() == 0);
+    }
+    SUBCASE("failures that all have count for nothing") {
+        for (std::string const name : {"r1", "r2", "r3"}) {
+            for (int each = 0; each < 20; ++each) {
+                world.replicas.find(endpoint_id(name))
+                    ->health.note(health_evidence::failed, world.now);
+            }
+        }
+        CHECK(times_chosen() > 0);
+    }
+    SUBCASE("when all are suspected one is still tried") {
+        for (std::string const name : {"r1", "r2", "r3"}) {
+            world.replicas.find(endpoint_id(name))
+                ->health.note(health_evidence::silent, world.now);
+        }
+        CHECK(world.best(world.need()) != "none");
+    }
+}
+
+// One adapter is a quarter of the work, and lies on one of twelve replicas. All
+// its streams pause while each other's prompts are read.
+TEST_CASE("copies follow the share of demand") {
+    adapter_demand demand;
+    instant const now = instant() + seconds(100);
+    constexpr std::size_t replicas = 12;
+    CHECK(demand.copies(hot().id, replicas, now) == 1);
+    for (int each = 0; each < 100; ++each) {
+        demand.add(hot().id, 800, now);
+        for (std::string const other : {"m/x", "m/y", "m/z"}) {
+            demand.add(adapter_id(other + std::to_string(each)), 800, now);
+        }
+    }
+    CHECK(demand.copies(hot().id, replicas, now) >= 5);
+    CHECK(demand.copies(adapter_id("m/x1"), replicas, now) == 1);
+    CHECK(demand.steady(hot().id, replicas, now));
+    CHECK_FALSE(demand.steady(adapter_id("m/x1"), replicas, now));
+
+    SUBCASE("and fall when it moves on") {
+        instant const later = now + seconds(30);
+        for (int each = 0; each < 100; ++each) {
+            demand.add(adapter_id("m/new"), 800, later);
+        }
+        CHECK(demand.copies(hot().id, replicas, later) == 1);
+    }
+}
+
+// A few prompts of seven thousand tokens make every stream of their replica
+// pause for a quarter of a second each.
+TEST_CASE("long prompts have replicas of their own") {
+    adapter_demand demand;
+    instant const now = instant() + seconds(100);
+    for (int each = 0; each < 30; ++each) {
+        demand.add(hot().id, 600, now);
+    }
+    CHECK(demand.long_lane(12, now) == 0);
+    demand.add(hot().id, 6'000, now);
+    CHECK(demand.long_lane(12, now) == 3);
+    CHECK(demand.long_lane(4, now) == 0);
+
+    fleet_world world;
+    for (std::string const name : {"r1", "r2", "r3"}) {
+        world.replicas.apply(entry(name, {hot()}), world.now);
+    }
+    std::set<std::string> of_long;
+    std::set<std::string> of_short;
+    for (std::uint64_t draw = 0; draw < 9; ++draw) {
+        replica_need asked = world.need();
+        asked.draw = draw;
+        asked.long_lane = 1;
+        of_short.insert(world.best(asked));
+        asked.long_prompt = true;
+        of_long.insert(world.best(asked));
+    }
+    CHECK(of_long == std::set<std::string>{"r1"});
+    CHECK(of_short == std::set<std::string>{"r2", "r3"});
+
+    SUBCASE("a lane that is full uses the other") {
+        for (int each = 0; each < 10; ++each) {
+            world.replicas.began(endpoint_id("r1"), 7'000, world.now);
+        }
+        replica_need asked = world.need();
+        asked.long_lane = 1;
+        asked.long_prompt = true;
+        CHECK(world.best(asked) != "r1");
+    }
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/test/gateway/gateway_test.cpp
@@ -0,0 +1,217 @@
+#include "common/standin_main.hpp"
+#include "test/gateway/gateway_world.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+namespace camphorpoint {
+
+using standins::replica_fault;
+using testing::gateway_world;
+
+namespace {
+
+std::string events(int first, int last) {
+    std::string all;
+    for (int number = first; number <= last; ++number) {
+        std::string const text = std::to_string(number);
+        all += "id: " + text + "\ndata: w" + text + "\n\n";
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a request goes its whole way") {
+    gateway_world world;
+
+    SUBCASE("a stream on an adapter that nobody holds yet") {
+        auto const got = world.ask("/gen/a", "m/a7");
+        CHECK(got.how == call_result::answered);
+        CHECK(got.response.status == 200);
+        CHECK(got.response.body == events(1, 8));
+        CHECK_FALSE(got.response.fields.get("X-Response-Signature").empty());
+        CHECK(world.runs("q1") == 1);
+    }
+    SUBCASE("more adapters than there are slots") {
+        for (int each = 0; each < 12; ++each) {
+            std::string const name = std::to_string(each);
+            auto const got = world.ask("/gen/a", "m/a" + name, "q" + name);
+            CHECK(got.response.body == events(1, 8));
+        }
+        CHECK_FALSE(world.first.engine.overfilled);
+        CHECK_FALSE(world.second.engine.overfilled);
+    }
+    SUBCASE("a booking") {
+        auto const got = world.ask("/book/b");
+        CHECK(got.response.status == 200);
+        CHECK(got.response.body == "answer of p1 to x");
+        CHECK(world.runs("q1") == 1);
+    }
+    SUBCASE("no route") {
+        auto const got = world.ask("/nowhere/");
+        CHECK(got.response.status == 404);
+    }
+    SUBCASE("a new configuration is in force at once, an older one never") {
+        std::string const more =
+            R"({"name":"new","hostname":"h","path_prefix":"/new/",)"
+            R"("type":"safe","timeout_ms":3000,"service":"app",)"
+            R"("attempts":1},)";
+        world.configure(9, more);
+        REQUIRE(world.loop.run_until(
+            [&] { return world.node->configuration_version() == 9; }));
+        CHECK(world.ask("/new/x").response.status == 200);
+        world.configure(5);
+        world.ask("/look/x");
+        CHECK(world.node->configuration_version() == 9);
+    }
+    SUBCASE("a broken configuration leaves the last good one in force") {
+        world.metadata.store().put(
+            "keyed.op", "config",
+            R"({"version":9,"routes":[{"name":"r","type":"odd"}]})");
+        CHECK(world.ask("/look/x").response.status == 200);
+        CHECK(world.node->configuration_version() == 1);
+    }
+}
+
+// A booking's replica runs it and the answer is lost. Told "not run" the
+// florist books again and pays twice; told nothing at all she waits.
+TEST_CASE("what must not run twice") {
+    gateway_world world;
+
+    SUBCASE("an answer that is lost leaves it unknown") {
+        world.plain.engine.faults = {replica_fault::answer_lost};
+        auto const got = world.ask("/book/b");
+        CHECK(got.response.status == 502);
+        CHECK(world.runs("q1") == 1);
+    }
+    SUBCASE("a replica that is full has not run it, and the caller may come "
+            "again") {
+        world.plain.engine.faults = {replica_fault::full};
+        auto const got = world.ask("/book/b");
+        CHECK(got.response.status == 503);
+        CHECK_FALSE(got.response.fields.get("Retry-After").empty());
+        CHECK(world.runs("q1") == 0);
+    }
+    SUBCASE("an answer without the replica's signature is not passed on") {
+        world.plain.engine.faults = {replica_fault::unsigned_answer};
+        auto const got = world.ask("/book/b");
+        CHECK(got.response.status == 502);
+        CHECK(world.runs("q1") == 1);
+    }
+    SUBCASE("a replica's own failure is passed on as it is") {
+        world.plain.engine.faults = {replica_fault::failure};
+        auto const got = world.ask("/book/b");
+        CHECK(got.response.status == 500);
+        CHECK(got.response.body == "answer of p1 to x");
+        CHECK(world.runs("q1") == 1);
+    }
+}
+
+TEST_CASE("what may run twice goes on elsewhere") {
+    gateway_world world;
+    world.ask("/gen/a", "m/a1", "warm");
+    bool const first_holds = world.first.engine.runs.contains("warm");
+    standins::replica_engine& holder =
+        first_holds ? world.first.engine : world.second.engine;
+
+    // A technician's summary breaks off in the middle of a word, as its replica
+    // dies. It must go on where it stopped.
+    SUBCASE("a stream that is cut goes on behind its last whole event") {
+        holder.faults = {replica_fault::cut};
+        auto const got = world.ask("/gen/a", "m/a1");
+        CHECK(got.how == call_result::answered);
+        CHECK(got.response.body == events(1, 8));
+        CHECK(world.runs("q1") == 2);
+    }
+    SUBCASE("one that may not be resumed ends as cut, never as complete") {
+        holder.faults = {replica_fault::cut};
+        auto const got = world.ask("/once/a", "m/a1");
+        CHECK(got.how == call_result::lost);
+        CHECK(world.runs("q1") == 1);
+    }
+    SUBCASE("a look-up whose answer was lost is asked again") {
+        auto const other =
+            std::make_unique<testing::served_replica>(world.loop, "p2", "", 0);
+        world.list(*other, "app");
+        REQUIRE(world.loop.run_until(
+            [&] { return world.node->knows(endpoint_id("p2")); }));
+        world.plain.engine.faults = {replica_fault::answer_lost};
+        other->engine.faults = {replica_fault::answer_lost};
+        auto const got = world.ask("/look/b");
+        CHECK(got.response.status == 502);
+        CHECK(world.runs("q1") + other->engine.runs["q1"] == 2);
+        CHECK(world.ask("/look/b", "", "q2").response.status == 200);
+    }
+}
+
+// The store goes away. Callers must notice nothing as long as what they need
+// is there.
+TEST_CASE("a store that is out holds up nobody") {
+    gateway_world world;
+    world.ask("/gen/a", "m/a1", "warm");
+    SUBCASE("it turns calls away") {
+        world.metadata.turns_away = true;
+    }
+    SUBCASE("its answers are lost") {
+        world.metadata.loses_answers = true;
+    }
+    CHECK(world.ask("/gen/a", "m/a1").response.body == events(1, 8));
+    CHECK(world.ask("/book/b", "", "q2").response.status == 200);
+    CHECK(world.ask("/gen/a", "m/new", "q3").response.body == events(1, 8));
+    world.metadata.turns_away = false;
+    world.metadata.loses_answers = false;
+}
+
+// The store's history is dropped while nobody watches. What was declared in the
+// gap would never be in force.
+TEST_CASE("a history that is forgotten is read whole again") {
+    gateway_world world;
+    world.configure(2);
+    world.metadata.store().forget("keyed.op");
+    world.metadata.store().forget("keyed.servers");
+    CHECK(world.loop.run_until(
+        [&] { return world.node->configuration_version() == 2; }));
+}
+
+// A replica's address has passed to another one. A request that reaches the
+// stranger is not run there, and the caller does not see it.
+TEST_CASE("an address that belongs to another replica") {
+    gateway_world world;
+    testing::served_replica stranger(world.loop, "p9", "", 0);
+    std::string const entry =
+        world.plain.engine.entry("app", stranger.address());
+    world.metadata.store().put("keyed.servers", "gone", entry);
+    REQUIRE(world.loop.run_until(
+        [&] { return world.node->knows(endpoint_id("gone")); }));
+    for (int each = 0; each < 8; ++each) {
+        auto const got = world.ask("/book/b", "", "q" + std::to_string(each));
+        CHECK(got.response.status == 200);
+    }
+    CHECK(stranger.engine.runs.empty());
+}
+
+TEST_CASE("a planned stop finishes what runs") {
+    gateway_world world;
+    bool stopped = false;
+    world.ask("/gen/a", "m/a1", "warm");
+    world.first.engine.pause = std::chrono::milliseconds(50);
+    world.second.engine.pause = std::chrono::milliseconds(50);
+    boost::asio::co_spawn(
+        world.loop.io(),
+        [&]() -> boost::asio::awaitable<void> {
+            co_await standins::wait_for(std::chrono::milliseconds(100));
+            world.node->drain([&] { stopped = true; });
+        },
+        boost::asio::detached);
+    auto const got = world.ask("/gen/a", "m/a1");
+    CHECK(got.response.body == events(1, 8));
+    CHECK_FALSE(world.node->ready());
+    CHECK(world.loop.run_until([&] { return stopped; }));
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/test/gateway/gateway_world.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Gateway/gateway.hpp"
+#include "Ports/http_client.hpp"
+#include "Ports/http_server.hpp"
+#include "metadata/metadata_http.hpp"
+#include "replica/replica_engine.hpp"
+#include "test/ports/loopback.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorpoint::testing {
+
+/// A replica stand-in and the server that it answers on.
+struct served_replica {
+    served_replica(
+        loopback& loop, std::string name, std::string model, unsigned slots);
+    std::string address() const;
+
+    std::string id;
+    standins::replica_engine engine;
+    http_server server;
+};
+
+/// One gateway node before stand-ins of the platform: two replicas of a model
+/// with adapters, one of a plain service, the store.
+class gateway_world {
+public:
+    gateway_world();
+    ~gateway_world();
+
+    /// Sends one request and waits for its answer.
+    /// @param path  such as /gen/x; /gen/ streams and may be resumed, /once/
+    ///              streams and may not, /book/ runs once, /look/ may repeat
+    /// @param model the model and adapter; empty for none
+    fetch_result
+    ask(std::string path, std::string model = "", std::string id = "q1");
+    /// @returns how often a request has run, over all replicas
+    unsigned runs(std::string const& id) const;
+    /// Writes the configuration.
+    void configure(unsigned version, std::string const& extra_route = "");
+    /// Lists a replica, or takes its entry out.
+    void list(served_replica const& replica, std::string const& service);
+    void unlist(served_replica const& replica);
+
+    loopback loop;
+    standins::metadata_http metadata;
+    served_replica first{loop, "r1", "m", 3};
+    served_replica second{loop, "r2", "m", 3};
+    served_replica plain{loop, "p1", "", 0};
+    gateway_settings settings;
+    std::unique_ptr<gateway> node;
+
+private:
+    http_server store_;
+};
+
+} // namespace camphorpoint::testing
--- /dev/null
+++ b/test/holding_test.cpp
@@ -0,0 +1,331 @@
+#include <Camphorpoint/Holding>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+adapter_ref adapter(std::string const& name, std::uint32_t version = 0) {
+    return {adapter_id("m/" + name), version};
+}
+
+/// A replica's account with three slots, and the orders that it gives.
+struct account_world {
+    account_world() {
+        report.models = {model_id("m")};
+        account.reported(report, now);
+        account.take_changes();
+    }
+    void pass(milliseconds time) { now += time; }
+    void want(adapter_ref const& what) { account.want(what, true, true, now); }
+    slot_order expect_order(slot_order_kind kind, std::string const& name) {
+        auto const order = account.next(now);
+        REQUIRE(order);
+        CHECK(order->kind == kind);
+        CHECK(order->adapter.id == adapter(name).id);
+        return *order;
+    }
+    /// Loads an adapter whole.
+    void load(std::string const& name) {
+        want(adapter(name));
+        auto const order = expect_order(slot_order_kind::load_adapter, name);
+        account.answered(order, slot_answer::accepted, now);
+        pass(milliseconds(300));
+        auto const check = expect_order(slot_order_kind::load_adapter, name);
+        account.answered(check, slot_answer::holds, now);
+        REQUIRE(account.ready(adapter(name)));
+    }
+
+    instant now = instant() + seconds(100);
+    replica_report report;
+    load_pace pace;
+    slot_account account{{3, milliseconds(400)}, pace};
+};
+
+} // namespace
+
+TEST_CASE("a load is ordered, and seen to have come") {
+    account_world world;
+    world.want(adapter("a"));
+    auto const order = world.expect_order(slot_order_kind::load_adapter, "a");
+    CHECK(order.expect == 0);
+    world.account.answered(order, slot_answer::accepted, world.now);
+    CHECK_FALSE(world.account.ready(adapter("a")));
+    CHECK_FALSE(world.account.next(world.now));
+
+    SUBCASE("the same order is given again until it holds") {
+        world.pass(milliseconds(300));
+        auto const again =
+            world.expect_order(slot_order_kind::load_adapter, "a");
+        CHECK(again.expect == 1);
+        world.account.answered(again, slot_answer::accepted, world.now);
+        CHECK_FALSE(world.account.ready(adapter("a")));
+        world.pass(milliseconds(20));
+        auto const third =
+            world.expect_order(slot_order_kind::load_adapter, "a");
+        CHECK(third.expect == 1);
+        world.account.answered(third, slot_answer::holds, world.now);
+        CHECK(world.account.ready(adapter("a")));
+        auto const changes = world.account.take_changes();
+        REQUIRE(changes.size() == 1);
+        CHECK(changes.front().held);
+    }
+}
+
+// All callers of one rack wait for an adapter that never comes. A load of what
+// lay there already was counted as an order, the replica had not counted it,
+// and every order after it was out of step for good.
+TEST_CASE("a load of what lies there is not counted") {
+    account_world world;
+    world.want(adapter("a"));
+    auto const order = world.expect_order(slot_order_kind::load_adapter, "a");
+    world.account.answered(order, slot_answer::holds, world.now);
+    CHECK(world.account.ready(adapter("a")));
+    world.want(adapter("b"));
+    CHECK(world.account.next(world.now)->expect == 0);
+}
+
+// A replica has three slots. It is sent a fourth adapter while one is still on
+// its way: it crashes, and all that it ran is lost.
+TEST_CASE("never more adapters than slots, those under way included") {
+    account_world world;
+    world.load("a");
+    world.pass(milliseconds(500));
+    world.load("b");
+    world.pass(milliseconds(500));
+    world.want(adapter("c"));
+    auto const third = world.expect_order(slot_order_kind::load_adapter, "c");
+    world.account.answered(third, slot_answer::accepted, world.now);
+    world.want(adapter("d"));
+
+    SUBCASE("what was unused for longest goes first") {
+        auto const unload =
+            world.expect_order(slot_order_kind::unload_adapter, "a");
+        world.account.answered(unload, slot_answer::holds, world.now);
+        CHECK(world.account.taken() == 2);
+        world.expect_order(slot_order_kind::load_adapter, "d");
+    }
+    SUBCASE("it is told before the order leaves") {
+        world.account.take_changes();
+        world.account.next(world.now);
+        auto const changes = world.account.take_changes();
+        REQUIRE(changes.size() == 1);
+        CHECK_FALSE(changes.front().held);
+    }
+    SUBCASE("an unload that waits for runs frees nothing yet") {
+        auto const unload =
+            world.expect_order(slot_order_kind::unload_adapter, "a");
+        world.account.answered(unload, slot_answer::accepted, world.now);
+        CHECK(world.account.taken() == 3);
+        CHECK_FALSE(world.account.next(world.now));
+        world.pass(milliseconds(20));
+        auto const check =
+            world.expect_order(slot_order_kind::unload_adapter, "a");
+        world.account.answered(check, slot_answer::holds, world.now);
+        CHECK(world.account.taken() == 2);
+    }
+}
+
+// A hot adapter gets a new version. Its replica waits for all its runs, takes
+// no other order for eight seconds, and refuses what comes for it.
+TEST_CASE("what is in use is neither unloaded nor replaced") {
+    account_world world;
+    for (std::string const name : {"a", "b", "c"}) {
+        world.load(name);
+    }
+    for (std::string const name : {"a", "b", "c"}) {
+        world.account.used(adapter(name).id, world.now);
+    }
+
+    SUBCASE("no slot is taken from it, until it rests") {
+        world.want(adapter("d"));
+        CHECK_FALSE(world.account.next(world.now));
+        world.pass(milliseconds(450));
+        world.want(adapter("d"));
+        CHECK(world.account.next(world.now));
+    }
+    SUBCASE("a new version waits, and others go on") {
+        world.want(adapter("a", 2));
+        CHECK_FALSE(world.account.next(world.now));
+        world.pass(milliseconds(450));
+        world.want(adapter("a", 2));
+        auto const order =
+            world.expect_order(slot_order_kind::load_adapter, "a");
+        CHECK(order.adapter.version == 2);
+        world.account.answered(order, slot_answer::accepted, world.now);
+        CHECK_FALSE(world.account.ready(adapter("a", 1)));
+        CHECK(world.account.taken() == 3);
+    }
+}
+
+// The store's answer to an order is lost; the order is carried out seconds
+// later. Ordered again blindly, two loads take the last slot.
+TEST_CASE("after an order without answer a report comes first") {
+    account_world world;
+    world.want(adapter("a"));
+    auto const order = world.expect_order(slot_order_kind::load_adapter, "a");
+    world.account.answered(order, slot_answer::lost, world.now);
+    CHECK_FALSE(world.account.next(world.now));
+    world.pass(milliseconds(300));
+    CHECK(world.account.report_due(world.now));
+
+    SUBCASE("it was carried out") {
+        world.report.sequence = 1;
+        world.report.pending = {adapter("a", 1)};
+        world.account.reported(world.report, world.now);
+        CHECK(world.account.taken() == 1);
+        world.want(adapter("b"));
+        auto const next = world.account.next(world.now);
+        REQUIRE(next);
+        CHECK(next->expect == 1);
+    }
+    SUBCASE("it was not: the same number goes out, so that one of the two "
+            "counts") {
+        world.account.reported(world.report, world.now);
+        world.want(adapter("a"));
+        CHECK(world.account.next(world.now)->expect == 0);
+    }
+    SUBCASE(
+        "a report that is older than an accepted order takes nothing back") {
+        world.account.reported(world.report, world.now);
+        world.want(adapter("a"));
+        auto const next = world.account.next(world.now);
+        world.account.answered(*next, slot_answer::accepted, world.now);
+        world.account.reported(world.report, world.now);
+        CHECK(world.account.taken() == 1);
+    }
+}
+
+TEST_CASE("an empty replica loads its base model first") {
+    load_pace pace;
+    slot_account account({3, milliseconds(400)}, pace);
+    instant now = instant() + seconds(100);
+    CHECK(account.report_due(now));
+    account.reported({}, now);
+    account.want(adapter("a"), true, true, now);
+    CHECK_FALSE(account.next(now));
+    account.set_model(model_id("m"));
+    auto const order = account.next(now);
+    REQUIRE(order);
+    CHECK(order->kind == slot_order_kind::load_model);
+    account.answered(*order, slot_answer::accepted, now);
+    CHECK_FALSE(account.next(now));
+    now += milliseconds(700);
+    CHECK(account.report_due(now));
+    replica_report loaded;
+    loaded.sequence = 1;
+    loaded.models = {model_id("m")};
+    account.reported(loaded, now);
+    account.want(adapter("a"), true, true, now);
+    CHECK(account.next(now)->kind == slot_order_kind::load_adapter);
+}
+
+// Rare adapters are asked for at once. In the order of their coming each load
+// comes for a caller who has given up on the objective.
+TEST_CASE("loads that still serve somebody in time go first") {
+    account_world world;
+    world.want(adapter("old"));
+    world.pass(milliseconds(600));
+    world.account.want(adapter("old"), true, false, world.now);
+    world.want(adapter("new"));
+    world.account.want(adapter("copy"), false, false, world.now);
+    auto const first = world.expect_order(slot_order_kind::load_adapter, "new");
+    world.account.answered(first, slot_answer::accepted, world.now);
+    auto const second =
+        world.expect_order(slot_order_kind::load_adapter, "old");
+    world.account.answered(second, slot_answer::accepted, world.now);
+    world.expect_order(slot_order_kind::load_adapter, "copy");
+
+    SUBCASE("wants that nobody repeats are dropped") {
+        world.pass(milliseconds(1'500));
+        world.account.next(world.now);
+        CHECK(world.account.waiting() <= 2);
+    }
+}
+
+TEST_CASE("loads that take longer are ordered one at a time") {
+    load_pace pace;
+    CHECK(pace.at_once() > 1);
+    pace.note(milliseconds(250));
+    CHECK(pace.at_once() > 1);
+    pace.note(milliseconds(500));
+    CHECK(pace.at_once() == 1);
+    pace.note(milliseconds(260));
+    CHECK(pace.at_once() > 1);
+}
+
+TEST_CASE("leases on partitions") {
+    lease_times times;
+    partition_leases leases(times);
+    instant const start = instant() + seconds(100);
+    auto const fresh = leases.granted(start, 1, {4, 5}, start);
+    CHECK(fresh.size() == 2);
+    leases.fenced_as(4, 17);
+    instant const settled = start + times.settling;
+
+    SUBCASE("orders go out with the fencing number, once settled") {
+        CHECK_FALSE(leases.token(4, start));
+        CHECK(leases.token(4, settled) == 17);
+        CHECK_FALSE(leases.token(5, settled));
+        CHECK(leases.without_token().size() == 1);
+    }
+    SUBCASE("a partition that is taken away is not ordered for any more") {
+        leases.granted(settled, 2, {5}, settled);
+        CHECK_FALSE(leases.token(4, settled));
+    }
+
+    // A holder is suspended for seven seconds. Another has taken its replicas
+    // over; it wakes, still believes that it holds them, and orders.
+    SUBCASE("a holder that wakes after its lease orders nothing") {
+        instant const woken = start + seconds(7);
+        CHECK_FALSE(leases.token(4, woken));
+        SUBCASE("also when its next renewal fails") {
+            leases.failed(woken);
+            CHECK_FALSE(leases.token(4, woken));
+        }
+        SUBCASE("and after a renewal it needs a new fencing number") {
+            auto const again = leases.granted(woken, 3, {4, 5}, woken);
+            CHECK(again.size() == 2);
+            CHECK_FALSE(leases.token(4, woken + seconds(1)));
+        }
+    }
+
+    // The store is down for eight seconds. Nobody can take anything over, yet
+    // all holders stop, and no adapter is loaded until it is back.
+    SUBCASE("an outage that began within the lease is bridged") {
+        for (int step = 1; step <= 10; ++step) {
+            leases.failed(start + step * milliseconds(600));
+        }
+        CHECK(leases.token(4, start + seconds(6)) == 17);
+        SUBCASE("but not for ever") {
+            CHECK_FALSE(leases.token(4, start + seconds(20)));
+        }
+    }
+    SUBCASE("where replicas check no fencing number it is not") {
+        times.fences_checked = false;
+        partition_leases strict(times);
+        strict.granted(start, 1, {4}, start);
+        strict.fenced_as(4, 17);
+        strict.failed(start + seconds(1));
+        strict.failed(start + seconds(2));
+        CHECK_FALSE(strict.token(4, start + milliseconds(2'100)));
+    }
+
+    // The store deals all partitions out anew without a word. Two nodes would
+    // order until the old holder's next renewal.
+    SUBCASE("a higher number seen elsewhere ends the holding") {
+        leases.overtaken(4, 16);
+        CHECK(leases.token(4, settled) == 17);
+        leases.overtaken(4, 18);
+        CHECK_FALSE(leases.token(4, settled));
+    }
+}
+
+} // namespace camphorpoint
