--- a/src/Fleet/adapter_demand.cpp
+++ b/src/Fleet/adapter_demand.cpp
@@ -10,12 +10,14 @@
 /// Copies beyond an adapter's even share of the replicas. With this factor the
 /// replicas of the busiest adapter are a third busy with it at the average, so
 /// that a clump of its prompts finds another with room.
-constexpr double spread = 2;
+constexpr double spread = 3;
 /// An adapter with less than this stays in the lane that it lies in: a copy
 /// costs a load and a slot.
 constexpr double steady_copies = 0.5;
 /// With fewer replicas a lane of its own would be too small to share.
 constexpr std::size_t least_replicas = 6;
+/// So many standard deviations of a count are taken off before it is believed.
+constexpr double doubt = 0.8;
 /// Rates below this in tokens a second are as good as none.
 constexpr double least_rate = 1;
 constexpr duration forgetting_pause = std::chrono::seconds(10);
@@ -26,7 +28,9 @@
     adapter_id const& adapter, unsigned prompt_tokens, instant now) {
     // A prompt of unknown length counts as a short one.
     double const tokens = std::max(1U, prompt_tokens);
-    rates_.try_emplace(adapter, half_life).first->second.add(now, tokens);
+    measured& of = rates_[adapter];
+    of.tokens.add(now, tokens);
+    of.requests.add(now);
     total_.add(now, tokens);
     all_prompts_.add(now, tokens);
     if (prompt_tokens >= long_prompt) {
@@ -45,8 +49,15 @@
     if (found == rates_.end() || all < least_rate) {
         return 0;
     }
-    double const share = found->second.per_second(now) / all;
-    return share * static_cast<double>(replicas) * spread;
+    // One node of many sees few requests, and two of one adapter by chance look
+    // like a large share: copies are made for what is sure of it.
+    std::chrono::duration<double> const window = half_life;
+    double const seen =
+        found->second.requests.per_second(now) * window.count() / std::log(2.0);
+    double const sure =
+        std::max(0.0, 1.0 - doubt / std::sqrt(std::max(seen, least_rate)));
+    double const share = found->second.tokens.per_second(now) / all;
+    return share * sure * static_cast<double>(replicas) * spread;
 }
 
 std::size_t adapter_demand::copies(
@@ -75,7 +86,7 @@
 
 void adapter_demand::forget_idle(instant now) {
     std::erase_if(rates_, [&](auto const& each) {
-        return each.second.per_second(now) < least_rate;
+        return each.second.tokens.per_second(now) < least_rate;
     });
 }
 
--- a/src/Fleet/adapter_demand.hpp
+++ b/src/Fleet/adapter_demand.hpp
@@ -45,7 +45,12 @@
         adapter_id const& adapter, std::size_t replicas, instant now) const;
     void forget_idle(instant now);
 
-    std::unordered_map<adapter_id, decayed_rate> rates_;
+    struct measured {
+        decayed_rate tokens{half_life};
+        decayed_rate requests{half_life};
+    };
+
+    std::unordered_map<adapter_id, measured> rates_;
     decayed_rate total_{half_life};
     decayed_rate long_prompts_{lane_half_life};
     decayed_rate all_prompts_{lane_half_life};
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -11,9 +11,10 @@
 constexpr duration old_version_ends = std::chrono::milliseconds(2'800);
 /// Entries of replicas that lapsed with the store's outage are back by then.
 constexpr duration store_settles = std::chrono::milliseconds(2'300);
-/// Idle connections to a replica are few: all nodes share its limit.
+/// Idle connections to a replica are few, as all nodes share its limit; they
+/// are kept for as long as it keeps them.
 constexpr http_pool_limits connection_limits{
-    12, 512, std::chrono::milliseconds(4'000)};
+    6, 600, std::chrono::milliseconds(15'000)};
 
 } // namespace
 
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -53,7 +53,9 @@
     into.store_timeout = section.time(
         "timeout", into.store_timeout, milliseconds(10), longest_time);
     into.list_pause = section.time(
-        "list_pause", into.list_pause, milliseconds(10), longest_time);
+                          "leaving_serves", 2 * into.list_pause,
+                          milliseconds(20), longest_time) /
+                      2;
     section.refuse_unknown_keys();
 }
 
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -56,6 +56,10 @@
 constexpr double copy_crowding = 0.4;
 /// The home of an adapter is asked for this long before another is.
 constexpr milliseconds home_stays{900};
+/// A replica may drop an idle connection without a sign. What must not run
+/// twice can't be sent again after that, so it goes over one that was used a
+/// short time ago.
+constexpr milliseconds safe_idle{1'000};
 /// Least time that a replica needs for anything.
 constexpr milliseconds least_run{20};
 
@@ -322,6 +326,9 @@
         std::chrono::duration_cast<milliseconds>(deadline_ - now) +
         milliseconds(100);
     times.connect = connect_time;
+    if (!route_->idempotent()) {
+        times.idle_at_most = safe_idle;
+    }
     times.echoed = std::string(platform::id_field);
     return times;
 }
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -32,7 +32,9 @@
 /// means that it, or the way to it, is down.
 constexpr milliseconds replica_timeout{700};
 /// Owners may change without a new generation reaching this node.
-constexpr duration owners_again = std::chrono::seconds(5);
+constexpr duration owners_again = std::chrono::seconds(10);
+/// At a change of members, which come in rows when nodes are stopped in turn.
+constexpr duration owners_changed = std::chrono::seconds(2);
 /// A worker without the right to order asks again.
 constexpr milliseconds no_right_pause{100};
 /// The span over which the loads of base models are counted.
@@ -225,8 +227,11 @@
             words_->set_owner(each, beliefs_->own_name);
         }
     }
+    // Holders tell their claims to all nodes they know; the list is for nodes
+    // that have come, and for words that were lost.
     bool const changed = owners_generation_ != grant.value().generation;
-    if (changed || now >= owners_read_ + owners_again) {
+    duration const pause = changed ? owners_changed : owners_again;
+    if (now >= owners_read_ + pause) {
         co_await read_owners();
         owners_generation_ = grant.value().generation;
     }
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -75,9 +75,11 @@
 duration kept_by_server(std::string_view keep_alive) {
     constexpr std::string_view name = "timeout=";
     constexpr duration margin = std::chrono::milliseconds(400);
+    // Below the time after which servers commonly close an idle connection.
+    constexpr duration untold = std::chrono::seconds(4);
     std::size_t const place = keep_alive.find(name);
     if (place == std::string_view::npos) {
-        return duration::max();
+        return untold;
     }
     std::string_view const number = keep_alive.substr(place + name.size());
     int seconds = 0;
@@ -129,7 +131,7 @@
 
 asio::awaitable<bool> http_call::state::make_connection() {
     if (pool_ != nullptr && !times_.fresh) {
-        link_ = pool_->take(to_, now());
+        link_ = pool_->take(to_, now(), times_.idle_at_most);
     }
     reused_ = link_ != nullptr;
     if (reused_) {
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -41,6 +41,8 @@
     /// Takes a connection of its own, not a kept one: after a silence the kept
     /// ones may be silent too.
     bool fresh = false;
+    /// A kept connection that was idle for longer is not taken.
+    duration idle_at_most = duration::max();
     /// A header field that the answer must repeat from the request, when it
     /// bears it. Guards against an answer to an earlier request that comes
     /// late, where the next one is expected: it is read and thrown away.
--- a/src/Ports/http_pool.cpp
+++ b/src/Ports/http_pool.cpp
@@ -44,14 +44,16 @@
 
 http_pool::~http_pool() = default;
 
-http_pool::connection_ptr http_pool::take(ip_address const& to, instant now) {
+http_pool::connection_ptr
+http_pool::take(ip_address const& to, instant now, duration idle_at_most) {
     drop_old(now);
     auto const found = idle_.find(to);
     if (found == idle_.end()) {
         return nullptr;
     }
     connection_ptr result;
-    while (!found->second.empty() && result == nullptr) {
+    while (!found->second.empty() && result == nullptr &&
+           now - found->second.back().since < idle_at_most) {
         duration const longest = found->second.back().longest;
         duration const age = now - found->second.back().since;
         result = std::move(found->second.back().connection);
--- a/src/Ports/http_pool.hpp
+++ b/src/Ports/http_pool.hpp
@@ -33,8 +33,12 @@
     http_pool(http_pool const&) = delete;
     http_pool& operator=(http_pool const&) = delete;
 
+    /// @param idle_at_most older ones are left, as for a request that can't be
+    ///        sent again when the server has dropped the connection unnoticed
     /// @returns an idle connection that the server has not closed, or null
-    connection_ptr take(ip_address const& to, instant now);
+    connection_ptr take(
+        ip_address const& to, instant now,
+        duration idle_at_most = duration::max());
     /// Keeps a connection whose last answer was read whole; past the limits
     /// the oldest is closed.
     /// @param longest how long the server keeps it at the most, if it said so
