No room is told; copies only where holders are fuller; the list read three times in a leaving

DRAIN was broken once there: a request reached a leaving replica after 3,063 ms (bound 3,000), as the list was read every 1.5 s and one reading failed.

--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -41,6 +41,8 @@
     /// When the list no longer had it.
     instant missing_since = instant::max();
     bool missing = false;
+    /// Until then all its adapters are in use, and no other can come.
+    instant no_room_until;
     /// When it leaves at short notice.
     instant gone_at = instant::max();
 
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -12,6 +12,7 @@
 /// A replica less crowded than this takes a further adapter as its home. Above
 /// it the next in the adapter's order is nearer to free.
 constexpr double roomy = 0.8;
+constexpr double roomy_beyond_mean = 0.5;
 /// A suspected replica costs as much as one that is so many times full: it is
 /// taken only when all others are out.
 constexpr double suspicion_cost = 1'000;
@@ -147,17 +148,21 @@
     std::vector<endpoint_id> open;
     for (replica const* const each : fleet_->of_service(need.service)) {
         // One that holds an older version would have to end its runs first.
-        if (usable(*each, need, now) &&
+        if (usable(*each, need, now) && now >= each->no_room_until &&
             !each->adapters.contains(need.adapter) &&
             holds_model(*each, need.model) && !each->health.suspected(now)) {
             open.push_back(each->record.id);
         }
     }
     auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
+    // Nodes see the crowding at different times. The more it decides, the more
+    // often two of them load a rare adapter at two replicas.
+    double const least_roomy =
+        std::max(roomy, mean_crowding(need.service, now) + roomy_beyond_mean);
     replica* least = nullptr;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (crowding(*each, now) < roomy && in_lane(*each, need)) {
+        if (crowding(*each, now) < least_roomy && in_lane(*each, need)) {
             return each;
         }
         if (least == nullptr || crowding(*each, now) < crowding(*least, now)) {
@@ -176,15 +181,17 @@
         }));
 }
 
-std::optional<double>
-replica_choice::least_load(service_id const& service, instant now) const {
-    std::optional<double> least;
+double
+replica_choice::mean_crowding(service_id const& service, instant now) const {
+    double sum = 0;
+    unsigned count = 0;
     for (replica const* const each : fleet_->of_service(service)) {
         if (each->open() && !each->health.suspected(now)) {
-            least = std::min(least.value_or(each->load()), each->load());
+            sum += crowding(*each, now);
+            ++count;
         }
     }
-    return least;
+    return count == 0 ? 0 : sum / count;
 }
 
 } // namespace camphorpoint
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -55,10 +55,8 @@
     bool in_lane(replica const& each, replica_need const& need) const;
     /// @returns how many open replicas of its lane hold the adapter
     std::size_t holders(replica_need const& need, instant now) const;
-    /// @returns the least load of the service's open replicas, in requests for
-    ///          each slot; nothing when none is open
-    std::optional<double>
-    least_load(service_id const& service, instant now) const;
+    /// @returns how crowded the open replicas of a service are in the mean
+    double mean_crowding(service_id const& service, instant now) const;
 
 private:
     bool holds(replica const& each, replica_need const& need) const;
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -63,10 +63,11 @@
           beliefs_.settings.store_timeout)
     , orderer_(beliefs_, store_)
     , words_(
-          beliefs_, {[this](peer_want const& asked) { orderer_.want(asked); },
-                     [this](peer_use const& told) {
-                         orderer_.use(told);
-                     }})
+          beliefs_,
+          {[this](peer_want const& asked) { return orderer_.want(asked); },
+           [this](peer_use const& told) {
+               orderer_.use(told);
+           }})
     , follower_(beliefs_, store_, [this] { changed(); })
     , callers_(
           io.get_executor(), first_limits(),
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -11,6 +11,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds longest_time{600'000};
+/// The list is read so often while a leaving replica goes on serving. With two
+/// a single reading that fails is one too many: a request came 63 ms late.
+constexpr int readings = 3;
 
 void read_address(
     toml_section& from, std::string const& key, ip_address& into) {
@@ -53,9 +56,9 @@
     into.store_timeout = section.time(
         "timeout", into.store_timeout, milliseconds(10), longest_time);
     into.list_pause = section.time(
-                          "leaving_serves", 2 * into.list_pause,
-                          milliseconds(20), longest_time) /
-                      2;
+                          "leaving_serves", readings * into.list_pause,
+                          milliseconds(30), longest_time) /
+                      readings;
     section.refuse_unknown_keys();
 }
 
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -24,10 +24,9 @@
     ip_address store_address;
     /// Bounds each call to the store beside its own waiting.
     std::chrono::milliseconds store_timeout{800};
-    /// How often the list of replicas is read at the most. Its readings are a
-    /// tenth of a node's calls; half of the time that a leaving replica goes on
-    /// serving leaves room for a slow answer.
-    std::chrono::milliseconds list_pause{1'000};
+    /// How often the list of replicas is read at the most.
+    std::chrono::milliseconds list_pause{670};
+
     /// A planned stop is cut off after this.
     std::chrono::milliseconds stop_limit{8'000};
     /// New connections are taken for so long after a stop has begun. They come
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -74,6 +74,18 @@
     }
 };
 
+/// The sender orders for a replica at which an adapter has no room now, since
+/// all that lies there is in use.
+struct peer_denial {
+    std::uint64_t replica = 0;
+    std::string adapter;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, adapter);
+    }
+};
+
 /// The sender's requests at a replica.
 struct peer_load {
     std::uint64_t replica = 0;
@@ -101,19 +113,20 @@
     std::vector<peer_word> words;
     std::vector<peer_claim> claims;
     std::vector<peer_suspicion> suspicions;
+    std::vector<peer_denial> denials;
 
     static constexpr std::uint32_t current_format = 1;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            format, from, counts, loads, wants, uses, words, claims,
-            suspicions);
+            format, from, counts, loads, wants, uses, words, claims, suspicions,
+            denials);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
         return !counts && wants.empty() && uses.empty() && words.empty() &&
-               claims.empty() && suspicions.empty();
+               claims.empty() && suspicions.empty() && denials.empty();
     }
 };
 
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -23,6 +23,11 @@
 /// With more nodes than this each tells less often, so that what one node
 /// receives in a second stays about the same.
 constexpr unsigned nodes_at_full_pace = 10;
+/// Streams take one to three seconds, so a replica whose adapters are all in
+/// use has room again within some hundred milliseconds.
+constexpr duration no_room_time = std::chrono::milliseconds(400);
+/// A node tells its claims with its counts, a few times in this.
+constexpr duration owner_silent = std::chrono::seconds(3);
 /// A node that was not heard for so long is no longer counted as one.
 constexpr duration peer_lasts = std::chrono::seconds(4);
 /// Entries of one datagram; with names of some twenty bytes they stay below
@@ -30,7 +35,7 @@
 constexpr std::size_t most_entries = 24;
 
 /// Counts of one datagram, twelve bytes each.
-constexpr std::size_t most_counts = 90;
+constexpr std::size_t most_counts = 80;
 
 peer_load load_of(replica const& each, double backlog) {
     constexpr double most = std::numeric_limits<std::uint16_t>::max();
@@ -99,6 +104,22 @@
     owners_[partition] = std::move(member);
 }
 
+bool peer_words::lacks_owner(instant now) const {
+    return std::ranges::any_of(beliefs_->replicas.all(), [&](auto const& each) {
+        if (!each.second.open() || each.second.record.models.empty()) {
+            return false;
+        }
+        auto const owner = owners_.find(partition_of(each.first));
+        if (owner == owners_.end()) {
+            return true;
+        }
+        auto const heard = beliefs_->peers.find(owner->second);
+        bool const silent = heard == beliefs_->peers.end() ||
+                            now >= heard->second + owner_silent;
+        return owner->second != beliefs_->own_name && silent;
+    });
+}
+
 void peer_words::want(
     replica const& at, adapter_ref const& adapter, bool urgent, bool fresh) {
     peer_want asked;
@@ -112,7 +133,7 @@
         return;
     }
     if (owner->second == beliefs_->own_name) {
-        to_.want(asked);
+        take_want(asked, beliefs_->own_name);
         return;
     }
     peer_datagram message;
@@ -193,27 +214,66 @@
     });
 }
 
+void peer_words::tell_loads(instant now) {
+    peer_datagram message;
+    message.counts = true;
+    for (auto const& [id, each] : beliefs_->replicas.all()) {
+        double const backlog = each.backlog_here.tokens_left(now);
+        bool const room = message.loads.size() < most_counts;
+        if ((each.running_here > 0 || backlog > 0) && room) {
+            message.loads.push_back(load_of(each, backlog));
+        }
+    }
+    send_all(message);
+    peer_datagram held;
+    for (std::size_t const each : beliefs_->leases.held()) {
+        auto const token = beliefs_->leases.token(each, now);
+        if (token && held.claims.size() < most_counts) {
+            held.claims.push_back({static_cast<std::uint32_t>(each), *token});
+        }
+    }
+    send_all(held);
+}
+
 asio::awaitable<void> peer_words::tell_counts() {
+    unsigned tick = 0;
     while (running_) {
-        peer_datagram message;
-        message.counts = true;
         instant const now = boot_clock::now();
-        for (auto const& [id, each] : beliefs_->replicas.all()) {
-            double const backlog = each.backlog_here.tokens_left(now);
-            bool const room = message.loads.size() < most_counts;
-            if ((each.running_here > 0 || backlog > 0) && room) {
-                message.loads.push_back(load_of(each, backlog));
-            }
+        unsigned const groups = 1 + beliefs_->nodes() / nodes_at_full_pace;
+        if (tick % groups == 0) {
+            tell_loads(now);
         }
-        send_all(message);
+        ++tick;
         send_uses();
+
         forget_peers(now);
-        unsigned const groups = 1 + beliefs_->nodes() / nodes_at_full_pace;
-        asio::steady_timer timer(beliefs_->io, telling_pause * groups);
+        asio::steady_timer timer(
+            beliefs_->io, groups > 1 ? 2 * telling_pause : telling_pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
+void peer_words::take_want(peer_want const& want, std::string const& from) {
+    if (to_.want(want)) {
+        return;
+    }
+    peer_denial const denial{want.replica, want.adapter};
+    if (from == beliefs_->own_name) {
+        take_denial(denial, boot_clock::now());
+        return;
+    }
+    peer_datagram message;
+    message.denials.push_back(denial);
+    send(from, std::move(message));
+}
+
+void peer_words::take_denial(peer_denial const& denial, instant now) {
+    if (replica* const at = beliefs_->replicas.find_short(denial.replica)) {
+        at->no_room_until = now + no_room_time;
+        beliefs_->waiters.notify(adapter_id(denial.adapter));
+    }
+}
+
 void peer_words::receive(std::string const& bytes) {
     auto const message = decode_peer_datagram(bytes);
     if (message && message->from != beliefs_->own_name) {
@@ -255,7 +315,10 @@
         }
     }
     for (peer_want const& each : message.wants) {
-        to_.want(each);
+        take_want(each, message.from);
+    }
+    for (peer_denial const& each : message.denials) {
+        take_denial(each, now);
     }
     for (peer_use const& each : message.uses) {
         to_.use(each);
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -19,7 +19,8 @@
 public:
     /// Takes wants and uses that are this node's to heed.
     struct receiver {
-        std::function<void(peer_want const& want)> want;
+        /// @returns false when there is no room for it now
+        std::function<bool(peer_want const& want)> want;
         std::function<void(peer_use const& use)> use;
     };
 
@@ -46,6 +47,9 @@
     /// Notes that a request uses an adapter, until `release`.
     void use(endpoint_id const& at, adapter_id const& adapter);
     void release(endpoint_id const& at, adapter_id const& adapter);
+    /// @returns true when nobody is known who orders for a replica, or that
+    ///          node has not been heard for a while
+    bool lacks_owner(instant now) const;
     /// A node orders for a partition, as the group's list says.
     void set_owner(std::size_t partition, std::string member);
 
@@ -66,7 +70,10 @@
     void send(std::string const& peer, peer_datagram message);
     void send_all(peer_datagram const& message);
     void send_uses();
+    void tell_loads(instant now);
     void forget_peers(instant now);
+    void take_denial(peer_denial const& denial, instant now);
+    void take_want(peer_want const& want, std::string const& from);
 
     gateway_beliefs* beliefs_;
     receiver to_;
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -60,6 +60,8 @@
 /// twice can't be sent again after that, so it goes over one that was used a
 /// short time ago.
 constexpr milliseconds safe_idle{1'000};
+/// Holders that are fuller than the mean by less are as full as the others.
+constexpr double noticed_crowding = 0.05;
 /// Least time that a replica needs for anything.
 constexpr milliseconds least_run{20};
 
@@ -197,7 +199,13 @@
         beliefs_->demand.copies(need_.adapter, replicas, now);
     bool const lane_lacks =
         here == 0 && beliefs_->demand.steady(need_.adapter, replicas, now);
-    if (lane_lacks || (here > 0 && here < wanted)) {
+    // A copy spreads nothing while the holders are no fuller than the others.
+    // Each node guesses the demand from its own few requests, and the highest
+    // of many guesses would make copies everywhere.
+    double const mean = beliefs_->choice.mean_crowding(need_.service, now);
+    bool const fuller =
+        replica_choice::crowding(best, now) > mean + noticed_crowding;
+    if (lane_lacks || (fuller && here > 0 && here < wanted)) {
         // While its holders have room the copy waits for loads that somebody
         // waits for.
         bool const urgent =
@@ -210,8 +218,8 @@
     // A home that was asked stays the one while it can: the load may be under
     // way, and another would be a second one for nothing.
     replica* const asked = beliefs_->replicas.find(asked_);
-    if (asked != nullptr && asked->open() && !asked->health.suspected(now) &&
-        now < arrived_ + home_stays) {
+    if (asked != nullptr && asked->open() && now >= asked->no_room_until &&
+        !asked->health.suspected(now) && now < arrived_ + home_stays) {
         return asked;
     }
     return beliefs_->choice.next_home(need_, now);
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -32,9 +32,11 @@
 /// means that it, or the way to it, is down.
 constexpr milliseconds replica_timeout{700};
 /// Owners may change without a new generation reaching this node.
-constexpr duration owners_again = std::chrono::seconds(10);
+constexpr duration owners_again = std::chrono::seconds(20);
 /// At a change of members, which come in rows when nodes are stopped in turn.
 constexpr duration owners_changed = std::chrono::seconds(2);
+/// While a holder is missing.
+constexpr duration owners_missing = std::chrono::seconds(1);
 /// A worker without the right to order asks again.
 constexpr milliseconds no_right_pause{100};
 /// The span over which the loads of base models are counted.
@@ -227,10 +229,14 @@
             words_->set_owner(each, beliefs_->own_name);
         }
     }
-    // Holders tell their claims to all nodes they know; the list is for nodes
-    // that have come, and for words that were lost.
+    // Holders tell their claims to all nodes they know. The list is for those
+    // that they don't know yet: without it a want would go to a node that holds
+    // the replica no more, and nobody would load what is waited for.
     bool const changed = owners_generation_ != grant.value().generation;
-    duration const pause = changed ? owners_changed : owners_again;
+    bool const missing = words_->lacks_owner(now);
+    duration const pause = missing   ? owners_missing
+                           : changed ? owners_changed
+                                     : owners_again;
     if (now >= owners_read_ + pause) {
         co_await read_owners();
         owners_generation_ = grant.value().generation;
@@ -268,12 +274,13 @@
     words_->claim(partition, token);
 }
 
-void slot_orderer::want(peer_want const& asked) {
+bool slot_orderer::want(peer_want const& asked) {
     auto const id = by_short_name_.find(asked.replica);
     auto const held =
         id == by_short_name_.end() ? held_.end() : held_.find(id->second);
     if (held == held_.end()) {
-        return;
+        // Another may order for it by now; whoever asks will ask again.
+        return true;
     }
     adapter_ref const adapter{adapter_id(asked.adapter), asked.version};
     slot_account& account = held->second->account;
@@ -284,10 +291,15 @@
         words_->tell(id->second, std::move(words));
         beliefs_->replicas.told_held(id->second, adapter, boot_clock::now());
         beliefs_->waiters.notify(adapter.id);
-        return;
+        return true;
+    }
+    instant const now = boot_clock::now();
+    if (!account.has_room_for(adapter.id, now)) {
+        return false;
     }
-    account.want(adapter, asked.urgent, asked.fresh, boot_clock::now());
+    account.want(adapter, asked.urgent, asked.fresh, now);
     held->second->wake.cancel();
+    return true;
 }
 
 void slot_orderer::use(peer_use const& told) {
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -30,7 +30,8 @@
     void stop();
 
     /// Somebody wants an adapter at a replica.
-    void want(peer_want const& asked);
+    /// @returns false when there is no room for it now
+    bool want(peer_want const& asked);
     /// Somebody uses an adapter at a replica.
     void use(peer_use const& told);
     /// Replicas or versions have changed.
@@ -75,6 +76,7 @@
     peer_words* words_ = nullptr;
     std::map<endpoint_id, held_ptr> held_;
     std::map<std::uint64_t, endpoint_id> by_short_name_;
+
     std::uint64_t owners_generation_ = 0;
     instant owners_read_;
     bool running_ = false;
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -163,6 +163,20 @@
     of.urgent = of.urgent || urgent;
 }
 
+bool slot_account::has_room_for(adapter_id const& adapter, instant now) const {
+    if (!known_ || slots_.contains(adapter) || wants_.contains(adapter) ||
+        slots_.size() < limits_.slots) {
+        return true;
+    }
+    auto const resting_slots = static_cast<std::size_t>(
+        std::ranges::count_if(slots_, [&](auto const& each) {
+            return each.second.state == slot_state::dropping ||
+                   (each.second.state == slot_state::resident &&
+                    resting(each.second, now));
+        }));
+    return resting_slots > wants_.size();
+}
+
 void slot_account::used(adapter_id const& adapter, instant now) {
     auto const found = slots_.find(adapter);
     if (found != slots_.end()) {
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -21,8 +21,8 @@
     /// Loads under way at once. The replica takes four; fewer at a time come
     /// sooner each, as all replicas share the way from the store.
     /// An adapter that was used a shorter time ago counts as in use. Nodes
-    /// repeat their uses every 100 ms while requests run.
-    std::chrono::milliseconds rest_before_drop{400};
+    /// repeat their uses every 100 to 200 ms while requests run.
+    std::chrono::milliseconds rest_before_drop{500};
 };
 
 /// A change of what a replica holds, to be told to all nodes.
@@ -59,6 +59,9 @@
     /// @param urgent  somebody waits for it now
     /// @param fresh   somebody has begun to wait for it just now
     void want(adapter_ref const& adapter, bool urgent, bool fresh, instant now);
+    /// @returns true when the adapter could be loaded, or is being loaded: a
+    ///          slot is free, or one is held by what nobody uses
+    bool has_room_for(adapter_id const& adapter, instant now) const;
     /// Requests use this adapter here, or have just done so. Nodes repeat it
     /// while requests run.
     void used(adapter_id const& adapter, instant now);
