A holder that is not there holds nobody up

Nodes had been stopped during the store's outage; their partitions could pass to nobody, and requests waited for their orders. Ruled out: full slots (no such refusals before), slow loads. Now a request whose adapter's holder is stopping, silent or without room goes to the next home.

--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -181,6 +181,12 @@
         }));
 }
 
+bool replica_choice::any_open(service_id const& service) const {
+    return std::ranges::any_of(
+        fleet_->of_service(service),
+        [](replica const* each) { return each->open(); });
+}
+
 double
 replica_choice::mean_crowding(service_id const& service, instant now) const {
     double sum = 0;
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -55,6 +55,8 @@
     bool in_lane(replica const& each, replica_need const& need) const;
     /// @returns how many open replicas of its lane hold the adapter
     std::size_t holders(replica_need const& need, instant now) const;
+    /// @returns true when new requests may be sent to some replica
+    bool any_open(service_id const& service) const;
     /// @returns how crowded the open replicas of a service are in the mean
     double mean_crowding(service_id const& service, instant now) const;
 
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace camphorpoint {
 
 namespace {
@@ -9,6 +11,8 @@
 /// For so long after the word of a new version requests may still begin on the
 /// old one: the platform allows five seconds, a load and its order take one.
 constexpr duration old_version_ends = std::chrono::milliseconds(2'800);
+/// A node that was heard within this counts as one that is there.
+constexpr duration peer_counts = std::chrono::seconds(4);
 /// Entries of replicas that lapsed with the store's outage are back by then.
 constexpr duration store_settles = std::chrono::milliseconds(2'300);
 /// Idle connections to a replica are few, as all nodes share its limit; they
@@ -51,7 +55,12 @@
 }
 
 unsigned gateway_beliefs::nodes() const {
-    return static_cast<unsigned>(peers.size()) + 1;
+    // Those that were heard lately; the others have stopped.
+    instant const now = boot_clock::now();
+    auto const heard = std::ranges::count_if(peers, [&](auto const& each) {
+        return now < each.second + peer_counts;
+    });
+    return static_cast<unsigned>(heard) + 1;
 }
 
 bool gateway_beliefs::store_calm(instant now) const {
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -28,8 +28,11 @@
 constexpr duration no_room_time = std::chrono::milliseconds(400);
 /// A node tells its claims with its counts, a few times in this.
 constexpr duration owner_silent = std::chrono::seconds(3);
+/// Counts come every 100 ms, from many nodes every 700 ms: a holder that is
+/// silent for twice that is not there.
+constexpr duration holder_silent = std::chrono::milliseconds(1'500);
 /// A node that was not heard for so long is no longer counted as one.
-constexpr duration peer_lasts = std::chrono::seconds(4);
+constexpr duration peer_lasts = std::chrono::seconds(20);
 /// Entries of one datagram; with names of some twenty bytes they stay below
 /// the longest datagram.
 constexpr std::size_t most_entries = 24;
@@ -136,6 +139,17 @@
         take_want(asked, beliefs_->own_name);
         return;
     }
+    // Guards against requests that wait for a load that nobody orders: a node
+    // that was stopped or killed during the store's outage has no successor
+    // until the outage ends. They go to the next home instead, whose holder is
+    // there.
+    instant const now = boot_clock::now();
+    auto const heard = beliefs_->peers.find(owner->second);
+    if (heard != beliefs_->peers.end() &&
+        now >= heard->second + holder_silent) {
+        take_denial({asked.replica, asked.adapter}, now);
+        return;
+    }
     peer_datagram message;
     message.wants.push_back(std::move(asked));
     send(owner->second, std::move(message));
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -267,7 +267,13 @@
         ask_for_copy(home, true);
         return std::nullopt;
     }
-    reason_ = best == nullptr && home == nullptr ? "no-replica" : "all-full";
+    bool const none = best == nullptr && home == nullptr;
+    if (none && now < arrived_ + route_->objective &&
+        beliefs_->choice.any_open(need_.service)) {
+        // All that lies anywhere is in use right now; some of it ends soon.
+        return std::nullopt;
+    }
+    reason_ = none ? "no-replica" : "all-full";
     return nullptr;
 }
 
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -279,8 +279,9 @@
     auto const held =
         id == by_short_name_.end() ? held_.end() : held_.find(id->second);
     if (held == held_.end()) {
-        // Another may order for it by now; whoever asks will ask again.
-        return true;
+        // Another may order for it by now. A node that is stopping can't give
+        // its replicas to another while the store is down.
+        return running_;
     }
     adapter_ref const adapter{adapter_id(asked.adapter), asked.version};
     slot_account& account = held->second->account;
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace camphorpoint {
 
@@ -213,5 +215,37 @@
     CHECK_FALSE(world.node->ready());
     CHECK(world.loop.run_until([&] { return stopped; }));
 }
+// A node is killed while the store is down: nobody can take its replicas over
+// until the store is back. Requests whose adapter belongs there waited for two
+// seconds and were refused, with room at other replicas all the while.
+TEST_CASE("a holder that is not there holds nobody up") {
+    gateway_world world;
+    std::vector<std::unique_ptr<testing::served_replica>> more;
+    auto const add = [&](std::size_t remainder) {
+        std::string name = "x";
+        while (partition_of(endpoint_id(name)) % 2 != remainder) {
+            name += "x";
+        }
+        more.push_back(std::make_unique<testing::served_replica>(
+            world.loop, name, "m", 3));
+        world.list(*more.back(), "llm");
+        endpoint_id const id(name);
+        REQUIRE(world.loop.run_until([&] { return world.node->knows(id); }));
+    };
+    add(0);
+    add(1);
+    // The stand-in deals partitions out by turns, in the order of the names.
+    std::vector<std::string> topics;
+    for (int each = 0; each < 8; ++each) {
+        topics.push_back("holding" + std::to_string(each));
+    }
+    world.metadata.store().join(
+        "0.absent:1", topics, std::chrono::minutes(10), boot_clock::now());
+    for (int each = 0; each < 6; ++each) {
+        std::string const name = std::to_string(each);
+        auto const got = world.ask("/gen/a", "m/a" + name, "q" + name);
+        CHECK(got.response.status == 200);
+    }
+}
 
 } // namespace camphorpoint
