Linter's findings in the gateway; ends of requests in a file of their own

Cause: clang-tidy 14 reports the thread of a coroutine's frame as uninitialised when the body up to its first co_await has no object with a destructor; the coroutines now hold the state that they share with call-backs from their start, as those of the operators' interface do. Ranges' partition does not compile there: std::partition.

--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -106,12 +106,13 @@
     if (all.empty()) {
         return nullptr;
     }
-    auto const others = std::ranges::partition(all, [&](replica* each) {
-        return in_lane(*each, need) && !each->health.suspected(now) &&
-               crowding(*each, now) < lane_full;
-    });
-    if (others.begin() != all.begin()) {
-        all.erase(others.begin(), others.end());
+    auto const others =
+        std::partition(all.begin(), all.end(), [&](replica* each) {
+            return in_lane(*each, need) && !each->health.suspected(now) &&
+                   crowding(*each, now) < lane_full;
+        });
+    if (others != all.begin()) {
+        all.erase(others, all.end());
     }
     double failures = 0;
     for (replica const* const each : all) {
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -1,7 +1,5 @@
 #include "Gateway/gateway.hpp"
 
-#include "Gateway/request_flow.hpp"
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,8 +23,6 @@
 
 /// What is left of a stop's limit for closing and ending.
 constexpr milliseconds ending_time{400};
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
 
 http_limits first_limits() {
     http_limits limits;
@@ -158,29 +154,6 @@
     }
 }
 
-asio::awaitable<void> gateway::answer(http_exchange& exchange) {
-    request_flow flow(beliefs_, words_, exchange);
-    co_await flow.run();
-}
-
-asio::awaitable<void> gateway::answer_readiness(http_exchange& exchange) {
-    http_response answer;
-    answer.status = ready() ? status_ok : status_unavailable;
-    co_await exchange.respond(std::move(answer));
-}
-
-asio::awaitable<void> gateway::answer_metrics(http_exchange& exchange) {
-    beliefs_.metrics.set("requests", beliefs_.live_requests);
-    beliefs_.metrics.set("waiting_for_loads", beliefs_.waiters.size());
-    beliefs_.metrics.set("partitions", beliefs_.leases.held().size());
-    beliefs_.metrics.set("nodes", beliefs_.nodes());
-    beliefs_.metrics.set("store_calls", store_.calls());
-    http_response answer;
-    answer.fields.add("Content-Type", "text/plain");
-    answer.body = beliefs_.metrics.text();
-    co_await exchange.respond(std::move(answer));
-}
-
 asio::awaitable<void> gateway::tick() {
     while (running_) {
         beliefs_.log.flush(boot_clock::now());
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -13,7 +13,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <memory>
 
 namespace camphorpoint {
 
@@ -50,6 +53,7 @@
     boost::asio::awaitable<void> answer(http_exchange& exchange);
     boost::asio::awaitable<void> answer_readiness(http_exchange& exchange);
     boost::asio::awaitable<void> answer_metrics(http_exchange& exchange);
+    http_response metrics_answer();
     boost::asio::awaitable<void> drain_all(std::function<void()> stopped);
     boost::asio::awaitable<void> tick();
     void add_services();
@@ -70,6 +74,8 @@
     port_service callers_service_;
     service_registry services_;
     kernel kernel_;
+    // Shared with the coroutines that answer, which may outlive this object.
+    std::shared_ptr<std::size_t> answering_ = std::make_shared<std::size_t>(0);
     std::uint64_t limits_version_ = 0;
     bool told_ready_ = false;
     bool running_ = true;
--- /dev/null
+++ b/src/Gateway/gateway_answers.cpp
@@ -0,0 +1,67 @@
+#include "Gateway/gateway.hpp"
+#include "Gateway/request_flow.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+/// Counts an exchange for as long as it is answered.
+class answering_guard {
+public:
+    explicit answering_guard(std::shared_ptr<std::size_t> count)
+        : count_(std::move(count)) {
+        ++*count_;
+    }
+    ~answering_guard() { --*count_; }
+    answering_guard(answering_guard const&) = delete;
+    answering_guard& operator=(answering_guard const&) = delete;
+
+private:
+    std::shared_ptr<std::size_t> count_;
+};
+
+} // namespace
+
+asio::awaitable<void> gateway::answer(http_exchange& exchange) {
+    answering_guard const counted(answering_);
+    request_flow flow(beliefs_, words_, exchange);
+    co_await flow.run();
+}
+
+asio::awaitable<void> gateway::answer_readiness(http_exchange& exchange) {
+    answering_guard const counted(answering_);
+    http_response answer;
+    answer.status = ready() ? status_ok : status_unavailable;
+    co_await exchange.respond(std::move(answer));
+}
+
+http_response gateway::metrics_answer() {
+    beliefs_.metrics.set("requests", beliefs_.live_requests);
+    beliefs_.metrics.set(
+        "waiting_for_loads", static_cast<double>(beliefs_.waiters.size()));
+    beliefs_.metrics.set(
+        "partitions", static_cast<double>(beliefs_.leases.held().size()));
+    beliefs_.metrics.set("nodes", beliefs_.nodes());
+    beliefs_.metrics.set("store_calls", static_cast<double>(store_.calls()));
+    http_response answer;
+    answer.fields.add("Content-Type", "text/plain");
+    answer.body = beliefs_.metrics.text();
+    return answer;
+}
+
+asio::awaitable<void> gateway::answer_metrics(http_exchange& exchange) {
+    answering_guard const counted(answering_);
+    http_response answer = metrics_answer();
+    co_await exchange.respond(std::move(answer));
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -14,10 +14,7 @@
 namespace {
 
 constexpr int status_not_found = 404;
-constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-constexpr int status_ok = 200;
 
 /// A replica below this load takes a request at once: it still has room in its
 /// batch when the other nodes think the same.
@@ -67,13 +64,6 @@
 
 } // namespace
 
-struct request_flow::leaving {
-    bool gone = false;
-    std::shared_ptr<http_call> call;
-    waiter_list* waiters = nullptr;
-    adapter_id adapter;
-};
-
 request_flow::request_flow(
     gateway_beliefs& beliefs, peer_words& words, http_exchange& exchange)
     : beliefs_(&beliefs)
@@ -122,6 +112,7 @@
 }
 
 asio::awaitable<void> request_flow::run() {
+    auto const caller = leaving_;
     if (!beliefs_->configured) {
         status_ = status_unavailable;
         co_await finish("no-configuration");
@@ -134,7 +125,7 @@
     }
     leaving_->waiters = &beliefs_->waiters;
     leaving_->adapter = need_.adapter;
-    exchange_->on_caller_gone([state = leaving_] {
+    exchange_->on_caller_gone([state = caller] {
         state->gone = true;
         if (state->call) {
             state->call->cancel();
@@ -147,7 +138,8 @@
 }
 
 asio::awaitable<void> request_flow::answer_all() {
-    while (!leaving_->gone) {
+    auto const caller = leaving_;
+    while (!caller->gone) {
         replica* const at = co_await find_replica();
         if (at == nullptr) {
             co_await finish(reason_);
@@ -278,12 +270,13 @@
 }
 
 asio::awaitable<replica*> request_flow::find_replica() {
+    auto const caller = leaving_;
     instant const began = boot_clock::now();
     instant const give_up = std::min(
         deadline_ - least_run,
         began + load_wait_objectives * route_->objective);
     bool waited = false;
-    while (!leaving_->gone) {
+    while (!caller->gone) {
         instant const now = boot_clock::now();
         if (now >= deadline_ - least_run) {
             reason_ = "too-late";
@@ -395,6 +388,7 @@
 
 asio::awaitable<request_flow::attempt_end>
 request_flow::read_answer(endpoint_id at, std::shared_ptr<http_call> call) {
+    auto const caller = leaving_;
     int const status = call->status();
     answer_kind const kind = platform::judge_answer(status, call->fields());
     if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
@@ -405,7 +399,7 @@
         }
         // Read to its end, so that the connection can be kept.
         while (auto const piece = co_await call->next_piece()) {
-            if (piece->empty()) {
+            if (piece->empty() || caller->gone) {
                 break;
             }
         }
@@ -424,6 +418,7 @@
 }
 
 asio::awaitable<bool> request_flow::forward(std::string_view piece) {
+    auto const caller = leaving_;
     if (piece.empty()) {
         co_return true;
     }
@@ -435,12 +430,13 @@
     }
     last_sent_ = now;
     bool const passed = co_await exchange_->write_piece(piece);
-    leaving_->gone = leaving_->gone || !passed;
+    caller->gone = caller->gone || !passed;
     co_return passed;
 }
 
 asio::awaitable<request_flow::attempt_end>
 request_flow::pass_stream(std::shared_ptr<http_call> call) {
+    auto const caller = leaving_;
     bool const resumable = route_->resumable;
     while (true) {
         auto const left = std::chrono::duration_cast<milliseconds>(
@@ -449,7 +445,7 @@
             resumable ? std::min(left, stream_silence) : left;
         auto const piece =
             co_await call->next_piece(std::max(wait, milliseconds(1)));
-        if (leaving_->gone) {
+        if (caller->gone) {
             co_return attempt_end::finished;
         }
         if (!piece) {
@@ -500,6 +496,7 @@
 
 asio::awaitable<request_flow::attempt_end>
 request_flow::pass_whole(std::shared_ptr<http_call> call, int status) {
+    auto const caller = leaving_;
     http_response answer;
     answer.status = status;
     answer.fields = platform::pass_fields(call->fields());
@@ -522,6 +519,7 @@
     status_ = status;
     beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
     ended_ = co_await exchange_->respond(std::move(answer));
+    caller->gone = caller->gone || !ended_;
     co_return attempt_end::finished;
 }
 
@@ -558,83 +556,4 @@
     return true;
 }
 
-void request_flow::note_evidence(endpoint_id const& at, attempt_end end) {
-    replica* const target = beliefs_->replicas.find(at);
-    if (target == nullptr || leaving_->gone) {
-        return;
-    }
-    instant const now = boot_clock::now();
-    health_evidence evidence = health_evidence::answered;
-    if (end == attempt_end::silent || end == attempt_end::unreached) {
-        evidence = health_evidence::silent;
-    } else if (end == attempt_end::failed || end == attempt_end::late) {
-        evidence = health_evidence::failed;
-    }
-    if (target->health.note(evidence, now)) {
-        duration const rest = target->health.suspected_until() - now;
-        beliefs_->note(
-            log_line(event_code::replica_suspected, log_level::warning)
-                .with("replica", at.str())
-                .with("rest_ms", rest));
-        words_->suspect(*target, rest);
-    }
-}
-
-void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
-    constexpr std::string_view names[] = {"finished", "refused", "unreached",
-                                          "failed",   "silent",  "late"};
-    beliefs_->note(log_line(event_code::attempt_ended)
-                       .with("id", demand_.id.str())
-                       .with("replica", at.str())
-                       .with("end", names[static_cast<std::size_t>(end)])
-                       .with("may_run", static_cast<int>(ledger_.may_run()))
-                       .with("events", relay_.last()));
-}
-
-milliseconds request_flow::come_back() const {
-    // Long enough for a load, short enough that one more try fits.
-    constexpr milliseconds base{400};
-    return base;
-}
-
-asio::awaitable<void> request_flow::finish(std::string_view why) {
-    std::string const reason(why);
-    if (!ended_ && !leaving_->gone && !begun_) {
-        std::optional<milliseconds> retry;
-        http_response answer;
-        if (status_ == status_not_found) {
-            answer = platform::own_answer(
-                status_, exchange_->request(), std::nullopt);
-        } else if (failure_) {
-            answer = std::move(*failure_);
-        } else if (!ledger_.may_run()) {
-            retry = come_back();
-            answer = platform::own_answer(
-                status_unavailable, exchange_->request(), retry);
-        } else {
-            bool const late = boot_clock::now() >= deadline_;
-            answer = platform::own_answer(
-                late ? status_gateway_timeout : status_bad_gateway,
-                exchange_->request(), std::nullopt);
-        }
-        status_ = answer.status;
-        ended_ = co_await exchange_->respond(std::move(answer));
-    }
-    beliefs_->metrics.count_end(
-        leaving_->gone ? "caller-gone" : std::string_view(reason));
-    duration const first =
-        first_sent_ == instant{} ? duration::zero() : first_sent_ - arrived_;
-    beliefs_->note(log_line(event_code::request_ended)
-                       .with("id", demand_.id.str())
-                       .with("first_ms", first)
-                       .with("pause_ms", longest_pause_)
-                       .with("route", route_ ? route_->name : "")
-                       .with("reason", reason)
-                       .with("status", status_)
-                       .with("whole", static_cast<int>(ended_))
-                       .with("may_run", static_cast<int>(ledger_.may_run()))
-                       .with("sends", ledger_.sends())
-                       .with("took_ms", boot_clock::now() - arrived_));
-}
-
 } // namespace camphorpoint
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -67,6 +67,8 @@
     boost::asio::awaitable<attempt_end>
     pass_whole(std::shared_ptr<http_call> call, int status);
     boost::asio::awaitable<bool> forward(std::string_view piece);
+    http_response final_answer();
+    void note_end(std::string_view reason);
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_go_on(attempt_end end);
     bool resumes() const noexcept { return begun_; }
@@ -103,7 +105,12 @@
     int status_ = 0;
     /// Shared with the call-back that the caller's leaving triggers, which may
     /// outlive the flow.
-    struct leaving;
+    struct leaving {
+        bool gone = false;
+        std::shared_ptr<http_call> call;
+        waiter_list* waiters = nullptr;
+        adapter_id adapter;
+    };
     std::shared_ptr<leaving> leaving_;
 };
 
--- /dev/null
+++ b/src/Gateway/request_flow_ending.cpp
@@ -0,0 +1,104 @@
+#include "Gateway/request_flow.hpp"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int status_not_found = 404;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+} // namespace
+
+void request_flow::note_evidence(endpoint_id const& at, attempt_end end) {
+    replica* const target = beliefs_->replicas.find(at);
+    if (target == nullptr || leaving_->gone) {
+        return;
+    }
+    instant const now = boot_clock::now();
+    health_evidence evidence = health_evidence::answered;
+    if (end == attempt_end::silent || end == attempt_end::unreached) {
+        evidence = health_evidence::silent;
+    } else if (end == attempt_end::failed || end == attempt_end::late) {
+        evidence = health_evidence::failed;
+    }
+    if (target->health.note(evidence, now)) {
+        duration const rest = target->health.suspected_until() - now;
+        beliefs_->note(
+            log_line(event_code::replica_suspected, log_level::warning)
+                .with("replica", at.str())
+                .with("rest_ms", rest));
+        words_->suspect(*target, rest);
+    }
+}
+
+void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
+    constexpr std::string_view names[] = {"finished", "refused", "unreached",
+                                          "failed",   "silent",  "late"};
+    beliefs_->note(log_line(event_code::attempt_ended)
+                       .with("id", demand_.id.str())
+                       .with("replica", at.str())
+                       .with("end", names[static_cast<std::size_t>(end)])
+                       .with("may_run", static_cast<int>(ledger_.may_run()))
+                       .with("events", relay_.last()));
+}
+
+milliseconds request_flow::come_back() const {
+    // Long enough for a load, short enough that one more try fits.
+    constexpr milliseconds one_load{400};
+    return one_load;
+}
+
+http_response request_flow::final_answer() {
+    http_request const& request = exchange_->request();
+    if (status_ == status_not_found) {
+        return platform::own_answer(status_, request, std::nullopt);
+    }
+    if (failure_) {
+        return std::move(*failure_);
+    }
+    if (!ledger_.may_run()) {
+        return platform::own_answer(status_unavailable, request, come_back());
+    }
+    bool const late = boot_clock::now() >= deadline_;
+    int const status = late ? status_gateway_timeout : status_bad_gateway;
+    return platform::own_answer(status, request, std::nullopt);
+}
+
+void request_flow::note_end(std::string_view reason) {
+    beliefs_->metrics.count_end(leaving_->gone ? "caller-gone" : reason);
+    duration const first =
+        first_sent_ == instant{} ? duration::zero() : first_sent_ - arrived_;
+    beliefs_->note(log_line(event_code::request_ended)
+                       .with("id", demand_.id.str())
+                       .with("first_ms", first)
+                       .with("pause_ms", longest_pause_)
+                       .with("route", route_ ? route_->name : "")
+                       .with("reason", reason)
+                       .with("status", status_)
+                       .with("whole", static_cast<int>(ended_))
+                       .with("may_run", static_cast<int>(ledger_.may_run()))
+                       .with("sends", ledger_.sends())
+                       .with("took_ms", boot_clock::now() - arrived_));
+}
+
+asio::awaitable<void> request_flow::finish(std::string_view why) {
+    auto const caller = leaving_;
+    std::string const reason(why);
+    if (!ended_ && !caller->gone && !begun_) {
+        http_response answer = final_answer();
+        status_ = answer.status;
+        ended_ = co_await exchange_->respond(std::move(answer));
+    }
+    note_end(reason);
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -105,37 +105,40 @@
     , store_(&store) {}
 
 void slot_orderer::start() {
-    running_ = true;
+    *running_ = true;
     asio::co_spawn(
         beliefs_->io, [this] { return renew(); }, asio::detached);
 }
 
 void slot_orderer::stop() {
-    if (!running_) {
+    if (!*running_) {
         return;
     }
-    running_ = false;
+    *running_ = false;
     beliefs_->leases.clear();
     look_again();
     asio::co_spawn(
-        beliefs_->io,
-        [this]() -> asio::awaitable<void> {
-            std::string member = beliefs_->own_name;
-            auto const left = co_await store_->leave(group_name, member);
-            if (!left) {
-                // The lease lapses by itself; others wait for it.
-                beliefs_->note(log_line(event_code::partition_lost)
-                                   .with("why", to_string(left.error())));
-            }
-        },
-        asio::detached);
+        beliefs_->io, [this] { return leave(); }, asio::detached);
+}
+
+asio::awaitable<void> slot_orderer::leave() {
+    auto const alive = running_;
+    std::string member = beliefs_->own_name;
+    std::string group = group_name;
+    auto const left =
+        co_await store_->leave(std::move(group), std::move(member));
+    if (!left) {
+        // The lease lapses by itself; others wait for it.
+        beliefs_->note(log_line(event_code::partition_lost)
+                           .with("why", to_string(left.error())));
+    }
 }
 
 void slot_orderer::look_again() {
     for (auto const& [id, held] : held_) {
         held->wake.cancel();
     }
-    if (running_) {
+    if (*running_) {
         spawn_workers();
     }
 }
@@ -170,7 +173,8 @@
 }
 
 asio::awaitable<void> slot_orderer::renew() {
-    while (running_) {
+    auto const alive = running_;
+    while (*alive) {
         co_await renew_once();
         for (std::size_t const each : beliefs_->leases.without_token()) {
             bool const used = std::ranges::any_of(
@@ -178,7 +182,7 @@
                     return partition_of(other.first) == each &&
                            limits_of(other.second);
                 });
-            if (used && running_) {
+            if (used && *running_) {
                 co_await claim(each);
             }
         }
@@ -190,6 +194,7 @@
 }
 
 asio::awaitable<void> slot_orderer::renew_once() {
+    auto const alive = running_;
     std::vector<std::string> topics;
     for (std::size_t each = 0; each < topic_count; ++each) {
         topics.push_back(topic_name(each));
@@ -204,7 +209,7 @@
         std::move(group), std::move(member), std::move(topics),
         beliefs_->settings.leases.lease, leases.generation());
     instant const now = boot_clock::now();
-    if (!running_) {
+    if (!*running_) {
         co_return;
     }
     if (!grant) {
@@ -244,6 +249,7 @@
 }
 
 asio::awaitable<void> slot_orderer::read_owners() {
+    auto const alive = running_;
     std::string group = group_name;
     auto const owners = co_await store_->owners(std::move(group));
     owners_read_ = boot_clock::now();
@@ -259,6 +265,7 @@
 }
 
 asio::awaitable<void> slot_orderer::claim(std::size_t partition) {
+    auto const alive = running_;
     // The place of a record in the log is had by one node only, and a later
     // holder's is higher: it is the fencing number.
     std::string topic = topic_name(partition / parts_of_topic);
@@ -281,7 +288,7 @@
     if (held == held_.end()) {
         // Another may order for it by now. A node that is stopping can't give
         // its replicas to another while the store is down.
-        return running_;
+        return *running_;
     }
     adapter_ref const adapter{adapter_id(asked.adapter), asked.version};
     slot_account& account = held->second->account;
@@ -329,7 +336,7 @@
 }
 
 asio::awaitable<void> slot_orderer::work(endpoint_id id, held_ptr held) {
-    while (running_ && !held->ended) {
+    while (*running_ && !held->ended) {
         co_await work_once(id, held);
     }
     held_.erase(id);
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -54,6 +54,7 @@
     using held_ptr = std::shared_ptr<held_replica>;
 
     boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<void> leave();
     boost::asio::awaitable<void> renew_once();
     boost::asio::awaitable<void> claim(std::size_t partition);
     boost::asio::awaitable<void> read_owners();
@@ -79,7 +80,8 @@
 
     std::uint64_t owners_generation_ = 0;
     instant owners_read_;
-    bool running_ = false;
+    // Shared with the coroutines, which end after it has turned false.
+    std::shared_ptr<bool> running_ = std::make_shared<bool>(false);
     std::vector<instant> model_loads_;
     load_pace pace_;
 };
