--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -35,9 +35,7 @@
     /// Prompts that this node and all others have sent there.
     prompt_backlog backlog_here;
     prompt_backlog backlog_elsewhere;
-    /// The mean time in which it answered, 0 before the first answer. Only
-    /// plain services have one: a stream's time is its length.
-    duration answer_time{0};
+
     /// When the list no longer had it.
     instant missing_since = instant::max();
     bool missing = false;
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -69,14 +69,7 @@
     double result = excess * failure_cost;
     result += in_lane(each, need) ? 0 : lane_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
-    if (!need.adapter.empty() || each.answer_time == duration::zero()) {
-        return result + crowding(each, now);
-    }
-    // The request's own share counts, so that idle replicas differ by their
-    // speed.
-    double const share = 1.0 / std::max(1U, each.record.slots);
-    std::chrono::duration<double> const time = each.answer_time;
-    return result + (each.load() + share) * time.count();
+    return result + crowding(each, now);
 }
 
 bool replica_choice::in_lane(
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -123,6 +123,11 @@
         co_await finish("no-route");
         co_return;
     }
+    beliefs_->note(log_line(event_code::request_routed)
+                       .with("id", demand_.id.str())
+                       .with("route", route_->name)
+                       .with("service", need_.service.str())
+                       .with("version", beliefs_->configuration.version));
     leaving_->waiters = &beliefs_->waiters;
     leaving_->adapter = need_.adapter;
     exchange_->on_caller_gone([state = caller] {
--- a/src/Gateway/waiter_list.cpp
+++ b/src/Gateway/waiter_list.cpp
@@ -29,12 +29,4 @@
     }
 }
 
-void waiter_list::notify_all() {
-    for (auto const& [adapter, timers] : waiting_) {
-        for (asio::steady_timer* const each : timers) {
-            each->cancel();
-        }
-    }
-}
-
 } // namespace camphorpoint
--- a/src/Gateway/waiter_list.hpp
+++ b/src/Gateway/waiter_list.hpp
@@ -22,8 +22,7 @@
     boost::asio::awaitable<void> wait(adapter_id adapter, instant until);
     /// Wakes all that wait for the adapter.
     void notify(adapter_id const& adapter);
-    /// Wakes all, as when what they wait for can't come any more.
-    void notify_all();
+
     /// @returns how many wait
     std::size_t size() const noexcept { return count_; }
 
