--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -298,7 +298,7 @@
         return slot_order{
             slot_order_kind::load_model, wanted_model_, {}, sequence_};
     }
-    if (auto const check = check_order(now)) {
+    if (auto check = check_order(now)) {
         return check;
     }
     auto const wanted_now = first_want(now);
