Whoever orders for a replica counts all its runs; requests ask before they choose

Cause: counts were told by everybody to everybody, every 1.4 s among 66 nodes; requests went by them to replicas that were full by then (24 and more at 16 slots, believed 9). Ruled out: too few copies (holders were enough), the replicas' speed (first events p50 45 ms where fewer than 16 ran). Change: run_ledger at the node that orders for a replica, told at each begin and end; a request asks for the replicas that it compares, 15 ms at most; totals and claims in one datagram to all. A holder's silence is measured by its telling pause: with 90 nodes it was taken for gone between two tellings.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -17,8 +17,8 @@
 constexpr duration return_time = std::chrono::milliseconds(2'300);
 /// A gone replica is remembered for as long as requests may still run there.
 constexpr duration memory_of_gone = std::chrono::seconds(60);
-/// A node that tells nothing for so long has stopped: its requests are over.
-constexpr duration telling_ends = std::chrono::seconds(3);
+/// Streams take one to three seconds: older word says nothing of what runs now.
+constexpr duration telling_ends = std::chrono::seconds(4);
 
 } // namespace
 
@@ -65,7 +65,6 @@
     }
     if (moved) {
         index();
-        recount(now);
     }
     if (fresh) {
         return record.leaving ? fleet_change::leaving : fleet_change::seen;
@@ -143,32 +142,26 @@
     }
 }
 
-void fleet::told_loads(
-    std::string const& node, std::unordered_map<std::uint64_t, told_load> loads,
-    instant now) {
-    told_[node] = {std::move(loads), now};
-    recount(now);
+void fleet::told_total(
+    std::uint64_t short_name, replica_total const& total, instant now) {
+    replica* const target = find_short(short_name);
+    if (target == nullptr) {
+        return;
+    }
+    target->running_elsewhere =
+        total.running - std::min(total.running, target->running_here);
+    double const here = target->backlog_here.tokens_left(now);
+    target->backlog_elsewhere.set(
+        std::max(0.0, total.backlog_tokens - here), now);
+    target->total_told = now;
 }
 
-void fleet::recount(instant now) {
+void fleet::forget_old_totals(instant now) {
     for (auto& [id, each] : all_) {
-        each.running_elsewhere = 0;
-        each.backlog_elsewhere = {};
-    }
-    for (auto it = told_.begin(); it != told_.end();) {
-        if (now >= it->second.when + telling_ends) {
-            it = told_.erase(it);
-            continue;
-        }
-        for (auto const& [name, load] : it->second.loads) {
-            auto const found = by_short_name_.find(name);
-            if (found != by_short_name_.end()) {
-                found->second->running_elsewhere += load.running;
-                found->second->backlog_elsewhere.add(
-                    load.backlog_tokens, it->second.when);
-            }
+        if (now >= each.total_told + telling_ends) {
+            each.running_elsewhere = 0;
+            each.backlog_elsewhere = {};
         }
-        ++it;
     }
 }
 
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -4,6 +4,7 @@
 #include "Fleet/prompt_backlog.hpp"
 #include "Fleet/replica_health.hpp"
 #include "Fleet/replica_record.hpp"
+#include "Fleet/run_ledger.hpp"
 
 #include <cstdint>
 #include <map>
@@ -30,8 +31,10 @@
     std::unordered_map<adapter_id, held_adapter> adapters;
     /// Requests of this node that are at the replica now.
     unsigned running_here = 0;
-    /// Requests of all other nodes there, as they told last.
+    /// Requests of all other nodes there, as the node that orders for it told
+    /// last, and when that was.
     unsigned running_elsewhere = 0;
+    instant total_told;
     /// Prompts that this node and all others have sent there.
     prompt_backlog backlog_here;
     prompt_backlog backlog_elsewhere;
@@ -61,12 +64,6 @@
     bool open() const noexcept { return !record.leaving && !missing; }
 };
 
-/// What one node tells of its requests at one replica.
-struct told_load {
-    unsigned running = 0;
-    unsigned backlog_tokens = 0;
-};
-
 /// A change in a node's belief about a replica, for the log.
 enum class fleet_change : std::uint8_t { none, seen, leaving, gone };
 
@@ -95,10 +92,13 @@
     /// Newer word: the adapter is about to go from there.
     void
     told_dropped(endpoint_id const& id, adapter_id const& adapter, instant now);
-    /// Another node's requests at each replica.
-    void told_loads(
-        std::string const& node,
-        std::unordered_map<std::uint64_t, told_load> loads, instant now);
+    /// What all nodes have at a replica, this one included, by the word of the
+    /// node that orders for it.
+    void told_total(
+        std::uint64_t short_name, replica_total const& total, instant now);
+    /// Takes nobody's requests for there where the last word is old: whoever
+    /// counted has stopped.
+    void forget_old_totals(instant now);
 
     /// A request was sent, with a prompt of so many tokens.
     void began(endpoint_id const& id, unsigned prompt_tokens, instant now);
@@ -118,19 +118,13 @@
     replica* find_short(std::uint64_t name);
 
 private:
-    struct told_counts {
-        std::unordered_map<std::uint64_t, told_load> loads;
-        instant when;
-    };
     void index();
-    void recount(instant now);
     static void
     take_adapters(replica& target, replica_record const& record, instant now);
 
     std::map<endpoint_id, replica> all_;
     std::unordered_map<service_id, std::vector<replica*>> by_service_;
     std::unordered_map<std::uint64_t, replica*> by_short_name_;
-    std::unordered_map<std::string, told_counts> told_;
 };
 
 } // namespace camphorpoint
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -94,11 +94,9 @@
     return found;
 }
 
-replica* replica_choice::best(replica_need const& need, instant now) const {
+std::vector<replica*>
+replica_choice::compared(replica_need const& need, instant now) const {
     auto all = candidates(need, now);
-    if (all.empty()) {
-        return nullptr;
-    }
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
             return in_lane(*each, need) && !each->health.suspected(now) &&
@@ -107,34 +105,36 @@
     if (others != all.begin()) {
         all.erase(others, all.end());
     }
-    double failures = 0;
-    for (replica const* const each : all) {
-        failures += each->health.failure_share(now);
-    }
-    double const mean = failures / static_cast<double>(all.size());
     // Word from other nodes is older than the time between two requests. All
     // that pick the least loaded one by the same old word would pick the same
-    // one; the better of two drawn at random spreads as well as fresh word.
+    // one; the better of some drawn at random spreads as well as fresh word.
     // Reference: M. Mitzenmacher, "How useful is old information?", IEEE
     // Transactions on Parallel and Distributed Systems 11(1), 2000.
-    std::size_t const first = need.draw % all.size();
-    replica* chosen = all[first];
-    double least = cost(*chosen, need, mean, now);
     std::size_t const looks =
         need.adapter.empty() ? all.size() : std::min(all.size(), most_looks);
-    std::uint64_t rest = need.draw / all.size();
-    std::size_t place = first;
-    for (std::size_t look = 1; look < looks; ++look) {
+    std::uint64_t rest = need.draw;
+    for (std::size_t look = 0; look < looks; ++look) {
         std::size_t const left = all.size() - look;
-        place = (place + 1 + rest % left) % all.size();
+        std::swap(all[look], all[look + rest % left]);
         rest /= left;
-        double const price = cost(*all[place], need, mean, now);
-        if (price < least) {
-            least = price;
-            chosen = all[place];
-        }
     }
-    return chosen;
+    all.resize(looks);
+    return all;
+}
+
+replica* replica_choice::best(replica_need const& need, instant now) const {
+    auto const all = compared(need, now);
+    if (all.empty()) {
+        return nullptr;
+    }
+    double failures = 0;
+    for (replica const* const each : all) {
+        failures += each->health.failure_share(now);
+    }
+    double const mean = failures / static_cast<double>(all.size());
+    return *std::ranges::min_element(all, {}, [&](replica const* each) {
+        return cost(*each, need, mean, now);
+    });
 }
 
 replica*
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -44,6 +44,9 @@
     ///          less loaded of two that hold it, for a plain service the one
     ///          that should answer first; null when none can
     replica* best(replica_need const& need, instant now) const;
+    /// @returns the replicas that `best` compares: word of their loads should
+    ///          be fresh
+    std::vector<replica*> compared(replica_need const& need, instant now) const;
     /// @returns the replica that should be made to hold the adapter next: the
     ///          first in the adapter's own order that has room; null when all
     ///          that are open hold it already
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -31,10 +31,12 @@
     std::uint64_t replica = 0;
     std::string adapter;
     std::uint32_t running = 0;
+    /// Of prompts that it has sent there since its last word.
+    std::uint32_t prompt_tokens = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter, running);
+        archive(replica, adapter, running, prompt_tokens);
     }
 };
 
@@ -86,7 +88,19 @@
     }
 };
 
-/// The sender's requests at a replica.
+/// The sender has a request for an adapter that a replica may run, and asks
+/// whoever orders for it how full it is.
+struct peer_ask {
+    std::uint64_t replica = 0;
+    std::string adapter;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, adapter);
+    }
+};
+
+/// All nodes' requests at a replica that the sender orders for.
 struct peer_load {
     std::uint64_t replica = 0;
     std::uint16_t running = 0;
@@ -105,9 +119,12 @@
     std::uint32_t format = current_format;
     /// The sender's peer address, by which its group knows it.
     std::string from;
-    /// Set when `loads` are all that the sender has.
-    bool counts = false;
+    /// Set when it says no more than that the sender is there.
+    bool present = false;
     std::vector<peer_load> loads;
+    std::vector<peer_ask> asks;
+    /// Set when `loads` answer these `asks`.
+    bool answers = false;
     std::vector<peer_want> wants;
     std::vector<peer_use> uses;
     std::vector<peer_word> words;
@@ -115,17 +132,17 @@
     std::vector<peer_suspicion> suspicions;
     std::vector<peer_denial> denials;
 
-    static constexpr std::uint32_t current_format = 1;
+    static constexpr std::uint32_t current_format = 2;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            format, from, counts, loads, wants, uses, words, claims, suspicions,
+            format, from, present, loads, asks, answers, wants, uses, words, claims, suspicions,
             denials);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
-        return !counts && wants.empty() && uses.empty() && words.empty() &&
+        return !present && loads.empty() && asks.empty() && wants.empty() && uses.empty() && words.empty() &&
                claims.empty() && suspicions.empty() && denials.empty();
     }
 };
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -17,19 +17,25 @@
 
 namespace {
 
-/// How often counts are told. A replica takes in some requests in that time;
-/// more often costs each node a datagram to each other one.
+/// How often the counts of replicas are told to all. A replica takes in some
+/// requests in that time; more often costs each node a datagram to each other
+/// one.
 constexpr milliseconds telling_pause{100};
 /// With more nodes than this each tells less often, so that what one node
 /// receives in a second stays about the same.
 constexpr unsigned nodes_at_full_pace = 10;
+/// Running requests are told again so often, as a datagram may be lost.
+constexpr unsigned ticks_to_repeat = 2;
+/// Word of a replica's load is fresh for this long: with all nodes together it
+/// takes in one or two requests meanwhile.
+constexpr duration fresh_word = std::chrono::milliseconds(40);
 /// Streams take one to three seconds, so a replica whose adapters are all in
 /// use has room again within some hundred milliseconds.
 constexpr duration no_room_time = std::chrono::milliseconds(400);
 /// A node tells its claims with its counts, a few times in this.
 constexpr duration owner_silent = std::chrono::seconds(3);
-/// Counts come every 100 ms, from many nodes every 700 ms: a holder that is
-/// silent for twice that is not there.
+/// A node tells its counts every 100 ms, one of 90 every second: a holder that
+/// is silent for longer, and for two such pauses, is not there.
 constexpr duration holder_silent = std::chrono::milliseconds(1'500);
 /// A node that was not heard for so long is no longer counted as one.
 constexpr duration peer_lasts = std::chrono::seconds(20);
@@ -37,16 +43,13 @@
 /// the longest datagram.
 constexpr std::size_t most_entries = 24;
 
-/// Counts of one datagram, twelve bytes each.
-constexpr std::size_t most_counts = 80;
+/// Counts of one datagram, twelve bytes each, and claims of as many.
+constexpr std::size_t most_counts = 40;
+constexpr std::size_t most_claims = 40;
 
-peer_load load_of(replica const& each, double backlog) {
-    constexpr double most = std::numeric_limits<std::uint16_t>::max();
-    peer_load load;
-    load.replica = fleet::short_name(each.record.id);
-    load.running = static_cast<std::uint16_t>(each.running_here);
-    load.backlog_tokens = static_cast<std::uint16_t>(std::min(backlog, most));
-    return load;
+/// How many pauses lie between two tellings of a node.
+unsigned pauses_between(unsigned nodes) {
+    return 1 + nodes / nodes_at_full_pace;
 }
 
 template <class Entry>
@@ -145,8 +148,10 @@
     // there.
     instant const now = boot_clock::now();
     auto const heard = beliefs_->peers.find(owner->second);
+    duration const two_tellings =
+        2 * telling_pause * pauses_between(beliefs_->nodes());
     if (heard != beliefs_->peers.end() &&
-        now >= heard->second + holder_silent) {
+        now >= heard->second + std::max(holder_silent, two_tellings)) {
         take_denial({asked.replica, asked.adapter}, now);
         return;
     }
@@ -181,37 +186,62 @@
     send_all(message);
 }
 
-void peer_words::use(endpoint_id const& at, adapter_id const& adapter) {
-    use_count& count = uses_[{at, adapter}];
+void peer_words::use(
+    endpoint_id const& at, adapter_id const& adapter, unsigned prompt_tokens) {
+    use_key const key{at, adapter};
+    use_count& count = uses_[key];
     ++count.running;
-    count.used = true;
+    count.prompt_tokens += prompt_tokens;
+    send_use(key, count);
 }
 
 void peer_words::release(endpoint_id const& at, adapter_id const& adapter) {
-    auto const found = uses_.find({at, adapter});
-    if (found != uses_.end() && found->second.running > 0) {
-        --found->second.running;
-        found->second.used = true;
+    use_key const key{at, adapter};
+    auto const found = uses_.find(key);
+    if (found == uses_.end()) {
+        return;
+    }
+    --found->second.running;
+    send_use(key, found->second);
+    if (found->second.running == 0) {
+        uses_.erase(found);
     }
 }
 
-void peer_words::send_uses() {
+void peer_words::send_use(use_key const& key, use_count& count) {
+    auto const owner = owners_.find(partition_of(key.replica));
+    if (owner == owners_.end()) {
+        return;
+    }
+    peer_use told{
+        fleet::short_name(key.replica), key.adapter.str(), count.running,
+        count.prompt_tokens};
+    count.prompt_tokens = 0;
+    if (owner->second == beliefs_->own_name) {
+        take_use(told, beliefs_->own_name, boot_clock::now());
+        return;
+    }
+    peer_datagram message;
+    message.uses.push_back(std::move(told));
+    send(owner->second, std::move(message));
+}
+
+void peer_words::repeat_uses() {
     std::map<std::string, std::vector<peer_use>> to;
-    for (auto it = uses_.begin(); it != uses_.end();) {
-        auto& [key, count] = *it;
+    instant const now = boot_clock::now();
+    for (auto const& [key, count] : uses_) {
         auto const owner = owners_.find(partition_of(key.replica));
-        if (count.used && owner != owners_.end()) {
-            peer_use const told{
-                fleet::short_name(key.replica), key.adapter.str(),
-                count.running};
-            if (owner->second == beliefs_->own_name) {
-                to_.use(told);
-            } else {
-                to[owner->second].push_back(told);
-            }
+        if (owner == owners_.end()) {
+            continue;
+        }
+        peer_use told{
+            fleet::short_name(key.replica), key.adapter.str(), count.running,
+            0};
+        if (owner->second == beliefs_->own_name) {
+            take_use(told, beliefs_->own_name, now);
+        } else {
+            to[owner->second].push_back(std::move(told));
         }
-        count.used = count.running > 0;
-        it = count.used ? std::next(it) : uses_.erase(it);
     }
     for (auto& [peer, all] : to) {
         while (!all.empty()) {
@@ -222,47 +252,112 @@
     }
 }
 
+bool peer_words::orders_for(endpoint_id const& at) const {
+    auto const owner = owners_.find(partition_of(at));
+    return owner != owners_.end() && owner->second == beliefs_->own_name;
+}
+
+std::optional<peer_load>
+peer_words::total_of(std::uint64_t replica, instant now) const {
+    constexpr double most = std::numeric_limits<std::uint16_t>::max();
+    camphorpoint::replica const* const at =
+        beliefs_->replicas.find_short(replica);
+    if (at == nullptr || !orders_for(at->record.id)) {
+        return std::nullopt;
+    }
+    replica_total const total = ledger_.total(replica, now);
+    peer_load load;
+    load.replica = replica;
+    load.running = static_cast<std::uint16_t>(total.running);
+    load.backlog_tokens =
+        static_cast<std::uint16_t>(std::min(total.backlog_tokens, most));
+    return load;
+}
+
+void peer_words::take_use(
+    peer_use const& use, std::string const& from, instant now) {
+    ledger_.told(
+        from, use.replica, adapter_id(use.adapter), use.running,
+        use.prompt_tokens, now);
+    beliefs_->replicas.told_total(
+        use.replica, ledger_.total(use.replica, now), now);
+    to_.use(use);
+}
+
+std::vector<endpoint_id> peer_words::ask_loads(
+    std::vector<replica*> const& of, adapter_id const& adapter, instant now) {
+    std::vector<endpoint_id> asked;
+    for (replica const* const each : of) {
+        auto const owner = owners_.find(partition_of(each->record.id));
+        bool const known = owner != owners_.end() &&
+                           owner->second != beliefs_->own_name;
+        if (known && now >= each->total_told + fresh_word) {
+            peer_datagram message;
+            message.asks.push_back(
+                {fleet::short_name(each->record.id), adapter.str()});
+            send(owner->second, std::move(message));
+            asked.push_back(each->record.id);
+        }
+    }
+    return asked;
+}
+
+void peer_words::take_ask(
+    peer_ask const& ask, std::string const& from, instant now) {
+    auto const total = total_of(ask.replica, now);
+    if (!total) {
+        return;
+    }
+    peer_datagram message;
+    message.loads.push_back(*total);
+    // Echoed: it names who waits for the answer.
+    message.asks.push_back(ask);
+    message.answers = true;
+    send(from, std::move(message));
+}
+
 void peer_words::forget_peers(instant now) {
     std::erase_if(beliefs_->peers, [&](auto const& each) {
         return now >= each.second + peer_lasts;
     });
 }
 
-void peer_words::tell_loads(instant now) {
+void peer_words::tell_totals(instant now) {
     peer_datagram message;
-    message.counts = true;
+    message.present = true;
     for (auto const& [id, each] : beliefs_->replicas.all()) {
-        double const backlog = each.backlog_here.tokens_left(now);
-        bool const room = message.loads.size() < most_counts;
-        if ((each.running_here > 0 || backlog > 0) && room) {
-            message.loads.push_back(load_of(each, backlog));
+        if (!each.open() || message.loads.size() >= most_counts) {
+            continue;
+        }
+        if (auto const total = total_of(fleet::short_name(id), now)) {
+            message.loads.push_back(*total);
         }
     }
-    send_all(message);
-    peer_datagram held;
     for (std::size_t const each : beliefs_->leases.held()) {
         auto const token = beliefs_->leases.token(each, now);
-        if (token && held.claims.size() < most_counts) {
-            held.claims.push_back({static_cast<std::uint32_t>(each), *token});
+        if (token && message.claims.size() < most_claims) {
+            message.claims.push_back(
+                {static_cast<std::uint32_t>(each), *token});
         }
     }
-    send_all(held);
+    send_all(message);
 }
 
 asio::awaitable<void> peer_words::tell_counts() {
     unsigned tick = 0;
     while (running_) {
         instant const now = boot_clock::now();
-        unsigned const groups = 1 + beliefs_->nodes() / nodes_at_full_pace;
-        if (tick % groups == 0) {
-            tell_loads(now);
+        if (tick % pauses_between(beliefs_->nodes()) == 0) {
+            tell_totals(now);
+        }
+        if (tick % ticks_to_repeat == 0) {
+            repeat_uses();
+            ledger_.forget_silent(now);
+            beliefs_->replicas.forget_old_totals(now);
         }
         ++tick;
-        send_uses();
-
         forget_peers(now);
-        asio::steady_timer timer(
-            beliefs_->io, groups > 1 ? 2 * telling_pause : telling_pause);
+        asio::steady_timer timer(beliefs_->io, telling_pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
@@ -298,12 +393,17 @@
 void peer_words::take(peer_datagram const& message) {
     instant const now = boot_clock::now();
     beliefs_->peers[message.from] = now;
-    if (message.counts) {
-        std::unordered_map<std::uint64_t, told_load> loads;
-        for (peer_load const& each : message.loads) {
-            loads[each.replica] = {each.running, each.backlog_tokens};
+    for (peer_load const& each : message.loads) {
+        replica_total const total{
+            each.running, static_cast<double>(each.backlog_tokens)};
+        beliefs_->replicas.told_total(each.replica, total, now);
+    }
+    for (peer_ask const& each : message.asks) {
+        if (message.answers) {
+            beliefs_->waiters.notify(adapter_id(each.adapter));
+        } else {
+            take_ask(each, message.from, now);
         }
-        beliefs_->replicas.told_loads(message.from, std::move(loads), now);
     }
     for (peer_claim const& each : message.claims) {
         owners_[each.partition] = message.from;
@@ -335,7 +435,7 @@
         take_denial(each, now);
     }
     for (peer_use const& each : message.uses) {
-        to_.use(each);
+        take_use(each, message.from, now);
     }
 }
 
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,9 +45,20 @@
     void claim(std::size_t partition, std::uint64_t token);
     /// Tells all nodes that a replica is silent.
     void suspect(replica const& at, duration rest);
-    /// Notes that a request uses an adapter, until `release`.
-    void use(endpoint_id const& at, adapter_id const& adapter);
+    /// Notes that a request uses an adapter, until `release`, and tells whoever
+    /// orders for the replica.
+    /// @param prompt_tokens that the replica has to read for it
+    void
+    use(endpoint_id const& at, adapter_id const& adapter,
+        unsigned prompt_tokens);
     void release(endpoint_id const& at, adapter_id const& adapter);
+    /// Asks whoever orders for these replicas how full they are, where the
+    /// last word of it is not fresh. Whoever waits for the adapter is woken by
+    /// the answers.
+    /// @returns those that were asked for
+    std::vector<endpoint_id> ask_loads(
+        std::vector<replica*> const& of, adapter_id const& adapter,
+        instant now);
     /// @returns true when nobody is known who orders for a replica, or that
     ///          node has not been heard for a while
     bool lacks_owner(instant now) const;
@@ -56,7 +68,8 @@
 private:
     struct use_count {
         unsigned running = 0;
-        bool used = true;
+        /// Not yet told.
+        unsigned prompt_tokens = 0;
     };
     struct use_key {
         endpoint_id replica;
@@ -69,8 +82,13 @@
     void take(peer_datagram const& message);
     void send(std::string const& peer, peer_datagram message);
     void send_all(peer_datagram const& message);
-    void send_uses();
-    void tell_loads(instant now);
+    void send_use(use_key const& key, use_count& count);
+    void repeat_uses();
+    void take_use(peer_use const& use, std::string const& from, instant now);
+    void take_ask(peer_ask const& ask, std::string const& from, instant now);
+    std::optional<peer_load> total_of(std::uint64_t replica, instant now) const;
+    void tell_totals(instant now);
+    bool orders_for(endpoint_id const& at) const;
     void forget_peers(instant now);
     void take_denial(peer_denial const& denial, instant now);
     void take_want(peer_want const& want, std::string const& from);
@@ -80,6 +98,7 @@
     probe_link link_;
     std::map<std::size_t, std::string> owners_;
     std::map<use_key, use_count> uses_;
+    run_ledger ledger_;
     bool running_ = false;
 };
 
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -53,6 +53,9 @@
 constexpr double copy_crowding = 0.4;
 /// The home of an adapter is asked for this long before another is.
 constexpr milliseconds home_stays{900};
+/// Whoever counts a replica's requests answers within a few milliseconds. It is
+/// not worth more than a fiftieth of the tightest objective of a stream.
+constexpr milliseconds ask_time{15};
 /// A replica may drop an idle connection without a sign. What must not run
 /// twice can't be sent again after that, so it goes over one that was used a
 /// short time ago.
@@ -274,8 +277,26 @@
     return nullptr;
 }
 
+asio::awaitable<void> request_flow::freshen_loads() {
+    auto const caller = leaving_;
+    instant const began = boot_clock::now();
+    instant const until = began + ask_time;
+    auto const asked = words_->ask_loads(
+        beliefs_->choice.compared(need_, began), need_.adapter, began);
+    auto const unanswered = [&](endpoint_id const& id) {
+        replica const* const at = beliefs_->replicas.find(id);
+        return at != nullptr && at->total_told < began;
+    };
+    while (std::ranges::any_of(asked, unanswered) && !caller->gone &&
+           boot_clock::now() < until) {
+        adapter_id adapter = need_.adapter;
+        co_await beliefs_->waiters.wait(std::move(adapter), until);
+    }
+}
+
 asio::awaitable<replica*> request_flow::find_replica() {
     auto const caller = leaving_;
+    co_await freshen_loads();
     instant const began = boot_clock::now();
     instant const give_up = std::min(
         deadline_ - least_run,
@@ -366,7 +387,7 @@
                        .with("try", tries_)
                        .with("waited_ms", now - arrived_));
     beliefs_->replicas.began(id, demand_.prompt_tokens, now);
-    words_->use(id, need_.adapter);
+    words_->use(id, need_.adapter, demand_.prompt_tokens);
     if (begun_) {
         relay_.begin_run();
     }
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -53,6 +53,7 @@
     bool admit();
     boost::asio::awaitable<void> answer_all();
     boost::asio::awaitable<replica*> find_replica();
+    boost::asio::awaitable<void> freshen_loads();
     replica* plain_replica(instant now);
     std::optional<replica*> adapter_replica(instant now);
     replica* home_for(instant now);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -158,7 +158,7 @@
     world.replicas.apply(entry("r1", {hot()}), world.now);
     world.replicas.apply(entry("r2", {hot()}), world.now);
     std::uint64_t const first = fleet::short_name(endpoint_id("r1"));
-    world.replicas.told_loads("n2", {{first, {8, 0}}}, world.now);
+    world.replicas.told_total(first, {8, 0}, world.now);
     for (std::uint64_t draw = 0; draw < 4; ++draw) {
         replica_need asked = world.need();
         asked.draw = draw;
@@ -166,7 +166,7 @@
     }
 
     SUBCASE("prompts still to be read count like requests") {
-        world.replicas.told_loads("n2", {{first, {0, 8'000}}}, world.now);
+        world.replicas.told_total(first, {0, 8'000}, world.now);
         CHECK(world.best(world.need()) == "r2");
         CHECK(world.replicas.find(endpoint_id("r1"))->backlog(world.now) > 0);
         CHECK(
@@ -175,7 +175,7 @@
     }
     SUBCASE("what a node told that has fallen silent is forgotten") {
         instant const later = world.now + seconds(5);
-        world.replicas.told_loads("n3", {}, later);
+        world.replicas.forget_old_totals(later);
         CHECK(world.replicas.find(endpoint_id("r1"))->running() == 0);
     }
 }
