Readings of the list are shared; broken-off answers rest nobody at once; slots free sooner

(a) one reset among a replica's answers rested it for all nodes; 37 replicas lost 3 answers in 100 at that time. (b) a home that had been asked and had filled up since was kept. (c) an adapter's slot rested 500 ms after each use, so that of 8 slots none was free.

--- a/src/Fleet/replica_health.cpp
+++ b/src/Fleet/replica_health.cpp
@@ -17,6 +17,9 @@
 /// The first silence rests a replica for as long as two polls of the list take,
 /// in which a crashed one leaves it.
 constexpr duration first_rest = std::chrono::milliseconds(1'500);
+/// Of replicas that lose three answers in a hundred one in a thousand loses two
+/// in a row; one that has ended breaks off all.
+constexpr unsigned broken_in_row = 2;
 /// Longer than any restart takes nobody waits before asking again.
 constexpr duration longest_rest = std::chrono::seconds(6);
 
@@ -33,11 +36,18 @@
     failures_ = failure_share(now);
     failures_ += (failed - failures_) * newest_weight;
     noted_ = now;
-    if (what != health_evidence::silent) {
+    if (what == health_evidence::answered || what == health_evidence::failed) {
         silences_ = 0;
+        broken_ = 0;
         until_ = {};
         return false;
     }
+    // Guards against replicas that all rest because each has lost a few answers
+    // in a hundred: too few are left for the load, and callers are refused
+    // though half of the places are free.
+    if (what == health_evidence::broken && ++broken_ < broken_in_row) {
+        return false;
+    }
     if (suspected(now)) {
         // Attempts that were under way together tell of one failure.
         return false;
--- a/src/Fleet/replica_health.hpp
+++ b/src/Fleet/replica_health.hpp
@@ -10,7 +10,10 @@
     answered,
     /// It answered that it failed. Some services do so now and then in health.
     failed,
-    /// It could not be reached, fell silent or broke off.
+    /// It broke an answer off. A replica that has ended does so with all of
+    /// them, one that loses some answers with few.
+    broken,
+    /// It could not be reached or fell silent.
     silent
 };
 
@@ -37,6 +40,8 @@
     double failures_ = 0;
     instant noted_;
     unsigned silences_ = 0;
+    /// Broken off one after the other, with no answer between.
+    unsigned broken_ = 0;
     instant until_;
 };
 
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -63,8 +63,12 @@
           {[this](peer_want const& asked) { return orderer_.want(asked); },
            [this](peer_use const& told) {
                orderer_.use(told);
+           },
+           [this](peer_reading const& told) { follower_.heard(told); },
+           [this](std::uint64_t place) {
+               follower_.heard_operator(place);
            }})
-    , follower_(beliefs_, store_, [this] { changed(); })
+    , follower_(beliefs_, store_, words_, [this] { changed(); })
     , callers_(
           io.get_executor(), first_limits(),
           [this](http_exchange& exchange) { return answer(exchange); })
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -58,6 +58,8 @@
     bool configured = false;
     bool stopping = false;
     std::unordered_map<adapter_id, version_word> versions;
+    /// How far this node has read what the operator declares.
+    std::uint64_t operator_place = 0;
 
     fleet replicas;
     adapter_demand demand;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -112,6 +112,42 @@
     }
 };
 
+/// A replica's entry in the list, or its end. Adapters are left out: whoever
+/// orders for the replica tells of them, and sooner.
+struct peer_replica {
+    std::string id;
+    bool listed = false;
+    std::string service;
+    std::string host;
+    std::uint16_t port = 0;
+    std::string domain;
+    std::uint32_t slots = 0;
+    bool leaving = false;
+    /// Milliseconds; 0 when it did not say.
+    std::uint32_t remaining = 0;
+    std::vector<std::string> models;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(
+            id, listed, service, host, port, domain, slots, leaving, remaining,
+            models);
+    }
+};
+
+/// The sender has read the list from one place to another, and this is what
+/// has changed in it.
+struct peer_reading {
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::vector<peer_replica> changes;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(from, to, changes);
+    }
+};
+
 /// One message between nodes. Datagrams may be lost: whatever one says is said
 /// again, or is read from the list of replicas a little later.
 struct peer_datagram {
@@ -131,6 +167,11 @@
     std::vector<peer_claim> claims;
     std::vector<peer_suspicion> suspicions;
     std::vector<peer_denial> denials;
+    /// One at most.
+    std::vector<peer_reading> readings;
+    /// How far the sender has read what the operator declares; 0 when it says
+    /// nothing of it.
+    std::uint64_t operator_place = 0;
 
     static constexpr std::uint32_t current_format = 2;
 
@@ -138,12 +179,13 @@
     void serialize(Archive& archive) {
         archive(
             format, from, present, loads, asks, answers, wants, uses, words, claims, suspicions,
-            denials);
+            denials, readings, operator_place);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
         return !present && loads.empty() && asks.empty() && wants.empty() && uses.empty() && words.empty() &&
-               claims.empty() && suspicions.empty() && denials.empty();
+               claims.empty() && suspicions.empty() && denials.empty() &&
+               readings.empty();
     }
 };
 
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -177,6 +177,18 @@
     send_all(message);
 }
 
+void peer_words::tell_reading(peer_reading reading) {
+    peer_datagram message;
+    message.readings.push_back(std::move(reading));
+    peer_reading& only = message.readings.front();
+    if (encode(message).size() + beliefs_->own_name.size() > largest_datagram) {
+        // All that stand before its end take it for a gap, and read themselves.
+        only.changes.clear();
+        only.from = only.to;
+    }
+    send_all(message);
+}
+
 void peer_words::suspect(replica const& at, duration rest) {
     peer_datagram message;
     auto const time = std::chrono::duration_cast<milliseconds>(rest);
@@ -281,7 +293,10 @@
         use.prompt_tokens, now);
     beliefs_->replicas.told_total(
         use.replica, ledger_.total(use.replica, now), now);
-    to_.use(use);
+    // What counts for the slot is whether any node has runs there.
+    peer_use of_all = use;
+    of_all.running = ledger_.in_use(use.replica, adapter_id(use.adapter), now);
+    to_.use(of_all);
 }
 
 std::vector<endpoint_id> peer_words::ask_loads(
@@ -325,6 +340,7 @@
 void peer_words::tell_totals(instant now) {
     peer_datagram message;
     message.present = true;
+    message.operator_place = beliefs_->operator_place;
     for (auto const& [id, each] : beliefs_->replicas.all()) {
         if (!each.open() || message.loads.size() >= most_counts) {
             continue;
@@ -437,6 +453,12 @@
     for (peer_use const& each : message.uses) {
         take_use(each, message.from, now);
     }
+    for (peer_reading const& each : message.readings) {
+        to_.reading(each);
+    }
+    if (message.operator_place > beliefs_->operator_place) {
+        to_.operator_place(message.operator_place);
+    }
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -23,6 +23,10 @@
         /// @returns false when there is no room for it now
         std::function<bool(peer_want const& want)> want;
         std::function<void(peer_use const& use)> use;
+        /// Another node has read on in the list of replicas.
+        std::function<void(peer_reading const& reading)> reading;
+        /// Another node has read so far in what the operator declares.
+        std::function<void(std::uint64_t place)> operator_place;
     };
 
     /// @param beliefs where word from others goes; must outlive this
@@ -45,6 +49,8 @@
     void claim(std::size_t partition, std::uint64_t token);
     /// Tells all nodes that a replica is silent.
     void suspect(replica const& at, duration rest);
+    /// Tells all nodes what this one has read in the list.
+    void tell_reading(peer_reading reading);
     /// Notes that a request uses an adapter, until `release`, and tells whoever
     /// orders for the replica.
     /// @param prompt_tokens that the replica has to read for it
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -218,8 +218,10 @@
     // A home that was asked stays the one while it can: the load may be under
     // way, and another would be a second one for nothing.
     replica* const asked = beliefs_->replicas.find(asked_);
+    // One that has filled up meanwhile would be a reason to refuse.
     if (asked != nullptr && asked->open() && now >= asked->no_room_until &&
-        !asked->health.suspected(now) && now < arrived_ + home_stays) {
+        asked->load() < full_load && !asked->health.suspected(now) &&
+        now < arrived_ + home_stays) {
         return asked;
     }
     return beliefs_->choice.next_home(need_, now);
@@ -402,6 +404,9 @@
     if (opened == call_result::answered) {
         end = co_await read_answer(id, call);
     }
+    if (end == attempt_end::silent && !call->timed_out()) {
+        end = attempt_end::broken;
+    }
     leaving_->call = nullptr;
     beliefs_->replicas.ended(id);
     words_->release(id, need_.adapter);
@@ -568,6 +573,7 @@
         break;
     case attempt_end::failed:
     case attempt_end::silent:
+    case attempt_end::broken:
         reason_ = end == attempt_end::failed ? "replica-failed" : "broken-off";
         if (ledger_.sends() >= route_->attempts || !ledger_.may_send_again()) {
             return false;
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -44,8 +44,10 @@
         unreached,
         /// The replica ran it and failed.
         failed,
-        /// It fell silent, broke off or answered with what can't be meant.
+        /// It fell silent.
         silent,
+        /// It broke off or answered with what can't be meant.
+        broken,
         /// The time is over.
         late
     };
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -27,6 +27,8 @@
     health_evidence evidence = health_evidence::answered;
     if (end == attempt_end::silent || end == attempt_end::unreached) {
         evidence = health_evidence::silent;
+    } else if (end == attempt_end::broken) {
+        evidence = health_evidence::broken;
     } else if (end == attempt_end::failed || end == attempt_end::late) {
         evidence = health_evidence::failed;
     }
@@ -42,7 +44,7 @@
 
 void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
     constexpr std::string_view names[] = {"finished", "refused", "unreached",
-                                          "failed",   "silent",  "late"};
+                                          "failed",   "silent",  "broken", "late"};
     beliefs_->note(log_line(event_code::attempt_ended)
                        .with("id", demand_.id.str())
                        .with("replica", at.str())
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -315,7 +315,8 @@
     auto const held =
         id == by_short_name_.end() ? held_.end() : held_.find(id->second);
     if (held != held_.end()) {
-        held->second->account.used(adapter_id(told.adapter), boot_clock::now());
+        held->second->account.used(
+            adapter_id(told.adapter), told.running > 0, boot_clock::now());
     }
 }
 
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -60,7 +60,8 @@
 }
 
 void slot_account::set_ready(
-    adapter_id const& id, slot& of, std::uint32_t version) {
+    adapter_id const& id, slot& of, std::uint32_t version, instant now) {
+    of.busy_until = std::max(of.busy_until, now + limits_.rest_after_load);
     of.state = slot_state::resident;
     of.version = version;
     std::erase(recent_, id);
@@ -82,14 +83,16 @@
         of.since = now;
         of.last_used = now;
         of.shown_from = sequence_;
-        set_ready(each.id, of, each.version);
+        // Whoever uses it repeats so before this has passed.
+        of.busy_until = now + limits_.use_lasts;
+        set_ready(each.id, of, each.version, now);
         return;
     }
     bool const has_come =
         of.state == slot_state::loading && each.version >= of.version;
     if (has_come || of.state == slot_state::resident) {
         if (has_come || of.version != each.version) {
-            set_ready(each.id, of, each.version);
+            set_ready(each.id, of, each.version, now);
         }
     }
 }
@@ -177,11 +180,15 @@
     return resting_slots > wants_.size();
 }
 
-void slot_account::used(adapter_id const& adapter, instant now) {
+void slot_account::used(
+    adapter_id const& adapter, bool running, instant now) {
     auto const found = slots_.find(adapter);
-    if (found != slots_.end()) {
-        found->second.last_used = now;
+    if (found == slots_.end()) {
+        return;
     }
+    slot& of = found->second;
+    of.last_used = now;
+    of.busy_until = now + (running ? limits_.use_lasts : limits_.rest_after_use);
 }
 
 bool slot_account::ready(adapter_ref const& adapter) const {
@@ -202,8 +209,8 @@
     });
 }
 
-bool slot_account::resting(slot const& of, instant now) const {
-    return now >= of.last_used + limits_.rest_before_drop;
+bool slot_account::resting(slot const& of, instant now) {
+    return now >= of.busy_until;
 }
 
 bool slot_account::goes_before(
@@ -348,7 +355,7 @@
     if (of.timed) {
         pace_->note(now - of.since);
     }
-    set_ready(order.adapter.id, of, of.version);
+    set_ready(order.adapter.id, of, of.version, now);
 }
 
 void slot_account::began(slot_order const& order, bool done, instant now) {
@@ -388,7 +395,7 @@
     of.timed = !replaces && !kept;
     of.check_at = now + (kept ? kept_load : pace_->expected());
     if (done) {
-        set_ready(id, of, order.adapter.version);
+        set_ready(id, of, order.adapter.version, now);
     }
 }
 
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -18,11 +18,15 @@
     /// Adapters that the replica has room for, those under way included. One
     /// more crashes it.
     unsigned slots = 1;
-    /// Loads under way at once. The replica takes four; fewer at a time come
-    /// sooner each, as all replicas share the way from the store.
-    /// An adapter that was used a shorter time ago counts as in use. Nodes
-    /// repeat their uses every 100 to 200 ms while requests run.
-    std::chrono::milliseconds rest_before_drop{500};
+    /// An adapter whose use was told a shorter time ago counts as in use. Nodes
+    /// repeat their uses every 200 ms while requests run.
+    std::chrono::milliseconds use_lasts{500};
+    /// One whose last request has ended is free after this: the next one may
+    /// be on its way already. Of eight slots on a replica half a second's rest
+    /// after each use took one or two.
+    std::chrono::milliseconds rest_after_use{100};
+    /// One that has just come is kept for whoever waited for it.
+    std::chrono::milliseconds rest_after_load{300};
 };
 
 /// A change of what a replica holds, to be told to all nodes.
@@ -62,9 +66,10 @@
     /// @returns true when the adapter could be loaded, or is being loaded: a
     ///          slot is free, or one is held by what nobody uses
     bool has_room_for(adapter_id const& adapter, instant now) const;
-    /// Requests use this adapter here, or have just done so. Nodes repeat it
-    /// while requests run.
-    void used(adapter_id const& adapter, instant now);
+    /// Requests use this adapter here, or have just done so. Repeated while
+    /// requests run.
+    /// @param running some node's requests run with it now
+    void used(adapter_id const& adapter, bool running, instant now);
 
     /// @returns what to order next; nothing while there is nothing to do, or
     ///          while a report is due
@@ -103,6 +108,8 @@
         slot_state state = slot_state::resident;
         instant since;
         instant last_used;
+        /// Until then it counts as in use.
+        instant busy_until;
         /// When the order is given again, to see whether it has been carried
         /// out.
         instant check_at;
@@ -121,7 +128,7 @@
     };
 
     void forget_old_wants(instant now);
-    bool resting(slot const& of, instant now) const;
+    static bool resting(slot const& of, instant now);
     static bool
     goes_before(wanted const& left, wanted const& right, instant now);
     std::optional<adapter_id> first_want(instant now) const;
@@ -131,7 +138,8 @@
     ordered_again(slot_order const& order, slot_answer answer, instant now);
     void began(slot_order const& order, bool done, instant now);
     std::optional<slot_order> load_order(adapter_id const& id, instant now);
-    void set_ready(adapter_id const& id, slot& of, std::uint32_t version);
+    void set_ready(
+        adapter_id const& id, slot& of, std::uint32_t version, instant now);
     void take_resident(adapter_ref const& each, instant now);
 
     slot_limits limits_;
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -115,6 +115,7 @@
     asio::awaitable<bool> read_own_header(std::string sent);
     void give_back();
     void close();
+    void note_silence(beast::error_code const& error);
 
     asio::any_io_executor executor_;
     http_pool* pool_;
@@ -127,6 +128,7 @@
     std::array<char, piece_bytes> piece_{};
     bool reused_ = false;
     bool cancelled_ = false;
+    bool timed_out_ = false;
 };
 
 asio::awaitable<bool> http_call::state::make_connection() {
@@ -169,6 +171,7 @@
     link_->stream.expires_after(time_until(step_end(instant::max())));
     auto const [error, size] = co_await http::async_read_header(
         link_->stream, link_->buffer, *parser_, use_result);
+    note_silence(error);
     co_return !error;
 }
 
@@ -212,6 +215,7 @@
             error = {};
         }
         if (error) {
+            note_silence(error);
             close();
             co_return std::nullopt;
         }
@@ -243,6 +247,10 @@
     link_ = nullptr;
 }
 
+void http_call::state::note_silence(beast::error_code const& error) {
+    timed_out_ = timed_out_ || error == beast::error::timeout;
+}
+
 void http_call::state::close() {
     if (link_ != nullptr) {
         link_->abort();
@@ -338,6 +346,10 @@
     return state_->cancelled_;
 }
 
+bool http_call::timed_out() const noexcept {
+    return state_->timed_out_;
+}
+
 bool http_call::reused() const noexcept {
     return state_->reused_;
 }
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -97,6 +97,9 @@
     void cancel();
     /// @returns true when the call was cancelled
     bool cancelled() const noexcept;
+    /// @returns true when the server was silent for too long; false while the
+    ///          call goes on, and when the connection was closed or reset
+    bool timed_out() const noexcept;
     /// @returns true when the connection had served an earlier call
     bool reused() const noexcept;
 
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -141,7 +141,7 @@
         world.load(name);
     }
     for (std::string const name : {"a", "b", "c"}) {
-        world.account.used(adapter(name).id, world.now);
+        world.account.used(adapter(name).id, true, world.now);
     }
 
     SUBCASE("no slot is taken from it, until it rests") {
