Waiters are spread over homes; orders without answer are given again

Half of the orders had no answer for 18 s, and a replica took one order a second by then. A home was chosen that was refused as full. Change: answers and waits count at once in the ledger (fading); a home turns newcomers away beyond its places; repeats of a node go with one voice; loads are asked for again after a wait; an uncounted replica is used when there is no other; the same order is given again up to three times, after 200 ms; a copy beside a holder only from 0.9 of its slots on; no full home.

--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -24,6 +24,10 @@
     bool dropped = false;
 };
 
+/// Word of a replica's load is told again within a second by each of up to 90
+/// nodes; two of these words may be lost.
+inline constexpr duration count_lasts = std::chrono::milliseconds(2'500);
+
 /// One replica as a node believes it to be.
 struct replica {
     replica_record record;
@@ -51,6 +55,12 @@
     unsigned running() const noexcept {
         return running_here + running_elsewhere;
     }
+    /// @returns true when the word of others' requests there is not old.
+    ///          Guards against a node that takes a replica for empty, as all
+    ///          others do, because whoever counts for it is silent.
+    bool counted(instant now) const noexcept {
+        return now < total_told + count_lasts;
+    }
     /// @returns requests there for each slot
     double load() const noexcept {
         return static_cast<double>(running()) / std::max(1U, record.slots);
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// A replica less crowded than this takes a further adapter as its home. Above
-/// it the next in the adapter's order is nearer to free.
-constexpr double roomy = 0.8;
-constexpr double roomy_beyond_mean = 0.5;
+/// A replica less crowded than this takes a further adapter as its home: a
+/// place in its batch is free. A full one is no home: whoever is sent there
+/// waits or is refused, while others have room.
+constexpr double roomy = 1;
 /// A suspected replica costs as much as one that is so many times full: it is
 /// taken only when all others are out.
 constexpr double suspicion_cost = 1'000;
@@ -150,13 +150,12 @@
     }
     auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
     // Nodes see the crowding at different times. The more it decides, the more
-    // often two of them load a rare adapter at two replicas.
-    double const least_roomy =
-        std::max(roomy, mean_crowding(need.service, now) + roomy_beyond_mean);
+    // often two of them load a rare adapter at two replicas, and the more often
+    // it comes from the store though its own home still keeps a copy.
     replica* least = nullptr;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (crowding(*each, now) < least_roomy && in_lane(*each, need)) {
+        if (crowding(*each, now) < roomy && in_lane(*each, need)) {
             return each;
         }
         if (least == nullptr || crowding(*each, now) < crowding(*least, now)) {
--- a/src/Fleet/run_ledger.cpp
+++ b/src/Fleet/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/run_ledger.hpp"
 
 #include <chrono>
+#include <cmath>
 
 namespace camphorpoint {
 
@@ -9,11 +10,35 @@
 /// A node repeats its counts every 200 ms while it has runs. One that tells
 /// nothing for so long has stopped, and its runs are over.
 constexpr duration telling_ends = std::chrono::seconds(3);
+/// Between an answer and the word of the run that follows from it lie two ways
+/// between nodes and the sender's own work.
+constexpr duration answer_fades = std::chrono::milliseconds(20);
+/// Loads take about this long, and those who wait for one send then.
+constexpr duration wait_fades = std::chrono::milliseconds(300);
+/// Less than this is nothing.
+constexpr double least_left = 0.05;
 
 } // namespace
 
-bool run_ledger::silent(told_runs const& of, instant now) {
-    return now >= of.when + telling_ends;
+void run_ledger::fading::add(double more, duration half_life, instant now) {
+    sum_ = left(half_life, now) + more;
+    at_ = now;
+}
+
+double run_ledger::fading::left(duration half_life, instant now) const {
+    std::chrono::duration<double> const passed = now - at_;
+    std::chrono::duration<double> const half = half_life;
+    return sum_ * std::exp2(-passed.count() / half.count());
+}
+
+void run_ledger::change(
+    at_replica& at, adapter_id const& adapter, unsigned from, unsigned to) {
+    at.running = at.running - from + to;
+    unsigned& of_adapter = at.by_adapter[adapter];
+    of_adapter = of_adapter - from + to;
+    if (of_adapter == 0) {
+        at.by_adapter.erase(adapter);
+    }
 }
 
 void run_ledger::told(
@@ -23,11 +48,21 @@
     if (prompt_tokens > 0) {
         at.backlog.add(prompt_tokens, now);
     }
+    auto const place = at.runs.try_emplace({node, adapter}).first;
+    change(at, adapter, place->second.running, running);
+    place->second = {running, now};
     if (running == 0) {
-        at.runs.erase({node, adapter});
-        return;
+        at.runs.erase(place);
     }
-    at.runs[{node, adapter}] = {running, now};
+}
+
+void run_ledger::answered(
+    std::uint64_t replica, double probability, instant now) {
+    replicas_[replica].answers.add(probability, answer_fades, now);
+}
+
+void run_ledger::awaited(std::uint64_t replica, instant now) {
+    replicas_[replica].waits.add(1, wait_fades, now);
 }
 
 replica_total run_ledger::total(std::uint64_t replica, instant now) const {
@@ -36,35 +71,36 @@
     if (found == replicas_.end()) {
         return sum;
     }
-    for (auto const& [who, runs] : found->second.runs) {
-        sum.running += silent(runs, now) ? 0 : runs.running;
-    }
-    sum.backlog_tokens = found->second.backlog.tokens_left(now);
+    at_replica const& at = found->second;
+    double const coming =
+        at.answers.left(answer_fades, now) + at.waits.left(wait_fades, now);
+    sum.running = at.running + static_cast<unsigned>(coming);
+    sum.backlog_tokens = at.backlog.tokens_left(now);
     return sum;
 }
 
 bool run_ledger::in_use(
-    std::uint64_t replica, adapter_id const& adapter, instant now) const {
+    std::uint64_t replica, adapter_id const& adapter) const {
     auto const found = replicas_.find(replica);
-    if (found == replicas_.end()) {
-        return false;
-    }
-    for (auto const& [who, runs] : found->second.runs) {
-        if (who.second == adapter && !silent(runs, now)) {
-            return true;
-        }
-    }
-    return false;
+    return found != replicas_.end() &&
+           found->second.by_adapter.contains(adapter);
 }
 
 void run_ledger::forget_silent(instant now) {
-    for (auto at = replicas_.begin(); at != replicas_.end();) {
-        std::erase_if(at->second.runs, [&](auto const& each) {
-            return silent(each.second, now);
-        });
-        bool const idle = at->second.runs.empty() &&
-                          at->second.backlog.tokens_left(now) <= 0;
-        at = idle ? replicas_.erase(at) : std::next(at);
+    for (auto each = replicas_.begin(); each != replicas_.end();) {
+        at_replica& at = each->second;
+        for (auto runs = at.runs.begin(); runs != at.runs.end();) {
+            if (now < runs->second.when + telling_ends) {
+                ++runs;
+                continue;
+            }
+            change(at, runs->first.second, runs->second.running, 0);
+            runs = at.runs.erase(runs);
+        }
+        bool const idle = at.runs.empty() &&
+                          at.backlog.tokens_left(now) <= 0 &&
+                          at.waits.left(wait_fades, now) < least_left;
+        each = idle ? replicas_.erase(each) : std::next(each);
     }
 }
 
--- a/src/Fleet/run_ledger.hpp
+++ b/src/Fleet/run_ledger.hpp
@@ -38,11 +38,17 @@
         adapter_id const& adapter, unsigned running, unsigned prompt_tokens,
         instant now);
 
-    /// @returns what all nodes have there
+    /// Somebody was told how full a replica is, and sends there by that, with
+    /// this probability. Until its run is told it counts, so that those who ask
+    /// at the same moment do not all hear the same.
+    void answered(std::uint64_t replica, double probability, instant now);
+    /// Somebody waits for a load there and will send when it has come.
+    void awaited(std::uint64_t replica, instant now);
+
+    /// @returns what all nodes have there, and are about to have
     replica_total total(std::uint64_t replica, instant now) const;
     /// @returns true while some node has runs with the adapter there
-    bool in_use(
-        std::uint64_t replica, adapter_id const& adapter, instant now) const;
+    bool in_use(std::uint64_t replica, adapter_id const& adapter) const;
     /// Drops what nodes have told that are silent by now.
     void forget_silent(instant now);
 
@@ -52,12 +58,28 @@
         instant when;
     };
     using teller = std::pair<std::string, adapter_id>;
+    /// A count of what is about to come, which fades as it comes.
+    class fading {
+    public:
+        void add(double more, duration half_life, instant now);
+        double left(duration half_life, instant now) const;
+
+    private:
+        double sum_ = 0;
+        instant at_;
+    };
     struct at_replica {
         std::map<teller, told_runs> runs;
+        std::unordered_map<adapter_id, unsigned> by_adapter;
+        unsigned running = 0;
         prompt_backlog backlog;
+        fading answers;
+        fading waits;
     };
 
-    static bool silent(told_runs const& of, instant now);
+    static void
+    change(at_replica& at, adapter_id const& adapter, unsigned from,
+           unsigned to);
 
     std::unordered_map<std::uint64_t, at_replica> replicas_;
 };
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -20,9 +20,13 @@
     /// It is the first that is said of a request: that one can still be
     /// answered in time.
     bool fresh = false;
+    /// It is the first that is said of a request to this replica: it can be
+    /// turned away.
+    bool new_here = false;
+
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter, version, urgent, fresh);
+        archive(replica, adapter, version, urgent, fresh, new_here);
     }
 };
 
@@ -93,10 +97,12 @@
 struct peer_ask {
     std::uint64_t replica = 0;
     std::string adapter;
+    /// Replicas that are asked for; one of them gets the request.
+    std::uint8_t of = 1;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter);
+        archive(replica, adapter, of);
     }
 };
 
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -26,6 +26,11 @@
 constexpr unsigned nodes_at_full_pace = 10;
 /// Running requests are told again so often, as a datagram may be lost.
 constexpr unsigned ticks_to_repeat = 2;
+/// A replica with so many requests for each slot, those that wait for a load
+/// included, turns further ones away.
+constexpr double full_at = 1.1;
+/// Wants of one adapter at one replica are not repeated sooner.
+constexpr duration want_pause = std::chrono::milliseconds(250);
 /// Word of a replica's load is fresh for this long: with all nodes together it
 /// takes in one or two requests meanwhile.
 constexpr duration fresh_word = std::chrono::milliseconds(40);
@@ -127,13 +132,24 @@
 }
 
 void peer_words::want(
-    replica const& at, adapter_ref const& adapter, bool urgent, bool fresh) {
+    replica const& at, adapter_ref const& adapter, bool urgent, bool fresh,
+    bool new_here) {
+    instant const now = boot_clock::now();
+    instant& said = wanted_[{at.record.id, adapter.id}];
+    // Guards against a holder that is swamped by the repeats of hundreds of
+    // requests for an adapter that has just become busy: a node's requests
+    // repeat with one voice.
+    if (!new_here && now < said + want_pause) {
+        return;
+    }
+    said = now;
     peer_want asked;
     asked.replica = fleet::short_name(at.record.id);
     asked.adapter = adapter.id.str();
     asked.version = adapter.version;
     asked.urgent = urgent;
     asked.fresh = fresh;
+    asked.new_here = new_here;
     auto const owner = owners_.find(partition_of(at.record.id));
     if (owner == owners_.end()) {
         return;
@@ -146,7 +162,6 @@
     // that was stopped or killed during the store's outage has no successor
     // until the outage ends. They go to the next home instead, whose holder is
     // there.
-    instant const now = boot_clock::now();
     auto const heard = beliefs_->peers.find(owner->second);
     duration const two_tellings =
         2 * telling_pause * pauses_between(beliefs_->nodes());
@@ -295,7 +310,7 @@
         use.replica, ledger_.total(use.replica, now), now);
     // What counts for the slot is whether any node has runs there.
     peer_use of_all = use;
-    of_all.running = ledger_.in_use(use.replica, adapter_id(use.adapter), now);
+    of_all.running = ledger_.in_use(use.replica, adapter_id(use.adapter)) ? 1 : 0;
     to_.use(of_all);
 }
 
@@ -309,7 +324,8 @@
         if (known && now >= each->total_told + fresh_word) {
             peer_datagram message;
             message.asks.push_back(
-                {fleet::short_name(each->record.id), adapter.str()});
+                {fleet::short_name(each->record.id), adapter.str(),
+                 static_cast<std::uint8_t>(of.size())});
             send(owner->second, std::move(message));
             asked.push_back(each->record.id);
         }
@@ -323,6 +339,7 @@
     if (!total) {
         return;
     }
+    ledger_.answered(ask.replica, 1.0 / std::max<double>(1, ask.of), now);
     peer_datagram message;
     message.loads.push_back(*total);
     // Echoed: it names who waits for the answer.
@@ -338,6 +355,9 @@
 }
 
 void peer_words::tell_totals(instant now) {
+    std::erase_if(wanted_, [&](auto const& each) {
+        return now >= each.second + want_pause;
+    });
     peer_datagram message;
     message.present = true;
     message.operator_place = beliefs_->operator_place;
@@ -345,8 +365,10 @@
         if (!each.open() || message.loads.size() >= most_counts) {
             continue;
         }
-        if (auto const total = total_of(fleet::short_name(id), now)) {
+        std::uint64_t const name = fleet::short_name(id);
+        if (auto const total = total_of(name, now)) {
             message.loads.push_back(*total);
+            beliefs_->replicas.told_total(name, ledger_.total(name, now), now);
         }
     }
     for (std::size_t const each : beliefs_->leases.held()) {
@@ -378,13 +400,29 @@
     }
 }
 
+bool peer_words::has_place_for(peer_want const& want, instant now) const {
+    // Guards against hundreds of requests for an adapter that has just become
+    // busy which all wait for one replica: those beyond its places are turned
+    // away at once and have it loaded elsewhere at the same time.
+    replica const* const at = beliefs_->replicas.find_short(want.replica);
+    if (at == nullptr || !want.new_here || !want.urgent) {
+        return true;
+    }
+    replica_total const total = ledger_.total(want.replica, now);
+    return total.running < full_at * at->record.slots;
+}
+
 void peer_words::take_want(peer_want const& want, std::string const& from) {
-    if (to_.want(want)) {
+    instant const now = boot_clock::now();
+    if (has_place_for(want, now) && to_.want(want)) {
+        if (want.urgent && want.new_here) {
+            ledger_.awaited(want.replica, now);
+        }
         return;
     }
     peer_denial const denial{want.replica, want.adapter};
     if (from == beliefs_->own_name) {
-        take_denial(denial, boot_clock::now());
+        take_denial(denial, now);
         return;
     }
     peer_datagram message;
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -41,8 +41,10 @@
     /// Asks whoever orders for the replica to load the adapter there.
     /// @param urgent somebody waits for it
     /// @param fresh  somebody has begun to wait for it just now
+    /// @param new_here the same, for this replica
     void want(
-        replica const& at, adapter_ref const& adapter, bool urgent, bool fresh);
+        replica const& at, adapter_ref const& adapter, bool urgent, bool fresh,
+        bool new_here);
     /// Tells all nodes of changes at a replica that this node orders for.
     void tell(endpoint_id const& at, std::vector<peer_word> words);
     /// Tells all nodes that this one orders for a partition.
@@ -97,6 +99,7 @@
     bool orders_for(endpoint_id const& at) const;
     void forget_peers(instant now);
     void take_denial(peer_denial const& denial, instant now);
+    bool has_place_for(peer_want const& want, instant now) const;
     void take_want(peer_want const& want, std::string const& from);
 
     gateway_beliefs* beliefs_;
@@ -104,6 +107,8 @@
     probe_link link_;
     std::map<std::size_t, std::string> owners_;
     std::map<use_key, use_count> uses_;
+    /// When this node said last that it waits for an adapter at a replica.
+    std::map<use_key, instant> wanted_;
     run_ledger ledger_;
     bool running_ = false;
 };
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -22,6 +22,9 @@
 /// From here on a replica has a queue of its own as long as a quarter of its
 /// batch; what comes then would miss its objective by waiting.
 constexpr double full_load = 1.25;
+/// A holder that is as full as this gets a second one beside it. A copy costs a
+/// load and a slot, and while places are free it brings nothing sooner.
+constexpr double copy_load = 0.9;
 /// Wants are repeated so often: datagrams may be lost, holders may change.
 constexpr milliseconds want_again{300};
 /// A connection to a replica takes two milliseconds; longer means that it is
@@ -185,10 +188,11 @@
         return;
     }
     bool const fresh = asked_.empty();
+    bool const new_here = asked_ != home->record.id;
     asked_ = home->record.id;
     std::uint32_t const version =
         beliefs_->newest_version(need_.adapter).value_or(0);
-    words_->want(*home, {need_.adapter, version}, urgent, fresh);
+    words_->want(*home, {need_.adapter, version}, urgent, fresh, new_here);
 }
 
 void request_flow::want_copies(replica const& best, instant now) {
@@ -247,8 +251,8 @@
         need_.least_version = 0;
         best = beliefs_->choice.best(need_, now);
     }
-    if (best != nullptr && best->load() < easy_load &&
-        !best->health.suspected(now)) {
+    bool const sound = best != nullptr && !best->health.suspected(now);
+    if (sound && best->counted(now) && best->load() < easy_load) {
         want_copies(*best, now);
         holding_ = should_hold(*best, now);
         if (holding_) {
@@ -258,9 +262,14 @@
     }
     replica* const home = home_for(now);
     bool const home_better = home != nullptr && home->load() < full_load;
-    if (best != nullptr && !best->health.suspected(now) &&
-        best->load() < full_load) {
-        if (home_better && home->load() < best->load()) {
+    // Where nobody is known to count, all others send blindly too. It is used
+    // when there is no other.
+    bool const blind = sound && !best->counted(now) && home_better &&
+                       home->counted(now) &&
+                       now < arrived_ + route_->objective / 2;
+    if (sound && !blind && best->load() < full_load) {
+        if (home_better && home->load() < best->load() &&
+            best->load() >= copy_load) {
             ask_for_copy(home, false);
         }
         return best;
@@ -304,6 +313,7 @@
         deadline_ - least_run,
         began + load_wait_objectives * route_->objective);
     bool waited = false;
+    bool freshened = false;
     while (!caller->gone) {
         instant const now = boot_clock::now();
         if (now >= deadline_ - least_run) {
@@ -312,12 +322,19 @@
         }
         std::optional<replica*> const found =
             need_.adapter.empty() ? plain_replica(now) : adapter_replica(now);
-        if (found) {
+        if (found && (!waited || *found == nullptr || freshened)) {
             if (waited) {
                 beliefs_->metrics.observe_load_wait(now - began);
             }
             co_return *found;
         }
+        if (found) {
+            // All who have waited are woken at once.
+            co_await freshen_loads();
+            freshened = true;
+            continue;
+        }
+        freshened = false;
         if (now >= give_up) {
             reason_ = "load-takes-too-long";
             co_return nullptr;
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -31,6 +31,10 @@
 /// A replica answers an order or a report within a few milliseconds; longer
 /// means that it, or the way to it, is down.
 constexpr milliseconds replica_timeout{700};
+/// An order without answer is given again, so nothing is lost by a short wait.
+/// With 700 ms replicas that leave half of their orders unanswered took one a
+/// second, while hundreds of requests waited for loads.
+constexpr milliseconds order_timeout{200};
 /// Owners may change without a new generation reaching this node.
 constexpr duration owners_again = std::chrono::seconds(20);
 /// At a change of members, which come in rows when nodes are stopped in turn.
@@ -415,7 +419,7 @@
     ip_address to = at->record.address;
     http_call call(beliefs_->io.get_executor(), &beliefs_->replica_connections);
     call_times times;
-    times.each_step = replica_timeout;
+    times.each_step = order_timeout;
     http_request request = platform::make_order(
         order, id, beliefs_->settings.name.str(), held->token);
     // Read again right before the act: the node may have been suspended.
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -21,6 +21,9 @@
 constexpr duration report_age = std::chrono::milliseconds(600);
 /// After a report that could not be read.
 constexpr duration report_retry = std::chrono::milliseconds(250);
+/// Where half of the orders have no answer, one in eight has none after three
+/// tries; a report, which is a tenth of a second old, shows what is the matter.
+constexpr unsigned tries_of_order = 3;
 /// An order is given again this often to see whether it has been carried out:
 /// a request that waits for it waits half of this longer.
 constexpr duration check_pause = std::chrono::milliseconds(15);
@@ -107,6 +110,7 @@
     sequence_ = report.sequence;
     known_ = true;
     must_report_ = false;
+    unanswered_.reset();
     busy_ = report.busy;
     models_ = report.models;
     model_loading_ = model_loading_ && models_.empty() &&
@@ -298,6 +302,9 @@
     if (!known_ || must_report_ || busy_) {
         return std::nullopt;
     }
+    if (unanswered_) {
+        return unanswered_;
+    }
     if (models_.empty()) {
         if (model_loading_ || wanted_model_.empty()) {
             return std::nullopt;
@@ -399,10 +406,36 @@
     }
 }
 
+void slot_account::lost(slot_order const& order, instant now) {
+    auto const found = slots_.find(order.adapter.id);
+    bool const again = found != slots_.end() &&
+                       found->second.state != slot_state::resident &&
+                       found->second.check_at != instant{};
+    if (again) {
+        found->second.check_at = now + check_pause;
+        return;
+    }
+    ++times_unanswered_;
+    if (times_unanswered_ < tries_of_order) {
+        unanswered_ = order;
+        return;
+    }
+    unanswered_.reset();
+    times_unanswered_ = 0;
+    must_report_ = true;
+    report_after_ = now + report_retry;
+}
+
 void slot_account::answered(
     slot_order const& order, slot_answer answer, instant now) {
     auto const found = slots_.find(order.adapter.id);
     bool const done = answer == slot_answer::holds;
+    if (answer == slot_answer::lost) {
+        lost(order, now);
+        return;
+    }
+    unanswered_.reset();
+    times_unanswered_ = 0;
     // An order that was accepted is given again to see whether it has been
     // carried out; the replica does not count it a second time.
     bool const again = found != slots_.end() &&
@@ -419,13 +452,13 @@
     if (again) {
         found->second.check_at = now + check_pause;
     } else if (
-        found != slots_.end() && answer != slot_answer::lost &&
+        found != slots_.end() &&
         order.kind == slot_order_kind::unload_adapter) {
         found->second.state = slot_state::resident;
         changes_.push_back({{order.adapter.id, found->second.version}, true});
     }
     must_report_ = answer != slot_answer::unsent;
-    report_after_ = answer == slot_answer::lost ? now + report_retry : now;
+    report_after_ = now;
     if (answer == slot_answer::rejected) {
         wants_.erase(order.adapter.id);
     }
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -40,8 +40,10 @@
 /// for it. Guards against loads beyond the slots, at which a replica crashes:
 /// the replica's own list is seconds old, so what was ordered, what is on its
 /// way and what is being dropped is counted here. It holds through lost and
-/// late answers since each order names how many came before it: after an order
-/// without answer nothing is ordered until a report shows whether it counted.
+/// late answers since each order names how many came before it: of all that
+/// name the same number the replica carries out one. After an order without
+/// answer that same order is given again, and nothing else until it is answered
+/// or a report shows whether it counted.
 class slot_account {
 public:
     /// @param limits what the replica has room for
@@ -137,6 +139,7 @@
     void
     ordered_again(slot_order const& order, slot_answer answer, instant now);
     void began(slot_order const& order, bool done, instant now);
+    void lost(slot_order const& order, instant now);
     std::optional<slot_order> load_order(adapter_id const& id, instant now);
     void set_ready(
         adapter_id const& id, slot& of, std::uint32_t version, instant now);
@@ -160,6 +163,9 @@
     std::unordered_map<adapter_id, slot> slots_;
     std::unordered_map<adapter_id, wanted> wants_;
     std::vector<slot_change> changes_;
+    /// The order that had no answer, and how often it was given.
+    std::optional<slot_order> unanswered_;
+    unsigned times_unanswered_ = 0;
 };
 
 } // namespace camphorpoint
