--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// A replica less crowded than this takes a further adapter as its home: a
-/// place in its batch is free. A full one is no home: whoever is sent there
-/// waits or is refused, while others have room.
-constexpr double roomy = 1;
 /// A suspected replica costs as much as one that is so many times full: it is
 /// taken only when all others are out.
 constexpr double suspicion_cost = 1'000;
@@ -45,6 +41,11 @@
     return each.load() + each.backlog(now) / backlog_as_full;
 }
 
+double replica_choice::crowding(replica_total const& total, unsigned slots) {
+    double const load = total.running / std::max(1.0, 1.0 * slots);
+    return load + total.backlog_tokens / backlog_as_full;
+}
+
 bool replica_choice::holds(
     replica const& each, replica_need const& need) const {
     if (need.adapter.empty()) {
@@ -148,21 +149,21 @@
             open.push_back(each->record.id);
         }
     }
+    // The order alone decides, so that all nodes ask for a rare adapter at the
+    // same replica. Whoever orders there knows best whether it has a place, and
+    // turns requests away beyond; by what each node has heard of the crowding
+    // they would load it at several, and from the store though its own home
+    // still keeps a copy.
     auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
-    // Nodes see the crowding at different times. The more it decides, the more
-    // often two of them load a rare adapter at two replicas, and the more often
-    // it comes from the store though its own home still keeps a copy.
-    replica* least = nullptr;
+    replica* other_lane = nullptr;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (crowding(*each, now) < roomy && in_lane(*each, need)) {
+        if (in_lane(*each, need)) {
             return each;
         }
-        if (least == nullptr || crowding(*each, now) < crowding(*least, now)) {
-            least = each;
-        }
+        other_lane = other_lane == nullptr ? each : other_lane;
     }
-    return least;
+    return other_lane;
 }
 
 std::size_t
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -48,12 +48,14 @@
     ///          be fresh
     std::vector<replica*> compared(replica_need const& need, instant now) const;
     /// @returns the replica that should be made to hold the adapter next: the
-    ///          first in the adapter's own order that has room; null when all
-    ///          that are open hold it already
+    ///          first in the adapter's own order that has not turned requests
+    ///          away just now; null when there is none
     replica* next_home(replica_need const& need, instant now) const;
     /// @returns how full the replica is, by its batch and by what it has to
     ///          read; 1 is full
     static double crowding(replica const& each, instant now);
+    /// The same, by the count of the node that orders for the replica.
+    static double crowding(replica_total const& total, unsigned slots);
     /// @returns true when the replica is one of the request's own lane
     bool in_lane(replica const& each, replica_need const& need) const;
     /// @returns how many open replicas of its lane hold the adapter
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -28,7 +28,7 @@
 constexpr unsigned ticks_to_repeat = 2;
 /// A replica with so many requests for each slot, those that wait for a load
 /// included, turns further ones away.
-constexpr double full_at = 1.1;
+constexpr double full_at = 1.0;
 /// Wants of one adapter at one replica are not repeated sooner.
 constexpr duration want_pause = std::chrono::milliseconds(250);
 /// Word of a replica's load is fresh for this long: with all nodes together it
@@ -405,11 +405,11 @@
     // busy which all wait for one replica: those beyond its places are turned
     // away at once and have it loaded elsewhere at the same time.
     replica const* const at = beliefs_->replicas.find_short(want.replica);
-    if (at == nullptr || !want.new_here || !want.urgent) {
+    if (at == nullptr || !want.new_here) {
         return true;
     }
     replica_total const total = ledger_.total(want.replica, now);
-    return total.running < full_at * at->record.slots;
+    return replica_choice::crowding(total, at->record.slots) < full_at;
 }
 
 void peer_words::take_want(peer_want const& want, std::string const& from) {
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -261,20 +261,20 @@
         return best;
     }
     replica* const home = home_for(now);
-    bool const home_better = home != nullptr && home->load() < full_load;
     // Where nobody is known to count, all others send blindly too. It is used
     // when there is no other.
-    bool const blind = sound && !best->counted(now) && home_better &&
+    bool const blind = sound && !best->counted(now) && home != nullptr &&
                        home->counted(now) &&
                        now < arrived_ + route_->objective / 2;
     if (sound && !blind && best->load() < full_load) {
-        if (home_better && home->load() < best->load() &&
+        if (home != nullptr && home->load() < best->load() &&
             best->load() >= copy_load) {
             ask_for_copy(home, false);
         }
         return best;
     }
-    if (home_better) {
+    if (home != nullptr) {
+        // Its orderer turns the request away if it has no place.
         ask_for_copy(home, true);
         return std::nullopt;
     }
