Kept copies draw adapters back; busy services refuse; fewer calls to the store

Cause: displaced adapters came from the store again though a replica kept a copy; a leaving of many replicas was told as one gap, after which all nodes read by themselves; entries and owners were read more often than is needed. Ruled out: leaving the list of owners unread at a change of members. Change: next_home prefers who keeps a copy; the word of a reading goes out in pieces; the list is read whole every 20 s; an overload (mean crowding 0.65) refuses what finds no place at once.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -15,6 +15,9 @@
 /// Entries that lapsed while the store was down are back within two seconds of
 /// its return, says the platform; the rest is for this node's own reading.
 constexpr duration return_time = std::chrono::milliseconds(2'300);
+/// Replicas keep copies of a hundred adapters and more in their memory; those
+/// that lie there now are not counted here.
+constexpr std::size_t most_kept = 100;
 /// A gone replica is remembered for as long as requests may still run there.
 constexpr duration memory_of_gone = std::chrono::seconds(60);
 /// Streams take one to three seconds: older word says nothing of what runs now.
@@ -133,9 +136,18 @@
     }
 }
 
+void fleet::keep(replica& target, adapter_id const& adapter) {
+    std::erase(target.kept, adapter);
+    target.kept.push_back(adapter);
+    if (target.kept.size() > most_kept) {
+        target.kept.erase(target.kept.begin());
+    }
+}
+
 void fleet::told_dropped(
     endpoint_id const& id, adapter_id const& adapter, instant now) {
     if (replica* const target = find(id)) {
+        keep(*target, adapter);
         held_adapter& held = target->adapters[adapter];
         held.told = now;
         held.dropped = true;
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -6,6 +6,7 @@
 #include "Fleet/replica_record.hpp"
 #include "Fleet/run_ledger.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -33,6 +34,9 @@
     replica_record record;
     replica_health health;
     std::unordered_map<adapter_id, held_adapter> adapters;
+    /// Adapters that lay here, the newest last: the replica keeps copies, from
+    /// which they come back in a tenth of the time and for nothing.
+    std::vector<adapter_id> kept;
     /// Requests of this node that are at the replica now.
     unsigned running_here = 0;
     /// Requests of all other nodes there, as the node that orders for it told
@@ -51,6 +55,10 @@
     /// When it leaves at short notice.
     instant gone_at = instant::max();
 
+    /// @returns true when it should still keep a copy
+    bool keeps(adapter_id const& adapter) const {
+        return std::ranges::find(kept, adapter) != kept.end();
+    }
     /// @returns requests that are there
     unsigned running() const noexcept {
         return running_here + running_elsewhere;
@@ -129,6 +137,7 @@
 
 private:
     void index();
+    static void keep(replica& target, adapter_id const& adapter);
     static void
     take_adapters(replica& target, replica_record const& record, instant now);
 
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -155,15 +155,20 @@
     // they would load it at several, and from the store though its own home
     // still keeps a copy.
     auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
-    replica* other_lane = nullptr;
+    replica* first = nullptr;
+    bool first_in_lane = false;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        if (in_lane(*each, need)) {
+        bool const own_lane = in_lane(*each, need);
+        if (own_lane && each->keeps(need.adapter)) {
             return each;
         }
-        other_lane = other_lane == nullptr ? each : other_lane;
+        if (first == nullptr || (own_lane && !first_in_lane)) {
+            first = each;
+            first_in_lane = own_lane;
+        }
     }
-    return other_lane;
+    return first;
 }
 
 std::size_t
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -122,6 +122,8 @@
 /// orders for the replica tells of them, and sooner.
 struct peer_replica {
     std::string id;
+    /// Where the entry stands in the list's records.
+    std::uint64_t place = 0;
     bool listed = false;
     std::string service;
     std::string host;
@@ -136,7 +138,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            id, listed, service, host, port, domain, slots, leaving, remaining,
+            id, place, listed, service, host, port, domain, slots, leaving, remaining,
             models);
     }
 };
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -29,6 +29,8 @@
 /// A replica with so many requests for each slot, those that wait for a load
 /// included, turns further ones away.
 constexpr double full_at = 1.0;
+/// Changes of the list in one datagram; an entry has 100 to 180 bytes.
+constexpr std::size_t most_changes = 5;
 /// Wants of one adapter at one replica are not repeated sooner.
 constexpr duration want_pause = std::chrono::milliseconds(250);
 /// Word of a replica's load is fresh for this long: with all nodes together it
@@ -193,15 +195,22 @@
 }
 
 void peer_words::tell_reading(peer_reading reading) {
-    peer_datagram message;
-    message.readings.push_back(std::move(reading));
-    peer_reading& only = message.readings.front();
-    if (encode(message).size() + beliefs_->own_name.size() > largest_datagram) {
-        // All that stand before its end take it for a gap, and read themselves.
-        only.changes.clear();
-        only.from = only.to;
-    }
-    send_all(message);
+    // In pieces that follow one another: a lost one is a gap before the next.
+    std::vector<peer_replica> all = std::move(reading.changes);
+    std::size_t done = 0;
+    do {
+        std::size_t const end = std::min(all.size(), done + most_changes);
+        peer_reading piece;
+        piece.from = done == 0 ? reading.from : all[done].place;
+        piece.to = end == all.size() ? reading.to : all[end].place;
+        piece.changes.assign(
+            all.begin() + static_cast<std::ptrdiff_t>(done),
+            all.begin() + static_cast<std::ptrdiff_t>(end));
+        peer_datagram message;
+        message.readings.push_back(std::move(piece));
+        send_all(message);
+        done = end;
+    } while (done < all.size());
 }
 
 void peer_words::suspect(replica const& at, duration rest) {
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -22,6 +22,9 @@
 /// From here on a replica has a queue of its own as long as a quarter of its
 /// batch; what comes then would miss its objective by waiting.
 constexpr double full_load = 1.25;
+/// From this mean crowding of its replicas on a service is busy: some are full
+/// then, as requests do not come evenly.
+constexpr double busy_service = 0.65;
 /// A holder that is as full as this gets a second one beside it. A copy costs a
 /// load and a slot, and while places are free it brings nothing sooner.
 constexpr double copy_load = 0.9;
@@ -273,8 +276,12 @@
         }
         return best;
     }
-    if (home != nullptr) {
-        // Its orderer turns the request away if it has no place.
+    // While the service has room, the home's orderer decides: what was heard of
+    // its load is older. When all are busy a further load would make everybody
+    // late, and places come free elsewhere no sooner.
+    bool const service_busy =
+        beliefs_->choice.mean_crowding(need_.service, now) >= busy_service;
+    if (home != nullptr && (home->load() < full_load || !service_busy)) {
         ask_for_copy(home, true);
         return std::nullopt;
     }
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -36,8 +36,10 @@
 /// second, while hundreds of requests waited for loads.
 constexpr milliseconds order_timeout{200};
 /// Owners may change without a new generation reaching this node.
-constexpr duration owners_again = std::chrono::seconds(20);
+constexpr duration owners_again = std::chrono::seconds(30);
 /// At a change of members, which come in rows when nodes are stopped in turn.
+/// Without it nodes that begin together know of each other by halves, and each
+/// takes a larger share of the budget of second sends than is its.
 constexpr duration owners_changed = std::chrono::seconds(2);
 /// While a holder is missing.
 constexpr duration owners_missing = std::chrono::seconds(1);
--- a/src/Gateway/store_follower.cpp
+++ b/src/Gateway/store_follower.cpp
@@ -32,12 +32,15 @@
 constexpr milliseconds news_on_its_way{250};
 /// After a failed call. Shorter would spend calls that all nodes share.
 constexpr milliseconds retry_pause{250};
+/// Before there is a first configuration, which stands some seconds before the
+/// first request comes.
+constexpr milliseconds first_pause{500};
 /// The operator's records are read whole again so often: a cut watch may have
 /// missed one without a sign.
 constexpr duration whole_again = std::chrono::seconds(12);
 /// The list is read whole so often. Word of adapters comes from those who order
 /// for the replicas, so this mends only what was lost of it.
-constexpr duration whole_list_again = std::chrono::seconds(10);
+constexpr duration whole_list_again = std::chrono::seconds(20);
 
 std::string const operator_topic = "keyed.op";
 std::string const replica_topic = "keyed.servers";
@@ -286,9 +289,10 @@
     for (platform::keyed_record const& each : batch.records) {
         if (take_replica(each)) {
             endpoint_id const id(each.key);
-            reading.changes.push_back(
-                change_of(id, each.value ? beliefs_->replicas.find(id)
-                                         : nullptr));
+            peer_replica change = change_of(
+                id, each.value ? beliefs_->replicas.find(id) : nullptr);
+            change.place = each.place;
+            reading.changes.push_back(std::move(change));
         }
     }
     words_->tell_reading(std::move(reading));
@@ -371,7 +375,7 @@
             read_whole = now;
         }
         if (answered && empty_yet) {
-            co_await pause(retry_pause);
+            co_await pause(first_pause);
         }
     }
 }
