--- a/src/Fleet/list_turns.cpp
+++ b/src/Fleet/list_turns.cpp
@@ -9,8 +9,7 @@
     since_ = now;
 }
 
-list_word
-list_turns::heard(std::uint64_t from, std::uint64_t to, instant now) {
+list_word list_turns::heard(std::uint64_t from, std::uint64_t to, instant now) {
     if (!known_ || to < next_) {
         return list_word::old;
     }
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -27,6 +27,10 @@
 /// A replica of the other lane counts as so much fuller.
 constexpr double lane_cost = 0.25;
 
+/// A replica with so much for each slot, requests that wait for a load
+/// included, turns further ones away: each would wait for a place after its
+/// load.
+constexpr double full_at = 1;
 /// Smaller differences of failures are chance.
 constexpr double noticed_failures = 0.02;
 
@@ -46,6 +50,10 @@
     return load + total.backlog_tokens / backlog_as_full;
 }
 
+bool replica_choice::has_place(replica_total const& total, unsigned slots) {
+    return crowding(total, slots) < full_at;
+}
+
 bool replica_choice::holds(
     replica const& each, replica_need const& need) const {
     if (need.adapter.empty()) {
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -56,6 +56,9 @@
     static double crowding(replica const& each, instant now);
     /// The same, by the count of the node that orders for the replica.
     static double crowding(replica_total const& total, unsigned slots);
+    /// @returns true when a further request that waits for a load may wait for
+    ///          one there
+    static bool has_place(replica_total const& total, unsigned slots);
     /// @returns true when the replica is one of the request's own lane
     bool in_lane(replica const& each, replica_need const& need) const;
     /// @returns how many open replicas of its lane hold the adapter
--- a/src/Fleet/run_ledger.cpp
+++ b/src/Fleet/run_ledger.cpp
@@ -97,8 +97,7 @@
             change(at, runs->first.second, runs->second.running, 0);
             runs = at.runs.erase(runs);
         }
-        bool const idle = at.runs.empty() &&
-                          at.backlog.tokens_left(now) <= 0 &&
+        bool const idle = at.runs.empty() && at.backlog.tokens_left(now) <= 0 &&
                           at.waits.left(wait_fades, now) < least_left;
         each = idle ? replicas_.erase(each) : std::next(each);
     }
--- a/src/Fleet/run_ledger.hpp
+++ b/src/Fleet/run_ledger.hpp
@@ -77,9 +77,8 @@
         fading waits;
     };
 
-    static void
-    change(at_replica& at, adapter_id const& adapter, unsigned from,
-           unsigned to);
+    static void change(
+        at_replica& at, adapter_id const& adapter, unsigned from, unsigned to);
 
     std::unordered_map<std::uint64_t, at_replica> replicas_;
 };
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -61,9 +61,7 @@
     , words_(
           beliefs_,
           {[this](peer_want const& asked) { return orderer_.want(asked); },
-           [this](peer_use const& told) {
-               orderer_.use(told);
-           },
+           [this](peer_use const& told) { orderer_.use(told); },
            [this](peer_reading const& told) { follower_.heard(told); },
            [this](std::uint64_t place) {
                follower_.heard_operator(place);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -138,8 +138,8 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            id, place, listed, service, host, port, domain, slots, leaving, remaining,
-            models);
+            id, place, listed, service, host, port, domain, slots, leaving,
+            remaining, models);
     }
 };
 
@@ -186,14 +186,14 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            format, from, present, loads, asks, answers, wants, uses, words, claims, suspicions,
-            denials, readings, operator_place);
+            format, from, present, loads, asks, answers, wants, uses, words,
+            claims, suspicions, denials, readings, operator_place);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
-        return !present && loads.empty() && asks.empty() && wants.empty() && uses.empty() && words.empty() &&
-               claims.empty() && suspicions.empty() && denials.empty() &&
-               readings.empty();
+        return !present && loads.empty() && asks.empty() && wants.empty() &&
+               uses.empty() && words.empty() && claims.empty() &&
+               suspicions.empty() && denials.empty() && readings.empty();
     }
 };
 
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -26,9 +26,6 @@
 constexpr unsigned nodes_at_full_pace = 10;
 /// Running requests are told again so often, as a datagram may be lost.
 constexpr unsigned ticks_to_repeat = 2;
-/// A replica with so many requests for each slot, those that wait for a load
-/// included, turns further ones away.
-constexpr double full_at = 1.0;
 /// Changes of the list in one datagram; an entry has 100 to 180 bytes.
 constexpr std::size_t most_changes = 5;
 /// Wants of one adapter at one replica are not repeated sooner.
@@ -319,7 +316,8 @@
         use.replica, ledger_.total(use.replica, now), now);
     // What counts for the slot is whether any node has runs there.
     peer_use of_all = use;
-    of_all.running = ledger_.in_use(use.replica, adapter_id(use.adapter)) ? 1 : 0;
+    of_all.running =
+        ledger_.in_use(use.replica, adapter_id(use.adapter)) ? 1 : 0;
     to_.use(of_all);
 }
 
@@ -328,8 +326,8 @@
     std::vector<endpoint_id> asked;
     for (replica const* const each : of) {
         auto const owner = owners_.find(partition_of(each->record.id));
-        bool const known = owner != owners_.end() &&
-                           owner->second != beliefs_->own_name;
+        bool const known =
+            owner != owners_.end() && owner->second != beliefs_->own_name;
         if (known && now >= each->total_told + fresh_word) {
             peer_datagram message;
             message.asks.push_back(
@@ -418,7 +416,7 @@
         return true;
     }
     replica_total const total = ledger_.total(want.replica, now);
-    return replica_choice::crowding(total, at->record.slots) < full_at;
+    return replica_choice::has_place(total, at->record.slots);
 }
 
 void peer_words::take_want(peer_want const& want, std::string const& from) {
--- a/src/Gateway/store_follower.cpp
+++ b/src/Gateway/store_follower.cpp
@@ -350,8 +350,7 @@
         for (platform::keyed_record const& each : batch.value().records) {
             take_operator(each);
         }
-        beliefs_->operator_place =
-            std::max(beliefs_->operator_place, at.next);
+        beliefs_->operator_place = std::max(beliefs_->operator_place, at.next);
     } else if (was_whole) {
         take_whole_list(batch.value());
     } else {
--- a/src/Gateway/store_follower.hpp
+++ b/src/Gateway/store_follower.hpp
@@ -20,11 +20,12 @@
 public:
     /// @param beliefs where what is read goes; must outlive the follower
     /// @param store   the store's client; must outlive the follower
-    /// @param words   tells other nodes what was read; must outlive the follower
+    /// @param words   tells other nodes what was read; must outlive the
+    /// follower
     /// @param changed called when replicas or versions have changed
     store_follower(
         gateway_beliefs& beliefs, platform::store_client& store,
-        peer_words& words,         std::function<void()> changed);
+        peer_words& words, std::function<void()> changed);
 
     /// Begins to follow.
     void start();
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -184,15 +184,15 @@
     return resting_slots > wants_.size();
 }
 
-void slot_account::used(
-    adapter_id const& adapter, bool running, instant now) {
+void slot_account::used(adapter_id const& adapter, bool running, instant now) {
     auto const found = slots_.find(adapter);
     if (found == slots_.end()) {
         return;
     }
     slot& of = found->second;
     of.last_used = now;
-    of.busy_until = now + (running ? limits_.use_lasts : limits_.rest_after_use);
+    of.busy_until =
+        now + (running ? limits_.use_lasts : limits_.rest_after_use);
 }
 
 bool slot_account::ready(adapter_ref const& adapter) const {
