--- a/src/Gateway/store_follower.cpp
+++ b/src/Gateway/store_follower.cpp
@@ -107,7 +107,7 @@
     , list_timer_(beliefs.io) {}
 
 void store_follower::stop() {
-    running_ = false;
+    *running_ = false;
     list_timer_.cancel();
 }
 
@@ -261,7 +261,7 @@
 }
 
 void store_follower::heard_operator(std::uint64_t) {
-    if (running_ && !catching_up_) {
+    if (*running_ && !catching_up_) {
         catching_up_ = true;
         asio::co_spawn(
             beliefs_->io, [this] { return catch_up(); }, asio::detached);
@@ -271,7 +271,7 @@
 asio::awaitable<void> store_follower::catch_up() {
     std::uint64_t const before = beliefs_->operator_place;
     co_await pause(news_on_its_way);
-    if (running_ && beliefs_->operator_place == before) {
+    if (*running_ && beliefs_->operator_place == before) {
         // The wait's connection may have gone silent: read on another.
         place at{operator_topic, 0, true};
         co_await step(at);
@@ -360,9 +360,10 @@
 }
 
 asio::awaitable<void> store_follower::follow_operator() {
+    auto const alive = running_;
     place at{operator_topic, 0, true};
     instant read_whole = boot_clock::now();
-    while (running_) {
+    while (*alive) {
         bool const answered = co_await step(at);
         if (!answered) {
             co_await pause(retry_pause);
@@ -389,11 +390,12 @@
 }
 
 asio::awaitable<void> store_follower::follow_replicas() {
+    auto const alive = running_;
     place at{replica_topic, 0, true};
     instant read_whole = boot_clock::now();
     std::uniform_real_distribution<double> part(0, 1);
     double draw = part(beliefs_->random);
-    while (running_) {
+    while (*alive) {
         instant const now = boot_clock::now();
         for (endpoint_id const& id : beliefs_->replicas.settle_missing(
                  beliefs_->store_calm(now), now)) {
--- a/src/Gateway/store_follower.hpp
+++ b/src/Gateway/store_follower.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace camphorpoint {
@@ -71,7 +72,8 @@
     list_turns turns_;
     boost::asio::steady_timer list_timer_;
     bool catching_up_ = false;
-    bool running_ = true;
+    // Shared with the coroutines, which end after it has turned false.
+    std::shared_ptr<bool> running_ = std::make_shared<bool>(true);
 };
 
 } // namespace camphorpoint
