An entry lost after the store's return is settled with the return

The node had been cut from the store until 0.8 s before; a lost entry was kept for 2.3 s from when it was missed, though entries that lapse with an outage are back 2 s after its end. Ruled out: the shared readings (the node read by itself then).

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -12,9 +12,6 @@
 /// How long word from an orderer counts more than the list: an entry is
 /// written about every 1.2 s and read up to a second later.
 constexpr duration word_outlasts_list = std::chrono::milliseconds(2'500);
-/// Entries that lapsed while the store was down are back within two seconds of
-/// its return, says the platform; the rest is for this node's own reading.
-constexpr duration return_time = std::chrono::milliseconds(2'300);
 /// Replicas keep copies of a hundred adapters and more in their memory; those
 /// that lie there now are not counted here.
 constexpr std::size_t most_kept = 100;
@@ -110,8 +107,7 @@
         if (each.missing_since == instant::max()) {
             continue;
         }
-        if (!each.missing && store_calm &&
-            now >= each.missing_since + return_time) {
+        if (!each.missing && store_calm) {
             each.missing = true;
             gone.push_back(id);
         }
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -99,8 +99,11 @@
     /// The list was read whole: entries that are not in it are lost.
     std::vector<endpoint_id>
     lost_beside(std::vector<endpoint_id> const& listed, bool keep, instant now);
-    /// Forgets replicas whose entry stayed away until this time, and those that
-    /// are long gone.
+    /// Forgets replicas whose entry stayed away until the store was calm again,
+    /// and those that are long gone. Entries that lapsed in an outage are back
+    /// within two seconds of the store's return, whenever they were missed.
+    /// Guards against a replica that leaves just after the return and gets
+    /// requests until it is gone, as if its entry might still come back.
     /// @returns those that are to be treated as gone from now on
     std::vector<endpoint_id> settle_missing(bool store_calm, instant now);
 
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -63,9 +63,12 @@
     return static_cast<unsigned>(heard) + 1;
 }
 
+instant gateway_beliefs::store_calm_from() const {
+    return store_back + store_settles;
+}
+
 bool gateway_beliefs::store_calm(instant now) const {
-    return store_lost_since == instant::max() &&
-           now >= store_back + store_settles;
+    return store_lost_since == instant::max() && now >= store_calm_from();
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -44,6 +44,8 @@
     unsigned nodes() const;
     /// @returns true when the store has answered lately and without a break
     bool store_calm(instant now) const;
+    /// @returns when entries that lapsed with the store's last outage are back
+    instant store_calm_from() const;
     /// Writes a line.
     void note(log_line const& line) { log.write(line, boot_clock::now()); }
 
--- a/src/Gateway/store_follower.cpp
+++ b/src/Gateway/store_follower.cpp
@@ -413,7 +413,10 @@
             draw = part(beliefs_->random);
             continue;
         }
-        list_timer_.expires_after(time_until(turns_.due(draw)));
+        instant const calm = beliefs_->store_calm_from();
+        instant const due = turns_.due(draw);
+        instant const wake = now < calm ? std::min(due, calm) : due;
+        list_timer_.expires_after(time_until(wake));
         co_await list_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -155,6 +155,27 @@
         CHECK(gone.front().str() == "r2");
         CHECK(world.best(world.need()) == "r1");
     }
+    SUBCASE("none is given up before the store is calm") {
+        CHECK(world.replicas.settle_missing(false, world.now + seconds(9))
+                  .empty());
+        CHECK(world.choice.holders(world.need(), world.now) == 2);
+    }
+    // A replica leaves 0.8 s after the store's return, without a word before.
+    // Its entry was waited for as long as one that had lapsed in the outage,
+    // and callers were sent there when it had ended.
+    SUBCASE("one that is lost after the store's return is not waited for "
+            "longer") {
+        world.replicas.apply(entry("r1", {hot()}), world.now);
+        world.replicas.apply(entry("r2", {hot()}), world.now);
+        world.now += seconds(2);
+        CHECK(
+            world.replicas.lost(endpoint_id("r2"), true, world.now) ==
+            fleet_change::none);
+        auto const gone =
+            world.replicas.settle_missing(true, world.now + milliseconds(10));
+        REQUIRE(gone.size() == 1);
+        CHECK(gone.front().str() == "r2");
+    }
     SUBCASE("in a calm time an entry that is lost is gone at once") {
         CHECK(
             world.replicas.lost(endpoint_id("r2"), false, world.now) ==
