--- /dev/null
+++ b/src/Gateway/peer_words_taking.cpp
@@ -0,0 +1,116 @@
+#include "Gateway/peer_words.hpp"
+
+#include <utility>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Streams take one to three seconds, so a replica whose adapters are all in
+/// use has room again within some hundred milliseconds.
+constexpr duration no_room_time = std::chrono::milliseconds(400);
+
+} // namespace
+
+bool peer_words::has_place_for(peer_want const& want, instant now) const {
+    // Guards against hundreds of requests for an adapter that has just become
+    // busy which all wait for one replica: those beyond its places are turned
+    // away at once and have it loaded elsewhere at the same time.
+    replica const* const at = beliefs_->replicas.find_short(want.replica);
+    if (at == nullptr || !want.new_here) {
+        return true;
+    }
+    replica_total const total = ledger_.total(want.replica, now);
+    return replica_choice::has_place(total, at->record.slots);
+}
+
+void peer_words::take_want(peer_want const& want, std::string const& from) {
+    instant const now = boot_clock::now();
+    if (has_place_for(want, now) && to_.want(want)) {
+        if (want.urgent && want.new_here) {
+            ledger_.awaited(want.replica, now);
+        }
+        return;
+    }
+    peer_denial const denial{want.replica, want.adapter};
+    if (from == beliefs_->own_name) {
+        take_denial(denial, now);
+        return;
+    }
+    peer_datagram message;
+    message.denials.push_back(denial);
+    send(from, std::move(message));
+}
+
+void peer_words::take_denial(peer_denial const& denial, instant now) {
+    if (replica* const at = beliefs_->replicas.find_short(denial.replica)) {
+        at->no_room_until = now + no_room_time;
+        beliefs_->waiters.notify(adapter_id(denial.adapter));
+    }
+}
+
+void peer_words::receive(std::string const& bytes) {
+    auto const message = decode_peer_datagram(bytes);
+    if (message && message->from != beliefs_->own_name) {
+        take(*message);
+    }
+}
+
+void peer_words::take(peer_datagram const& message) {
+    instant const now = boot_clock::now();
+    beliefs_->peers[message.from] = now;
+    for (peer_load const& each : message.loads) {
+        replica_total const total{
+            each.running, static_cast<double>(each.backlog_tokens)};
+        beliefs_->replicas.told_total(each.replica, total, now);
+    }
+    for (peer_ask const& each : message.asks) {
+        if (message.answers) {
+            beliefs_->waiters.notify(adapter_id(each.adapter));
+        } else {
+            take_ask(each, message.from, now);
+        }
+    }
+    for (peer_claim const& each : message.claims) {
+        owners_[each.partition] = message.from;
+        beliefs_->leases.overtaken(each.partition, each.token);
+    }
+    for (peer_word const& each : message.words) {
+        replica const* const at = beliefs_->replicas.find_short(each.replica);
+        adapter_id const adapter(each.adapter);
+        if (at == nullptr) {
+            continue;
+        }
+        if (each.held) {
+            beliefs_->replicas.told_held(
+                at->record.id, {adapter, each.version}, now);
+            beliefs_->waiters.notify(adapter);
+        } else {
+            beliefs_->replicas.told_dropped(at->record.id, adapter, now);
+        }
+    }
+    for (peer_suspicion const& each : message.suspicions) {
+        if (replica* const at = beliefs_->replicas.find_short(each.replica)) {
+            at->health.note_hearsay(now + milliseconds(each.milliseconds));
+        }
+    }
+    for (peer_want const& each : message.wants) {
+        take_want(each, message.from);
+    }
+    for (peer_denial const& each : message.denials) {
+        take_denial(each, now);
+    }
+    for (peer_use const& each : message.uses) {
+        take_use(each, message.from, now);
+    }
+    for (peer_reading const& each : message.readings) {
+        to_.reading(each);
+    }
+    if (message.operator_place > beliefs_->operator_place) {
+        to_.operator_place(message.operator_place);
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
 
 namespace camphorpoint {
 
+/// Least time that a replica needs for anything.
+inline constexpr std::chrono::milliseconds least_run{20};
+
 /// One request's way from its caller to a replica and back.
 class request_flow {
 public:
--- /dev/null
+++ b/src/Gateway/request_flow_choice.cpp
@@ -0,0 +1,241 @@
+#include "Gateway/request_flow.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A replica below this load takes a request at once: it still has room in its
+/// batch when the other nodes think the same.
+constexpr double easy_load = 0.6;
+/// From here on a replica has a queue of its own as long as a quarter of its
+/// batch; what comes then would miss its objective by waiting.
+constexpr double full_load = 1.25;
+/// From this mean crowding of its replicas on a service is busy: some are full
+/// then, as requests do not come evenly.
+constexpr double busy_service = 0.65;
+/// A holder that is as full as this gets a second one beside it. A copy costs a
+/// load and a slot, and while places are free it brings nothing sooner.
+constexpr double copy_load = 0.9;
+/// Wants are repeated so often: datagrams may be lost, holders may change.
+constexpr milliseconds want_again{300};
+/// Callers give a stream up when its first event takes four times the
+/// objective. Who waits for a load so long gets "not run" while there is time
+/// to come back.
+constexpr unsigned load_wait_objectives = 3;
+/// Prompt tokens that a replica should have to read at a time, a further
+/// prompt included. More make its streams pause for longer than their callers
+/// take for good, and the objective leaves time to wait here. Below the least
+/// a long prompt goes at once: it would never find less.
+constexpr double most_together = 4'500;
+constexpr double least_backlog = 500;
+/// A request is held for this at the most: a third of the tightest objective
+/// of a stream, so that a load still fits.
+constexpr milliseconds longest_hold{260};
+constexpr milliseconds hold_look{15};
+/// From this crowding of the best holder on a copy is as urgent as a first
+/// load.
+constexpr double copy_crowding = 0.4;
+/// The home of an adapter is asked for this long before another is.
+constexpr milliseconds home_stays{900};
+/// Whoever counts a replica's requests answers within a few milliseconds. It is
+/// not worth more than a fiftieth of the tightest objective of a stream.
+constexpr milliseconds ask_time{15};
+/// Holders that are fuller than the mean by less are as full as the others.
+constexpr double noticed_crowding = 0.05;
+
+} // namespace
+
+replica* request_flow::plain_replica(instant now) {
+    replica* const best = beliefs_->choice.best(need_, now);
+    if (best == nullptr) {
+        reason_ = "no-replica";
+        return nullptr;
+    }
+    // A plain service queues a few requests itself, and says when it is full.
+    return best;
+}
+
+void request_flow::ask_for_copy(replica* home, bool urgent) {
+    if (home == nullptr) {
+        return;
+    }
+    bool const fresh = asked_.empty();
+    bool const new_here = asked_ != home->record.id;
+    asked_ = home->record.id;
+    std::uint32_t const version =
+        beliefs_->newest_version(need_.adapter).value_or(0);
+    words_->want(*home, {need_.adapter, version}, urgent, fresh, new_here);
+}
+
+void request_flow::want_copies(replica const& best, instant now) {
+    std::size_t const replicas =
+        beliefs_->replicas.of_service(need_.service).size();
+    std::size_t const here = beliefs_->choice.holders(need_, now);
+    std::size_t const wanted =
+        beliefs_->demand.copies(need_.adapter, replicas, now);
+    bool const lane_lacks =
+        here == 0 && beliefs_->demand.steady(need_.adapter, replicas, now);
+    // A copy spreads nothing while the holders are no fuller than the others.
+    // Each node guesses the demand from its own few requests, and the highest
+    // of many guesses would make copies everywhere.
+    double const mean = beliefs_->choice.mean_crowding(need_.service, now);
+    bool const fuller =
+        replica_choice::crowding(best, now) > mean + noticed_crowding;
+    if (lane_lacks || (fuller && here > 0 && here < wanted)) {
+        // While its holders have room the copy waits for loads that somebody
+        // waits for.
+        bool const urgent =
+            replica_choice::crowding(best, now) >= copy_crowding;
+        ask_for_copy(beliefs_->choice.next_home(need_, now), urgent);
+    }
+}
+
+replica* request_flow::home_for(instant now) {
+    // A home that was asked stays the one while it can: the load may be under
+    // way, and another would be a second one for nothing.
+    replica* const asked = beliefs_->replicas.find(asked_);
+    // One that has filled up meanwhile would be a reason to refuse.
+    if (asked != nullptr && asked->open() && now >= asked->no_room_until &&
+        asked->load() < full_load && !asked->health.suspected(now) &&
+        now < arrived_ + home_stays) {
+        return asked;
+    }
+    return beliefs_->choice.next_home(need_, now);
+}
+
+bool request_flow::should_hold(replica const& at, instant now) const {
+    double const waiting = at.backlog(now);
+    return waiting > least_backlog &&
+           waiting + demand_.prompt_tokens > most_together &&
+           now < arrived_ + longest_hold;
+}
+
+std::optional<replica*> request_flow::adapter_replica(instant now) {
+    holding_ = false;
+    std::uint32_t const newest =
+        beliefs_->newest_version(need_.adapter).value_or(0);
+    need_.least_version = newest;
+    replica* best = beliefs_->choice.best(need_, now);
+    if (best == nullptr && newest > 0 &&
+        beliefs_->least_version(need_.adapter, now) == 0) {
+        // The old version serves until the new one lies somewhere.
+        ask_for_copy(beliefs_->choice.next_home(need_, now), true);
+        need_.least_version = 0;
+        best = beliefs_->choice.best(need_, now);
+    }
+    bool const sound = best != nullptr && !best->health.suspected(now);
+    if (sound && best->counted(now) && best->load() < easy_load) {
+        want_copies(*best, now);
+        holding_ = should_hold(*best, now);
+        if (holding_) {
+            return std::nullopt;
+        }
+        return best;
+    }
+    replica* const home = home_for(now);
+    // Where nobody is known to count, all others send blindly too. It is used
+    // when there is no other.
+    bool const blind = sound && !best->counted(now) && home != nullptr &&
+                       home->counted(now) &&
+                       now < arrived_ + route_->objective / 2;
+    if (sound && !blind && best->load() < full_load) {
+        if (home != nullptr && home->load() < best->load() &&
+            best->load() >= copy_load) {
+            ask_for_copy(home, false);
+        }
+        return best;
+    }
+    // While the service has room, the home's orderer decides: what was heard of
+    // its load is older. When all are busy a further load would make everybody
+    // late, and places come free elsewhere no sooner.
+    bool const service_busy =
+        beliefs_->choice.mean_crowding(need_.service, now) >= busy_service;
+    if (home != nullptr && (home->load() < full_load || !service_busy)) {
+        ask_for_copy(home, true);
+        return std::nullopt;
+    }
+    bool const none = best == nullptr && home == nullptr;
+    if (none && now < arrived_ + route_->objective &&
+        beliefs_->choice.any_open(need_.service)) {
+        // All that lies anywhere is in use right now; some of it ends soon.
+        return std::nullopt;
+    }
+    reason_ = none ? "no-replica" : "all-full";
+    return nullptr;
+}
+
+asio::awaitable<void> request_flow::freshen_loads() {
+    auto const caller = leaving_;
+    instant const began = boot_clock::now();
+    instant const until = began + ask_time;
+    auto const asked = words_->ask_loads(
+        beliefs_->choice.compared(need_, began), need_.adapter, began);
+    auto const unanswered = [&](endpoint_id const& id) {
+        replica const* const at = beliefs_->replicas.find(id);
+        return at != nullptr && at->total_told < began;
+    };
+    while (std::ranges::any_of(asked, unanswered) && !caller->gone &&
+           boot_clock::now() < until) {
+        adapter_id adapter = need_.adapter;
+        co_await beliefs_->waiters.wait(std::move(adapter), until);
+    }
+}
+
+asio::awaitable<replica*> request_flow::find_replica() {
+    auto const caller = leaving_;
+    co_await freshen_loads();
+    instant const began = boot_clock::now();
+    instant const give_up = std::min(
+        deadline_ - least_run,
+        began + load_wait_objectives * route_->objective);
+    bool waited = false;
+    bool freshened = false;
+    while (!caller->gone) {
+        instant const now = boot_clock::now();
+        if (now >= deadline_ - least_run) {
+            reason_ = "too-late";
+            co_return nullptr;
+        }
+        std::optional<replica*> const found =
+            need_.adapter.empty() ? plain_replica(now) : adapter_replica(now);
+        if (found && (!waited || *found == nullptr || freshened)) {
+            if (waited) {
+                beliefs_->metrics.observe_load_wait(now - began);
+            }
+            co_return *found;
+        }
+        if (found) {
+            // All who have waited are woken at once.
+            co_await freshen_loads();
+            freshened = true;
+            continue;
+        }
+        freshened = false;
+        if (now >= give_up) {
+            reason_ = "load-takes-too-long";
+            co_return nullptr;
+        }
+        if (!waited && !holding_) {
+            beliefs_->note(log_line(event_code::request_waits)
+                               .with("id", demand_.id.str())
+                               .with("adapter", need_.adapter.str())
+                               .with("at", asked_.str()));
+        }
+        waited = waited || !holding_;
+        adapter_id adapter = need_.adapter;
+        instant const look = holding_ ? now + hold_look : now + want_again;
+        co_await beliefs_->waiters.wait(
+            std::move(adapter), std::min(give_up, look));
+    }
+    reason_ = "caller-gone";
+    co_return nullptr;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/request_flow_passing.cpp
@@ -0,0 +1,159 @@
+#include "Gateway/request_flow.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using platform::answer_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A stream that may go on elsewhere is given up after this silence: twice the
+/// longest pause that any installation's callers take for good.
+constexpr milliseconds stream_silence{1'500};
+
+} // namespace
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::read_answer(endpoint_id at, std::shared_ptr<http_call> call) {
+    auto const caller = leaving_;
+    int const status = call->status();
+    answer_kind const kind = platform::judge_answer(status, call->fields());
+    if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
+        ledger_.not_executed();
+        if (kind == answer_kind::misdirected && !need_.adapter.empty()) {
+            beliefs_->replicas.told_dropped(
+                at, need_.adapter, boot_clock::now());
+        }
+        // Read to its end, so that the connection can be kept.
+        while (auto const piece = co_await call->next_piece()) {
+            if (piece->empty() || caller->gone) {
+                break;
+            }
+        }
+        co_return attempt_end::refused;
+    }
+    ledger_.answering();
+    if (kind == answer_kind::spoiled) {
+        co_return attempt_end::silent;
+    }
+    bool const stream =
+        route_->kind == route_kind::streaming && kind == answer_kind::success;
+    if (stream) {
+        co_return co_await pass_stream(call);
+    }
+    co_return co_await pass_whole(call, status);
+}
+
+asio::awaitable<bool> request_flow::forward(std::string_view piece) {
+    auto const caller = leaving_;
+    if (piece.empty()) {
+        co_return true;
+    }
+    instant const now = boot_clock::now();
+    if (first_sent_ == instant{}) {
+        first_sent_ = now;
+    } else {
+        longest_pause_ = std::max(longest_pause_, now - last_sent_);
+    }
+    last_sent_ = now;
+    bool const passed = co_await exchange_->write_piece(piece);
+    caller->gone = caller->gone || !passed;
+    co_return passed;
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::pass_stream(std::shared_ptr<http_call> call) {
+    auto const caller = leaving_;
+    bool const resumable = route_->resumable;
+    while (true) {
+        auto const left = std::chrono::duration_cast<milliseconds>(
+            deadline_ + milliseconds(100) - boot_clock::now());
+        milliseconds const wait =
+            resumable ? std::min(left, stream_silence) : left;
+        auto const piece =
+            co_await call->next_piece(std::max(wait, milliseconds(1)));
+        if (caller->gone) {
+            co_return attempt_end::finished;
+        }
+        if (!piece) {
+            co_return attempt_end::silent;
+        }
+        std::string events;
+        if (piece->empty()) {
+            if (relay_.inside_event()) {
+                co_return attempt_end::silent;
+            }
+            break;
+        }
+        if (relay_.push(*piece, events) == relay_verdict::broken) {
+            call->cancel();
+            co_return attempt_end::silent;
+        }
+        if (events.empty()) {
+            continue;
+        }
+        if (!begun_) {
+            begun_ = true;
+            status_ = call->status();
+            beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
+            http_fields fields = platform::pass_fields(call->fields());
+            bool const begun =
+                co_await exchange_->begin_stream(status_, std::move(fields));
+            leaving_->gone = leaving_->gone || !begun;
+        }
+        bool const passed = co_await forward(events);
+        if (!passed || leaving_->gone) {
+            call->cancel();
+            co_return attempt_end::finished;
+        }
+    }
+    ledger_.ended();
+    if (begun_) {
+        ended_ = co_await exchange_->end_stream();
+        co_return attempt_end::finished;
+    }
+    // A success without any event is passed on as it is.
+    http_response empty;
+    empty.status = call->status();
+    empty.fields = platform::pass_fields(call->fields());
+    status_ = empty.status;
+    ended_ = co_await exchange_->respond(std::move(empty));
+    co_return attempt_end::finished;
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::pass_whole(std::shared_ptr<http_call> call, int status) {
+    auto const caller = leaving_;
+    http_response answer;
+    answer.status = status;
+    answer.fields = platform::pass_fields(call->fields());
+    while (true) {
+        auto const piece = co_await call->next_piece();
+        if (!piece || answer.body.size() > largest_answer) {
+            co_return attempt_end::silent;
+        }
+        if (piece->empty()) {
+            break;
+        }
+        answer.body += *piece;
+    }
+    ledger_.ended();
+    constexpr int first_failure = 500;
+    if (status >= first_failure) {
+        failure_ = std::move(answer);
+        co_return attempt_end::failed;
+    }
+    status_ = status;
+    beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
+    ended_ = co_await exchange_->respond(std::move(answer));
+    caller->gone = caller->gone || !ended_;
+    co_return attempt_end::finished;
+}
+
+} // namespace camphorpoint
