Lanes of long prompts off: an adapter has one home, whatever the prompt's length

Hypothesis: an adapter that is asked for with long and short prompts is brought to two replicas, one of each lane; with six places a replica that doubles the way from the store. Change: requests belong to no lane.

--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -66,9 +66,6 @@
     need_.draw = beliefs_->random();
     if (!need_.adapter.empty()) {
         beliefs_->demand.add(need_.adapter, demand_.prompt_tokens, arrived_);
-        need_.long_prompt = demand_.prompt_tokens >= long_prompt;
-        need_.long_lane = beliefs_->demand.long_lane(
-            beliefs_->replicas.of_service(need_.service).size(), arrived_);
     }
     beliefs_->second_sends.on_request(need_.service, arrived_);
     return true;
