A home says how soon a load will be ready; a request waits, asks elsewhere or is told at once

One denial closed a replica for 400 ms for all adapters, so each was brought to two replicas and more; a replica that had just dropped an adapter was no home for it; loads of kept copies waited behind those from the store; loads under way were counted by replica, 18 and more on a way that carries 8. Ruled out: places (35 to 70 of 108 were in use while 100 adapters waited).

First guesses of the two earlier customers' load times are gone from the pace.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -161,11 +161,15 @@
     double const here = target->backlog_here.tokens_left(now);
     target->backlog_elsewhere.set(
         std::max(0.0, total.backlog_tokens - here), now);
+    target->free_slots = total.free_slots;
     target->total_told = now;
 }
 
 void fleet::forget_old_totals(instant now) {
     for (auto& [id, each] : all_) {
+        std::erase_if(each.denials, [&](auto const& denied) {
+            return now >= denied.second.until;
+        });
         if (now >= each.total_told + telling_ends) {
             each.running_elsewhere = 0;
             each.backlog_elsewhere = {};
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -25,6 +25,14 @@
     bool dropped = false;
 };
 
+/// Whoever orders for a replica has turned a request for an adapter away.
+struct load_denial {
+    /// Until then it counts.
+    instant until;
+    /// How long the load would have taken.
+    duration wait{0};
+};
+
 /// Word of a replica's load is told again within a second by each of up to 90
 /// nodes; two of these words may be lost.
 inline constexpr duration count_lasts = std::chrono::milliseconds(2'500);
@@ -43,6 +51,9 @@
     /// last, and when that was.
     unsigned running_elsewhere = 0;
     instant total_told;
+    /// Adapters that could be loaded there at once, less those that wait, by
+    /// the same word.
+    int free_slots = 0;
     /// Prompts that this node and all others have sent there.
     prompt_backlog backlog_here;
     prompt_backlog backlog_elsewhere;
@@ -50,8 +61,9 @@
     /// When the list no longer had it.
     instant missing_since = instant::max();
     bool missing = false;
-    /// Until then all its adapters are in use, and no other can come.
-    instant no_room_until;
+    /// Adapters that would be ready here too late, and how late, by the word
+    /// of the node that orders for it.
+    std::unordered_map<adapter_id, load_denial> denials;
     /// When it leaves at short notice.
     instant gone_at = instant::max();
 
@@ -59,6 +71,12 @@
     bool keeps(adapter_id const& adapter) const {
         return std::ranges::find(kept, adapter) != kept.end();
     }
+    /// @returns the denial of the adapter that counts now, or null
+    load_denial const* denial(adapter_id const& adapter, instant now) const {
+        auto const found = denials.find(adapter);
+        bool const counts = found != denials.end() && now < found->second.until;
+        return counts ? &found->second : nullptr;
+    }
     /// @returns requests that are there
     unsigned running() const noexcept {
         return running_here + running_elsewhere;
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -22,6 +22,12 @@
 /// Holders of an adapter that are compared.
 constexpr std::size_t most_looks = 3;
 
+/// A rare adapter may have so many homes, of which the one with more free slots
+/// is taken: with one, some replicas have adapters waiting while others have
+/// slots free; with all, each node would find another.
+/// Reference: Y. Azar, A. Broder, A. Karlin, E. Upfal, "Balanced allocations",
+/// SIAM Journal on Computing 29(1), 1999.
+constexpr std::size_t home_choices = 2;
 /// A lane keeps its requests until its replicas are this crowded.
 constexpr double lane_full = 0.9;
 /// A replica of the other lane counts as so much fuller.
@@ -34,6 +40,13 @@
 /// Smaller differences of failures are chance.
 constexpr double noticed_failures = 0.02;
 
+/// @returns true when an adapter should rather be loaded at `left`. Only whether
+///          a slot is free counts: nodes hear of loads at other times, and by
+///          them would have a rare adapter loaded at several replicas.
+bool freer(replica const& left, replica const& right) {
+    return left.free_slots > 0 && right.free_slots <= 0;
+}
+
 bool holds_model(replica const& each, model_id const& model) {
     return model.empty() || std::ranges::find(each.record.models, model) !=
                                 each.record.models.end();
@@ -151,9 +164,12 @@
     std::vector<endpoint_id> open;
     for (replica const* const each : fleet_->of_service(need.service)) {
         // One that holds an older version would have to end its runs first.
-        if (usable(*each, need, now) && now >= each->no_room_until &&
-            !each->adapters.contains(need.adapter) &&
-            holds_model(*each, need.model) && !each->health.suspected(now)) {
+        auto const held = each->adapters.find(need.adapter);
+        bool const lies_there =
+            held != each->adapters.end() && !held->second.dropped;
+        if (usable(*each, need, now) && !each->denial(need.adapter, now) &&
+            !lies_there && holds_model(*each, need.model) &&
+            !each->health.suspected(now)) {
             open.push_back(each->record.id);
         }
     }
@@ -163,20 +179,37 @@
     // they would load it at several, and from the store though its own home
     // still keeps a copy.
     auto const ranked = rendezvous_top(need.adapter.str(), open, open.size());
-    replica* first = nullptr;
-    bool first_in_lane = false;
+    replica* keeper = nullptr;
+    replica* freest = nullptr;
+    std::size_t looked_at = 0;
     for (endpoint_id const& id : ranked) {
         replica* const each = fleet_->find(id);
-        bool const own_lane = in_lane(*each, need);
-        if (own_lane && each->keeps(need.adapter)) {
-            return each;
+        if (each->keeps(need.adapter) &&
+            (keeper == nullptr || freer(*each, *keeper))) {
+            keeper = each;
         }
-        if (first == nullptr || (own_lane && !first_in_lane)) {
-            first = each;
-            first_in_lane = own_lane;
+        if (looked_at < home_choices &&
+            (freest == nullptr || freer(*each, *freest))) {
+            freest = each;
+        }
+        ++looked_at;
+    }
+    return keeper != nullptr ? keeper : freest;
+}
+
+replica*
+replica_choice::soonest_home(replica_need const& need, instant now) const {
+    replica* soonest = nullptr;
+    duration least = duration::max();
+    for (replica* const each : fleet_->of_service(need.service)) {
+        load_denial const* const denied = each->denial(need.adapter, now);
+        if (denied != nullptr && usable(*each, need, now) &&
+            denied->wait < least) {
+            soonest = each;
+            least = denied->wait;
         }
     }
-    return first;
+    return soonest;
 }
 
 std::size_t
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -51,6 +51,9 @@
     ///          first in the adapter's own order that has not turned requests
     ///          away just now; null when there is none
     replica* next_home(replica_need const& need, instant now) const;
+    /// @returns of the replicas that turned the adapter away just now the one
+    ///          where it would be ready first; null when there is none
+    replica* soonest_home(replica_need const& need, instant now) const;
     /// @returns how full the replica is, by its batch and by what it has to
     ///          read; 1 is full
     static double crowding(replica const& each, instant now);
--- a/src/Fleet/run_ledger.hpp
+++ b/src/Fleet/run_ledger.hpp
@@ -17,6 +17,8 @@
     unsigned running = 0;
     /// Prompt tokens that the replica has still to read.
     double backlog_tokens = 0;
+    /// Adapters that could be loaded there at once, less those that wait.
+    int free_slots = 0;
 };
 
 /// The runs of all nodes at the replicas that this node orders for, as each
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -62,6 +62,7 @@
           beliefs_,
           {[this](peer_want const& asked) { return orderer_.want(asked); },
            [this](peer_use const& told) { orderer_.use(told); },
+           [this](std::uint64_t at) { return orderer_.free_slots(at); },
            [this](peer_reading const& told) { follower_.heard(told); },
            [this](std::uint64_t place) {
                follower_.heard_operator(place);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -16,17 +16,17 @@
     std::uint64_t replica = 0;
     std::string adapter;
     std::uint32_t version = 0;
-    bool urgent = false;
-    /// It is the first that is said of a request: that one can still be
-    /// answered in time.
-    bool fresh = false;
+    /// For whom, as a number of `want_kind`.
+    std::uint8_t kind = 0;
     /// It is the first that is said of a request to this replica: it can be
     /// turned away.
     bool new_here = false;
+    /// The request may wait for so long.
+    std::uint32_t patience_ms = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter, version, urgent, fresh, new_here);
+        archive(replica, adapter, version, kind, new_here, patience_ms);
     }
 };
 
@@ -80,15 +80,17 @@
     }
 };
 
-/// The sender orders for a replica at which an adapter has no room now, since
-/// all that lies there is in use.
+/// The sender orders for a replica at which an adapter would be ready too late
+/// for the request that wants it.
 struct peer_denial {
     std::uint64_t replica = 0;
     std::string adapter;
+    /// How long it would take.
+    std::uint32_t wait_ms = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter);
+        archive(replica, adapter, wait_ms);
     }
 };
 
@@ -111,10 +113,13 @@
     std::uint64_t replica = 0;
     std::uint16_t running = 0;
     std::uint16_t backlog_tokens = 0;
+    /// Adapters that could be loaded there at once, less those that wait for
+    /// it; negative when more wait.
+    std::int16_t free_slots = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, running, backlog_tokens);
+        archive(replica, running, backlog_tokens, free_slots);
     }
 };
 
@@ -181,7 +186,7 @@
     /// nothing of it.
     std::uint64_t operator_place = 0;
 
-    static constexpr std::uint32_t current_format = 2;
+    static constexpr std::uint32_t current_format = 3;
 
     template <class Archive>
     void serialize(Archive& archive) {
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -48,6 +48,12 @@
 constexpr std::size_t most_counts = 40;
 constexpr std::size_t most_claims = 40;
 
+/// @returns what a datagram says of a time
+std::uint32_t whole_milliseconds(duration time) {
+    auto const count = std::chrono::duration_cast<milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+}
+
 /// How many pauses lie between two tellings of a node.
 unsigned pauses_between(unsigned nodes) {
     return 1 + nodes / nodes_at_full_pace;
@@ -128,8 +134,8 @@
 }
 
 void peer_words::want(
-    replica const& at, adapter_ref const& adapter, bool urgent, bool fresh,
-    bool new_here) {
+    replica const& at, adapter_ref const& adapter, want_kind kind,
+    bool new_here, duration patience) {
     instant const now = boot_clock::now();
     instant& said = wanted_[{at.record.id, adapter.id}];
     // Guards against a holder that is swamped by the repeats of hundreds of
@@ -143,9 +149,9 @@
     asked.replica = fleet::short_name(at.record.id);
     asked.adapter = adapter.id.str();
     asked.version = adapter.version;
-    asked.urgent = urgent;
-    asked.fresh = fresh;
+    asked.kind = static_cast<std::uint8_t>(kind);
     asked.new_here = new_here;
+    asked.patience_ms = whole_milliseconds(patience);
     auto const owner = owners_.find(partition_of(at.record.id));
     if (owner == owners_.end()) {
         return;
@@ -163,7 +169,9 @@
         2 * telling_pause * pauses_between(beliefs_->nodes());
     if (heard != beliefs_->peers.end() &&
         now >= heard->second + std::max(holder_silent, two_tellings)) {
-        take_denial({asked.replica, asked.adapter}, now);
+        take_denial(
+            {asked.replica, asked.adapter, whole_milliseconds(holder_silent)},
+            now);
         return;
     }
     peer_datagram message;
@@ -287,6 +295,12 @@
     return owner != owners_.end() && owner->second == beliefs_->own_name;
 }
 
+replica_total peer_words::counted(std::uint64_t replica, instant now) const {
+    replica_total total = ledger_.total(replica, now);
+    total.free_slots = to_.free_slots(replica);
+    return total;
+}
+
 std::optional<peer_load>
 peer_words::total_of(std::uint64_t replica, instant now) const {
     constexpr double most = std::numeric_limits<std::uint16_t>::max();
@@ -295,9 +309,10 @@
     if (at == nullptr || !orders_for(at->record.id)) {
         return std::nullopt;
     }
-    replica_total const total = ledger_.total(replica, now);
+    replica_total const total = counted(replica, now);
     peer_load load;
     load.replica = replica;
+    load.free_slots = static_cast<std::int16_t>(total.free_slots);
     load.running = static_cast<std::uint16_t>(total.running);
     load.backlog_tokens =
         static_cast<std::uint16_t>(std::min(total.backlog_tokens, most));
@@ -309,8 +324,7 @@
     ledger_.told(
         from, use.replica, adapter_id(use.adapter), use.running,
         use.prompt_tokens, now);
-    beliefs_->replicas.told_total(
-        use.replica, ledger_.total(use.replica, now), now);
+    beliefs_->replicas.told_total(use.replica, counted(use.replica, now), now);
     // What counts for the slot is whether any node has runs there.
     peer_use of_all = use;
     of_all.running =
@@ -372,7 +386,7 @@
         std::uint64_t const name = fleet::short_name(id);
         if (auto const total = total_of(name, now)) {
             message.loads.push_back(*total);
-            beliefs_->replicas.told_total(name, ledger_.total(name, now), now);
+            beliefs_->replicas.told_total(name, counted(name, now), now);
         }
     }
     for (std::size_t const each : beliefs_->leases.held()) {
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -2,6 +2,7 @@
 
 #include "Gateway/gateway_beliefs.hpp"
 #include "Gateway/peer_datagram.hpp"
+#include "Holding/want_kind.hpp"
 #include "Ports/probe_link.hpp"
 
 #include <cstdint>
@@ -20,9 +21,12 @@
 public:
     /// Takes wants and uses that are this node's to heed.
     struct receiver {
-        /// @returns false when there is no room for it now
-        std::function<bool(peer_want const& want)> want;
+        /// @returns nothing when it is taken, else how long it would take
+        std::function<std::optional<duration>(peer_want const& want)> want;
         std::function<void(peer_use const& use)> use;
+        /// @returns adapters that could be loaded at a replica that this node
+        ///          orders for, less those that wait
+        std::function<int(std::uint64_t replica)> free_slots;
         /// Another node has read on in the list of replicas.
         std::function<void(peer_reading const& reading)> reading;
         /// Another node has read so far in what the operator declares.
@@ -39,12 +43,12 @@
     void stop();
 
     /// Asks whoever orders for the replica to load the adapter there.
-    /// @param urgent somebody waits for it
-    /// @param fresh  somebody has begun to wait for it just now
-    /// @param new_here the same, for this replica
+    /// @param kind     for whom
+    /// @param new_here the request has not asked at this replica before
+    /// @param patience how long the request may wait for it there
     void want(
-        replica const& at, adapter_ref const& adapter, bool urgent, bool fresh,
-        bool new_here);
+        replica const& at, adapter_ref const& adapter, want_kind kind,
+        bool new_here, duration patience);
     /// Tells all nodes of changes at a replica that this node orders for.
     void tell(endpoint_id const& at, std::vector<peer_word> words);
     /// Tells all nodes that this one orders for a partition.
@@ -94,6 +98,7 @@
     void repeat_uses();
     void take_use(peer_use const& use, std::string const& from, instant now);
     void take_ask(peer_ask const& ask, std::string const& from, instant now);
+    replica_total counted(std::uint64_t replica, instant now) const;
     std::optional<peer_load> total_of(std::uint64_t replica, instant now) const;
     void tell_totals(instant now);
     bool orders_for(endpoint_id const& at) const;
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -8,9 +8,16 @@
 
 namespace {
 
-/// Streams take one to three seconds, so a replica whose adapters are all in
-/// use has room again within some hundred milliseconds.
-constexpr duration no_room_time = std::chrono::milliseconds(400);
+/// Slots come free and loads end within some hundred milliseconds: a forecast
+/// that is older says little.
+constexpr duration denial_lasts = std::chrono::milliseconds(400);
+/// How long it may take a replica that has no place for another request: its
+/// runs have to end first.
+constexpr duration until_place = std::chrono::milliseconds(1'000);
+
+bool waits(peer_want const& want) {
+    return want.kind < static_cast<std::uint8_t>(want_kind::ahead);
+}
 
 } // namespace
 
@@ -28,13 +35,17 @@
 
 void peer_words::take_want(peer_want const& want, std::string const& from) {
     instant const now = boot_clock::now();
-    if (has_place_for(want, now) && to_.want(want)) {
-        if (want.urgent && want.new_here) {
+    std::optional<duration> const wait =
+        has_place_for(want, now) ? to_.want(want) : until_place;
+    if (!wait) {
+        if (waits(want) && want.new_here) {
             ledger_.awaited(want.replica, now);
         }
         return;
     }
-    peer_denial const denial{want.replica, want.adapter};
+    auto const told = std::chrono::duration_cast<milliseconds>(*wait).count();
+    peer_denial const denial{
+        want.replica, want.adapter, static_cast<std::uint32_t>(told)};
     if (from == beliefs_->own_name) {
         take_denial(denial, now);
         return;
@@ -46,8 +57,10 @@
 
 void peer_words::take_denial(peer_denial const& denial, instant now) {
     if (replica* const at = beliefs_->replicas.find_short(denial.replica)) {
-        at->no_room_until = now + no_room_time;
-        beliefs_->waiters.notify(adapter_id(denial.adapter));
+        adapter_id const adapter(denial.adapter);
+        at->denials[adapter] = {
+            now + denial_lasts, milliseconds(denial.wait_ms)};
+        beliefs_->waiters.notify(adapter);
     }
 }
 
@@ -63,7 +76,8 @@
     beliefs_->peers[message.from] = now;
     for (peer_load const& each : message.loads) {
         replica_total const total{
-            each.running, static_cast<double>(each.backlog_tokens)};
+            each.running, static_cast<double>(each.backlog_tokens),
+            each.free_slots};
         beliefs_->replicas.told_total(each.replica, total, now);
     }
     for (peer_ask const& each : message.asks) {
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -66,6 +66,8 @@
     bool should_hold(replica const& at, instant now) const;
     void want_copies(replica const& best, instant now);
     void ask_for_copy(replica* home, bool urgent);
+    duration patience(instant now) const;
+    duration part_of_objective(double part) const;
     boost::asio::awaitable<attempt_end> attempt(replica& at);
     boost::asio::awaitable<attempt_end>
     read_answer(endpoint_id at, std::shared_ptr<http_call> call);
@@ -95,6 +97,13 @@
     replica_need need_;
     /// The replica that was asked last to hold the adapter.
     endpoint_id asked_;
+    /// How many were asked since the search began, and when that was.
+    unsigned homes_asked_ = 0;
+    instant search_began_;
+    /// No home can have the adapter ready in time: the soonest one is taken.
+    bool late_ = false;
+    /// When it would have been ready at the soonest, for who is refused.
+    duration soonest_{0};
     attempt_ledger ledger_{false};
     event_relay relay_;
     /// It waits for its replica to read other prompts.
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -25,28 +25,38 @@
 constexpr double copy_load = 0.9;
 /// Wants are repeated so often: datagrams may be lost, holders may change.
 constexpr milliseconds want_again{300};
-/// Callers give a stream up when its first event takes four times the
-/// objective. Who waits for a load so long gets "not run" while there is time
-/// to come back.
-constexpr unsigned load_wait_objectives = 3;
+/// A request waits for a load while that leaves this part of its objective for
+/// the replica to read its prompt.
+constexpr double load_share = 0.75;
+/// A late answer is worth something to its caller, who gives a stream up after
+/// four times the objective: a load that takes longer than twice the objective
+/// would leave nothing for queues that turn out longer than forecast.
+constexpr double late_objectives = 1.25;
+/// Who waits longer than that by half has been forecast wrongly, and is told
+/// so while there is time to come back.
+constexpr double give_up_objectives = 1.75;
+/// Homes that a request asks for a load in time, the one that keeps a copy
+/// among them. More would bring rare adapters everywhere.
+constexpr unsigned most_homes = 2;
 /// Prompt tokens that a replica should have to read at a time, a further
 /// prompt included. More make its streams pause for longer than their callers
 /// take for good, and the objective leaves time to wait here. Below the least
 /// a long prompt goes at once: it would never find less.
 constexpr double most_together = 4'500;
 constexpr double least_backlog = 500;
-/// A request is held for this at the most: a third of the tightest objective
-/// of a stream, so that a load still fits.
-constexpr milliseconds longest_hold{260};
+/// A request is held for this part of its objective at the most: a long prompt
+/// has the rest of it to be read.
+constexpr double longest_hold = 0.45;
 constexpr milliseconds hold_look{15};
 /// From this crowding of the best holder on a copy is as urgent as a first
 /// load.
 constexpr double copy_crowding = 0.4;
-/// The home of an adapter is asked for this long before another is.
-constexpr milliseconds home_stays{900};
 /// Whoever counts a replica's requests answers within a few milliseconds. It is
 /// not worth more than a fiftieth of the tightest objective of a stream.
 constexpr milliseconds ask_time{15};
+/// From this crowding of the best holder on its prompts queue for longer than
+/// the pauses that callers take.
+constexpr double queue_crowding = 0.8;
 /// Holders that are fuller than the mean by less are as full as the others.
 constexpr double noticed_crowding = 0.05;
 
@@ -66,12 +76,28 @@
     if (home == nullptr) {
         return;
     }
-    bool const fresh = asked_.empty();
     bool const new_here = asked_ != home->record.id;
     asked_ = home->record.id;
     std::uint32_t const version =
         beliefs_->newest_version(need_.adapter).value_or(0);
-    words_->want(*home, {need_.adapter, version}, urgent, fresh, new_here);
+    want_kind const kind = !urgent ? want_kind::ahead
+                           : late_ ? want_kind::late
+                                   : want_kind::in_time;
+    homes_asked_ += urgent && new_here ? 1 : 0;
+    words_->want(
+        *home, {need_.adapter, version}, kind, new_here,
+        patience(boot_clock::now()));
+}
+
+duration request_flow::patience(instant now) const {
+    duration const in_time =
+        part_of_objective(late_ ? late_objectives : load_share);
+    return std::min(search_began_ + in_time, deadline_ - least_run) - now;
+}
+
+duration request_flow::part_of_objective(double part) const {
+    std::chrono::duration<double> const objective = route_->objective;
+    return std::chrono::duration_cast<duration>(objective * part);
 }
 
 void request_flow::want_copies(replica const& best, instant now) {
@@ -88,7 +114,11 @@
     double const mean = beliefs_->choice.mean_crowding(need_.service, now);
     bool const fuller =
         replica_choice::crowding(best, now) > mean + noticed_crowding;
-    if (lane_lacks || (fuller && here > 0 && here < wanted)) {
+    // Where prompts queue at all holders one more pays whatever the share: it
+    // may be another adapter there that fills them.
+    bool const queues = replica_choice::crowding(best, now) >= queue_crowding &&
+                        beliefs_->demand.steady(need_.adapter, replicas, now);
+    if (lane_lacks || (fuller && here > 0 && (here < wanted || queues))) {
         // While its holders have room the copy waits for loads that somebody
         // waits for.
         bool const urgent =
@@ -102,19 +132,30 @@
     // way, and another would be a second one for nothing.
     replica* const asked = beliefs_->replicas.find(asked_);
     // One that has filled up meanwhile would be a reason to refuse.
-    if (asked != nullptr && asked->open() && now >= asked->no_room_until &&
-        asked->load() < full_load && !asked->health.suspected(now) &&
-        now < arrived_ + home_stays) {
+    if (asked != nullptr && asked->open() &&
+        asked->denial(need_.adapter, now) == nullptr &&
+        asked->load() < full_load && !asked->health.suspected(now)) {
         return asked;
     }
-    return beliefs_->choice.next_home(need_, now);
+    if (!late_ && homes_asked_ < most_homes) {
+        if (replica* const next = beliefs_->choice.next_home(need_, now)) {
+            return next;
+        }
+    }
+    replica* const soonest = beliefs_->choice.soonest_home(need_, now);
+    if (soonest == nullptr) {
+        return late_ ? nullptr : beliefs_->choice.next_home(need_, now);
+    }
+    late_ = true;
+    soonest_ = soonest->denial(need_.adapter, now)->wait;
+    return soonest_ <= patience(now) ? soonest : nullptr;
 }
 
 bool request_flow::should_hold(replica const& at, instant now) const {
     double const waiting = at.backlog(now);
     return waiting > least_backlog &&
            waiting + demand_.prompt_tokens > most_together &&
-           now < arrived_ + longest_hold;
+           now < arrived_ + part_of_objective(longest_hold);
 }
 
 std::optional<replica*> request_flow::adapter_replica(instant now) {
@@ -161,6 +202,10 @@
         ask_for_copy(home, true);
         return std::nullopt;
     }
+    if (soonest_ > duration::zero() && home == nullptr) {
+        reason_ = "load-takes-too-long";
+        return nullptr;
+    }
     bool const none = best == nullptr && home == nullptr;
     if (none && now < arrived_ + route_->objective &&
         beliefs_->choice.any_open(need_.service)) {
@@ -192,9 +237,13 @@
     auto const caller = leaving_;
     co_await freshen_loads();
     instant const began = boot_clock::now();
+    search_began_ = began;
+    homes_asked_ = 0;
+    late_ = false;
+    soonest_ = duration::zero();
+    asked_ = endpoint_id();
     instant const give_up = std::min(
-        deadline_ - least_run,
-        began + load_wait_objectives * route_->objective);
+        deadline_ - least_run, began + part_of_objective(give_up_objectives));
     bool waited = false;
     bool freshened = false;
     while (!caller->gone) {
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -69,6 +69,23 @@
     return number * parts_of_topic + part;
 }
 
+want_kind kind_of(peer_want const& asked) {
+    auto const last = static_cast<std::uint8_t>(want_kind::ahead);
+    return static_cast<want_kind>(std::min(asked.kind, last));
+}
+
+std::string_view to_string(want_kind kind) {
+    switch (kind) {
+    case want_kind::in_time:
+        return "in-time";
+    case want_kind::late:
+        return "late";
+    case want_kind::ahead:
+        return "ahead";
+    }
+    return "";
+}
+
 std::string_view to_string(slot_order_kind kind) {
     switch (kind) {
     case slot_order_kind::load_model:
@@ -169,8 +186,9 @@
             continue;
         }
         auto const held = std::make_shared<held_replica>(
-            slot_account(*limits, pace_), beliefs_->io, *token);
+            *limits, pace_, beliefs_->io, *token);
         held_[id] = held;
+        pace_.set_replicas(held_.size());
         by_short_name_[fleet::short_name(id)] = id;
         asio::co_spawn(
             beliefs_->io, [this, id = id, held] { return work(id, held); },
@@ -287,14 +305,17 @@
     words_->claim(partition, token);
 }
 
-bool slot_orderer::want(peer_want const& asked) {
+std::optional<duration> slot_orderer::want(peer_want const& asked) {
     auto const id = by_short_name_.find(asked.replica);
     auto const held =
         id == by_short_name_.end() ? held_.end() : held_.find(id->second);
     if (held == held_.end()) {
         // Another may order for it by now. A node that is stopping can't give
         // its replicas to another while the store is down.
-        return *running_;
+        if (*running_) {
+            return std::nullopt;
+        }
+        return beliefs_->settings.leases.lease;
     }
     adapter_ref const adapter{adapter_id(asked.adapter), asked.version};
     slot_account& account = held->second->account;
@@ -305,15 +326,35 @@
         words_->tell(id->second, std::move(words));
         beliefs_->replicas.told_held(id->second, adapter, boot_clock::now());
         beliefs_->waiters.notify(adapter.id);
-        return true;
+        return std::nullopt;
     }
     instant const now = boot_clock::now();
-    if (!account.has_room_for(adapter.id, now)) {
-        return false;
-    }
-    account.want(adapter, asked.urgent, asked.fresh, now);
+    want_kind const kind = kind_of(asked);
+    duration const wait = account.expected_wait(adapter, kind, now);
+    bool const refused =
+        kind == want_kind::ahead
+            ? !account.has_room_for(adapter.id, now)
+            : asked.new_here && wait > milliseconds(asked.patience_ms);
+    bool const fresh = !account.wanted_already(adapter.id);
+    if (refused || fresh) {
+        beliefs_->note(
+            log_line(
+                refused ? event_code::load_turned_away
+                        : event_code::load_queued)
+                .with("replica", id->second.str())
+                .with("adapter", asked.adapter)
+                .with("kind", to_string(kind))
+                .with("forecast_ms", wait)
+                .with("patience_ms", static_cast<int>(asked.patience_ms))
+                .with("free", account.spare_slots(now))
+                .with("waiting", account.waiting()));
+    }
+    if (refused) {
+        return wait;
+    }
+    account.want(adapter, kind, now);
     held->second->wake.cancel();
-    return true;
+    return std::nullopt;
 }
 
 void slot_orderer::use(peer_use const& told) {
@@ -326,6 +367,15 @@
     }
 }
 
+int slot_orderer::free_slots(std::uint64_t replica) const {
+    auto const id = by_short_name_.find(replica);
+    auto const held =
+        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    return held == held_.end()
+               ? 0
+               : held->second->account.spare_slots(boot_clock::now());
+}
+
 void slot_orderer::publish(endpoint_id const& id, slot_account& account) {
     instant const now = boot_clock::now();
     std::vector<peer_word> words;
@@ -347,6 +397,7 @@
         co_await work_once(id, held);
     }
     held_.erase(id);
+    pace_.set_replicas(held_.size());
     by_short_name_.erase(fleet::short_name(id));
 }
 
@@ -477,7 +528,7 @@
         bool const outdated = account.ready({adapter, 0}) &&
                               !account.ready({adapter, word.version});
         if (outdated) {
-            account.want({adapter, word.version}, false, false, now);
+            account.want({adapter, word.version}, want_kind::ahead, now);
         }
     }
 }
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace camphorpoint {
 
@@ -30,10 +31,13 @@
     void stop();
 
     /// Somebody wants an adapter at a replica.
-    /// @returns false when there is no room for it now
-    bool want(peer_want const& asked);
+    /// @returns nothing when it is taken, else how long it would take
+    std::optional<duration> want(peer_want const& asked);
     /// Somebody uses an adapter at a replica.
     void use(peer_use const& told);
+    /// @returns adapters that could be loaded at a replica at once, less those
+    ///          that wait; 0 when this node does not order for it
+    int free_slots(std::uint64_t replica) const;
     /// Replicas or versions have changed.
     void look_again();
 
@@ -41,9 +45,9 @@
     /// A replica's account, and the worker that goes by it.
     struct held_replica {
         held_replica(
-            slot_account fresh, boost::asio::io_context& io,
+            slot_limits limits, load_pace& pace, boost::asio::io_context& io,
             std::uint64_t fence)
-            : account(std::move(fresh))
+            : account(limits, pace)
             , wake(io)
             , token(fence) {}
         slot_account account;
--- a/src/Holding/load_pace.hpp
+++ b/src/Holding/load_pace.hpp
@@ -7,34 +7,83 @@
 
 namespace camphorpoint {
 
-/// What one node has seen of how long adapters' loads take. All replicas share
-/// the way from the store: beyond some number under way at once each takes
-/// longer in proportion, and nothing is gained by more. That number is not
-/// told, so it is inferred from the times.
+/// What one node has seen of how long adapters' loads take, and how many it
+/// should have under way. All replicas share the way from the store: beyond
+/// some number under way at once each takes longer in proportion. Nothing is
+/// gained by more, and those that began first come last. That number is not
+/// told, and other nodes load too, so it is inferred from the times: a load
+/// that took longer than the shortest ones takes one from the window, others
+/// widen it.
+/// Reference: D. Chiu, R. Jain, "Analysis of the increase and decrease
+/// algorithms for congestion avoidance", Computer Networks 17(1), 1989.
 class load_pace {
 public:
+    /// A load from the store begins.
+    void begin() { ++under_way_; }
+    /// It has ended, whatever came of it.
+    void end() { under_way_ -= std::min(under_way_, 1U); }
+    /// @returns true when one more may begin
+    bool may_begin() const { return under_way_ < whole_window(); }
+
     /// A load from the store has come.
     void note(duration time) {
-        newest_ = time;
-        shortest_ = std::min(shortest_, time);
+        if (shortest_ == duration::zero()) {
+            shortest_ = time;
+            usual_ = time;
+        }
+        shortest_ = std::min(time, shortest_ + shortest_ / forgets);
+        usual_ += (time - usual_) / averaged;
+        bool const longer = time * 4 > shortest_ * 5;
+        if (longer) {
+            window_ = std::max(1.0, window_ * narrower);
+        } else if (under_way_ + 1 >= whole_window()) {
+            window_ += 1 / window_;
+        }
     }
-    /// @returns how many loads one replica should have under way
-    unsigned at_once() const {
-        return newest_ * 4 > shortest_ * 5 ? busy_at_once : calm_at_once;
+    /// A load of what the replica kept a copy of has come.
+    void note_kept(duration time) { kept_ += (time - kept_) / averaged; }
+
+    /// The node orders for so many replicas, which share its window.
+    void set_replicas(std::size_t count) {
+        replicas_ = std::max<std::size_t>(1, count);
     }
+    /// @returns how many loads one replica has under way in the mean while
+    ///          all have some to do
+    double at_once() const { return window_ / static_cast<double>(replicas_); }
     /// @returns when to ask first whether a load from the store has come
-    duration expected() const { return shortest_ - shortest_ / 20; }
+    duration expected() const {
+        return shortest_ == duration::zero() ? first_look
+                                             : shortest_ - shortest_ / 20;
+    }
+    /// @returns how long a load from the store takes by now
+    duration usual() const {
+        return shortest_ == duration::zero() ? first_look : usual_;
+    }
+    /// @returns how long a load of what lies in the replica's memory takes
+    duration kept() const { return kept_; }
 
 private:
-    /// Six replicas with three each use up what today's stores carry at full
-    /// speed; with one each all replicas together do.
-    static constexpr unsigned calm_at_once = 3;
-    static constexpr unsigned busy_at_once = 1;
-    /// Today's adapters take 250 to 288 ms, from the sheets of both users.
-    static constexpr duration first_guess = std::chrono::milliseconds(290);
-
-    duration newest_{0};
-    duration shortest_ = first_guess;
+    unsigned whole_window() const { return static_cast<unsigned>(window_); }
+
+    /// Before the first load has come nothing is known. Asking too early costs
+    /// an order each 15 ms, asking too late keeps a request waiting.
+    static constexpr duration first_look = std::chrono::milliseconds(100);
+    /// The shortest time is believed for some dozens of loads, so that a store
+    /// which has become slower is not taken for busy for good.
+    static constexpr int forgets = 100;
+    /// Means over about so many loads.
+    static constexpr int averaged = 8;
+    /// Loads that one node begins with.
+    static constexpr double first_window = 2;
+    /// What is left of the window after a load that took longer.
+    static constexpr double narrower = 0.8;
+
+    unsigned under_way_ = 0;
+    std::size_t replicas_ = 1;
+    double window_ = first_window;
+    duration shortest_{0};
+    duration usual_{0};
+    duration kept_ = first_look / 4;
 };
 
 } // namespace camphorpoint
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -13,10 +13,6 @@
 constexpr duration want_lasts = std::chrono::milliseconds(1'200);
 /// A report shows the state of some hundred milliseconds ago.
 constexpr duration report_pause = std::chrono::milliseconds(60);
-/// Whoever waits longer misses its objective, as the load takes half a second
-/// when many are under way. When loads queue, those that still serve somebody
-/// in time go first: in the order of coming, all would be late.
-constexpr duration hope = std::chrono::milliseconds(450);
 /// No report is older than this.
 constexpr duration report_age = std::chrono::milliseconds(600);
 /// After a report that could not be read.
@@ -27,8 +23,8 @@
 /// An order is given again this often to see whether it has been carried out:
 /// a request that waits for it waits half of this longer.
 constexpr duration check_pause = std::chrono::milliseconds(15);
-/// Loads of what lay on the replica a short time ago take a tenth.
-constexpr duration kept_load = std::chrono::milliseconds(24);
+/// Adapters that may be on their way to a replica, by the platform's pages.
+constexpr std::size_t most_under_way = 4;
 /// Replicas keep copies of about so many adapters in their memory.
 constexpr std::size_t most_recent = 150;
 /// A base model takes about this long to load; the report tells when.
@@ -62,8 +58,22 @@
     report_after_ = now + report_retry;
 }
 
+void slot_account::end_load(slot& of) {
+    if (of.timed) {
+        pace_->end();
+    }
+    of.timed = false;
+}
+
+slot_account::~slot_account() {
+    for (auto& [id, each] : slots_) {
+        end_load(each);
+    }
+}
+
 void slot_account::set_ready(
     adapter_id const& id, slot& of, std::uint32_t version, instant now) {
+    end_load(of);
     of.busy_until = std::max(of.busy_until, now + limits_.rest_after_load);
     of.state = slot_state::resident;
     of.version = version;
@@ -136,24 +146,25 @@
         return std::ranges::any_of(report.adapters, same) ||
                std::ranges::any_of(report.pending, same);
     };
-    std::erase_if(slots_, [&](auto const& each) {
-        slot const& of = each.second;
-        if (report.sequence < of.shown_from || shown(each.first)) {
-            return false;
-        }
-        if (of.state == slot_state::loading &&
-            now < of.since + pace_->expected()) {
-            return false;
+    for (auto each = slots_.begin(); each != slots_.end();) {
+        slot& of = each->second;
+        bool const too_young = of.state == slot_state::loading &&
+                               now < of.since + pace_->expected();
+        if (report.sequence < of.shown_from || shown(each->first) ||
+            too_young) {
+            ++each;
+            continue;
         }
         if (of.state != slot_state::dropping) {
-            changes_.push_back({{each.first, of.version}, false});
+            changes_.push_back({{each->first, of.version}, false});
         }
-        return true;
-    });
+        end_load(of);
+        each = slots_.erase(each);
+    }
 }
 
 void slot_account::want(
-    adapter_ref const& adapter, bool urgent, bool fresh, instant now) {
+    adapter_ref const& adapter, want_kind kind, instant now) {
     if (ready(adapter)) {
         return;
     }
@@ -161,13 +172,11 @@
     wanted& of = place->second;
     if (added) {
         of.first = now;
-    }
-    if (fresh) {
-        of.fresh = now;
+        of.kept = kept(adapter.id);
     }
     of.version = std::max(of.version, adapter.version);
     of.last = now;
-    of.urgent = of.urgent || urgent;
+    of.kind = std::min(of.kind, kind);
 }
 
 bool slot_account::has_room_for(adapter_id const& adapter, instant now) const {
@@ -175,13 +184,66 @@
         slots_.size() < limits_.slots) {
         return true;
     }
-    auto const resting_slots = static_cast<std::size_t>(
-        std::ranges::count_if(slots_, [&](auto const& each) {
-            return each.second.state == slot_state::dropping ||
-                   (each.second.state == slot_state::resident &&
-                    resting(each.second, now));
-        }));
-    return resting_slots > wants_.size();
+    return free_slots(now) > wants_.size();
+}
+
+unsigned slot_account::free_slots(instant now) const {
+    auto const used_slots = std::ranges::count_if(slots_, [&](auto const& at) {
+        slot const& of = at.second;
+        bool const goes = of.state == slot_state::dropping;
+        bool const rests = of.state == slot_state::resident &&
+                           resting(of, now) && !wants_.contains(at.first);
+        return !goes && !rests;
+    });
+    return limits_.slots -
+           std::min(limits_.slots, static_cast<unsigned>(used_slots));
+}
+
+int slot_account::spare_slots(instant now) const {
+    auto const waiting = std::ranges::count_if(wants_, [&](auto const& each) {
+        return each.second.kind != want_kind::ahead && !under_way(each.first);
+    });
+    return static_cast<int>(free_slots(now)) - static_cast<int>(waiting);
+}
+
+bool slot_account::kept(adapter_id const& id) const {
+    return std::ranges::find(recent_, id) != recent_.end();
+}
+
+duration slot_account::load_time(adapter_id const& id) const {
+    return kept(id) ? pace_->kept() : pace_->usual();
+}
+
+duration slot_account::expected_wait(
+    adapter_ref const& adapter, want_kind kind, instant now) const {
+    if (ready(adapter)) {
+        return duration::zero();
+    }
+    duration const load = load_time(adapter.id);
+    auto const own = slots_.find(adapter.id);
+    if (own != slots_.end() && own->second.state == slot_state::loading) {
+        return std::max(own->second.since + load - now, duration::zero());
+    }
+    slot_outlook by;
+    by.free = free_slots(now);
+    by.release_pause = releases_.pause(now);
+    by.load = load;
+    by.at_once = pace_->at_once();
+    wanted asked;
+    asked.kind = kind;
+    asked.kept = kept(adapter.id);
+    asked.first = instant::max();
+    for (auto const& [id, each] : wants_) {
+        auto const slot_of = slots_.find(id);
+        bool const loads = slot_of != slots_.end() &&
+                           slot_of->second.state == slot_state::loading;
+        if (id == adapter.id || loads || !goes_before(each, asked)) {
+            continue;
+        }
+        ++by.ahead;
+        by.loads_ahead += load_time(id);
+    }
+    return expected_ready(by);
 }
 
 void slot_account::used(adapter_id const& adapter, bool running, instant now) {
@@ -193,6 +255,9 @@
     of.last_used = now;
     of.busy_until =
         now + (running ? limits_.use_lasts : limits_.rest_after_use);
+    if (!running) {
+        releases_.note(now);
+    }
 }
 
 bool slot_account::ready(adapter_ref const& adapter) const {
@@ -217,13 +282,14 @@
     return now >= of.busy_until;
 }
 
-bool slot_account::goes_before(
-    wanted const& left, wanted const& right, instant now) {
-    auto const hopeless = [&](wanted const& each) {
-        return now >= each.fresh + hope;
-    };
-    return std::tuple(!left.urgent, hopeless(left), left.first) <
-           std::tuple(!right.urgent, hopeless(right), right.first);
+bool slot_account::goes_before(wanted const& left, wanted const& right) {
+    // A kept copy comes in a tenth of the time and holds up nobody.
+    return std::tuple(
+               left.kind == want_kind::ahead, !left.kept, left.kind,
+               left.first) <
+           std::tuple(
+               right.kind == want_kind::ahead, !right.kept, right.kind,
+               right.first);
 }
 
 std::optional<adapter_id> slot_account::first_want(instant now) const {
@@ -241,7 +307,7 @@
         if (in_the_way) {
             continue;
         }
-        if (best_want == nullptr || goes_before(each, *best_want, now)) {
+        if (best_want == nullptr || goes_before(each, *best_want)) {
             best = id;
             best_want = &each;
         }
@@ -266,13 +332,18 @@
     return best;
 }
 
+bool slot_account::may_load(adapter_id const& id) const {
+    // What the replica keeps a copy of does not use the way from the store.
+    return loading() < most_under_way && (kept(id) || pace_->may_begin());
+}
+
 std::optional<slot_order>
 slot_account::load_order(adapter_id const& id, instant now) {
     wanted const& by = wants_.at(id);
     model_id const model(id.str().substr(0, id.str().find('/')));
     bool const replaces = slots_.contains(id);
     if (replaces || slots_.size() < limits_.slots) {
-        if (loading() >= pace_->at_once()) {
+        if (!may_load(id)) {
             return std::nullopt;
         }
         return slot_order{
@@ -360,7 +431,10 @@
         return;
     }
     if (of.timed) {
+        end_load(of);
         pace_->note(now - of.since);
+    } else if (kept(order.adapter.id)) {
+        pace_->note_kept(now - of.since);
     }
     set_ready(order.adapter.id, of, of.version, now);
 }
@@ -397,10 +471,15 @@
     of.since = now;
     of.last_used = now;
     of.shown_from = sequence_;
-    bool const kept = std::ranges::find(recent_, id) != recent_.end();
+    bool const copied = kept(id);
     // A replacement waits for its runs, so its time tells nothing of the store.
-    of.timed = !replaces && !kept;
-    of.check_at = now + (kept ? kept_load : pace_->expected());
+    end_load(of);
+    of.timed = !replaces && !copied && !done;
+    if (of.timed) {
+        pace_->begin();
+    }
+    of.check_at =
+        now + (copied ? pace_->kept() - pace_->kept() / 10 : pace_->expected());
     if (done) {
         set_ready(id, of, order.adapter.version, now);
     }
@@ -479,7 +558,7 @@
         }
     }
     if (!wants_.empty()) {
-        look = std::min(look, now + report_pause);
+        look = std::min(look, now + check_pause);
     }
     return std::max(look, now);
 }
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -3,7 +3,9 @@
 #include "Core/time.hpp"
 #include "Fleet/replica_record.hpp"
 #include "Holding/load_pace.hpp"
+#include "Holding/slot_forecast.hpp"
 #include "Holding/slot_order.hpp"
+#include "Holding/want_kind.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -51,6 +53,9 @@
     slot_account(slot_limits limits, load_pace& pace)
         : limits_(limits)
         , pace_(&pace) {}
+    ~slot_account();
+    slot_account(slot_account const&) = delete;
+    slot_account& operator=(slot_account const&) = delete;
 
     /// Takes a report as the truth, but for orders that it is too old to show.
     void reported(replica_report const& report, instant now);
@@ -62,12 +67,15 @@
 
     /// Requests wait for this adapter here, or should find it here.
     /// @param version the least version that will do; 0 for any
-    /// @param urgent  somebody waits for it now
-    /// @param fresh   somebody has begun to wait for it just now
-    void want(adapter_ref const& adapter, bool urgent, bool fresh, instant now);
+    /// @param kind    for whom
+    void want(adapter_ref const& adapter, want_kind kind, instant now);
     /// @returns true when the adapter could be loaded, or is being loaded: a
     ///          slot is free, or one is held by what nobody uses
     bool has_room_for(adapter_id const& adapter, instant now) const;
+    /// @returns how long it should take until the adapter is ready here, if it
+    ///          is wanted now
+    duration expected_wait(
+        adapter_ref const& adapter, want_kind kind, instant now) const;
     /// Requests use this adapter here, or have just done so. Repeated while
     /// requests run.
     /// @param running some node's requests run with it now
@@ -92,6 +100,12 @@
     bool under_way(adapter_id const& adapter) const;
     /// @returns loads under way
     std::size_t loading() const;
+    /// @returns adapters that could be loaded at once, less those that wait
+    int spare_slots(instant now) const;
+    /// @returns true when the adapter is waited for here already
+    bool wanted_already(adapter_id const& adapter) const {
+        return wants_.contains(adapter);
+    }
     /// @returns wants that are not met yet
     std::size_t waiting() const noexcept { return wants_.size(); }
     /// @returns what has changed since the last call
@@ -124,15 +138,17 @@
         std::uint32_t version = 0;
         instant first;
         instant last;
-        /// When somebody began to wait for it last.
-        instant fresh;
-        bool urgent = false;
+        want_kind kind = want_kind::ahead;
+        /// The replica keeps a copy: the load takes a tenth and holds up none.
+        bool kept = false;
     };
 
     void forget_old_wants(instant now);
+    bool kept(adapter_id const& id) const;
+    duration load_time(adapter_id const& id) const;
+    unsigned free_slots(instant now) const;
     static bool resting(slot const& of, instant now);
-    static bool
-    goes_before(wanted const& left, wanted const& right, instant now);
+    static bool goes_before(wanted const& left, wanted const& right);
     std::optional<adapter_id> first_want(instant now) const;
     std::optional<adapter_id> victim(instant now) const;
     std::optional<slot_order> check_order(instant now) const;
@@ -141,12 +157,15 @@
     void began(slot_order const& order, bool done, instant now);
     void lost(slot_order const& order, instant now);
     std::optional<slot_order> load_order(adapter_id const& id, instant now);
+    bool may_load(adapter_id const& id) const;
+    void end_load(slot& of);
     void set_ready(
         adapter_id const& id, slot& of, std::uint32_t version, instant now);
     void take_resident(adapter_ref const& each, instant now);
 
     slot_limits limits_;
     load_pace* pace_;
+    slot_releases releases_;
     /// Adapters that lay here, newest last; the replica keeps copies of some.
     std::vector<adapter_id> recent_;
     bool known_ = false;
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -72,6 +72,8 @@
     event_name{event_code::partition_lost, "partition-lost"},
     event_name{event_code::order_answered, "order-answered"},
     event_name{event_code::replica_reported, "replica-reported"},
+    event_name{event_code::load_queued, "load-queued"},
+    event_name{event_code::load_turned_away, "load-turned-away"},
     event_name{event_code::lines_left_out, "lines-left-out"},
 };
 
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -76,6 +76,8 @@
     partition_lost = 942,
     order_answered = 943,
     replica_reported = 944,
+    load_queued = 945,
+    load_turned_away = 946,
     lines_left_out = 991
 };
 
