--- a/src/Fleet/adapter_demand.cpp
+++ b/src/Fleet/adapter_demand.cpp
@@ -11,11 +11,9 @@
 /// replicas of the busiest adapter are a third busy with it at the average, so
 /// that a clump of its prompts finds another with room.
 constexpr double spread = 3;
-/// An adapter with less than this stays in the lane that it lies in: a copy
+/// With less than this an adapter's own prompts do not make a queue: a copy
 /// costs a load and a slot.
 constexpr double steady_copies = 0.5;
-/// With fewer replicas a lane of its own would be too small to share.
-constexpr std::size_t least_replicas = 6;
 /// So many standard deviations of a count are taken off before it is believed.
 constexpr double doubt = 0.8;
 /// Rates below this in tokens a second are as good as none.
@@ -32,10 +30,6 @@
     of.tokens.add(now, tokens);
     of.requests.add(now);
     total_.add(now, tokens);
-    all_prompts_.add(now, tokens);
-    if (prompt_tokens >= long_prompt) {
-        long_prompts_.add(now, tokens);
-    }
     if (now >= looked_ + forgetting_pause) {
         looked_ = now;
         forget_idle(now);
@@ -73,17 +67,6 @@
     return wanted_copies(adapter, replicas, now) >= steady_copies;
 }
 
-std::size_t adapter_demand::long_lane(std::size_t replicas, instant now) const {
-    double const all = all_prompts_.per_second(now);
-    if (all < least_rate || replicas < least_replicas) {
-        return 0;
-    }
-    double const share = long_prompts_.per_second(now) / all;
-    auto const lane = static_cast<std::size_t>(
-        std::lround(share * static_cast<double>(replicas)));
-    return std::min(lane, replicas / 2);
-}
-
 void adapter_demand::forget_idle(instant now) {
     std::erase_if(rates_, [&](auto const& each) {
         return each.second.tokens.per_second(now) < least_rate;
--- a/src/Fleet/adapter_demand.hpp
+++ b/src/Fleet/adapter_demand.hpp
@@ -10,11 +10,6 @@
 
 namespace camphorpoint {
 
-/// Prompts of so many tokens make all streams of their batch pause for a third
-/// of what callers take for good, and two of them for most of it: 100 ms each
-/// at today's engines.
-inline constexpr unsigned long_prompt = 3'000;
-
 /// How much of a service's work each adapter is, measured by the prompt tokens
 /// of this node's own requests. The balancer spreads callers over nodes by a
 /// hash, so one node's sample stands for all.
@@ -26,20 +21,15 @@
     /// @param replicas how many there are
     std::size_t
     copies(adapter_id const& adapter, std::size_t replicas, instant now) const;
-    /// @returns true when the adapter is asked for often enough to lie in both
-    ///          lanes
+    /// @returns true when the adapter is asked for often enough that a further
+    ///          copy of it would take work off its replicas
     bool
     steady(adapter_id const& adapter, std::size_t replicas, instant now) const;
-    /// @returns how many replicas the long prompts need for themselves
-    std::size_t long_lane(std::size_t replicas, instant now) const;
 
 private:
     /// A shift of demand shows within seconds, and a burst of a few requests
     /// does not yet make copies.
     static constexpr duration half_life = std::chrono::seconds(4);
-    /// The lanes' border moves slowly: replicas that change lanes hold the
-    /// other lane's adapters.
-    static constexpr duration lane_half_life = std::chrono::seconds(20);
 
     double wanted_copies(
         adapter_id const& adapter, std::size_t replicas, instant now) const;
@@ -52,8 +42,6 @@
 
     std::unordered_map<adapter_id, measured> rates_;
     decayed_rate total_{half_life};
-    decayed_rate long_prompts_{lane_half_life};
-    decayed_rate all_prompts_{lane_half_life};
     instant looked_;
 };
 
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -28,10 +28,8 @@
 /// Reference: Y. Azar, A. Broder, A. Karlin, E. Upfal, "Balanced allocations",
 /// SIAM Journal on Computing 29(1), 1999.
 constexpr std::size_t home_choices = 2;
-/// A lane keeps its requests until its replicas are this crowded.
-constexpr double lane_full = 0.9;
-/// A replica of the other lane counts as so much fuller.
-constexpr double lane_cost = 0.25;
+/// Replicas that are fuller are compared only when all are.
+constexpr double compared_below = 0.9;
 
 /// A replica with so much for each slot, requests that wait for a load
 /// included, turns further ones away: each would wait for a place after its
@@ -40,7 +38,8 @@
 /// Smaller differences of failures are chance.
 constexpr double noticed_failures = 0.02;
 
-/// @returns true when an adapter should rather be loaded at `left`. Only whether
+/// @returns true when an adapter should rather be loaded at `left`. Only
+/// whether
 ///          a slot is free counts: nodes hear of loads at other times, and by
 ///          them would have a rare adapter loaded at several replicas.
 bool freer(replica const& left, replica const& right) {
@@ -89,22 +88,10 @@
     double const more = each.health.failure_share(now) - mean;
     double const excess = more < noticed_failures ? 0 : more;
     double result = excess * failure_cost;
-    result += in_lane(each, need) ? 0 : lane_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
     return result + crowding(each, now);
 }
 
-bool replica_choice::in_lane(
-    replica const& each, replica_need const& need) const {
-    if (need.long_lane == 0) {
-        return true;
-    }
-    auto const& all = fleet_->of_service(need.service);
-    auto const place = std::ranges::find(all, &each) - all.begin();
-    bool const in_long = static_cast<std::size_t>(place) < need.long_lane;
-    return in_long == need.long_prompt;
-}
-
 std::vector<replica*>
 replica_choice::candidates(replica_need const& need, instant now) const {
     std::vector<replica*> found;
@@ -121,8 +108,8 @@
     auto all = candidates(need, now);
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
-            return in_lane(*each, need) && !each->health.suspected(now) &&
-                   crowding(*each, now) < lane_full;
+            return !each->health.suspected(now) &&
+                   crowding(*each, now) < compared_below;
         });
     if (others != all.begin()) {
         all.erase(others, all.end());
@@ -216,8 +203,7 @@
 replica_choice::holders(replica_need const& need, instant now) const {
     return static_cast<std::size_t>(std::ranges::count_if(
         fleet_->of_service(need.service), [&](replica const* each) {
-            return usable(*each, need, now) && holds(*each, need) &&
-                   in_lane(*each, need);
+            return usable(*each, need, now) && holds(*each, need);
         }));
 }
 
--- a/src/Fleet/replica_choice.hpp
+++ b/src/Fleet/replica_choice.hpp
@@ -24,10 +24,6 @@
     /// Any number: requests with other numbers look at other replicas first, so
     /// that nodes with the same view do not all send to the same one.
     std::uint64_t draw = 0;
-    /// The request belongs to the lane of long prompts.
-    bool long_prompt = false;
-    /// How many replicas, the first by their ids, make up that lane.
-    std::size_t long_lane = 0;
     /// The request may still run for so long: replicas that are gone sooner
     /// are left out.
     duration expected_time{0};
@@ -62,9 +58,7 @@
     /// @returns true when a further request that waits for a load may wait for
     ///          one there
     static bool has_place(replica_total const& total, unsigned slots);
-    /// @returns true when the replica is one of the request's own lane
-    bool in_lane(replica const& each, replica_need const& need) const;
-    /// @returns how many open replicas of its lane hold the adapter
+    /// @returns how many open replicas hold the adapter
     std::size_t holders(replica_need const& need, instant now) const;
     /// @returns true when new requests may be sent to some replica
     bool any_open(service_id const& service) const;
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -31,10 +31,10 @@
 /// A late answer is worth something to its caller, who gives a stream up after
 /// four times the objective: a load that takes longer than twice the objective
 /// would leave nothing for queues that turn out longer than forecast.
-constexpr double late_objectives = 1.25;
+constexpr double late_objectives = 1.0;
 /// Who waits longer than that by half has been forecast wrongly, and is told
 /// so while there is time to come back.
-constexpr double give_up_objectives = 1.75;
+constexpr double give_up_objectives = 1.4;
 /// Homes that a request asks for a load in time, the one that keeps a copy
 /// among them. More would bring rare adapters everywhere.
 constexpr unsigned most_homes = 2;
@@ -106,8 +106,6 @@
     std::size_t const here = beliefs_->choice.holders(need_, now);
     std::size_t const wanted =
         beliefs_->demand.copies(need_.adapter, replicas, now);
-    bool const lane_lacks =
-        here == 0 && beliefs_->demand.steady(need_.adapter, replicas, now);
     // A copy spreads nothing while the holders are no fuller than the others.
     // Each node guesses the demand from its own few requests, and the highest
     // of many guesses would make copies everywhere.
@@ -118,7 +116,7 @@
     // may be another adapter there that fills them.
     bool const queues = replica_choice::crowding(best, now) >= queue_crowding &&
                         beliefs_->demand.steady(need_.adapter, replicas, now);
-    if (lane_lacks || (fuller && here > 0 && (here < wanted || queues))) {
+    if (fuller && here > 0 && (here < wanted || queues)) {
         // While its holders have room the copy waits for loads that somebody
         // waits for.
         bool const urgent =
