A request that two homes turn away is refused at once; shared waits are forecast as such

Change: no late loads, a denial says when the adapter would be ready, a queued want's own place is what is forecast, loads in the order of their promises.

--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -29,8 +29,8 @@
 struct load_denial {
     /// Until then it counts.
     instant until;
-    /// How long the load would have taken.
-    duration wait{0};
+    /// When the adapter would have been ready.
+    instant ready_at;
 };
 
 /// Word of a replica's load is told again within a second by each of up to 90
--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -187,13 +187,13 @@
 replica*
 replica_choice::soonest_home(replica_need const& need, instant now) const {
     replica* soonest = nullptr;
-    duration least = duration::max();
+    instant first = instant::max();
     for (replica* const each : fleet_->of_service(need.service)) {
         load_denial const* const denied = each->denial(need.adapter, now);
         if (denied != nullptr && usable(*each, need, now) &&
-            denied->wait < least) {
+            denied->ready_at < first) {
             soonest = each;
-            least = denied->wait;
+            first = denied->ready_at;
         }
     }
     return soonest;
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -59,7 +59,7 @@
     if (replica* const at = beliefs_->replicas.find_short(denial.replica)) {
         adapter_id const adapter(denial.adapter);
         at->denials[adapter] = {
-            now + denial_lasts, milliseconds(denial.wait_ms)};
+            now + denial_lasts, now + milliseconds(denial.wait_ms)};
         beliefs_->waiters.notify(adapter);
     }
 }
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -100,9 +100,9 @@
     /// How many were asked since the search began, and when that was.
     unsigned homes_asked_ = 0;
     instant search_began_;
-    /// No home can have the adapter ready in time: the soonest one is taken.
-    bool late_ = false;
-    /// When it would have been ready at the soonest, for who is refused.
+    /// No home can have the adapter ready in time.
+    bool turned_away_ = false;
+    /// How long that would have taken at the soonest.
     duration soonest_{0};
     attempt_ledger ledger_{false};
     event_relay relay_;
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -25,16 +25,12 @@
 constexpr double copy_load = 0.9;
 /// Wants are repeated so often: datagrams may be lost, holders may change.
 constexpr milliseconds want_again{300};
-/// A request waits for a load while that leaves this part of its objective for
+/// A request waits for a load for this part of its objective; the rest is for
 /// the replica to read its prompt.
 constexpr double load_share = 0.75;
-/// A late answer is worth something to its caller, who gives a stream up after
-/// four times the objective: a load that takes longer than twice the objective
-/// would leave nothing for queues that turn out longer than forecast.
-constexpr double late_objectives = 1.0;
-/// Who waits longer than that by half has been forecast wrongly, and is told
-/// so while there is time to come back.
-constexpr double give_up_objectives = 1.4;
+/// Who waits for longer than this many objectives has been forecast wrongly,
+/// and is told so while there is time to come back.
+constexpr double give_up_objectives = 1.25;
 /// Homes that a request asks for a load in time, the one that keeps a copy
 /// among them. More would bring rare adapters everywhere.
 constexpr unsigned most_homes = 2;
@@ -80,9 +76,7 @@
     asked_ = home->record.id;
     std::uint32_t const version =
         beliefs_->newest_version(need_.adapter).value_or(0);
-    want_kind const kind = !urgent ? want_kind::ahead
-                           : late_ ? want_kind::late
-                                   : want_kind::in_time;
+    want_kind const kind = urgent ? want_kind::waited_for : want_kind::ahead;
     homes_asked_ += urgent && new_here ? 1 : 0;
     words_->want(
         *home, {need_.adapter, version}, kind, new_here,
@@ -90,9 +84,8 @@
 }
 
 duration request_flow::patience(instant now) const {
-    duration const in_time =
-        part_of_objective(late_ ? late_objectives : load_share);
-    return std::min(search_began_ + in_time, deadline_ - least_run) - now;
+    instant const in_time = search_began_ + part_of_objective(load_share);
+    return std::min(in_time, deadline_ - least_run) - now;
 }
 
 duration request_flow::part_of_objective(double part) const {
@@ -135,18 +128,15 @@
         asked->load() < full_load && !asked->health.suspected(now)) {
         return asked;
     }
-    if (!late_ && homes_asked_ < most_homes) {
-        if (replica* const next = beliefs_->choice.next_home(need_, now)) {
-            return next;
-        }
-    }
-    replica* const soonest = beliefs_->choice.soonest_home(need_, now);
-    if (soonest == nullptr) {
-        return late_ ? nullptr : beliefs_->choice.next_home(need_, now);
+    replica* const next = beliefs_->choice.next_home(need_, now);
+    replica const* const soonest = beliefs_->choice.soonest_home(need_, now);
+    bool const all_asked = next == nullptr || homes_asked_ >= most_homes;
+    if (soonest != nullptr && all_asked) {
+        soonest_ = soonest->denial(need_.adapter, now)->ready_at - now;
+        turned_away_ = true;
+        return nullptr;
     }
-    late_ = true;
-    soonest_ = soonest->denial(need_.adapter, now)->wait;
-    return soonest_ <= patience(now) ? soonest : nullptr;
+    return next;
 }
 
 bool request_flow::should_hold(replica const& at, instant now) const {
@@ -200,7 +190,7 @@
         ask_for_copy(home, true);
         return std::nullopt;
     }
-    if (soonest_ > duration::zero() && home == nullptr) {
+    if (turned_away_ && home == nullptr) {
         reason_ = "load-takes-too-long";
         return nullptr;
     }
@@ -237,7 +227,7 @@
     instant const began = boot_clock::now();
     search_began_ = began;
     homes_asked_ = 0;
-    late_ = false;
+    turned_away_ = false;
     soonest_ = duration::zero();
     asked_ = endpoint_id();
     instant const give_up = std::min(
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -76,10 +76,8 @@
 
 std::string_view to_string(want_kind kind) {
     switch (kind) {
-    case want_kind::in_time:
-        return "in-time";
-    case want_kind::late:
-        return "late";
+    case want_kind::waited_for:
+        return "waited-for";
     case want_kind::ahead:
         return "ahead";
     }
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -233,6 +233,12 @@
     asked.kind = kind;
     asked.kept = kept(adapter.id);
     asked.first = instant::max();
+    // Who asks for what others wait for already shares their place.
+    auto const queued = wants_.find(adapter.id);
+    if (queued != wants_.end()) {
+        asked.kind = std::min(kind, queued->second.kind);
+        asked.first = queued->second.first;
+    }
     for (auto const& [id, each] : wants_) {
         auto const slot_of = slots_.find(id);
         bool const loads = slot_of != slots_.end() &&
@@ -284,12 +290,8 @@
 
 bool slot_account::goes_before(wanted const& left, wanted const& right) {
     // A kept copy comes in a tenth of the time and holds up nobody.
-    return std::tuple(
-               left.kind == want_kind::ahead, !left.kept, left.kind,
-               left.first) <
-           std::tuple(
-               right.kind == want_kind::ahead, !right.kept, right.kind,
-               right.first);
+    return std::tuple(left.kind, !left.kept, left.first) <
+           std::tuple(right.kind, !right.kept, right.first);
 }
 
 std::optional<adapter_id> slot_account::first_want(instant now) const {
--- a/src/Holding/want_kind.hpp
+++ b/src/Holding/want_kind.hpp
@@ -6,10 +6,8 @@
 
 /// For whom an adapter is wanted; what comes first here is loaded first.
 enum class want_kind : std::uint8_t {
-    /// Requests that will be in time if it comes as forecast.
-    in_time,
-    /// Requests that will be late.
-    late,
+    /// Requests wait for it.
+    waited_for,
     /// Nobody waits for it yet.
     ahead
 };
