Nobody is turned away while a slot and the way are free; one late load does not lengthen all forecasts

Cause, found by reading where a suspended holder and an order carried out late meet: a load that seems to take twenty seconds raised the usual time beyond every request's patience. All fetches were turned away then, so that no load came which would show how long loads take; where loads really take longer than three quarters of the objective no adapter was ever loaded. Ruled out: that shortest times repair it, they count for the window only. Change: with a slot free and the node's window open a want is taken whatever the forecast; times count for at most four of the shortest. The rule moved from slot_orderer to slot_account::turn_away. Second cause, by reading: an account ended its loads at a pace that was gone when a worker's frame outlived the orderer; the pace is shared now.

--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -186,7 +186,7 @@
         auto const held = std::make_shared<held_replica>(
             *limits, pace_, beliefs_->io, *token);
         held_[id] = held;
-        pace_.set_replicas(held_.size());
+        pace_->set_replicas(held_.size());
         by_short_name_[fleet::short_name(id)] = id;
         asio::co_spawn(
             beliefs_->io, [this, id = id, held] { return work(id, held); },
@@ -328,11 +328,12 @@
     }
     instant const now = boot_clock::now();
     want_kind const kind = kind_of(asked);
-    duration const wait = account.expected_wait(adapter, kind, now);
-    bool const refused =
-        kind == want_kind::ahead
-            ? !account.has_room_for(adapter.id, now)
-            : asked.new_here && wait > milliseconds(asked.patience_ms);
+    // Repeats keep their place.
+    bool const may_refuse = asked.new_here || kind == want_kind::ahead;
+    auto const refused =
+        may_refuse ? account.turn_away(
+                         adapter, kind, milliseconds(asked.patience_ms), now)
+                   : std::nullopt;
     bool const fresh = !account.wanted_already(adapter.id);
     if (refused || fresh) {
         beliefs_->note(
@@ -342,13 +343,13 @@
                 .with("replica", id->second.str())
                 .with("adapter", asked.adapter)
                 .with("kind", to_string(kind))
-                .with("forecast_ms", wait)
+                .with("forecast_ms", account.expected_wait(adapter, kind, now))
                 .with("patience_ms", static_cast<int>(asked.patience_ms))
                 .with("free", account.spare_slots(now))
                 .with("waiting", account.waiting()));
     }
     if (refused) {
-        return wait;
+        return refused;
     }
     account.want(adapter, kind, now);
     held->second->wake.cancel();
@@ -395,7 +396,7 @@
         co_await work_once(id, held);
     }
     held_.erase(id);
-    pace_.set_replicas(held_.size());
+    pace_->set_replicas(held_.size());
     by_short_name_.erase(fleet::short_name(id));
 }
 
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -45,9 +46,9 @@
     /// A replica's account, and the worker that goes by it.
     struct held_replica {
         held_replica(
-            slot_limits limits, load_pace& pace, boost::asio::io_context& io,
-            std::uint64_t fence)
-            : account(limits, pace)
+            slot_limits limits, std::shared_ptr<load_pace> pace,
+            boost::asio::io_context& io, std::uint64_t fence)
+            : account(limits, std::move(pace))
             , wake(io)
             , token(fence) {}
         slot_account account;
@@ -87,7 +88,7 @@
     // Shared with the coroutines, which end after it has turned false.
     std::shared_ptr<bool> running_ = std::make_shared<bool>(false);
     std::vector<instant> model_loads_;
-    load_pace pace_;
+    std::shared_ptr<load_pace> pace_ = std::make_shared<load_pace>();
 };
 
 } // namespace camphorpoint
--- a/src/Holding/load_pace.hpp
+++ b/src/Holding/load_pace.hpp
@@ -32,7 +32,8 @@
             usual_ = time;
         }
         shortest_ = std::min(time, shortest_ + shortest_ / forgets);
-        usual_ += (time - usual_) / averaged;
+        usual_ += (std::min(time, shortest_ * believed) - usual_) / averaged;
+        usual_ = std::min(usual_, shortest_ * believed);
         bool const longer = time * 4 > shortest_ * 5;
         if (longer) {
             window_ = std::max(1.0, window_ * narrower);
@@ -41,7 +42,9 @@
         }
     }
     /// A load of what the replica kept a copy of has come.
-    void note_kept(duration time) { kept_ += (time - kept_) / averaged; }
+    void note_kept(duration time) {
+        kept_ += (std::min(time, usual()) - kept_) / averaged;
+    }
 
     /// The node orders for so many replicas, which share its window.
     void set_replicas(std::size_t count) {
@@ -71,6 +74,10 @@
     /// The shortest time is believed for some dozens of loads, so that a store
     /// which has become slower is not taken for busy for good.
     static constexpr int forgets = 100;
+    /// A time beyond so many of the shortest ones is no load's: the node was
+    /// suspended meanwhile, or the order was carried out late. Believed as it
+    /// is, one would make all forecasts too long for seconds.
+    static constexpr int believed = 4;
     /// Means over about so many loads.
     static constexpr int averaged = 8;
     /// Loads that one node begins with.
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -252,6 +252,20 @@
     return expected_ready(by);
 }
 
+std::optional<duration> slot_account::turn_away(
+    adapter_ref const& adapter, want_kind kind, duration patience,
+    instant now) const {
+    duration const wait = expected_wait(adapter, kind, now);
+    // Guards against forecasts that forbid what would correct them: where loads
+    // are believed to take too long, none would be ordered, and none would show
+    // that they do not. Where they really do, no adapter would ever come. With
+    // a slot and the way free it is nowhere ready sooner.
+    bool const at_once = spare_slots(now) > 0 && pace_->may_begin();
+    bool const taken = kind == want_kind::ahead ? has_room_for(adapter.id, now)
+                                                : at_once || wait <= patience;
+    return taken ? std::nullopt : std::optional(wait);
+}
+
 void slot_account::used(adapter_id const& adapter, bool running, instant now) {
     auto const found = slots_.find(adapter);
     if (found == slots_.end()) {
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -9,8 +9,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace camphorpoint {
@@ -49,10 +51,12 @@
 class slot_account {
 public:
     /// @param limits what the replica has room for
-    /// @param pace   how long loads take; shared, must outlive the account
-    slot_account(slot_limits limits, load_pace& pace)
+    /// @param pace   how long loads take, of all accounts of a node. Shared: an
+    ///               account ends its loads there, also one that a suspended
+    ///               coroutine keeps until the node's services are gone.
+    slot_account(slot_limits limits, std::shared_ptr<load_pace> pace)
         : limits_(limits)
-        , pace_(&pace) {}
+        , pace_(std::move(pace)) {}
     ~slot_account();
     slot_account(slot_account const&) = delete;
     slot_account& operator=(slot_account const&) = delete;
@@ -102,6 +106,12 @@
     std::size_t loading() const;
     /// @returns adapters that could be loaded at once, less those that wait
     int spare_slots(instant now) const;
+    /// Decides whether a request that has just asked may wait here.
+    /// @param patience how long it may wait to be in time
+    /// @returns nothing when it may, else how long it would take
+    std::optional<duration> turn_away(
+        adapter_ref const& adapter, want_kind kind, duration patience,
+        instant now) const;
     /// @returns true when the adapter is waited for here already
     bool wanted_already(adapter_id const& adapter) const {
         return wants_.contains(adapter);
@@ -164,7 +174,7 @@
     void take_resident(adapter_ref const& each, instant now);
 
     slot_limits limits_;
-    load_pace* pace_;
+    std::shared_ptr<load_pace> pace_;
     slot_releases releases_;
     /// Adapters that lay here, newest last; the replica keeps copies of some.
     std::vector<adapter_id> recent_;
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -1,8 +1,11 @@
+#include "test/holding_fixture.hpp"
+
 #include <Camphorpoint/Holding>
 
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
 
 namespace camphorpoint {
@@ -10,48 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-adapter_ref adapter(std::string const& name, std::uint32_t version = 0) {
-    return {adapter_id("m/" + name), version};
-}
-
-/// A replica's account with three slots, and the orders that it gives.
-struct account_world {
-    account_world() {
-        report.models = {model_id("m")};
-        account.reported(report, now);
-        account.take_changes();
-    }
-    void pass(milliseconds time) { now += time; }
-    void want(adapter_ref const& what) {
-        account.want(what, want_kind::waited_for, now);
-    }
-    slot_order expect_order(slot_order_kind kind, std::string const& name) {
-        auto const order = account.next(now);
-        REQUIRE(order);
-        CHECK(order->kind == kind);
-        CHECK(order->adapter.id == adapter(name).id);
-        return *order;
-    }
-    /// Loads an adapter whole.
-    void load(std::string const& name) {
-        want(adapter(name));
-        auto const order = expect_order(slot_order_kind::load_adapter, name);
-        account.answered(order, slot_answer::accepted, now);
-        pass(milliseconds(300));
-        auto const check = expect_order(slot_order_kind::load_adapter, name);
-        account.answered(check, slot_answer::holds, now);
-        REQUIRE(account.ready(adapter(name)));
-    }
-
-    instant now = instant() + seconds(100);
-    replica_report report;
-    load_pace pace;
-    slot_account account{{3}, pace};
-};
-
-} // namespace
+using testing::account_world;
+using testing::adapter;
 
 TEST_CASE("a load is ordered, and seen to have come") {
     account_world world;
@@ -275,8 +238,7 @@
 }
 
 TEST_CASE("an empty replica loads its base model first") {
-    load_pace pace;
-    slot_account account({3}, pace);
+    slot_account account({3}, std::make_shared<load_pace>());
     instant now = instant() + seconds(100);
     CHECK(account.report_due(now));
     account.reported({}, now);
@@ -333,119 +295,6 @@
     }
 }
 
-// Eighteen replicas load three adapters each at the same time. The way from the
-// store carries eight at full speed: all come after two seconds, none in time.
-TEST_CASE("loads that take longer are ordered one at a time") {
-    load_pace pace;
-    auto const load = [&](milliseconds time) {
-        pace.begin();
-        pace.end();
-        pace.note(time);
-    };
-    pace.begin();
-    CHECK(pace.may_begin());
-    pace.end();
-    load(milliseconds(250));
-    for (int each = 0; each < 8; ++each) {
-        load(milliseconds(500));
-    }
-    pace.begin();
-    CHECK_FALSE(pace.may_begin());
-    pace.note(milliseconds(260));
-    CHECK(pace.may_begin());
-    pace.end();
-
-    SUBCASE("also where each load takes longer than elsewhere") {
-        load_pace slow;
-        for (int each = 0; each < 4; ++each) {
-            slow.begin();
-            slow.begin();
-            slow.end();
-            slow.note(milliseconds(900));
-            slow.end();
-        }
-        slow.begin();
-        slow.begin();
-        CHECK(slow.may_begin());
-        CHECK(slow.usual() == milliseconds(900));
-    }
-}
-
-// Callers of a rare adapter wait two seconds for its load, and are refused
-// then. Whoever orders knew at their coming how many loads go before theirs.
-TEST_CASE("how long a load will take is told before anybody waits") {
-    slot_outlook by;
-    by.free = 2;
-    by.load = milliseconds(250);
-    by.release_pause = milliseconds(100);
-    SUBCASE("a free slot and nobody ahead: the load alone") {
-        CHECK(expected_ready(by) == milliseconds(250));
-    }
-    SUBCASE("loads ahead share what the node has under way at once") {
-        by.ahead = 1;
-        by.loads_ahead = milliseconds(250);
-        by.at_once = 0.5;
-        CHECK(expected_ready(by) == milliseconds(750));
-    }
-    SUBCASE("no slot: it waits for one to come free") {
-        by.free = 0;
-        CHECK(expected_ready(by) == milliseconds(350));
-        by.load = milliseconds(25);
-        CHECK(expected_ready(by) == milliseconds(125));
-    }
-
-    SUBCASE("by the account: resident, kept, never seen") {
-        account_world world;
-        world.load("a");
-        CHECK(
-            world.account.expected_wait(
-                adapter("a"), want_kind::waited_for, world.now) ==
-            duration::zero());
-        duration const fetched = world.account.expected_wait(
-            adapter("b"), want_kind::waited_for, world.now);
-        world.want(adapter("b"));
-        CHECK(
-            world.account.expected_wait(
-                adapter("c"), want_kind::waited_for, world.now) > fetched);
-        SUBCASE("what is wanted ahead holds nobody up") {
-            account_world other;
-            other.load("a");
-            other.account.want(adapter("b"), want_kind::ahead, other.now);
-            CHECK(
-                other.account.expected_wait(
-                    adapter("c"), want_kind::waited_for, other.now) == fetched);
-        }
-    }
-}
-
-// A replica's six adapters come and go. Each return of one that it still keeps
-// in memory waits behind three that come from the store.
-TEST_CASE("what a replica keeps in memory comes back before the store's") {
-    account_world world;
-    for (std::string const name : {"a", "b", "c"}) {
-        world.load(name);
-        world.pass(milliseconds(500));
-    }
-    world.want(adapter("d"));
-    auto const first_out =
-        world.expect_order(slot_order_kind::unload_adapter, "a");
-    world.account.answered(first_out, slot_answer::holds, world.now);
-    world.load("d");
-    world.pass(milliseconds(500));
-    world.want(adapter("new"));
-    world.want(adapter("a"));
-    auto const out = world.account.next(world.now);
-    REQUIRE(out);
-    CHECK(out->kind == slot_order_kind::unload_adapter);
-    world.account.answered(*out, slot_answer::holds, world.now);
-    world.expect_order(slot_order_kind::load_adapter, "a");
-    CHECK(
-        world.account.expected_wait(
-            adapter("a"), want_kind::waited_for, world.now) <
-        world.account.expected_wait(
-            adapter("new"), want_kind::waited_for, world.now));
-}
-
 TEST_CASE("leases on partitions") {
     lease_times times;
     partition_leases leases(times);
