An order never leaves on a lease that has ended; what stood twice is joined

Cause: the lease was read before the order's call began; connecting lies after it. A holder suspended there woke and sent after another had taken over. Change: the lease's end is the call's send_before, looked at again before the first byte (order_times). Ruled out: a second look before connecting, which leaves the same gap. Joined: the look-up of a replica's account (three times), the conversion of times for messages (twice), a flag that said the same as a time.

--- a/src/Fleet/replica_choice.cpp
+++ b/src/Fleet/replica_choice.cpp
@@ -22,8 +22,8 @@
 /// Holders of an adapter that are compared.
 constexpr std::size_t most_looks = 3;
 
-/// A rare adapter may have so many homes, of which the one with more free slots
-/// is taken: with one, some replicas have adapters waiting while others have
+/// A rare adapter may have so many homes, of which one with a free slot is
+/// taken: with one, some replicas have adapters waiting while others have
 /// slots free; with all, each node would find another.
 /// Reference: Y. Azar, A. Broder, A. Karlin, E. Upfal, "Balanced allocations",
 /// SIAM Journal on Computing 29(1), 1999.
@@ -38,10 +38,9 @@
 /// Smaller differences of failures are chance.
 constexpr double noticed_failures = 0.02;
 
-/// @returns true when an adapter should rather be loaded at `left`. Only
-/// whether
-///          a slot is free counts: nodes hear of loads at other times, and by
-///          them would have a rare adapter loaded at several replicas.
+/// Only whether a slot is free counts: nodes hear of loads at other times, and
+/// by them would have a rare adapter loaded at several replicas.
+/// @returns true when an adapter should rather be loaded at `left`
 bool freer(replica const& left, replica const& right) {
     return left.free_slots > 0 && right.free_slots <= 0;
 }
--- a/src/Gateway/peer_datagram.cpp
+++ b/src/Gateway/peer_datagram.cpp
@@ -4,11 +4,19 @@
 
 #include <cereal/archives/portable_binary.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <exception>
 #include <sstream>
 
 namespace camphorpoint {
 
+std::uint32_t whole_milliseconds(duration time) {
+    using std::chrono::milliseconds;
+    auto const count = std::chrono::duration_cast<milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+}
+
 std::string encode(peer_datagram const& message) {
     std::ostringstream stream;
     {
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/time.hpp"
+
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -202,6 +204,8 @@
     }
 };
 
+/// @returns what a message says of a time; 0 for one that has passed
+std::uint32_t whole_milliseconds(duration time);
 /// @returns the message's bytes
 std::string encode(peer_datagram const& message);
 /// @returns the message; nothing when the bytes are none of this format
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -48,12 +48,6 @@
 constexpr std::size_t most_counts = 40;
 constexpr std::size_t most_claims = 40;
 
-/// @returns what a datagram says of a time
-std::uint32_t whole_milliseconds(duration time) {
-    auto const count = std::chrono::duration_cast<milliseconds>(time).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
-}
-
 /// How many pauses lie between two tellings of a node.
 unsigned pauses_between(unsigned nodes) {
     return 1 + nodes / nodes_at_full_pace;
@@ -217,10 +211,8 @@
 
 void peer_words::suspect(replica const& at, duration rest) {
     peer_datagram message;
-    auto const time = std::chrono::duration_cast<milliseconds>(rest);
     message.suspicions.push_back(
-        {fleet::short_name(at.record.id),
-         static_cast<std::uint32_t>(time.count())});
+        {fleet::short_name(at.record.id), whole_milliseconds(rest)});
     send_all(message);
 }
 
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -43,9 +43,8 @@
         }
         return;
     }
-    auto const told = std::chrono::duration_cast<milliseconds>(*wait).count();
     peer_denial const denial{
-        want.replica, want.adapter, static_cast<std::uint32_t>(told)};
+        want.replica, want.adapter, whole_milliseconds(*wait)};
     if (from == beliefs_->own_name) {
         take_denial(denial, now);
         return;
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -100,10 +100,9 @@
     /// How many were asked since the search began, and when that was.
     unsigned homes_asked_ = 0;
     instant search_began_;
-    /// No home can have the adapter ready in time.
-    bool turned_away_ = false;
-    /// How long that would have taken at the soonest.
-    duration soonest_{0};
+    /// How long the adapter would take at the soonest, when no home can have it
+    /// ready in time.
+    std::optional<duration> soonest_;
     attempt_ledger ledger_{false};
     event_relay relay_;
     /// It waits for its replica to read other prompts.
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -133,7 +133,6 @@
     bool const all_asked = next == nullptr || homes_asked_ >= most_homes;
     if (soonest != nullptr && all_asked) {
         soonest_ = soonest->denial(need_.adapter, now)->ready_at - now;
-        turned_away_ = true;
         return nullptr;
     }
     return next;
@@ -190,7 +189,7 @@
         ask_for_copy(home, true);
         return std::nullopt;
     }
-    if (turned_away_ && home == nullptr) {
+    if (soonest_ && home == nullptr) {
         reason_ = "load-takes-too-long";
         return nullptr;
     }
@@ -227,8 +226,7 @@
     instant const began = boot_clock::now();
     search_began_ = began;
     homes_asked_ = 0;
-    turned_away_ = false;
-    soonest_ = duration::zero();
+    soonest_.reset();
     asked_ = endpoint_id();
     instant const give_up = std::min(
         deadline_ - least_run, began + part_of_objective(give_up_objectives));
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -57,7 +57,8 @@
 milliseconds request_flow::come_back() const {
     // Long enough for a load, short enough that one more try fits.
     constexpr milliseconds one_load{400};
-    auto const forecast = std::chrono::duration_cast<milliseconds>(soonest_);
+    auto const forecast = std::chrono::duration_cast<milliseconds>(
+        soonest_.value_or(duration::zero()));
     return std::max(one_load, forecast);
 }
 
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/slot_orderer.hpp"
 
+#include "Gateway/order_times.hpp"
 #include "Ports/http_client.hpp"
 #include "platform/configuration_reader.hpp"
 #include "platform/order_wire.hpp"
@@ -31,10 +32,6 @@
 /// A replica answers an order or a report within a few milliseconds; longer
 /// means that it, or the way to it, is down.
 constexpr milliseconds replica_timeout{700};
-/// An order without answer is given again, so nothing is lost by a short wait.
-/// With 700 ms replicas that leave half of their orders unanswered took one a
-/// second, while hundreds of requests waited for loads.
-constexpr milliseconds order_timeout{200};
 /// Owners may change without a new generation reaching this node.
 constexpr duration owners_again = std::chrono::seconds(30);
 /// At a change of members, which come in rows when nodes are stopped in turn.
@@ -303,10 +300,14 @@
     words_->claim(partition, token);
 }
 
+std::map<endpoint_id, slot_orderer::held_ptr>::const_iterator
+slot_orderer::find_held(std::uint64_t replica) const {
+    auto const id = by_short_name_.find(replica);
+    return id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+}
+
 std::optional<duration> slot_orderer::want(peer_want const& asked) {
-    auto const id = by_short_name_.find(asked.replica);
-    auto const held =
-        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    auto const held = find_held(asked.replica);
     if (held == held_.end()) {
         // Another may order for it by now. A node that is stopping can't give
         // its replicas to another while the store is down.
@@ -319,10 +320,10 @@
     slot_account& account = held->second->account;
     if (account.ready(adapter)) {
         // Whoever asks has missed the word of it.
-        publish(id->second, account);
+        publish(held->first, account);
         std::vector<peer_word> words{{0, asked.adapter, asked.version, true}};
-        words_->tell(id->second, std::move(words));
-        beliefs_->replicas.told_held(id->second, adapter, boot_clock::now());
+        words_->tell(held->first, std::move(words));
+        beliefs_->replicas.told_held(held->first, adapter, boot_clock::now());
         beliefs_->waiters.notify(adapter.id);
         return std::nullopt;
     }
@@ -340,7 +341,7 @@
             log_line(
                 refused ? event_code::load_turned_away
                         : event_code::load_queued)
-                .with("replica", id->second.str())
+                .with("replica", held->first.str())
                 .with("adapter", asked.adapter)
                 .with("kind", to_string(kind))
                 .with("forecast_ms", account.expected_wait(adapter, kind, now))
@@ -357,9 +358,7 @@
 }
 
 void slot_orderer::use(peer_use const& told) {
-    auto const id = by_short_name_.find(told.replica);
-    auto const held =
-        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    auto const held = find_held(told.replica);
     if (held != held_.end()) {
         held->second->account.used(
             adapter_id(told.adapter), told.running > 0, boot_clock::now());
@@ -367,9 +366,7 @@
 }
 
 int slot_orderer::free_slots(std::uint64_t replica) const {
-    auto const id = by_short_name_.find(replica);
-    auto const held =
-        id == by_short_name_.end() ? held_.end() : held_.find(id->second);
+    auto const held = find_held(replica);
     return held == held_.end()
                ? 0
                : held->second->account.spare_slots(boot_clock::now());
@@ -470,8 +467,6 @@
     replica const* const at = beliefs_->replicas.find(id);
     ip_address to = at->record.address;
     http_call call(beliefs_->io.get_executor(), &beliefs_->replica_connections);
-    call_times times;
-    times.each_step = order_timeout;
     http_request request = platform::make_order(
         order, id, beliefs_->settings.name.str(), held->token);
     // Read again right before the act: the node may have been suspended.
@@ -481,6 +476,7 @@
         held->account.answered(order, slot_answer::unsent, now);
         co_return;
     }
+    call_times const times = order_times(beliefs_->leases);
     auto const got =
         co_await fetch(call, std::move(to), std::move(request), times);
     slot_answer answer = slot_answer::lost;
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -75,6 +75,8 @@
     void want_newer_versions(slot_account& account);
     bool may_load_model(service_form const& service);
     void publish(endpoint_id const& id, slot_account& account);
+    std::map<endpoint_id, held_ptr>::const_iterator
+    find_held(std::uint64_t replica) const;
     std::optional<slot_limits> limits_of(replica const& at) const;
 
     gateway_beliefs* beliefs_;
--- a/src/Holding/partition_leases.cpp
+++ b/src/Holding/partition_leases.cpp
@@ -58,14 +58,16 @@
     held_.clear();
 }
 
-bool partition_leases::valid(instant now) const {
-    if (now < renewed_ + times_.lease) {
-        return true;
-    }
+instant partition_leases::ends() const {
+    instant const granted = renewed_ + times_.lease;
     bool const outage =
-        failing_since_ != instant::max() && now < last_failure_ + times_.lease;
-    return times_.fences_checked && outage &&
-           now < renewed_ + times_.outage_extension;
+        times_.fences_checked && failing_since_ != instant::max();
+    if (!outage) {
+        return granted;
+    }
+    instant const extended = std::min(
+        last_failure_ + times_.lease, renewed_ + times_.outage_extension);
+    return std::max(granted, extended);
 }
 
 std::optional<std::uint64_t>
--- a/src/Holding/partition_leases.hpp
+++ b/src/Holding/partition_leases.hpp
@@ -66,7 +66,10 @@
     /// @returns the group's generation as told last
     std::uint64_t generation() const noexcept { return generation_; }
     /// @returns true when the lease counts at this time
-    bool valid(instant now) const;
+    bool valid(instant now) const { return now < ends(); }
+    /// @returns when the lease ends as far as is known now: no order may leave
+    ///          later
+    instant ends() const;
 
 private:
     struct holding {
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -331,6 +331,22 @@
         }
     }
 
+    // It is suspended between its look at the lease and the first byte of the
+    // order, while it connects. The order leaves when another orders there.
+    SUBCASE("the lease's end goes with the order to its first byte") {
+        for (int step = 1; step <= 30; ++step) {
+            instant const at = settled + step * milliseconds(100);
+            CHECK(leases.token(4, at).has_value() == (at < leases.ends()));
+        }
+        CHECK(leases.ends() == start + times.lease);
+        leases.failed(start + seconds(1));
+        CHECK(leases.ends() == start + seconds(1) + times.lease);
+        for (int step = 2; step <= 30; ++step) {
+            leases.failed(start + step * seconds(1));
+        }
+        CHECK(leases.ends() <= start + times.outage_extension);
+    }
+
     // The store is down for eight seconds. Nobody can take anything over, yet
     // all holders stop, and no adapter is loaded until it is back.
     SUBCASE("an outage that began within the lease is bridged") {
