--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -9,10 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace camphorpoint {
@@ -24,97 +22,19 @@
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 
-std::string const group_name = "holders";
-/// The store deals out partitions of topics; a topic has so many.
-constexpr std::size_t parts_of_topic = 12;
-constexpr std::size_t topic_count = partition_count / parts_of_topic;
-
 /// A replica answers an order or a report within a few milliseconds; longer
 /// means that it, or the way to it, is down.
 constexpr milliseconds replica_timeout{700};
-/// Owners may change without a new generation reaching this node.
-constexpr duration owners_again = std::chrono::seconds(30);
-/// At a change of members, which come in rows when nodes are stopped in turn.
-/// Without it nodes that begin together know of each other by halves, and each
-/// takes a larger share of the budget of second sends than is its.
-constexpr duration owners_changed = std::chrono::seconds(2);
-/// While a holder is missing.
-constexpr duration owners_missing = std::chrono::seconds(1);
 /// A worker without the right to order asks again.
 constexpr milliseconds no_right_pause{100};
 /// The span over which the loads of base models are counted.
 constexpr duration load_window = std::chrono::seconds(5);
 
-std::string topic_name(std::size_t number) {
-    return fmt::format("holding{}", number);
-}
-
-/// @returns the partition's number among all topics; nothing for others' topics
-std::optional<std::size_t>
-partition_number(std::string const& topic, unsigned part) {
-    std::string const prefix = "holding";
-    if (!topic.starts_with(prefix) || part >= parts_of_topic) {
-        return std::nullopt;
-    }
-    std::size_t number = 0;
-    char const* const end = topic.data() + topic.size();
-    auto const [stop, error] =
-        std::from_chars(topic.data() + prefix.size(), end, number);
-    if (error != std::errc() || stop != end || number >= topic_count) {
-        return std::nullopt;
-    }
-    return number * parts_of_topic + part;
-}
-
 want_kind kind_of(peer_want const& asked) {
     auto const last = static_cast<std::uint8_t>(want_kind::ahead);
     return static_cast<want_kind>(std::min(asked.kind, last));
 }
 
-std::string_view to_string(want_kind kind) {
-    switch (kind) {
-    case want_kind::waited_for:
-        return "waited-for";
-    case want_kind::ahead:
-        return "ahead";
-    }
-    return "";
-}
-
-std::string_view to_string(slot_order_kind kind) {
-    switch (kind) {
-    case slot_order_kind::load_model:
-        return "load-model";
-    case slot_order_kind::load_adapter:
-        return "load-adapter";
-    case slot_order_kind::unload_adapter:
-        return "unload-adapter";
-    }
-    return "";
-}
-
-std::string_view to_string(slot_answer answer) {
-    switch (answer) {
-    case slot_answer::accepted:
-        return "accepted";
-    case slot_answer::holds:
-        return "holds";
-    case slot_answer::out_of_step:
-        return "out-of-step";
-    case slot_answer::fenced:
-        return "fenced";
-    case slot_answer::other_replica:
-        return "other-replica";
-    case slot_answer::rejected:
-        return "rejected";
-    case slot_answer::unsent:
-        return "unsent";
-    case slot_answer::lost:
-        return "lost";
-    }
-    return "";
-}
-
 } // namespace
 
 slot_orderer::slot_orderer(
@@ -139,19 +59,6 @@
         beliefs_->io, [this] { return leave(); }, asio::detached);
 }
 
-asio::awaitable<void> slot_orderer::leave() {
-    auto const alive = running_;
-    std::string member = beliefs_->own_name;
-    std::string group = group_name;
-    auto const left =
-        co_await store_->leave(std::move(group), std::move(member));
-    if (!left) {
-        // The lease lapses by itself; others wait for it.
-        beliefs_->note(log_line(event_code::partition_lost)
-                           .with("why", to_string(left.error())));
-    }
-}
-
 void slot_orderer::look_again() {
     for (auto const& [id, held] : held_) {
         held->wake.cancel();
@@ -191,115 +98,6 @@
     }
 }
 
-asio::awaitable<void> slot_orderer::renew() {
-    auto const alive = running_;
-    while (*alive) {
-        co_await renew_once();
-        for (std::size_t const each : beliefs_->leases.without_token()) {
-            bool const used = std::ranges::any_of(
-                beliefs_->replicas.all(), [&](auto const& other) {
-                    return partition_of(other.first) == each &&
-                           limits_of(other.second);
-                });
-            if (used && *running_) {
-                co_await claim(each);
-            }
-        }
-        spawn_workers();
-        asio::steady_timer timer(
-            beliefs_->io, beliefs_->settings.leases.renewal);
-        co_await timer.async_wait(use_result);
-    }
-}
-
-asio::awaitable<void> slot_orderer::renew_once() {
-    auto const alive = running_;
-    std::vector<std::string> topics;
-    for (std::size_t each = 0; each < topic_count; ++each) {
-        topics.push_back(topic_name(each));
-    }
-    partition_leases& leases = beliefs_->leases;
-    std::string group = group_name;
-    std::string member = beliefs_->own_name;
-    // The lease counts from before the call: the store's own count begins when
-    // the call arrives, which is later.
-    instant const started = boot_clock::now();
-    auto const grant = co_await store_->join(
-        std::move(group), std::move(member), std::move(topics),
-        beliefs_->settings.leases.lease, leases.generation());
-    instant const now = boot_clock::now();
-    if (!*running_) {
-        co_return;
-    }
-    if (!grant) {
-        leases.failed(now);
-        co_return;
-    }
-    std::vector<std::size_t> partitions;
-    for (auto const& [topic, part] : grant.value().parts) {
-        if (auto const number = partition_number(topic, part)) {
-            partitions.push_back(*number);
-        }
-    }
-    auto const before = leases.held();
-    leases.granted(started, grant.value().generation, partitions, now);
-    auto const after = leases.held();
-    if (before != after) {
-        beliefs_->note(log_line(event_code::partition_gained)
-                           .with("held", after.size())
-                           .with("before", before.size())
-                           .with("generation", grant.value().generation));
-        for (std::size_t const each : after) {
-            words_->set_owner(each, beliefs_->own_name);
-        }
-    }
-    // Holders tell their claims to all nodes they know. The list is for those
-    // that they don't know yet: without it a want would go to a node that holds
-    // the replica no more, and nobody would load what is waited for.
-    bool const changed = owners_generation_ != grant.value().generation;
-    bool const missing = words_->lacks_owner(now);
-    duration const pause = missing   ? owners_missing
-                           : changed ? owners_changed
-                                     : owners_again;
-    if (now >= owners_read_ + pause) {
-        co_await read_owners();
-        owners_generation_ = grant.value().generation;
-    }
-}
-
-asio::awaitable<void> slot_orderer::read_owners() {
-    auto const alive = running_;
-    std::string group = group_name;
-    auto const owners = co_await store_->owners(std::move(group));
-    owners_read_ = boot_clock::now();
-    if (!owners) {
-        co_return;
-    }
-    for (platform::part_owner const& each : owners.value()) {
-        auto const number = partition_number(each.topic, each.part);
-        if (number && !each.member.empty()) {
-            words_->set_owner(*number, each.member);
-        }
-    }
-}
-
-asio::awaitable<void> slot_orderer::claim(std::size_t partition) {
-    auto const alive = running_;
-    // The place of a record in the log is had by one node only, and a later
-    // holder's is higher: it is the fencing number.
-    std::string topic = topic_name(partition / parts_of_topic);
-    std::string record = beliefs_->own_name;
-    auto const offset = co_await store_->append(
-        std::move(topic), static_cast<unsigned>(partition % parts_of_topic),
-        std::move(record));
-    if (!offset) {
-        co_return;
-    }
-    std::uint64_t const token = offset.value() + 1;
-    beliefs_->leases.fenced_as(partition, token);
-    words_->claim(partition, token);
-}
-
 std::map<endpoint_id, slot_orderer::held_ptr>::const_iterator
 slot_orderer::find_held(std::uint64_t replica) const {
     auto const id = by_short_name_.find(replica);
--- a/src/Holding/slot_account.cpp
+++ b/src/Holding/slot_account.cpp
@@ -1,22 +1,12 @@
 #include "Holding/slot_account.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace camphorpoint {
 
 namespace {
 
-/// A want that nobody has repeated for so long is dropped: those who waited
-/// have gone elsewhere. Nodes repeat theirs about every 300 ms.
-constexpr duration want_lasts = std::chrono::milliseconds(1'200);
-/// A report shows the state of some hundred milliseconds ago.
-constexpr duration report_pause = std::chrono::milliseconds(60);
-/// No report is older than this.
-constexpr duration report_age = std::chrono::milliseconds(600);
-/// After a report that could not be read.
-constexpr duration report_retry = std::chrono::milliseconds(250);
 /// Where half of the orders have no answer, one in eight has none after three
 /// tries; a report, which is a tenth of a second old, shows what is the matter.
 constexpr unsigned tries_of_order = 3;
@@ -29,9 +19,6 @@
 constexpr std::size_t most_recent = 150;
 /// A base model takes about this long to load; the report tells when.
 constexpr duration model_look = std::chrono::milliseconds(250);
-/// A load that a report does not show for so long has been lost, as when the
-/// order came late and was refused.
-constexpr duration load_given_up = std::chrono::seconds(5);
 /// With nothing to do the account is looked at again after this.
 constexpr duration idle_look = std::chrono::seconds(1);
 
@@ -44,20 +31,6 @@
         }));
 }
 
-bool slot_account::report_due(instant now) const {
-    if (now < report_after_) {
-        return false;
-    }
-    if (!known_ || must_report_ || busy_ || model_loading_) {
-        return true;
-    }
-    return false;
-}
-
-void slot_account::report_failed(instant now) {
-    report_after_ = now + report_retry;
-}
-
 void slot_account::end_load(slot& of) {
     if (of.timed) {
         pace_->end();
@@ -89,197 +62,6 @@
     }
 }
 
-void slot_account::take_resident(adapter_ref const& each, instant now) {
-    auto const [place, fresh] = slots_.try_emplace(each.id);
-    slot& of = place->second;
-    if (fresh) {
-        of.since = now;
-        of.last_used = now;
-        of.shown_from = sequence_;
-        // Whoever uses it repeats so before this has passed.
-        of.busy_until = now + limits_.use_lasts;
-        set_ready(each.id, of, each.version, now);
-        return;
-    }
-    bool const has_come =
-        of.state == slot_state::loading && each.version >= of.version;
-    if (has_come || of.state == slot_state::resident) {
-        if (has_come || of.version != each.version) {
-            set_ready(each.id, of, each.version, now);
-        }
-    }
-}
-
-void slot_account::reported(replica_report const& report, instant now) {
-    report_after_ = now + report_pause;
-    if (known_ && report.sequence < sequence_ &&
-        now < last_counted_ + report_age) {
-        // Older than the newest accepted order: it can't show its effect.
-        return;
-    }
-    sequence_ = report.sequence;
-    known_ = true;
-    must_report_ = false;
-    unanswered_.reset();
-    busy_ = report.busy;
-    models_ = report.models;
-    model_loading_ = model_loading_ && models_.empty() &&
-                     now < model_ordered_ + load_given_up;
-    for (adapter_ref const& each : report.pending) {
-        auto const [place, fresh] = slots_.try_emplace(each.id);
-        if (fresh) {
-            place->second.version = each.version;
-            place->second.state = slot_state::loading;
-            place->second.since = now;
-            place->second.last_used = now;
-            place->second.check_at = now;
-            place->second.shown_from = sequence_;
-        }
-    }
-    for (adapter_ref const& each : report.adapters) {
-        take_resident(each, now);
-    }
-    auto const shown = [&](adapter_id const& id) {
-        auto const same = [&](adapter_ref const& each) {
-            return each.id == id;
-        };
-        return std::ranges::any_of(report.adapters, same) ||
-               std::ranges::any_of(report.pending, same);
-    };
-    for (auto each = slots_.begin(); each != slots_.end();) {
-        slot& of = each->second;
-        bool const too_young = of.state == slot_state::loading &&
-                               now < of.since + pace_->expected();
-        if (report.sequence < of.shown_from || shown(each->first) ||
-            too_young) {
-            ++each;
-            continue;
-        }
-        if (of.state != slot_state::dropping) {
-            changes_.push_back({{each->first, of.version}, false});
-        }
-        end_load(of);
-        each = slots_.erase(each);
-    }
-}
-
-void slot_account::want(
-    adapter_ref const& adapter, want_kind kind, instant now) {
-    if (ready(adapter)) {
-        return;
-    }
-    auto const [place, added] = wants_.try_emplace(adapter.id);
-    wanted& of = place->second;
-    if (added) {
-        of.first = now;
-        of.kept = kept(adapter.id);
-    }
-    of.version = std::max(of.version, adapter.version);
-    of.last = now;
-    of.kind = std::min(of.kind, kind);
-}
-
-bool slot_account::has_room_for(adapter_id const& adapter, instant now) const {
-    if (!known_ || slots_.contains(adapter) || wants_.contains(adapter) ||
-        slots_.size() < limits_.slots) {
-        return true;
-    }
-    return free_slots(now) > wants_.size();
-}
-
-unsigned slot_account::free_slots(instant now) const {
-    auto const used_slots = std::ranges::count_if(slots_, [&](auto const& at) {
-        slot const& of = at.second;
-        bool const goes = of.state == slot_state::dropping;
-        bool const rests = of.state == slot_state::resident &&
-                           resting(of, now) && !wants_.contains(at.first);
-        return !goes && !rests;
-    });
-    return limits_.slots -
-           std::min(limits_.slots, static_cast<unsigned>(used_slots));
-}
-
-int slot_account::spare_slots(instant now) const {
-    auto const waiting = std::ranges::count_if(wants_, [&](auto const& each) {
-        return each.second.kind != want_kind::ahead && !under_way(each.first);
-    });
-    return static_cast<int>(free_slots(now)) - static_cast<int>(waiting);
-}
-
-bool slot_account::kept(adapter_id const& id) const {
-    return std::ranges::find(recent_, id) != recent_.end();
-}
-
-duration slot_account::load_time(adapter_id const& id) const {
-    return kept(id) ? pace_->kept() : pace_->usual();
-}
-
-duration slot_account::expected_wait(
-    adapter_ref const& adapter, want_kind kind, instant now) const {
-    if (ready(adapter)) {
-        return duration::zero();
-    }
-    duration const load = load_time(adapter.id);
-    auto const own = slots_.find(adapter.id);
-    if (own != slots_.end() && own->second.state == slot_state::loading) {
-        return std::max(own->second.since + load - now, duration::zero());
-    }
-    slot_outlook by;
-    by.free = free_slots(now);
-    by.release_pause = releases_.pause(now);
-    by.load = load;
-    by.at_once = pace_->at_once();
-    wanted asked;
-    asked.kind = kind;
-    asked.kept = kept(adapter.id);
-    asked.first = instant::max();
-    // Who asks for what others wait for already shares their place.
-    auto const queued = wants_.find(adapter.id);
-    if (queued != wants_.end()) {
-        asked.kind = std::min(kind, queued->second.kind);
-        asked.first = queued->second.first;
-    }
-    for (auto const& [id, each] : wants_) {
-        auto const slot_of = slots_.find(id);
-        bool const loads = slot_of != slots_.end() &&
-                           slot_of->second.state == slot_state::loading;
-        if (id == adapter.id || loads || !goes_before(each, asked)) {
-            continue;
-        }
-        ++by.ahead;
-        by.loads_ahead += load_time(id);
-    }
-    return expected_ready(by);
-}
-
-std::optional<duration> slot_account::turn_away(
-    adapter_ref const& adapter, want_kind kind, duration patience,
-    instant now) const {
-    duration const wait = expected_wait(adapter, kind, now);
-    // Guards against forecasts that forbid what would correct them: where loads
-    // are believed to take too long, none would be ordered, and none would show
-    // that they do not. Where they really do, no adapter would ever come. With
-    // a slot and the way free it is nowhere ready sooner.
-    bool const at_once = spare_slots(now) > 0 && pace_->may_begin();
-    bool const taken = kind == want_kind::ahead ? has_room_for(adapter.id, now)
-                                                : at_once || wait <= patience;
-    return taken ? std::nullopt : std::optional(wait);
-}
-
-void slot_account::used(adapter_id const& adapter, bool running, instant now) {
-    auto const found = slots_.find(adapter);
-    if (found == slots_.end()) {
-        return;
-    }
-    slot& of = found->second;
-    of.last_used = now;
-    of.busy_until =
-        now + (running ? limits_.use_lasts : limits_.rest_after_use);
-    if (!running) {
-        releases_.note(now);
-    }
-}
-
 bool slot_account::ready(adapter_ref const& adapter) const {
     auto const found = slots_.find(adapter.id);
     return found != slots_.end() &&
@@ -292,62 +74,6 @@
     return found != slots_.end() && found->second.state != slot_state::resident;
 }
 
-void slot_account::forget_old_wants(instant now) {
-    std::erase_if(wants_, [&](auto const& each) {
-        return now >= each.second.last + want_lasts;
-    });
-}
-
-bool slot_account::resting(slot const& of, instant now) {
-    return now >= of.busy_until;
-}
-
-bool slot_account::goes_before(wanted const& left, wanted const& right) {
-    // A kept copy comes in a tenth of the time and holds up nobody.
-    return std::tuple(left.kind, !left.kept, left.first) <
-           std::tuple(right.kind, !right.kept, right.first);
-}
-
-std::optional<adapter_id> slot_account::first_want(instant now) const {
-    std::optional<adapter_id> best;
-    wanted const* best_want = nullptr;
-    for (auto const& [id, each] : wants_) {
-        auto const slot_of = slots_.find(id);
-        // A replacement waits for the adapter's runs, and the replica takes no
-        // other order meanwhile: one that is in use stays as it is, and the
-        // new version comes to another replica.
-        bool const in_the_way =
-            slot_of != slots_.end() &&
-            (slot_of->second.state != slot_state::resident ||
-             !resting(slot_of->second, now));
-        if (in_the_way) {
-            continue;
-        }
-        if (best_want == nullptr || goes_before(each, *best_want)) {
-            best = id;
-            best_want = &each;
-        }
-    }
-    return best;
-}
-
-std::optional<adapter_id> slot_account::victim(instant now) const {
-    std::optional<adapter_id> best;
-    slot const* best_slot = nullptr;
-    for (auto const& [id, each] : slots_) {
-        // As with replacements: what is in use would hold up every order.
-        if (each.state != slot_state::resident || wants_.contains(id) ||
-            !resting(each, now)) {
-            continue;
-        }
-        if (best_slot == nullptr || each.last_used < best_slot->last_used) {
-            best = id;
-            best_slot = &each;
-        }
-    }
-    return best;
-}
-
 bool slot_account::may_load(adapter_id const& id) const {
     // What the replica keeps a copy of does not use the way from the store.
     return loading() < most_under_way && (kept(id) || pace_->may_begin());
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -173,6 +173,9 @@
         adapter_id const& id, slot& of, std::uint32_t version, instant now);
     void take_resident(adapter_ref const& each, instant now);
 
+    /// After a report that could not be read, or orders without answer.
+    static constexpr duration report_retry = std::chrono::milliseconds(250);
+
     slot_limits limits_;
     std::shared_ptr<load_pace> pace_;
     slot_releases releases_;
--- /dev/null
+++ b/src/Holding/slot_account_reports.cpp
@@ -0,0 +1,107 @@
+#include "Holding/slot_account.hpp"
+
+#include <algorithm>
+
+namespace camphorpoint {
+
+namespace {
+
+/// A report shows the state of some hundred milliseconds ago.
+constexpr duration report_pause = std::chrono::milliseconds(60);
+/// No report is older than this.
+constexpr duration report_age = std::chrono::milliseconds(600);
+/// A load that a report does not show for so long has been lost, as when the
+/// order came late and was refused.
+constexpr duration load_given_up = std::chrono::seconds(5);
+
+} // namespace
+
+bool slot_account::report_due(instant now) const {
+    if (now < report_after_) {
+        return false;
+    }
+    if (!known_ || must_report_ || busy_ || model_loading_) {
+        return true;
+    }
+    return false;
+}
+
+void slot_account::report_failed(instant now) {
+    report_after_ = now + report_retry;
+}
+
+void slot_account::take_resident(adapter_ref const& each, instant now) {
+    auto const [place, fresh] = slots_.try_emplace(each.id);
+    slot& of = place->second;
+    if (fresh) {
+        of.since = now;
+        of.last_used = now;
+        of.shown_from = sequence_;
+        // Whoever uses it repeats so before this has passed.
+        of.busy_until = now + limits_.use_lasts;
+        set_ready(each.id, of, each.version, now);
+        return;
+    }
+    bool const has_come =
+        of.state == slot_state::loading && each.version >= of.version;
+    if (has_come || of.state == slot_state::resident) {
+        if (has_come || of.version != each.version) {
+            set_ready(each.id, of, each.version, now);
+        }
+    }
+}
+
+void slot_account::reported(replica_report const& report, instant now) {
+    report_after_ = now + report_pause;
+    if (known_ && report.sequence < sequence_ &&
+        now < last_counted_ + report_age) {
+        // Older than the newest accepted order: it can't show its effect.
+        return;
+    }
+    sequence_ = report.sequence;
+    known_ = true;
+    must_report_ = false;
+    unanswered_.reset();
+    busy_ = report.busy;
+    models_ = report.models;
+    model_loading_ = model_loading_ && models_.empty() &&
+                     now < model_ordered_ + load_given_up;
+    for (adapter_ref const& each : report.pending) {
+        auto const [place, fresh] = slots_.try_emplace(each.id);
+        if (fresh) {
+            place->second.version = each.version;
+            place->second.state = slot_state::loading;
+            place->second.since = now;
+            place->second.last_used = now;
+            place->second.check_at = now;
+            place->second.shown_from = sequence_;
+        }
+    }
+    for (adapter_ref const& each : report.adapters) {
+        take_resident(each, now);
+    }
+    auto const shown = [&](adapter_id const& id) {
+        auto const same = [&](adapter_ref const& each) {
+            return each.id == id;
+        };
+        return std::ranges::any_of(report.adapters, same) ||
+               std::ranges::any_of(report.pending, same);
+    };
+    for (auto each = slots_.begin(); each != slots_.end();) {
+        slot& of = each->second;
+        bool const too_young = of.state == slot_state::loading &&
+                               now < of.since + pace_->expected();
+        if (report.sequence < of.shown_from || shown(each->first) ||
+            too_young) {
+            ++each;
+            continue;
+        }
+        if (of.state != slot_state::dropping) {
+            changes_.push_back({{each->first, of.version}, false});
+        }
+        end_load(of);
+        each = slots_.erase(each);
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Holding/slot_order.hpp
+++ b/src/Holding/slot_order.hpp
@@ -3,6 +3,7 @@
 #include "Core/ids.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace camphorpoint {
 
@@ -44,4 +45,8 @@
     lost
 };
 
+/// @returns its name in logs and counters
+std::string_view to_string(slot_order_kind kind);
+std::string_view to_string(slot_answer answer);
+
 } // namespace camphorpoint
--- a/src/Holding/want_kind.hpp
+++ b/src/Holding/want_kind.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace camphorpoint {
 
@@ -12,4 +13,7 @@
     ahead
 };
 
+/// @returns its name in logs
+std::string_view to_string(want_kind kind);
+
 } // namespace camphorpoint
