Sight: event 924 says which reading of the store failed, why, with what bytes

The record could not tell three hypotheses apart: 906 named a topic, not the kind of reading. 924 records-read tells topic, how (whole or on), bytes, time and end. No decision is changed.

--- a/src/Gateway/store_follower.cpp
+++ b/src/Gateway/store_follower.cpp
@@ -320,22 +320,46 @@
 }
 
 asio::awaitable<platform::store_result<platform::keyed_batch>>
-store_follower::read(place const& at) {
+store_follower::read(place const& at, platform::reading_progress& seen) {
     std::string topic = at.topic;
     if (at.whole) {
-        co_return co_await store_->newest(std::move(topic));
+        co_return co_await store_->newest(std::move(topic), seen);
     }
     bool const operator_side = at.topic == operator_topic;
     co_return co_await store_->read_on(
         std::move(topic), at.next,
-        operator_side ? operator_wait() : shortest_wait);
+        operator_side ? operator_wait() : shortest_wait, seen);
+}
+
+void store_follower::note_reading(
+    place const& at, instant began, platform::reading_progress const& seen,
+    platform::store_result<platform::keyed_batch> const& brought) {
+    // A wait that has brought nothing is no news.
+    constexpr std::uint64_t empty_answer = 16;
+    if (brought && brought.value().records.empty() &&
+        seen.bytes <= empty_answer) {
+        return;
+    }
+    log_level const level = brought ? log_level::info : log_level::warning;
+    beliefs_->note(
+        log_line(event_code::records_read, level)
+            .with("topic", at.topic)
+            .with("how", at.whole ? "whole" : "on")
+            .with("from", at.next)
+            .with("records", brought ? brought.value().records.size() : 0)
+            .with("bytes", seen.bytes)
+            .with("took_ms", boot_clock::now() - began)
+            .with("end", brought ? "answered" : to_string(brought.error())));
 }
 
 asio::awaitable<bool> store_follower::step(place& at) {
     bool const operator_side = at.topic == operator_topic;
     bool const was_whole = at.whole;
     std::uint64_t const from = at.next;
-    auto const batch = co_await read(at);
+    instant const began = boot_clock::now();
+    platform::reading_progress seen;
+    auto const batch = co_await read(at, seen);
+    note_reading(at, began, seen, batch);
     if (!batch) {
         bool const forgotten =
             batch.error() == platform::store_failure::forgotten;
--- a/src/Gateway/store_follower.hpp
+++ b/src/Gateway/store_follower.hpp
@@ -48,7 +48,7 @@
     boost::asio::awaitable<void> follow_operator();
     boost::asio::awaitable<void> follow_replicas();
     boost::asio::awaitable<platform::store_result<platform::keyed_batch>>
-    read(place const& at);
+    read(place const& at, platform::reading_progress& seen);
     boost::asio::awaitable<bool> step(place& at);
     boost::asio::awaitable<void> read_list(place& at);
     boost::asio::awaitable<void> catch_up();
@@ -57,6 +57,9 @@
     bool apply(replica_record const& record);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     void note_store(bool answered, std::string_view what);
+    void note_reading(
+        place const& at, instant began, platform::reading_progress const& seen,
+        platform::store_result<platform::keyed_batch> const& brought);
     void take_operator(platform::keyed_record const& record);
     void take_configuration(std::string const& text);
     void take_version(std::string const& text);
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -68,6 +68,7 @@
     configuration_in_force = 921,
     configuration_rejected = 922,
     version_known = 923,
+    records_read = 924,
     replica_seen = 931,
     replica_leaving = 932,
     replica_gone = 933,
