--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/escaping.h>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace standins {
@@ -59,7 +60,34 @@
         co_await lose_answer(exchange, milliseconds(5'000));
         co_return;
     }
-    co_await exchange.respond(std::move(response));
+    co_await send(exchange, std::move(response));
+}
+
+asio::awaitable<void>
+metadata_http::send(http_exchange& exchange, http_response response) {
+    if (bytes_per_second == 0) {
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    bool there = co_await exchange.begin_stream(
+        response.status, std::move(response.fields));
+    // Answers that are on their way at the same time take turns.
+    constexpr std::size_t turn_bytes = 4'096;
+    std::string_view left = response.body;
+    while (there && !left.empty()) {
+        std::string_view const piece = left.substr(0, turn_bytes);
+        left.remove_prefix(piece.size());
+        way_free_ = std::max(way_free_, clock_now()) +
+                    std::chrono::microseconds(
+                        1'000'000 * piece.size() / bytes_per_second);
+        co_await wait_for(
+            std::chrono::duration_cast<milliseconds>(way_free_ - clock_now()));
+        there = co_await exchange.write_piece(piece);
+        bytes_sent += piece.size();
+    }
+    if (there) {
+        co_await exchange.end_stream();
+    }
 }
 
 http_response
--- a/standins/metadata/metadata_http.hpp
+++ b/standins/metadata/metadata_http.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace standins {
@@ -21,8 +22,13 @@
     bool turns_away = false;
     /// While set, calls are done and get no answer.
     bool loses_answers = false;
+    /// What the way to whoever asks carries in a second, all answers together;
+    /// 0: no bound.
+    std::uint64_t bytes_per_second = 0;
     /// Calls so far.
     unsigned calls = 0;
+    /// Bytes of answers that went over a bounded way so far.
+    std::uint64_t bytes_sent = 0;
 
 private:
     camphorpoint::http_response
@@ -32,8 +38,13 @@
     camphorpoint::http_response owners() const;
     boost::asio::awaitable<camphorpoint::http_response>
     read(std::string target);
+    boost::asio::awaitable<void> send(
+        camphorpoint::http_exchange& exchange,
+        camphorpoint::http_response response);
 
     metadata_store store_;
+    /// When the bounded way has carried all that was given to it.
+    camphorpoint::instant way_free_;
 };
 
 } // namespace standins
--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -22,6 +22,11 @@
 }
 
 gateway_world::gateway_world()
+    : gateway_world([](gateway_world&) {}) {
+    REQUIRE(loop.run_until([this] { return node->ready(); }));
+}
+
+gateway_world::gateway_world(std::function<void(gateway_world&)> const& before)
     : store_(loop.executor(), http_limits(), [this](http_exchange& exchange) {
         return metadata.answer(exchange);
     }) {
@@ -42,10 +47,10 @@
     settings.leases.settling = std::chrono::milliseconds(100);
     settings.stop_accepts = std::chrono::milliseconds(20);
     settings.stop_limit = std::chrono::milliseconds(4'000);
+    before(*this);
     node = std::make_unique<gateway>(loop.io(), settings);
     findings problems;
     REQUIRE(node->start(problems));
-    REQUIRE(loop.run_until([this] { return node->ready(); }));
 }
 
 gateway_world::~gateway_world() {
@@ -80,6 +85,18 @@
             version, routes));
 }
 
+std::string gateway_world::routes_of(std::size_t bytes) {
+    std::string routes;
+    for (int number = 0; routes.size() < bytes; ++number) {
+        routes += fmt::format(
+            R"({{"name":"more{0}","hostname":"h","path_prefix":"/more{0}/",)"
+            R"("type":"safe","timeout_ms":3000,"target_latency_ms":800,)"
+            R"("priority":0,"service":"app","attempts":2}},)",
+            number);
+    }
+    return routes;
+}
+
 void gateway_world::list(
     served_replica const& replica, std::string const& service) {
     metadata.store().put(
--- a/test/gateway/gateway_world.hpp
+++ b/test/gateway/gateway_world.hpp
@@ -7,6 +7,7 @@
 #include "replica/replica_engine.hpp"
 #include "test/ports/loopback.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,7 +30,11 @@
 /// with adapters, one of a plain service, the store.
 class gateway_world {
 public:
+    /// Starts the node and waits until it is ready.
     gateway_world();
+    /// Starts the node.
+    /// @param before called before the node starts
+    explicit gateway_world(std::function<void(gateway_world&)> const& before);
     ~gateway_world();
 
     /// Sends one request and waits for its answer.
@@ -42,6 +47,8 @@
     unsigned runs(std::string const& id) const;
     /// Writes the configuration.
     void configure(unsigned version, std::string const& extra_route = "");
+    /// @returns routes to add to a configuration, with about so many bytes
+    static std::string routes_of(std::size_t bytes);
     /// Lists a replica, or takes its entry out.
     void list(served_replica const& replica, std::string const& service);
     void unlist(served_replica const& replica);
--- /dev/null
+++ b/test/gateway/slow_link_test.cpp
@@ -0,0 +1,97 @@
+#include "Gateway/peer_datagram.hpp"
+#include "Ports/probe_link.hpp"
+#include "test/gateway/gateway_world.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using testing::gateway_world;
+
+namespace {
+
+/// The way to the node needs more than a second for a configuration of
+/// `large`, and a call to the store has 0.8 s.
+constexpr std::uint64_t slow = 400'000;
+constexpr std::size_t large = 500'000;
+
+/// Another node that says again and again how far it has read.
+class telling_node {
+public:
+    telling_node(gateway_world& world, std::uint64_t place)
+        : world_(&world)
+        , link_(world.loop.executor(), [](std::string const&) {})
+        , timer_(world.loop.io()) {
+        REQUIRE(link_.listen(testing::local(0)).empty());
+        told_.present = true;
+        told_.operator_place = place;
+        told_.from = "127.0.0.1:" + std::to_string(link_.port());
+        tell();
+    }
+
+private:
+    void tell() {
+        link_.send(world_->settings.peer_address, encode(told_));
+        timer_.expires_after(milliseconds(100));
+        timer_.async_wait([this](boost::system::error_code const& error) {
+            if (!error) {
+                tell();
+            }
+        });
+    }
+
+    gateway_world* world_;
+    probe_link link_;
+    boost::asio::steady_timer timer_;
+    peer_datagram told_;
+};
+
+bool in_force(gateway_world& world, std::uint64_t version) {
+    return world.loop.run_until(
+        [&] { return world.node->configuration_version() == version; });
+}
+
+} // namespace
+
+// An agent is told 404 on a route that was confirmed ten seconds before.
+// The configuration had grown to where a node's link needed more than 0.8 s for
+// it. Each whole reading was ended then, whatever had come, and begun anew,
+// several beside one another; between them they kept the link full.
+// Proof: the store's side counts the bytes; a bound that ends silence only lets
+// the same reading end.
+TEST_CASE(
+    "a configuration that a slow link carries for longer than a call has") {
+    SUBCASE("a node that starts reads it") {
+        gateway_world world([](gateway_world& before) {
+            before.configure(2, gateway_world::routes_of(large));
+            before.metadata.bytes_per_second = slow;
+        });
+        CHECK(in_force(world, 2));
+        CHECK(world.ask("/more7/x").response.status == 200);
+    }
+    SUBCASE("a node whose place in the history is forgotten reads it") {
+        gateway_world world;
+        world.metadata.bytes_per_second = slow;
+        world.configure(2, gateway_world::routes_of(large));
+        world.metadata.store().forget("keyed.op");
+        CHECK(in_force(world, 2));
+    }
+    SUBCASE("word that others have read it brings it once, not twice") {
+        gateway_world world;
+        std::uint64_t const end = world.metadata.store().end("keyed.op");
+        world.metadata.bytes_per_second = slow;
+        telling_node const other(world, end + 1);
+        world.configure(2, gateway_world::routes_of(large));
+        CHECK(in_force(world, 2));
+        CHECK(world.metadata.bytes_sent < large * 3 / 2);
+    }
+}
+
+} // namespace camphorpoint
