A reading ends by silence, not by its time, and runs alone

Cause: a whole reading of what the operator declares ended 800 ms after its start, whatever had come, and began anew for good; word from other nodes began a second one beside it every 250 ms. On a link of 1.25 MB/s 1.02 MB never came. Ruled out: the wait's answer being cut at 1,024 kB (a trial brought a record of 1.26 MB whole). Found on the way in that trial: with all 66 nodes at it the store's own reading speed was used up by answers that were thrown away, and no node got a byte of any whole reading from second 24 to the end. Change: store_client ends a reading by silence; declaration_plan decides, without a clock or network, what is read next: one reading at a time, waits from a place, whole only at the start, after a forgotten history, when another node knows more (the sum of versions goes with each datagram, format 4), and once in 12 s over all nodes together instead of at each; failures double pause and patience. Before: the failing test's three parts fail (never in force, twice; 871 kB).

--- /dev/null
+++ b/src/Gateway/declaration_follower.cpp
@@ -0,0 +1,238 @@
+#include "Gateway/declaration_follower.hpp"
+
+#include "platform/configuration_reader.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <ranges>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How long one wait lasts. A connection that has gone silent without a reset
+/// shows after this and the silence allowed; a configuration must be in force
+/// within two seconds or more of its writing.
+constexpr milliseconds shortest_wait{2'000};
+/// With many nodes each waits longer, so that one of them reads again about
+/// every 200 ms: it tells the others when there is news that they don't know.
+constexpr milliseconds wait_of_each_node{200};
+constexpr milliseconds most_wait{12'000};
+/// A node whose wait has brought nothing asks by itself so long after others
+/// have said that there is news: usually the news is on its way.
+constexpr milliseconds news_on_its_way{250};
+
+declaration_times times_of(gateway_settings const& settings) {
+    declaration_times times;
+    times.silence = settings.store_timeout;
+    times.longest_silence =
+        std::max(times.longest_silence, settings.store_timeout);
+    return times;
+}
+
+double drawn(std::mt19937_64& random) {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+} // namespace
+
+declaration_follower::declaration_follower(
+    gateway_beliefs& beliefs, platform::store_client& store, store_watch& watch,
+    std::function<void()> changed)
+    : beliefs_(&beliefs)
+    , store_(&store)
+    , watch_(&watch)
+    , changed_(std::move(changed))
+    , plan_(times_of(beliefs.settings), drawn(beliefs.random)) {}
+
+void declaration_follower::start() {
+    asio::co_spawn(
+        beliefs_->io, [this] { return follow(); }, asio::detached);
+}
+
+void declaration_follower::stop() {
+    *running_ = false;
+}
+
+asio::awaitable<void> declaration_follower::pause(milliseconds time) {
+    asio::steady_timer timer(beliefs_->io, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void declaration_follower::heard(std::uint64_t place, std::uint64_t total) {
+    plan_.heard(place, total);
+    look_again();
+}
+
+void declaration_follower::store_came_back() {
+    plan_.distrust_wait();
+    look_again();
+}
+
+void declaration_follower::look_again() {
+    if (*running_ && !looking_ && plan_.behind()) {
+        looking_ = true;
+        asio::co_spawn(
+            beliefs_->io, [this] { return end_useless_wait(); },
+            asio::detached);
+    }
+}
+
+// Guards against a wait whose connection has gone silent. Only a wait that
+// began before the word is ended, and none whose answer has begun to come: on a
+// slow way it may come for seconds, and a second reading beside it would take
+// half of the way from it (two at a time were seen to hold a way full for 17 s
+// without either ending).
+asio::awaitable<void> declaration_follower::end_useless_wait() {
+    auto const alive = running_;
+    instant const since = boot_clock::now();
+    co_await pause(news_on_its_way);
+    if (!*alive) {
+        co_return;
+    }
+    looking_ = false;
+    bool const waits = waiting_ && !reading_.begun();
+    if (waits && reading_began_ <= since && plan_.behind()) {
+        plan_.interrupted();
+        reading_.cancel();
+    }
+}
+
+milliseconds declaration_follower::longest_wait() const {
+    return std::clamp(
+        beliefs_->nodes() * wait_of_each_node, shortest_wait, most_wait);
+}
+
+asio::awaitable<platform::store_result<platform::keyed_batch>>
+declaration_follower::ask(declaration_reading const& asked) {
+    using platform::store_topic;
+    platform::reading_times times;
+    times.wait = asked.waits ? longest_wait() : milliseconds::zero();
+    times.silence = asked.silence;
+    if (asked.whole) {
+        co_return co_await store_->newest(
+            store_topic::declarations, times, reading_);
+    }
+    co_return co_await store_->read_on(
+        store_topic::declarations, asked.from, times, reading_);
+}
+
+asio::awaitable<void> declaration_follower::read(declaration_reading asked) {
+    auto const alive = running_;
+    instant const began = boot_clock::now();
+    reading_ = platform::store_reading();
+    reading_began_ = began;
+    waiting_ = asked.waits;
+    auto const batch = co_await ask(asked);
+    if (!*alive) {
+        co_return;
+    }
+    waiting_ = false;
+    note_reading(
+        *beliefs_, platform::store_topic::declarations,
+        asked.whole ? "whole" : "on", asked.from, began, reading_, batch);
+    if (batch) {
+        watch_->answered();
+        take_all(batch.value());
+        plan_.answered(asked, batch.value().next, boot_clock::now());
+        beliefs_->declared_place = plan_.place();
+    } else if (batch.error() == platform::store_failure::forgotten) {
+        watch_->answered();
+        plan_.forgotten(boot_clock::now());
+    } else if (!reading_.cancelled()) {
+        watch_->failed(
+            platform::store_topic::declarations, began, reading_,
+            batch.error());
+        plan_.failed();
+    }
+}
+
+asio::awaitable<void> declaration_follower::follow() {
+    auto const alive = running_;
+    while (*alive) {
+        declaration_reading const asked =
+            plan_.next(boot_clock::now(), beliefs_->nodes());
+        if (asked.pause > milliseconds::zero()) {
+            co_await pause(asked.pause);
+        }
+        if (*alive) {
+            co_await read(asked);
+        }
+    }
+}
+
+void declaration_follower::take_all(platform::keyed_batch const& batch) {
+    bool configured = false;
+    // The newest first: of several configurations only the last that can be
+    // read counts, and reading a large one takes a node a tenth of a second.
+    for (auto const& each : batch.records | std::views::reverse) {
+        if (!each.value) {
+            continue;
+        }
+        switch (platform::declaration_of(each.key)) {
+        case platform::declaration::configuration:
+            configured = configured || take_configuration(*each.value);
+            break;
+        case platform::declaration::version:
+            take_version(*each.value);
+            break;
+        case platform::declaration::other:
+            break;
+        }
+    }
+    plan_.note_known(beliefs_->declared_total());
+}
+
+bool declaration_follower::take_configuration(std::string const& text) {
+    findings problems;
+    auto read = platform::read_configuration(text, problems);
+    if (!read) {
+        beliefs_->note(
+            log_line(event_code::configuration_rejected, log_level::error)
+                .with("findings", problems.report()));
+        return false;
+    }
+    // Reads may be seconds old: versions only rise within one run.
+    if (beliefs_->configured &&
+        read->version <= beliefs_->configuration.version) {
+        return true;
+    }
+    beliefs_->configuration = std::move(*read);
+    beliefs_->routes = route_table(beliefs_->configuration);
+    beliefs_->configured = true;
+    plan_.note_configured();
+    beliefs_->note(log_line(event_code::configuration_in_force)
+                       .with("version", beliefs_->configuration.version)
+                       .with("routes", beliefs_->configuration.routes.size())
+                       .with("bytes", text.size()));
+    changed_();
+    return true;
+}
+
+void declaration_follower::take_version(std::string const& text) {
+    auto const read = platform::read_version(text);
+    if (!read) {
+        return;
+    }
+    version_word& word = beliefs_->versions[read->id];
+    if (read->version <= word.version) {
+        return;
+    }
+    beliefs_->versions_total += read->version - word.version;
+    word = {read->version, boot_clock::now()};
+    beliefs_->note(log_line(event_code::version_known)
+                       .with("adapter", read->id.str())
+                       .with("version", read->version));
+    changed_();
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/declaration_follower.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Gateway/store_watch.hpp"
+#include "Routing/declaration_plan.hpp"
+#include "platform/store_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace camphorpoint {
+
+/// Follows what the operator declares, from the store into this node's beliefs.
+/// `declaration_plan` decides which reading comes next; this carries it out.
+class declaration_follower {
+public:
+    /// @param beliefs where what is read goes; must outlive the follower
+    /// @param store   the store's client; must outlive the follower
+    /// @param watch   told whether the store answers; must outlive the follower
+    /// @param changed called when routes or versions have changed
+    declaration_follower(
+        gateway_beliefs& beliefs, platform::store_client& store,
+        store_watch& watch, std::function<void()> changed);
+
+    /// Begins to follow.
+    void start();
+    /// Ends at the next answer.
+    void stop();
+    /// Another node has read so far, and knows so much.
+    void heard(std::uint64_t place, std::uint64_t total);
+    /// The store answers again: a wait from before may never end.
+    void store_came_back();
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> read(declaration_reading asked);
+    boost::asio::awaitable<platform::store_result<platform::keyed_batch>>
+    ask(declaration_reading const& asked);
+    boost::asio::awaitable<void> end_useless_wait();
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    std::chrono::milliseconds longest_wait() const;
+    void look_again();
+    void take_all(platform::keyed_batch const& batch);
+    bool take_configuration(std::string const& text);
+    void take_version(std::string const& text);
+
+    gateway_beliefs* beliefs_;
+    platform::store_client* store_;
+    store_watch* watch_;
+    std::function<void()> changed_;
+    declaration_plan plan_;
+    platform::store_reading reading_;
+    /// Set while a wait goes on.
+    bool waiting_ = false;
+    instant reading_began_;
+    bool looking_ = false;
+    // Shared with the coroutines, which end after it has turned false.
+    std::shared_ptr<bool> running_ = std::make_shared<bool>(true);
+};
+
+} // namespace camphorpoint
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -63,11 +63,13 @@
           {[this](peer_want const& asked) { return orderer_.want(asked); },
            [this](peer_use const& told) { orderer_.use(told); },
            [this](std::uint64_t at) { return orderer_.free_slots(at); },
-           [this](peer_reading const& told) { follower_.heard(told); },
-           [this](std::uint64_t place) {
-               follower_.heard_operator(place);
+           [this](peer_reading const& told) { list_.heard(told); },
+           [this](std::uint64_t place, std::uint64_t total) {
+               declarations_.heard(place, total);
            }})
-    , follower_(beliefs_, store_, words_, [this] { changed(); })
+    , watch_(beliefs_, [this] { declarations_.store_came_back(); })
+    , declarations_(beliefs_, store_, watch_, [this] { changed(); })
+    , list_(beliefs_, store_, watch_, words_, [this] { changed(); })
     , callers_(
           io.get_executor(), first_limits(),
           [this](http_exchange& exchange) { return answer(exchange); })
@@ -95,7 +97,8 @@
         }};
     store_service_ = {
         [this]() -> start_result {
-            follower_.start();
+            declarations_.start();
+            list_.start();
             orderer_.start();
             asio::co_spawn(
                 *io_, [this] { return tick(); }, asio::detached);
@@ -103,7 +106,8 @@
         },
         [this] {
             running_ = false;
-            follower_.stop();
+            declarations_.stop();
+            list_.stop();
         }};
     readiness_service_ = {
         [this, &settings]() -> start_result {
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "Core/findings.hpp"
+#include "Gateway/declaration_follower.hpp"
 #include "Gateway/gateway_beliefs.hpp"
+#include "Gateway/list_follower.hpp"
 #include "Gateway/peer_words.hpp"
 #include "Gateway/slot_orderer.hpp"
-#include "Gateway/store_follower.hpp"
 #include "Kernel/kernel.hpp"
 #include "Kernel/service_registry.hpp"
 #include "Node/port_service.hpp"
@@ -64,7 +65,9 @@
     platform::store_client store_;
     slot_orderer orderer_;
     peer_words words_;
-    store_follower follower_;
+    store_watch watch_;
+    declaration_follower declarations_;
+    list_follower list_;
     http_server callers_;
     http_server readiness_;
     http_server metrics_;
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -40,6 +40,11 @@
     /// @returns the newest version that is known, nothing when none was named
     std::optional<std::uint32_t>
     newest_version(adapter_id const& adapter) const;
+    /// @returns how much of what the operator declares is known: the sum of
+    ///          all versions, which only rises
+    std::uint64_t declared_total() const noexcept {
+        return configuration.version + versions_total;
+    }
     /// @returns how many nodes there are, this one included
     unsigned nodes() const;
     /// @returns true when the store has answered lately and without a break
@@ -60,8 +65,10 @@
     bool configured = false;
     bool stopping = false;
     std::unordered_map<adapter_id, version_word> versions;
+    /// The sum of all adapters' versions.
+    std::uint64_t versions_total = 0;
     /// How far this node has read what the operator declares.
-    std::uint64_t operator_place = 0;
+    std::uint64_t declared_place = 0;
 
     fleet replicas;
     adapter_demand demand;
--- /dev/null
+++ b/src/Gateway/list_follower.cpp
@@ -0,0 +1,291 @@
+#include "Gateway/list_follower.hpp"
+
+#include "platform/configuration_reader.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How long one reading waits for news. A connection that has gone silent
+/// without a reset shows after this and the silence allowed.
+constexpr milliseconds wait_for_news{2'000};
+/// After a failed call. Shorter would spend calls that all nodes share.
+constexpr milliseconds retry_pause{250};
+/// The list is read whole so often. Word of adapters comes from those who order
+/// for the replicas, so this mends only what was lost of it.
+constexpr duration whole_list_again = std::chrono::seconds(20);
+constexpr auto topic = platform::store_topic::replicas;
+
+/// @returns what to tell of a replica; its end when there is none
+peer_replica change_of(endpoint_id const& id, replica const* at) {
+    peer_replica told;
+    told.id = id.str();
+    if (at == nullptr) {
+        return told;
+    }
+    replica_record const& record = at->record;
+    told.listed = true;
+    told.service = record.service.str();
+    told.host = record.address.host;
+    told.port = record.address.port;
+    told.domain = record.domain.str();
+    told.slots = record.slots;
+    told.leaving = record.leaving;
+    if (record.remaining) {
+        told.remaining = static_cast<std::uint32_t>(record.remaining->count());
+    }
+    for (model_id const& each : record.models) {
+        told.models.push_back(each.str());
+    }
+    return told;
+}
+
+/// @returns the entry that was told of, with the adapters that are known here
+replica_record record_of(peer_replica const& told, fleet const& replicas) {
+    replica_record record;
+    record.id = endpoint_id(told.id);
+    record.service = service_id(told.service);
+    record.address = {told.host, told.port};
+    record.domain = domain_id(told.domain);
+    record.slots = told.slots;
+    record.leaving = told.leaving;
+    if (told.remaining > 0) {
+        record.remaining = milliseconds(told.remaining);
+    }
+    for (std::string const& each : told.models) {
+        record.models.emplace_back(each);
+    }
+    if (replica const* const known = replicas.find(record.id)) {
+        for (auto const& [id, held] : known->adapters) {
+            if (!held.dropped) {
+                record.adapters.push_back({id, held.version});
+            }
+        }
+    }
+    return record;
+}
+
+} // namespace
+
+list_follower::list_follower(
+    gateway_beliefs& beliefs, platform::store_client& store, store_watch& watch,
+    peer_words& words, std::function<void()> changed)
+    : beliefs_(&beliefs)
+    , store_(&store)
+    , watch_(&watch)
+    , words_(&words)
+    , changed_(std::move(changed))
+    , turns_(beliefs.settings.list_pause)
+    , list_timer_(beliefs.io) {}
+
+void list_follower::stop() {
+    *running_ = false;
+    list_timer_.cancel();
+}
+
+void list_follower::start() {
+    asio::co_spawn(
+        beliefs_->io, [this] { return follow(); }, asio::detached);
+}
+
+asio::awaitable<void> list_follower::pause(milliseconds time) {
+    asio::steady_timer timer(beliefs_->io, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void list_follower::note_gone(endpoint_id const& id) {
+    beliefs_->note(
+        log_line(event_code::replica_gone).with("replica", id.str()));
+    changed_();
+}
+
+void list_follower::take_end(endpoint_id const& id) {
+    instant const now = boot_clock::now();
+    bool const keep = !beliefs_->store_calm(now);
+    if (beliefs_->replicas.lost(id, keep, now) == fleet_change::gone) {
+        note_gone(id);
+    }
+}
+
+bool list_follower::apply(replica_record const& record) {
+    fleet_change const change =
+        beliefs_->replicas.apply(record, boot_clock::now());
+    if (change == fleet_change::none) {
+        return false;
+    }
+    bool const seen = change == fleet_change::seen;
+    beliefs_->note(
+        log_line(seen ? event_code::replica_seen : event_code::replica_leaving)
+            .with("replica", record.id.str())
+            .with("service", record.service.str())
+            .with("domain", record.domain.str()));
+    changed_();
+    return true;
+}
+
+bool list_follower::take_replica(platform::keyed_record const& record) {
+    if (!record.value) {
+        take_end(endpoint_id(record.key));
+        return true;
+    }
+    auto const read = platform::read_replica(record.key, *record.value);
+    if (!read) {
+        beliefs_->note(
+            log_line(event_code::configuration_rejected, log_level::error)
+                .with("replica", record.key)
+                .with("findings", "no entry of a replica"));
+        return false;
+    }
+    bool const news = apply(*read);
+    for (adapter_ref const& each : read->adapters) {
+        beliefs_->waiters.notify(each.id);
+    }
+    return news;
+}
+
+void list_follower::heard(peer_reading const& reading) {
+    instant const now = boot_clock::now();
+    list_word const word = turns_.heard(reading.from, reading.to, now);
+    if (word == list_word::applies) {
+        for (peer_replica const& each : reading.changes) {
+            if (each.listed) {
+                apply(record_of(each, beliefs_->replicas));
+            } else {
+                take_end(endpoint_id(each.id));
+            }
+        }
+    }
+    list_timer_.cancel();
+}
+
+void list_follower::tell(
+    std::uint64_t from, platform::keyed_batch const& batch) {
+    peer_reading reading;
+    // What others have told meanwhile is no news here any more, so this word
+    // must not cover it: whoever has missed theirs would take it for whole.
+    reading.from = std::max(from, std::min(turns_.next(), batch.next));
+    reading.to = batch.next;
+    for (platform::keyed_record const& each : batch.records) {
+        if (take_replica(each)) {
+            endpoint_id const id(each.key);
+            peer_replica change = change_of(
+                id, each.value ? beliefs_->replicas.find(id) : nullptr);
+            change.place = each.place;
+            reading.changes.push_back(std::move(change));
+        }
+    }
+    words_->tell_reading(std::move(reading));
+}
+
+void list_follower::take_whole(platform::keyed_batch const& batch) {
+    std::vector<endpoint_id> listed;
+    for (platform::keyed_record const& each : batch.records) {
+        take_replica(each);
+        if (each.value) {
+            listed.emplace_back(each.key);
+        }
+    }
+    instant const now = boot_clock::now();
+    bool const keep = !beliefs_->store_calm(now);
+    for (endpoint_id const& id :
+         beliefs_->replicas.lost_beside(listed, keep, now)) {
+        note_gone(id);
+    }
+}
+
+asio::awaitable<platform::store_result<platform::keyed_batch>>
+list_follower::ask(place const& at, platform::store_reading& seen) {
+    platform::reading_times times;
+    times.silence = beliefs_->settings.store_timeout;
+    if (at.whole) {
+        co_return co_await store_->newest(topic, times, seen);
+    }
+    times.wait = wait_for_news;
+    co_return co_await store_->read_on(topic, at.next, times, seen);
+}
+
+asio::awaitable<bool> list_follower::step(place& at) {
+    bool const was_whole = at.whole;
+    std::uint64_t const from = at.next;
+    instant const began = boot_clock::now();
+    platform::store_reading seen;
+    auto const batch = co_await ask(at, seen);
+    note_reading(
+        *beliefs_, topic, was_whole ? "whole" : "on", from, began, seen, batch);
+    if (!batch) {
+        bool const forgotten =
+            batch.error() == platform::store_failure::forgotten;
+        if (forgotten) {
+            watch_->answered();
+        } else {
+            watch_->failed(topic, began, seen, batch.error());
+        }
+        at.whole = at.whole || forgotten;
+        co_return forgotten;
+    }
+    watch_->answered();
+    at.next = batch.value().next;
+    at.whole = false;
+    if (was_whole) {
+        take_whole(batch.value());
+    } else {
+        tell(from, batch.value());
+    }
+    co_return true;
+}
+
+asio::awaitable<void> list_follower::read(place& at) {
+    bool const answered = co_await step(at);
+    if (answered) {
+        turns_.was_read(at.next, boot_clock::now());
+    } else {
+        co_await pause(retry_pause);
+    }
+}
+
+asio::awaitable<void> list_follower::follow() {
+    auto const alive = running_;
+    place at;
+    instant read_whole = boot_clock::now();
+    std::uniform_real_distribution<double> part(0, 1);
+    double draw = part(beliefs_->random);
+    while (*alive) {
+        instant const now = boot_clock::now();
+        for (endpoint_id const& id : beliefs_->replicas.settle_missing(
+                 beliefs_->store_calm(now), now)) {
+            note_gone(id);
+        }
+        // A node that takes the store for lost sees its return by itself only.
+        bool const lost = beliefs_->store_lost_since != instant::max();
+        if (now >= read_whole + whole_list_again) {
+            at.whole = true;
+            read_whole = now;
+        }
+        if (at.whole || lost || now >= turns_.due(draw)) {
+            at.next = std::max(at.next, turns_.next());
+            co_await read(at);
+            draw = part(beliefs_->random);
+            continue;
+        }
+        instant const calm = beliefs_->store_calm_from();
+        instant const due = turns_.due(draw);
+        instant const wake = now < calm ? std::min(due, calm) : due;
+        list_timer_.expires_after(time_until(wake));
+        co_await list_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -186,15 +186,18 @@
     std::vector<peer_reading> readings;
     /// How far the sender has read what the operator declares; 0 when it says
     /// nothing of it.
-    std::uint64_t operator_place = 0;
+    std::uint64_t declared_place = 0;
+    /// How much of it the sender knows: the sum of all versions.
+    std::uint64_t declared_total = 0;
 
-    static constexpr std::uint32_t current_format = 3;
+    static constexpr std::uint32_t current_format = 4;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
             format, from, present, loads, asks, answers, wants, uses, words,
-            claims, suspicions, denials, readings, operator_place);
+            claims, suspicions, denials, readings, declared_place,
+            declared_total);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -370,7 +370,8 @@
     });
     peer_datagram message;
     message.present = true;
-    message.operator_place = beliefs_->operator_place;
+    message.declared_place = beliefs_->declared_place;
+    message.declared_total = beliefs_->declared_total();
     for (auto const& [id, each] : beliefs_->replicas.all()) {
         if (!each.open() || message.loads.size() >= most_counts) {
             continue;
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -29,8 +29,10 @@
         std::function<int(std::uint64_t replica)> free_slots;
         /// Another node has read on in the list of replicas.
         std::function<void(peer_reading const& reading)> reading;
-        /// Another node has read so far in what the operator declares.
-        std::function<void(std::uint64_t place)> operator_place;
+        /// Another node has read so far in what the operator declares, and
+        /// knows so much of it.
+        std::function<void(std::uint64_t place, std::uint64_t total)>
+            declarations;
     };
 
     /// @param beliefs where word from others goes; must outlive this
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -121,8 +121,9 @@
     for (peer_reading const& each : message.readings) {
         to_.reading(each);
     }
-    if (message.operator_place > beliefs_->operator_place) {
-        to_.operator_place(message.operator_place);
+    if (message.declared_place > beliefs_->declared_place ||
+        message.declared_total > beliefs_->declared_total()) {
+        to_.declarations(message.declared_place, message.declared_total);
     }
 }
 
