--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -354,6 +354,13 @@
     return state_->reused_;
 }
 
+call_times reading_times_of(std::chrono::milliseconds silence) {
+    call_times times;
+    times.close_at = now() + longest_answer;
+    times.each_step = silence;
+    return times;
+}
+
 asio::awaitable<fetch_result>
 fetch(http_call& call, ip_address to, http_request request, call_times times) {
     fetch_result result;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -118,6 +118,17 @@
 /// can make a node keep.
 inline constexpr std::size_t largest_answer = std::size_t{16} << 20U;
 
+/// An answer that comes piece by piece without end is given up after this: the
+/// largest that is taken needs 13 s on a way of 10 Mbit/s.
+inline constexpr std::chrono::milliseconds longest_answer{20'000};
+
+/// Bounds of a reading whose answer may be large. Guards against an answer that
+/// takes its way longer than a call's time: ended by the time since its start
+/// it is thrown away and asked for again, for good, and what is thrown away
+/// fills the way. So silence ends a reading, not the time that it takes.
+/// @param silence for the connection, the header, and each piece
+call_times reading_times_of(std::chrono::milliseconds silence);
+
 /// Makes a whole call.
 /// @param executor where it runs
 /// @param to       the server's address
--- a/src/Ports/instance_list_http.cpp
+++ b/src/Ports/instance_list_http.cpp
@@ -88,9 +88,7 @@
 asio::awaitable<std::optional<instance_list>> instance_list_http::read() {
     http_request request;
     request.target = "/instances";
-    call_times times;
-    times.close_at = boot_clock::now() + timeout_;
-    times.each_step = timeout_;
+    call_times times = reading_times_of(timeout_);
     http_call call(executor_, pool_);
     fetch_result const got =
         co_await fetch(call, address_, std::move(request), times);
--- a/src/Ports/instance_list_http.hpp
+++ b/src/Ports/instance_list_http.hpp
@@ -24,7 +24,7 @@
     /// @param executor where calls run
     /// @param address  of the list's service
     /// @param pool     must outlive the port
-    /// @param timeout  bounds a whole call
+    /// @param timeout  bounds the silence of a reading
     instance_list_http(
         boost::asio::any_io_executor executor, ip_address address,
         http_pool& pool, std::chrono::milliseconds timeout);
--- a/src/Ports/platform_log_http.cpp
+++ b/src/Ports/platform_log_http.cpp
@@ -94,9 +94,7 @@
     request.target = fmt::format(
         "/streams/{}/records?from={}&limit={}", stream_name(stream), from.value,
         most_records);
-    call_times times;
-    times.close_at = started + timeout_;
-    times.each_step = timeout_;
+    call_times times = reading_times_of(timeout_);
     http_call call(executor_, pool_);
     fetch_result const got =
         co_await fetch(call, address_, std::move(request), times);
--- a/src/Ports/platform_log_http.hpp
+++ b/src/Ports/platform_log_http.hpp
@@ -42,7 +42,7 @@
     /// @param executor where calls run
     /// @param address  of the log service
     /// @param pool     must outlive the port
-    /// @param timeout  bounds a whole call
+    /// @param timeout  bounds the silence of a reading, and an append
     /// @param self     who calls
     platform_log_http(
         boost::asio::any_io_executor executor, ip_address address,
