A replica that starts again under its id is another one; entries by another writer

One that started again empty kept its believed adapters for up to 2.5 s, a leaving mark for good, and its account for 600 ms. Change: the start that a replica tells (born) is decoded in list, report and datagrams; where it differs, beliefs and account begin anew. An unreadable entry ends what it names. A configuration whose service lost its engine no longer reads an empty option in the orderer (read in the code).

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -49,13 +49,34 @@
     target.adapters = std::move(next);
 }
 
+bool fleet::started_again(replica const& known, replica_record const& now) {
+    return known.record.born && now.born && known.record.born != now.born;
+}
+
+void fleet::begin_anew(replica& target) {
+    // This node's requests there end by themselves, as their connections break.
+    unsigned const running = target.running_here;
+    replica_record record = std::move(target.record);
+    record.leaving = false;
+    target = replica();
+    target.record = std::move(record);
+    target.running_here = running;
+}
+
 fleet_change fleet::apply(replica_record const& record, instant now) {
     auto [place, fresh] = all_.try_emplace(record.id);
     replica& target = place->second;
+    bool const again = started_again(target, record);
+    if (again) {
+        begin_anew(target);
+    }
     bool const was_leaving = target.record.leaving;
     bool const moved = fresh || target.record.service != record.service;
     take_adapters(target, record, now);
+    std::optional<incarnation> const born =
+        record.born ? record.born : target.record.born;
     target.record = record;
+    target.record.born = born;
     // A replica that has said that it leaves never stays after all.
     target.record.leaving = record.leaving || was_leaving;
     target.missing = false;
@@ -66,7 +87,7 @@
     if (moved) {
         index();
     }
-    if (fresh) {
+    if (fresh || again) {
         return record.leaving ? fleet_change::leaving : fleet_change::seen;
     }
     return target.record.leaving && !was_leaving ? fleet_change::leaving
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -108,7 +108,7 @@
 class fleet {
 public:
     /// Takes up a replica's entry in the list.
-    /// @returns what has changed
+    /// @returns what has changed; one that has started again is seen anew
     fleet_change apply(replica_record const& record, instant now);
     /// The list has lost the entry. During a store's outage entries lapse that
     /// come back after it, so the replica stays in use then.
@@ -158,6 +158,8 @@
 
 private:
     void index();
+    static bool started_again(replica const& known, replica_record const& now);
+    static void begin_anew(replica& target);
     static void keep(replica& target, adapter_id const& adapter);
     static void
     take_adapters(replica& target, replica_record const& record, instant now);
--- a/src/Fleet/replica_record.hpp
+++ b/src/Fleet/replica_record.hpp
@@ -11,10 +11,19 @@
 
 namespace camphorpoint {
 
+/// When a replica started, by its own clock. Guards against one that starts
+/// again under the id that it had: it is empty and counts its orders anew, and
+/// who takes it for the earlier one sends requests for adapters that are gone
+/// and orders beyond its slots. Two that differ are two, whichever is later:
+/// clocks may have been set back.
+using incarnation = std::chrono::sys_time<std::chrono::milliseconds>;
+
 /// What a replica says of itself in the platform's list. The list is seconds
 /// old.
 struct replica_record {
     endpoint_id id;
+    /// Nothing when it does not say.
+    std::optional<incarnation> born;
     service_id service;
     ip_address address;
     domain_id domain;
@@ -31,6 +40,8 @@
 /// What a replica answers when asked for its state. It is some hundred
 /// milliseconds old.
 struct replica_report {
+    /// Nothing when it does not say.
+    std::optional<incarnation> born;
     /// How many orders the replica has accepted.
     std::uint64_t sequence = 0;
     /// It carries out an order on a base model.
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -47,6 +47,11 @@
     bool knows(endpoint_id const& id) const {
         return beliefs_.replicas.find(id) != nullptr;
     }
+    /// @returns true when new requests may go to the replica
+    bool uses(endpoint_id const& id) const {
+        replica const* const found = beliefs_.replicas.find(id);
+        return found != nullptr && found->open();
+    }
     /// Takes up new settings, as far as they can change while it runs.
     void reload(gateway_settings const& settings);
 
--- a/src/Gateway/list_follower.cpp
+++ b/src/Gateway/list_follower.cpp
@@ -38,6 +38,7 @@
     }
     replica_record const& record = at->record;
     told.listed = true;
+    told.born = record.born ? record.born->time_since_epoch().count() : 0;
     told.service = record.service.str();
     told.host = record.address.host;
     told.port = record.address.port;
@@ -68,7 +69,11 @@
     for (std::string const& each : told.models) {
         record.models.emplace_back(each);
     }
-    if (replica const* const known = replicas.find(record.id)) {
+    if (told.born != 0) {
+        record.born = incarnation(milliseconds(told.born));
+    }
+    replica const* const known = replicas.find(record.id);
+    if (known != nullptr && known->record.born == record.born) {
         for (auto const& [id, held] : known->adapters) {
             if (!held.dropped) {
                 record.adapters.push_back({id, held.version});
@@ -136,24 +141,27 @@
     return true;
 }
 
-bool list_follower::take_replica(platform::keyed_record const& record) {
+list_follower::taken
+list_follower::take_replica(platform::keyed_record const& record) {
     if (!record.value) {
         take_end(endpoint_id(record.key));
-        return true;
+        return {false, true};
     }
     auto const read = platform::read_replica(record.key, *record.value);
     if (!read) {
+        // Whoever wrote it: what it names can't be used, as if it had ended.
         beliefs_->note(
             log_line(event_code::configuration_rejected, log_level::error)
                 .with("replica", record.key)
                 .with("findings", "no entry of a replica"));
-        return false;
+        take_end(endpoint_id(record.key));
+        return {false, true};
     }
     bool const news = apply(*read);
     for (adapter_ref const& each : read->adapters) {
         beliefs_->waiters.notify(each.id);
     }
-    return news;
+    return {true, news};
 }
 
 void list_follower::heard(peer_reading const& reading) {
@@ -179,10 +187,11 @@
     reading.from = std::max(from, std::min(turns_.next(), batch.next));
     reading.to = batch.next;
     for (platform::keyed_record const& each : batch.records) {
-        if (take_replica(each)) {
+        taken const came = take_replica(each);
+        if (came.news) {
             endpoint_id const id(each.key);
             peer_replica change = change_of(
-                id, each.value ? beliefs_->replicas.find(id) : nullptr);
+                id, came.entry ? beliefs_->replicas.find(id) : nullptr);
             change.place = each.place;
             reading.changes.push_back(std::move(change));
         }
@@ -193,8 +202,7 @@
 void list_follower::take_whole(platform::keyed_batch const& batch) {
     std::vector<endpoint_id> listed;
     for (platform::keyed_record const& each : batch.records) {
-        take_replica(each);
-        if (each.value) {
+        if (take_replica(each).entry) {
             listed.emplace_back(each.key);
         }
     }
--- a/src/Gateway/list_follower.hpp
+++ b/src/Gateway/list_follower.hpp
@@ -52,7 +52,14 @@
     void tell(std::uint64_t from, platform::keyed_batch const& batch);
     bool apply(replica_record const& record);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
-    bool take_replica(platform::keyed_record const& record);
+    /// What a record of the list comes to.
+    struct taken {
+        /// It is the entry of a replica.
+        bool entry = false;
+        /// Other nodes are to be told.
+        bool news = false;
+    };
+    taken take_replica(platform::keyed_record const& record);
     void take_end(endpoint_id const& id);
     void take_whole(platform::keyed_batch const& batch);
     void note_gone(endpoint_id const& id);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -132,6 +132,8 @@
     /// Where the entry stands in the list's records.
     std::uint64_t place = 0;
     bool listed = false;
+    /// Milliseconds since 1970; 0 when it does not say.
+    std::int64_t born = 0;
     std::string service;
     std::string host;
     std::uint16_t port = 0;
@@ -145,8 +147,8 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            id, place, listed, service, host, port, domain, slots, leaving,
-            remaining, models);
+            id, place, listed, born, service, host, port, domain, slots,
+            leaving, remaining, models);
     }
 };
 
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -204,6 +204,11 @@
         co_return;
     }
     slot_account& account = held->account;
+    if (at->record.born != held->born) {
+        // Asked by report, which is newer than the list: it may know already.
+        held->born = at->record.born;
+        account.distrust();
+    }
     if (account.report_due(now)) {
         co_await report(id, held);
         co_return;
@@ -212,8 +217,8 @@
     service_form const* const service =
         beliefs_->configuration.find_service(at->record.service);
     if (account.known() && !account.has_model() && !account.model_named() &&
-        service != nullptr && !service->engine->models.empty() &&
-        may_load_model(*service)) {
+        service != nullptr && service->engine &&
+        !service->engine->models.empty() && may_load_model(*service)) {
         account.set_model(service->engine->models.front().name);
     }
     auto const next = account.next(now);
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -54,6 +54,8 @@
         slot_account account;
         boost::asio::steady_timer wake;
         std::uint64_t token;
+        /// When the replica started, as the list said last.
+        std::optional<incarnation> born;
         bool ended = false;
     };
     using held_ptr = std::shared_ptr<held_replica>;
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -66,6 +66,8 @@
     /// @returns true when a report must be read before anything is ordered, or
     ///          to see whether a load has come
     bool report_due(instant now) const;
+    /// The replica may have started again: a report comes before any order.
+    void distrust() noexcept;
     /// A report could not be read.
     void report_failed(instant now);
 
@@ -154,6 +156,8 @@
     };
 
     void forget_old_wants(instant now);
+    void begin_anew();
+    void drop_not_shown(replica_report const& report, instant now);
     bool kept(adapter_id const& id) const;
     duration load_time(adapter_id const& id) const;
     unsigned free_slots(instant now) const;
@@ -181,6 +185,7 @@
     slot_releases releases_;
     /// Adapters that lay here, newest last; the replica keeps copies of some.
     std::vector<adapter_id> recent_;
+    std::optional<incarnation> born_;
     bool known_ = false;
     bool must_report_ = true;
     bool busy_ = false;
--- a/src/Holding/slot_account_reports.cpp
+++ b/src/Holding/slot_account_reports.cpp
@@ -26,6 +26,11 @@
     return false;
 }
 
+void slot_account::distrust() noexcept {
+    must_report_ = true;
+    report_after_ = {};
+}
+
 void slot_account::report_failed(instant now) {
     report_after_ = now + report_retry;
 }
@@ -51,8 +56,27 @@
     }
 }
 
+void slot_account::begin_anew() {
+    for (auto& [id, of] : slots_) {
+        if (of.state == slot_state::resident) {
+            changes_.push_back({{id, of.version}, false});
+        }
+        end_load(of);
+    }
+    slots_.clear();
+    recent_.clear();
+    unanswered_.reset();
+    times_unanswered_ = 0;
+    model_loading_ = false;
+    known_ = false;
+}
+
 void slot_account::reported(replica_report const& report, instant now) {
     report_after_ = now + report_pause;
+    if (born_ && report.born && report.born != born_) {
+        begin_anew();
+    }
+    born_ = report.born ? report.born : born_;
     if (known_ && report.sequence < sequence_ &&
         now < last_counted_ + report_age) {
         // Older than the newest accepted order: it can't show its effect.
@@ -80,6 +104,10 @@
     for (adapter_ref const& each : report.adapters) {
         take_resident(each, now);
     }
+    drop_not_shown(report, now);
+}
+
+void slot_account::drop_not_shown(replica_report const& report, instant now) {
     auto const shown = [&](adapter_id const& id) {
         auto const same = [&](adapter_ref const& each) {
             return each.id == id;
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -48,10 +48,18 @@
     json::object const text{{"service", service}, {"address", address},
                             {"zone", "z"},        {"slots", 8},
                             {"state", "ready"},   {"models", std::move(models)},
-                            {"sequence", 1}};
+                            {"sequence", 1},      {"born", born_}};
     return json::serialize(text);
 }
 
+void replica_engine::start_again() {
+    constexpr std::int64_t later = 5'000;
+    born_ += later;
+    sequence_ = 0;
+    fence_ = 0;
+    adapters_.clear();
+}
+
 bool replica_engine::holds(std::string const& asked) const {
     std::string const adapter = adapter_of(asked);
     if (adapter.empty()) {
@@ -109,6 +117,7 @@
             {"name", model_}, {"version", 1}, {"adapters", std::move(names)}});
     }
     json::object const text{
+        {"born", born_},
         {"models", std::move(models)},
         {"busy", false},
         {"sequence", sequence_},
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -45,6 +45,9 @@
     std::string
     entry(std::string const& service, std::string const& address) const;
 
+    /// Starts again under its name: empty, its counts anew.
+    void start_again();
+
     /// What befalls the next requests, in order.
     std::deque<replica_fault> faults;
     /// How often each request has run.
@@ -74,6 +77,8 @@
     std::string id_;
     std::string model_;
     unsigned slots_;
+    /// Milliseconds since 1970.
+    std::int64_t born_ = 1'767'225'600'000;
     std::uint64_t sequence_ = 0;
     std::uint64_t fence_ = 0;
     std::map<std::string, held> adapters_;
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -155,6 +155,62 @@
 
 // The store is down, and the list loses all entries. With them gone nothing
 // would be served, though every replica is there.
+// A replica starts again under the id that it had. Nodes that take it for the
+// earlier one send it requests for adapters that it no longer holds, and one
+// that was about to leave is never used again.
+TEST_CASE("a replica that starts again under its id is another one") {
+    fleet_world world;
+    auto const listed = [&](int born, std::vector<adapter_ref> adapters) {
+        replica_record record = entry("r1", std::move(adapters));
+        record.born = incarnation(milliseconds(born));
+        return record;
+    };
+    endpoint_id const id("r1");
+    world.replicas.apply(listed(1'000, {hot()}), world.now);
+    world.replicas.told_held(id, {adapter_id("m/warm"), 1}, world.now);
+    REQUIRE(world.best(world.need()) == "r1");
+
+    SUBCASE("what was told of the earlier one counts no longer") {
+        world.replicas.told_dropped(id, adapter_id("m/cold"), world.now);
+        CHECK(
+            world.replicas.apply(listed(2'000, {}), world.now) ==
+            fleet_change::seen);
+        CHECK(world.best(world.need()) == "none");
+        CHECK(world.replicas.find(id)->adapters.empty());
+        CHECK_FALSE(world.replicas.find(id)->keeps(adapter_id("m/cold")));
+    }
+    SUBCASE("nor that the earlier one was leaving") {
+        replica_record leaving = listed(1'000, {hot()});
+        leaving.leaving = true;
+        world.replicas.apply(leaving, world.now);
+        REQUIRE_FALSE(world.replicas.find(id)->open());
+        world.replicas.apply(listed(2'000, {}), world.now);
+        CHECK(world.replicas.find(id)->open());
+    }
+    SUBCASE("nor that the earlier one was to be gone by now") {
+        replica_record noticed = listed(1'000, {hot()});
+        noticed.remaining = milliseconds(10);
+        world.replicas.apply(noticed, world.now);
+        world.replicas.apply(listed(2'000, {hot()}), world.now);
+        CHECK(world.replicas.find(id)->gone_at == instant::max());
+    }
+    SUBCASE("requests of this node that run there end by themselves") {
+        world.replicas.began(id, 100, world.now);
+        world.replicas.apply(listed(2'000, {}), world.now);
+        CHECK(world.replicas.find(id)->running_here == 1);
+        world.replicas.ended(id);
+        CHECK(world.replicas.find(id)->running_here == 0);
+    }
+    SUBCASE("a clock that was set back makes it no older") {
+        world.replicas.apply(listed(500, {}), world.now);
+        CHECK(world.best(world.need()) == "none");
+    }
+    SUBCASE("an entry that does not say is the same one's") {
+        world.replicas.apply(entry("r1", {}), world.now);
+        CHECK(world.replicas.find(id)->adapters.contains(adapter_id("m/warm")));
+    }
+}
+
 TEST_CASE("entries that lapse with the store stay in use") {
     fleet_world world;
     world.replicas.apply(entry("r1", {hot()}), world.now);
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -200,6 +200,50 @@
     CHECK(stranger.engine.runs.empty());
 }
 
+// Both replicas have started again under their ids. Nodes that go on by the
+// accounts of the earlier ones take them for full of adapters that nobody uses,
+// and name a count of orders that is refused.
+TEST_CASE("replicas that start again under their ids are loaded anew") {
+    gateway_world world;
+    for (int each = 0; each < 6; ++each) {
+        std::string const name = std::to_string(each);
+        CHECK(
+            world.ask("/gen/a", "m/a" + name, "q" + name).response.status ==
+            200);
+    }
+    for (testing::served_replica* const each : {&world.first, &world.second}) {
+        each->engine.start_again();
+        world.list(*each, "llm");
+    }
+    for (int each = 0; each < 6; ++each) {
+        std::string const name = std::to_string(each);
+        auto const got = world.ask("/gen/a", "m/a" + name, "again" + name);
+        CHECK(got.response.body == events(1, 8));
+        CHECK(world.runs("again" + name) == 1);
+    }
+    CHECK_FALSE(world.first.engine.overfilled);
+    CHECK_FALSE(world.second.engine.overfilled);
+}
+
+// Somebody else writes into the list under a replica's name. Requests go to the
+// others, and to this one again once it has said what it is.
+TEST_CASE("an entry by another writer") {
+    gateway_world world;
+    endpoint_id const id("r1");
+    world.metadata.store().put("keyed.servers", "r1", "{\"state\":7}");
+    world.metadata.store().put("keyed.servers", "\xff odd", "\x01\x02");
+    REQUIRE(world.loop.run_until([&] { return !world.node->uses(id); }));
+    for (int each = 0; each < 3; ++each) {
+        std::string const name = std::to_string(each);
+        CHECK(
+            world.ask("/gen/a", "m/a" + name, "q" + name).response.status ==
+            200);
+    }
+    CHECK(world.first.engine.runs.empty());
+    world.list(world.first, "llm");
+    CHECK(world.loop.run_until([&] { return world.node->uses(id); }));
+}
+
 TEST_CASE("a planned stop finishes what runs") {
     gateway_world world;
     bool stopped = false;
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -295,6 +295,71 @@
     }
 }
 
+// A replica starts again, empty, under the id that it had, between two orders.
+// An account that goes on would take its slots for full, wait for loads that
+// nobody carries out, and name a count of orders that is refused for good.
+TEST_CASE("the account of a replica that starts again begins anew") {
+    account_world world;
+    world.report.born = incarnation(milliseconds(1'000));
+    world.report.sequence = 0;
+    world.account.reported(world.report, world.now);
+    world.load("a1");
+    world.load("a2");
+    world.want(adapter("a3"));
+    slot_order const order =
+        world.expect_order(slot_order_kind::load_adapter, "a3");
+    CHECK(order.expect == 2);
+    world.account.answered(order, slot_answer::accepted, world.now);
+    world.account.take_changes();
+
+    world.report.born = incarnation(milliseconds(5'000));
+    world.report.sequence = 0;
+    world.pass(milliseconds(50));
+    world.account.distrust();
+    REQUIRE(world.account.report_due(world.now));
+    world.account.reported(world.report, world.now);
+
+    SUBCASE("nothing lies there, and all are told") {
+        CHECK(world.account.taken() == 0);
+        CHECK_FALSE(world.account.ready(adapter("a1")));
+        auto const changes = world.account.take_changes();
+        REQUIRE(changes.size() == 2);
+        CHECK_FALSE(changes[0].held);
+        CHECK_FALSE(changes[1].held);
+    }
+    SUBCASE("who waits still waits, and orders count from the beginning") {
+        auto const again =
+            world.expect_order(slot_order_kind::load_adapter, "a3");
+        CHECK(again.expect == 0);
+    }
+    SUBCASE(
+        "an order that the earlier one left unanswered is not given again") {
+        account_world other;
+        other.report.born = incarnation(milliseconds(1'000));
+        other.account.reported(other.report, other.now);
+        other.want(adapter("b1"));
+        slot_order const lost =
+            other.expect_order(slot_order_kind::load_adapter, "b1");
+        other.account.answered(lost, slot_answer::lost, other.now);
+        other.report.born = incarnation(milliseconds(5'000));
+        other.account.distrust();
+        other.account.reported(other.report, other.now);
+        other.want(adapter("b2"));
+        auto const next = other.account.next(other.now);
+        REQUIRE(next);
+        CHECK(next->expect == 0);
+    }
+    SUBCASE("a late report of the earlier one does not bring its slots back") {
+        replica_report late = world.report;
+        late.born = incarnation(milliseconds(1'000));
+        late.adapters = {adapter("a1", 1), adapter("a2", 1)};
+        late.sequence = 2;
+        world.account.reported(late, world.now);
+        world.account.reported(world.report, world.now);
+        CHECK(world.account.taken() == 0);
+    }
+}
+
 TEST_CASE("leases on partitions") {
     lease_times times;
     partition_leases leases(times);
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -143,15 +143,17 @@
 
 TEST_CASE("what replicas say of themselves") {
     auto const record = read_replica(
-        "i-1", R"({"service":"s","address":"127.0.0.1:80","state":"draining",)"
-               R"("remaining_ms":1500,"slots":4,"models":[{"name":"m",)"
-               R"("adapters":["a3@2","a4@1"]}]})");
+        "i-1",
+        R"({"service":"s","address":"127.0.0.1:80","state":"draining",)"
+        R"("zone":"z","remaining_ms":1500,"slots":4,"models":[{"name":"m",)"
+        R"("adapters":["a3@2","a4@1"]}]})");
     REQUIRE(record);
     CHECK(record->leaving);
     CHECK(record->remaining == milliseconds(1'500));
     REQUIRE(record->adapters.size() == 2);
     CHECK(record->adapters[0].id.str() == "m/a3");
     CHECK(record->adapters[0].version == 2);
+    CHECK(record->born == std::nullopt);
     CHECK_FALSE(read_replica("i-2", R"({"service":"s"})"));
 
     auto const report = read_report(
@@ -164,6 +166,62 @@
     CHECK(report->pending[0].version == 3);
 }
 
+TEST_CASE("a replica says when it started") {
+    incarnation const started(milliseconds(1'767'225'600'123));
+    auto const record = read_replica(
+        "i-1", R"({"service":"s","address":"127.0.0.1:80","state":"ready",)"
+               R"("zone":"z","slots":4,"born":1767225600123})");
+    REQUIRE(record);
+    CHECK(record->born == started);
+    auto const report =
+        read_report(R"({"sequence":0,"models":[],"born":1767225600123})");
+    REQUIRE(report);
+    CHECK(report->born == started);
+}
+
+// Somebody else has written into the list. What such an entry names is no
+// replica, and requests sent there would be lost; the other entries hold.
+TEST_CASE("an entry by another writer names no replica to use") {
+    auto const names_one = [](std::string const& text) {
+        return read_replica("i-1", text).has_value();
+    };
+    std::string const rest = R"(,"zone":"z","slots":4})";
+    std::string const good =
+        R"({"service":"s","address":"127.0.0.1:80","state":"ready")";
+    REQUIRE(names_one(good + rest));
+
+    SUBCASE("a field is missing") {
+        CHECK_FALSE(
+            names_one(R"({"service":"s","address":"127.0.0.1:80")" + rest));
+        CHECK_FALSE(names_one(R"({"service":"s","state":"ready")" + rest));
+        CHECK_FALSE(
+            names_one(R"({"address":"127.0.0.1:80","state":"ready")" + rest));
+        CHECK_FALSE(names_one(good + R"(,"zone":"z"})"));
+        CHECK_FALSE(names_one(good + R"(,"slots":4})"));
+    }
+    SUBCASE("a field is of another type") {
+        CHECK_FALSE(names_one(good + R"(,"zone":7,"slots":4})"));
+        CHECK_FALSE(names_one(good + R"(,"zone":"z","slots":"4"})"));
+        CHECK_FALSE(names_one(good + R"(,"zone":"z","slots":-4})"));
+        CHECK_FALSE(names_one(good + R"(,"zone":"z","slots":4,"models":"m"})"));
+        CHECK_FALSE(
+            names_one(good + R"(,"zone":"z","slots":4,"models":["m"]})"));
+        CHECK_FALSE(names_one(
+            R"({"service":["s"],"address":"127.0.0.1:80","state":"ready")" +
+            rest));
+    }
+    SUBCASE("a state that is not named") {
+        CHECK_FALSE(names_one(
+            R"({"service":"s","address":"127.0.0.1:80","state":"resting")" +
+            rest));
+    }
+    SUBCASE("bytes that can't be read") {
+        CHECK_FALSE(names_one("\xff\xfe{"));
+        CHECK_FALSE(names_one("[]"));
+        CHECK_FALSE(names_one(""));
+    }
+}
+
 TEST_CASE("an order and its answers") {
     slot_order order;
     order.model = model_id("m");
