Each named version binds by its own time; one read whole binds at once

A version named before the last one bound put it off: requests could begin on the first of three versions until 2.8 s after the third. A node that started took versions of any age for new ones. The expected version named to a replica was the newest, so one that held the version before, still allowed, was refused by it. Change: named_versions keeps those that do not bind yet; what is read whole binds at once; the request names the version that its replica should hold.

--- a/src/Gateway/declaration_follower.cpp
+++ b/src/Gateway/declaration_follower.cpp
@@ -31,6 +31,10 @@
 /// have said that there is news: usually the news is on its way.
 constexpr milliseconds news_on_its_way{250};
 
+/// For so long after the word of a new version requests may still begin on the
+/// old one: the platform allows five seconds, a load and its order take one.
+constexpr duration old_version_ends = milliseconds(2'800);
+
 declaration_times times_of(gateway_settings const& settings) {
     declaration_times times;
     times.silence = settings.store_timeout;
@@ -142,7 +146,7 @@
         asked.whole ? "whole" : "on", asked.from, began, reading_, batch);
     if (batch) {
         watch_->answered();
-        take_all(batch.value());
+        take_all(batch.value(), asked);
         plan_.answered(asked, batch.value().next, boot_clock::now());
         beliefs_->declared_place = plan_.place();
     } else if (batch.error() == platform::store_failure::forgotten) {
@@ -170,7 +174,11 @@
     }
 }
 
-void declaration_follower::take_all(platform::keyed_batch const& batch) {
+void declaration_follower::take_all(
+    platform::keyed_batch const& batch, declaration_reading const& asked) {
+    // When a version that was read whole was named is not known, as by a node
+    // that has just started: it may bind everywhere else by now.
+    duration const grace = asked.whole ? duration::zero() : old_version_ends;
     bool configured = false;
     // The newest first: of several configurations only the last that can be
     // read counts, and reading a large one takes a node a tenth of a second.
@@ -183,7 +191,7 @@
             configured = configured || take_configuration(*each.value);
             break;
         case platform::declaration::version:
-            take_version(*each.value);
+            take_version(*each.value, grace);
             break;
         case platform::declaration::other:
             break;
@@ -218,20 +226,16 @@
     return true;
 }
 
-void declaration_follower::take_version(std::string const& text) {
+void declaration_follower::take_version(
+    std::string const& text, duration grace) {
     auto const read = platform::read_version(text);
-    if (!read) {
-        return;
-    }
-    version_word& word = beliefs_->versions[read->id];
-    if (read->version <= word.version) {
+    if (!read || !beliefs_->versions.name(*read, boot_clock::now(), grace)) {
         return;
     }
-    beliefs_->versions_total += read->version - word.version;
-    word = {read->version, boot_clock::now()};
     beliefs_->note(log_line(event_code::version_known)
                        .with("adapter", read->id.str())
-                       .with("version", read->version));
+                       .with("version", read->version)
+                       .with("binds_in_ms", grace));
     changed_();
 }
 
--- a/src/Gateway/declaration_follower.hpp
+++ b/src/Gateway/declaration_follower.hpp
@@ -45,9 +45,10 @@
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     std::chrono::milliseconds longest_wait() const;
     void look_again();
-    void take_all(platform::keyed_batch const& batch);
+    void take_all(
+        platform::keyed_batch const& batch, declaration_reading const& asked);
     bool take_configuration(std::string const& text);
-    void take_version(std::string const& text);
+    void take_version(std::string const& text, duration grace);
 
     gateway_beliefs* beliefs_;
     platform::store_client* store_;
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// For so long after the word of a new version requests may still begin on the
-/// old one: the platform allows five seconds, a load and its order take one.
-constexpr duration old_version_ends = std::chrono::milliseconds(2'800);
 /// A node that was heard within this counts as one that is there.
 constexpr duration peer_counts = std::chrono::seconds(4);
 /// Entries of replicas that lapsed with the store's outage are back by then.
@@ -35,25 +32,6 @@
     , replica_connections(connection_limits)
     , leases(settings.leases) {}
 
-std::uint32_t
-gateway_beliefs::least_version(adapter_id const& adapter, instant now) const {
-    auto const found = versions.find(adapter);
-    if (found == versions.end() ||
-        now < found->second.learned + old_version_ends) {
-        return 0;
-    }
-    return found->second.version;
-}
-
-std::optional<std::uint32_t>
-gateway_beliefs::newest_version(adapter_id const& adapter) const {
-    auto const found = versions.find(adapter);
-    if (found == versions.end()) {
-        return std::nullopt;
-    }
-    return found->second.version;
-}
-
 unsigned gateway_beliefs::nodes() const {
     // Those that were heard lately; the others have stopped.
     instant const now = boot_clock::now();
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -10,6 +10,7 @@
 #include "Gateway/waiter_list.hpp"
 #include "Holding/partition_leases.hpp"
 #include "Ports/http_pool.hpp"
+#include "Routing/named_versions.hpp"
 #include "Routing/route_table.hpp"
 #include "Telemetry/decision_log.hpp"
 
@@ -23,27 +24,16 @@
 
 namespace camphorpoint {
 
-/// An adapter's newest version, and when this node learned of it.
-struct version_word {
-    std::uint32_t version = 0;
-    instant learned;
-};
-
 /// Everything that a gateway node knows; its services share it. One loop owns
 /// it, so there are no locks.
 struct gateway_beliefs {
     gateway_beliefs(
         boost::asio::io_context& loop, gateway_settings given, int log_handle);
 
-    /// @returns the version that a request must run on at least, by now
-    std::uint32_t least_version(adapter_id const& adapter, instant now) const;
-    /// @returns the newest version that is known, nothing when none was named
-    std::optional<std::uint32_t>
-    newest_version(adapter_id const& adapter) const;
     /// @returns how much of what the operator declares is known: the sum of
     ///          all versions, which only rises
     std::uint64_t declared_total() const noexcept {
-        return configuration.version + versions_total;
+        return configuration.version + versions.total();
     }
     /// @returns how many nodes there are, this one included
     unsigned nodes() const;
@@ -64,9 +54,7 @@
     route_table routes;
     bool configured = false;
     bool stopping = false;
-    std::unordered_map<adapter_id, version_word> versions;
-    /// The sum of all adapters' versions.
-    std::uint64_t versions_total = 0;
+    named_versions versions;
     /// How far this node has read what the operator declares.
     std::uint64_t declared_place = 0;
 
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -133,8 +133,15 @@
     terms.replica = at.record.id;
     terms.remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
     terms.priority = route_->priority;
-    if (beliefs_->least_version(need_.adapter, now) > 0) {
-        terms.version = beliefs_->newest_version(need_.adapter);
+    std::uint32_t const least = beliefs_->versions.least(need_.adapter, now);
+    if (least > 0) {
+        // A replica refuses any other version than the one that is named, also
+        // a newer one: the version that it should hold.
+        auto const held = at.adapters.find(need_.adapter);
+        bool const known =
+            held != at.adapters.end() && held->second.version >= least;
+        terms.version = known ? held->second.version
+                              : beliefs_->versions.newest(need_.adapter);
     }
     if (begun_) {
         terms.after_event = relay_.last();
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -75,7 +75,7 @@
     bool const new_here = asked_ != home->record.id;
     asked_ = home->record.id;
     std::uint32_t const version =
-        beliefs_->newest_version(need_.adapter).value_or(0);
+        beliefs_->versions.newest(need_.adapter).value_or(0);
     want_kind const kind = urgent ? want_kind::waited_for : want_kind::ahead;
     homes_asked_ += urgent && new_here ? 1 : 0;
     words_->want(
@@ -148,14 +148,14 @@
 std::optional<replica*> request_flow::adapter_replica(instant now) {
     holding_ = false;
     std::uint32_t const newest =
-        beliefs_->newest_version(need_.adapter).value_or(0);
+        beliefs_->versions.newest(need_.adapter).value_or(0);
     need_.least_version = newest;
     replica* best = beliefs_->choice.best(need_, now);
-    if (best == nullptr && newest > 0 &&
-        beliefs_->least_version(need_.adapter, now) == 0) {
+    std::uint32_t const least = beliefs_->versions.least(need_.adapter, now);
+    if (best == nullptr && least < newest) {
         // The old version serves until the new one lies somewhere.
         ask_for_copy(beliefs_->choice.next_home(need_, now), true);
-        need_.least_version = 0;
+        need_.least_version = least;
         best = beliefs_->choice.best(need_, now);
     }
     bool const sound = best != nullptr && !best->health.suspected(now);
--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -322,11 +322,11 @@
     // What is in use is left as it is, and the account sees to that: requests
     // go to a replica that gets the new version in a slot of its own.
     instant const now = boot_clock::now();
-    for (auto const& [adapter, word] : beliefs_->versions) {
-        bool const outdated = account.ready({adapter, 0}) &&
-                              !account.ready({adapter, word.version});
+    for (adapter_ref const& each : beliefs_->versions.all()) {
+        bool const outdated =
+            account.ready({each.id, 0}) && !account.ready(each);
         if (outdated) {
-            account.want({adapter, word.version}, want_kind::ahead, now);
+            account.want(each, want_kind::ahead, now);
         }
     }
 }
