A denial that is there already is not waited for

Cause: where a node orders for the home itself, or takes its holder for absent, its denial woke the request before it waited. Change: after a home was asked that has denied by then, the next is asked at once.

--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -64,6 +64,7 @@
     std::optional<replica*> adapter_replica(instant now);
     replica* home_for(instant now);
     bool should_hold(replica const& at, instant now) const;
+    bool denied_already(instant now) const;
     void want_copies(replica const& best, instant now);
     void ask_for_copy(replica* home, bool urgent);
     duration patience(instant now) const;
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -203,6 +203,14 @@
     return nullptr;
 }
 
+// Guards against a wait for word that has come: where this node orders for the
+// home itself, or takes its holder for absent, the denial is there before the
+// request waits, and nobody tells it again. A refusal took 300 ms for each home.
+bool request_flow::denied_already(instant now) const {
+    replica const* const home = beliefs_->replicas.find(asked_);
+    return home != nullptr && home->denial(need_.adapter, now) != nullptr;
+}
+
 asio::awaitable<void> request_flow::freshen_loads() {
     auto const caller = leaving_;
     instant const began = boot_clock::now();
@@ -238,8 +246,12 @@
             reason_ = "too-late";
             co_return nullptr;
         }
+        endpoint_id const before = asked_;
         std::optional<replica*> const found =
             need_.adapter.empty() ? plain_replica(now) : adapter_replica(now);
+        if (!found && asked_ != before && denied_already(now)) {
+            continue;
+        }
         if (found && (!waited || *found == nullptr || freshened)) {
             if (waited) {
                 beliefs_->metrics.observe_load_wait(now - began);
