--- a/src/Gateway/declaration_follower.cpp
+++ b/src/Gateway/declaration_follower.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <random>
-#include <ranges>
 #include <utility>
 
 namespace camphorpoint {
@@ -182,16 +181,17 @@
     bool configured = false;
     // The newest first: of several configurations only the last that can be
     // read counts, and reading a large one takes a node a tenth of a second.
-    for (auto const& each : batch.records | std::views::reverse) {
-        if (!each.value) {
+    for (auto each = batch.records.rbegin(); each != batch.records.rend();
+         ++each) {
+        if (!each->value) {
             continue;
         }
-        switch (platform::declaration_of(each.key)) {
+        switch (platform::declaration_of(each->key)) {
         case platform::declaration::configuration:
-            configured = configured || take_configuration(*each.value);
+            configured = configured || take_configuration(*each->value);
             break;
         case platform::declaration::version:
-            take_version(*each.value, grace);
+            take_version(*each->value, grace);
             break;
         case platform::declaration::other:
             break;
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -205,7 +205,8 @@
 
 // Guards against a wait for word that has come: where this node orders for the
 // home itself, or takes its holder for absent, the denial is there before the
-// request waits, and nobody tells it again. A refusal took 300 ms for each home.
+// request waits, and nobody tells it again. A refusal took 300 ms for each
+// home.
 bool request_flow::denied_already(instant now) const {
     replica const* const home = beliefs_->replicas.find(asked_);
     return home != nullptr && home->denial(need_.adapter, now) != nullptr;
