--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -144,7 +144,7 @@
 void gateway_world::begin(std::string path, std::string model, std::string id) {
     asio::co_spawn(
         loop.io(), send(std::move(path), std::move(model), std::move(id)),
-        [](std::exception_ptr, fetch_result const&) {});
+        [](std::exception_ptr const&, fetch_result const&) {});
 }
 
 unsigned gateway_world::runs(std::string const& id) const {
--- a/test/ports/large_answers_test.cpp
+++ b/test/ports/large_answers_test.cpp
@@ -28,7 +28,7 @@
 /// Sends its answer in pieces, as a slow way brings it; the whole takes longer
 /// than the reader's patience, no pause does.
 struct slow_server {
-    slow_server(loopback& loop, std::string body)
+    slow_server(loopback& loop, std::string const& body)
         : server(
               loop.executor(), {},
               [this, body](http_exchange& exchange) -> asio::awaitable<void> {
