Membership without a platform's list: every node knows every other

Cause: on the users' platform nodes learn of each other from the holders of partitions and from whoever speaks to them. With 96 partitions 99 of 195 nodes hold none and never hear one another: word of readings, suspicion and declarations reaches half, and by their count of 97 they take twice their share of the slack of second sends. Change: src/Membership takes nodes as they are met. The platform's holders are greeted, probes carry a digest of whom a node knows, differences are asked for in pages, joins travel as news within bounds. A limit is divided among all that were there within the last minute or that a peer knows of, so that neither a cut nor a restart of all lets the shares add up to more than 1. All agree on an order by processor share.

--- a/src/Membership/membership.cpp
+++ b/src/Membership/membership.cpp
@@ -30,7 +30,7 @@
     }
     drop_unlisted();
     for (endpoint_id const& each : endpoints_.on_list(list.endpoints, now)) {
-        updates_.add({update_kind::endpoint_leaving, each.str(), {}, {}});
+        updates_.add({update_kind::endpoint_leaving, each.str(), {}, {}, {}});
     }
     endpoints_.end_holds(now);
 }
@@ -86,6 +86,9 @@
 }
 
 void membership::on_peer_heard(node_id const& peer, instant /*now*/) {
+    if (settings_.base == base_set::met && peer != self_.id) {
+        meet(peer, {});
+    }
     rounds_.heard(peer);
     probe_soon_.erase(peer);
 }
@@ -96,7 +99,7 @@
     }
     say(event_code::endpoint_leaving, log_level::info,
         fmt::format("endpoint={}", endpoint.str()));
-    updates_.add({update_kind::endpoint_leaving, endpoint.str(), {}, {}});
+    updates_.add({update_kind::endpoint_leaving, endpoint.str(), {}, {}, {}});
 }
 
 void membership::on_endpoint_call(
@@ -125,6 +128,9 @@
         tell_self();
     }
     endpoints_.on_tick(now);
+    forget_dead(now);
+    send_greetings();
+    ask_again(now);
     spread_urgent();
     run_probes(now);
     check_suspicions(now);
@@ -178,6 +184,12 @@
                                    : found->second.instance.peer_address;
 }
 
+domain_id membership::domain_of(node_id const& node) const {
+    auto const found = members_.find(node);
+    return found == members_.end() ? domain_id()
+                                   : found->second.instance.domain;
+}
+
 std::vector<endpoint_instance> membership::live_endpoints() const {
     return endpoints_.live();
 }
--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -12,6 +12,7 @@
 #include "Records/instance_record.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -57,7 +58,8 @@
     void on_datagram(std::string_view datagram, instant now);
     /// A message from a peer.
     void on_probe(probe_message const& message, instant now);
-    /// A peer was heard over TCP, which is as good as an answer to a probe.
+    /// A peer was heard by other words than probes, which is as good as an
+    /// answer to one.
     void on_peer_heard(node_id const& peer, instant now);
     /// An engine or service refused work because it is leaving. The report is
     /// spread to all nodes.
@@ -66,6 +68,9 @@
     /// suspect on this node alone.
     void
     on_endpoint_call(endpoint_id const& endpoint, bool succeeded, instant now);
+    /// Somebody else names a node; it takes part from now on. Only where nodes
+    /// are met.
+    void introduce(node_id const& node, instant now);
     /// This node begins a planned stop and says so.
     void start_leaving(instant now);
     /// Time has passed.
@@ -81,10 +86,22 @@
     /// @returns all nodes that are neither dead nor gone, this one included,
     /// in the order of their names
     std::vector<live_node> live_nodes() const;
+    /// @returns among how many nodes, this one included, a common limit is to
+    ///          be divided: never fewer than may be at work. Only where nodes
+    ///          are met.
+    std::size_t sharers(instant now) const;
+    /// @returns how many nodes that are there go before this one in an order
+    ///          that all agree on: those with more of a processor first. Few
+    ///          nodes do by it what one could do for all.
+    std::size_t rank() const;
+    /// @returns whom this node takes to be there
+    member_digest digest() const;
     /// @returns the node's state; nothing when it is unknown
     std::optional<node_state> state_of(node_id const& node) const;
     /// @returns the node's address for TCP and UDP; empty when unknown
     std::string peer_address(node_id const& node) const;
+    /// @returns the node's failure domain; empty when unknown
+    domain_id domain_of(node_id const& node) const;
     /// @returns endpoints that may get new work, in the order of their names
     std::vector<endpoint_instance> live_endpoints() const;
     /// @returns the endpoint's state
@@ -105,8 +122,21 @@
         std::set<node_id> accusers;
         /// When the suspicion ends in death.
         instant suspect_until;
+        instant dead_since;
     };
 
+    member& meet(node_id const& id, met_node const& of);
+    void met(node_id const& from, incarnation at, met_node const& of);
+    met_node own_words() const;
+    static bool
+    goes_before(node_instance const& left, node_instance const& right);
+    void compare(node_id const& with, member_digest theirs, instant now);
+    void ask_names(node_id const& of, node_id const& after, instant now);
+    void ask_again(instant now);
+    void forget_dead(instant now);
+    void send_greetings();
+    void outlive(incarnation former);
+    std::chrono::milliseconds ask_pause(member_digest theirs) const;
     void list_node(node_instance const& node, instant now);
     void drop_unlisted();
     void apply(membership_update const& update, instant now);
@@ -139,6 +169,8 @@
     void on_message(probe const& message, instant now);
     void on_message(probe_ack const& message, instant now);
     void on_message(probe_request const& message, instant now);
+    void on_message(member_ask const& message, instant now);
+    void on_message(member_page const& message, instant now);
     void say(event_code code, log_level level, std::string detail);
 
     membership_settings settings_;
@@ -154,9 +186,26 @@
     update_queue updates_;
     probe_rounds rounds_;
     std::set<node_id> probe_soon_;
+    /// Named by the platform, and not yet told that this node is there.
+    std::vector<node_id> greet_;
     std::vector<membership_action> actions_;
     std::optional<instant> next_round_;
     std::optional<instant> last_tick_;
+    /// When this node asked for names last.
+    std::optional<instant> asked_;
+    /// The name after which names were asked for; none when they have come.
+    std::optional<node_id> asked_after_;
+    std::size_t times_asked_ = 0;
+    instant dead_looked_at_;
+    mutable member_digest digest_;
+    mutable std::size_t rank_ = 0;
+    /// The counts of changes that these were found at.
+    mutable std::uint64_t rank_of_ = std::numeric_limits<std::uint64_t>::max();
+    mutable std::uint64_t digest_of_ =
+        std::numeric_limits<std::uint64_t>::max();
+    /// The most nodes that a peer has lately known, and when it said so.
+    std::uint32_t most_told_ = 0;
+    instant most_told_at_;
     std::uint64_t changes_ = 0;
     std::uint64_t broken_ = 0;
 };
--- a/src/Membership/membership_probes.cpp
+++ b/src/Membership/membership_probes.cpp
@@ -154,6 +154,10 @@
     message.from = self_.id;
     message.at = at_;
     message.from_address = self_.peer_address;
+    if (settings_.base == base_set::met) {
+        message.self = own_words();
+        message.digest = digest();
+    }
     send(to, peer_address(to), std::move(message), most_updates);
 }
 
@@ -169,10 +173,11 @@
 }
 
 void membership::on_message(probe const& message, instant now) {
-    heard(message.from, message.at);
+    met(message.from, message.at, message.self);
     for (membership_update const& each : message.updates) {
         apply(each, now);
     }
+    compare(message.from, message.digest, now);
     if (message.sequence == 0) {
         return;
     }
@@ -182,16 +187,21 @@
     answer.sequence = message.sequence;
     answer.on_behalf_of = message.on_behalf_of;
     answer.their_sequence = message.their_sequence;
+    if (settings_.base == base_set::met) {
+        answer.self = own_words();
+        answer.digest = digest();
+    }
     send(
         message.from, message.from_address, answer,
         settings_.updates_per_probe);
 }
 
 void membership::on_message(probe_ack const& message, instant now) {
-    heard(message.from, message.at);
+    met(message.from, message.at, message.self);
     for (membership_update const& each : message.updates) {
         apply(each, now);
     }
+    compare(message.from, message.digest, now);
     bool const for_other =
         !message.on_behalf_of.empty() && message.on_behalf_of != self_.id;
     if (!for_other) {
--- a/src/Membership/membership_updates.cpp
+++ b/src/Membership/membership_updates.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t accusers_needed = 2;
 /// News carries no more names than a datagram has room for.
 constexpr std::size_t accusers_told = 3;
+/// With so much news waiting, joins are no longer told on: two probes' worth.
+constexpr std::size_t most_joins_told = 12;
 
 update_kind kind_of(node_state state) {
     switch (state) {
@@ -40,6 +42,16 @@
         apply_to_self(update);
         return;
     }
+    bool const joins = settings_.base == base_set::met &&
+                       update.kind == update_kind::node_alive;
+    if (joins && !members_.contains(id)) {
+        member const& who = meet(id, update.of);
+        // Where all nodes begin at once, their names would fill the probes for
+        // minutes and hold up word of a dead one: asking brings them sooner.
+        if (updates_.size() < most_joins_told) {
+            tell(who);
+        }
+    }
     auto const found = members_.find(id);
     if (found == members_.end()) {
         return;
@@ -66,6 +78,10 @@
 // higher incarnation, which beats all that was said. What is said of an
 // earlier run does not concern this one.
 void membership::apply_to_self(membership_update const& update) {
+    if (settings_.base == base_set::met && update.at.run > at_.run) {
+        outlive(update.at);
+        return;
+    }
     bool const concerns = update.kind == update_kind::node_suspect ||
                           update.kind == update_kind::node_dead;
     if (!concerns || update.at.run != at_.run || update.at < at_) {
@@ -146,6 +162,7 @@
     say(event_code::node_declared_dead, log_level::warning,
         fmt::format("node={}", who.instance.id.str()));
     set_state(who, node_state::dead);
+    who.dead_since = now;
     tell(who);
 }
 
@@ -186,6 +203,9 @@
     result.kind = kind_of(who.state);
     result.name = who.instance.id.str();
     result.at = who.at;
+    if (settings_.base == base_set::met) {
+        result.of = {who.instance.domain, who.instance.processor_percent};
+    }
     for (node_id const& each : who.accusers) {
         if (accused(who) && result.accusers.size() < accusers_told) {
             result.accusers.push_back(each);
@@ -205,7 +225,11 @@
 void membership::tell_self() {
     update_kind const kind =
         leaving_ ? update_kind::node_leaving : update_kind::node_alive;
-    updates_.add({kind, self_.id.str(), at_, {}});
+    membership_update own{kind, self_.id.str(), at_, {}, {}};
+    if (settings_.base == base_set::met) {
+        own.of = own_words();
+    }
+    updates_.add(std::move(own));
 }
 
 void membership::accuse(node_id const& target, instant now) {
@@ -240,7 +264,7 @@
     auto const found = members_.find(from);
     if (found != members_.end()) {
         apply_alive(
-            found->second, {update_kind::node_alive, from.str(), at, {}});
+            found->second, {update_kind::node_alive, from.str(), at, {}, {}});
     }
 }
 
--- a/src/Membership/probe_message.cpp
+++ b/src/Membership/probe_message.cpp
@@ -44,7 +44,10 @@
         return std::nullopt;
     }
     auto const known = [](auto const& each) {
-        return kinds_are_known(each.updates);
+        if constexpr (requires { each.updates; }) {
+            return kinds_are_known(each.updates);
+        }
+        return true;
     };
     // Bytes left over, or read otherwise than written, mean another format.
     if (!std::visit(known, result) || encode_probe(result) != datagram) {
--- a/src/Membership/probe_message.hpp
+++ b/src/Membership/probe_message.hpp
@@ -24,6 +24,19 @@
     endpoint_leaving
 };
 
+/// What a node tells of itself where no list does.
+struct met_node {
+    domain_id domain;
+    /// Its processor's share of a core, in percent; 0 when it is not known.
+    std::uint32_t processor_percent = 0;
+
+    friend bool operator==(met_node const&, met_node const&) = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(domain, processor_percent);
+    }
+};
+
 /// One piece of news, carried on probes.
 struct membership_update {
     update_kind kind = update_kind::node_alive;
@@ -34,12 +47,29 @@
     /// The nodes whose own probes failed (suspect, dead). One alone removes
     /// nobody.
     std::vector<node_id> accusers;
+    /// Of a node that was met; empty where the platform's list tells it.
+    met_node of;
 
     friend bool
     operator==(membership_update const&, membership_update const&) = default;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(kind, name, at, accusers);
+        archive(kind, name, at, accusers, of);
+    }
+};
+
+/// Whom a node takes to be there: two that differ know different nodes.
+struct member_digest {
+    /// The node itself included; 0 where the platform's list names the nodes.
+    std::uint32_t count = 0;
+    /// Sum of the names' hashes, which no order changes.
+    std::uint64_t names = 0;
+
+    friend bool
+    operator==(member_digest const&, member_digest const&) = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(count, names);
     }
 };
 
@@ -51,6 +81,8 @@
     /// Where the answer goes: a new node may not be in the receiver's late
     /// list yet, and must not take silence for death.
     std::string from_address;
+    met_node self;
+    member_digest digest;
     std::uint32_t sequence = 0;
     /// For whom the answer is, when it is an indirect probe.
     node_id on_behalf_of;
@@ -60,8 +92,8 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            from, at, from_address, sequence, on_behalf_of, their_sequence,
-            updates);
+            from, at, from_address, self, digest, sequence, on_behalf_of,
+            their_sequence, updates);
     }
 };
 
@@ -70,6 +102,8 @@
     /// Who is alive.
     node_id from;
     incarnation at;
+    met_node self;
+    member_digest digest;
     /// The probe that is answered.
     std::uint32_t sequence = 0;
     /// Copied from an indirect probe: to whom the answer is passed on.
@@ -79,7 +113,9 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(from, at, sequence, on_behalf_of, their_sequence, updates);
+        archive(
+            from, at, self, digest, sequence, on_behalf_of, their_sequence,
+            updates);
     }
 };
 
@@ -97,8 +133,37 @@
     }
 };
 
+/// Whom do you know, in the order of names after this one?
+struct member_ask {
+    node_id from;
+    incarnation at;
+    met_node self;
+    node_id after;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(from, at, self, after);
+    }
+};
+
+/// Some of those that the sender takes to be there.
+struct member_page {
+    node_id from;
+    incarnation at;
+    met_node self;
+    /// More follow after the last one named here.
+    bool more = false;
+    std::vector<membership_update> updates;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(from, at, self, more, updates);
+    }
+};
+
 /// All that nodes say to each other by datagram.
-using probe_message = std::variant<probe, probe_ack, probe_request>;
+using probe_message =
+    std::variant<probe, probe_ack, probe_request, member_ask, member_page>;
 
 /// @returns the datagram's bytes
 std::string encode_probe(probe_message const& message);
--- a/src/Membership/update_queue.cpp
+++ b/src/Membership/update_queue.cpp
@@ -34,6 +34,8 @@
     std::size_t size =
         sizeof(update.kind) + sizeof(update.at.run) + sizeof(update.at.refuted);
     size += length_bytes + update.name.size();
+    size += length_bytes + update.of.domain.str().size();
+    size += sizeof(update.of.processor_percent);
     size += length_bytes;
     for (node_id const& each : update.accusers) {
         size += length_bytes + each.str().size();
--- a/src/Records/instance_record.hpp
+++ b/src/Records/instance_record.hpp
@@ -21,6 +21,8 @@
     /// Address and port of the node's caller interface.
     std::string caller_address;
     instance_state state = instance_state::live;
+    /// Its processor's share of a core, in percent; 0 when it is not known.
+    std::uint32_t processor_percent = 0;
 
     friend bool
     operator==(node_instance const&, node_instance const&) = default;
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -223,7 +223,7 @@
         probe message;
         message.from = node_id(net.name(1));
         message.updates.push_back(
-            {update_kind::node_dead, net.name(2), {1, 0}, {}});
+            {update_kind::node_dead, net.name(2), {1, 0}, {}, {}});
         std::string const good = encode_probe(message);
         REQUIRE(decode_probe(good));
         membership& first = net.at(0).members;
--- /dev/null
+++ b/test/support/talk_model.cpp
@@ -0,0 +1,164 @@
+#include "talk_model.hpp"
+
+#include "Core/hash.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace camphorpoint::talk {
+
+namespace {
+
+membership_settings met_settings() {
+    membership_settings settings;
+    settings.base = base_set::met;
+    return settings;
+}
+
+node_instance instance(std::size_t index, std::size_t domains) {
+    node_instance result;
+    result.id = node_id(fmt::format(
+        "10.{}.{}.{}:7380", index % domains, index / 200, index % 200));
+    result.domain = domain_id(fmt::format("domain-{}", index % domains));
+    result.peer_address = result.id.str();
+    // Every tenth machine is a larger one.
+    result.processor_percent = index % 10 == 0 ? 50 : 12;
+    return result;
+}
+
+} // namespace
+
+talk_node::talk_node(node_instance which, std::uint64_t run)
+    : self(std::move(which))
+    , members(
+          met_settings(), self, run,
+          std::mt19937_64(hash_text(self.id.str(), run))) {}
+
+talk_model::talk_model(
+    std::size_t count, std::size_t domains, std::size_t listed)
+    : listed_(listed) {
+    for (std::size_t index = 0; index < count; ++index) {
+        nodes.emplace_back(instance(index, domains), 1);
+        places_[nodes.back().self.id.str()] = index;
+    }
+    for (talk_node& each : nodes) {
+        name_holders(each);
+    }
+    counted_from_ = now;
+}
+
+void talk_model::name_holders(talk_node& to) {
+    for (std::size_t index = 0; index < std::min(listed_, nodes.size());
+         ++index) {
+        to.members.introduce(nodes[index].self.id, now);
+    }
+}
+
+void talk_model::restart(std::size_t which, std::uint64_t run) {
+    node_instance const self = nodes[which].self;
+    nodes[which] = talk_node(self, run);
+    name_holders(nodes[which]);
+}
+
+void talk_model::run(duration span, std::function<void()> const& each_step) {
+    instant const end = now + span;
+    while (now < end) {
+        now += step;
+        deliver();
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            if (!nodes[index].down) {
+                nodes[index].members.on_tick(now);
+                collect(index);
+            }
+        }
+        each_step();
+    }
+}
+
+bool talk_model::passes(datagram const& each) {
+    domain_id const& from = nodes[each.from].self.domain;
+    domain_id const& to = nodes[each.to].self.domain;
+    bool const parted = from != to && (cut.contains(from) || cut.contains(to));
+    bool const lost =
+        std::uniform_real_distribution<double>(0, 1)(random_) < loss;
+    return !nodes[each.to].down && !parted && !lost;
+}
+
+void talk_model::deliver() {
+    std::deque<datagram> arriving;
+    arriving.swap(under_way_);
+    for (datagram const& each : arriving) {
+        if (passes(each)) {
+            talk_node& to = nodes[each.to];
+            to.received_bytes += each.bytes.size() + header_bytes;
+            to.members.on_datagram(each.bytes, now);
+        }
+    }
+}
+
+void talk_model::collect(std::size_t from) {
+    talk_node& node = nodes[from];
+    for (membership_action const& each : node.members.take_actions()) {
+        auto const* const send = std::get_if<send_probe>(&each);
+        if (send == nullptr) {
+            continue;
+        }
+        auto const to = places_.find(send->address);
+        if (to == places_.end()) {
+            continue;
+        }
+        std::string bytes = encode_probe(send->message);
+        std::size_t const size = bytes.size() + header_bytes;
+        ++node.sent.datagrams;
+        node.sent.bytes += size;
+        bool const across = nodes[to->second].self.domain != node.self.domain;
+        node.sent.bytes_across += across ? size : 0;
+        under_way_.push_back({from, to->second, std::move(bytes)});
+    }
+}
+
+std::size_t talk_model::know_all() const {
+    auto const running = std::ranges::count_if(
+        nodes, [](auto const& each) { return !each.down; });
+    return static_cast<std::size_t>(
+        std::ranges::count_if(nodes, [&](talk_node const& each) {
+            auto const known =
+                std::ranges::count_if(nodes, [&](talk_node const& other) {
+                    auto const state = each.members.state_of(other.self.id);
+                    return !other.down && state && *state != node_state::dead;
+                });
+            return !each.down && known == running;
+        }));
+}
+
+double talk_model::sum_of_shares() const {
+    double sum = 0;
+    for (talk_node const& each : nodes) {
+        if (!each.down) {
+            sum += 1.0 / static_cast<double>(each.members.sharers(now));
+        }
+    }
+    return sum;
+}
+
+void talk_model::forget_counts() {
+    for (talk_node& each : nodes) {
+        each.sent = {};
+        each.received_bytes = 0;
+    }
+    counted_from_ = now;
+}
+
+double talk_model::busiest_bytes_per_s() const {
+    std::size_t most = 0;
+    for (talk_node const& each : nodes) {
+        most = std::max(most, each.sent.bytes + each.received_bytes);
+    }
+    std::chrono::duration<double> const span = now - counted_from_;
+    return static_cast<double>(most) / span.count();
+}
+
+} // namespace camphorpoint::talk
--- /dev/null
+++ b/test/support/talk_model.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <Camphorpoint/Membership>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpoint::talk {
+
+/// Virtual time goes on by this. It is also how long a datagram takes: more
+/// than between two domains of a region, which is a few milliseconds.
+inline constexpr std::chrono::milliseconds step{20};
+/// UDP over IPv4 adds so many bytes to a datagram.
+inline constexpr std::size_t header_bytes = 28;
+
+/// What a node has sent.
+struct sent_count {
+    std::size_t datagrams = 0;
+    std::size_t bytes = 0;
+    /// Of those, into another failure domain.
+    std::size_t bytes_across = 0;
+};
+
+/// One entry node: the decision objects that talk to other nodes.
+struct talk_node {
+    talk_node(node_instance which, std::uint64_t run);
+
+    node_instance self;
+    membership members;
+    bool down = false;
+    sent_count sent;
+    std::size_t received_bytes = 0;
+};
+
+/// Many entry nodes and what they say to each other, on virtual time and
+/// without a network: delay, loss, cut domains and restarts.
+class talk_model {
+public:
+    /// @param count   nodes, all started at once
+    /// @param domains failure domains, nodes in turn
+    /// @param listed  how many of them the platform names to all, as holders of
+    ///                partitions
+    talk_model(std::size_t count, std::size_t domains, std::size_t listed);
+
+    /// Goes on; `each_step` is called after each step.
+    void run(
+        duration span, std::function<void()> const& each_step = [] {});
+    /// The process of a node starts anew and knows nothing.
+    void restart(std::size_t which, std::uint64_t run);
+    /// Names the holders to a node.
+    void name_holders(talk_node& to);
+
+    /// @returns how many running nodes know all running nodes
+    std::size_t know_all() const;
+    /// @returns the parts of a common limit that running nodes take for theirs,
+    ///          added up
+    double sum_of_shares() const;
+    /// @returns bytes a second that the busiest node has sent and received
+    ///          since `forget_counts`
+    double busiest_bytes_per_s() const;
+    void forget_counts();
+
+    std::vector<talk_node> nodes;
+    instant now{std::chrono::seconds(1'000)};
+    /// Part of the datagrams that get lost.
+    double loss = 0;
+    /// Failure domains that are cut off from the others.
+    std::set<domain_id> cut;
+
+private:
+    struct datagram {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::string bytes;
+    };
+
+    void deliver();
+    void collect(std::size_t from);
+    bool passes(datagram const& each);
+
+    std::size_t listed_;
+    std::unordered_map<std::string, std::size_t> places_;
+    std::deque<datagram> under_way_;
+    std::mt19937_64 random_{7};
+    instant counted_from_;
+};
+
+} // namespace camphorpoint::talk
