Few nodes read the store for all; calls and words counted by kind

Cause: at 195 nodes the list of replicas was read 75 times a second, as pauses drawn evenly end by the dozen before the first one's word has come; every node waited at the store for declarations, so that each change woke all; each asked twice a second before there was a configuration; 99 nodes renewed a membership by which they hold nothing; in an outage each node asked four times a second. Change: nodes read the list in the order of their ranks, those behind by a truncated exponential; a word covers the reading before it too; four nodes wait for declarations and attest that there is no news, the others ask after 1.5 s without that; as many nodes hold partitions as there are; retries in an outage back off, and few try for all. Words to all are encoded once. Event 925 and the metrics count calls and datagrams by kind and across domains. Tests: list_turns_test, declaration_plan_test. decision_tests 198 and port_tests 54 cases pass.

--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -191,15 +191,19 @@
     std::uint64_t declared_place = 0;
     /// How much of it the sender knows: the sum of all versions.
     std::uint64_t declared_total = 0;
+    /// Set when the store itself has told the sender that there was no more,
+    /// so long ago.
+    bool attests = false;
+    std::uint32_t attested_ms = 0;
 
-    static constexpr std::uint32_t current_format = 4;
+    static constexpr std::uint32_t current_format = 5;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
             format, from, present, loads, asks, answers, wants, uses, words,
             claims, suspicions, denials, readings, declared_place,
-            declared_total);
+            declared_total, attests, attested_ms);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
@@ -209,6 +213,9 @@
     }
 };
 
+/// @returns true when the bytes are a probe of membership, which comes by the
+///          same socket
+bool is_probe(std::string_view bytes) noexcept;
 /// @returns what a message says of a time; 0 for one that has passed
 std::uint32_t whole_milliseconds(duration time);
 /// @returns the message's bytes
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <limits>
 #include <utility>
+#include <variant>
 
 namespace camphorpoint {
 
@@ -64,6 +65,24 @@
 
 } // namespace
 
+std::string_view to_string(word_kind kind) noexcept {
+    switch (kind) {
+    case word_kind::probe:
+        return "probe";
+    case word_kind::presence:
+        return "presence";
+    case word_kind::reading:
+        return "reading";
+    case word_kind::residency:
+        return "residency";
+    case word_kind::notice:
+        return "notice";
+    case word_kind::between_two:
+        return "between-two";
+    }
+    return "between-two";
+}
+
 std::size_t partition_of(endpoint_id const& replica) {
     return fleet::short_name(replica) % partition_count;
 }
@@ -95,17 +114,69 @@
         return;
     }
     message.from = beliefs_->own_name;
-    link_.send(parse_address(peer), encode(message));
+    put(word_kind::between_two, peer,
+        beliefs_->members.domain_of(node_id(peer)), encode(message));
+}
+
+void peer_words::put(
+    word_kind kind, std::string const& address, domain_id const& domain,
+    std::string const& bytes) {
+    sent_words& count = sent_.at(static_cast<std::size_t>(kind));
+    ++count.datagrams;
+    count.bytes += bytes.size();
+    bool const across = domain != beliefs_->settings.domain;
+    count.bytes_across += across ? bytes.size() : 0;
+    link_.send(parse_address(address), bytes);
 }
 
-void peer_words::send_all(peer_datagram const& message) {
-    for (auto const& [peer, heard] : beliefs_->peers) {
-        send(peer, message);
+void peer_words::send_all(word_kind kind, peer_datagram message) {
+    if (message.empty()) {
+        return;
+    }
+    message.from = beliefs_->own_name;
+    std::string const bytes = encode(message);
+    for (live_node const& each : beliefs_->members.live_nodes()) {
+        if (each.peer_address != beliefs_->own_name) {
+            put(kind, each.peer_address, each.domain, bytes);
+        }
     }
 }
 
+void peer_words::carry_out_membership() {
+    for (membership_action const& each : beliefs_->members.take_actions()) {
+        if (auto const* const probe = std::get_if<send_probe>(&each)) {
+            put(word_kind::probe, probe->address,
+                beliefs_->members.domain_of(probe->to),
+                encode_probe(probe->message));
+        } else {
+            log_event const& event = std::get<log_event>(each);
+            beliefs_->note(
+                log_line(event.code, event.level).with("what", event.detail));
+        }
+    }
+}
+
+void peer_words::start_leaving() {
+    beliefs_->members.start_leaving(boot_clock::now());
+    carry_out_membership();
+}
+
+bool peer_words::silent(
+    std::string const& peer, duration least, instant now) const {
+    auto const state = beliefs_->members.state_of(node_id(peer));
+    auto const heard = beliefs_->peers.find(peer);
+    if (!state || *state == node_state::dead) {
+        return true;
+    }
+    duration const two_tellings =
+        2 * telling_pause * pauses_between(beliefs_->nodes());
+    return heard != beliefs_->peers.end() &&
+           now >= heard->second + std::max(least, two_tellings);
+}
+
 void peer_words::set_owner(std::size_t partition, std::string member) {
     if (member != beliefs_->own_name) {
+        beliefs_->members.introduce(node_id(member), boot_clock::now());
         beliefs_->peers.try_emplace(member, boot_clock::now());
     }
     owners_[partition] = std::move(member);
@@ -120,10 +191,8 @@
         if (owner == owners_.end()) {
             return true;
         }
-        auto const heard = beliefs_->peers.find(owner->second);
-        bool const silent = heard == beliefs_->peers.end() ||
-                            now >= heard->second + owner_silent;
-        return owner->second != beliefs_->own_name && silent;
+        return owner->second != beliefs_->own_name &&
+               silent(owner->second, owner_silent, now);
     });
 }
 
@@ -158,11 +227,7 @@
     // that was stopped or killed during the store's outage has no successor
     // until the outage ends. They go to the next home instead, whose holder is
     // there.
-    auto const heard = beliefs_->peers.find(owner->second);
-    duration const two_tellings =
-        2 * telling_pause * pauses_between(beliefs_->nodes());
-    if (heard != beliefs_->peers.end() &&
-        now >= heard->second + std::max(holder_silent, two_tellings)) {
+    if (silent(owner->second, holder_silent, now)) {
         take_denial(
             {asked.replica, asked.adapter, whole_milliseconds(holder_silent)},
             now);
@@ -180,14 +245,14 @@
     while (!words.empty()) {
         peer_datagram message;
         message.words = take_some(words);
-        send_all(message);
+        send_all(word_kind::residency, std::move(message));
     }
 }
 
 void peer_words::claim(std::size_t partition, std::uint64_t token) {
     peer_datagram message;
     message.claims.push_back({static_cast<std::uint32_t>(partition), token});
-    send_all(message);
+    send_all(word_kind::notice, std::move(message));
 }
 
 void peer_words::tell_reading(peer_reading reading) {
@@ -204,7 +269,7 @@
             all.begin() + static_cast<std::ptrdiff_t>(end));
         peer_datagram message;
         message.readings.push_back(std::move(piece));
-        send_all(message);
+        send_all(word_kind::reading, std::move(message));
         done = end;
     } while (done < all.size());
 }
@@ -213,7 +278,7 @@
     peer_datagram message;
     message.suspicions.push_back(
         {fleet::short_name(at.record.id), whole_milliseconds(rest)});
-    send_all(message);
+    send_all(word_kind::notice, std::move(message));
 }
 
 void peer_words::use(
@@ -364,14 +429,27 @@
     });
 }
 
-void peer_words::tell_totals(instant now) {
-    std::erase_if(wanted_, [&](auto const& each) {
-        return now >= each.second + want_pause;
-    });
+peer_datagram peer_words::presence(instant now) const {
     peer_datagram message;
     message.present = true;
     message.declared_place = beliefs_->declared_place;
     message.declared_total = beliefs_->declared_total();
+    if (auto const age = to_.declared_age(now)) {
+        message.attests = true;
+        message.attested_ms = whole_milliseconds(*age);
+    }
+    return message;
+}
+
+void peer_words::tell_declared() {
+    send_all(word_kind::presence, presence(boot_clock::now()));
+}
+
+void peer_words::tell_totals(instant now) {
+    std::erase_if(wanted_, [&](auto const& each) {
+        return now >= each.second + want_pause;
+    });
+    peer_datagram message = presence(now);
     for (auto const& [id, each] : beliefs_->replicas.all()) {
         if (!each.open() || message.loads.size() >= most_counts) {
             continue;
@@ -389,7 +467,7 @@
                 {static_cast<std::uint32_t>(each), *token});
         }
     }
-    send_all(message);
+    send_all(word_kind::presence, std::move(message));
 }
 
 asio::awaitable<void> peer_words::tell_counts() {
@@ -406,6 +484,8 @@
         }
         ++tick;
         forget_peers(now);
+        beliefs_->members.on_tick(now);
+        carry_out_membership();
         asio::steady_timer timer(beliefs_->io, telling_pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
