--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -30,8 +30,7 @@
 /// in a second.
 constexpr unsigned nodes_at_once = 30;
 /// At a change of members, which come in rows when nodes are stopped in turn.
-/// Without it nodes that begin together know of each other by halves, and each
-/// takes a larger share of the budget of second sends than is its.
+/// New holders tell their claims to all; this brings those that were missed.
 constexpr duration owners_changed = std::chrono::seconds(2);
 /// While a holder is missing.
 constexpr duration owners_missing = std::chrono::seconds(1);
