Who holds partitions is a rule of its own; a probe is told from a word, tested

Cause: the rule stood in a coroutine and had no test; neither had the way by which probes and words are told apart on one socket. Ruled out: a port of its own for probes (one more address in each node's settings). Change: holds_partitions (src/Holding), partition_holders_test, peer_datagram_test. Conclusion: behaviour as before.

--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -145,17 +145,8 @@
     co_await refresh_owners(changed);
 }
 
-// A node beyond as many as there are partitions would hold none: its renewals,
-// 32 calls a second of 195 nodes, would be for nothing. When one of those
-// before it is gone, membership shows it within seconds, and it joins; until
-// then the platform has dealt that one's partitions out to the others. A node
-// that holds some stays until it is well beyond, so that two do not change
-// places for good.
 bool slot_orderer::takes_part() const {
-    constexpr std::size_t beyond = partition_count / 8;
-    std::size_t const rank = beliefs_->members.rank();
-    return rank < partition_count ||
-           (joined_ && rank < partition_count + beyond);
+    return holds_partitions(beliefs_->members.rank(), partition_count, joined_);
 }
 
 asio::awaitable<void> slot_orderer::stand_back() {
