--- a/test/list_turns_test.cpp
+++ b/test/list_turns_test.cpp
@@ -160,7 +160,8 @@
     }
     SUBCASE("and where one word in fifty is lost, by those that missed it") {
         minute const lossy = play(195, 0, 0.02);
-        CHECK(lossy.readings <= 60 * (most_a_second + 195 * 2 / 50));
+        CHECK(
+            lossy.readings <= std::size_t{60} * (most_a_second + 195 * 2 / 50));
         CHECK(lossy.longest_gap <= longest);
     }
 }
