The guard against taking all shares in the first seconds is taken back

Cause: a node that is alone could send nothing again in its first five seconds; gateway_test failed in two cases (what may run twice; an address that belongs to another replica). What it guarded against, shares over 1 in the first two seconds after a restart of all, is as before.

--- a/src/Membership/membership.cpp
+++ b/src/Membership/membership.cpp
@@ -120,7 +120,6 @@
     bool const paused = last_tick_ && now - *last_tick_ >= settings_.ack_limit;
     bool const long_paused = last_tick_ && now - *last_tick_ >= settings_.hold;
     last_tick_ = now;
-    first_tick_ = first_tick_.value_or(now);
     if (paused) {
         rounds_ = probe_rounds();
     }
--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -191,7 +191,6 @@
     std::vector<membership_action> actions_;
     std::optional<instant> next_round_;
     std::optional<instant> last_tick_;
-    std::optional<instant> first_tick_;
     /// When this node asked for names last.
     std::optional<instant> asked_;
     /// The name after which names were asked for; none when they have come.
--- a/src/Membership/membership_meeting.cpp
+++ b/src/Membership/membership_meeting.cpp
@@ -241,17 +241,10 @@
     return rank_;
 }
 
-// Guards against a node that has just begun and knows nobody yet: it would take
-// all that is shared for its own, and where all begin at once all would.
 std::size_t membership::sharers(instant now) const {
-    bool const told = most_told_ > 0;
-    bool const new_here =
-        !first_tick_ || now < *first_tick_ + settings_.alone_after;
-    if (!told && new_here) {
-        return settings_.unknown_sharers;
-    }
-    std::size_t const most = now < most_told_at_ + told_counts ? most_told_ : 0;
-    return std::max(members_.size() + 1, most);
+    std::size_t const told =
+        now < most_told_at_ + told_counts ? most_told_ : 0;
+    return std::max(members_.size() + 1, told);
 }
 
 } // namespace camphorpoint
--- a/src/Membership/membership_settings.hpp
+++ b/src/Membership/membership_settings.hpp
@@ -40,12 +40,6 @@
     /// for so long: it may only be out of reach and go on, and a limit that the
     /// rest shares anew would be overstepped. Then it is forgotten.
     std::chrono::milliseconds dead_shares{60'000};
-    /// A node that nobody has answered is alone after this. A probe and the
-    /// platform's answer take a second or two.
-    std::chrono::milliseconds alone_after{5'000};
-    /// Until then it divides a common limit among so many: it takes next to
-    /// nothing of it, at the size to design for no more than its part.
-    std::size_t unknown_sharers = 2'000;
     /// A node whom the platform names is greeted. So many at a time: a hundred
     /// are greeted in a second or two, and no link is filled by it.
     std::size_t greetings_per_tick = 8;
