--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -73,7 +73,7 @@
     bool const was_leaving = target.record.leaving;
     bool const moved = fresh || target.record.service != record.service;
     take_adapters(target, record, now);
-    std::optional<replica_start> const born =
+    std::optional<incarnation> const born =
         record.born ? record.born : target.record.born;
     target.record = record;
     target.record.born = born;
--- a/src/Fleet/replica_record.hpp
+++ b/src/Fleet/replica_record.hpp
@@ -16,14 +16,14 @@
 /// who takes it for the earlier one sends requests for adapters that are gone
 /// and orders beyond its slots. Two that differ are two, whichever is later:
 /// clocks may have been set back.
-using replica_start = std::chrono::sys_time<std::chrono::milliseconds>;
+using incarnation = std::chrono::sys_time<std::chrono::milliseconds>;
 
 /// What a replica says of itself in the platform's list. The list is seconds
 /// old.
 struct replica_record {
     endpoint_id id;
     /// Nothing when it does not say.
-    std::optional<replica_start> born;
+    std::optional<incarnation> born;
     service_id service;
     ip_address address;
     domain_id domain;
@@ -41,7 +41,7 @@
 /// milliseconds old.
 struct replica_report {
     /// Nothing when it does not say.
-    std::optional<replica_start> born;
+    std::optional<incarnation> born;
     /// How many orders the replica has accepted.
     std::uint64_t sequence = 0;
     /// It carries out an order on a base model.
--- a/src/Gateway/declaration_follower.cpp
+++ b/src/Gateway/declaration_follower.cpp
@@ -18,6 +18,14 @@
 
 namespace {
 
+/// How long one wait lasts. A connection that has gone silent without a reset
+/// shows after this and the silence allowed; a configuration must be in force
+/// within two seconds or more of its writing.
+constexpr milliseconds shortest_wait{2'000};
+/// With many nodes each waits longer, so that one of them reads again about
+/// every 200 ms: it tells the others when there is news that they don't know.
+constexpr milliseconds wait_of_each_node{200};
+constexpr milliseconds most_wait{12'000};
 /// A node whose wait has brought nothing asks by itself so long after others
 /// have said that there is news: usually the news is on its way.
 constexpr milliseconds news_on_its_way{250};
@@ -42,13 +50,11 @@
 
 declaration_follower::declaration_follower(
     gateway_beliefs& beliefs, platform::store_client& store, store_watch& watch,
-    std::function<void()> changed, std::function<void()> told)
+    std::function<void()> changed)
     : beliefs_(&beliefs)
     , store_(&store)
     , watch_(&watch)
     , changed_(std::move(changed))
-    , told_(std::move(told))
-    , rest_timer_(beliefs.io)
     , plan_(times_of(beliefs.settings), drawn(beliefs.random)) {}
 
 void declaration_follower::start() {
@@ -58,7 +64,6 @@
 
 void declaration_follower::stop() {
     *running_ = false;
-    rest_timer_.cancel();
 }
 
 asio::awaitable<void> declaration_follower::pause(milliseconds time) {
@@ -68,15 +73,11 @@
 
 void declaration_follower::heard(std::uint64_t place, std::uint64_t total) {
     plan_.heard(place, total);
-    if (plan_.behind()) {
-        rest_timer_.cancel();
-    }
     look_again();
 }
 
 void declaration_follower::store_came_back() {
     plan_.distrust_wait();
-    rest_timer_.cancel();
     look_again();
 }
 
@@ -109,31 +110,16 @@
     }
 }
 
-declaration_role declaration_follower::role() const {
-    return {beliefs_->nodes(), beliefs_->members.rank()};
-}
-
-std::optional<duration> declaration_follower::age(instant now) const {
-    bool const known =
-        beliefs_->configured && plan_.current_as_of() != instant{};
-    return known ? std::optional(now - plan_.current_as_of()) : std::nullopt;
-}
-
-void declaration_follower::attested(
-    std::uint64_t place, std::uint64_t total, duration age) {
-    // Whoever knows less may have read from a copy that lags behind.
-    bool const knows_as_much = place >= beliefs_->declared_place &&
-                               total >= beliefs_->declared_total();
-    if (knows_as_much) {
-        plan_.attested(boot_clock::now() - age);
-    }
+milliseconds declaration_follower::longest_wait() const {
+    return std::clamp(
+        beliefs_->nodes() * wait_of_each_node, shortest_wait, most_wait);
 }
 
 asio::awaitable<platform::store_result<platform::keyed_batch>>
 declaration_follower::ask(declaration_reading const& asked) {
     using platform::store_topic;
     platform::reading_times times;
-    times.wait = asked.wait;
+    times.wait = asked.waits ? longest_wait() : milliseconds::zero();
     times.silence = asked.silence;
     if (asked.whole) {
         co_return co_await store_->newest(
@@ -162,9 +148,6 @@
         take_all(batch.value(), asked);
         plan_.answered(asked, batch.value().next, boot_clock::now());
         beliefs_->declared_place = plan_.place();
-        if (plan_.waits_for_all(role())) {
-            told_();
-        }
     } else if (batch.error() == platform::store_failure::forgotten) {
         watch_->answered();
         plan_.forgotten(boot_clock::now());
@@ -179,15 +162,8 @@
 asio::awaitable<void> declaration_follower::follow() {
     auto const alive = running_;
     while (*alive) {
-        instant const now = boot_clock::now();
-        instant const rest = plan_.rests_until(now, role());
-        if (rest > now) {
-            rest_timer_.expires_after(time_until(rest));
-            co_await rest_timer_.async_wait(
-                asio::as_tuple(asio::use_awaitable));
-            continue;
-        }
-        declaration_reading const asked = plan_.next(now, role());
+        declaration_reading const asked =
+            plan_.next(boot_clock::now(), beliefs_->nodes());
         if (asked.pause > milliseconds::zero()) {
             co_await pause(asked.pause);
         }
--- a/src/Gateway/declaration_follower.hpp
+++ b/src/Gateway/declaration_follower.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace camphorpoint {
@@ -24,11 +23,9 @@
     /// @param store   the store's client; must outlive the follower
     /// @param watch   told whether the store answers; must outlive the follower
     /// @param changed called when routes or versions have changed
-    /// @param told    called when others are to be told that this node has all
     declaration_follower(
         gateway_beliefs& beliefs, platform::store_client& store,
-        store_watch& watch, std::function<void()> changed,
-        std::function<void()> told);
+        store_watch& watch, std::function<void()> changed);
 
     /// Begins to follow.
     void start();
@@ -36,12 +33,6 @@
     void stop();
     /// Another node has read so far, and knows so much.
     void heard(std::uint64_t place, std::uint64_t total);
-    /// Another node, which waits at the store, had all that was declared so
-    /// long ago; it has read so far, and knows so much.
-    void attested(std::uint64_t place, std::uint64_t total, duration age);
-    /// @returns how long ago this node had all that was declared, by the
-    ///          store's own answer; nothing when it never did
-    std::optional<duration> age(instant now) const;
     /// The store answers again: a wait from before may never end.
     void store_came_back();
 
@@ -52,7 +43,7 @@
     ask(declaration_reading const& asked);
     boost::asio::awaitable<void> end_useless_wait();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
-    declaration_role role() const;
+    std::chrono::milliseconds longest_wait() const;
     void look_again();
     void take_all(
         platform::keyed_batch const& batch, declaration_reading const& asked);
@@ -63,9 +54,6 @@
     platform::store_client* store_;
     store_watch* watch_;
     std::function<void()> changed_;
-    std::function<void()> told_;
-    /// While others wait for all.
-    boost::asio::steady_timer rest_timer_;
     declaration_plan plan_;
     platform::store_reading reading_;
     /// Set while a wait goes on.
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -21,9 +21,6 @@
 /// Log lines wait no longer than this for their writing.
 constexpr milliseconds tick_time{100};
 
-/// What a node has said and asked is counted in a line so often.
-constexpr std::chrono::seconds talk_pause{10};
-
 /// What is left of a stop's limit for closing and ending.
 constexpr milliseconds ending_time{400};
 
@@ -69,17 +66,9 @@
            [this](peer_reading const& told) { list_.heard(told); },
            [this](std::uint64_t place, std::uint64_t total) {
                declarations_.heard(place, total);
-           },
-           [this](std::uint64_t place, std::uint64_t total, duration age) {
-               declarations_.attested(place, total, age);
-           },
-           [this](instant now) {
-               return declarations_.age(now);
            }})
     , watch_(beliefs_, [this] { declarations_.store_came_back(); })
-    , declarations_(
-          beliefs_, store_, watch_, [this] { changed(); },
-          [this] { words_.tell_declared(); })
+    , declarations_(beliefs_, store_, watch_, [this] { changed(); })
     , list_(beliefs_, store_, watch_, words_, [this] { changed(); })
     , callers_(
           io.get_executor(), first_limits(),
@@ -174,12 +163,7 @@
 
 asio::awaitable<void> gateway::tick() {
     while (running_) {
-        instant const now = boot_clock::now();
-        if (now >= talk_noted_ + talk_pause) {
-            talk_noted_ = now;
-            note_talk();
-        }
-        beliefs_.log.flush(now);
+        beliefs_.log.flush(boot_clock::now());
         asio::steady_timer timer(*io_, tick_time);
         co_await timer.async_wait(use_result);
     }
@@ -200,7 +184,6 @@
     beliefs_.note(log_line(event_code::gateway_stopping)
                       .with("running", beliefs_.live_requests));
     orderer_.stop();
-    words_.start_leaving();
     callers_.announce_end();
     asio::co_spawn(
         *io_,
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -60,8 +60,6 @@
     boost::asio::awaitable<void> answer_readiness(http_exchange& exchange);
     boost::asio::awaitable<void> answer_metrics(http_exchange& exchange);
     http_response metrics_answer();
-    void set_talk_metrics();
-    void note_talk();
     boost::asio::awaitable<void> drain_all(std::function<void()> stopped);
     boost::asio::awaitable<void> tick();
     void add_services();
@@ -89,7 +87,6 @@
     std::uint64_t limits_version_ = 0;
     bool told_ready_ = false;
     bool running_ = true;
-    instant talk_noted_ = boot_clock::now();
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -1,8 +1,6 @@
 #include "Gateway/gateway.hpp"
 #include "Gateway/request_flow.hpp"
 
-#include <fmt/format.h>
-
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -46,48 +44,6 @@
     co_await exchange.respond(std::move(answer));
 }
 
-void gateway::set_talk_metrics() {
-    for (std::size_t each = 0; each < platform::store_call_kinds; ++each) {
-        auto const kind = static_cast<platform::store_call>(each);
-        beliefs_.metrics.set(
-            fmt::format("store_calls_{}", platform::to_string(kind)),
-            static_cast<double>(store_.calls().at(each)));
-    }
-    for (std::size_t each = 0; each < word_kinds; ++each) {
-        std::string_view const kind = to_string(static_cast<word_kind>(each));
-        sent_words const& sent = words_.sent().at(each);
-        beliefs_.metrics.set(
-            fmt::format("datagrams_{}", kind),
-            static_cast<double>(sent.datagrams));
-        beliefs_.metrics.set(
-            fmt::format("datagram_bytes_{}", kind),
-            static_cast<double>(sent.bytes));
-        beliefs_.metrics.set(
-            fmt::format("datagram_bytes_across_{}", kind),
-            static_cast<double>(sent.bytes_across));
-    }
-}
-
-// By it one sees in the log alone which node costs what, and by which kind of
-// call or word. Counts since the start, so that a line that is dropped loses
-// nothing.
-void gateway::note_talk() {
-    log_line line(event_code::talk_counted);
-    line.with("nodes", beliefs_.nodes()).with("rank", beliefs_.members.rank());
-    for (std::size_t each = 0; each < platform::store_call_kinds; ++each) {
-        auto const kind = static_cast<platform::store_call>(each);
-        line.with(to_string(kind), store_.calls().at(each));
-    }
-    for (std::size_t each = 0; each < word_kinds; ++each) {
-        sent_words const& sent = words_.sent().at(each);
-        line.with(
-            to_string(static_cast<word_kind>(each)),
-            fmt::format(
-                "{}/{}/{}", sent.datagrams, sent.bytes, sent.bytes_across));
-    }
-    beliefs_.note(line);
-}
-
 http_response gateway::metrics_answer() {
     beliefs_.metrics.set("requests", beliefs_.live_requests);
     beliefs_.metrics.set(
@@ -95,8 +51,7 @@
     beliefs_.metrics.set(
         "partitions", static_cast<double>(beliefs_.leases.held().size()));
     beliefs_.metrics.set("nodes", beliefs_.nodes());
-    beliefs_.metrics.set("rank", static_cast<double>(beliefs_.members.rank()));
-    set_talk_metrics();
+    beliefs_.metrics.set("store_calls", static_cast<double>(store_.calls()));
     http_response answer;
     answer.fields.add("Content-Type", "text/plain");
     answer.body = beliefs_.metrics.text();
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -2,12 +2,14 @@
 
 #include <fmt/format.h>
 
-#include <utility>
+#include <algorithm>
 
 namespace camphorpoint {
 
 namespace {
 
+/// A node that was heard within this counts as one that is there.
+constexpr duration peer_counts = std::chrono::seconds(4);
 /// Entries of replicas that lapsed with the store's outage are back by then.
 constexpr duration store_settles = std::chrono::milliseconds(2'300);
 /// Idle connections to a replica are few, as all nodes share its limit; they
@@ -15,25 +17,6 @@
 constexpr http_pool_limits connection_limits{
     6, 600, std::chrono::milliseconds(15'000)};
 
-membership_settings met_settings() {
-    membership_settings settings;
-    settings.base = base_set::met;
-    return settings;
-}
-
-node_instance self_of(gateway_settings const& settings, std::string address) {
-    node_instance self;
-    self.id = node_id(address);
-    self.domain = settings.domain;
-    self.peer_address = std::move(address);
-    self.processor_percent = settings.processor_percent;
-    return self;
-}
-
-std::uint64_t run_number() {
-    return static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
-}
-
 } // namespace
 
 gateway_beliefs::gateway_beliefs(
@@ -47,17 +30,15 @@
     , waiters(loop.get_executor())
     , second_sends(settings.second_sends)
     , replica_connections(connection_limits)
-    , leases(settings.leases)
-    , members(
-          met_settings(), self_of(settings, own_name), run_number(),
-          std::mt19937_64(random())) {}
+    , leases(settings.leases) {}
 
 unsigned gateway_beliefs::nodes() const {
-    return members.digest().count;
-}
-
-unsigned gateway_beliefs::sharers(instant now) const {
-    return static_cast<unsigned>(members.sharers(now));
+    // Those that were heard lately; the others have stopped.
+    instant const now = boot_clock::now();
+    auto const heard = std::ranges::count_if(peers, [&](auto const& each) {
+        return now < each.second + peer_counts;
+    });
+    return static_cast<unsigned>(heard) + 1;
 }
 
 instant gateway_beliefs::store_calm_from() const {
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -9,7 +9,6 @@
 #include "Gateway/gateway_settings.hpp"
 #include "Gateway/waiter_list.hpp"
 #include "Holding/partition_leases.hpp"
-#include "Membership/membership.hpp"
 #include "Ports/http_pool.hpp"
 #include "Routing/named_versions.hpp"
 #include "Routing/route_table.hpp"
@@ -36,10 +35,8 @@
     std::uint64_t declared_total() const noexcept {
         return configuration.version + versions.total();
     }
-    /// @returns how many nodes are there, this one included
+    /// @returns how many nodes there are, this one included
     unsigned nodes() const;
-    /// @returns among how many nodes a common limit is divided
-    unsigned sharers(instant now) const;
     /// @returns true when the store has answered lately and without a break
     bool store_calm(instant now) const;
     /// @returns when entries that lapsed with the store's last outage are back
@@ -69,9 +66,7 @@
     second_send_budget second_sends;
     http_pool replica_connections;
     partition_leases leases;
-    /// Who is there, known by peer addresses.
-    membership members;
-    /// When each node was last heard.
+    /// Peer addresses of nodes heard of, with the time of the last word.
     std::map<std::string, instant> peers;
     /// Since when calls to the store fail; max while they don't.
     instant store_lost_since = instant::max();
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -37,15 +37,9 @@
     return value;
 }
 
-/// Of a processor; larger ones go by this.
-constexpr double most_share = 1'000;
-constexpr double percent = 100;
-
 void read_node(toml_section section, gateway_settings& into) {
     into.name = node_id(section.required_text("name"));
     into.domain = domain_id(section.required_text("failure_domain"));
-    into.processor_percent = static_cast<std::uint32_t>(
-        percent * read_real(section, "processor_share", 1, most_share));
     read_address(section, "caller_address", into.caller_address);
     read_address(section, "readiness_address", into.readiness_address);
     read_address(section, "peer_address", into.peer_address);
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -7,7 +7,6 @@
 #include "Settings/node_settings.hpp"
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -17,8 +16,6 @@
 struct gateway_settings {
     node_id name;
     domain_id domain;
-    /// The processor's share of a core that the node may use, in percent.
-    std::uint32_t processor_percent = 100;
     ip_address caller_address;
     ip_address readiness_address;
     /// UDP between nodes.
--- a/src/Gateway/list_follower.cpp
+++ b/src/Gateway/list_follower.cpp
@@ -22,22 +22,11 @@
 /// How long one reading waits for news. A connection that has gone silent
 /// without a reset shows after this and the silence allowed.
 constexpr milliseconds wait_for_news{2'000};
-/// Up to so many nodes each reading waits for news.
-constexpr unsigned nodes_that_wait = 16;
-/// After a failed call, doubled with each further one. Shorter would spend
-/// calls that all nodes share.
+/// After a failed call. Shorter would spend calls that all nodes share.
 constexpr milliseconds retry_pause{250};
-constexpr milliseconds longest_retry{2'000};
-/// Where nobody is heard to have reached the store, only the first few nodes
-/// try again that soon, and tell the others of its return. These try by
-/// themselves after this, in case that they hear nobody.
-constexpr milliseconds retry_unheard{4'000};
-constexpr std::size_t first_to_retry = 3;
-/// The list is read whole so often by a few nodes, and by all nodes together
-/// about once a second where they are many. Word of adapters comes from those
-/// who order for the replicas, so this mends only what was lost of it.
+/// The list is read whole so often. Word of adapters comes from those who order
+/// for the replicas, so this mends only what was lost of it.
 constexpr duration whole_list_again = std::chrono::seconds(20);
-constexpr duration whole_list_each = std::chrono::seconds(1);
 constexpr auto topic = platform::store_topic::replicas;
 
 /// @returns what to tell of a replica; its end when there is none
@@ -81,7 +70,7 @@
         record.models.emplace_back(each);
     }
     if (told.born != 0) {
-        record.born = replica_start(milliseconds(told.born));
+        record.born = incarnation(milliseconds(told.born));
     }
     replica const* const known = replicas.find(record.id);
     if (known != nullptr && known->record.born == record.born) {
@@ -177,15 +166,9 @@
 
 void list_follower::heard(peer_reading const& reading) {
     instant const now = boot_clock::now();
-    heard_at_ = now;
-    draw_ = drawn();
-    std::uint64_t const known = turns_.next();
     list_word const word = turns_.heard(reading.from, reading.to, now);
     if (word == list_word::applies) {
         for (peer_replica const& each : reading.changes) {
-            if (each.place < known) {
-                continue;
-            }
             if (each.listed) {
                 apply(record_of(each, beliefs_->replicas));
             } else {
@@ -213,23 +196,7 @@
             reading.changes.push_back(std::move(change));
         }
     }
-    words_->tell_reading(with_last(reading));
-    last_told_ = std::move(reading);
-}
-
-// Guards against a datagram in fifty that is lost: each node that misses one
-// would see a gap at the next and read the list for itself, with 195 nodes
-// four at each reading.
-peer_reading list_follower::with_last(peer_reading const& reading) const {
-    bool const follows = !last_told_.changes.empty() || last_told_.to > 0;
-    if (!follows || last_told_.to != reading.from) {
-        return reading;
-    }
-    peer_reading both = last_told_;
-    both.to = reading.to;
-    both.changes.insert(
-        both.changes.end(), reading.changes.begin(), reading.changes.end());
-    return both;
+    words_->tell_reading(std::move(reading));
 }
 
 void list_follower::take_whole(platform::keyed_batch const& batch) {
@@ -254,10 +221,7 @@
     if (at.whole) {
         co_return co_await store_->newest(topic, times, seen);
     }
-    // While one reader waits at the store the others' pauses end, and where
-    // they are many these read too: twenty times a second on a list at rest.
-    bool const many = beliefs_->nodes() > nodes_that_wait;
-    times.wait = many ? milliseconds::zero() : wait_for_news;
+    times.wait = wait_for_news;
     co_return co_await store_->read_on(topic, at.next, times, seen);
 }
 
@@ -294,48 +258,18 @@
 asio::awaitable<void> list_follower::read(place& at) {
     bool const answered = co_await step(at);
     if (answered) {
-        failures_ = 0;
-        draw_ = drawn();
         turns_.was_read(at.next, boot_clock::now());
     } else {
-        co_await pause_after_failure();
-    }
-}
-
-// Guards against hundreds of nodes that each ask a store which is away four
-// times a second: it is what they must not do to one that is coming back.
-asio::awaitable<void> list_follower::pause_after_failure() {
-    constexpr unsigned enough = 4;
-    failures_ = std::min(failures_ + 1, enough);
-    double const part = 0.5 + drawn();
-    instant const failed = boot_clock::now();
-    milliseconds const soon =
-        std::min(longest_retry, retry_pause * (1U << (failures_ - 1)));
-    bool const first = beliefs_->members.rank() < first_to_retry;
-    co_await pause(
-        first ? retry_pause
-              : std::chrono::duration_cast<milliseconds>(soon * part));
-    instant const give_up =
-        failed + std::chrono::duration_cast<duration>(retry_unheard * part);
-    while (!first && *running_ && heard_at_ < failed &&
-           boot_clock::now() < give_up) {
-        list_timer_.expires_after(time_until(give_up));
-        co_await list_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause(retry_pause);
     }
 }
 
-double list_follower::drawn() {
-    return std::uniform_real_distribution<double>(0, 1)(beliefs_->random);
-}
-
-reader_place list_follower::turn() const {
-    return {beliefs_->members.rank(), beliefs_->nodes(), draw_};
-}
-
 asio::awaitable<void> list_follower::follow() {
     auto const alive = running_;
     place at;
     instant read_whole = boot_clock::now();
+    std::uniform_real_distribution<double> part(0, 1);
+    double draw = part(beliefs_->random);
     while (*alive) {
         instant const now = boot_clock::now();
         for (endpoint_id const& id : beliefs_->replicas.settle_missing(
@@ -344,19 +278,18 @@
         }
         // A node that takes the store for lost sees its return by itself only.
         bool const lost = beliefs_->store_lost_since != instant::max();
-        duration const again =
-            std::max(whole_list_again, whole_list_each * beliefs_->nodes());
-        if (now >= read_whole + again) {
+        if (now >= read_whole + whole_list_again) {
             at.whole = true;
             read_whole = now;
         }
-        if (at.whole || lost || now >= turns_.due(turn())) {
+        if (at.whole || lost || now >= turns_.due(draw)) {
             at.next = std::max(at.next, turns_.next());
             co_await read(at);
+            draw = part(beliefs_->random);
             continue;
         }
         instant const calm = beliefs_->store_calm_from();
-        instant const due = turns_.due(turn());
+        instant const due = turns_.due(draw);
         instant const wake = now < calm ? std::min(due, calm) : due;
         list_timer_.expires_after(time_until(wake));
         co_await list_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/Gateway/list_follower.hpp
+++ b/src/Gateway/list_follower.hpp
@@ -49,13 +49,9 @@
     ask(place const& at, platform::store_reading& seen);
     boost::asio::awaitable<void> read(place& at);
     boost::asio::awaitable<bool> step(place& at);
-    peer_reading with_last(peer_reading const& reading) const;
     void tell(std::uint64_t from, platform::keyed_batch const& batch);
     bool apply(replica_record const& record);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
-    boost::asio::awaitable<void> pause_after_failure();
-    double drawn();
-    reader_place turn() const;
     /// What a record of the list comes to.
     struct taken {
         /// It is the entry of a replica.
@@ -74,12 +70,6 @@
     peer_words* words_;
     std::function<void()> changed_;
     list_turns turns_;
-    /// What this node read before, and told.
-    peer_reading last_told_;
-    /// When another node's reading was heard of last.
-    instant heard_at_;
-    unsigned failures_ = 0;
-    double draw_ = 0.5;
     boost::asio::steady_timer list_timer_;
     // Shared with the coroutine, which ends after it has turned false.
     std::shared_ptr<bool> running_ = std::make_shared<bool>(true);
--- a/src/Gateway/peer_datagram.cpp
+++ b/src/Gateway/peer_datagram.cpp
@@ -17,15 +17,6 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
 }
 
-bool is_probe(std::string_view bytes) noexcept {
-    // A probe begins with its kind, a small number of four bytes, the least
-    // first. A word begins with a byte for the order of its numbers, and after
-    // it the format, whose first byte is never 0.
-    constexpr std::size_t kind_bytes = 4;
-    std::size_t const left = bytes.find_first_not_of('\0', 1);
-    return bytes.size() > kind_bytes && left >= kind_bytes;
-}
-
 std::string encode(peer_datagram const& message) {
     std::ostringstream stream;
     {
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -5,8 +5,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
-#include <algorithm>
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -193,19 +191,15 @@
     std::uint64_t declared_place = 0;
     /// How much of it the sender knows: the sum of all versions.
     std::uint64_t declared_total = 0;
-    /// Set when the store itself has told the sender that there was no more,
-    /// so long ago.
-    bool attests = false;
-    std::uint32_t attested_ms = 0;
 
-    static constexpr std::uint32_t current_format = 5;
+    static constexpr std::uint32_t current_format = 4;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
             format, from, present, loads, asks, answers, wants, uses, words,
             claims, suspicions, denials, readings, declared_place,
-            declared_total, attests, attested_ms);
+            declared_total);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
@@ -215,23 +209,6 @@
     }
 };
 
-/// Entries of one datagram; with names of some twenty bytes they stay below
-/// the longest datagram.
-inline constexpr std::size_t most_entries = 24;
-
-/// Takes as many entries from the front as one datagram holds.
-template <class Entry>
-std::vector<Entry> take_some(std::vector<Entry>& from) {
-    std::size_t const count = std::min(from.size(), most_entries);
-    auto const middle = from.begin() + static_cast<std::ptrdiff_t>(count);
-    std::vector<Entry> taken(from.begin(), middle);
-    from.erase(from.begin(), middle);
-    return taken;
-}
-
-/// @returns true when the bytes are a probe of membership, which comes by the
-///          same socket
-bool is_probe(std::string_view bytes) noexcept;
 /// @returns what a message says of a time; 0 for one that has passed
 std::uint32_t whole_milliseconds(duration time);
 /// @returns the message's bytes
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <limits>
 #include <utility>
-#include <variant>
 
 namespace camphorpoint {
 
@@ -27,6 +26,8 @@
 constexpr unsigned nodes_at_full_pace = 10;
 /// Running requests are told again so often, as a datagram may be lost.
 constexpr unsigned ticks_to_repeat = 2;
+/// Changes of the list in one datagram; an entry has 100 to 180 bytes.
+constexpr std::size_t most_changes = 5;
 /// Wants of one adapter at one replica are not repeated sooner.
 constexpr duration want_pause = std::chrono::milliseconds(250);
 /// Word of a replica's load is fresh for this long: with all nodes together it
@@ -39,11 +40,28 @@
 constexpr duration holder_silent = std::chrono::milliseconds(1'500);
 /// A node that was not heard for so long is no longer counted as one.
 constexpr duration peer_lasts = std::chrono::seconds(20);
+/// Entries of one datagram; with names of some twenty bytes they stay below
+/// the longest datagram.
+constexpr std::size_t most_entries = 24;
+
+/// Counts of one datagram, twelve bytes each, and claims of as many.
+constexpr std::size_t most_counts = 40;
+constexpr std::size_t most_claims = 40;
+
 /// How many pauses lie between two tellings of a node.
 unsigned pauses_between(unsigned nodes) {
     return 1 + nodes / nodes_at_full_pace;
 }
 
+template <class Entry>
+std::vector<Entry> take_some(std::vector<Entry>& from) {
+    std::size_t const count = std::min(from.size(), most_entries);
+    auto const middle = from.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<Entry> taken(from.begin(), middle);
+    from.erase(from.begin(), middle);
+    return taken;
+}
+
 } // namespace
 
 std::size_t partition_of(endpoint_id const& replica) {
@@ -77,26 +95,17 @@
         return;
     }
     message.from = beliefs_->own_name;
-    put(word_kind::between_two, peer,
-        beliefs_->members.domain_of(node_id(peer)), encode(message));
+    link_.send(parse_address(peer), encode(message));
 }
 
-bool peer_words::silent(
-    std::string const& peer, duration least, instant now) const {
-    auto const state = beliefs_->members.state_of(node_id(peer));
-    auto const heard = beliefs_->peers.find(peer);
-    if (!state || *state == node_state::dead) {
-        return true;
+void peer_words::send_all(peer_datagram const& message) {
+    for (auto const& [peer, heard] : beliefs_->peers) {
+        send(peer, message);
     }
-    duration const two_tellings =
-        2 * telling_pause * pauses_between(beliefs_->nodes());
-    return heard != beliefs_->peers.end() &&
-           now >= heard->second + std::max(least, two_tellings);
 }
 
 void peer_words::set_owner(std::size_t partition, std::string member) {
     if (member != beliefs_->own_name) {
-        beliefs_->members.introduce(node_id(member), boot_clock::now());
         beliefs_->peers.try_emplace(member, boot_clock::now());
     }
     owners_[partition] = std::move(member);
@@ -111,8 +120,10 @@
         if (owner == owners_.end()) {
             return true;
         }
-        return owner->second != beliefs_->own_name &&
-               silent(owner->second, owner_silent, now);
+        auto const heard = beliefs_->peers.find(owner->second);
+        bool const silent = heard == beliefs_->peers.end() ||
+                            now >= heard->second + owner_silent;
+        return owner->second != beliefs_->own_name && silent;
     });
 }
 
@@ -147,7 +158,11 @@
     // that was stopped or killed during the store's outage has no successor
     // until the outage ends. They go to the next home instead, whose holder is
     // there.
-    if (silent(owner->second, holder_silent, now)) {
+    auto const heard = beliefs_->peers.find(owner->second);
+    duration const two_tellings =
+        2 * telling_pause * pauses_between(beliefs_->nodes());
+    if (heard != beliefs_->peers.end() &&
+        now >= heard->second + std::max(holder_silent, two_tellings)) {
         take_denial(
             {asked.replica, asked.adapter, whole_milliseconds(holder_silent)},
             now);
@@ -158,6 +173,49 @@
     send(owner->second, std::move(message));
 }
 
+void peer_words::tell(endpoint_id const& at, std::vector<peer_word> words) {
+    for (peer_word& each : words) {
+        each.replica = fleet::short_name(at);
+    }
+    while (!words.empty()) {
+        peer_datagram message;
+        message.words = take_some(words);
+        send_all(message);
+    }
+}
+
+void peer_words::claim(std::size_t partition, std::uint64_t token) {
+    peer_datagram message;
+    message.claims.push_back({static_cast<std::uint32_t>(partition), token});
+    send_all(message);
+}
+
+void peer_words::tell_reading(peer_reading reading) {
+    // In pieces that follow one another: a lost one is a gap before the next.
+    std::vector<peer_replica> all = std::move(reading.changes);
+    std::size_t done = 0;
+    do {
+        std::size_t const end = std::min(all.size(), done + most_changes);
+        peer_reading piece;
+        piece.from = done == 0 ? reading.from : all[done].place;
+        piece.to = end == all.size() ? reading.to : all[end].place;
+        piece.changes.assign(
+            all.begin() + static_cast<std::ptrdiff_t>(done),
+            all.begin() + static_cast<std::ptrdiff_t>(end));
+        peer_datagram message;
+        message.readings.push_back(std::move(piece));
+        send_all(message);
+        done = end;
+    } while (done < all.size());
+}
+
+void peer_words::suspect(replica const& at, duration rest) {
+    peer_datagram message;
+    message.suspicions.push_back(
+        {fleet::short_name(at.record.id), whole_milliseconds(rest)});
+    send_all(message);
+}
+
 void peer_words::use(
     endpoint_id const& at, adapter_id const& adapter, unsigned prompt_tokens) {
     use_key const key{at, adapter};
@@ -306,6 +364,34 @@
     });
 }
 
+void peer_words::tell_totals(instant now) {
+    std::erase_if(wanted_, [&](auto const& each) {
+        return now >= each.second + want_pause;
+    });
+    peer_datagram message;
+    message.present = true;
+    message.declared_place = beliefs_->declared_place;
+    message.declared_total = beliefs_->declared_total();
+    for (auto const& [id, each] : beliefs_->replicas.all()) {
+        if (!each.open() || message.loads.size() >= most_counts) {
+            continue;
+        }
+        std::uint64_t const name = fleet::short_name(id);
+        if (auto const total = total_of(name, now)) {
+            message.loads.push_back(*total);
+            beliefs_->replicas.told_total(name, counted(name, now), now);
+        }
+    }
+    for (std::size_t const each : beliefs_->leases.held()) {
+        auto const token = beliefs_->leases.token(each, now);
+        if (token && message.claims.size() < most_claims) {
+            message.claims.push_back(
+                {static_cast<std::uint32_t>(each), *token});
+        }
+    }
+    send_all(message);
+}
+
 asio::awaitable<void> peer_words::tell_counts() {
     unsigned tick = 0;
     while (running_) {
@@ -318,13 +404,8 @@
             ledger_.forget_silent(now);
             beliefs_->replicas.forget_old_totals(now);
         }
-        std::erase_if(wanted_, [&](auto const& each) {
-            return now >= each.second + want_pause;
-        });
         ++tick;
         forget_peers(now);
-        beliefs_->members.on_tick(now);
-        carry_out_membership();
         asio::steady_timer timer(beliefs_->io, telling_pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -5,45 +5,15 @@
 #include "Holding/want_kind.hpp"
 #include "Ports/probe_link.hpp"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace camphorpoint {
 
-/// What datagrams between nodes are for.
-enum class word_kind : std::uint8_t {
-    /// Who is there.
-    probe,
-    /// Counts and claims, to all.
-    presence,
-    /// What the list of replicas says, to all.
-    reading,
-    /// What was loaded or is about to go, to all.
-    residency,
-    /// Claims and suspicions as they arise, to all.
-    notice,
-    /// Wants, uses, asks and their answers, between two.
-    between_two
-};
-inline constexpr std::size_t word_kinds = 6;
-
-/// @returns the kind's name in logs and metrics
-std::string_view to_string(word_kind kind) noexcept;
-
-/// Datagrams that a node has sent.
-struct sent_words {
-    std::uint64_t datagrams = 0;
-    std::uint64_t bytes = 0;
-    /// Of those, into other failure domains.
-    std::uint64_t bytes_across = 0;
-};
-
 /// What nodes tell each other, by datagrams: wants of adapters to the node that
 /// orders for the replica, word of what was loaded or is about to go to all,
 /// and counts of running requests.
@@ -63,12 +33,6 @@
         /// knows so much of it.
         std::function<void(std::uint64_t place, std::uint64_t total)>
             declarations;
-        /// Another node had all that is declared, so long ago.
-        std::function<void(
-            std::uint64_t place, std::uint64_t total, duration age)>
-            attested;
-        /// @returns how long ago this node had all that is declared
-        std::function<std::optional<duration>(instant now)> declared_age;
     };
 
     /// @param beliefs where word from others goes; must outlive this
@@ -79,10 +43,6 @@
     std::string start();
     /// Ends.
     void stop();
-    /// Tells all nodes how much of what is declared this one knows.
-    void tell_declared();
-    /// Tells all nodes that this one stops: it finishes what it has.
-    void start_leaving();
 
     /// Asks whoever orders for the replica to load the adapter there.
     /// @param kind     for whom
@@ -119,11 +79,6 @@
     /// A node orders for a partition, as the group's list says.
     void set_owner(std::size_t partition, std::string member);
 
-    /// @returns what this node has sent so far, by kind
-    std::array<sent_words, word_kinds> const& sent() const noexcept {
-        return sent_;
-    }
-
 private:
     struct use_count {
         unsigned running = 0;
@@ -140,12 +95,7 @@
     void receive(std::string const& bytes);
     void take(peer_datagram const& message);
     void send(std::string const& peer, peer_datagram message);
-    void send_all(word_kind kind, peer_datagram message);
-    void
-    put(word_kind kind, std::string const& address, domain_id const& domain,
-        std::string const& bytes);
-    void carry_out_membership();
-    bool silent(std::string const& peer, duration least, instant now) const;
+    void send_all(peer_datagram const& message);
     void send_use(use_key const& key, use_count& count);
     void repeat_uses();
     void take_use(peer_use const& use, std::string const& from, instant now);
@@ -153,7 +103,6 @@
     replica_total counted(std::uint64_t replica, instant now) const;
     std::optional<peer_load> total_of(std::uint64_t replica, instant now) const;
     void tell_totals(instant now);
-    peer_datagram presence(instant now) const;
     bool orders_for(endpoint_id const& at) const;
     void forget_peers(instant now);
     void take_denial(peer_denial const& denial, instant now);
@@ -168,7 +117,6 @@
     /// When this node said last that it waits for an adapter at a replica.
     std::map<use_key, instant> wanted_;
     run_ledger ledger_;
-    std::array<sent_words, word_kinds> sent_{};
     bool running_ = false;
 };
 
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -64,11 +64,6 @@
 }
 
 void peer_words::receive(std::string const& bytes) {
-    if (is_probe(bytes)) {
-        beliefs_->members.on_datagram(bytes, boot_clock::now());
-        carry_out_membership();
-        return;
-    }
     auto const message = decode_peer_datagram(bytes);
     if (message && message->from != beliefs_->own_name) {
         take(*message);
@@ -78,7 +73,6 @@
 void peer_words::take(peer_datagram const& message) {
     instant const now = boot_clock::now();
     beliefs_->peers[message.from] = now;
-    beliefs_->members.on_peer_heard(node_id(message.from), now);
     for (peer_load const& each : message.loads) {
         replica_total const total{
             each.running, static_cast<double>(each.backlog_tokens),
@@ -131,11 +125,6 @@
         message.declared_total > beliefs_->declared_total()) {
         to_.declarations(message.declared_place, message.declared_total);
     }
-    if (message.attests) {
-        to_.attested(
-            message.declared_place, message.declared_total,
-            milliseconds(message.attested_ms));
-    }
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -239,8 +239,7 @@
         }
         break;
     }
-    if (!beliefs_->second_sends.take(
-            need_.service, beliefs_->sharers(now), now)) {
+    if (!beliefs_->second_sends.take(need_.service, beliefs_->nodes(), now)) {
         reason_ += "-no-budget";
         return false;
     }
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -55,7 +55,7 @@
         boost::asio::steady_timer wake;
         std::uint64_t token;
         /// When the replica started, as the list said last.
-        std::optional<replica_start> born;
+        std::optional<incarnation> born;
         bool ended = false;
     };
     using held_ptr = std::shared_ptr<held_replica>;
@@ -65,10 +65,6 @@
     boost::asio::awaitable<void> renew_once();
     boost::asio::awaitable<void> claim(std::size_t partition);
     boost::asio::awaitable<void> read_owners();
-    boost::asio::awaitable<void> refresh_owners(bool changed);
-    boost::asio::awaitable<void> stand_back();
-    bool takes_part() const;
-    int whole_reads_shared() const;
     boost::asio::awaitable<void> work(endpoint_id id, held_ptr held);
     boost::asio::awaitable<void> work_once(endpoint_id id, held_ptr held);
     boost::asio::awaitable<void> report(endpoint_id id, held_ptr held);
@@ -91,8 +87,6 @@
     std::map<endpoint_id, held_ptr> held_;
     std::map<std::uint64_t, endpoint_id> by_short_name_;
 
-    /// This node is a member of the group of holders.
-    bool joined_ = false;
     std::uint64_t owners_generation_ = 0;
     instant owners_read_;
     // Shared with the coroutines, which end after it has turned false.
--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -26,11 +26,9 @@
 
 /// Owners may change without a new generation reaching this node.
 constexpr duration owners_again = std::chrono::seconds(30);
-/// With each so many nodes more that pause is as much longer: about one reads
-/// in a second.
-constexpr unsigned nodes_at_once = 30;
 /// At a change of members, which come in rows when nodes are stopped in turn.
-/// New holders tell their claims to all; this brings those that were missed.
+/// Without it nodes that begin together know of each other by halves, and each
+/// takes a larger share of the budget of second sends than is its.
 constexpr duration owners_changed = std::chrono::seconds(2);
 /// While a holder is missing.
 constexpr duration owners_missing = std::chrono::seconds(1);
@@ -73,14 +71,6 @@
 asio::awaitable<void> slot_orderer::renew() {
     auto const alive = running_;
     while (*alive) {
-        if (!takes_part()) {
-            co_await stand_back();
-            asio::steady_timer timer(
-                beliefs_->io, beliefs_->settings.leases.renewal);
-            co_await timer.async_wait(use_result);
-            continue;
-        }
-        joined_ = true;
         co_await renew_once();
         for (std::size_t const each : beliefs_->leases.without_token()) {
             bool const used = std::ranges::any_of(
@@ -140,47 +130,20 @@
             words_->set_owner(each, beliefs_->own_name);
         }
     }
+    // Holders tell their claims to all nodes they know. The list is for those
+    // that they don't know yet: without it a want would go to a node that holds
+    // the replica no more, and nobody would load what is waited for.
     bool const changed = owners_generation_ != grant.value().generation;
-    owners_generation_ = grant.value().generation;
-    co_await refresh_owners(changed);
-}
-
-bool slot_orderer::takes_part() const {
-    return holds_partitions(beliefs_->members.rank(), partition_count, joined_);
-}
-
-asio::awaitable<void> slot_orderer::stand_back() {
-    auto const alive = running_;
-    if (joined_) {
-        joined_ = false;
-        beliefs_->leases.clear();
-        spawn_workers();
-        co_await leave();
-    }
-    if (*alive) {
-        co_await refresh_owners(false);
-    }
-}
-
-// Holders tell their claims to all nodes. The list is for what was missed of
-// that: without it a want would go to a node that holds the replica no more,
-// and nobody would load what is waited for.
-asio::awaitable<void> slot_orderer::refresh_owners(bool changed) {
-    instant const now = boot_clock::now();
     bool const missing = words_->lacks_owner(now);
-    duration const alone = missing   ? owners_missing
+    duration const pause = missing   ? owners_missing
                            : changed ? owners_changed
                                      : owners_again;
-    duration const pause = alone * whole_reads_shared();
     if (now >= owners_read_ + pause) {
         co_await read_owners();
+        owners_generation_ = grant.value().generation;
     }
 }
 
-int slot_orderer::whole_reads_shared() const {
-    return static_cast<int>(1 + beliefs_->nodes() / nodes_at_once);
-}
-
 asio::awaitable<void> slot_orderer::read_owners() {
     auto const alive = running_;
     std::string group = group_name;
--- a/src/Holding/partition_leases.cpp
+++ b/src/Holding/partition_leases.cpp
@@ -4,12 +4,6 @@
 
 namespace camphorpoint {
 
-bool holds_partitions(
-    std::size_t rank, std::size_t partitions, bool member) noexcept {
-    std::size_t const stays = partitions / 8;
-    return rank < partitions || (member && rank < partitions + stays);
-}
-
 std::vector<std::size_t> partition_leases::granted(
     instant started, std::uint64_t generation,
     std::vector<std::size_t> const& partitions, instant now) {
--- a/src/Holding/partition_leases.hpp
+++ b/src/Holding/partition_leases.hpp
@@ -29,19 +29,6 @@
     bool fences_checked = true;
 };
 
-/// Whether a node is to be a member of the group that partitions are dealt out
-/// to. One beyond as many as there are partitions would hold none: its
-/// renewals, 32 calls a second of 195 nodes, would be for nothing. When one
-/// before it is gone, membership shows it within seconds, and it joins; until
-/// then the platform has dealt that one's partitions out to the others. A
-/// member stays until it is well beyond, so that two do not change places for
-/// good.
-/// @param rank       how many nodes go before it
-/// @param partitions there are
-/// @param member     it is one already
-bool holds_partitions(
-    std::size_t rank, std::size_t partitions, bool member) noexcept;
-
 /// Which partitions of the replicas this node orders for, and until when.
 /// Guards against two nodes that order for one replica: a holder stops by its
 /// own reading of the boot clock, counted from the start of its last renewal
--- a/src/Holding/slot_account.hpp
+++ b/src/Holding/slot_account.hpp
@@ -185,7 +185,7 @@
     slot_releases releases_;
     /// Adapters that lay here, newest last; the replica keeps copies of some.
     std::vector<adapter_id> recent_;
-    std::optional<replica_start> born_;
+    std::optional<incarnation> born_;
     bool known_ = false;
     bool must_report_ = true;
     bool busy_ = false;
--- a/src/Membership/membership_meeting.cpp
+++ b/src/Membership/membership_meeting.cpp
@@ -242,8 +242,7 @@
 }
 
 std::size_t membership::sharers(instant now) const {
-    std::size_t const told =
-        now < most_told_at_ + told_counts ? most_told_ : 0;
+    std::size_t const told = now < most_told_at_ + told_counts ? most_told_ : 0;
     return std::max(members_.size() + 1, told);
 }
 
--- a/src/Routing/declaration_plan.cpp
+++ b/src/Routing/declaration_plan.cpp
@@ -22,15 +22,15 @@
     : times_(times)
     , draw_(draw) {}
 
-instant declaration_plan::check_due(std::size_t nodes) const {
+instant declaration_plan::check_due(unsigned nodes) const {
     if (read_whole_ < doubted_until_) {
         return read_whole_ + times_.doubt_check;
     }
     // Between half and one and a half of the pause, so that nodes which began
     // together do not read together.
     double const part = 0.5 + draw_;
-    return read_whole_ + std::chrono::duration_cast<duration>(
-                             times_.check * static_cast<double>(nodes) * part);
+    return read_whole_ +
+           std::chrono::duration_cast<duration>(times_.check * nodes * part);
 }
 
 bool declaration_plan::misses_something() const noexcept {
@@ -42,58 +42,17 @@
     return told_place_ > place_ || misses_something() || wait_distrusted_;
 }
 
-bool declaration_plan::waits_for_all(
-    declaration_role const& by) const noexcept {
-    return by.nodes > times_.all_wait_up_to && by.rank < times_.waiters;
-}
-
-milliseconds declaration_plan::wait_time(declaration_role const& by) const {
-    if (waits_for_all(by)) {
-        return times_.wait_for_all;
-    }
-    milliseconds const shared =
-        times_.wait_of_each * static_cast<std::int64_t>(by.nodes);
-    return std::clamp(shared, times_.shortest_wait, times_.longest_wait);
-}
-
-instant
-declaration_plan::rests_until(instant now, declaration_role const& by) const {
-    bool const many = by.nodes > times_.all_wait_up_to;
-    if (many && by.rank >= times_.waiters && empty_ && failures_ == 0 &&
-        told_place_ <= place_) {
-        return current_as_of_ + std::chrono::duration_cast<duration>(
-                                    times_.first_rest * (1 + draw_ / 3));
-    }
-    bool const reads =
-        whole_ || behind() || !configured_ || now >= check_due(by.nodes);
-    if (!many || by.rank < times_.waiters || reads) {
-        return {};
-    }
-    auto const trust =
-        std::chrono::duration_cast<duration>(times_.trust * (1 + draw_ / 3));
-    instant const trusted = std::max(attested_, current_as_of_) + trust;
-    return std::min(trusted, check_due(by.nodes));
-}
-
-declaration_reading
-declaration_plan::next(instant now, declaration_role const& by) const {
+declaration_reading declaration_plan::next(instant now, unsigned nodes) const {
     declaration_reading reading;
-    reading.whole = whole_ || misses_something() || now >= check_due(by.nodes);
+    reading.whole = whole_ || misses_something() || now >= check_due(nodes);
     reading.from = place_;
     // What others have read already is there: nothing to wait for.
-    bool const many = by.nodes > times_.all_wait_up_to;
-    reading.waits = !reading.whole && told_place_ <= place_ &&
-                    (!many || by.rank < times_.waiters);
-    reading.wait = reading.waits ? wait_time(by) : milliseconds::zero();
+    reading.waits = !reading.whole && told_place_ <= place_;
     reading.silence =
         doubled(times_.silence, failures_, times_.longest_silence);
     if (failures_ > 0) {
-        milliseconds const most = std::clamp(
-            times_.retry_of_each * static_cast<std::int64_t>(by.nodes),
-            times_.longest_retry, times_.most_retry);
-        bool const first = by.rank < times_.waiters;
-        reading.pause = doubled(
-            times_.retry, failures_ - 1, first ? times_.longest_retry : most);
+        reading.pause =
+            doubled(times_.retry, failures_ - 1, times_.longest_retry);
     } else if (forgettings_ > 1) {
         // What was read whole was older than the history that is left.
         reading.pause = times_.retry;
@@ -108,7 +67,6 @@
     failures_ = 0;
     wait_distrusted_ = false;
     place_ = std::max(place_, place);
-    current_as_of_ = now;
     empty_ = !configured_;
     if (asked.whole) {
         whole_ = !configured_;
@@ -140,10 +98,6 @@
     told_total_ = std::max(told_total_, total);
 }
 
-void declaration_plan::attested(instant as_of) noexcept {
-    attested_ = std::max(attested_, as_of);
-}
-
 void declaration_plan::interrupted() noexcept {
     wait_distrusted_ = false;
 }
--- a/src/Routing/declaration_plan.hpp
+++ b/src/Routing/declaration_plan.hpp
@@ -3,7 +3,6 @@
 #include "Core/time.hpp"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 
 namespace camphorpoint {
@@ -21,9 +20,6 @@
     /// Between two readings while there is no configuration at all, which
     /// stands some seconds before the first request comes.
     std::chrono::milliseconds first_pause{500};
-    /// Where nodes are many only the waiters ask so often, and tell the others;
-    /// these ask by themselves after this.
-    std::chrono::milliseconds first_rest{3'000};
     /// Of all nodes together one reads everything anew so often, in case that a
     /// record was missed without a sign; it tells the others how much it knows.
     std::chrono::milliseconds check{12'000};
@@ -32,35 +28,6 @@
     /// often.
     std::chrono::milliseconds doubt{5'000};
     std::chrono::milliseconds doubt_check{3'000};
-    /// So many nodes wait at the store for all, those that go first; where
-    /// there are not many more, all do. Several, since those that are stopped
-    /// or cut off are not noticed at once.
-    std::size_t waiters = 4;
-    std::size_t all_wait_up_to = 16;
-    /// How long a wait for all lasts: what the others know is no older.
-    std::chrono::milliseconds wait_for_all{1'000};
-    /// A node that waits for itself alone waits so long for each node that
-    /// there is: all together read again about every 200 ms, and tell the
-    /// others when there is news that they don't know.
-    std::chrono::milliseconds wait_of_each{200};
-    std::chrono::milliseconds shortest_wait{2'000};
-    std::chrono::milliseconds longest_wait{12'000};
-    /// A node that does not wait itself trusts what the others say for so long,
-    /// and up to a third longer, so that not all ask at once. A configuration
-    /// must be in force within two seconds or more of its writing, and with
-    /// three or more where nodes are that many.
-    std::chrono::milliseconds trust{1'500};
-    /// With so many nodes, each that can't reach the store tries more seldom.
-    std::chrono::milliseconds retry_of_each{20};
-    std::chrono::milliseconds most_retry{4'000};
-};
-
-/// What a node's readings depend on beside their outcome.
-struct declaration_role {
-    /// How many nodes there are, this one included.
-    std::size_t nodes = 1;
-    /// How many of them go before this one, in an order that all agree on.
-    std::size_t rank = 0;
 };
 
 /// One reading of what the operator declares.
@@ -70,7 +37,6 @@
     std::uint64_t from = 0;
     /// The store may hold its answer back until there is something new.
     bool waits = false;
-    std::chrono::milliseconds wait{0};
     std::chrono::milliseconds pause{0};
     std::chrono::milliseconds silence{0};
 };
@@ -84,12 +50,9 @@
     /// @param draw  0 to 1, another one on each node
     explicit declaration_plan(declaration_times times = {}, double draw = 0.5);
 
-    /// @returns the reading to begin now, unless `rests_until` says to rest
-    declaration_reading next(instant now, declaration_role const& by) const;
-    /// @returns until when nothing needs to be read: others wait for all, and
-    ///          have lately said that there is no news. The past when this node
-    ///          is to read.
-    instant rests_until(instant now, declaration_role const& by) const;
+    /// @param nodes how many nodes share the checks
+    /// @returns the reading to begin now
+    declaration_reading next(instant now, unsigned nodes) const;
     /// A reading has been answered.
     /// @param place where what is written next will stand
     void answered(
@@ -105,13 +68,6 @@
 
     /// Another node has read so far, and knows so much.
     void heard(std::uint64_t place, std::uint64_t total) noexcept;
-    /// Another node has said that it had all that was declared by then.
-    void attested(instant as_of) noexcept;
-    /// @returns the time by which this node had all that was declared, by the
-    ///          store's own answer
-    instant current_as_of() const noexcept { return current_as_of_; }
-    /// @returns true when this node waits at the store for all
-    bool waits_for_all(declaration_role const& by) const noexcept;
     /// The connection that a wait uses may have died with the store's outage.
     void distrust_wait() noexcept { wait_distrusted_ = true; }
     /// @returns true when a wait should have brought something by now
@@ -123,8 +79,7 @@
     std::uint64_t place() const noexcept { return place_; }
 
 private:
-    instant check_due(std::size_t nodes) const;
-    std::chrono::milliseconds wait_time(declaration_role const& by) const;
+    instant check_due(unsigned nodes) const;
     bool misses_something() const noexcept;
 
     declaration_times times_;
@@ -144,8 +99,6 @@
     unsigned forgettings_ = 0;
     instant read_whole_;
     instant doubted_until_;
-    instant current_as_of_;
-    instant attested_;
 };
 
 } // namespace camphorpoint
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -65,7 +65,6 @@
     event_name{event_code::configuration_rejected, "configuration-rejected"},
     event_name{event_code::version_known, "version-known"},
     event_name{event_code::records_read, "records-read"},
-    event_name{event_code::talk_counted, "talk-counted"},
     event_name{event_code::replica_seen, "replica-seen"},
     event_name{event_code::replica_leaving, "replica-leaving"},
     event_name{event_code::replica_gone, "replica-gone"},
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -69,7 +69,6 @@
     configuration_rejected = 922,
     version_known = 923,
     records_read = 924,
-    talk_counted = 925,
     replica_seen = 931,
     replica_leaving = 932,
     replica_gone = 933,
--- a/test/declaration_plan_test.cpp
+++ b/test/declaration_plan_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr declaration_role nodes{10, 0};
+constexpr unsigned nodes = 10;
 constexpr instant start = instant() + seconds(100);
 
 /// A plan that has read everything up to place 7 and knows 50.
@@ -128,8 +128,8 @@
 TEST_CASE("all nodes together read everything again from time to time") {
     declaration_plan const plan = settled(start);
     SUBCASE("a single node every 12 s") {
-        CHECK_FALSE(plan.next(start + seconds(11), {1, 0}).whole);
-        CHECK(plan.next(start + seconds(12), {1, 0}).whole);
+        CHECK_FALSE(plan.next(start + seconds(11), 1).whole);
+        CHECK(plan.next(start + seconds(12), 1).whole);
     }
     SUBCASE("one of ten every two minutes") {
         CHECK_FALSE(plan.next(start + seconds(119), nodes).whole);
@@ -185,73 +185,4 @@
     }
 }
 
-// At 195 nodes each waited at the store for itself: every change of a version
-// woke all of them, 195 calls for what four could tell the others.
-TEST_CASE("where nodes are many a few wait at the store for all") {
-    declaration_plan plan = settled(start);
-    declaration_role const waiter{195, 3};
-    declaration_role const other{195, 4};
-    CHECK(plan.waits_for_all(waiter));
-    CHECK(plan.next(start, waiter).waits);
-    CHECK(plan.rests_until(start, waiter) <= start);
-    CHECK_FALSE(plan.waits_for_all(other));
-    CHECK_FALSE(plan.next(start, other).waits);
-
-    SUBCASE("the others rest while these say that there is no news") {
-        instant const later = start + milliseconds(1'400);
-        plan.attested(later);
-        CHECK(plan.rests_until(later, other) > later + seconds(1));
-    }
-    SUBCASE("and read at once when there is") {
-        plan.attested(start);
-        plan.heard(8, 50);
-        CHECK(plan.rests_until(start, other) <= start);
-        CHECK(plan.next(start, other).from == 7);
-        CHECK_FALSE(plan.next(start, other).waits);
-    }
-    // The four are stopped in the same second, and a configuration is written
-    // in the next. It must be in force three seconds later, and carrying it
-    // over a slow way takes up to one of them.
-    SUBCASE("and ask for themselves before it is too late, not all at once") {
-        declaration_plan early({}, 0);
-        declaration_plan late({}, 1);
-        for (declaration_plan* const each : {&early, &late}) {
-            each->note_configured();
-            each->answered(each->next(start, other), 7, start);
-        }
-        instant const first = early.rests_until(start, other);
-        instant const last = late.rests_until(start, other);
-        CHECK(first >= start + seconds(1));
-        CHECK(last <= start + seconds(2));
-        CHECK(last > first + milliseconds(400));
-        CHECK(early.rests_until(first, other) <= first);
-    }
-    SUBCASE("one that can't reach the store asks seldom, and not at all while "
-            "the others have it") {
-        for (int each = 0; each < 9; ++each) {
-            plan.failed();
-        }
-        CHECK(plan.next(start, other).pause > seconds(3));
-        CHECK(plan.next(start, waiter).pause <= seconds(1));
-        plan.attested(start + seconds(4));
-        CHECK(plan.rests_until(start + seconds(4), other) > start + seconds(5));
-    }
-    // The first configuration stands some seconds before the first request.
-    // Hundreds that ask for it twice a second make most of a day's calls.
-    SUBCASE("before the first configuration the others ask seldom") {
-        declaration_plan fresh;
-        CHECK(fresh.rests_until(start, other) <= start);
-        fresh.answered(fresh.next(start, other), 0, start);
-        CHECK(fresh.rests_until(start, other) >= start + seconds(3));
-        CHECK(fresh.rests_until(start, waiter) <= start);
-        fresh.heard(1, 7);
-        CHECK(fresh.rests_until(start, other) <= start);
-    }
-    SUBCASE("a few nodes wait each for itself") {
-        CHECK(plan.next(start, {9, 8}).waits);
-        CHECK(plan.next(start, {9, 8}).wait == seconds(2));
-        CHECK(plan.rests_until(start, {9, 8}) <= start);
-    }
-}
-
 } // namespace camphorpoint
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -162,7 +162,7 @@
     fleet_world world;
     auto const listed = [&](int born, std::vector<adapter_ref> adapters) {
         replica_record record = entry("r1", std::move(adapters));
-        record.born = replica_start(milliseconds(born));
+        record.born = incarnation(milliseconds(born));
         return record;
     };
     endpoint_id const id("r1");
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -300,7 +300,7 @@
 // nobody carries out, and name a count of orders that is refused for good.
 TEST_CASE("the account of a replica that starts again begins anew") {
     account_world world;
-    world.report.born = replica_start(milliseconds(1'000));
+    world.report.born = incarnation(milliseconds(1'000));
     world.report.sequence = 0;
     world.account.reported(world.report, world.now);
     world.load("a1");
@@ -312,7 +312,7 @@
     world.account.answered(order, slot_answer::accepted, world.now);
     world.account.take_changes();
 
-    world.report.born = replica_start(milliseconds(5'000));
+    world.report.born = incarnation(milliseconds(5'000));
     world.report.sequence = 0;
     world.pass(milliseconds(50));
     world.account.distrust();
@@ -335,13 +335,13 @@
     SUBCASE(
         "an order that the earlier one left unanswered is not given again") {
         account_world other;
-        other.report.born = replica_start(milliseconds(1'000));
+        other.report.born = incarnation(milliseconds(1'000));
         other.account.reported(other.report, other.now);
         other.want(adapter("b1"));
         slot_order const lost =
             other.expect_order(slot_order_kind::load_adapter, "b1");
         other.account.answered(lost, slot_answer::lost, other.now);
-        other.report.born = replica_start(milliseconds(5'000));
+        other.report.born = incarnation(milliseconds(5'000));
         other.account.distrust();
         other.account.reported(other.report, other.now);
         other.want(adapter("b2"));
@@ -351,7 +351,7 @@
     }
     SUBCASE("a late report of the earlier one does not bring its slots back") {
         replica_report late = world.report;
-        late.born = replica_start(milliseconds(1'000));
+        late.born = incarnation(milliseconds(1'000));
         late.adapters = {adapter("a1", 1), adapter("a2", 1)};
         late.sequence = 2;
         world.account.reported(late, world.now);
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -167,7 +167,7 @@
 }
 
 TEST_CASE("a replica says when it started") {
-    replica_start const started(milliseconds(1'767'225'600'123));
+    incarnation const started(milliseconds(1'767'225'600'123));
     auto const record = read_replica(
         "i-1", R"({"service":"s","address":"127.0.0.1:80","state":"ready",)"
                R"("zone":"z","slots":4,"born":1767225600123})");
