--- a/test/members_at_size_test.cpp
+++ b/test/members_at_size_test.cpp
@@ -93,6 +93,17 @@
     CHECK(model.know_all() == 200);
 }
 
+// The same from the first moment on: a node that has heard nobody yet takes all
+// of the slack of second sends for its own.
+TEST_CASE("from a restart of all on no node takes another's share") {
+    talk_model model(200, domains, partitions);
+    model.run(seconds(5));
+    for (std::size_t index = 0; index < model.nodes.size(); ++index) {
+        model.restart(index, 2);
+    }
+    CHECK(largest_sum(model, seconds(10)) <= 1.0 + 1e-9);
+}
+
 // A node that is alone, as on a developer's machine, must be able to send a
 // request again in its first second.
 TEST_CASE("a node that is alone takes all there is") {
