--- a/src/Delivery/event_relay.hpp
+++ b/src/Delivery/event_relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,6 +36,8 @@
     relay_verdict push(std::string_view piece, std::string& out);
     /// @returns true when a half event waits for its end
     bool inside_event() const noexcept { return !pending_.empty(); }
+    /// @returns bytes of the half event that waits for its end
+    std::size_t half_bytes() const noexcept { return pending_.size(); }
     /// @returns the number of the last event passed on
     std::uint64_t last() const noexcept { return last_; }
     /// @returns true when an event was passed on
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -209,6 +209,7 @@
     if (begun_) {
         relay_.begin_run();
     }
+    trace_ = run_trace{relay_.last(), relay_.half_bytes()};
     call_times times = times_of_send(now);
     call_result const opened = co_await call->open(
         std::move(to), std::move(request), std::move(times));
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -12,6 +12,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +59,17 @@
         late
     };
 
+    /// What one run of a stream brought, for the log.
+    struct run_trace {
+        /// The last event handed on when it began.
+        std::uint64_t after = 0;
+        /// Bytes of a half event, before its first byte and after its last.
+        std::size_t half_before = 0;
+        std::size_t half_after = 0;
+        /// How the answer's body ended.
+        std::string_view body = "none";
+    };
+
     bool admit();
     bool refuse_held();
     void note_content(endpoint_id const& at, attempt_end end);
@@ -112,6 +125,7 @@
     std::optional<duration> soonest_;
     attempt_ledger ledger_{false};
     event_relay relay_;
+    run_trace trace_;
     /// It waits for its replica to read other prompts.
     bool holding_ = false;
     bool begun_ = false;
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -85,7 +85,11 @@
                        .with("replica", at.str())
                        .with("end", names[static_cast<std::size_t>(end)])
                        .with("may_run", static_cast<int>(ledger_.may_run()))
-                       .with("events", relay_.last()));
+                       .with("after", trace_.after)
+                       .with("events", relay_.last())
+                       .with("body", trace_.body)
+                       .with("half_before", trace_.half_before)
+                       .with("half_after", trace_.half_after));
 }
 
 milliseconds request_flow::come_back() const {
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -82,16 +82,22 @@
             co_return attempt_end::finished;
         }
         if (!piece) {
+            trace_.body = "cut";
             co_return attempt_end::silent;
         }
         std::string events;
         if (piece->empty()) {
+            trace_.body =
+                call->ends_with_connection() ? "connection-end" : "whole";
             if (relay_.inside_event()) {
                 co_return attempt_end::silent;
             }
             break;
         }
-        if (relay_.push(*piece, events) == relay_verdict::broken) {
+        relay_verdict const verdict = relay_.push(*piece, events);
+        trace_.half_after = relay_.half_bytes();
+        if (verdict == relay_verdict::broken) {
+            trace_.body = "not-joined";
             call->cancel();
             co_return attempt_end::silent;
         }
