Failing test: a run's half event ends with its run (known red)

Clients got an event that no run made. Two nodes before replicas whose runs end after each byte, over one to three runs, resumed by the node and by the client at another node; the oracle takes only events that one run made whole, in order.

--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -153,7 +153,7 @@
             R"({{"version":{},"routes":[{}],"services":[{{"name":"llm",)"
             R"("engine":{{"adapter_slots":3,"loads_per_s":5,)"
             R"("models":[{{"name":"m","load_s":0.1}}]}}}},)"
-            R"({{"name":"app"}}]}})",
+            R"({{"name":"app"}},{{"name":"scripted"}}]}})",
             version, routes));
 }
 
@@ -207,11 +207,9 @@
 fetch_result gateway_world::ask_node(
     std::size_t which, std::string path, std::string model, std::string id,
     std::string body) {
-    gateway_settings const& asked =
-        which == 0 ? settings : further_.at(which - 1).settings;
     fetch_result result;
     loop.run([&]() -> asio::awaitable<void> {
-        ip_address to = asked.caller_address;
+        ip_address to = caller_address(which);
         result = co_await send(
             std::move(to), std::move(path), std::move(model), std::move(id),
             std::move(body));
@@ -219,6 +217,32 @@
     return result;
 }
 
+ip_address gateway_world::caller_address(std::size_t which) const {
+    return which == 0 ? settings.caller_address
+                      : further_.at(which - 1).settings.caller_address;
+}
+
+fetch_result
+gateway_world::ask_stream(std::size_t which, std::string path, unsigned after) {
+    fetch_result result;
+    loop.run([&]() -> asio::awaitable<void> {
+        http_call call(loop.executor());
+        http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.fields.add("Host", "h");
+        request.fields.add("X-Request-Id", path);
+        request.fields.add("X-Request-Deadline", "3000");
+        if (after > 0) {
+            request.fields.add("Last-Event-Id", std::to_string(after));
+        }
+        ip_address to = caller_address(which);
+        call_times times;
+        result = co_await fetch(call, std::move(to), std::move(request), times);
+    });
+    return result;
+}
+
 void gateway_world::begin(std::string path, std::string model, std::string id) {
     ip_address to = settings.caller_address;
     asio::co_spawn(
--- a/test/gateway/gateway_world.hpp
+++ b/test/gateway/gateway_world.hpp
@@ -49,6 +49,10 @@
     fetch_result ask_node(
         std::size_t node, std::string path, std::string model, std::string id,
         std::string body);
+    /// Asks one of the nodes for a stream of the service without adapters.
+    /// @param after the last event that the client has, 0 for none
+    /// @returns what came, also of an answer that was cut
+    fetch_result ask_stream(std::size_t node, std::string path, unsigned after);
     /// Starts one node more and waits until it is ready.
     void add_node();
     /// Stops all nodes and starts as many anew, which know nothing.
@@ -87,6 +91,7 @@
     boost::asio::awaitable<fetch_result> send(
         ip_address to, std::string path, std::string model, std::string id,
         std::string body);
+    ip_address caller_address(std::size_t node) const;
     void start(gateway_settings const& with, std::unique_ptr<gateway>& which);
     void stop(std::unique_ptr<gateway>& which);
     void make_deadly(served_replica& replica, std::string const& body);
--- /dev/null
+++ b/test/gateway/scripted_replica.cpp
@@ -0,0 +1,170 @@
+#include "test/gateway/scripted_replica.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace camphorpoint::testing {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds before_reset{2};
+
+unsigned last_event_of(std::string_view head) {
+    constexpr std::string_view name = "Last-Event-Id: ";
+    std::size_t const place = head.find(name);
+    unsigned number = 0;
+    if (place != std::string_view::npos) {
+        std::string_view const value = head.substr(place + name.size());
+        std::from_chars(value.data(), value.data() + value.size(), number);
+    }
+    return number;
+}
+
+std::string head_of(scripted_run const& run) {
+    bool const stream = run.status == 200;
+    std::string head = fmt::format(
+        "HTTP/1.1 {} Any\r\nX-Response-Signature: signed\r\n"
+        "Content-Type: {}\r\nConnection: close\r\n",
+        run.status, stream ? "text/event-stream" : "text/plain");
+    if (!stream) {
+        head += "Content-Length: 2\r\n";
+    } else if (run.framing == body_framing::chunked) {
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    return head + "\r\n";
+}
+
+asio::awaitable<bool> write(tcp::socket& socket, std::string text) {
+    auto const [error, size] =
+        co_await asio::async_write(socket, asio::buffer(text), use_result);
+    co_return !error;
+}
+
+asio::awaitable<bool> write_body(
+    tcp::socket& socket, scripted_run const& run, std::string_view body) {
+    bool const chunked = run.framing == body_framing::chunked;
+    while (!body.empty()) {
+        std::string_view const piece =
+            body.substr(0, std::min(run.piece, body.size()));
+        std::string text =
+            chunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece)
+                    : std::string(piece);
+        bool const written = co_await write(socket, std::move(text));
+        if (!written) {
+            co_return false;
+        }
+        body.remove_prefix(piece.size());
+    }
+    co_return true;
+}
+
+} // namespace
+
+scripted_replica::scripted_replica(loopback& loop, unsigned events)
+    : loop_(&loop)
+    , events_(events)
+    , acceptor_(loop.io(), tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    asio::co_spawn(loop.io(), accept_all(), asio::detached);
+}
+
+scripted_replica::~scripted_replica() {
+    acceptor_.close();
+    // What waits for a connection refers to this object.
+    loop_->io().poll();
+}
+
+std::string scripted_replica::entry(std::string const& service) const {
+    return fmt::format(
+        R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","slots":64,)"
+        R"("state":"ready","models":[],"sequence":1,"born":1767225600000}})",
+        service, acceptor_.local_endpoint().port());
+}
+
+std::string scripted_replica::event(std::size_t run, unsigned number) {
+    return fmt::format("id: {0}\ndata: r{1} w{0}\n\n", number, run);
+}
+
+std::string scripted_replica::body_of(
+    scripted_run const& run, std::size_t number, unsigned after) const {
+    std::string body;
+    for (unsigned each = after + 1; each <= events_; ++each) {
+        if (run.skipped.contains(each)) {
+            continue;
+        }
+        std::string const text = event(number, each);
+        body += run.unnumbered.contains(each) ? text.substr(text.find('\n') + 1)
+                                              : text;
+    }
+    return body;
+}
+
+asio::awaitable<void> scripted_replica::accept_all() {
+    while (acceptor_.is_open()) {
+        auto [error, socket] = co_await acceptor_.async_accept(use_result);
+        if (!error) {
+            asio::co_spawn(
+                loop_->io(), serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> scripted_replica::serve(tcp::socket socket) {
+    std::string head;
+    auto const [error, size] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(head), "\r\n\r\n", use_result);
+    if (error) {
+        co_return;
+    }
+    scripted_run run;
+    if (!script.empty()) {
+        run = std::move(script.front());
+        script.pop_front();
+    }
+    unsigned const after = last_event_of(head);
+    begun_after.push_back(after);
+    std::string const whole =
+        run.status == 200 ? body_of(run, begun_after.size(), after) : "no";
+    bool const cut = run.bytes < whole.size();
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::string head_text = head_of(run);
+    bool written = co_await write(socket, std::move(head_text));
+    if (written && run.status != 200) {
+        std::string body = whole;
+        written = co_await write(socket, std::move(body));
+    } else if (written) {
+        std::string const part = whole.substr(0, run.bytes);
+        written = co_await write_body(socket, run, part);
+    }
+    if (written && !cut && run.framing == body_framing::chunked &&
+        run.status == 200) {
+        std::string end = "0\r\n\r\n";
+        co_await write(socket, std::move(end));
+    }
+    if (cut && run.cut == cut_kind::reset) {
+        // A reset throws away what the other side has not read yet.
+        asio::steady_timer timer(loop_->io(), before_reset);
+        co_await timer.async_wait(use_result);
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    socket.close(ignored);
+}
+
+} // namespace camphorpoint::testing
--- /dev/null
+++ b/test/gateway/stream_runs_test.cpp
@@ -0,0 +1,235 @@
+#include "test/gateway/gateway_world.hpp"
+#include "test/gateway/scripted_replica.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace camphorpoint {
+
+using testing::body_framing;
+using testing::cut_kind;
+using testing::gateway_world;
+using testing::scripted_replica;
+using testing::scripted_run;
+
+namespace {
+
+constexpr unsigned stream_events = 4;
+constexpr unsigned replicas = 4;
+
+/// Two nodes before replicas whose runs end where the test says. Paths below
+/// /runs/ may be resumed and allow as many runs as there are replicas, those
+/// below /alone/ may be resumed by the client only, those below /once/ not at
+/// all.
+class stream_world {
+public:
+    stream_world()
+        : world_([](gateway_world& before) {
+            before.settings.second_sends.slack = 1e6;
+        })
+        , replica_(world_.loop, stream_events) {
+        REQUIRE(world_.loop.run_until([this] { return world_.node->ready(); }));
+        world_.configure(
+            2, route("runs", replicas, true) + route("alone", 1, true) +
+                   route("bare", replicas, false));
+        for (unsigned each = 0; each < replicas; ++each) {
+            std::string const name = fmt::format("s{}", each);
+            world_.metadata.store().put(
+                "keyed.servers", name, replica_.entry("scripted"));
+        }
+        world_.add_node();
+        endpoint_id const last(fmt::format("s{}", replicas - 1));
+        REQUIRE(world_.loop.run_until([&] {
+            return world_.node->configuration_version() == 2 &&
+                   world_.node->knows(last);
+        }));
+        // The second node has read what the first one has.
+        REQUIRE(world_.loop.run_until(
+            [&] { return ask("bare", 1).how == call_result::answered; }));
+        replica_.begun_after.clear();
+    }
+
+    /// Sends a request whose content is like no other's.
+    /// @param after the last event that the client has, 0 for none
+    fetch_result
+    ask(std::string_view path, std::size_t node, unsigned after = 0) {
+        return world_.ask_stream(
+            node, fmt::format("/{}/{}", path, ++asked_), after);
+    }
+
+    scripted_replica& replica() noexcept { return replica_; }
+
+private:
+    static std::string
+    route(std::string_view name, unsigned attempts, bool resumable) {
+        return fmt::format(
+            R"({{"name":"{0}","hostname":"h","path_prefix":"/{0}/",)"
+            R"("type":"streaming","timeout_ms":3000,"target_latency_ms":800,)"
+            R"("priority":0,"service":"scripted","attempts":{1},)"
+            R"("resumable":{2}}},)",
+            name, attempts, resumable);
+    }
+
+    gateway_world world_;
+    scripted_replica replica_;
+    unsigned asked_ = 0;
+};
+
+/// What a client has of one stream, over all its requests for it.
+class client_stream {
+public:
+    /// @param after the last event that it has already, 0 for none
+    explicit client_stream(unsigned after = 0)
+        : last_(after) {}
+
+    /// Takes an answer, whole or cut.
+    /// @param runs how many runs there were so far
+    void take(fetch_result const& answer, std::size_t runs) {
+        std::string_view rest = answer.response.body;
+        while (!rest.empty()) {
+            std::size_t const end = rest.find("\n\n");
+            if (end == std::string_view::npos) {
+                problem_ += fmt::format("half event '{}'; ", rest);
+                break;
+            }
+            take_event(rest.substr(0, end + 2), runs);
+            rest.remove_prefix(end + 2);
+        }
+        complete_ = answer.how == call_result::answered &&
+                    answer.response.status == 200;
+        if (complete_ && last_ != stream_events) {
+            problem_ += fmt::format("complete after {}; ", last_);
+        }
+    }
+
+    /// @returns what is wrong with what came, empty for nothing
+    std::string const& problem() const noexcept { return problem_; }
+    unsigned last() const noexcept { return last_; }
+    bool complete() const noexcept { return complete_; }
+
+private:
+    void take_event(std::string_view event, std::size_t runs) {
+        bool made = false;
+        for (std::size_t run = 1; run <= runs; ++run) {
+            made = made || event == scripted_replica::event(run, last_ + 1);
+        }
+        if (!made) {
+            problem_ += fmt::format("'{}' after {}; ", event, last_);
+        }
+        ++last_;
+    }
+
+    std::string problem_;
+    unsigned last_;
+    bool complete_ = false;
+};
+
+std::size_t body_bytes(unsigned events) {
+    return events * scripted_replica::event(1, 1).size();
+}
+
+scripted_run cut_after(
+    std::size_t bytes, std::size_t piece = scripted_run::all,
+    cut_kind cut = cut_kind::closed) {
+    scripted_run run;
+    run.bytes = bytes;
+    run.piece = piece;
+    run.cut = cut;
+    return run;
+}
+
+/// Plays one request over scripted runs; its client takes what comes.
+/// @param after the last event that the client has, 0 for none
+client_stream play(
+    stream_world& world, std::deque<scripted_run> runs, std::string_view path,
+    unsigned after = 0) {
+    world.replica().begun_after.clear();
+    world.replica().script = std::move(runs);
+    client_stream client(after);
+    auto const answer = world.ask(path, 0, after);
+    client.take(answer, world.replica().begun_after.size());
+    return client;
+}
+
+/// Plays a stream that its client resumes, by turns at each node.
+client_stream play_resumed(stream_world& world, std::deque<scripted_run> runs) {
+    constexpr std::size_t nodes = 2;
+    constexpr std::size_t most_requests = 4;
+    world.replica().begun_after.clear();
+    world.replica().script = std::move(runs);
+    client_stream client;
+    for (std::size_t each = 0; each < most_requests && !client.complete();
+         ++each) {
+        auto const answer = world.ask("alone", each % nodes, client.last());
+        client.take(answer, world.replica().begun_after.size());
+    }
+    return client;
+}
+
+} // namespace
+
+// Guards against an event joined from the half event of a run that has ended
+// and an event of the next run.
+TEST_CASE("a run's half event ends with its run") {
+    stream_world world;
+    std::size_t const whole = body_bytes(stream_events);
+
+    SUBCASE("whichever byte was its last") {
+        for (std::size_t const piece : {scripted_run::all, std::size_t{1}}) {
+            for (std::size_t bytes = 0; bytes < whole; ++bytes) {
+                auto const client =
+                    play(world, {cut_after(bytes, piece)}, "runs");
+                INFO("cut after " << bytes << ", pieces of " << piece);
+                CHECK(client.problem() == "");
+                CHECK(client.complete());
+            }
+        }
+    }
+    SUBCASE("over three runs") {
+        constexpr std::size_t step = 3;
+        std::size_t const event = body_bytes(1);
+        for (std::size_t bytes = 0; bytes < whole; ++bytes) {
+            std::size_t const left = whole - bytes / event * event;
+            for (std::size_t more = bytes % step; more < left; more += step) {
+                auto const client =
+                    play(world, {cut_after(bytes), cut_after(more)}, "runs");
+                INFO("cut after " << bytes << " and " << more);
+                CHECK(client.problem() == "");
+                CHECK(client.complete());
+            }
+        }
+    }
+    SUBCASE("where its connection was reset") {
+        constexpr std::size_t step = 6;
+        for (std::size_t bytes = 1; bytes < whole; bytes += step) {
+            auto const client =
+                play(world, {cut_after(bytes, 1, cut_kind::reset)}, "runs");
+            INFO("cut after " << bytes);
+            CHECK(client.problem() == "");
+            CHECK(client.complete());
+        }
+    }
+    SUBCASE("where the client goes on at another node") {
+        constexpr std::size_t step = 5;
+        std::size_t const event = body_bytes(1);
+        for (std::size_t bytes = 0; bytes < whole; ++bytes) {
+            std::size_t const left = whole - bytes / event * event;
+            for (std::size_t more = bytes % step; more < left; more += step) {
+                auto const client =
+                    play_resumed(world, {cut_after(bytes), cut_after(more, 1)});
+                INFO("cut after " << bytes << " and " << more);
+                CHECK(client.problem() == "");
+                CHECK(client.complete());
+            }
+        }
+    }
+}
+
+} // namespace camphorpoint
