A half event lives and ends with its run

Cause: the buffer of a half event belonged to the request and was cleared at a run's start only if an event had been handed on. A run that ended inside its first event left its half event to the next run. Class: state of one run that outlives it, as its reset hangs on a state of the whole request. Change: event_run cuts the body of one run into events and is made in pass_stream, so that there is nothing to reset; answer_position knows what the caller has. The cases of delivery_test on streams stand unchanged in stream_events_test, over the new types.

--- /dev/null
+++ b/src/Delivery/answer_position.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Delivery/event_run.hpp"
+
+#include <cstdint>
+
+namespace camphorpoint {
+
+/// Whether an event may be handed on.
+enum class event_fit : std::uint8_t {
+    /// It follows what the caller has.
+    next,
+    /// The caller has it.
+    repeated,
+    /// An event is missing before it.
+    gap
+};
+
+/// How far a caller has a stream, over all runs of its request.
+class answer_position {
+public:
+    /// @param last the number of the last event that the caller has, 0 for none
+    explicit answer_position(std::uint64_t last = 0)
+        : last_(last) {}
+
+    /// Takes an event of the running run; one that fits counts as handed on.
+    event_fit take(whole_event const& event);
+    /// @returns the number of the last event handed on
+    std::uint64_t last() const noexcept { return last_; }
+
+private:
+    std::uint64_t last_;
+    bool any_ = false;
+};
+
+} // namespace camphorpoint
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -56,7 +56,7 @@
     // Copied: the configuration may change while the request runs.
     route_ = *found;
     ledger_ = attempt_ledger(route_->idempotent());
-    relay_ = event_relay(demand_.last_event);
+    position_ = answer_position(demand_.last_event);
     milliseconds const patience =
         std::min(demand_.patience.value_or(route_->timeout), route_->timeout);
     deadline_ = arrived_ + patience;
@@ -164,7 +164,7 @@
                               : beliefs_->versions.newest(need_.adapter);
     }
     if (begun_) {
-        terms.after_event = relay_.last();
+        terms.after_event = position_.last();
     }
     return terms;
 }
@@ -206,10 +206,7 @@
                        .with("waited_ms", now - arrived_));
     beliefs_->replicas.began(id, demand_.prompt_tokens, now);
     words_->use(id, need_.adapter, demand_.prompt_tokens);
-    if (begun_) {
-        relay_.begin_run();
-    }
-    trace_ = run_trace{relay_.last(), relay_.half_bytes()};
+    trace_ = run_trace{position_.last()};
     call_times times = times_of_send(now);
     call_result const opened = co_await call->open(
         std::move(to), std::move(request), std::move(times));
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "Delivery/answer_position.hpp"
 #include "Delivery/attempt_ledger.hpp"
 #include "Delivery/content_digest.hpp"
-#include "Delivery/event_relay.hpp"
+#include "Delivery/event_run.hpp"
 #include "Gateway/gateway_beliefs.hpp"
 #include "Gateway/peer_words.hpp"
 #include "Ports/http_client.hpp"
@@ -63,9 +64,8 @@
     struct run_trace {
         /// The last event handed on when it began.
         std::uint64_t after = 0;
-        /// Bytes of a half event, before its first byte and after its last.
-        std::size_t half_before = 0;
-        std::size_t half_after = 0;
+        /// Bytes behind its last whole event.
+        std::size_t half_bytes = 0;
         /// How the answer's body ended.
         std::string_view body = "none";
     };
@@ -90,6 +90,11 @@
     read_answer(endpoint_id at, std::shared_ptr<http_call> call);
     boost::asio::awaitable<attempt_end>
     pass_stream(std::shared_ptr<http_call> call);
+    bool take_events(event_run& run, std::string& events);
+    boost::asio::awaitable<bool>
+    hand_on(std::shared_ptr<http_call> call, std::string events);
+    boost::asio::awaitable<attempt_end>
+    end_stream(std::shared_ptr<http_call> call);
     boost::asio::awaitable<attempt_end>
     pass_whole(std::shared_ptr<http_call> call, int status);
     boost::asio::awaitable<bool> forward(std::string_view piece);
@@ -97,7 +102,6 @@
     void note_end(std::string_view reason);
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_go_on(attempt_end end);
-    bool resumes() const noexcept { return begun_; }
     void note_evidence(endpoint_id const& at, attempt_end end);
     void note_attempt(endpoint_id const& at, attempt_end end);
     std::chrono::milliseconds come_back() const;
@@ -124,7 +128,7 @@
     /// ready in time.
     std::optional<duration> soonest_;
     attempt_ledger ledger_{false};
-    event_relay relay_;
+    answer_position position_;
     run_trace trace_;
     /// It waits for its replica to read other prompts.
     bool holding_ = false;
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -86,10 +86,9 @@
                        .with("end", names[static_cast<std::size_t>(end)])
                        .with("may_run", static_cast<int>(ledger_.may_run()))
                        .with("after", trace_.after)
-                       .with("events", relay_.last())
+                       .with("events", position_.last())
                        .with("body", trace_.body)
-                       .with("half_before", trace_.half_before)
-                       .with("half_after", trace_.half_after));
+                       .with("half_bytes", trace_.half_bytes));
 }
 
 milliseconds request_flow::come_back() const {
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -67,10 +67,41 @@
     co_return passed;
 }
 
+bool request_flow::take_events(event_run& run, std::string& events) {
+    while (auto const event = run.next()) {
+        event_fit const fit = position_.take(*event);
+        if (fit == event_fit::gap) {
+            return false;
+        }
+        if (fit == event_fit::next) {
+            events += event->text;
+        }
+    }
+    trace_.half_bytes = run.half_bytes();
+    return !run.too_long();
+}
+
+asio::awaitable<bool>
+request_flow::hand_on(std::shared_ptr<http_call> call, std::string events) {
+    auto const caller = leaving_;
+    if (!begun_) {
+        begun_ = true;
+        status_ = call->status();
+        beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
+        http_fields fields = platform::pass_fields(call->fields());
+        bool const begun =
+            co_await exchange_->begin_stream(status_, std::move(fields));
+        caller->gone = caller->gone || !begun;
+    }
+    bool const passed = co_await forward(events);
+    co_return passed && !caller->gone;
+}
+
 asio::awaitable<request_flow::attempt_end>
 request_flow::pass_stream(std::shared_ptr<http_call> call) {
     auto const caller = leaving_;
     bool const resumable = route_->resumable;
+    event_run run;
     while (true) {
         auto const left = std::chrono::duration_cast<milliseconds>(
             deadline_ + milliseconds(100) - boot_clock::now());
@@ -85,18 +116,17 @@
             trace_.body = "cut";
             co_return attempt_end::silent;
         }
-        std::string events;
         if (piece->empty()) {
             trace_.body =
                 call->ends_with_connection() ? "connection-end" : "whole";
-            if (relay_.inside_event()) {
+            if (run.half_bytes() > 0) {
                 co_return attempt_end::silent;
             }
             break;
         }
-        relay_verdict const verdict = relay_.push(*piece, events);
-        trace_.half_after = relay_.half_bytes();
-        if (verdict == relay_verdict::broken) {
+        run.push(*piece);
+        std::string events;
+        if (!take_events(run, events)) {
             trace_.body = "not-joined";
             call->cancel();
             co_return attempt_end::silent;
@@ -104,21 +134,18 @@
         if (events.empty()) {
             continue;
         }
-        if (!begun_) {
-            begun_ = true;
-            status_ = call->status();
-            beliefs_->metrics.observe_first_byte(boot_clock::now() - arrived_);
-            http_fields fields = platform::pass_fields(call->fields());
-            bool const begun =
-                co_await exchange_->begin_stream(status_, std::move(fields));
-            leaving_->gone = leaving_->gone || !begun;
-        }
-        bool const passed = co_await forward(events);
-        if (!passed || leaving_->gone) {
+        bool const passed = co_await hand_on(call, std::move(events));
+        if (!passed) {
             call->cancel();
             co_return attempt_end::finished;
         }
     }
+    co_return co_await end_stream(call);
+}
+
+asio::awaitable<request_flow::attempt_end>
+request_flow::end_stream(std::shared_ptr<http_call> call) {
+    auto const caller = leaving_;
     ledger_.ended();
     if (begun_) {
         ended_ = co_await exchange_->end_stream();
--- a/test/delivery_test.cpp
+++ b/test/delivery_test.cpp
@@ -3,11 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
-#include <string>
 
 namespace camphorpoint {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // A florist's booking is sent to a replica, whose connection breaks. Told "not
@@ -57,59 +55,6 @@
     }
 }
 
-namespace {
-
-std::string event(int number) {
-    return "id: " + std::to_string(number) + "\ndata: t\n\n";
-}
-
-} // namespace
-
-// A technician reads a summary as it is written. Its replica dies in the middle
-// of an event; the stream goes on at another. A word twice, or a word missing,
-// would stand in the audit.
-TEST_CASE("a stream over two runs has each event once") {
-    event_relay relay;
-    std::string out;
-
-    SUBCASE("events pass as they become whole") {
-        CHECK(relay.push("id: 1\nda", out) == relay_verdict::ok);
-        CHECK(out.empty());
-        CHECK(relay.inside_event());
-        CHECK(relay.push("ta: t\n\nid: 2", out) == relay_verdict::ok);
-        CHECK(out == event(1));
-        CHECK(relay.last() == 1);
-    }
-    SUBCASE(
-        "the half event of a cut run is dropped, what came is not repeated") {
-        relay.push(event(1) + event(2) + "id: 3\nda", out);
-        relay.begin_run();
-        CHECK_FALSE(relay.inside_event());
-        CHECK(relay.push(event(2) + event(3), out) == relay_verdict::ok);
-        CHECK(out == event(1) + event(2) + event(3));
-    }
-    SUBCASE("a run that goes on with a gap is not joined") {
-        relay.push(event(1), out);
-        relay.begin_run();
-        CHECK(relay.push(event(3), out) == relay_verdict::broken);
-        CHECK(out == event(1));
-    }
-    SUBCASE("the caller's own resumption sets the first number") {
-        event_relay resumed(12);
-        CHECK(resumed.push(event(12) + event(13), out) == relay_verdict::ok);
-        CHECK(out == event(13));
-    }
-    SUBCASE("events end with returns as well") {
-        CHECK(relay.push("id: 1\r\ndata: t\r\n\r\n", out) == relay_verdict::ok);
-        CHECK(out == "id: 1\r\ndata: t\r\n\r\n");
-    }
-    SUBCASE("an event without end does not fill the memory") {
-        CHECK(
-            relay.push(std::string(300'000, 'x'), out) ==
-            relay_verdict::broken);
-    }
-}
-
 // A quarter of the replicas crashes. Every request comes to the others a second
 // and a third time, and they go down under it too.
 TEST_CASE("second sends keep to the share of one node") {
--- /dev/null
+++ b/test/stream_events_test.cpp
@@ -0,0 +1,132 @@
+#include <Camphorpoint/Delivery>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace {
+
+std::string event(int number) {
+    return "id: " + std::to_string(number) + "\ndata: t\n\n";
+}
+
+/// A caller of one stream, behind the node that hands events on.
+class stream_caller {
+public:
+    explicit stream_caller(std::uint64_t last = 0)
+        : position_(last) {}
+
+    /// Pushes bytes into a run and takes what may be handed on.
+    /// @returns false when the run can't be joined to what was handed on
+    bool push(event_run& run, std::string_view piece) {
+        run.push(piece);
+        while (auto const each = run.next()) {
+            event_fit const fit = position_.take(*each);
+            if (fit == event_fit::gap) {
+                return false;
+            }
+            out_ += fit == event_fit::next ? each->text : std::string();
+        }
+        return !run.too_long();
+    }
+
+    std::string const& out() const noexcept { return out_; }
+    std::uint64_t last() const noexcept { return position_.last(); }
+
+private:
+    answer_position position_;
+    std::string out_;
+};
+
+} // namespace
+
+// Guards against half an event where a run was cut, and against an event that
+// is repeated or missing where a stream goes on at another replica.
+TEST_CASE("a stream over two runs has each event once") {
+    stream_caller caller;
+    event_run run;
+
+    SUBCASE("events pass as they become whole") {
+        CHECK(caller.push(run, "id: 1\nda"));
+        CHECK(caller.out().empty());
+        CHECK(run.half_bytes() > 0);
+        CHECK(caller.push(run, "ta: t\n\nid: 2"));
+        CHECK(caller.out() == event(1));
+        CHECK(caller.last() == 1);
+    }
+    SUBCASE(
+        "the half event of a cut run is dropped, what came is not repeated") {
+        caller.push(run, event(1) + event(2) + "id: 3\nda");
+        event_run next;
+        CHECK(next.half_bytes() == 0);
+        CHECK(caller.push(next, event(2) + event(3)));
+        CHECK(caller.out() == event(1) + event(2) + event(3));
+    }
+    SUBCASE("a run that goes on with a gap is not joined") {
+        caller.push(run, event(1));
+        event_run next;
+        CHECK_FALSE(caller.push(next, event(3)));
+        CHECK(caller.out() == event(1));
+    }
+    SUBCASE("the caller's own resumption sets the first number") {
+        stream_caller resumed(12);
+        CHECK(resumed.push(run, event(12) + event(13)));
+        CHECK(resumed.out() == event(13));
+    }
+    SUBCASE("events end with returns as well") {
+        CHECK(caller.push(run, "id: 1\r\ndata: t\r\n\r\n"));
+        CHECK(caller.out() == "id: 1\r\ndata: t\r\n\r\n");
+    }
+    SUBCASE("and with an empty line of another kind") {
+        CHECK(caller.push(run, "id: 1\ndata: t\n\r\n" + event(2)));
+        CHECK(caller.out() == "id: 1\ndata: t\n\r\n" + event(2));
+        CHECK(caller.last() == 2);
+    }
+    SUBCASE("an event without end does not fill the memory") {
+        CHECK_FALSE(caller.push(run, std::string(300'000, 'x')));
+    }
+}
+
+// Guards against a joined event for each place where runs may end, each size of
+// the pieces that come, and up to three runs.
+TEST_CASE("each event that is handed on was made whole by one run") {
+    constexpr int events = 3;
+    std::string whole;
+    for (int number = 1; number <= events; ++number) {
+        whole += event(number);
+    }
+    std::size_t const one = event(1).size();
+    /// Plays a run that begins behind what the caller has and sends so much.
+    auto const play = [&](stream_caller& caller, std::size_t bytes,
+                          std::size_t piece) {
+        event_run run;
+        std::string_view rest =
+            std::string_view(whole).substr(caller.last() * one, bytes);
+        while (!rest.empty()) {
+            std::string_view const part = rest.substr(0, piece);
+            CHECK(caller.push(run, part));
+            rest.remove_prefix(part.size());
+        }
+    };
+    for (std::size_t piece = 1; piece <= whole.size(); ++piece) {
+        for (std::size_t first = 0; first <= whole.size(); ++first) {
+            for (std::size_t second = 0; second <= whole.size(); second += 4) {
+                stream_caller caller;
+                play(caller, first, piece);
+                CHECK(caller.out() == whole.substr(0, first / one * one));
+                play(caller, second, piece);
+                play(caller, whole.size(), piece);
+                CHECK(caller.out() == whole);
+            }
+        }
+    }
+}
+
+} // namespace camphorpoint
