--- a/src/Delivery/answer_position.hpp
+++ b/src/Delivery/answer_position.hpp
@@ -23,9 +23,9 @@
     explicit answer_position(std::uint64_t last = 0)
         : last_(last) {}
 
-    /// Takes an event of the running run; one that fits counts as handed on.
+    /// Takes an event of the running run and moves on when it fits.
     event_fit take(whole_event const& event);
-    /// @returns the number of the last event handed on
+    /// @returns the number of the last event
     std::uint64_t last() const noexcept { return last_; }
 
 private:
--- /dev/null
+++ b/src/Delivery/joined_events.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Delivery/answer_position.hpp"
+#include "Delivery/event_run.hpp"
+
+#include <string>
+
+namespace camphorpoint {
+
+/// What may be handed on of a run.
+struct joined_events {
+    /// The events' bytes.
+    std::string text;
+    /// How far the caller is once it has them.
+    answer_position position;
+    /// False when nothing more of the run may be handed on.
+    bool joined = true;
+};
+
+/// Takes what has come whole of a run.
+/// @param run      the running run
+/// @param position how far the caller is; the result's takes its place only
+///                 when the events were handed on
+joined_events join_events(event_run& run, answer_position position);
+
+} // namespace camphorpoint
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -3,7 +3,7 @@
 #include "Delivery/answer_position.hpp"
 #include "Delivery/attempt_ledger.hpp"
 #include "Delivery/content_digest.hpp"
-#include "Delivery/event_run.hpp"
+#include "Delivery/joined_events.hpp"
 #include "Gateway/gateway_beliefs.hpp"
 #include "Gateway/peer_words.hpp"
 #include "Ports/http_client.hpp"
@@ -90,9 +90,8 @@
     read_answer(endpoint_id at, std::shared_ptr<http_call> call);
     boost::asio::awaitable<attempt_end>
     pass_stream(std::shared_ptr<http_call> call);
-    bool take_events(event_run& run, std::string& events);
     boost::asio::awaitable<bool>
-    hand_on(std::shared_ptr<http_call> call, std::string events);
+    hand_on(std::shared_ptr<http_call> call, joined_events events);
     boost::asio::awaitable<attempt_end>
     end_stream(std::shared_ptr<http_call> call);
     boost::asio::awaitable<attempt_end>
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -67,22 +67,8 @@
     co_return passed;
 }
 
-bool request_flow::take_events(event_run& run, std::string& events) {
-    while (auto const event = run.next()) {
-        event_fit const fit = position_.take(*event);
-        if (fit == event_fit::gap) {
-            return false;
-        }
-        if (fit == event_fit::next) {
-            events += event->text;
-        }
-    }
-    trace_.half_bytes = run.half_bytes();
-    return !run.too_long();
-}
-
 asio::awaitable<bool>
-request_flow::hand_on(std::shared_ptr<http_call> call, std::string events) {
+request_flow::hand_on(std::shared_ptr<http_call> call, joined_events events) {
     auto const caller = leaving_;
     if (!begun_) {
         begun_ = true;
@@ -93,7 +79,8 @@
             co_await exchange_->begin_stream(status_, std::move(fields));
         caller->gone = caller->gone || !begun;
     }
-    bool const passed = co_await forward(events);
+    bool const passed = co_await forward(events.text);
+    position_ = passed ? events.position : position_;
     co_return passed && !caller->gone;
 }
 
@@ -125,20 +112,22 @@
             break;
         }
         run.push(*piece);
-        std::string events;
-        if (!take_events(run, events)) {
-            trace_.body = "not-joined";
-            call->cancel();
-            co_return attempt_end::silent;
-        }
-        if (events.empty()) {
-            continue;
+        joined_events events = join_events(run, position_);
+        trace_.half_bytes = run.half_bytes();
+        bool const joined = events.joined;
+        bool passed = true;
+        if (!events.text.empty()) {
+            passed = co_await hand_on(call, std::move(events));
         }
-        bool const passed = co_await hand_on(call, std::move(events));
         if (!passed) {
             call->cancel();
             co_return attempt_end::finished;
         }
+        if (!joined) {
+            trace_.body = "not-joined";
+            call->cancel();
+            co_return attempt_end::silent;
+        }
     }
     co_return co_await end_stream(call);
 }
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -232,4 +232,15 @@
     }
 }
 
+// Guards against an event that counts as handed on although it was dropped with
+// one that could not be joined.
+TEST_CASE("events before one that can't be joined are handed on") {
+    stream_world world;
+    scripted_run gap;
+    gap.skipped = {3};
+    auto const client = play(world, {cut_after(body_bytes(1)), gap}, "runs");
+    CHECK(client.problem() == "");
+    CHECK(client.complete());
+}
+
 } // namespace camphorpoint
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -23,18 +23,14 @@
     explicit stream_caller(std::uint64_t last = 0)
         : position_(last) {}
 
-    /// Pushes bytes into a run and takes what may be handed on.
+    /// Pushes bytes into a run; what may be handed on reaches the caller.
     /// @returns false when the run can't be joined to what was handed on
     bool push(event_run& run, std::string_view piece) {
         run.push(piece);
-        while (auto const each = run.next()) {
-            event_fit const fit = position_.take(*each);
-            if (fit == event_fit::gap) {
-                return false;
-            }
-            out_ += fit == event_fit::next ? each->text : std::string();
-        }
-        return !run.too_long();
+        joined_events const events = join_events(run, position_);
+        position_ = events.position;
+        out_ += events.text;
+        return events.joined;
     }
 
     std::string const& out() const noexcept { return out_; }
@@ -75,6 +71,15 @@
         CHECK_FALSE(caller.push(next, event(3)));
         CHECK(caller.out() == event(1));
     }
+    SUBCASE("what came before the gap counts once it is handed on") {
+        answer_position const before(1);
+        run.push(event(2) + event(4));
+        joined_events const events = join_events(run, before);
+        CHECK_FALSE(events.joined);
+        CHECK(events.text == event(2));
+        CHECK(events.position.last() == 2);
+        CHECK(before.last() == 1);
+    }
     SUBCASE("the caller's own resumption sets the first number") {
         stream_caller resumed(12);
         CHECK(resumed.push(run, event(12) + event(13)));
