The first event of a resumed answer follows what the client has

What callers would see: a client resumes its stream at a node, and the answer begins with a gap. Cause: an event was compared with the one before only when this node had handed one on; Last-Event-Id served to drop repeats alone. An event numbered 0 was dropped as a repeat, too: no position and position 0 were one value. Change: the position is an optional number; the client's own is a position like any other. A stream that a client begins may still begin with any number.

--- a/src/Delivery/answer_position.cpp
+++ b/src/Delivery/answer_position.cpp
@@ -3,14 +3,16 @@
 namespace camphorpoint {
 
 event_fit answer_position::take(whole_event const& event) {
-    if (event.number && *event.number <= last_) {
+    if (!event.number) {
+        return event_fit::next;
+    }
+    if (last_ && *event.number <= *last_) {
         return event_fit::repeated;
     }
-    if (event.number && any_ && *event.number != last_ + 1) {
+    if (last_ && *event.number != *last_ + 1) {
         return event_fit::gap;
     }
-    last_ = event.number.value_or(last_);
-    any_ = true;
+    last_ = event.number;
     return event_fit::next;
 }
 
--- a/src/Delivery/answer_position.hpp
+++ b/src/Delivery/answer_position.hpp
@@ -3,6 +3,7 @@
 #include "Delivery/event_run.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace camphorpoint {
 
@@ -19,18 +20,18 @@
 /// How far a caller has a stream, over all runs of its request.
 class answer_position {
 public:
-    /// @param last the number of the last event that the caller has, 0 for none
-    explicit answer_position(std::uint64_t last = 0)
+    /// @param last the number of the last event that the caller has, if any;
+    ///             without it the first event may bear any number
+    explicit answer_position(std::optional<std::uint64_t> last = std::nullopt)
         : last_(last) {}
 
     /// Takes an event of the running run and moves on when it fits.
     event_fit take(whole_event const& event);
-    /// @returns the number of the last event
-    std::uint64_t last() const noexcept { return last_; }
+    /// @returns the number of the last event, if the caller has one
+    std::optional<std::uint64_t> last() const noexcept { return last_; }
 
 private:
-    std::uint64_t last_;
-    bool any_ = false;
+    std::optional<std::uint64_t> last_;
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -163,9 +163,7 @@
         terms.version = known ? held->second.version
                               : beliefs_->versions.newest(need_.adapter);
     }
-    if (begun_) {
-        terms.after_event = position_.last();
-    }
+    terms.after_event = position_.last();
     return terms;
 }
 
@@ -206,7 +204,7 @@
                        .with("waited_ms", now - arrived_));
     beliefs_->replicas.began(id, demand_.prompt_tokens, now);
     words_->use(id, need_.adapter, demand_.prompt_tokens);
-    trace_ = run_trace{position_.last()};
+    trace_ = run_trace{position_.last().value_or(0)};
     call_times times = times_of_send(now);
     call_result const opened = co_await call->open(
         std::move(to), std::move(request), std::move(times));
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -86,7 +86,7 @@
                        .with("end", names[static_cast<std::size_t>(end)])
                        .with("may_run", static_cast<int>(ledger_.may_run()))
                        .with("after", trace_.after)
-                       .with("events", position_.last())
+                       .with("events", position_.last().value_or(0))
                        .with("body", trace_.body)
                        .with("half_bytes", trace_.half_bytes));
 }
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -243,4 +243,22 @@
     CHECK(client.complete());
 }
 
+// Guards against a gap between what a client has and the first event of the
+// answer to its resumption.
+TEST_CASE("a resumed answer begins with the next event") {
+    stream_world world;
+    scripted_run gap;
+    gap.skipped = {2};
+    SUBCASE("at the node that the client asks") {
+        auto const client = play(world, {gap}, "runs", 1);
+        CHECK(client.problem() == "");
+        CHECK(client.complete());
+    }
+    SUBCASE("after a run that ended before its first event") {
+        auto const client = play(world, {cut_after(0), gap}, "runs", 1);
+        CHECK(client.problem() == "");
+        CHECK(client.complete());
+    }
+}
+
 } // namespace camphorpoint
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -20,7 +21,7 @@
 /// A caller of one stream, behind the node that hands events on.
 class stream_caller {
 public:
-    explicit stream_caller(std::uint64_t last = 0)
+    explicit stream_caller(std::optional<std::uint64_t> last = std::nullopt)
         : position_(last) {}
 
     /// Pushes bytes into a run; what may be handed on reaches the caller.
@@ -34,7 +35,7 @@
     }
 
     std::string const& out() const noexcept { return out_; }
-    std::uint64_t last() const noexcept { return position_.last(); }
+    std::uint64_t last() const { return position_.last().value_or(0); }
 
 private:
     answer_position position_;
@@ -85,6 +86,15 @@
         CHECK(resumed.push(run, event(12) + event(13)));
         CHECK(resumed.out() == event(13));
     }
+    SUBCASE("and an event that is missing behind it is missed") {
+        stream_caller resumed(12);
+        CHECK_FALSE(resumed.push(run, event(14)));
+        CHECK(resumed.out().empty());
+    }
+    SUBCASE("a stream may begin with any number") {
+        CHECK(caller.push(run, event(0) + event(1)));
+        CHECK(caller.out() == event(0) + event(1));
+    }
     SUBCASE("events end with returns as well") {
         CHECK(caller.push(run, "id: 1\r\ndata: t\r\n\r\n"));
         CHECK(caller.out() == "id: 1\r\ndata: t\r\n\r\n");
