A refusal of a resumed run is not written into the answer

What callers would see: a stream that has begun breaks off with bytes that are no answer, though other replicas could go on with it. Cause: a resumed run that was answered plainly, below 500, was passed on whole: a second head inside a chunked body. Change: once an answer has begun, only another stream goes on with it; a refusal is a failed attempt.

--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -42,6 +42,10 @@
     if (kind == answer_kind::spoiled) {
         co_return attempt_end::silent;
     }
+    if (begun_ && kind == answer_kind::failure) {
+        // The caller has the head of another run's answer already.
+        co_return attempt_end::failed;
+    }
     bool const stream =
         route_->kind == route_kind::streaming && kind == answer_kind::success;
     if (stream) {
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -283,4 +283,26 @@
     }
 }
 
+// Guards against a second head inside an answer that has begun.
+TEST_CASE("a refusal of a resumed run is not written into the answer") {
+    stream_world world;
+    scripted_run refused;
+    refused.status = 404;
+
+    SUBCASE("another replica goes on") {
+        auto const client =
+            play(world, {cut_after(body_bytes(1)), refused}, "runs");
+        CHECK(client.problem() == "");
+        CHECK(client.complete());
+    }
+    SUBCASE("the stream ends as cut when all refuse") {
+        std::deque<scripted_run> runs(replicas, refused);
+        runs.front() = cut_after(body_bytes(2));
+        auto const client = play(world, runs, "runs");
+        CHECK(client.problem() == "");
+        CHECK(client.last() == 2);
+        CHECK_FALSE(client.complete());
+    }
+}
+
 } // namespace camphorpoint
