A connection's end does not complete a stream that may be resumed

What callers would see: a stream ends as complete before its last event. Cause: a body without length or chunks ends with its connection, and http_call gives that end as the answer's. A replica that dies between two events closes its connection just so. Hypothesis 3, read in the code, not seen in the users' record, whose joined events it can't explain. Class: an end taken for whole without proof. Change: where the route lets a stream be resumed, another run goes on behind the last event; one that has nothing to add proves that the stream was whole. Where no further run is allowed the answer ends as cut, and its client resumes it. A stream that may not be resumed is taken at the protocol's word: an answer may end with its connection, one that is reset is not complete.

--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -253,6 +253,7 @@
     case attempt_end::failed:
     case attempt_end::silent:
     case attempt_end::broken:
+    case attempt_end::unproven:
         reason_ = end == attempt_end::failed ? "replica-failed" : "broken-off";
         if (ledger_.sends() >= route_->attempts || !ledger_.may_send_again()) {
             return false;
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -56,6 +56,9 @@
         silent,
         /// It broke off or answered with what can't be meant.
         broken,
+        /// Its connection ended, which tells a whole stream from a cut one only
+        /// when another run has nothing to add.
+        unproven,
         /// The time is over.
         late
     };
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -79,7 +79,7 @@
 void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
     constexpr std::string_view names[] = {"finished", "refused", "unreached",
                                           "failed",   "silent",  "broken",
-                                          "late"};
+                                          "unproven", "late"};
     beliefs_->note(log_line(event_code::attempt_ended)
                        .with("id", demand_.id.str())
                        .with("replica", at.str())
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -108,11 +108,14 @@
             co_return attempt_end::silent;
         }
         if (piece->empty()) {
-            trace_.body =
-                call->ends_with_connection() ? "connection-end" : "whole";
+            bool const unframed = call->ends_with_connection();
+            trace_.body = unframed ? "connection-end" : "whole";
             if (run.half_bytes() > 0) {
                 co_return attempt_end::silent;
             }
+            if (unframed && resumable && position_.may_resume()) {
+                co_return attempt_end::unproven;
+            }
             break;
         }
         run.push(*piece);
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -305,4 +305,42 @@
     }
 }
 
+// Guards against a stream that ends as complete where its run's connection has
+// ended between two events.
+TEST_CASE("a connection's end does not complete a stream that may be resumed") {
+    stream_world world;
+    scripted_run unframed;
+    unframed.framing = body_framing::connection;
+    unframed.cut = cut_kind::closed;
+
+    SUBCASE("it goes on elsewhere") {
+        for (unsigned events = 0; events <= stream_events; ++events) {
+            unframed.bytes = body_bytes(events);
+            auto const client = play(world, {unframed}, "runs");
+            INFO("ended after " << events);
+            CHECK(client.problem() == "");
+            CHECK(client.complete());
+        }
+    }
+    SUBCASE("its client resumes it where the node may not") {
+        for (unsigned events = 0; events <= stream_events; ++events) {
+            unframed.bytes = body_bytes(events);
+            auto const client = play_resumed(world, {unframed});
+            INFO("ended after " << events);
+            CHECK(client.problem() == "");
+            CHECK(client.complete());
+        }
+    }
+    SUBCASE("one that may not be resumed is taken at the protocol's word") {
+        CHECK(play(world, {unframed}, "bare").complete());
+    }
+    SUBCASE("a reset completes nothing") {
+        unframed.bytes = body_bytes(2);
+        unframed.cut = cut_kind::reset;
+        auto const client = play(world, {unframed}, "bare");
+        CHECK(client.problem() == "");
+        CHECK_FALSE(client.complete());
+    }
+}
+
 } // namespace camphorpoint
