From a restart of all on no node takes another's share of second sends

What callers would see, once the gateway uses the module: a storm of second sends in the first two seconds after a restart of all. Cause: a node divides the slack by the nodes that it knows; just begun, these are the holders that the platform names, 96 of 200. Ruled out: a guard by time alone, which kept a node that is alone from sending again. Change: the guard holds only where the platform names as many nodes as it can, so that there may be others: for two seconds the slack is divided by as many nodes as there may be. A node that is alone is one of fewer names than the platform could give.

--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -71,6 +71,9 @@
     /// Somebody else names a node; it takes part from now on. Only where nodes
     /// are met.
     void introduce(node_id const& node, instant now);
+    /// The platform names as many nodes as it can, so that there may be others
+    /// that it does not name. Only where nodes are met.
+    void on_names_exhausted(instant now);
     /// This node begins a planned stop and says so.
     void start_leaving(instant now);
     /// Time has passed.
@@ -203,6 +206,8 @@
     mutable std::uint64_t rank_of_ = std::numeric_limits<std::uint64_t>::max();
     mutable std::uint64_t digest_of_ =
         std::numeric_limits<std::uint64_t>::max();
+    /// Until then nodes that the platform does not name may be unknown here.
+    std::optional<instant> meeting_until_;
     /// The most nodes that a peer has lately known, and when it said so.
     std::uint32_t most_told_ = 0;
     instant most_told_at_;
--- a/src/Membership/membership_meeting.cpp
+++ b/src/Membership/membership_meeting.cpp
@@ -54,6 +54,12 @@
     }
 }
 
+void membership::on_names_exhausted(instant now) {
+    if (!meeting_until_) {
+        meeting_until_ = now + settings_.first_meeting;
+    }
+}
+
 // Whom the platform names hears of this node directly: where all nodes begin at
 // once, by probes alone it would take ten seconds until all know all.
 void membership::send_greetings() {
@@ -243,7 +249,10 @@
 
 std::size_t membership::sharers(instant now) const {
     std::size_t const told = now < most_told_at_ + told_counts ? most_told_ : 0;
-    return std::max(members_.size() + 1, told);
+    // A node that is alone is not met with this: the platform could name more.
+    bool const meeting = meeting_until_ && now < *meeting_until_;
+    std::size_t const unknown = meeting ? settings_.most_nodes : 0;
+    return std::max({members_.size() + 1, told, unknown});
 }
 
 } // namespace camphorpoint
--- a/test/support/talk_model.cpp
+++ b/test/support/talk_model.cpp
@@ -55,6 +55,9 @@
          ++index) {
         to.members.introduce(nodes[index].self.id, now);
     }
+    if (listed_ > 0 && listed_ <= nodes.size()) {
+        to.members.on_names_exhausted(now);
+    }
 }
 
 void talk_model::restart(std::size_t which, std::uint64_t run) {
