A run that has nothing to add proves that a stream was whole

What callers would see after: a stream that may be resumed never ends as complete where no replica tells a length, however often it is resumed. Cause: each end of a connection counted as unproven, that of a run which had gone on behind the last event and found nothing there included; and the replica that had answered was not asked again where there was no other. A second fault of the same judgement: an empty run completed a stream although a run before had begun a further event. Change: what the end of a body means is one function, answer_position::judge_end, tested without a network. A run without a byte that began behind the last event proves the end, unless an event behind it is known to have begun. Who ended its answer unproven may be asked again.

--- a/src/Delivery/answer_position.hpp
+++ b/src/Delivery/answer_position.hpp
@@ -17,23 +17,45 @@
     no_place
 };
 
+/// What the end of a run's body means for its stream.
+enum class stream_end : std::uint8_t {
+    /// The caller has all of it.
+    whole,
+    /// An event is missing.
+    cut,
+    /// It may be either.
+    unproven
+};
+
 /// How far a caller has a stream, over all runs of its request.
 class answer_position {
 public:
     /// @param last the number of the last event that the caller has, if any;
     ///             without it the first event may bear any number
-    explicit answer_position(std::optional<std::uint64_t> last = std::nullopt)
-        : last_(last) {}
+    /// @param resumable false when one run alone makes the stream
+    explicit answer_position(
+        std::optional<std::uint64_t> last = std::nullopt, bool resumable = true)
+        : last_(last)
+        , resumable_(resumable) {}
 
     /// Takes an event of the running run and moves on when it fits.
     event_fit take(whole_event const& event);
+    /// A run has begun an event behind the last one and was cut in it.
+    void note_half_event() noexcept { half_event_ = true; }
+    /// @param run    the run whose body has ended without an error
+    /// @param framed the body's length was told, as opposed to a body that ends
+    ///               with its connection
+    stream_end judge_end(event_run const& run, bool framed) const;
     /// @returns true when another run can go on behind what the caller has
-    bool may_resume() const noexcept { return !unnumbered_; }
+    bool may_resume() const noexcept { return resumable_ && !unnumbered_; }
     /// @returns the number of the last event, if the caller has one
     std::optional<std::uint64_t> last() const noexcept { return last_; }
 
 private:
     std::optional<std::uint64_t> last_;
+    bool resumable_;
+    /// There is an event behind the last one.
+    bool half_event_ = false;
     /// The caller has events without numbers.
     bool unnumbered_ = false;
 };
--- a/src/Delivery/event_run.cpp
+++ b/src/Delivery/event_run.cpp
@@ -22,11 +22,16 @@
     return whole ? std::optional(number) : std::nullopt;
 }
 
+/// @returns true when the line says nothing about an event
+bool is_blank(std::string_view line) {
+    return line.empty() || line.starts_with(':');
+}
+
 /// Reads what matters of an event's lines.
 void read_lines(whole_event& event) {
     constexpr std::string_view id = "id:";
     std::string_view rest = event.text;
-    event.comment = true;
+    event.blank = true;
     while (!rest.empty()) {
         std::size_t const end = rest.find('\n');
         std::string_view line = rest.substr(0, end);
@@ -34,7 +39,7 @@
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        event.comment = event.comment && (line.empty() || line.front() == ':');
+        event.blank = event.blank && is_blank(line);
         if (line.starts_with(id)) {
             event.number = number_in(line.substr(id.size()));
         }
@@ -57,6 +62,11 @@
 
 } // namespace
 
+void event_run::push(std::string_view piece) {
+    rest_.append(piece);
+    empty_ = empty_ && piece.empty();
+}
+
 std::optional<whole_event> event_run::next() {
     std::size_t const length = event_length(rest_);
     if (length == 0) {
--- a/src/Delivery/event_run.hpp
+++ b/src/Delivery/event_run.hpp
@@ -14,8 +14,8 @@
     std::string text;
     /// Its number, if it bears one that can be read.
     std::optional<std::uint64_t> number;
-    /// It has nothing but comments, as a server sends to keep a way open.
-    bool comment = false;
+    /// It has nothing for the caller's program, only comments.
+    bool blank = false;
 };
 
 /// Cuts the body of one run of a stream into whole events. Made with the run
@@ -24,9 +24,11 @@
 class event_run {
 public:
     /// Takes bytes of the body, cut anywhere.
-    void push(std::string_view piece) { rest_.append(piece); }
+    void push(std::string_view piece);
     /// @returns the next whole event, or nothing when its end has not come
     std::optional<whole_event> next();
+    /// @returns true when no byte has come
+    bool empty() const noexcept { return empty_; }
     /// @returns bytes behind the last whole event
     std::size_t half_bytes() const noexcept { return rest_.size(); }
     /// @returns true when what has come without an end is longer than any event
@@ -34,6 +36,7 @@
 
 private:
     std::string rest_;
+    bool empty_ = true;
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -56,7 +56,7 @@
     // Copied: the configuration may change while the request runs.
     route_ = *found;
     ledger_ = attempt_ledger(route_->idempotent());
-    position_ = answer_position(demand_.last_event);
+    position_ = answer_position(demand_.last_event, route_->resumable);
     milliseconds const patience =
         std::min(demand_.patience.value_or(route_->timeout), route_->timeout);
     deadline_ = arrived_ + patience;
@@ -138,7 +138,10 @@
             co_await finish("answered");
             co_return;
         }
-        need_.tried.push_back(id);
+        // One that has ended its answer unproven is sound.
+        if (end != attempt_end::unproven) {
+            need_.tried.push_back(id);
+        }
         if (!may_go_on(end)) {
             co_await finish(reason_);
             co_return;
@@ -231,7 +234,7 @@
 
 bool request_flow::may_go_on(attempt_end end) {
     instant const now = boot_clock::now();
-    if (!position_.may_resume()) {
+    if (begun_ && !position_.may_resume()) {
         reason_ = "broken-off";
         return false;
     }
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -95,8 +95,8 @@
     pass_stream(std::shared_ptr<http_call> call);
     boost::asio::awaitable<bool>
     hand_on(std::shared_ptr<http_call> call, joined_events events);
-    boost::asio::awaitable<attempt_end>
-    end_stream(std::shared_ptr<http_call> call);
+    boost::asio::awaitable<attempt_end> end_run(
+        std::shared_ptr<http_call> call, event_run const& run, bool read_whole);
     boost::asio::awaitable<attempt_end>
     pass_whole(std::shared_ptr<http_call> call, int status);
     boost::asio::awaitable<bool> forward(std::string_view piece);
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -103,20 +103,9 @@
         if (caller->gone) {
             co_return attempt_end::finished;
         }
-        if (!piece) {
-            trace_.body = "cut";
-            co_return attempt_end::silent;
-        }
-        if (piece->empty()) {
-            bool const unframed = call->ends_with_connection();
-            trace_.body = unframed ? "connection-end" : "whole";
-            if (run.half_bytes() > 0) {
-                co_return attempt_end::silent;
-            }
-            if (unframed && resumable && position_.may_resume()) {
-                co_return attempt_end::unproven;
-            }
-            break;
+        if (!piece || piece->empty()) {
+            bool const read_whole = piece.has_value();
+            co_return co_await end_run(call, run, read_whole);
         }
         run.push(*piece);
         joined_events events = join_events(run, position_);
@@ -136,12 +125,27 @@
             co_return attempt_end::silent;
         }
     }
-    co_return co_await end_stream(call);
 }
 
-asio::awaitable<request_flow::attempt_end>
-request_flow::end_stream(std::shared_ptr<http_call> call) {
+asio::awaitable<request_flow::attempt_end> request_flow::end_run(
+    std::shared_ptr<http_call> call, event_run const& run, bool read_whole) {
     auto const caller = leaving_;
+    if (run.half_bytes() > 0) {
+        position_.note_half_event();
+    }
+    if (!read_whole) {
+        trace_.body = "cut";
+        co_return attempt_end::silent;
+    }
+    bool const framed = !call->ends_with_connection();
+    trace_.body = framed ? "whole" : "connection-end";
+    stream_end const end = position_.judge_end(run, framed);
+    if (end == stream_end::unproven) {
+        co_return attempt_end::unproven;
+    }
+    if (end == stream_end::cut) {
+        co_return framed ? attempt_end::failed : attempt_end::silent;
+    }
     ledger_.ended();
     if (begun_) {
         ended_ = co_await exchange_->end_stream();
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -261,6 +261,19 @@
     }
 }
 
+// Guards against a stream that ends as complete although a part of a further
+// event has come.
+TEST_CASE("an empty run does not complete a stream behind a half event") {
+    stream_world world;
+    scripted_run empty;
+    empty.skipped = {3, 4};
+    std::deque<scripted_run> runs(replicas, empty);
+    runs.front() = cut_after(body_bytes(2) + 1);
+    auto const client = play(world, runs, "runs");
+    CHECK(client.problem() == "");
+    CHECK_FALSE(client.complete());
+}
+
 // Guards against an event that can't be placed: it would be handed on twice, or
 // hide one that is missing.
 TEST_CASE("an event without a number has no place in a stream that has them") {
@@ -331,6 +344,11 @@
             CHECK(client.complete());
         }
     }
+    SUBCASE("it ends where no replica tells lengths") {
+        std::deque<scripted_run> const runs(replicas, unframed);
+        CHECK(play(world, runs, "runs").complete());
+        CHECK(play_resumed(world, runs).complete());
+    }
     SUBCASE("one that may not be resumed is taken at the protocol's word") {
         CHECK(play(world, {unframed}, "bare").complete());
     }
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -130,6 +130,41 @@
     }
 }
 
+// Guards against a stream that is taken for whole without proof, and against
+// one that no run can complete.
+TEST_CASE("what the end of a run's body means for its stream") {
+    event_run none;
+    event_run some;
+    answer_position position(2);
+    some.push(event(3));
+    position = join_events(some, position).position;
+
+    SUBCASE("a length that was told makes it whole") {
+        CHECK(position.judge_end(some, true) == stream_end::whole);
+    }
+    SUBCASE("the connection's end alone proves nothing") {
+        CHECK(position.judge_end(some, false) == stream_end::unproven);
+        CHECK(answer_position().judge_end(none, false) == stream_end::unproven);
+    }
+    SUBCASE("a run that has nothing to add proves it") {
+        CHECK(position.judge_end(none, false) == stream_end::whole);
+    }
+    SUBCASE("where nothing may go on, the connection's end has to do") {
+        answer_position const one_run(3, false);
+        CHECK(one_run.judge_end(some, false) == stream_end::whole);
+    }
+    SUBCASE("a half event behind the last one refutes it") {
+        some.push("id: 4");
+        CHECK(position.judge_end(some, true) == stream_end::cut);
+        position.note_half_event();
+        CHECK(position.judge_end(none, true) == stream_end::cut);
+        event_run next;
+        next.push(event(4));
+        position = join_events(next, position).position;
+        CHECK(position.judge_end(next, true) == stream_end::whole);
+    }
+}
+
 // Guards against a joined event for each place where runs may end, each size of
 // the pieces that come, and up to three runs.
 TEST_CASE("each event that is handed on was made whole by one run") {
