A time to come back after is no event of a stream

What callers would see after: a stream whose replica begins with 'retry:' is cut there. Cause: a block without data bears no number and was refused as an event without one. Change: such a block passes like a comment (HTML, section 9.2.6: it is not dispatched).

--- a/src/Delivery/event_run.cpp
+++ b/src/Delivery/event_run.cpp
@@ -24,7 +24,7 @@
 
 /// @returns true when the line says nothing about an event
 bool is_blank(std::string_view line) {
-    return line.empty() || line.starts_with(':');
+    return line.empty() || line.starts_with(':') || line.starts_with("retry:");
 }
 
 /// Reads what matters of an event's lines.
--- a/src/Delivery/event_run.hpp
+++ b/src/Delivery/event_run.hpp
@@ -14,7 +14,8 @@
     std::string text;
     /// Its number, if it bears one that can be read.
     std::optional<std::uint64_t> number;
-    /// It has nothing for the caller's program, only comments.
+    /// It has nothing for the caller's program, only comments or a time to come
+    /// back after.
     bool blank = false;
 };
 
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -104,6 +104,10 @@
         CHECK(caller.push(run, ": here\n\n" + event(1) + ":\n\n" + event(2)));
         CHECK(caller.out() == ": here\n\n" + event(1) + ":\n\n" + event(2));
     }
+    SUBCASE("so does a time to come back after") {
+        CHECK(caller.push(run, "retry: 1000\n\n" + event(1)));
+        CHECK(caller.out() == "retry: 1000\n\n" + event(1));
+    }
     SUBCASE("a stream without numbers passes, and is not gone on with") {
         answer_position position;
         run.push("data: t\n\ndata: t\n\n");
