A stream that one run makes passes as it is

What callers would see: a stream that may not be resumed is cut at an event without a number, or behind a number that jumps, though nothing is ever joined to it. Change: events are placed only where runs may be joined.

--- a/src/Delivery/answer_position.cpp
+++ b/src/Delivery/answer_position.cpp
@@ -7,13 +7,13 @@
         return event_fit::next;
     }
     bool const numbered = event.number.has_value();
-    if (numbered ? unnumbered_ : last_.has_value()) {
+    if (resumable_ && (numbered ? unnumbered_ : last_.has_value())) {
         return event_fit::no_place;
     }
-    if (last_ && numbered && *event.number <= *last_) {
+    if (resumable_ && last_ && numbered && *event.number <= *last_) {
         return event_fit::repeated;
     }
-    if (last_ && numbered && *event.number != *last_ + 1) {
+    if (resumable_ && last_ && numbered && *event.number != *last_ + 1) {
         return event_fit::no_place;
     }
     last_ = numbered ? event.number : last_;
--- a/src/Delivery/answer_position.hpp
+++ b/src/Delivery/answer_position.hpp
@@ -32,7 +32,8 @@
 public:
     /// @param last the number of the last event that the caller has, if any;
     ///             without it the first event may bear any number
-    /// @param resumable false when one run alone makes the stream
+    /// @param resumable false when one run alone makes the stream, whose events
+    ///                  pass as they are
     explicit answer_position(
         std::optional<std::uint64_t> last = std::nullopt, bool resumable = true)
         : last_(last)
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -116,6 +116,15 @@
         CHECK(events.text == "data: t\n\ndata: t\n\n");
         CHECK_FALSE(events.position.may_resume());
     }
+    SUBCASE("one run alone passes as it is") {
+        answer_position const one_run(std::nullopt, false);
+        std::string const body = event(1) + event(3) + "data: last\n\n";
+        run.push(body);
+        joined_events const events = join_events(run, one_run);
+        CHECK(events.joined);
+        CHECK(events.text == body);
+        CHECK_FALSE(events.position.may_resume());
+    }
     SUBCASE("a stream may begin with any number") {
         CHECK(caller.push(run, event(0) + event(1)));
         CHECK(caller.out() == event(0) + event(1));
