The last event that a client has may bear any number

What callers would see: behind an event beyond 4,294,967,295 a resumed stream repeats or lacks events. Cause: Last-Event-Id was read as 32 bits and counted as none.

--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -77,6 +77,15 @@
     }
 }
 
+// Guards against events that are repeated or missed behind a position that is
+// too large to be read.
+TEST_CASE("the last event that a caller has may bear any number") {
+    http_request request;
+    request.fields.add("Last-Event-Id", "5000000000");
+    CHECK(read_demand(request).last_event == 5'000'000'000);
+    CHECK_FALSE(read_demand(http_request()).last_event);
+}
+
 TEST_CASE("an answer is judged by its header") {
     http_fields good;
     good.add("X-Response-Signature", "s");
