A replica that answers amiss has not ended

What callers would see: a request is refused for an hour as one that ends replicas (content-held), because three of them sent an answer without a signature, or an event that can't be placed. Cause: whatever could not be meant was an end 'silent', which becomes 'broken' where there was no time-out, and a broken run counts as a replica's end. Ruled out: real ends; a connection that is cut or closed inside an event stays broken. Change: an answer that came and can't be meant is a failed attempt.

--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -50,11 +50,11 @@
         refused,
         /// No byte of it was sent.
         unreached,
-        /// The replica ran it and failed.
+        /// The replica ran it and failed, or answered with what can't be meant.
         failed,
         /// It fell silent.
         silent,
-        /// It broke off or answered with what can't be meant.
+        /// It broke off.
         broken,
         /// Its connection ended, which tells a whole stream from a cut one only
         /// when another run has nothing to add.
--- a/src/Gateway/request_flow_passing.cpp
+++ b/src/Gateway/request_flow_passing.cpp
@@ -40,7 +40,7 @@
     }
     ledger_.answering();
     if (kind == answer_kind::spoiled) {
-        co_return attempt_end::silent;
+        co_return attempt_end::failed;
     }
     if (begun_ && kind == answer_kind::failure) {
         // The caller has the head of another run's answer already.
@@ -122,7 +122,7 @@
         if (!joined) {
             trace_.body = "not-joined";
             call->cancel();
-            co_return attempt_end::silent;
+            co_return attempt_end::failed;
         }
     }
 }
--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -40,9 +40,9 @@
 std::string head_of(scripted_run const& run) {
     bool const stream = run.status == 200;
     std::string head = fmt::format(
-        "HTTP/1.1 {} Any\r\nX-Response-Signature: signed\r\n"
-        "Content-Type: {}\r\nConnection: close\r\n",
-        run.status, stream ? "text/event-stream" : "text/plain");
+        "HTTP/1.1 {} Any\r\n{}Content-Type: {}\r\nConnection: close\r\n",
+        run.status, run.is_signed ? "X-Response-Signature: signed\r\n" : "",
+        stream ? "text/event-stream" : "text/plain");
     if (!stream) {
         head += "Content-Length: 2\r\n";
     } else if (run.framing == body_framing::chunked) {
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -44,6 +44,8 @@
     std::set<unsigned> skipped;
     /// Events that bear no number.
     std::set<unsigned> unnumbered;
+    /// Whether its answer bears the replica's signature.
+    bool is_signed = true;
     /// Another status, with a plain body, instead of a stream.
     int status = 200;
 };
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -64,6 +64,9 @@
             node, fmt::format("/{}/{}", path, ++asked_), after);
     }
 
+    /// Sends a request of one content again.
+    void ask_same() { world_.ask_stream(0, "/runs/same", 0); }
+
     scripted_replica& replica() noexcept { return replica_; }
 
 private:
@@ -361,4 +364,22 @@
     }
 }
 
+// Guards against a content that is held for an hour as one that ends replicas,
+// though all of them answered.
+TEST_CASE("a replica that answers amiss has not ended") {
+    stream_world world;
+    scripted_run amiss;
+    SUBCASE("without its signature") {
+        amiss.is_signed = false;
+    }
+    SUBCASE("with an event that has no place") {
+        amiss.unnumbered = {2};
+    }
+    world.replica().script = std::deque<scripted_run>(2 * replicas, amiss);
+    world.ask_same();
+    std::size_t const runs = world.replica().begun_after.size();
+    world.ask_same();
+    CHECK(world.replica().begun_after.size() > runs);
+}
+
 } // namespace camphorpoint
