A handler that fails in its answer writes no second head

What callers would see: a stream whose handler fails (out of memory) does not end as cut: the head of a 500 stands within its body, where a chunk is due. Cause: the connection knew only whether an answer was whole. One that had begun counted as none, so the failure was answered with a head of its own; a handler could do the same by answering again. Ruled out: an answer of one request within that of the next. The flag was set back with each request, and a connection with a broken answer ends. Change: the connection knows of the current request's answer whether it has begun, and takes one head for each request. Evidence: 'nothing is written into an answer that has begun' failed on the code before (2 of 3 parts, 3 of 15 checks) and passes.

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -195,7 +195,6 @@
 asio::awaitable<void> http_exchange::connection::run_handler(
     http_handler const& handler, http_request request) {
     http_exchange exchange(*this, std::move(request));
-    answered_ = false;
     bool failed = false;
     try {
         co_await handler(exchange);
@@ -206,14 +205,15 @@
     ++exchange_number_;
     // A handler that failed, or that gave no answer since the caller is gone,
     // leaves a connection whose state nobody knows.
-    broken_ = broken_ || failed || !answered_;
-    if (failed && !answered_) {
+    broken_ = broken_ || failed || answer_ != answer_state::whole;
+    if (failed) {
         co_await refuse_with(status_failure, "internal-error");
     }
 }
 
 asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
     while (keep_alive_ && !broken_) {
+        answer_ = answer_state::none;
         std::optional<http_request> request = co_await read_request();
         if (request) {
             co_await run_handler(handler, std::move(*request));
@@ -246,6 +246,15 @@
     close();
 }
 
+// Guards against a second head within an answer: its caller would read it as a
+// part of the first one's body.
+bool http_exchange::connection::begin_answer(answer_state state) {
+    bool const first = answer_ == answer_state::none;
+    broken_ = broken_ || !first;
+    answer_ = first ? state : answer_;
+    return first;
+}
+
 bool http_exchange::connection::note_write(beast::error_code error) {
     stream_.expires_never();
     broken_ = broken_ || error;
@@ -254,6 +263,9 @@
 
 asio::awaitable<bool>
 http_exchange::connection::respond(http_response response) {
+    if (!begin_answer(answer_state::whole)) {
+        co_return false;
+    }
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), http_1_1);
     copy_fields(response.fields, message);
@@ -261,7 +273,6 @@
     keep_alive_ = keep_alive_ && !ending_;
     message.keep_alive(keep_alive_);
     message.prepare_payload();
-    answered_ = true;
     stream_.expires_after(limits_.write_timeout);
     auto const [error, size] =
         co_await http::async_write(stream_, message, use_result);
@@ -270,6 +281,9 @@
 
 asio::awaitable<bool>
 http_exchange::connection::begin_stream(int status, http_fields fields) {
+    if (!begin_answer(answer_state::begun)) {
+        co_return false;
+    }
     http::response<http::empty_body> message(
         static_cast<http::status>(status), http_1_1);
     copy_fields(fields, message);
@@ -297,7 +311,7 @@
 }
 
 asio::awaitable<bool> http_exchange::connection::end_stream() {
-    answered_ = true;
+    answer_ = answer_state::whole;
     stream_.expires_after(limits_.write_timeout);
     auto const [error, size] = co_await asio::async_write(
         stream_, http::make_chunk_last(), use_result);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -70,6 +70,14 @@
     void watch(std::function<void()> gone);
 
 private:
+    /// How far the answer to the current request has come.
+    enum class answer_state : std::uint8_t {
+        none,
+        /// Its head was written: no other may follow.
+        begun,
+        whole
+    };
+
     boost::asio::awaitable<std::optional<http_request>> read_request();
     boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void>
@@ -79,6 +87,7 @@
     run_handler(http_handler const& handler, http_request request);
     boost::asio::awaitable<void> finish();
     bool closed_by_peer();
+    bool begin_answer(answer_state state);
     bool note_write(boost::beast::error_code error);
 
     boost::beast::tcp_stream stream_;
@@ -93,7 +102,7 @@
     bool idle_ = false;
     bool closing_ = false;
     bool broken_ = false;
-    bool answered_ = false;
+    answer_state answer_ = answer_state::none;
 };
 
 } // namespace camphorpoint
--- a/test/ports/http_server_test.cpp
+++ b/test/ports/http_server_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 namespace camphorpoint {
@@ -216,4 +217,42 @@
     }
 }
 
+TEST_CASE("nothing is written into an answer that has begun") {
+    loopback loop;
+    test_server server(loop, http_limits());
+
+    // A node runs out of memory in the middle of a stream. What the caller
+    // reads must be a cut stream, not the head of another answer within it.
+    SUBCASE("by a handler that fails") {
+        server.handler = [](http_exchange& exchange) -> asio::awaitable<void> {
+            co_await exchange.begin_stream(200, http_fields());
+            co_await exchange.write_piece("half");
+            throw std::runtime_error("out of memory");
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK(got.starts_with("HTTP/1.1 200"));
+        CHECK(got.ends_with("\r\n\r\n4\r\nhalf\r\n"));
+        CHECK(server.handled == 1);
+    }
+    SUBCASE("by a handler that answers again") {
+        bool again = true;
+        server.handler = [&](http_exchange& exchange) -> asio::awaitable<void> {
+            co_await exchange.begin_stream(200, http_fields());
+            co_await exchange.write_piece("half");
+            again = co_await exchange.respond(http_response());
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK_FALSE(again);
+        CHECK(got.ends_with("\r\n\r\n4\r\nhalf\r\n"));
+    }
+    SUBCASE("by a handler that fails before it has") {
+        server.handler = [](http_exchange&) -> asio::awaitable<void> {
+            throw std::runtime_error("out of memory");
+            co_return;
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK(got.starts_with("HTTP/1.1 500"));
+    }
+}
+
 } // namespace camphorpoint
