A second send is drawn on the budget when it is made

What callers would see: while a service's replicas are full, requests whose answer was lost are not sent again ('broken-off-no-budget'), though hardly a second send was made. Cause: the draw came when an attempt had failed, before a replica was sought. Where none was found the draw was gone, for the rest of the window, and the metric counted a send that nobody made. Ruled out: a draw for each attempt that reached nobody; only sent ones drew. Change: the budget is asked when an attempt has failed, and drawn on right before the send; the request counts its draws, so that an attempt that reached nobody leaves its draw to the next.

--- a/src/Delivery/second_send_budget.cpp
+++ b/src/Delivery/second_send_budget.cpp
@@ -32,10 +32,10 @@
     current(services_[service], now).requests += 1;
 }
 
-bool second_send_budget::take(
+bool second_send_budget::left(
     service_id const& service, unsigned nodes, instant now) {
     history& past = services_[service];
-    step& newest = current(past, now);
+    current(past, now);
     double requests = 0;
     double sent = 0;
     for (step const& each : past.steps) {
@@ -44,10 +44,15 @@
     }
     double const share = limits_.slack / std::max(1U, nodes);
     double const most = used_part * (limits_.ratio * requests + share);
-    if (sent + 1 > most) {
+    return sent + 1 <= most;
+}
+
+bool second_send_budget::take(
+    service_id const& service, unsigned nodes, instant now) {
+    if (!left(service, nodes, now)) {
         return false;
     }
-    newest.second_sends += 1;
+    current(services_[service], now).second_sends += 1;
     return true;
 }
 
--- a/src/Delivery/second_send_budget.hpp
+++ b/src/Delivery/second_send_budget.hpp
@@ -31,6 +31,9 @@
 
     /// A request for the service has come.
     void on_request(service_id const& service, instant now);
+    /// @param nodes how many nodes share the slack, this one included
+    /// @returns true when a second send is left
+    bool left(service_id const& service, unsigned nodes, instant now);
     /// Takes a second send when one is left.
     /// @param nodes how many nodes share the slack, this one included
     /// @returns true when it may be sent
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -125,7 +125,7 @@
         }
         replica* const at = co_await find_replica();
         // It may have been held while this request waited for its adapter.
-        if (at == nullptr || refuse_held()) {
+        if (at == nullptr || refuse_held() || !draw_second_send()) {
             co_await finish(reason_);
             co_return;
         }
@@ -259,10 +259,26 @@
         }
         break;
     }
+    // Told before the search for a replica, whose place would not be used.
+    if (!beliefs_->second_sends.left(need_.service, beliefs_->nodes(), now)) {
+        reason_ += "-no-budget";
+        return false;
+    }
+    return true;
+}
+
+// Drawn right before the send: a request that finds no replica sends nothing,
+// and an attempt that reached none leaves its draw to the next.
+bool request_flow::draw_second_send() {
+    if (second_sends_ >= ledger_.sends()) {
+        return true;
+    }
+    instant const now = boot_clock::now();
     if (!beliefs_->second_sends.take(need_.service, beliefs_->nodes(), now)) {
         reason_ += "-no-budget";
         return false;
     }
+    ++second_sends_;
     beliefs_->metrics.count_second_send(reason_);
     return true;
 }
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -101,6 +101,7 @@
     void note_end(std::string_view reason);
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_go_on(attempt_end end);
+    bool draw_second_send();
     void note_evidence(endpoint_id const& at, attempt_end end);
     void note_attempt(endpoint_id const& at, attempt_end end);
     std::chrono::milliseconds come_back() const;
@@ -139,6 +140,8 @@
     duration longest_pause_{0};
     bool ended_ = false;
     unsigned tries_ = 0;
+    /// Second sends that were drawn on the budget.
+    unsigned second_sends_ = 0;
     std::optional<http_response> failure_;
     std::string reason_ = "unanswered";
     int status_ = 0;
--- /dev/null
+++ b/test/gateway/second_sends_test.cpp
@@ -0,0 +1,92 @@
+#include "test/gateway/gateway_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+namespace camphorpoint {
+
+using standins::replica_fault;
+using testing::gateway_world;
+using testing::served_replica;
+
+namespace {
+
+/// Enough for one second send in a window.
+void allow_one(gateway_world& before) {
+    before.settings.second_sends.ratio = 0;
+    before.settings.second_sends.slack = 1.2;
+}
+
+/// A node that may send once more in a window, before a plain service with one
+/// replica.
+class budget_world {
+public:
+    budget_world()
+        : world_(allow_one) {
+        REQUIRE(world_.loop.run_until([this] { return world_.node->ready(); }));
+    }
+
+    /// Lists a second replica of the plain service.
+    void add_replica() {
+        other_ = std::make_unique<served_replica>(world_.loop, "p2", "", 0);
+        world_.list(*other_, "app");
+        REQUIRE(world_.loop.run_until(
+            [this] { return world_.node->knows(endpoint_id("p2")); }));
+    }
+    /// Sends a request whose answer each replica loses.
+    /// @returns how often it has run
+    unsigned runs_of_lost(std::string const& id) {
+        world_.plain.engine.faults = {replica_fault::answer_lost};
+        other_->engine.faults = {replica_fault::answer_lost};
+        world_.ask("/look/b", "", id);
+        world_.plain.engine.faults.clear();
+        other_->engine.faults.clear();
+        return world_.runs(id) + other_->engine.runs[id];
+    }
+
+    gateway_world& world() { return world_; }
+
+private:
+    gateway_world world_;
+    std::unique_ptr<served_replica> other_;
+};
+
+} // namespace
+
+TEST_CASE("a second send counts when it is made") {
+    budget_world test;
+
+    SUBCASE("one is made, and no more in the window") {
+        test.add_replica();
+        CHECK(test.runs_of_lost("q1") == 2);
+        CHECK(test.runs_of_lost("q2") == 1);
+    }
+    // All replicas of a service are full for a while. Requests that no other
+    // replica took would use up what those need whose answer is lost.
+    SUBCASE("a refused request that finds no other replica leaves it") {
+        for (int each = 0; each < 3; ++each) {
+            test.world().plain.engine.faults = {replica_fault::full};
+            auto const got =
+                test.world().ask("/look/b", "", "q" + std::to_string(each));
+            CHECK(got.response.status == 503);
+        }
+        test.add_replica();
+        CHECK(test.runs_of_lost("lost") == 2);
+    }
+    // A replica has ended and is still listed. The request that has not reached
+    // it would draw a second time for the next one.
+    SUBCASE("an attempt that reaches nobody leaves it to the next") {
+        test.add_replica();
+        auto const gone =
+            std::make_unique<served_replica>(test.world().loop, "p3", "", 0);
+        test.world().list(*gone, "app");
+        REQUIRE(test.world().loop.run_until(
+            [&] { return test.world().node->knows(endpoint_id("p3")); }));
+        gone->server.close();
+        CHECK(test.runs_of_lost("lost") == 2);
+    }
+}
+
+} // namespace camphorpoint
