An interim answer is not the end of a call

What callers would see: the head of a 103 or 100 as their answer, whole and without a body, while the replica's own answer is thrown away with its connection. Cause: the first head that came ended the wait for an answer, whatever its status. A 1xx head is followed by the answer (RFC 9110, section 15.2). Ruled out: the answer behind it in the hands of the next call. A connection with bytes to read is not taken again. Change: heads below 200 are read over, up to eight of them; more end the call as lost. Evidence: 'an interim answer does not end a call' failed on the code before in 4 of 4 parts (status 103 for 200) and passes.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -168,11 +168,23 @@
 }
 
 asio::awaitable<bool> http_call::state::read_header() {
-    link_->stream.expires_after(time_until(step_end(instant::max())));
-    auto const [error, size] = co_await http::async_read_header(
-        link_->stream, link_->buffer, *parser_, use_result);
-    note_silence(error);
-    co_return !error;
+    // Whoever sends more means no end of them.
+    constexpr int most_interim = 8;
+    constexpr unsigned first_final = 200;
+    for (int interim = 0; interim <= most_interim; ++interim) {
+        link_->stream.expires_after(time_until(step_end(instant::max())));
+        auto const [error, size] = co_await http::async_read_header(
+            link_->stream, link_->buffer, *parser_, use_result);
+        note_silence(error);
+        if (error) {
+            co_return false;
+        }
+        if (parser_->get().result_int() >= first_final) {
+            co_return true;
+        }
+        begin_answer();
+    }
+    co_return false;
 }
 
 asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
--- a/test/ports/http_client_test.cpp
+++ b/test/ports/http_client_test.cpp
@@ -176,4 +176,41 @@
     }
 }
 
+// A server sends an interim answer ahead of the one that ends the call (RFC
+// 9110, section 15.2). Taken for the end, the caller gets a head without an
+// answer, and the answer itself is left on the connection.
+TEST_CASE("an interim answer does not end a call") {
+    loopback loop;
+    http_pool pool;
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    std::string sent = interim + whole_answer;
+    auto expected = call_result::answered;
+    SUBCASE("one") {}
+    SUBCASE("two") {
+        sent = interim + sent;
+    }
+    SUBCASE("without an answer behind it") {
+        sent = interim;
+        expected = call_result::lost;
+    }
+    SUBCASE("without end") {
+        sent.clear();
+        for (int each = 0; each < 1'000; ++each) {
+            sent += interim;
+        }
+        expected = call_result::lost;
+    }
+    raw_server server(
+        loop, [&](raw_server::socket_type& socket) -> asio::awaitable<void> {
+            co_await testing::read_until(socket, "\r\n\r\nx");
+            co_await testing::write_text(socket, sent);
+        });
+    auto const got = fetch_once(loop, &pool, server.address());
+    REQUIRE(got.how == expected);
+    if (expected == call_result::answered) {
+        CHECK(got.response.status == 200);
+        CHECK(got.response.body == "ok");
+    }
+}
+
 } // namespace camphorpoint
