A call with HEAD does not wait for a body

What callers would see: a HEAD that is answered at once is held until its time is over, then fails; where more bytes come on the connection they are taken for its body. Cause: the reader of an answer was made before the method was known, and took the length that an answer to HEAD tells for bytes to come (RFC 9110, section 9.3.2). Ruled out: answers with 204 and 304, which Beast reads without a body. Change: the reader is made with the request that it reads the answer to. Evidence: 'an answer to HEAD has no body' failed on the code before in 3 of 3 checks (lost; the connection not used again) and passes.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -101,6 +101,7 @@
     void begin_answer() {
         parser_.emplace();
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser_->skip(head_only_);
     }
 
     /// @returns when a step that begins now must have ended
@@ -126,6 +127,8 @@
     std::unique_ptr<http_connection> link_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, piece_bytes> piece_{};
+    /// The answer has no body, whatever its head tells.
+    bool head_only_ = false;
     bool reused_ = false;
     bool cancelled_ = false;
     bool timed_out_ = false;
@@ -160,6 +163,8 @@
 }
 
 asio::awaitable<bool> http_call::state::write(http_request request) {
+    head_only_ = request.method == "HEAD";
+    begin_answer();
     auto const message = message_of(std::move(request));
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
     auto const [error, size] =
--- a/test/ports/http_client_test.cpp
+++ b/test/ports/http_client_test.cpp
@@ -213,4 +213,32 @@
     }
 }
 
+// A HEAD's answer tells the length of a body that does not follow. Waited for,
+// it is the head of the next answer, or the call lasts until its time is over.
+TEST_CASE("an answer to HEAD has no body") {
+    loopback loop;
+    http_pool pool;
+    std::string const head = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n";
+    raw_server server(
+        loop, [&](raw_server::socket_type& socket) -> asio::awaitable<void> {
+            co_await testing::read_request(socket);
+            co_await testing::write_text(socket, head);
+            co_await testing::read_until(socket, "\r\n\r\nx");
+            co_await testing::write_text(socket, whole_answer);
+        });
+    fetch_result got;
+    loop.run([&]() -> asio::awaitable<void> {
+        http_call call(loop.executor(), &pool);
+        http_request request;
+        request.method = "HEAD";
+        call_times times;
+        times.each_step = std::chrono::milliseconds(300);
+        got = co_await fetch(call, server.address(), request, times);
+    });
+    CHECK(got.how == call_result::answered);
+    CHECK(got.response.body.empty());
+    CHECK(fetch_once(loop, &pool, server.address()).response.body == "ok");
+    CHECK(server.connections() == 1);
+}
+
 } // namespace camphorpoint
