A server sends no body to HEAD

What callers would see: on a connection that is kept, the answer to the request after a HEAD begins with bytes of the HEAD's body. Cause: answers were written whole, whatever the method. A reader expects no body behind the head of an answer to HEAD (RFC 9110, section 9.3.2) and takes one for the next answer. Ruled out: answers with 204 and 304 with a body; Beast refuses to write them. Change: of an answer to HEAD the head alone is written, its length as it would be; pieces and the end of a stream are left out. Evidence: 'a server sends no body to HEAD' failed on the code before in 2 of 2 parts and passes.

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <exception>
+#include <tuple>
 #include <utility>
 
 namespace camphorpoint {
@@ -170,6 +171,7 @@
         co_await refuse(header_error, anything);
         co_return std::nullopt;
     }
+    head_only_ = parser.get().method() == http::verb::head;
     // Thousands of connections with a large body each would add up to more
     // than a node has; a chunked body counts as the largest.
     std::uint64_t const expected = parser.chunked()
@@ -214,6 +216,7 @@
 asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
     while (keep_alive_ && !broken_) {
         answer_ = answer_state::none;
+        head_only_ = false;
         std::optional<http_request> request = co_await read_request();
         if (request) {
             co_await run_handler(handler, std::move(*request));
@@ -273,9 +276,16 @@
     keep_alive_ = keep_alive_ && !ending_;
     message.keep_alive(keep_alive_);
     message.prepare_payload();
+    http::response_serializer<http::string_body> serializer(message);
     stream_.expires_after(limits_.write_timeout);
-    auto const [error, size] =
-        co_await http::async_write(stream_, message, use_result);
+    beast::error_code error;
+    if (head_only_) {
+        std::tie(error, std::ignore) =
+            co_await http::async_write_header(stream_, serializer, use_result);
+    } else {
+        std::tie(error, std::ignore) =
+            co_await http::async_write(stream_, serializer, use_result);
+    }
     co_return note_write(error);
 }
 
@@ -299,8 +309,8 @@
 
 asio::awaitable<bool>
 http_exchange::connection::write_piece(std::string_view piece) {
-    if (piece.empty()) {
-        // An empty chunk would end the answer.
+    if (piece.empty() || head_only_) {
+        // An empty chunk would end the answer; one to HEAD has no body.
         co_return !broken_;
     }
     stream_.expires_after(limits_.write_timeout);
@@ -312,6 +322,9 @@
 
 asio::awaitable<bool> http_exchange::connection::end_stream() {
     answer_ = answer_state::whole;
+    if (head_only_) {
+        co_return !broken_;
+    }
     stream_.expires_after(limits_.write_timeout);
     auto const [error, size] = co_await asio::async_write(
         stream_, http::make_chunk_last(), use_result);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -103,6 +103,8 @@
     bool closing_ = false;
     bool broken_ = false;
     answer_state answer_ = answer_state::none;
+    /// The current request is a HEAD, whose answer has no body.
+    bool head_only_ = false;
 };
 
 } // namespace camphorpoint
--- a/test/ports/http_server_test.cpp
+++ b/test/ports/http_server_test.cpp
@@ -255,4 +255,38 @@
     }
 }
 
+// A HEAD's answer has no body. One that is sent is read as the head of the next
+// answer on the connection.
+TEST_CASE("a server sends no body to HEAD") {
+    loopback loop;
+    test_server server(loop, http_limits());
+    server.handler = [](http_exchange& exchange) -> asio::awaitable<void> {
+        http_response response;
+        response.body = "four";
+        if (exchange.request().target == "/whole") {
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        co_await exchange.begin_stream(200, http_fields());
+        co_await exchange.write_piece("four");
+        co_await exchange.end_stream();
+    };
+    std::string path;
+    std::string told;
+    SUBCASE("of a whole answer") {
+        path = "/whole";
+        told = "Content-Length: 4\r\n\r\n";
+    }
+    SUBCASE("of a stream") {
+        path = "/stream";
+        told = "Transfer-Encoding: chunked\r\n\r\n";
+    }
+    std::string const head = "HEAD " + path + " HTTP/1.1\r\n\r\n";
+    std::string const last = "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n";
+    std::string const got = talk(loop, server, head + last);
+    CHECK(got.find(told + "HTTP/1.1 200") != std::string::npos);
+    CHECK(got.ends_with("\r\n\r\nfour"));
+    CHECK(server.handled == 2);
+}
+
 } // namespace camphorpoint
