An engine's answer is whole with its last chunk

What callers would see: a stream's last chunk, with its usage, twice; or 'unknown' for an answer of which they have every token, and for a key an answer that is not kept. Cause: that the answer is whole was known when [DONE] had come, and to the run alone. A run that broke between its last chunk and [DONE] counted as cut, was resumed behind its last token, and sent the last chunk again; that it had been handed on nobody knew. Read in the code: a further run of it is asked for from the token behind the last. Ruled out: an answer that is shorter than announced; the last chunk counts only when as many tokens have come as it says. A half event of one run in the next: the reader is made with the run. Change: the last chunk makes the answer whole, and what ends the call behind it takes nothing from it. A piece counts as offered when it is, not when it was read. Evidence: 'a request runs on an engine', an answer is whole with its last chunk, failed on the code before in 4 of 4 parts (cut) and passes.

--- a/src/Ports/engine_http.cpp
+++ b/src/Ports/engine_http.cpp
@@ -65,6 +65,12 @@
     }
 }
 
+/// @returns how an attempt ends whose answer goes wrong at an event
+attempt_end end_of(stream_verdict verdict) {
+    return verdict == stream_verdict::mismatch ? attempt_end::mismatch
+                                               : attempt_end::cut;
+}
+
 attempt_end end_of_loss(
     http_call const& call, engine_request const& request, attempt_end loss) {
     if (call.cancelled()) {
@@ -183,6 +189,7 @@
     end.how = attempt_end::cut;
     engine_stream stream(request.id, request.adapter, request.from_token);
     event_stream_reader reader;
+    // What ends the call behind the last chunk takes nothing from the answer.
     bool whole = false;
     while (auto const piece = co_await call.next_piece()) {
         if (piece->empty()) {
@@ -191,20 +198,17 @@
         reader.push(*piece);
         while (auto const event = reader.next()) {
             stream_verdict const verdict = stream.take(*event);
-            end.tokens = stream.next_token();
             if (verdict == stream_verdict::finished) {
-                whole = true;
                 continue;
             }
             bool const good = verdict == stream_verdict::token ||
                               verdict == stream_verdict::last;
             if (!good) {
-                end.how = verdict == stream_verdict::mismatch
-                              ? attempt_end::mismatch
-                              : attempt_end::cut;
                 call.cancel();
+                end.how = whole ? attempt_end::completed : end_of(verdict);
                 co_return end;
             }
+            end.tokens = stream.next_token();
             engine_piece const checked{
                 stream.next_token(), event->data, stream.text()};
             if (!co_await sink(checked)) {
@@ -212,9 +216,11 @@
                 end.how = attempt_end::cancelled;
                 co_return end;
             }
+            whole = verdict == stream_verdict::last;
         }
         if (reader.pending_bytes() > largest_event) {
             call.cancel();
+            end.how = whole ? attempt_end::completed : attempt_end::cut;
             co_return end;
         }
     }
--- a/test/ports/engine_http_test.cpp
+++ b/test/ports/engine_http_test.cpp
@@ -19,11 +19,15 @@
            R"(","choices":[{"delta":{"content":"t"}}]})" + "\n\n";
 }
 
-std::string closing(int announced) {
+std::string last_chunk(int announced) {
     return std::string("data: ") +
            R"({"id":"r1","model":"audit@3","choices":[{"delta":{},)"
            R"("finish_reason":"stop"}],"usage":{"completion_tokens":)" +
-           std::to_string(announced) + "}}\n\ndata: [DONE]\n\n";
+           std::to_string(announced) + "}}\n\n";
+}
+
+std::string closing(int announced) {
+    return last_chunk(announced) + "data: [DONE]\n\n";
 }
 
 /// An engine that answers as a test tells it.
@@ -154,6 +158,25 @@
         CHECK(engine.taken.size() == 1);
     }
 
+    // The engine's host dies right behind the last chunk. Taken for cut, the
+    // stream is resumed behind its last token, and the caller gets the last
+    // chunk twice.
+    SUBCASE("an answer is whole with its last chunk") {
+        engine.pieces = {token(0, right), token(1, right) + last_chunk(2)};
+        SUBCASE("when the connection breaks") {
+            engine.ends = false;
+        }
+        SUBCASE("when the body ends") {}
+        SUBCASE("when an event follows that is none of its own") {
+            engine.pieces.back() += token(2, right);
+        }
+        SUBCASE("when bytes follow that are no event") {
+            engine.pieces.emplace_back(300'000, 'x');
+        }
+        CHECK(engine.run().how == attempt_end::completed);
+        CHECK(engine.taken.size() == 3);
+    }
+
     // The engine loaded version 4 into the slot while the request waited.
     SUBCASE("an answer of another version is dropped") {
         engine.pieces = {token(0, "audit@4"), closing(1)};
