--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -101,6 +101,7 @@
     void begin_answer() {
         parser_.emplace();
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser_->skip(head_only_);
     }
 
     /// @returns when a step that begins now must have ended
@@ -126,6 +127,8 @@
     std::unique_ptr<http_connection> link_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, piece_bytes> piece_{};
+    /// The answer has no body, whatever its head tells.
+    bool head_only_ = false;
     bool reused_ = false;
     bool cancelled_ = false;
     bool timed_out_ = false;
@@ -160,6 +163,8 @@
 }
 
 asio::awaitable<bool> http_call::state::write(http_request request) {
+    head_only_ = request.method == "HEAD";
+    begin_answer();
     auto const message = message_of(std::move(request));
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
     auto const [error, size] =
@@ -168,11 +173,23 @@
 }
 
 asio::awaitable<bool> http_call::state::read_header() {
-    link_->stream.expires_after(time_until(step_end(instant::max())));
-    auto const [error, size] = co_await http::async_read_header(
-        link_->stream, link_->buffer, *parser_, use_result);
-    note_silence(error);
-    co_return !error;
+    // Whoever sends more means no end of them.
+    constexpr int most_interim = 8;
+    constexpr unsigned first_final = 200;
+    for (int interim = 0; interim <= most_interim; ++interim) {
+        link_->stream.expires_after(time_until(step_end(instant::max())));
+        auto const [error, size] = co_await http::async_read_header(
+            link_->stream, link_->buffer, *parser_, use_result);
+        note_silence(error);
+        if (error) {
+            co_return false;
+        }
+        if (parser_->get().result_int() >= first_final) {
+            co_return true;
+        }
+        begin_answer();
+    }
+    co_return false;
 }
 
 asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <exception>
+#include <tuple>
 #include <utility>
 
 namespace camphorpoint {
@@ -170,6 +171,7 @@
         co_await refuse(header_error, anything);
         co_return std::nullopt;
     }
+    head_only_ = parser.get().method() == http::verb::head;
     // Thousands of connections with a large body each would add up to more
     // than a node has; a chunked body counts as the largest.
     std::uint64_t const expected = parser.chunked()
@@ -195,7 +197,6 @@
 asio::awaitable<void> http_exchange::connection::run_handler(
     http_handler const& handler, http_request request) {
     http_exchange exchange(*this, std::move(request));
-    answered_ = false;
     bool failed = false;
     try {
         co_await handler(exchange);
@@ -206,14 +207,16 @@
     ++exchange_number_;
     // A handler that failed, or that gave no answer since the caller is gone,
     // leaves a connection whose state nobody knows.
-    broken_ = broken_ || failed || !answered_;
-    if (failed && !answered_) {
+    broken_ = broken_ || failed || answer_ != answer_state::whole;
+    if (failed) {
         co_await refuse_with(status_failure, "internal-error");
     }
 }
 
 asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
     while (keep_alive_ && !broken_) {
+        answer_ = answer_state::none;
+        head_only_ = false;
         std::optional<http_request> request = co_await read_request();
         if (request) {
             co_await run_handler(handler, std::move(*request));
@@ -246,6 +249,15 @@
     close();
 }
 
+// Guards against a second head within an answer: its caller would read it as a
+// part of the first one's body.
+bool http_exchange::connection::begin_answer(answer_state state) {
+    bool const first = answer_ == answer_state::none;
+    broken_ = broken_ || !first;
+    answer_ = first ? state : answer_;
+    return first;
+}
+
 bool http_exchange::connection::note_write(beast::error_code error) {
     stream_.expires_never();
     broken_ = broken_ || error;
@@ -254,6 +266,9 @@
 
 asio::awaitable<bool>
 http_exchange::connection::respond(http_response response) {
+    if (!begin_answer(answer_state::whole)) {
+        co_return false;
+    }
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), http_1_1);
     copy_fields(response.fields, message);
@@ -261,15 +276,24 @@
     keep_alive_ = keep_alive_ && !ending_;
     message.keep_alive(keep_alive_);
     message.prepare_payload();
-    answered_ = true;
+    http::response_serializer<http::string_body> serializer(message);
     stream_.expires_after(limits_.write_timeout);
-    auto const [error, size] =
-        co_await http::async_write(stream_, message, use_result);
+    beast::error_code error;
+    if (head_only_) {
+        std::tie(error, std::ignore) =
+            co_await http::async_write_header(stream_, serializer, use_result);
+    } else {
+        std::tie(error, std::ignore) =
+            co_await http::async_write(stream_, serializer, use_result);
+    }
     co_return note_write(error);
 }
 
 asio::awaitable<bool>
 http_exchange::connection::begin_stream(int status, http_fields fields) {
+    if (!begin_answer(answer_state::begun)) {
+        co_return false;
+    }
     http::response<http::empty_body> message(
         static_cast<http::status>(status), http_1_1);
     copy_fields(fields, message);
@@ -285,8 +309,8 @@
 
 asio::awaitable<bool>
 http_exchange::connection::write_piece(std::string_view piece) {
-    if (piece.empty()) {
-        // An empty chunk would end the answer.
+    if (piece.empty() || head_only_) {
+        // An empty chunk would end the answer; one to HEAD has no body.
         co_return !broken_;
     }
     stream_.expires_after(limits_.write_timeout);
@@ -297,7 +321,10 @@
 }
 
 asio::awaitable<bool> http_exchange::connection::end_stream() {
-    answered_ = true;
+    answer_ = answer_state::whole;
+    if (head_only_) {
+        co_return !broken_;
+    }
     stream_.expires_after(limits_.write_timeout);
     auto const [error, size] = co_await asio::async_write(
         stream_, http::make_chunk_last(), use_result);
--- a/test/ports/http_server_test.cpp
+++ b/test/ports/http_server_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 namespace camphorpoint {
@@ -216,4 +217,76 @@
     }
 }
 
+TEST_CASE("nothing is written into an answer that has begun") {
+    loopback loop;
+    test_server server(loop, http_limits());
+
+    // A node runs out of memory in the middle of a stream. What the caller
+    // reads must be a cut stream, not the head of another answer within it.
+    SUBCASE("by a handler that fails") {
+        server.handler = [](http_exchange& exchange) -> asio::awaitable<void> {
+            co_await exchange.begin_stream(200, http_fields());
+            co_await exchange.write_piece("half");
+            throw std::runtime_error("out of memory");
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK(got.starts_with("HTTP/1.1 200"));
+        CHECK(got.ends_with("\r\n\r\n4\r\nhalf\r\n"));
+        CHECK(server.handled == 1);
+    }
+    SUBCASE("by a handler that answers again") {
+        bool again = true;
+        server.handler = [&](http_exchange& exchange) -> asio::awaitable<void> {
+            co_await exchange.begin_stream(200, http_fields());
+            co_await exchange.write_piece("half");
+            again = co_await exchange.respond(http_response());
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK_FALSE(again);
+        CHECK(got.ends_with("\r\n\r\n4\r\nhalf\r\n"));
+    }
+    SUBCASE("by a handler that fails before it has") {
+        server.handler = [](http_exchange&) -> asio::awaitable<void> {
+            throw std::runtime_error("out of memory");
+            co_return;
+        };
+        std::string const got = talk(loop, server, post("x"));
+        CHECK(got.starts_with("HTTP/1.1 500"));
+    }
+}
+
+// A HEAD's answer has no body. One that is sent is read as the head of the next
+// answer on the connection.
+TEST_CASE("a server sends no body to HEAD") {
+    loopback loop;
+    test_server server(loop, http_limits());
+    server.handler = [](http_exchange& exchange) -> asio::awaitable<void> {
+        http_response response;
+        response.body = "four";
+        if (exchange.request().target == "/whole") {
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        co_await exchange.begin_stream(200, http_fields());
+        co_await exchange.write_piece("four");
+        co_await exchange.end_stream();
+    };
+    std::string path;
+    std::string told;
+    SUBCASE("of a whole answer") {
+        path = "/whole";
+        told = "Content-Length: 4\r\n\r\n";
+    }
+    SUBCASE("of a stream") {
+        path = "/stream";
+        told = "Transfer-Encoding: chunked\r\n\r\n";
+    }
+    std::string const head = "HEAD " + path + " HTTP/1.1\r\n\r\n";
+    std::string const last = "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n";
+    std::string const got = talk(loop, server, head + last);
+    CHECK(got.find(told + "HTTP/1.1 200") != std::string::npos);
+    CHECK(got.ends_with("\r\n\r\nfour"));
+    CHECK(server.handled == 2);
+}
+
 } // namespace camphorpoint
