A test's addresses belong to its process

Seen: port_tests failed once in a run beside four others ('a resumed answer ...': peers, 127.0.0.1:33587, address already in use), 71 of 72 cases passed. Cause: unused_address looked for a port that is free by TCP, among those that the kernel gives to outgoing connections; the node binds it by UDP, which another process of these tests had. Change: an address of 127.0.0.0/8 by the process's id, ports below the kernel's range, free by both protocols.

--- a/test/ports/loopback.cpp
+++ b/test/ports/loopback.cpp
@@ -4,14 +4,18 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <array>
 #include <chrono>
+#include <cstdint>
+#include <unistd.h>
 #include <utility>
 
 namespace camphorpoint::testing {
@@ -26,6 +30,30 @@
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 
+/// Below the ports that the kernel gives to outgoing connections.
+constexpr std::uint16_t first_port = 20'000;
+constexpr std::uint16_t last_port = 30'000;
+
+/// @returns a loopback address that no other process of these tests uses
+std::string own_host() {
+    auto const id = static_cast<unsigned>(::getpid());
+    constexpr unsigned byte = 256;
+    constexpr unsigned first_network = 64;
+    constexpr unsigned networks = 128;
+    return fmt::format(
+        "127.{}.{}.{}", first_network + id / (byte * byte) % networks,
+        id / byte % byte, id % byte);
+}
+
+template <class Protocol>
+bool is_free(ip_address const& address) {
+    asio::io_context io;
+    typename Protocol::socket socket(io, Protocol::v4());
+    boost::system::error_code error;
+    socket.bind({asio::ip::make_address(address.host), address.port}, error);
+    return !error;
+}
+
 asio::awaitable<void> accept_all(
     std::shared_ptr<tcp::acceptor> acceptor, std::shared_ptr<std::size_t> count,
     raw_server::script what) {
@@ -115,10 +143,14 @@
 }
 
 ip_address unused_address() {
-    asio::io_context io;
-    tcp::acceptor const taken(
-        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return local(taken.local_endpoint().port());
+    static std::uint16_t next = first_port;
+    for (;;) {
+        ip_address const address{own_host(), next};
+        next = next == last_port ? first_port : next + 1;
+        if (is_free<tcp>(address) && is_free<asio::ip::udp>(address)) {
+            return address;
+        }
+    }
 }
 
 } // namespace camphorpoint::testing
--- a/test/ports/loopback.hpp
+++ b/test/ports/loopback.hpp
@@ -62,7 +62,8 @@
 
 /// @returns the local address of a server
 ip_address local(std::uint16_t port);
-/// @returns an address on which nothing listens
+/// @returns an address on which nothing listens, by TCP or UDP, and that no
+///          other process is given
 ip_address unused_address();
 
 } // namespace camphorpoint::testing
