A failing test: a node that begins after the store went back

What callers saw: nothing yet; listed in docs/design/store-eras.md, rows 5 and 6. A node that begins between the store's return from an older copy and the operator's repeat serves by the copy. Shown: two nodes, the second one begins then. It is ready at once; a route that was in force is answered 404 instead of 503, and a request begins though a newer version of its adapter was named.

--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -44,6 +44,10 @@
     std::uint64_t configuration_version() const noexcept {
         return beliefs_.configuration.version;
     }
+    /// @returns the newest version that is known of an adapter, 0 for none
+    std::uint32_t newest_version(adapter_id const& adapter) const {
+        return beliefs_.versions.newest(adapter).value_or(0);
+    }
     /// @returns true when the replica is in the list
     bool knows(endpoint_id const& id) const {
         return beliefs_.replicas.find(id) != nullptr;
--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -79,6 +79,15 @@
 }
 
 void gateway_world::add_node() {
+    begin_node();
+    REQUIRE(loop.run_until([this] { return further_.back().node->ready(); }));
+}
+
+gateway& gateway_world::node_at(std::size_t which) {
+    return which == 0 ? *node : *further_.at(which - 1).node;
+}
+
+void gateway_world::begin_node() {
     further_node added;
     added.settings = settings;
     added.settings.name = node_id(fmt::format("n{}", further_.size() + 2));
@@ -88,7 +97,6 @@
     added.settings.metrics_address = unused_address();
     start(added.settings, added.node);
     further_.push_back(std::move(added));
-    REQUIRE(loop.run_until([this] { return further_.back().node->ready(); }));
 }
 
 void gateway_world::start_nodes_again() {
--- a/test/gateway/gateway_world.hpp
+++ b/test/gateway/gateway_world.hpp
@@ -55,6 +55,11 @@
     fetch_result ask_stream(std::size_t node, std::string path, unsigned after);
     /// Starts one node more and waits until it is ready.
     void add_node();
+    /// Starts one node more, which need not be ready.
+    void begin_node();
+    /// @returns one of the nodes
+    /// @param which 0 for the first
+    gateway& node_at(std::size_t which);
     /// Stops all nodes and starts as many anew, which know nothing.
     void start_nodes_again();
     /// Lists further replicas of the model. Each replica of it ends when it
--- a/test/gateway/store_copy_test.cpp
+++ b/test/gateway/store_copy_test.cpp
@@ -20,6 +20,9 @@
 /// declared, and for a replica that leaves.
 constexpr seconds bound{2};
 
+/// A node that nobody holds back is ready after its first readings.
+constexpr milliseconds at_once{700};
+
 /// Writes so many records that say nothing new, so that the store's end passes
 /// the place that a node goes on from.
 void fill(gateway_world& world, std::string const& topic, int count) {
@@ -156,6 +159,58 @@
     }
 }
 
+// A node begins after the store has gone back, and before the operator has
+// written again what was lost. It took the copy for the newest: callers got 404
+// on a route that had been in force, and runs on a version that was replaced.
+TEST_CASE("a node that begins after the store went back serves nothing older") {
+    gateway_world world;
+    std::string const lost_route =
+        R"({"name":"lost","hostname":"h","path_prefix":"/lost/",)"
+        R"("type":"safe","timeout_ms":3000,"target_latency_ms":800,)"
+        R"("priority":0,"service":"app","attempts":2},)";
+    std::string const version = R"({"model":"m","adapter":"a1","version":3})";
+    auto const copy = world.metadata.store();
+
+    SUBCASE("than a configuration that was in force") {
+        world.configure(5, lost_route);
+        REQUIRE(world.loop.run_until(
+            [&] { return world.node->configuration_version() == 5; }));
+        world.metadata.come_back(copy);
+        world.begin_node();
+        CHECK_FALSE(
+            within(world, bound, [&] { return world.node_at(1).ready(); }));
+        CHECK(
+            world.ask_node(1, "/lost/a", "", "q2", "").response.status == 503);
+        world.configure(5, lost_route);
+        CHECK(within(world, bound, [&] { return world.node_at(1).ready(); }));
+        CHECK(
+            world.ask_node(1, "/lost/a", "", "q3", "").response.status == 200);
+    }
+    SUBCASE("than a version of an adapter") {
+        auto const knows_version = [&](std::size_t which) {
+            return world.node_at(which).newest_version(adapter_id("m/a1")) == 3;
+        };
+        world.metadata.store().put("keyed.op", "version/m.a1", version);
+        REQUIRE(world.loop.run_until([&] { return knows_version(0); }));
+        world.metadata.come_back(copy);
+        world.begin_node();
+        CHECK_FALSE(
+            within(world, bound, [&] { return world.node_at(1).ready(); }));
+        auto const early = world.ask_node(1, "/gen/a", "m/a1", "q2", "x");
+        CHECK(early.response.status == 503);
+        world.metadata.store().put("keyed.op", "version/m.a1", version);
+        CHECK(within(world, bound, [&] { return world.node_at(1).ready(); }));
+        CHECK(knows_version(1));
+    }
+    SUBCASE("and one where nobody knows more is ready at once") {
+        world.configure(2);
+        REQUIRE(world.loop.run_until(
+            [&] { return world.node->configuration_version() == 2; }));
+        world.begin_node();
+        CHECK(within(world, at_once, [&] { return world.node_at(1).ready(); }));
+    }
+}
+
 // All nodes know that a content ends replicas; the store has lost it with its
 // newest records. When all begin anew nobody would know.
 TEST_CASE("a content that is not run is kept again after the store went back") {
