A node that begins hears first how much the others know

What callers saw: 404 on a route that had been in force, and a run on a version that was replaced, from a node that began between the store's return from an older copy and the operator's repeat. Cause: it took the copy for the newest. The others' word that there is more made it read again, and no more. Ruled out: handing the newest on from node to node, as a configuration may have megabytes and nodes talk in datagrams; waiting for a fixed time, which a lone node would wait as well. Change: start_check. A node that begins asks all in the group's list how much they know, is told at once, and is not ready and answers 503 (declarations-behind) before it has read as much, or 8 s have passed. One that says nothing is waited for 500 ms. Evidence: 'a node that begins after ...' failed on the code before in two of its three parts (ready at once; 404 and 200 instead of 503) and passes; its third part, nobody knows more, passed before and does.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -155,8 +155,8 @@
         service_name("callers"), {service_name("store")}, callers_service_);
 }
 
-bool gateway::ready() const {
-    return beliefs_.configured && !beliefs_.stopping &&
+bool gateway::ready() {
+    return beliefs_.may_serve(boot_clock::now()) && !beliefs_.stopping &&
            !beliefs_.replicas.all().empty();
 }
 
@@ -166,16 +166,24 @@
         limits_version_ = beliefs_.configuration.version;
         callers_.set_limits(limits_of(beliefs_.configuration.limits));
     }
-    if (ready() && !told_ready_) {
+    tell_ready();
+}
+
+void gateway::tell_ready() {
+    if (!told_ready_ && ready()) {
         told_ready_ = true;
+        // Less than was told: what others know was not to be had in time.
         beliefs_.note(log_line(event_code::gateway_ready)
-                          .with("version", limits_version_));
+                          .with("version", limits_version_)
+                          .with("declared", beliefs_.declared_total())
+                          .with("told", beliefs_.start.told()));
     }
 }
 
 asio::awaitable<void> gateway::tick() {
     while (running_) {
         keeper_.look();
+        tell_ready();
         beliefs_.log.flush(boot_clock::now());
         asio::steady_timer timer(*io_, tick_time);
         co_await timer.async_wait(use_result);
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -39,7 +39,7 @@
     /// @param stopped called when it has ended
     void drain(std::function<void()> stopped);
     /// @returns true when requests can be served
-    bool ready() const;
+    bool ready();
     /// @returns the version of the configuration in force, 0 for none
     std::uint64_t configuration_version() const noexcept {
         return beliefs_.configuration.version;
@@ -69,6 +69,7 @@
     boost::asio::awaitable<void> tick();
     void add_services();
     void changed();
+    void tell_ready();
 
     boost::asio::io_context* io_;
     gateway_beliefs beliefs_;
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -14,6 +14,7 @@
 #include "Ports/http_pool.hpp"
 #include "Routing/named_versions.hpp"
 #include "Routing/route_table.hpp"
+#include "Routing/start_check.hpp"
 #include "Telemetry/decision_log.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +38,11 @@
     std::uint64_t declared_total() const noexcept {
         return configuration.version + versions.total();
     }
+    /// @returns true when requests may be served by what is declared: there is
+    ///          a configuration, and nobody was known at the start to know more
+    bool may_serve(instant now) {
+        return configured && start.passed(declared_total(), now);
+    }
     /// @returns how many nodes there are, this one included
     unsigned nodes() const;
     /// @returns true when the store has answered lately and without a break
@@ -57,6 +63,7 @@
     bool configured = false;
     bool stopping = false;
     named_versions versions;
+    start_check start;
     /// How far this node has read what the operator declares.
     store_place declared_place;
 
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -220,15 +220,18 @@
     store_place declared_place;
     /// How much of it the sender knows: the sum of all versions.
     std::uint64_t declared_total = 0;
+    /// Set while the sender has begun and waits to hear how much others know:
+    /// it is told at once.
+    bool asks_declared = false;
 
-    static constexpr std::uint32_t current_format = 6;
+    static constexpr std::uint32_t current_format = 7;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
             format, from, present, loads, asks, answers, wants, uses, words,
             claims, suspicions, denials, ends, quarantines, readings,
-            declared_place, declared_total);
+            declared_place, declared_total, asks_declared);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -355,14 +355,27 @@
     });
 }
 
-void peer_words::tell_totals(instant now) {
-    std::erase_if(wanted_, [&](auto const& each) {
-        return now >= each.second + want_pause;
-    });
+peer_datagram peer_words::declared() const {
     peer_datagram message;
     message.present = true;
     message.declared_place = beliefs_->declared_place;
     message.declared_total = beliefs_->declared_total();
+    return message;
+}
+
+void peer_words::ask_declared() {
+    if (!beliefs_->start.done()) {
+        peer_datagram message = declared();
+        message.asks_declared = true;
+        send_all(message);
+    }
+}
+
+void peer_words::tell_totals(instant now) {
+    std::erase_if(wanted_, [&](auto const& each) {
+        return now >= each.second + want_pause;
+    });
+    peer_datagram message = declared();
     for (auto const& [id, each] : beliefs_->replicas.all()) {
         if (!each.open() || message.loads.size() >= most_counts) {
             continue;
@@ -391,6 +404,7 @@
             tell_totals(now);
             repeat_quarantines(now);
         }
+        ask_declared();
         if (tick % ticks_to_repeat == 0) {
             repeat_ends(now);
             repeat_uses();
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -67,6 +67,9 @@
     void tell_end(content_digest content, std::uint64_t replica);
     /// Tells all nodes whether a content is run.
     void tell_quarantine(quarantine_word const& word);
+    /// Asks all nodes how much they know of what the operator declares, while
+    /// this one has begun and has not heard it.
+    void ask_declared();
     /// Tells all nodes what this one has read in the list.
     void tell_reading(peer_reading reading);
     /// Notes that a request uses an adapter, until `release`, and tells whoever
@@ -115,6 +118,7 @@
     void tell_totals(instant now);
     bool orders_for(endpoint_id const& at) const;
     void forget_peers(instant now);
+    peer_datagram declared() const;
     void take_denial(peer_denial const& denial, instant now);
     bool has_place_for(peer_want const& want, instant now) const;
     void take_want(peer_want const& want, std::string const& from);
--- a/src/Gateway/peer_words_taking.cpp
+++ b/src/Gateway/peer_words_taking.cpp
@@ -77,6 +77,12 @@
     if (message.declared_place.era > beliefs_->era) {
         to_.era(message.declared_place.era);
     }
+    if (message.present) {
+        beliefs_->start.heard(message.from, message.declared_total);
+    }
+    if (message.asks_declared) {
+        send(message.from, declared());
+    }
     for (peer_load const& each : message.loads) {
         replica_total const total{
             each.running, static_cast<double>(each.backlog_tokens),
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -76,9 +76,10 @@
 
 asio::awaitable<void> request_flow::run() {
     auto const caller = leaving_;
-    if (!beliefs_->configured) {
+    if (!beliefs_->may_serve(arrived_)) {
         status_ = status_unavailable;
-        co_await finish("no-configuration");
+        co_await finish(
+            beliefs_->configured ? "declarations-behind" : "no-configuration");
         co_return;
     }
     if (!admit()) {
--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -152,12 +153,17 @@
     if (!owners) {
         co_return;
     }
+    std::set<std::string> others;
     for (platform::part_owner const& each : owners.value()) {
         auto const number = partition_number(each.topic, each.part);
         if (number && !each.member.empty()) {
             words_->set_owner(*number, each.member);
+            others.insert(each.member);
         }
     }
+    others.erase(beliefs_->own_name);
+    beliefs_->start.listed(std::move(others));
+    words_->ask_declared();
 }
 
 asio::awaitable<void> slot_orderer::claim(std::size_t partition) {
--- /dev/null
+++ b/src/Routing/start_check.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorpoint {
+
+/// How long a node that has begun waits before it serves.
+struct start_check_times {
+    /// For the group's list and for the first word of each node in it, from
+    /// the first configuration on. A node that was killed stays in the list
+    /// for as long as its lease, and says nothing.
+    std::chrono::milliseconds hearing{500};
+    /// For what others know and the store does not have, from the first
+    /// configuration on. The operator writes it again within seconds; after
+    /// this the node serves by what it has read.
+    std::chrono::milliseconds catching_up{8'000};
+};
+
+/// Decides whether a node that has begun may serve by what it has read of what
+/// the operator declares. Guards against a node that takes an older copy of the
+/// store for the newest: it would answer 404 on a route that was in force, or
+/// begin runs on a version that was replaced. It holds because the nodes that
+/// run say how much they know, and a node that has begun hears them first.
+class start_check {
+public:
+    /// @param times how long it waits
+    explicit start_check(start_check_times times = {});
+
+    /// There is a configuration.
+    void configured(instant now);
+    /// The group's list has been read.
+    /// @param others the other nodes in it
+    void listed(std::set<std::string> others);
+    /// Another node has said how much it knows: the sum of all versions.
+    void heard(std::string const& from, std::uint64_t total);
+
+    /// Once true it stays so: a node that serves keeps what it has.
+    /// @param known the sum of all versions that this node knows
+    /// @returns true when it may serve
+    bool passed(std::uint64_t known, instant now);
+    /// @returns true once it has passed
+    bool done() const noexcept { return done_; }
+    /// @returns the most that others have said so far
+    std::uint64_t told() const noexcept { return told_; }
+
+private:
+    bool heard_all() const;
+
+    start_check_times times_;
+    std::optional<instant> configured_at_;
+    std::optional<std::set<std::string>> others_;
+    std::set<std::string> heard_;
+    std::uint64_t told_ = 0;
+    bool done_ = false;
+};
+
+} // namespace camphorpoint
