Two nodes before a store that comes back from an older copy

Missing proofs of docs/design/store-eras.md, over the network: nodes of two eras that talk to each other, one of them cut off from the store; a claim whose answer is lost together with a return; the store going back between two pages of a reading; twice in a row. The stand-in of the store has pages of a settable length, loses the answers of appends alone, and counts readings and appends; the one of a replica notes whose orders it took by which number, and no number may have two holders.

--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -64,7 +64,8 @@
     if (era != 0) {
         response.fields.add("Store-Era", std::to_string(era));
     }
-    if (loses_answers) {
+    bool const added = camphorpoint::path_of(target) == "/log-append";
+    if (loses_answers || (added && loses_append_answers)) {
         co_await lose_answer(exchange, milliseconds(5'000));
         co_return;
     }
@@ -102,7 +103,7 @@
 metadata_http::respond(std::string const& target, std::string const& body) {
     std::string_view const path = camphorpoint::path_of(target);
     if (path == "/log-newest") {
-        return newest(query(target, "topic"));
+        return newest(query(target, "topic"), query(target, "after"));
     }
     if (path == "/log-join") {
         return join(body);
@@ -125,6 +126,7 @@
 std::uint64_t
 metadata_http::append(std::string const& target, std::string const& body) {
     std::string const topic = query(target, "topic");
+    ++appends[topic];
     constexpr std::size_t length_bytes = 4;
     if (topic.starts_with("keyed.") && body.size() > length_bytes) {
         auto const key_size = static_cast<unsigned char>(body[length_bytes]);
@@ -137,18 +139,32 @@
     return store_.append(topic, part, body);
 }
 
-http_response metadata_http::newest(std::string const& topic) const {
+http_response
+metadata_http::newest(std::string const& topic, std::string const& after) {
+    ++readings[topic];
     json::array items;
+    bool more = false;
     for (auto const& [key, value] : store_.newest(topic)) {
+        if (key <= after) {
+            continue;
+        }
+        more = items.size() >= page_items;
+        if (more) {
+            break;
+        }
         std::string encoded;
         absl::Base64Escape(value, &encoded);
         items.push_back(json::object{{"key", key}, {"value", encoded}});
     }
     json::object const page{
         {"items", std::move(items)},
-        {"more_pages", false},
+        {"more_pages", more},
         {"end", store_.end(topic)}};
-    return json_response(200, json::serialize(page));
+    http_response answer = json_response(200, json::serialize(page));
+    if (more && page_made) {
+        page_made(topic);
+    }
+    return answer;
 }
 
 http_response metadata_http::join(std::string const& body) {
@@ -177,6 +193,7 @@
 asio::awaitable<http_response> metadata_http::read(std::string target) {
     std::string const topic = query(target, "topic");
     std::uint64_t const from = number(query(target, "from"));
+    ++readings[topic];
     auto const until =
         clock_now() + milliseconds(number(query(target, "wait_ms")));
     while (store_.end(topic) == from && clock_now() < until) {
--- a/standins/metadata/metadata_http.hpp
+++ b/standins/metadata/metadata_http.hpp
@@ -5,7 +5,10 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 
 namespace standins {
@@ -30,11 +33,21 @@
     bool turns_away = false;
     /// While set, calls are done and get no answer.
     bool loses_answers = false;
+    /// While set, records are added and whoever adds them gets no answer.
+    bool loses_append_answers = false;
+    /// Items of one page of the newest records.
+    std::size_t page_items = 500;
+    /// Called with the topic when a page was made that others follow.
+    std::function<void(std::string const& topic)> page_made;
     /// What the way to whoever asks carries in a second, all answers together;
     /// 0: no bound.
     std::uint64_t bytes_per_second = 0;
     /// Calls so far.
     unsigned calls = 0;
+    /// Records that were added by calls so far, by topic.
+    std::map<std::string, unsigned> appends;
+    /// Readings so far, by topic.
+    std::map<std::string, unsigned> readings;
     /// Bytes of answers that went over a bounded way so far.
     std::uint64_t bytes_sent = 0;
 
@@ -42,7 +55,8 @@
     camphorpoint::http_response
     respond(std::string const& target, std::string const& body);
     std::uint64_t append(std::string const& target, std::string const& body);
-    camphorpoint::http_response newest(std::string const& topic) const;
+    camphorpoint::http_response
+    newest(std::string const& topic, std::string const& after);
     camphorpoint::http_response join(std::string const& body);
     camphorpoint::http_response owners() const;
     boost::asio::awaitable<camphorpoint::http_response>
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -82,6 +82,7 @@
         return json_response(412, "{}");
     }
     fence_ = fence;
+    holders[fence].insert(asked.text("holder"));
     std::string const adapter = asked.text("adapter");
     bool const unload = asked.text("operation") == "unload";
     auto const found = adapters_.find(adapter);
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -60,6 +60,8 @@
     std::map<std::string, unsigned> runs;
     /// Set when it was ordered to hold more than it can.
     bool overfilled = false;
+    /// Holders whose orders it took, by their fencing numbers.
+    std::map<std::uint64_t, std::set<std::string>> holders;
     /// How long a load takes.
     std::chrono::milliseconds load_time{60};
     /// Events of a stream, and the pause between them.
--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -87,6 +87,15 @@
     return which == 0 ? *node : *further_.at(which - 1).node;
 }
 
+void gateway_world::cut_store(std::size_t which) {
+    further_.at(which - 1).store->close();
+}
+
+void gateway_world::join_store(std::size_t which) {
+    further_node& joined = further_.at(which - 1);
+    REQUIRE(joined.store->listen(joined.settings.store_address).empty());
+}
+
 void gateway_world::begin_node() {
     further_node added;
     added.settings = settings;
@@ -95,6 +104,11 @@
     added.settings.readiness_address = unused_address();
     added.settings.peer_address = unused_address();
     added.settings.metrics_address = unused_address();
+    added.store = std::make_unique<http_server>(
+        loop.executor(), http_limits(),
+        [this](http_exchange& exchange) { return metadata.answer(exchange); });
+    REQUIRE(added.store->listen(local(0)).empty());
+    added.settings.store_address = local(added.store->port());
     start(added.settings, added.node);
     further_.push_back(std::move(added));
 }
@@ -270,4 +284,22 @@
     return sum;
 }
 
+void fill(gateway_world& world, std::string const& topic, int count) {
+    for (int each = 0; each < count; ++each) {
+        world.metadata.store().put(topic, "other", std::to_string(each));
+    }
+}
+
+bool within(
+    gateway_world& world, std::chrono::milliseconds time,
+    std::function<bool()> const& holds) {
+    instant const until = boot_clock::now() + time;
+    bool held = false;
+    world.loop.run_until([&] {
+        held = held || holds();
+        return held || boot_clock::now() >= until;
+    });
+    return held;
+}
+
 } // namespace camphorpoint::testing
--- a/test/gateway/gateway_world.hpp
+++ b/test/gateway/gateway_world.hpp
@@ -7,6 +7,7 @@
 #include "replica/replica_engine.hpp"
 #include "test/ports/loopback.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -60,6 +61,10 @@
     /// @returns one of the nodes
     /// @param which 0 for the first
     gateway& node_at(std::size_t which);
+    /// Ends the connections between one of the further nodes and the store;
+    /// calls are refused until the way is there again.
+    void cut_store(std::size_t which);
+    void join_store(std::size_t which);
     /// Stops all nodes and starts as many anew, which know nothing.
     void start_nodes_again();
     /// Lists further replicas of the model. Each replica of it ends when it
@@ -92,6 +97,8 @@
     struct further_node {
         gateway_settings settings;
         std::unique_ptr<gateway> node;
+        /// Where it reaches the store.
+        std::unique_ptr<http_server> store;
     };
     boost::asio::awaitable<fetch_result> send(
         ip_address to, std::string path, std::string model, std::string id,
@@ -108,4 +115,14 @@
     http_server store_;
 };
 
+/// Writes so many records that say nothing new, so that the store's end passes
+/// the place that a node goes on from.
+void fill(gateway_world& world, std::string const& topic, int count);
+
+/// Runs the loop until the condition holds, for so long at the most.
+/// @returns true when it has held
+bool within(
+    gateway_world& world, std::chrono::milliseconds time,
+    std::function<bool()> const& holds);
+
 } // namespace camphorpoint::testing
--- /dev/null
+++ b/test/gateway/store_copy_nodes_test.cpp
@@ -0,0 +1,231 @@
+#include "test/gateway/gateway_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::fill;
+using testing::gateway_world;
+using testing::within;
+
+namespace {
+
+/// The platform gives two seconds from the store's return on for whatever is
+/// declared, and for a replica that leaves.
+constexpr seconds bound{2};
+/// Records that are lost.
+constexpr int lost = 6;
+/// Two rows of requests find places for their adapters without a wait for one.
+constexpr std::size_t adapters = 3;
+constexpr std::string_view declarations = "keyed.op";
+constexpr std::string_view list = "keyed.servers";
+
+void pass(gateway_world& world, milliseconds time) {
+    within(world, time, [] { return false; });
+}
+
+bool follow(gateway_world& world, unsigned version) {
+    return world.node_at(0).configuration_version() == version &&
+           world.node_at(1).configuration_version() == version;
+}
+
+/// Writes a configuration and waits until both nodes have it.
+void settle(gateway_world& world, unsigned version) {
+    world.configure(version);
+    REQUIRE(world.loop.run_until([&] { return follow(world, version); }));
+}
+
+/// Writes that a replica leaves.
+void let_leave(gateway_world& world, testing::served_replica& replica) {
+    std::string entry = replica.engine.entry("llm", replica.address());
+    entry.replace(entry.find("ready"), 5, "draining");
+    world.metadata.store().put(std::string(list), replica.id, entry);
+}
+
+/// Sends requests for adapters that nobody holds yet, by turns to both nodes.
+void check_served(gateway_world& world, std::string const& row) {
+    for (std::size_t each = 0; each < adapters; ++each) {
+        std::string const id = row + std::to_string(each);
+        auto const got =
+            world.ask_node(each % 2, "/gen/a", "m/a" + id, id, "x");
+        CHECK(got.response.status == 200);
+    }
+}
+
+/// Two holders that order by one number would both be believed.
+void check_holders(gateway_world& world) {
+    for (auto const* const each : {&world.first, &world.second}) {
+        CHECK_FALSE(each->engine.overfilled);
+        for (auto const& [number, holders] : each->engine.holders) {
+            INFO(number);
+            CHECK(holders.size() == 1);
+        }
+    }
+}
+
+unsigned claims(gateway_world& world) {
+    unsigned sum = 0;
+    for (auto const& [topic, count] : world.metadata.appends) {
+        sum += topic.starts_with("holding") ? count : 0;
+    }
+    return sum;
+}
+
+} // namespace
+
+// Guards against word between nodes of two eras: a node that is cut off from
+// the store hears of an era whose records it can't read, and the others hear
+// places and claims of the era before.
+TEST_CASE("nodes of two eras talk to each other") {
+    gateway_world world;
+    world.add_node();
+    endpoint_id const leaving("r1");
+    auto const copy = world.metadata.store();
+    fill(world, std::string(list), lost);
+    fill(world, std::string(declarations), lost);
+    settle(world, 2);
+    world.cut_store(1);
+    world.metadata.come_back(copy);
+
+    SUBCASE("both serve, and no two order by one number") {
+        check_served(world, "a");
+        pass(world, bound);
+        check_served(world, "b");
+        CHECK(world.node_at(1).configuration_version() == 2);
+        check_holders(world);
+    }
+    SUBCASE("each follows in time, once it reaches the store") {
+        world.configure(9);
+        let_leave(world, world.first);
+        CHECK(within(world, bound, [&] {
+            return world.node_at(0).configuration_version() == 9 &&
+                   !world.node_at(0).uses(leaving);
+        }));
+        CHECK(world.node_at(1).configuration_version() == 2);
+        world.join_store(1);
+        CHECK(within(world, bound, [&] {
+            return follow(world, 9) && !world.node_at(1).uses(leaving);
+        }));
+        check_served(world, "c");
+        check_holders(world);
+    }
+    SUBCASE("a place of the era before makes nobody read again and again") {
+        pass(world, bound);
+        unsigned const before =
+            world.metadata.readings[std::string(declarations)];
+        pass(world, seconds(1));
+        unsigned const after =
+            world.metadata.readings[std::string(declarations)];
+        // A wait lasts for two seconds.
+        CHECK(after - before <= 1);
+    }
+}
+
+// Guards against a claim that the store has taken and forgotten, of which its
+// holder has heard nothing: its place is given out again to another holder.
+TEST_CASE("a claim's answer is lost, and the store goes back") {
+    gateway_world world;
+    world.add_replicas(6, "deadly");
+    auto const copy = world.metadata.store();
+    unsigned const before = claims(world);
+    world.metadata.loses_append_answers = true;
+    world.begin_node();
+    REQUIRE(world.loop.run_until([&] { return claims(world) > before; }));
+    world.metadata.come_back(copy);
+    world.metadata.loses_append_answers = false;
+    REQUIRE(world.loop.run_until([&] { return world.node_at(1).ready(); }));
+    SUBCASE("at once") {}
+    SUBCASE("and some time later") {
+        pass(world, bound);
+    }
+    check_served(world, "a");
+    check_holders(world);
+}
+
+// Guards against a reading of which one half is of the store before and the
+// other of its copy: what stands between them would be missed.
+TEST_CASE("the store goes back between two pages of a reading") {
+    bool armed = false;
+    std::string topic;
+    gateway_world world(
+        [](gateway_world& before) { before.metadata.page_items = 2; });
+    REQUIRE(world.loop.run_until([&] { return world.node->ready(); }));
+    endpoint_id const leaving("r1");
+    for (int each = 0; each < lost; ++each) {
+        world.metadata.store().put(
+            std::string(declarations), "version/m.b" + std::to_string(each),
+            R"({"model":"m","adapter":"b","version":2})");
+    }
+    auto const with_pages = world.metadata.store();
+    world.configure(2);
+    fill(world, std::string(list), lost);
+    REQUIRE(world.loop.run_until(
+        [&] { return world.node->configuration_version() == 2; }));
+    world.metadata.page_made = [&](std::string const& of) {
+        if (armed && of == topic) {
+            armed = false;
+            world.metadata.come_back(with_pages);
+        }
+    };
+    SUBCASE("of what is declared") {
+        topic = declarations;
+    }
+    SUBCASE("of the list of replicas") {
+        topic = list;
+    }
+    armed = true;
+    world.metadata.come_back(with_pages);
+    bool lost_one = false;
+    REQUIRE(within(world, bound, [&] {
+        lost_one = lost_one || !world.node->uses(endpoint_id("r2"));
+        return !armed;
+    }));
+    world.configure(9);
+    let_leave(world, world.first);
+    fill(world, std::string(list), 2 * lost);
+    fill(world, std::string(declarations), 2 * lost);
+    CHECK(within(world, bound, [&] {
+        lost_one = lost_one || !world.node->uses(endpoint_id("r2"));
+        return world.node->configuration_version() == 9 &&
+               !world.node->uses(leaving);
+    }));
+    CHECK_FALSE(lost_one);
+}
+
+// Guards against a node that has not yet read the first copy whole when the
+// next one comes, while the other one has.
+TEST_CASE("the store goes back twice in a row before two nodes") {
+    gateway_world world;
+    world.add_node();
+    auto const copy = world.metadata.store();
+    fill(world, std::string(declarations), lost);
+    settle(world, 2);
+    milliseconds between{0};
+    SUBCASE("at once") {}
+    SUBCASE("while one reads the first copy") {
+        between = milliseconds(300);
+    }
+    SUBCASE("when both have read the first copy") {
+        between = milliseconds(1'500);
+    }
+    world.metadata.come_back(copy);
+    pass(world, between);
+    world.configure(3);
+    fill(world, std::string(declarations), 1);
+    check_served(world, "a");
+    world.metadata.come_back(copy);
+    world.configure(9);
+    fill(world, std::string(declarations), 2 * lost);
+    CHECK(within(world, bound, [&] { return follow(world, 9); }));
+    check_served(world, "b");
+    check_holders(world);
+}
+
+} // namespace camphorpoint
--- a/test/gateway/store_copy_test.cpp
+++ b/test/gateway/store_copy_test.cpp
@@ -12,7 +12,9 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::fill;
 using testing::gateway_world;
+using testing::within;
 
 namespace {
 
@@ -23,26 +25,6 @@
 /// A node that nobody holds back is ready after its first readings.
 constexpr milliseconds at_once{700};
 
-/// Writes so many records that say nothing new, so that the store's end passes
-/// the place that a node goes on from.
-void fill(gateway_world& world, std::string const& topic, int count) {
-    for (int each = 0; each < count; ++each) {
-        world.metadata.store().put(topic, "other", std::to_string(each));
-    }
-}
-
-bool within(
-    gateway_world& world, milliseconds time,
-    std::function<bool()> const& holds) {
-    instant const until = boot_clock::now() + time;
-    bool held = false;
-    world.loop.run_until([&] {
-        held = held || holds();
-        return held || boot_clock::now() >= until;
-    });
-    return held;
-}
-
 /// Waits until the node has followed a change that is made last.
 void settle(gateway_world& world) {
     std::uint64_t const version = world.node->configuration_version() + 1;
