A failing test: a holder that claims anew knows its replicas' places

What callers saw: requests for adapters refused, load-takes-too-long, for a second after the store came back from an older copy; without the return none.

--- a/test/gateway/store_copy_test.cpp
+++ b/test/gateway/store_copy_test.cpp
@@ -141,6 +141,38 @@
     }
 }
 
+// Guards against refusals that an outage alone would not bring: a holder that
+// claims anew in a new era took all adapters at its replicas for used just now,
+// and had no place for others for a second.
+TEST_CASE("a holder that claims anew knows its replicas' places as before") {
+    gateway_world world;
+    constexpr int places = 6;
+    auto const ask_all = [&](std::string const& row) {
+        int served = 0;
+        for (int each = 0; each < places; ++each) {
+            std::string const id = row + std::to_string(each);
+            auto const got = world.ask("/gen/a", "m/a" + id, id);
+            served += got.response.status == 200 ? 1 : 0;
+        }
+        return served;
+    };
+    REQUIRE(ask_all("a") == places);
+    auto const number = [&] {
+        auto const& holders = world.first.engine.holders;
+        return holders.empty() ? 0 : holders.rbegin()->first;
+    };
+    auto const before = number();
+    SUBCASE("in one era") {
+        within(world, milliseconds(1'000), [] { return false; });
+    }
+    SUBCASE("in the next one") {
+        world.metadata.come_back(world.metadata.store());
+        within(world, milliseconds(1'000), [] { return false; });
+    }
+    CHECK(ask_all("b") == places);
+    CHECK(number() >= before);
+}
+
 // A node begins after the store has gone back, and before the operator has
 // written again what was lost. It took the copy for the newest: callers got 404
 // on a route that had been in force, and runs on a version that was replaced.
