A holder that claims anew keeps its account of the replica

What callers saw: requests for adapters refused, load-takes-too-long, for a second after the store came back from an older copy, where an outage alone refused none. Cause: a claim in a new era gives the holder another fencing number, and a number other than before ended the account: all adapters found at the replica then count as used just now, for a second, as at a takeover. Ruled out: too few places (the same requests without the return are all served). Change: what ends an account is that another may have ordered. partition_leases says since when none can have; where the lease was over when the store came back it says anew. The same holder's account goes on under the new number, after a report.

--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -88,7 +88,8 @@
             continue;
         }
         auto const held = std::make_shared<held_replica>(
-            *limits, pace_, beliefs_->io, *token);
+            *limits, pace_, beliefs_->io, *token,
+            *beliefs_->leases.held_since(partition_of(id)));
         held_[id] = held;
         pace_->set_replicas(held_.size());
         by_short_name_[fleet::short_name(id)] = id;
@@ -199,11 +200,18 @@
     replica const* const at = beliefs_->replicas.find(id);
     instant const now = boot_clock::now();
     auto const token = beliefs_->leases.token(partition_of(id), now);
-    if (at == nullptr || !at->open() || !token || *token != held->token) {
+    auto const since = beliefs_->leases.held_since(partition_of(id));
+    if (at == nullptr || !at->open() || !token || since != held->since) {
         held->ended = true;
         co_return;
     }
     slot_account& account = held->account;
+    if (*token != held->token) {
+        // The same holder under a new number: what it knows of the replica
+        // holds on, and a report shows what it may have missed.
+        held->token = *token;
+        account.distrust();
+    }
     if (at->record.born != held->born) {
         // Asked by report, which is newer than the list: it may know already.
         held->born = at->record.born;
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -47,13 +47,16 @@
     struct held_replica {
         held_replica(
             slot_limits limits, std::shared_ptr<load_pace> pace,
-            boost::asio::io_context& io, std::uint64_t fence)
+            boost::asio::io_context& io, std::uint64_t fence, instant from)
             : account(limits, std::move(pace))
             , wake(io)
-            , token(fence) {}
+            , token(fence)
+            , since(from) {}
         slot_account account;
         boost::asio::steady_timer wake;
+        /// Another one after a claim in a later era of the store.
         std::uint64_t token;
+        instant since;
         /// When the replica started, as the list said last.
         std::optional<incarnation> born;
         bool ended = false;
--- a/src/Holding/partition_leases.cpp
+++ b/src/Holding/partition_leases.cpp
@@ -8,6 +8,11 @@
     instant started, std::uint64_t generation,
     std::vector<std::size_t> const& partitions, instant now) {
     bool const lapsed = !valid(now);
+    // A store that has gone back may have given the partitions to another once
+    // their lease was over, and taken them back.
+    bool const unsure =
+        era_ > granted_era_ && started >= renewed_ + times_.lease;
+    granted_era_ = era_;
     renewed_ = started;
     generation_ = generation;
     failing_since_ = instant::max();
@@ -19,8 +24,9 @@
             found != held_.end() && !found->second.lost && !lapsed;
         if (kept) {
             next[each] = found->second;
+            next[each].since = unsure ? now : found->second.since;
         } else {
-            next[each] = {now, std::nullopt, false};
+            next[each] = {now, now, std::nullopt, false};
             fresh.push_back(each);
         }
     }
@@ -105,6 +111,12 @@
     return all;
 }
 
+std::optional<instant>
+partition_leases::held_since(std::size_t partition) const {
+    return holds(partition) ? std::optional(held_.at(partition).since)
+                            : std::nullopt;
+}
+
 bool partition_leases::holds(std::size_t partition) const {
     auto const found = held_.find(partition);
     return found != held_.end() && !found->second.lost;
--- a/src/Holding/partition_leases.hpp
+++ b/src/Holding/partition_leases.hpp
@@ -70,6 +70,9 @@
     ///          fencing number is still missing or of an earlier era
     std::vector<std::size_t> held() const;
     std::vector<std::size_t> without_token() const;
+    /// @returns since when no other can have ordered for the partition; nothing
+    ///          when this node does not hold it
+    std::optional<instant> held_since(std::size_t partition) const;
     /// @returns true when this node was given the partition last
     bool holds(std::size_t partition) const;
     /// @returns the group's generation as told last
@@ -83,6 +86,7 @@
 private:
     struct holding {
         instant gained;
+        instant since;
         std::optional<std::uint64_t> token;
         bool lost = false;
     };
@@ -92,6 +96,8 @@
     /// The highest fencing number that was shown for each partition.
     std::map<std::size_t, std::uint64_t> shown_;
     store_era era_{};
+    /// The era of the last renewal that was granted.
+    store_era granted_era_{};
     std::uint64_t generation_ = 0;
     instant renewed_;
     /// The last failed renewal of an unbroken row that began in the lease.
--- a/test/gateway/store_copy_nodes_test.cpp
+++ b/test/gateway/store_copy_nodes_test.cpp
@@ -63,9 +63,9 @@
 void check_holders(gateway_world& world) {
     for (auto const* const each : {&world.first, &world.second}) {
         CHECK_FALSE(each->engine.overfilled);
-        for (auto const& [number, holders] : each->engine.holders) {
-            INFO(number);
-            CHECK(holders.size() == 1);
+        for (auto const& of_number : each->engine.holders) {
+            INFO(of_number.first);
+            CHECK(of_number.second.size() == 1);
         }
     }
 }
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -448,6 +448,36 @@
             CHECK(leases.token(4, settled));
         }
     }
+    // A holder that claims anew would else take all adapters for used just now.
+    SUBCASE("no other can have ordered since the partition was given") {
+        constexpr store_era next{1};
+        auto const since = leases.held_since(4);
+        REQUIRE(since);
+        CHECK_FALSE(leases.held_since(95));
+        leases.new_era(next);
+        SUBCASE("also in a new era, where the lease goes on") {
+            leases.granted(settled, 1, {4, 5}, settled);
+            CHECK(leases.held_since(4) == since);
+        }
+        SUBCASE("but once it was over the store may have given it to another") {
+            instant const later = settled + times.lease;
+            leases.granted(later, 1, {4, 5}, later);
+            CHECK(leases.held_since(4) == later);
+        }
+        SUBCASE("also where an outage was bridged") {
+            for (int step = 1; step <= 6; ++step) {
+                leases.failed(start + step * milliseconds(600));
+            }
+            instant const later = start + milliseconds(4'000);
+            leases.granted(later, 1, {4, 5}, later);
+            CHECK(leases.token(4, later) == 17);
+            CHECK(leases.held_since(4) == later);
+        }
+        SUBCASE("nor when another has shown a higher number") {
+            leases.overtaken(4, fencing_number({next, 9}));
+            CHECK_FALSE(leases.held_since(4));
+        }
+    }
     SUBCASE("a number that another has shown is not taken, but had again") {
         leases.overtaken(6, 20);
         leases.granted(settled, 2, {4, 5, 6}, settled);
