--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -39,11 +39,15 @@
     /// @param stopped called when it has ended
     void drain(std::function<void()> stopped);
     /// @returns true when requests can be served
-    bool ready() const;
+    bool ready();
     /// @returns the version of the configuration in force, 0 for none
     std::uint64_t configuration_version() const noexcept {
         return beliefs_.configuration.version;
     }
+    /// @returns the newest version that is known of an adapter, 0 for none
+    std::uint32_t newest_version(adapter_id const& adapter) const {
+        return beliefs_.versions.newest(adapter).value_or(0);
+    }
     /// @returns true when the replica is in the list
     bool knows(endpoint_id const& id) const {
         return beliefs_.replicas.find(id) != nullptr;
@@ -65,6 +69,7 @@
     boost::asio::awaitable<void> tick();
     void add_services();
     void changed();
+    void tell_ready();
 
     boost::asio::io_context* io_;
     gateway_beliefs beliefs_;
