A node that begins asks eight others, not all

Change: eight of the list, drawn by the node's own name, so that nobody is asked by all. Test: 1,900 nodes, eight asked by each, none asked by more than 31.

--- a/src/Gateway/peer_words.cpp
+++ b/src/Gateway/peer_words.cpp
@@ -367,7 +367,9 @@
     if (!beliefs_->start.done()) {
         peer_datagram message = declared();
         message.asks_declared = true;
-        send_all(message);
+        for (std::string const& each : beliefs_->start.asked()) {
+            send(each, message);
+        }
     }
 }
 
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -67,7 +67,7 @@
     void tell_end(content_digest content, std::uint64_t replica);
     /// Tells all nodes whether a content is run.
     void tell_quarantine(quarantine_word const& word);
-    /// Asks all nodes how much they know of what the operator declares, while
+    /// Asks a few nodes how much they know of what the operator declares, while
     /// this one has begun and has not heard it.
     void ask_declared();
     /// Tells all nodes what this one has read in the list.
--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -162,7 +162,7 @@
         }
     }
     others.erase(beliefs_->own_name);
-    beliefs_->start.listed(std::move(others));
+    beliefs_->start.listed(beliefs_->own_name, others);
     words_->ask_declared();
 }
 
--- a/src/Routing/start_check.hpp
+++ b/src/Routing/start_check.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace camphorpoint {
 
@@ -35,8 +36,9 @@
     /// There is a configuration.
     void configured(instant now);
     /// The group's list has been read.
-    /// @param others the other nodes in it
-    void listed(std::set<std::string> others);
+    /// @param own    this node's name
+    /// @param others the other nodes in it, of which a few are to be asked
+    void listed(std::string_view own, std::set<std::string> const& others);
     /// Another node has said how much it knows: the sum of all versions.
     void heard(std::string const& from, std::uint64_t total);
 
@@ -46,6 +48,8 @@
     bool passed(std::uint64_t known, instant now);
     /// @returns true once it has passed
     bool done() const noexcept { return done_; }
+    /// @returns the nodes that are to be asked
+    std::set<std::string> const& asked() const noexcept { return asked_; }
     /// @returns the most that others have said so far
     std::uint64_t told() const noexcept { return told_; }
 
@@ -54,7 +58,8 @@
 
     start_check_times times_;
     std::optional<instant> configured_at_;
-    std::optional<std::set<std::string>> others_;
+    bool listed_ = false;
+    std::set<std::string> asked_;
     std::set<std::string> heard_;
     std::uint64_t told_ = 0;
     bool done_ = false;
--- a/test/start_check_test.cpp
+++ b/test/start_check_test.cpp
@@ -3,6 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
 
 namespace camphorpoint {
 
@@ -23,7 +27,7 @@
     CHECK_FALSE(check.passed(0, start));
     check.configured(start);
     CHECK_FALSE(check.passed(1, start));
-    check.listed({"a", "b"});
+    check.listed("own", {"a", "b"});
     check.heard("a", 1);
     CHECK_FALSE(check.passed(1, start));
 
@@ -60,7 +64,7 @@
     start_check check;
     check.configured(start);
     SUBCASE("by the group's list") {
-        check.listed({});
+        check.listed("own", {});
         CHECK(check.passed(1, start));
     }
     SUBCASE("after a short time when the list can't be read") {
@@ -69,4 +73,29 @@
     }
 }
 
+// Guards against a wave of questions, by all nodes to all, where all begin at
+// once.
+TEST_CASE("a node that begins asks a few, whatever the number of nodes") {
+    constexpr int nodes = 1'900;
+    constexpr std::size_t few = 8;
+    std::set<std::string> all;
+    for (int each = 0; each < nodes; ++each) {
+        all.insert(std::to_string(each));
+    }
+    std::map<std::string, std::size_t> asked;
+    for (std::string const& own : all) {
+        std::set<std::string> others = all;
+        others.erase(own);
+        start_check check;
+        check.listed(own, others);
+        REQUIRE(check.asked().size() == few);
+        for (std::string const& each : check.asked()) {
+            ++asked[each];
+        }
+    }
+    for (auto const& [name, times] : asked) {
+        CHECK(times < 4 * few);
+    }
+}
+
 } // namespace camphorpoint
