A success without an id, on a kept connection, is another request's

What callers would see: events of another request's run, whole and as complete. Cause: an answer without X-Request-Id counted as the one that is waited for. Replicas repeat the id in each success; refusals need not bear one. Change: the gateway's calls demand it of successes on a kept connection. The stand-in of a replica repeats it in streams, too.

--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -183,6 +183,7 @@
         times.idle_at_most = safe_idle;
     }
     times.echoed = std::string(platform::id_field);
+    times.successes_echo = true;
     return times;
 }
 
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -114,6 +114,14 @@
     asio::awaitable<std::optional<std::string>> read_piece();
     asio::awaitable<std::optional<std::string>> read_some();
     asio::awaitable<bool> read_own_header(std::string sent);
+    /// @returns true when the answer whose header was read must bear the id
+    bool must_echo() const {
+        constexpr unsigned first_success = 200;
+        constexpr unsigned first_redirect = 300;
+        unsigned const status = parser_->get().result_int();
+        return times_.successes_echo && reused_ && status >= first_success &&
+               status < first_redirect;
+    }
     void give_back();
     void close();
     void note_silence(beast::error_code const& error);
@@ -201,7 +209,8 @@
             co_return false;
         }
         std::string_view const got = parser_->get()[times_.echoed];
-        if (sent.empty() || got.empty() || got == sent) {
+        bool const unnamed = got.empty() && !must_echo();
+        if (sent.empty() || unnamed || got == sent) {
             co_return true;
         }
         bool whole = !parser_->need_eof();
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -47,6 +47,9 @@
     /// bears it. Guards against an answer to an earlier request that comes
     /// late, where the next one is expected: it is read and thrown away.
     std::string echoed;
+    /// The server repeats it in each success. Then one without it, on a kept
+    /// connection, is another request's as well.
+    bool successes_echo = false;
 };
 
 /// One call, whose answer is read piece by piece.
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -202,6 +202,9 @@
     http_fields answer;
     answer.add("Content-Type", "text/event-stream");
     answer.add("X-Response-Signature", "signed." + id_);
+    answer.add(
+        "X-Request-Id",
+        std::string(exchange.request().fields.get("X-Request-Id")));
     co_await exchange.begin_stream(200, std::move(answer));
     std::string const last(exchange.request().fields.get("Last-Event-Id"));
     unsigned const from =
--- /dev/null
+++ b/test/gateway/literal_answers_test.cpp
@@ -0,0 +1,798 @@
+#include "test/gateway/gateway_world.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using testing::gateway_world;
+using testing::loopback;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned stream_events = 4;
+constexpr unsigned replicas = 4;
+constexpr std::size_t all_at_once = 1U << 20U;
+
+/// What an answer's connection does behind its last byte.
+enum class after_answer : std::uint8_t { closes, resets, stays };
+
+/// One answer, as it goes over the wire. "{id}" stands for the request's id.
+struct literal_answer {
+    std::string text;
+    after_answer ending = after_answer::closes;
+    /// Bytes that are written at a time.
+    std::size_t piece = all_at_once;
+    /// Between pieces.
+    milliseconds pause{0};
+    /// Bytes that are written before the text, once the request has come.
+    std::string stray = {};
+};
+
+std::string field_of(std::string_view head, std::string_view name) {
+    std::size_t const place = head.find(name);
+    if (place == std::string_view::npos) {
+        return {};
+    }
+    std::string_view const rest = head.substr(place + name.size());
+    return std::string(rest.substr(0, rest.find("\r\n")));
+}
+
+std::string with_id(std::string text, std::string_view id) {
+    constexpr std::string_view mark = "{id}";
+    std::size_t const place = text.find(mark);
+    return place == std::string::npos ? text
+                                      : text.replace(place, mark.size(), id);
+}
+
+std::string head(std::string_view fields, int status = 200) {
+    return fmt::format(
+        "HTTP/1.1 {} Any\r\nX-Request-Id: {{id}}\r\n"
+        "X-Response-Signature: signed\r\n"
+        "Content-Type: text/event-stream\r\n{}\r\n",
+        status, fields);
+}
+
+std::string event(std::uint64_t number) {
+    return fmt::format("id: {0}\ndata: w{0}\n\n", number);
+}
+
+std::string events(std::uint64_t first, std::uint64_t last) {
+    std::string text;
+    for (std::uint64_t each = first; each <= last; ++each) {
+        text += event(each);
+    }
+    return text;
+}
+
+std::string chunk(std::string_view text) {
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+constexpr std::string_view chunked_field = "Transfer-Encoding: chunked\r\n";
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+std::string chunked(std::string_view body) {
+    std::string const text = body.empty() ? "" : chunk(body);
+    return head(chunked_field) + text + std::string(last_chunk);
+}
+
+/// A chunked answer whose connection ends behind these bytes of the body.
+std::string chunked_and_cut(std::string_view body) {
+    return head(chunked_field) + (body.empty() ? "" : chunk(body));
+}
+
+std::string unframed(std::string_view body) {
+    return head("Connection: close\r\n") + std::string(body);
+}
+
+/// Replicas, all at one address, that answer word for word as a script says;
+/// beyond it each goes on behind Last-Event-Id.
+class literal_replica {
+public:
+    explicit literal_replica(loopback& loop)
+        : loop_(&loop)
+        , acceptor_(
+              loop.io(), tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+        asio::co_spawn(loop.io(), accept_all(), asio::detached);
+    }
+    ~literal_replica() {
+        acceptor_.close();
+        loop_->io().poll();
+    }
+    literal_replica(literal_replica const&) = delete;
+    literal_replica& operator=(literal_replica const&) = delete;
+
+    std::string entry() const {
+        return fmt::format(
+            R"({{"service":"scripted","address":"127.0.0.1:{}","zone":"z",)"
+            R"("slots":64,"state":"ready","models":[],"sequence":1,)"
+            R"("born":1767225600000}})",
+            acceptor_.local_endpoint().port());
+    }
+
+    std::deque<literal_answer> script;
+    /// What comes when the script is over, in place of a whole stream.
+    std::function<std::string(unsigned after)> otherwise = [](unsigned after) {
+        return chunked(events(after + 1, stream_events));
+    };
+    /// Last-Event-Id of each request, as it came.
+    std::vector<std::string> begun_after;
+    /// Connections that the node has ended while an answer was being written.
+    unsigned broken_off = 0;
+
+private:
+    asio::awaitable<void> accept_all() {
+        while (acceptor_.is_open()) {
+            auto [error, socket] = co_await acceptor_.async_accept(use_result);
+            if (!error) {
+                asio::co_spawn(
+                    loop_->io(), serve(std::move(socket)), asio::detached);
+            }
+        }
+    }
+
+    literal_answer next(std::string const& last) {
+        if (!script.empty()) {
+            literal_answer answer = std::move(script.front());
+            script.pop_front();
+            return answer;
+        }
+        unsigned after = 0;
+        std::from_chars(last.data(), last.data() + last.size(), after);
+        return {otherwise(after), after_answer::closes};
+    }
+
+    asio::awaitable<bool> write(
+        tcp::socket& socket, std::string text, std::size_t piece,
+        milliseconds pause) {
+        asio::steady_timer timer(loop_->io());
+        std::string_view rest = text;
+        while (!rest.empty()) {
+            std::string_view const part = rest.substr(0, piece);
+            auto const [error, size] = co_await asio::async_write(
+                socket, asio::buffer(part.data(), part.size()), use_result);
+            if (error) {
+                ++broken_off;
+                co_return false;
+            }
+            rest.remove_prefix(part.size());
+            if (pause > milliseconds(0)) {
+                timer.expires_after(pause);
+                co_await timer.async_wait(use_result);
+            }
+        }
+        co_return true;
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket) {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        std::string read;
+        while (true) {
+            auto const [error, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(read), "\r\n\r\n", use_result);
+            if (error) {
+                co_return;
+            }
+            std::string const request = read.substr(0, size);
+            read.erase(0, size);
+            std::string const last = field_of(request, "Last-Event-Id: ");
+            begun_after.push_back(last);
+            literal_answer const answer = next(last);
+            std::string text =
+                answer.stray +
+                with_id(answer.text, field_of(request, "X-Request-Id: "));
+            bool const written = co_await write(
+                socket, std::move(text), answer.piece, answer.pause);
+            if (written && answer.ending == after_answer::stays) {
+                continue;
+            }
+            if (answer.ending == after_answer::resets) {
+                asio::steady_timer timer(loop_->io(), milliseconds(2));
+                co_await timer.async_wait(use_result);
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            }
+            socket.close(ignored);
+            co_return;
+        }
+    }
+
+    loopback* loop_;
+    tcp::acceptor acceptor_;
+};
+
+/// One node before them. Paths below /runs/ may be resumed and allow as many
+/// runs as there are replicas, those below /alone/ may be resumed by the client
+/// only, those below /bare/ not at all.
+class literal_world {
+public:
+    explicit literal_world(
+        unsigned listed = replicas,
+        milliseconds stop_limit = milliseconds(4'000))
+        : world([stop_limit](gateway_world& before) {
+            before.settings.second_sends.slack = 1e6;
+            before.settings.stop_limit = stop_limit;
+        })
+        , replica(world.loop) {
+        REQUIRE(world.loop.run_until([this] { return world.node->ready(); }));
+        world.configure(
+            2, route("runs", replicas, true) + route("alone", 1, true) +
+                   route("bare", replicas, false));
+        for (unsigned each = 0; each < listed; ++each) {
+            world.metadata.store().put(
+                "keyed.servers", fmt::format("s{}", each), replica.entry());
+        }
+        endpoint_id const last(fmt::format("s{}", listed - 1));
+        REQUIRE(world.loop.run_until([&] {
+            return world.node->configuration_version() == 2 &&
+                   world.node->knows(last);
+        }));
+    }
+
+    static std::string
+    route(std::string_view name, unsigned attempts, bool resumable) {
+        return fmt::format(
+            R"({{"name":"{0}","hostname":"h","path_prefix":"/{0}/",)"
+            R"("type":"streaming","timeout_ms":3000,"target_latency_ms":800,)"
+            R"("priority":0,"service":"scripted","attempts":{1},)"
+            R"("resumable":{2}}},)",
+            name, attempts, resumable);
+    }
+
+    asio::awaitable<fetch_result>
+    fetch_stream(std::string path, std::string last, unsigned deadline = 3000) {
+        http_call call(world.loop.executor());
+        http_request request;
+        request.method = "POST";
+        request.fields.add("Host", "h");
+        request.fields.add("X-Request-Id", path);
+        request.fields.add("X-Request-Deadline", std::to_string(deadline));
+        request.target = std::move(path);
+        if (!last.empty()) {
+            request.fields.add("Last-Event-Id", last);
+        }
+        ip_address to = world.settings.caller_address;
+        call_times times;
+        co_return co_await fetch(
+            call, std::move(to), std::move(request), times);
+    }
+
+    /// @param last Last-Event-Id, empty for none
+    fetch_result
+    ask_at(std::string path, std::string last = "", unsigned deadline = 3000) {
+        fetch_result result;
+        world.loop.run([&]() -> asio::awaitable<void> {
+            result = co_await fetch_stream(path, last, deadline);
+        });
+        return result;
+    }
+
+    /// Sends a request whose content is like no other's.
+    fetch_result
+    ask(std::string_view route, std::string last = "",
+        unsigned deadline = 3000) {
+        return ask_at(
+            fmt::format("/{}/{}", route, ++asked_), std::move(last), deadline);
+    }
+
+    gateway_world world;
+    literal_replica replica;
+
+private:
+    unsigned asked_ = 0;
+};
+
+bool complete(fetch_result const& answer) {
+    return answer.how == call_result::answered && answer.response.status == 200;
+}
+
+std::deque<literal_answer> script_of(std::vector<std::string> texts) {
+    std::deque<literal_answer> script;
+    for (std::string& each : texts) {
+        script.push_back({std::move(each)});
+    }
+    return script;
+}
+
+} // namespace
+
+// Guards against an event joined from two runs as the last one of a stream that
+// its client has resumed: the stream would end as complete without it.
+TEST_CASE("a run's half event ends with its run where the client has resumed") {
+    literal_world world;
+    for (unsigned after = 1; after < stream_events; ++after) {
+        std::string const due = event(after + 1);
+        for (std::size_t bytes = 0; bytes < due.size(); ++bytes) {
+            world.replica.script =
+                script_of({chunked_and_cut(due.substr(0, bytes))});
+            auto const answer = world.ask("runs", std::to_string(after));
+            INFO("after " << after << ", cut after " << bytes);
+            CHECK(answer.response.body == events(after + 1, stream_events));
+            CHECK(complete(answer));
+        }
+    }
+}
+
+// Guards against streams that can't end: a body without length ends with its
+// connection, and one that was not reset is complete.
+TEST_CASE("a whole stream is completed where all replicas send no length") {
+    auto const no_length = [](unsigned after) {
+        return unframed(events(after + 1, stream_events));
+    };
+    SUBCASE("the node may resume it") {
+        literal_world world;
+        world.replica.otherwise = no_length;
+        auto const answer = world.ask("runs");
+        CHECK(answer.response.body == events(1, stream_events));
+        CHECK(complete(answer));
+    }
+    SUBCASE("its client resumes it as often as it likes") {
+        constexpr unsigned most = 4;
+        literal_world world;
+        world.replica.otherwise = no_length;
+        auto answer = world.ask("alone");
+        for (unsigned each = 0; each < most && !complete(answer); ++each) {
+            answer = world.ask("alone", std::to_string(stream_events));
+        }
+        CHECK(complete(answer));
+    }
+    SUBCASE("there is one replica") {
+        literal_world world(1);
+        world.replica.otherwise = no_length;
+        CHECK(complete(world.ask("runs")));
+    }
+}
+
+// Guards against a content that is run nowhere for an hour, though none of its
+// replicas has ended: they sent an event that the node does not place.
+TEST_CASE("an event that can't be placed is no replica's end") {
+    literal_world world;
+    auto const done = [](unsigned after) {
+        return chunked(events(after + 1, stream_events) + "data: [DONE]\n\n");
+    };
+    world.replica.otherwise = done;
+    world.ask_at("/runs/same");
+    std::size_t const runs = world.replica.begun_after.size();
+    world.ask_at("/runs/same");
+    CHECK(world.replica.begun_after.size() > runs);
+}
+
+// Guards against a stream that breaks off at what is no event to its client:
+// source as event_run's, a block without data is not dispatched.
+TEST_CASE("a block without data has no number and needs none") {
+    literal_world world;
+    std::string const body = "retry: 1000\n\n" + events(1, stream_events);
+    world.replica.otherwise = [&](unsigned) {
+        return chunked(body);
+    };
+    SUBCASE("before the first event") {
+        auto const answer = world.ask("runs");
+        CHECK(answer.response.body == body);
+        CHECK(complete(answer));
+    }
+    SUBCASE("in a stream that may not be resumed") {
+        auto const answer = world.ask("bare");
+        CHECK(answer.response.body == body);
+        CHECK(complete(answer));
+    }
+}
+
+// Guards against a stream that is cut for an event without number although
+// nothing will be joined to it.
+TEST_CASE("a stream that may not be resumed passes as its run made it") {
+    literal_world world;
+    std::string const body = events(1, stream_events) + "data: [DONE]\n\n";
+    world.replica.otherwise = [&](unsigned) {
+        return chunked(body);
+    };
+    auto const answer = world.ask("bare");
+    CHECK(answer.response.body == body);
+    CHECK(complete(answer));
+}
+
+// Guards against events of another request's run, whose answer comes late on a
+// kept connection.
+TEST_CASE("an extra answer on a kept connection is not handed on") {
+    literal_world world;
+    std::string const foreign = chunk("id: 1\ndata: foreign\n\n");
+    std::string extra = "HTTP/1.1 200 Any\r\nX-Response-Signature: signed\r\n";
+    SUBCASE("with its id") {
+        extra += "X-Request-Id: other\r\n";
+    }
+    SUBCASE("without an id") {}
+    extra +=
+        std::string(chunked_field) + "\r\n" + foreign + std::string(last_chunk);
+    std::string const whole = chunked(events(1, stream_events));
+    world.replica.script.push_back({whole, after_answer::stays});
+    world.replica.script.push_back(
+        {whole, after_answer::stays, all_at_once, milliseconds(0), extra});
+    REQUIRE(complete(world.ask("runs")));
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == events(1, stream_events));
+}
+
+// Guards against an event that is missing or comes twice at the start of a
+// resumed answer, for a number that the client may send.
+TEST_CASE("a large Last-Event-Id is a position like any other") {
+    constexpr std::uint64_t large = 5'000'000'000;
+    literal_world world;
+    std::string const whole = chunked(events(large + 1, large + 2));
+    SUBCASE("a gap behind it") {
+        world.replica.script = script_of({chunked(event(large + 2)), whole});
+    }
+    SUBCASE("a repeated event") {
+        world.replica.script = script_of({chunked(events(large, large + 2))});
+    }
+    auto const answer = world.ask("runs", std::to_string(large));
+    CHECK(answer.response.body == events(large + 1, large + 2));
+}
+
+// Guards against a stream that ends as complete although a part of a further
+// event has come.
+TEST_CASE("a run without events does not complete behind a half event") {
+    literal_world world;
+    std::string const begun = events(1, 2) + "id: 3\ndata";
+    std::string empty;
+    SUBCASE("no content") {
+        empty = head("", 204);
+    }
+    SUBCASE("a length of zero") {
+        empty = head("Content-Length: 0\r\n");
+    }
+    world.replica.script = script_of({chunked_and_cut(begun), empty});
+    auto const answer = world.ask("runs");
+    CHECK((
+        !complete(answer) || answer.response.body == events(1, stream_events)));
+}
+
+// Guards against bytes of the framing in an event, or an event lost to it.
+TEST_CASE("chunks may be cut anywhere and bear extensions and trailers") {
+    literal_world world;
+    std::string body;
+    for (unsigned each = 1; each <= stream_events; ++each) {
+        body += fmt::format("id: {0}\r\ndata: w{0}\r\n\r\n", each);
+    }
+    std::string framed;
+    for (char const each : body) {
+        framed += fmt::format("1;name=\"v;0\";x\r\n{}\r\n", each);
+    }
+    std::string const text =
+        head(chunked_field) + framed + "0;last\r\nX-Trailer: id: 9\r\n\r\n";
+    for (std::size_t const piece : {std::size_t{1}, std::size_t{7}}) {
+        world.replica.script = {
+            {text, after_answer::closes, piece, milliseconds(0)}};
+        auto const answer = world.ask("runs");
+        CHECK(answer.response.body == body);
+        CHECK(complete(answer));
+    }
+    SUBCASE("and end in the middle of their framing") {
+        for (std::size_t cut = 0; cut < text.size(); cut += 11) {
+            world.replica.script = {
+                {text.substr(0, cut), after_answer::closes}};
+            world.replica.otherwise = [&](unsigned after) {
+                std::size_t const one = body.size() / stream_events;
+                return chunked(std::string_view(body).substr(after * one));
+            };
+            auto const answer = world.ask("runs");
+            INFO("cut after " << cut);
+            CHECK(answer.response.body == body);
+            CHECK(complete(answer));
+        }
+    }
+}
+
+// Guards against a stream that ends as complete where its framing says that
+// more is to come.
+TEST_CASE("a body that is shorter than its framing says is not whole") {
+    literal_world world;
+    std::string const part = events(1, 2);
+    std::string cut;
+    SUBCASE("its length") {
+        cut =
+            head(fmt::format("Content-Length: {}\r\n", part.size() + 5)) + part;
+    }
+    SUBCASE("its chunk") {
+        cut = head(chunked_field) +
+              fmt::format("{:x}\r\n{}", part.size() + 5, part);
+    }
+    SUBCASE("its last chunk") {
+        cut = head(chunked_field) + chunk(part) + "0\r\n";
+    }
+    SUBCASE("its next chunk is none") {
+        cut = head(chunked_field) + chunk(part) + "zz\r\n\r\n";
+    }
+    world.replica.script = script_of({cut});
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == events(1, stream_events));
+    CHECK(complete(answer));
+    CHECK(world.replica.begun_after.size() == 2);
+    CHECK(world.replica.begun_after.back() == "2");
+}
+
+// Guards against a half event at the end of a body that is framed as whole, or
+// that ends with its connection: its stream would end as complete.
+TEST_CASE("a body that ends in the middle of an event is not whole") {
+    literal_world world;
+    std::string const part = events(1, 2) + "id: 3\nda";
+    std::string text = chunked(part);
+    std::string_view route = "bare";
+    SUBCASE("framed") {}
+    SUBCASE("without length") {
+        text = unframed(part);
+    }
+    SUBCASE("framed, and its client resumes it") {
+        route = "alone";
+    }
+    world.replica.script = script_of({text});
+    auto const answer = world.ask(route);
+    CHECK(answer.response.body == events(1, 2));
+    CHECK_FALSE(complete(answer));
+}
+
+// Guards against a run more, which nothing could be joined to, for a stream
+// without numbers that ends with its connection.
+TEST_CASE("a connection's end completes a stream without numbers") {
+    literal_world world;
+    std::string const body = "data: a\n\ndata: b\n\n";
+    world.replica.script = script_of({unframed(body)});
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == body);
+    CHECK(complete(answer));
+    CHECK(world.replica.begun_after.size() == 1);
+}
+
+// Guards against an answer that is written into another, or a stream that ends
+// for a replica that has not run it.
+TEST_CASE("a stream goes on behind a replica that does not run it") {
+    literal_world world;
+    std::string not_run;
+    SUBCASE("another one has its address") {
+        not_run = head("Content-Length: 2\r\n", 421) + "no";
+    }
+    SUBCASE("it is full") {
+        not_run =
+            head("Content-Length: 2\r\nX-Not-Executed: 1\r\n", 503) + "no";
+    }
+    SUBCASE("it fails") {
+        not_run = head("Content-Length: 2\r\n", 500) + "no";
+    }
+    SUBCASE("its answer is not signed") {
+        not_run = "HTTP/1.1 200 Any\r\nX-Request-Id: {id}\r\n"
+                  "Content-Length: 17\r\n\r\nid: 2\ndata: x\n\n\n";
+    }
+    SUBCASE("what it sends is no answer") {
+        not_run = event(2);
+    }
+    world.replica.script =
+        script_of({chunked_and_cut(event(1) + "id: 2\n"), not_run});
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == events(1, stream_events));
+    CHECK(complete(answer));
+}
+
+// Guards against a half event, or an end as complete, where the time is over.
+TEST_CASE("a stream whose time ends in the middle of an event is cut") {
+    constexpr unsigned deadline = 300;
+    literal_world world;
+    std::string const text = chunked_and_cut(event(1) + "id: 2\ndata");
+    SUBCASE("its replica falls silent") {
+        world.replica.script = {{text, after_answer::stays}};
+    }
+    SUBCASE("its replica goes on, byte by byte") {
+        std::string slow = text;
+        for (unsigned each = 0; each < 200; ++each) {
+            slow += chunk(".");
+        }
+        world.replica.script = {
+            {slow, after_answer::stays, 6, milliseconds(5)}};
+    }
+    auto const answer = world.ask("runs", "", deadline);
+    CHECK_FALSE(complete(answer));
+    CHECK(event(1).starts_with(answer.response.body));
+    CHECK(world.replica.begun_after.size() == 1);
+}
+
+// Guards against repeated events of a replica that goes on from the start.
+TEST_CASE("events before Last-Event-Id are not repeated") {
+    literal_world world;
+    std::string const whole = chunked(events(1, stream_events));
+    for (unsigned after = 0; after <= stream_events; ++after) {
+        world.replica.script = script_of({whole});
+        auto const answer =
+            world.ask("runs", after == 0 ? "" : std::to_string(after));
+        CHECK(answer.response.body == events(after + 1, stream_events));
+        CHECK(complete(answer));
+        world.replica.script =
+            script_of({chunked_and_cut(events(1, after) + "id"), whole});
+        auto const joined = world.ask("runs");
+        CHECK(joined.response.body == events(1, stream_events));
+        CHECK(complete(joined));
+    }
+}
+
+// Guards against an event with a number that can't be read, that rises by more
+// than one, or that is one of several.
+TEST_CASE("an event has the number of its last id line") {
+    literal_world world;
+    std::string second;
+    bool placed = true;
+    SUBCASE("of two") {
+        second = "id: 9\nid: 2\ndata: w2\n\n";
+    }
+    SUBCASE("without a blank") {
+        second = "id:2\ndata: w2\n\n";
+    }
+    SUBCASE("behind another line") {
+        second = "x-weight-versions: 7\nid: 2\ndata: w2\n\n";
+    }
+    SUBCASE("with a blank behind it") {
+        second = "id: 2 \ndata: w2\n\n";
+        placed = false;
+    }
+    SUBCASE("negative") {
+        second = "id: -2\ndata: w2\n\n";
+        placed = false;
+    }
+    SUBCASE("too large") {
+        second = "id: 18446744073709551618\ndata: w2\n\n";
+        placed = false;
+    }
+    SUBCASE("the last one is none") {
+        second = "id: 2\nid: two\ndata: w2\n\n";
+        placed = false;
+    }
+    std::string const text = event(1) + second + events(3, stream_events);
+    world.replica.script = script_of({chunked(text)});
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == (placed ? text : events(1, stream_events)));
+    CHECK(complete(answer));
+}
+
+// Guards against an answer of one request in that of the next on the same
+// connection, and against an answer behind one that was cut.
+TEST_CASE("two requests on one connection have an answer each") {
+    literal_world world;
+    std::string const cut = chunked_and_cut(events(1, 2) + "id: 3\nd");
+    bool both = true;
+    std::string path = "/runs/";
+    SUBCASE("the first goes on elsewhere") {
+        world.replica.script = script_of({cut});
+    }
+    SUBCASE("the first is cut") {
+        world.replica.script = script_of({cut});
+        path = "/alone/";
+        both = false;
+    }
+    std::string got;
+    world.world.loop.run([&]() -> asio::awaitable<void> {
+        auto socket =
+            co_await testing::connect_to(world.world.settings.caller_address);
+        for (unsigned each = 1; each <= 2; ++each) {
+            std::string text = fmt::format(
+                "POST {0}p{1} HTTP/1.1\r\nHost: h\r\nX-Request-Id: p{1}\r\n"
+                "X-Request-Deadline: 1000\r\nContent-Length: 0\r\n{2}\r\n",
+                path, each, each == 2 ? "Connection: close\r\n" : "");
+            co_await testing::write_text(socket, std::move(text));
+        }
+        got = co_await testing::read_until(socket, "");
+    });
+    std::size_t const first = got.find("X-Request-Id: p1");
+    std::size_t const second = got.find("X-Request-Id: p2");
+    CHECK(first != std::string::npos);
+    CHECK((second != std::string::npos) == both);
+    std::string const begun = got.substr(0, second);
+    CHECK((begun.find("\r\n0\r\n\r\n") != std::string::npos) == both);
+    CHECK(begun.find("id: 3\nd\r\n") == std::string::npos);
+}
+
+// Guards against a run that goes on for a caller that has left, and against
+// state that it leaves to others.
+TEST_CASE("a caller that leaves in the middle ends its run") {
+    literal_world world;
+    std::string slow = head(chunked_field);
+    for (unsigned each = 1; each <= 200; ++each) {
+        slow += chunk(event(each));
+    }
+    world.replica.script = {{slow, after_answer::closes, 21, milliseconds(5)}};
+    world.world.loop.run([&]() -> asio::awaitable<void> {
+        auto socket =
+            co_await testing::connect_to(world.world.settings.caller_address);
+        std::string text = "POST /runs/left HTTP/1.1\r\nHost: h\r\n"
+                           "X-Request-Id: left\r\nContent-Length: 0\r\n\r\n";
+        co_await testing::write_text(socket, std::move(text));
+        co_await testing::read_until(socket, "id: 2\n");
+    });
+    CHECK(world.world.loop.run_until(
+        [&] { return world.replica.broken_off == 1; }));
+    CHECK(world.replica.begun_after.size() == 1);
+    auto const answer = world.ask("runs");
+    CHECK(answer.response.body == events(1, stream_events));
+    CHECK(complete(answer));
+}
+
+// Guards against a stream that ends as complete with its node.
+TEST_CASE("a planned stop cuts no stream that ends in time") {
+    std::string slow = head(chunked_field);
+    for (unsigned each = 1; each <= stream_events; ++each) {
+        slow += chunk(event(each));
+    }
+    slow += last_chunk;
+    bool in_time = true;
+    milliseconds limit(4'000);
+    SUBCASE("in time") {}
+    SUBCASE("not in time") {
+        in_time = false;
+        limit = milliseconds(300);
+    }
+    literal_world world(replicas, limit);
+    world.replica.script = {{slow, after_answer::closes, 20, milliseconds(60)}};
+    std::optional<fetch_result> answer;
+    asio::co_spawn(
+        world.world.loop.io(), world.fetch_stream("/runs/slow", ""),
+        [&](std::exception_ptr const&, fetch_result result) {
+            answer = std::move(result);
+        });
+    REQUIRE(world.world.loop.run_until(
+        [&] { return !world.replica.begun_after.empty(); }));
+    world.world.start_nodes_again();
+    REQUIRE(world.world.loop.run_until([&] { return answer.has_value(); }));
+    CHECK(complete(*answer) == in_time);
+    CHECK((answer->response.body == events(1, stream_events)) == in_time);
+    CHECK(events(1, stream_events).starts_with(answer->response.body));
+}
+
+// Guards against a stream that is cut, or joined by other rules, where a
+// configuration comes while it runs.
+TEST_CASE("a stream that has begun keeps its route") {
+    literal_world world;
+    std::string const part = chunked_and_cut(event(1) + "id: 2\nda");
+    world.replica.script = {
+        {part, after_answer::closes, part.size() / 4, milliseconds(40)}};
+    std::optional<fetch_result> answer;
+    asio::co_spawn(
+        world.world.loop.io(), world.fetch_stream("/runs/kept", ""),
+        [&](std::exception_ptr const&, fetch_result result) {
+            answer = std::move(result);
+        });
+    REQUIRE(world.world.loop.run_until(
+        [&] { return !world.replica.begun_after.empty(); }));
+    SUBCASE("the route is gone") {
+        world.world.configure(3);
+    }
+    SUBCASE("the route is resumed no more") {
+        world.world.configure(3, literal_world::route("runs", 1, false));
+    }
+    REQUIRE(world.world.loop.run_until(
+        [&] { return world.world.node->configuration_version() == 3; }));
+    REQUIRE(world.world.loop.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->response.body == events(1, stream_events));
+    CHECK(complete(*answer));
+}
+
+} // namespace camphorpoint
