A request whose caller has left makes no further attempt

What callers would see: replicas that were not called count as failing, so that others' requests avoid them; the key of a caller that comes back stays taken until the deadline. Cause: a keyed request whose caller has left runs on for its key's sake, but its answer is brought by an object that goes with the caller's connection. When its run broke off it was resumed or made again all the same: each attempt found nobody, told 'not sent', and that counts against the replica's health. Ruled out: attempts of two runs side by side; a further one starts only behind the end of the one before. An end of an earlier attempt taken for a later one's: the number tells them apart. Change: the attempt under way is a detached request's last; between two attempts there is none to wait for, and the request ends with its caller. An attempt without a caller ends as cancelled, which says nothing of the replica.

--- a/src/Node/attempt_runner.cpp
+++ b/src/Node/attempt_runner.cpp
@@ -72,8 +72,9 @@
     bool const may_run = attempt->caller != nullptr && !attempt->cancelled &&
                          attempt->caller->begin_attempt(attempt->what);
     if (!may_run) {
-        end.how =
-            attempt->cancelled ? attempt_end::cancelled : attempt_end::not_sent;
+        // That nobody waits any more says nothing of the endpoint.
+        bool const unwanted = attempt->caller == nullptr || attempt->cancelled;
+        end.how = unwanted ? attempt_end::cancelled : attempt_end::not_sent;
     } else {
         try {
             if (attempt->what.kind == endpoint_kind::engine) {
--- a/src/Serving/live_request.hpp
+++ b/src/Serving/live_request.hpp
@@ -75,7 +75,8 @@
     /// Why the last replica said no, and when it said to come back.
     reason refusal = reason::none;
     std::chrono::milliseconds refusal_retry{};
-    /// True when the caller has gone but the answer is kept for its key.
+    /// True when the caller has gone but the answer is kept for its key: the
+    /// attempt under way is the last.
     bool detached = false;
     /// True when the caller's connection broke after tokens reached it, so that
     /// it may resume the stream through any node.
--- a/src/Serving/request_tracker_attempts.hpp
+++ b/src/Serving/request_tracker_attempts.hpp
@@ -153,7 +153,8 @@
     finish(request, outcome::done, reason::none, {}, now, end.answer);
 }
 
-// The endpoint said no, or was never reached: any request may go elsewhere.
+// The endpoint said no, or was never reached: any request may go elsewhere
+// whose caller is still here to be brought an answer.
 template <request_environment Environment>
 void request_tracker<Environment>::never_ran(
     live_request& request, attempt_ended const& end, instant now) {
@@ -166,6 +167,13 @@
         give_back_grant(request, now);
     }
     request.refusal = internal::reason_of(end.how);
+    if (request.detached) {
+        request.phase = request_phase::routing;
+        finish(
+            request, request.may_have_run ? outcome::unknown : outcome::not_run,
+            request.refusal, {}, now);
+        return;
+    }
     count(count_reason::kind::retry, request.refusal);
     seek(request, now);
 }
@@ -188,7 +196,7 @@
 bool request_tracker<Environment>::resume_later(
     live_request& request, instant now) {
     if (request.what.kind != endpoint_kind::engine || request.received == 0 ||
-        request.resumes == settings_.most_resumes) {
+        request.detached || request.resumes == settings_.most_resumes) {
         return false;
     }
     auto const pause = settings_.resume_pause * (1U << request.resumes);
@@ -216,7 +224,7 @@
     // Tokens that the caller has can't be taken back, and a second run words
     // its answer differently: joined they are an answer that nobody gave.
     return request.what.idempotent && request.tokens == 0 && !takes_long &&
-           !internal::callers_fault(end.status);
+           !request.detached && !internal::callers_fault(end.status);
 }
 
 template <request_environment Environment>
--- a/src/Serving/request_tracker_ending.hpp
+++ b/src/Serving/request_tracker_ending.hpp
@@ -33,8 +33,8 @@
         return;
     }
     // A caller on a poor network comes back with the same key, through any
-    // node: once sent, the work goes on and its answer is kept for the repeat.
-    if (request->asked.key && request->may_run()) {
+    // node: what runs goes on, and its answer is kept for the repeat.
+    if (request->asked.key && request->attempt_open()) {
         request->detached = true;
         return;
     }
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -453,6 +453,36 @@
     CHECK(engine.requests.front().target == "/v1/streams/engine-7");
 }
 
+// A caller with a key leaves and its run breaks off. A further attempt has
+// nobody to bring its answer to; told as not sent, it counts against a replica
+// that was not called.
+TEST_CASE("an attempt whose caller has left says nothing of its replica") {
+    loopback loop;
+    test_node node(loop);
+    stub_engine engine(loop);
+    bool started = false;
+    node.core.react = [&](node_event const& event,
+                          std::vector<node_action>& out) {
+        if (std::holds_alternative<caller_request>(event) && !started) {
+            started = true;
+            out.emplace_back(attempt_on(engine, request_id("left")));
+        }
+    };
+    loop.run([&]() -> asio::awaitable<void> {
+        raw_server::socket_type socket = co_await testing::connect_to(
+            testing::local(node.running.driver().caller_port()));
+        std::string const body = R"({"model":"a","stream":true})";
+        std::string const text = completions + " HTTP/1.1\r\nContent-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n" +
+                                 body;
+        co_await testing::write_text(socket, text);
+    });
+    REQUIRE(loop.run_until(
+        [&] { return node.core.last<attempt_ended>() != nullptr; }));
+    CHECK(node.core.last<attempt_ended>()->how != attempt_end::not_sent);
+    CHECK(engine.requests.empty());
+}
+
 TEST_CASE("callers fetch keys and the node's time") {
     loopback loop;
     test_node node(loop);
--- a/test/serving_tracker_test.cpp
+++ b/test/serving_tracker_test.cpp
@@ -344,6 +344,48 @@
         one.end(attempt_end::completed);
         CHECK(one.around.keys_ended == std::vector{outcome::done});
     }
+    // Its caller has left with what an answer is brought by. A further attempt
+    // would run nothing, and the key would stay taken until the deadline.
+    SUBCASE("with a key: a run that ends without an answer is the last") {
+        one.post(true);
+        one.leave();
+        one.grant();
+        auto how = outcome::unknown;
+        auto end = attempt_end::failed;
+        SUBCASE("failed") {}
+        SUBCASE("cut") {
+            end = attempt_end::cut;
+            one.tokens(3);
+        }
+        SUBCASE("refused") {
+            end = attempt_end::refused_busy;
+            how = outcome::not_run;
+        }
+        one.tracker.on_caller_gone(one.id, one.now);
+        one.end(end);
+        one.pass(500);
+        CHECK(one.starts() == 1);
+        CHECK(one.around.told_of<grant_ask>() == 1);
+        CHECK(one.around.keys_ended == std::vector{how});
+    }
+    SUBCASE("with a key, between two runs: no other begins") {
+        one.post(true);
+        one.leave();
+        one.grant();
+        SUBCASE("while it queues again") {
+            one.end(attempt_end::failed);
+        }
+        SUBCASE("while it waits to resume") {
+            one.tokens(3);
+            one.end(attempt_end::cut);
+        }
+        one.tracker.on_caller_gone(one.id, one.now);
+        one.grant("e2", 2);
+        one.pass(500);
+        CHECK(one.starts() == 1);
+        CHECK(one.around.keys_ended == std::vector{outcome::unknown});
+        CHECK(one.tracker.size() == 0);
+    }
 }
 
 TEST_CASE("a request with a key waits for leave") {
