An answer that is no good is not its replica's end

What callers would see: 503 for an hour, from every node, for a request whose content three faulty replicas answered without a signature, with replicas that are well all the while. Cause: every attempt that ended without its time being over counted as broken off, and three of those at three replicas as a content that ends replicas. An answer without a signature, one that is no HTTP, and a stream that this node itself gave up were among them; the replica goes on. Ruled out: a caller that leaves, and a time that is over; neither is counted. Change: a call tells whether its connection ended before its answer had, and that alone counts as a replica's end. How much the replica's health suffers stays as it was. A request that can't be written for too long now counts as silence too.

--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -219,6 +219,7 @@
     if (end == attempt_end::silent && !call->timed_out()) {
         end = attempt_end::broken;
     }
+    trace_.broke_off = call->broke_off();
     leaving_->call = nullptr;
     beliefs_->replicas.ended(id);
     words_->release(id, need_.adapter);
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -60,7 +60,7 @@
         late
     };
 
-    /// What one run of a stream brought, for the log.
+    /// What one run brought.
     struct run_trace {
         /// The last event handed on when it began.
         std::uint64_t after = 0;
@@ -68,6 +68,8 @@
         std::size_t half_bytes = 0;
         /// How the answer's body ended.
         std::string_view body = "none";
+        /// The replica's connection ended before its answer had.
+        bool broke_off = false;
     };
 
     bool admit();
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -56,8 +56,9 @@
 }
 
 void request_flow::note_content(endpoint_id const& at, attempt_end end) {
-    // A caller that has left breaks its own run off.
-    if (end == attempt_end::broken && !leaving_->gone) {
+    // A caller that has left breaks its own run off. A replica that answers
+    // what is no good goes on.
+    if (end == attempt_end::broken && trace_.broke_off && !leaving_->gone) {
         words_->tell_end(content_, start_name(at, beliefs_->replicas));
         return;
     }
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -116,7 +116,7 @@
     asio::awaitable<bool> read_own_header(std::string sent);
     void give_back();
     void close();
-    void note_silence(beast::error_code const& error);
+    void note_loss(beast::error_code const& error);
 
     asio::any_io_executor executor_;
     http_pool* pool_;
@@ -132,6 +132,7 @@
     bool reused_ = false;
     bool cancelled_ = false;
     bool timed_out_ = false;
+    bool broke_off_ = false;
 };
 
 asio::awaitable<bool> http_call::state::make_connection() {
@@ -169,6 +170,7 @@
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
     auto const [error, size] =
         co_await http::async_write(link_->stream, message, use_result);
+    note_loss(error);
     co_return !error;
 }
 
@@ -180,7 +182,7 @@
         link_->stream.expires_after(time_until(step_end(instant::max())));
         auto const [error, size] = co_await http::async_read_header(
             link_->stream, link_->buffer, *parser_, use_result);
-        note_silence(error);
+        note_loss(error);
         if (error) {
             co_return false;
         }
@@ -232,7 +234,7 @@
             error = {};
         }
         if (error) {
-            note_silence(error);
+            note_loss(error);
             close();
             co_return std::nullopt;
         }
@@ -264,8 +266,15 @@
     link_ = nullptr;
 }
 
-void http_call::state::note_silence(beast::error_code const& error) {
+void http_call::state::note_loss(beast::error_code const& error) {
     timed_out_ = timed_out_ || error == beast::error::timeout;
+    bool const in_answer =
+        error.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message;
+    broke_off_ =
+        broke_off_ || (error && !in_answer && !timed_out_ && !cancelled_);
 }
 
 void http_call::state::close() {
@@ -367,6 +376,10 @@
     return state_->timed_out_;
 }
 
+bool http_call::broke_off() const noexcept {
+    return state_->broke_off_;
+}
+
 bool http_call::reused() const noexcept {
     return state_->reused_;
 }
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -100,6 +100,10 @@
     /// @returns true when the server was silent for too long; false while the
     ///          call goes on, and when the connection was closed or reset
     bool timed_out() const noexcept;
+    /// @returns true when the connection ended before the answer had; false
+    ///          when the server was silent, its answer could not be read, or
+    ///          the call was cancelled
+    bool broke_off() const noexcept;
     /// @returns true when the connection had served an earlier call
     bool reused() const noexcept;
 
--- /dev/null
+++ b/test/gateway/harmless_content_test.cpp
@@ -0,0 +1,43 @@
+#include "test/gateway/gateway_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorpoint {
+
+using standins::replica_fault;
+using testing::gateway_world;
+using testing::served_replica;
+
+// Three replicas of a faulty build answer a look-up without their signature,
+// and go on. Counted as their ends, the content is refused everywhere for an
+// hour, also by replicas that are well.
+TEST_CASE("an answer that is no good is not its replica's end") {
+    gateway_world world;
+    std::vector<std::unique_ptr<served_replica>> more;
+    for (char const* const name : {"p2", "p3"}) {
+        more.push_back(
+            std::make_unique<served_replica>(world.loop, name, "", 0));
+        world.list(*more.back(), "app");
+        REQUIRE(world.loop.run_until(
+            [&] { return world.node->knows(endpoint_id(name)); }));
+    }
+    for (int each = 0; each < 12; ++each) {
+        world.plain.engine.faults = {replica_fault::unsigned_answer};
+        more[0]->engine.faults = {replica_fault::unsigned_answer};
+        more[1]->engine.faults = {replica_fault::unsigned_answer};
+        auto const got = world.ask("/book/b", "", "q" + std::to_string(each));
+        CHECK(got.response.status == 502);
+    }
+    for (auto* const each :
+         {&world.plain.engine, &more[0]->engine, &more[1]->engine}) {
+        CHECK_FALSE(each->runs.empty());
+        each->faults.clear();
+    }
+    CHECK(world.ask("/book/b", "", "last").response.status == 200);
+}
+
+} // namespace camphorpoint
