A failing test: a version that a report names first is no load

Shown: three adapters ordered without a version, a report that names version 1 of each: 0 places to spare instead of 3.

--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -57,6 +57,31 @@
     CHECK(world.account.next(world.now)->expect == 0);
 }
 
+// Guards against refusals after each first report on what was ordered without
+// a version: an adapter that has long been there would count as just come, and
+// its place as taken for a while.
+TEST_CASE("a version that a report names first is no load") {
+    account_world world;
+    for (std::string const name : {"a", "b", "c"}) {
+        world.load(name);
+        world.pass(milliseconds(500));
+    }
+    int const spare = world.account.spare_slots(world.now);
+    CHECK(spare == 3);
+    world.report.sequence = 3;
+    world.report.adapters = {adapter("a", 1), adapter("b", 1), adapter("c", 1)};
+    world.account.distrust();
+    world.account.reported(world.report, world.now);
+    CHECK(world.account.ready(adapter("a", 1)));
+    CHECK(world.account.spare_slots(world.now) == spare);
+
+    SUBCASE("another than it had is one") {
+        world.report.adapters.front().version = 2;
+        world.account.reported(world.report, world.now);
+        CHECK(world.account.spare_slots(world.now) == spare - 1);
+    }
+}
+
 // A replica has three slots. It is sent a fourth adapter while one is still on
 // its way: it crashes, and all that it ran is lost.
 TEST_CASE("never more adapters than slots, those under way included") {
