Failing tests: a request that ends replicas, by the rule's own words

The rule bounds sends later than three seconds after the third end, by nodes that began three seconds ago and more, to three. Sends are counted as the rule counts them. Ruled out: nodes that do not know who counts (the end went to the node that counts).

--- a/test/gateway/gateway_world.cpp
+++ b/test/gateway/gateway_world.cpp
@@ -53,6 +53,7 @@
     settings.stop_accepts = std::chrono::milliseconds(20);
     settings.stop_limit = std::chrono::milliseconds(4'000);
     before(*this);
+    started_ = boot_clock::now();
     start(settings, node);
 }
 
@@ -87,6 +88,10 @@
     return which == 0 ? *node : *further_.at(which - 1).node;
 }
 
+instant gateway_world::started(std::size_t which) const {
+    return which == 0 ? started_ : further_.at(which - 1).started;
+}
+
 void gateway_world::cut_store(std::size_t which) {
     further_.at(which - 1).store->close();
 }
@@ -109,6 +114,7 @@
         [this](http_exchange& exchange) { return metadata.answer(exchange); });
     REQUIRE(added.store->listen(local(0)).empty());
     added.settings.store_address = local(added.store->port());
+    added.started = boot_clock::now();
     start(added.settings, added.node);
     further_.push_back(std::move(added));
 }
@@ -120,9 +126,11 @@
         stop(each.node);
         past_.push_back(std::move(each.node));
     }
+    started_ = boot_clock::now();
     start(settings, node);
     REQUIRE(loop.run_until([this] { return node->ready(); }));
     for (further_node& each : further_) {
+        each.started = boot_clock::now();
         start(each.settings, each.node);
         REQUIRE(loop.run_until([&] { return each.node->ready(); }));
     }
@@ -133,6 +141,7 @@
     replica.engine.deadly_body = body;
     replica.engine.on_end = [this, &replica] {
         ++ended;
+        ends.push_back(boot_clock::now());
         // Not from within the answer that it would take away.
         asio::post(loop.io(), [&replica] { replica.server.close(); });
     };
--- a/test/gateway/gateway_world.hpp
+++ b/test/gateway/gateway_world.hpp
@@ -61,6 +61,9 @@
     /// @returns one of the nodes
     /// @param which 0 for the first
     gateway& node_at(std::size_t which);
+    /// @returns when a node was started last
+    /// @param which 0 for the first
+    instant started(std::size_t which) const;
     /// Ends the connections between one of the further nodes and the store;
     /// calls are refused until the way is there again.
     void cut_store(std::size_t which);
@@ -92,11 +95,14 @@
     std::vector<std::unique_ptr<served_replica>> more_replicas;
     /// Replicas that a request has ended.
     unsigned ended = 0;
+    /// When each of them did.
+    std::vector<instant> ends;
 
 private:
     struct further_node {
         gateway_settings settings;
         std::unique_ptr<gateway> node;
+        instant started;
         /// Where it reaches the store.
         std::unique_ptr<http_server> store;
     };
@@ -108,6 +114,7 @@
     void stop(std::unique_ptr<gateway>& which);
     void make_deadly(served_replica& replica, std::string const& body);
 
+    instant started_;
     std::vector<further_node> further_;
     /// Nodes that have stopped; their last waits still end on the loop.
     std::vector<std::unique_ptr<gateway>> past_;
