A test's address is given to nobody else

Cause: unused_address asked for a free TCP number and let it go. Change: the number stays bound without listening while the process may use it, which a server with the same option can bind beside.

--- a/test/ports/loopback.cpp
+++ b/test/ports/loopback.cpp
@@ -12,6 +12,9 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <utility>
 
 namespace camphorpoint::testing {
@@ -114,11 +117,23 @@
     return {"127.0.0.1", port};
 }
 
+// Guards against an address that another test, in this process or beside it, is
+// given before a server binds it, or while the server begins anew. The number
+// stays bound, without listening, which lets a server with the same option bind
+// it as well and keeps the system from giving it out again.
 ip_address unused_address() {
-    asio::io_context io;
-    tcp::acceptor const taken(
-        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return local(taken.local_endpoint().port());
+    constexpr std::size_t most_kept = 256;
+    static asio::io_context io;
+    static std::deque<tcp::socket> kept;
+    tcp::socket taken(io, tcp::v4());
+    taken.set_option(tcp::socket::reuse_address(true));
+    taken.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::uint16_t const port = taken.local_endpoint().port();
+    kept.push_back(std::move(taken));
+    if (kept.size() > most_kept) {
+        kept.pop_front();
+    }
+    return local(port);
 }
 
 } // namespace camphorpoint::testing
