A request that has ended a replica waits for the word of who counts

What callers saw: a request is sent to a fourth replica by a node in touch, once all nodes have begun anew just after the third end and it comes back. Cause: the node that sees the third end knows its own ends only; the nodes that count told it within a millisecond, and it had sent the request on already. Class: an act on what is known here while the answer is on its way. Change: before it goes on to another replica after one that ended, a request waits 20 ms if other nodes count its content, and is refused when it is held by then. Requests whose replica did not end wait for nothing.

--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -64,7 +64,8 @@
     /// Counts that a replica ended while it ran a content, here and at the
     /// nodes that count it.
     /// @param replica another name for each start of it
-    void tell_end(content_digest content, std::uint64_t replica);
+    /// @returns true when others count it, who may know of more ends
+    bool tell_end(content_digest content, std::uint64_t replica);
     /// Tells all nodes whether a content is run.
     void tell_quarantine(quarantine_word const& word);
     /// Asks all nodes how much they know of what the operator declares, while
--- a/src/Gateway/peer_words_quarantine.cpp
+++ b/src/Gateway/peer_words_quarantine.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-void peer_words::tell_end(content_digest content, std::uint64_t replica) {
+bool peer_words::tell_end(content_digest content, std::uint64_t replica) {
     instant const now = boot_clock::now();
     peer_end const end{static_cast<std::uint64_t>(content), replica};
     ends_.push_back({end, now + end_told_for});
@@ -39,11 +39,13 @@
         ends_.pop_front();
     }
     count_end(end, now);
-    for (std::string const& each : counters_of(end.content)) {
+    std::set<std::string> const others = counters_of(end.content);
+    for (std::string const& each : others) {
         peer_datagram message;
         message.ends.push_back(end);
         send(each, std::move(message));
     }
+    return !others.empty();
 }
 
 void peer_words::count_end(peer_end const& end, instant now) {
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -134,7 +134,7 @@
         attempt_end const end = co_await attempt(*at);
         note_evidence(id, end);
         note_attempt(id, end);
-        note_content(id, end);
+        bool const others_count = note_content(id, end);
         if (end == attempt_end::finished) {
             co_await finish("answered");
             co_return;
@@ -144,6 +144,9 @@
             co_await finish(reason_);
             co_return;
         }
+        if (others_count) {
+            co_await hear_counts();
+        }
     }
     co_await finish("caller-gone");
 }
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -72,7 +72,10 @@
 
     bool admit();
     bool refuse_held();
-    void note_content(endpoint_id const& at, attempt_end end);
+    /// @returns true when others count the content's ends and may say that it
+    ///          is held
+    bool note_content(endpoint_id const& at, attempt_end end);
+    boost::asio::awaitable<void> hear_counts();
     boost::asio::awaitable<void> answer_all();
     boost::asio::awaitable<replica*> find_replica();
     boost::asio::awaitable<void> freshen_loads();
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -1,6 +1,10 @@
 #include "Core/hash.hpp"
 #include "Gateway/request_flow.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +22,9 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+/// Word of the nodes that count comes within this, or is lost.
+constexpr milliseconds word_of_counts{20};
+
 /// @returns a name that is another one after each start of the replica
 std::uint64_t start_name(endpoint_id const& id, fleet const& replicas) {
     std::uint64_t const name = fleet::short_name(id);
@@ -55,17 +62,23 @@
     }
 }
 
-void request_flow::note_content(endpoint_id const& at, attempt_end end) {
+// Guards against a request that has ended its third replica and is sent on to
+// the next one while the nodes that count it are about to say so.
+asio::awaitable<void> request_flow::hear_counts() {
+    asio::steady_timer timer(beliefs_->io, word_of_counts);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+bool request_flow::note_content(endpoint_id const& at, attempt_end end) {
     // A caller that has left breaks its own run off.
     if (end == attempt_end::broken && !leaving_->gone) {
-        words_->tell_end(content_, start_name(at, beliefs_->replicas));
-        return;
+        return words_->tell_end(content_, start_name(at, beliefs_->replicas));
     }
     constexpr int first_redirect = 300;
     bool const whole = ended_ && ledger_.phase() == attempt_phase::ended &&
                        status_ < first_redirect;
     if (!whole) {
-        return;
+        return false;
     }
     if (auto const word = beliefs_->quarantine.note_whole(content_)) {
         beliefs_->note(log_line(event_code::content_cleared)
@@ -74,6 +87,7 @@
                            .with("by", beliefs_->own_name));
         words_->tell_quarantine(*word);
     }
+    return false;
 }
 
 void request_flow::note_attempt(endpoint_id const& at, attempt_end end) {
