--- a/test/gateway/literal_answers_test.cpp
+++ b/test/gateway/literal_answers_test.cpp
@@ -312,6 +312,15 @@
     return answer.how == call_result::answered && answer.response.status == 200;
 }
 
+/// Sends requests on one connection and reads until some text has come, or all.
+asio::awaitable<void> send_and_read(
+    ip_address to, std::string requests, std::string until, std::string& got) {
+    auto const text = std::make_shared<std::string>(std::move(requests));
+    auto socket = co_await testing::connect_to(std::move(to));
+    co_await testing::write_text(socket, *text);
+    got = co_await testing::read_until(socket, std::move(until));
+}
+
 std::deque<literal_answer> script_of(std::vector<std::string> texts) {
     std::deque<literal_answer> script;
     for (std::string& each : texts) {
@@ -689,18 +698,17 @@
         path = "/alone/";
         both = false;
     }
+    std::string requests;
+    for (unsigned each = 1; each <= 2; ++each) {
+        requests += fmt::format(
+            "POST {0}p{1} HTTP/1.1\r\nHost: h\r\nX-Request-Id: p{1}\r\n"
+            "X-Request-Deadline: 1000\r\nContent-Length: 0\r\n{2}\r\n",
+            path, each, each == 2 ? "Connection: close\r\n" : "");
+    }
     std::string got;
-    world.world.loop.run([&]() -> asio::awaitable<void> {
-        auto socket =
-            co_await testing::connect_to(world.world.settings.caller_address);
-        for (unsigned each = 1; each <= 2; ++each) {
-            std::string text = fmt::format(
-                "POST {0}p{1} HTTP/1.1\r\nHost: h\r\nX-Request-Id: p{1}\r\n"
-                "X-Request-Deadline: 1000\r\nContent-Length: 0\r\n{2}\r\n",
-                path, each, each == 2 ? "Connection: close\r\n" : "");
-            co_await testing::write_text(socket, std::move(text));
-        }
-        got = co_await testing::read_until(socket, "");
+    world.world.loop.run([&] {
+        return send_and_read(
+            world.world.settings.caller_address, requests, "", got);
     });
     std::size_t const first = got.find("X-Request-Id: p1");
     std::size_t const second = got.find("X-Request-Id: p2");
@@ -720,13 +728,13 @@
         slow += chunk(event(each));
     }
     world.replica.script = {{slow, after_answer::closes, 21, milliseconds(5)}};
-    world.world.loop.run([&]() -> asio::awaitable<void> {
-        auto socket =
-            co_await testing::connect_to(world.world.settings.caller_address);
-        std::string text = "POST /runs/left HTTP/1.1\r\nHost: h\r\n"
-                           "X-Request-Id: left\r\nContent-Length: 0\r\n\r\n";
-        co_await testing::write_text(socket, std::move(text));
-        co_await testing::read_until(socket, "id: 2\n");
+    std::string got;
+    world.world.loop.run([&] {
+        return send_and_read(
+            world.world.settings.caller_address,
+            "POST /runs/left HTTP/1.1\r\nHost: h\r\nX-Request-Id: left\r\n"
+            "Content-Length: 0\r\n\r\n",
+            "id: 2\n", got);
     });
     CHECK(world.world.loop.run_until(
         [&] { return world.replica.broken_off == 1; }));
--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -125,7 +125,9 @@
     }
 }
 
-asio::awaitable<void> scripted_replica::serve(tcp::socket socket) {
+asio::awaitable<void> scripted_replica::serve(tcp::socket taken) {
+    auto const link = std::make_shared<tcp::socket>(std::move(taken));
+    tcp::socket& socket = *link;
     std::string head;
     auto const [error, size] = co_await asio::async_read_until(
         socket, asio::dynamic_buffer(head), "\r\n\r\n", use_result);
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -72,7 +72,7 @@
 
 private:
     boost::asio::awaitable<void> accept_all();
-    boost::asio::awaitable<void> serve(raw_server::socket_type socket);
+    boost::asio::awaitable<void> serve(raw_server::socket_type taken);
     std::string
     body_of(scripted_run const& run, std::size_t number, unsigned after) const;
 
--- a/test/gateway/stream_runs_test.cpp
+++ b/test/gateway/stream_runs_test.cpp
@@ -375,7 +375,8 @@
     SUBCASE("with an event that has no place") {
         amiss.unnumbered = {2};
     }
-    world.replica().script = std::deque<scripted_run>(2 * replicas, amiss);
+    world.replica().script =
+        std::deque<scripted_run>(std::size_t{2} * replicas, amiss);
     world.ask_same();
     std::size_t const runs = world.replica().begun_after.size();
     world.ask_same();
--- a/test/ports/loopback.cpp
+++ b/test/ports/loopback.cpp
@@ -145,7 +145,7 @@
 ip_address unused_address() {
     static std::uint16_t next = first_port;
     for (;;) {
-        ip_address const address{own_host(), next};
+        ip_address address{own_host(), next};
         next = next == last_port ? first_port : next + 1;
         if (is_free<tcp>(address) && is_free<asio::ip::udp>(address)) {
             return address;
