The profile path knows a request again that ends its engines

What callers saw: engines end one after the other under one request, which comes again under new ids at any node, and with each one all others' runs there break off. Cause: retries looked at one request; nothing was remembered beyond it, nor told. Ruled out: a second guard beside the gateway's; engines named by their incarnation, which only their owner knows. Change: content_router carries what content_quarantine, the gateway's, knows between nodes: ends to three that count by rendezvous, decisions as a rumour, a node that begins asks. A request waits 20 ms for that word before its next engine. Not covered: all nodes begin anew at once.

--- a/src/Core/outcome.cpp
+++ b/src/Core/outcome.cpp
@@ -86,6 +86,8 @@
         return "already-running";
     case reason::caller_gone:
         return "caller-gone";
+    case reason::content_held:
+        return "content-held";
     case reason::internal_error:
         return "internal-error";
     }
--- a/src/Core/outcome.hpp
+++ b/src/Core/outcome.hpp
@@ -52,6 +52,7 @@
     key_entry_lost,
     already_running,
     caller_gone,
+    content_held,
     internal_error
 };
 
--- a/src/Delivery/content_quarantine.hpp
+++ b/src/Delivery/content_quarantine.hpp
@@ -48,6 +48,11 @@
     /// @returns true when it is news
     bool take(quarantine_word const& word, instant now);
 
+    /// @returns true when a replica has ended while it ran the content, which
+    ///          has not ended well since
+    bool suspected(content_digest content) const {
+        return evidence_.contains(content);
+    }
     /// @returns for how long the content is not run, nothing when it may run
     std::optional<duration> held_for(content_digest content, instant now) const;
     /// @returns some of the words, by turns, so that whoever has missed one
--- /dev/null
+++ b/src/Serving/content_router.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Core/ids.hpp"
+#include "Core/time.hpp"
+#include "Delivery/content_digest.hpp"
+#include "Delivery/content_messages.hpp"
+#include "Delivery/content_quarantine.hpp"
+#include "Serving/node_outbox.hpp"
+#include "Serving/node_services.hpp"
+#include "Serving/serving_settings.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpoint {
+
+/// Carries between nodes what a content has done to the endpoints that ran it.
+/// Ends are told to the few nodes that count the content, the same ones for
+/// all; what they decide spreads as a rumour, and what a rumour has missed is
+/// compared with one node a second.
+/// Reference: A. Demers et al., "Epidemic algorithms for replicated database
+/// maintenance", PODC 1987.
+class content_router {
+public:
+    content_router(
+        serving_settings const& settings, node_services& services,
+        node_outbox& outbox);
+
+    /// An endpoint ended while it ran the content.
+    /// @returns true when other nodes count it and may say that it is held
+    bool on_broken(content_digest content, endpoint_id const& at, instant now);
+    /// A run of the content ended well.
+    void on_served(content_digest content, instant now);
+    /// A peer's word.
+    void
+    on_message(node_id const& from, content_ended const& told, instant now);
+    void
+    on_message(node_id const& from, content_served const& told, instant now);
+    void
+    on_message(node_id const& from, content_words const& told, instant now);
+    void on_message(node_id const& from, content_ask const& asked, instant now);
+    /// Who is there may have changed: a node that has begun asks.
+    void refresh_members();
+    void on_tick(instant now);
+
+private:
+    /// Ends of one endpoint, by which its starts are told apart.
+    struct endpoint_ends {
+        std::uint64_t starts = 0;
+        instant newest;
+    };
+
+    void count_end(content_ended const& end, instant now);
+    void clear(content_digest content, instant now);
+    void spread(quarantine_word const& word);
+    std::uint64_t start_of(std::uint64_t endpoint, instant now);
+    std::vector<node_id> counters_of(content_digest content) const;
+    std::vector<node_id> some_others(std::size_t most);
+
+    node_services& services_;
+    node_outbox& outbox_;
+    std::mt19937_64 random_;
+    std::unordered_map<std::uint64_t, endpoint_ends> ends_;
+    /// Contents whose ends this node has told, and when it did last.
+    std::unordered_map<content_digest, instant> told_;
+    std::size_t asks_left_;
+    instant next_round_{};
+};
+
+} // namespace camphorpoint
--- a/src/Serving/live_request.hpp
+++ b/src/Serving/live_request.hpp
@@ -29,6 +29,9 @@
     streaming,
     /// The stream was cut and is about to be resumed.
     resume_wait,
+    /// The endpoint ended; before it goes elsewhere the word of the nodes that
+    /// count such ends is waited for.
+    repeat_wait,
     /// The caller has its final answer; the attempt's end is waited for, since
     /// until then the engine may still use the adapter.
     closing
--- a/src/Serving/node_core.cpp
+++ b/src/Serving/node_core.cpp
@@ -14,7 +14,8 @@
     , keys_(services_, outbox_)
     , ownership_(services_, outbox_, grants_, keys_, loads_)
     , config_(services_, outbox_)
-    , surroundings_(settings_, services_, outbox_)
+    , contents_(settings_, services_, outbox_)
+    , surroundings_(settings_, services_, outbox_, contents_)
     , requests_(settings_.requests, surroundings_)
     , heartbeats_(settings_.requests, services_, outbox_) {}
 
@@ -117,6 +118,7 @@
     loads_.on_tick(clock_.now);
     grants_.on_tick(clock_.now);
     keys_.on_tick(clock_);
+    contents_.on_tick(clock_.now);
     for (auto& [name, service] : services_.plain) {
         service.on_tick(clock_.now);
     }
--- a/src/Serving/node_core.hpp
+++ b/src/Serving/node_core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Serving/config_router.hpp"
+#include "Serving/content_router.hpp"
 #include "Serving/grant_router.hpp"
 #include "Serving/heartbeat_sender.hpp"
 #include "Serving/key_router.hpp"
@@ -89,6 +90,7 @@
     key_router keys_;
     ownership_router ownership_;
     config_router config_;
+    content_router contents_;
     request_services surroundings_;
     request_tracker<request_services> requests_;
     heartbeat_sender heartbeats_;
--- a/src/Serving/node_core_settle.cpp
+++ b/src/Serving/node_core_settle.cpp
@@ -37,6 +37,10 @@
                                  Message, key_ask, key_reply, key_finished,
                                  key_noted, key_heartbeat, key_handover>) {
             keys_.on_message(from, each, clock_);
+        } else if constexpr (is_one_of<
+                                 Message, content_ended, content_served,
+                                 content_words, content_ask>) {
+            contents_.on_message(from, each, clock_.now);
         } else {
             grants_.on_message(from, each, clock_.now);
         }
@@ -96,6 +100,7 @@
 void node_core::refresh_members() {
     ownership_.refresh_candidates(clock_.now);
     config_.refresh_peers();
+    contents_.refresh_members();
     grants_.refresh_endpoints(clock_.now);
     refresh_placement();
     refresh_plain();
@@ -156,7 +161,7 @@
                 continue;
             }
             std::string const address = surroundings_.address_of(go->endpoint);
-            if (!requests_.on_dispatch(*go, address)) {
+            if (!requests_.on_dispatch(*go, address, clock_.now)) {
                 service.on_ended(go->id, service_end::cancelled, clock_.now);
             }
         }
--- a/src/Serving/node_services.hpp
+++ b/src/Serving/node_services.hpp
@@ -3,6 +3,7 @@
 #include "Config/change_publisher.hpp"
 #include "Config/checkpoint_writer.hpp"
 #include "Config/config_follower.hpp"
+#include "Delivery/content_quarantine.hpp"
 #include "Keys/entry_keys.hpp"
 #include "Keys/key_owner.hpp"
 #include "Limits/fixed_limit.hpp"
@@ -37,6 +38,8 @@
     entry_keys keys;
     placement<> choice;
     retry_budget retries;
+    /// Contents that end the endpoints which run them.
+    content_quarantine quarantine;
     /// The weight store's budget, while this node owns it.
     store_budget store;
     /// This node's share of it, while its owner is out of reach.
--- a/src/Serving/peer_message.hpp
+++ b/src/Serving/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/config_messages.hpp"
+#include "Delivery/content_messages.hpp"
 #include "Keys/key_messages.hpp"
 #include "Loading/load_messages.hpp"
 #include "Ownership/handover_messages.hpp"
@@ -17,6 +18,7 @@
     grant_heartbeat, handover_offer, handover_accepted, holder_stopped,
     config_ask, config_records, config_state, key_ask, key_reply, key_finished,
     key_noted, key_heartbeat, key_handover, load_ask, load_allowed, load_denied,
-    load_ended, load_cancelled>;
+    load_ended, load_cancelled, content_ended, content_served, content_words,
+    content_ask>;
 
 } // namespace camphorpoint
--- a/src/Serving/request_environment.hpp
+++ b/src/Serving/request_environment.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -73,7 +74,13 @@
     /// A request that got leave has ended.
     environment.key_ended(id, how, why, answer, now);
     /// An attempt has ended: for limits, retry budgets and placement.
-    environment.attempt_over(request, end, now);
+    /// True when other nodes count the end under the request's content, and may
+    /// say that it is held.
+    { environment.attempt_over(request, end, now) } -> std::same_as<bool>;
+    /// For how long the request's content is not run; nothing when it may run.
+    {
+        environment.held_for(request, now)
+        } -> std::same_as<std::optional<duration>>;
     /// Hands a plain service's request to the service's limits; a dispatch or
     /// a refusal follows as an event.
     environment.submit_service(request, now);
--- a/src/Serving/request_services.cpp
+++ b/src/Serving/request_services.cpp
@@ -1,7 +1,11 @@
 #include "Serving/request_services.hpp"
 
+#include "Core/hash.hpp"
+#include "Placement/rendezvous.hpp"
+
 #include <algorithm>
 #include <variant>
+#include <vector>
 
 namespace camphorpoint {
 
@@ -25,6 +29,16 @@
     }
 }
 
+// A stream that is resumed has no body by which its content is known; it goes
+// on where it ran before, and nowhere else.
+std::optional<content_digest> content_of(live_request const& request) {
+    if (request.asked.body_digest == 0) {
+        return std::nullopt;
+    }
+    return content_digest{combine_hashes(
+        hash_text(request.asked.profile.str()), request.asked.body_digest)};
+}
+
 // The endpoint answered, whatever it said.
 bool answered(attempt_end how) {
     return how == attempt_end::completed || how == attempt_end::refused_busy ||
@@ -53,10 +67,35 @@
     return {reason::none, *found, current.next(), {}};
 }
 
+// Guards against requests that follow one that ends its engines: those of one
+// adapter go to the same engines, break off there with it, and would be taken
+// for it. Each suspected content goes to an engine of its own.
+std::optional<endpoint_id>
+request_services::choose_apart(live_request const& request) const {
+    auto const content = content_of(request);
+    if (!content || !services_.quarantine.suspected(*content)) {
+        return std::nullopt;
+    }
+    std::vector<endpoint_id> open;
+    for (endpoint_instance const& each : services_.members.live_endpoints()) {
+        bool const tried =
+            std::ranges::find(request.tried, each.id) != request.tried.end();
+        if (each.kind == endpoint_kind::engine &&
+            each.model == request.what.model && !tried) {
+            open.push_back(each.id);
+        }
+    }
+    auto const first = rendezvous_top(to_string(*content), open, 1);
+    return first.empty() ? std::nullopt : std::optional(first.front());
+}
+
 route request_services::choose(live_request const& request, instant now) {
-    auto const chosen = services_.choice.choose(
-        request.what.adapter, request.what.model, request.what.how_urgent,
-        request.asked.prefix_hash, request.tried, now);
+    auto chosen = choose_apart(request);
+    if (!chosen) {
+        chosen = services_.choice.choose(
+            request.what.adapter, request.what.model, request.what.how_urgent,
+            request.asked.prefix_hash, request.tried, now);
+    }
     if (!chosen) {
         return {{}, {}, true, reason::no_endpoint, {}};
     }
@@ -131,8 +170,31 @@
     services_.keys.ended(id, how, why, answer, clock_);
 }
 
-void request_services::attempt_over(
+std::optional<duration>
+request_services::held_for(live_request const& request, instant now) const {
+    auto const content = content_of(request);
+    return content ? services_.quarantine.held_for(*content, now)
+                   : std::nullopt;
+}
+
+// A caller that has left breaks its own run off; an endpoint that answers what
+// is no good, or nothing in time, goes on.
+bool request_services::note_content(
+    live_request const& request, attempt_ended const& end, instant now) {
+    auto const content = content_of(request);
+    if (!content || request.phase == request_phase::closing) {
+        return false;
+    }
+    if (end.how == attempt_end::completed) {
+        contents_.on_served(*content, now);
+    }
+    return end.how == attempt_end::cut &&
+           contents_.on_broken(*content, request.endpoint, now);
+}
+
+bool request_services::attempt_over(
     live_request const& request, attempt_ended const& end, instant now) {
+    bool const counted_elsewhere = note_content(request, end, now);
     if (end.how != attempt_end::cancelled) {
         services_.members.on_endpoint_call(
             request.endpoint, answered(end.how), now);
@@ -143,7 +205,7 @@
             service->second.on_ended(
                 request.asked.id, service_end_of(end.how), now);
         }
-        return;
+        return counted_elsewhere;
     }
     if (end.how == attempt_end::completed) {
         services_.choice.on_served(now - request.admitted);
@@ -153,6 +215,7 @@
     if (counted && alone != without_grant_.end() && alone->second > 0) {
         --alone->second;
     }
+    return counted_elsewhere;
 }
 
 void request_services::submit_service(
--- a/src/Serving/request_services.hpp
+++ b/src/Serving/request_services.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Serving/content_router.hpp"
 #include "Serving/node_outbox.hpp"
 #include "Serving/node_services.hpp"
 #include "Serving/request_environment.hpp"
@@ -7,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace camphorpoint {
@@ -17,10 +19,11 @@
 public:
     request_services(
         serving_settings const& settings, node_services& services,
-        node_outbox& outbox)
+        node_outbox& outbox, content_router& contents)
         : settings_(settings)
         , services_(services)
-        , outbox_(outbox) {}
+        , outbox_(outbox)
+        , contents_(contents) {}
 
     /// The node stops: nothing more is admitted.
     void start_draining() noexcept { draining_ = true; }
@@ -39,8 +42,10 @@
     void key_ended(
         request_id const& id, outcome how, reason why,
         std::string const& answer, instant now);
-    void attempt_over(
+    bool attempt_over(
         live_request const& request, attempt_ended const& end, instant now);
+    std::optional<duration>
+    held_for(live_request const& request, instant now) const;
     void submit_service(live_request const& request, instant now);
     void withdraw_service(live_request const& request);
     void act(node_action const& action) { outbox_.act(action); }
@@ -48,10 +53,14 @@
 private:
     bool
     may_go_without_grant(endpoint_instance const& endpoint, instant now) const;
+    std::optional<endpoint_id> choose_apart(live_request const& request) const;
+    bool note_content(
+        live_request const& request, attempt_ended const& end, instant now);
 
     serving_settings const& settings_;
     node_services& services_;
     node_outbox& outbox_;
+    content_router& contents_;
     key_clock clock_;
     bool draining_ = false;
     /// Requests that run on a replica without a grant of its owner.
--- a/src/Serving/request_tracker.hpp
+++ b/src/Serving/request_tracker.hpp
@@ -56,8 +56,9 @@
     on_refusal(node_id const& from, grant_refused const& refused, instant now);
     /// The limits of a plain service let a request go.
     /// @returns false when it is no longer waited for: nothing was sent
-    bool
-    on_dispatch(service_dispatch const& dispatch, std::string const& address);
+    bool on_dispatch(
+        service_dispatch const& dispatch, std::string const& address,
+        instant now);
     /// The limits of a plain service refused a request.
     void on_service_refusal(service_refusal const& refusal, instant now);
     /// What was sent to the replica's owner may not have arrived, or the owner
@@ -93,6 +94,7 @@
     void give_up_seeking(
         live_request& request, reason why,
         std::chrono::milliseconds retry_after, instant now);
+    void give_up_held(live_request& request, duration held, instant now);
     void withdraw_ask(live_request& request, instant now);
     void give_back_grant(live_request& request, instant now);
     live_request* waiting_for(
@@ -103,11 +105,14 @@
     completed(live_request& request, attempt_ended const& end, instant now);
     void
     never_ran(live_request& request, attempt_ended const& end, instant now);
-    void broken(live_request& request, attempt_ended const& end, instant now);
+    void broken(
+        live_request& request, attempt_ended const& end, bool word_comes,
+        instant now);
     bool resume_later(live_request& request, instant now);
     void resume(live_request& request);
-    void
-    repeat_or_end(live_request& request, attempt_ended const& end, instant now);
+    void repeat_or_end(
+        live_request& request, attempt_ended const& end, bool word_comes,
+        instant now);
     bool
     may_repeat(live_request const& request, attempt_ended const& end) const;
     void release(live_request& request, bool adapter_was_loaded, instant now);
--- a/src/Serving/request_tracker_attempts.hpp
+++ b/src/Serving/request_tracker_attempts.hpp
@@ -125,7 +125,7 @@
     request->tokens = std::max(request->tokens, end.tokens);
     request->received =
         std::max({request->received, end.received, request->tokens});
-    environment_.attempt_over(*request, end, now);
+    bool const word_comes = environment_.attempt_over(*request, end, now);
     if (request->phase == request_phase::closing) {
         if (end.how == attempt_end::completed) {
             count(count_reason::kind::dropped, reason::late_answer);
@@ -139,7 +139,7 @@
     } else if (internal::never_ran(end.how) && !request->resumed) {
         never_ran(*request, end, now);
     } else {
-        broken(*request, end, now);
+        broken(*request, end, word_comes, now);
     }
 }
 
@@ -180,14 +180,15 @@
 
 template <request_environment Environment>
 void request_tracker<Environment>::broken(
-    live_request& request, attempt_ended const& end, instant now) {
+    live_request& request, attempt_ended const& end, bool word_comes,
+    instant now) {
     request.may_have_run = true;
     bool const lost_stream = end.how == attempt_end::cut ||
                              (request.resumed && internal::never_ran(end.how));
     if (lost_stream && resume_later(request, now)) {
         return;
     }
-    repeat_or_end(request, end, now);
+    repeat_or_end(request, end, word_comes, now);
 }
 
 // The grant is kept meanwhile: the engine may still be running the stream, and
@@ -229,7 +230,8 @@
 
 template <request_environment Environment>
 void request_tracker<Environment>::repeat_or_end(
-    live_request& request, attempt_ended const& end, instant now) {
+    live_request& request, attempt_ended const& end, bool word_comes,
+    instant now) {
     release(request, true, now);
     reason why = internal::reason_of(end.how);
     request.phase = request_phase::routing;
@@ -241,6 +243,12 @@
             request.resumes = 0;
             request.refusal = why;
             request.tried.push_back(request.endpoint);
+            if (word_comes) {
+                enter(
+                    request, request_phase::repeat_wait,
+                    std::min(now + settings_.word_of_counts, request.deadline));
+                return;
+            }
             seek(request, now);
             return;
         }
--- a/src/Serving/request_tracker_ending.hpp
+++ b/src/Serving/request_tracker_ending.hpp
@@ -75,6 +75,10 @@
         resume(request);
         return;
     }
+    if (request.phase == request_phase::repeat_wait && now < request.deadline) {
+        seek(request, now);
+        return;
+    }
     bool const ran = request.may_run();
     bool const again = !ran || request.what.idempotent;
     finish(
@@ -94,6 +98,7 @@
         forget(request);
         return;
     case request_phase::routing:
+    case request_phase::repeat_wait:
         forget(request);
         return;
     case request_phase::asking:
--- a/src/Serving/request_tracker_routing.hpp
+++ b/src/Serving/request_tracker_routing.hpp
@@ -90,6 +90,10 @@
 void request_tracker<Environment>::seek(live_request& request, instant now) {
     request.phase = request_phase::routing;
     while (now < request.deadline) {
+        if (auto const held = environment_.held_for(request, now)) {
+            give_up_held(request, *held, now);
+            return;
+        }
         if (request.asks == settings_.most_asks) {
             give_up_seeking(request, reason::no_endpoint, {}, now);
             return;
@@ -141,6 +145,17 @@
     return true;
 }
 
+// Guards against one request that ends endpoint after endpoint; see
+// content_quarantine.
+template <request_environment Environment>
+void request_tracker<Environment>::give_up_held(
+    live_request& request, duration held, instant now) {
+    finish(
+        request, request.may_have_run ? outcome::unknown : outcome::not_run,
+        reason::content_held,
+        std::chrono::ceil<std::chrono::milliseconds>(held), now);
+}
+
 // The last replica's own reason says more than that nothing is left.
 template <request_environment Environment>
 void request_tracker<Environment>::give_up_seeking(
@@ -202,6 +217,13 @@
         seek(*request, now);
         return;
     }
+    // It may have been held while this request waited for its grant.
+    if (auto const held = environment_.held_for(*request, now)) {
+        withdraw_ask(*request, now);
+        request->phase = request_phase::routing;
+        give_up_held(*request, *held, now);
+        return;
+    }
     environment_.act(
         observe_time{observe_time::kind::queueing, now - request->admitted});
     start(*request, send_before);
@@ -227,11 +249,16 @@
 
 template <request_environment Environment>
 bool request_tracker<Environment>::on_dispatch(
-    service_dispatch const& dispatch, std::string const& address) {
+    service_dispatch const& dispatch, std::string const& address, instant now) {
     live_request* const request = find_live(dispatch.id);
     if (request == nullptr || request->phase != request_phase::asking) {
         return false;
     }
+    if (auto const held = environment_.held_for(*request, now)) {
+        request->phase = request_phase::routing;
+        give_up_held(*request, *held, now);
+        return false;
+    }
     request->endpoint = dispatch.endpoint;
     request->address = address;
     environment_.act(
--- a/src/Serving/serving_settings.hpp
+++ b/src/Serving/serving_settings.hpp
@@ -37,6 +37,9 @@
     std::uint32_t most_resumes = 3;
     /// Pause before the first resume; doubled before each further one.
     std::chrono::milliseconds resume_pause{50};
+    /// How long a request whose endpoint has ended waits for the word of the
+    /// nodes that count the ends of its content.
+    std::chrono::milliseconds word_of_counts{20};
     /// How long the end of a cancelled attempt is waited for before its grant
     /// is let go all the same.
     std::chrono::milliseconds close_wait{5'000};
--- a/test/serving_deadly_test.cpp
+++ b/test/serving_deadly_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
 #include <string>
 
 namespace camphorpoint {
@@ -52,6 +54,26 @@
             }
         }
     }
+    /// Lets time pass; engines that run the body end within 20 ms.
+    void pass(milliseconds time) {
+        constexpr milliseconds look(20);
+        for (milliseconds gone{0}; gone < time; gone += look) {
+            run(look);
+            for (std::size_t each = 0; each < engines.size(); ++each) {
+                auto const deadly = [](auto const& running) {
+                    return running.first.str().starts_with("deadly");
+                };
+                if (std::ranges::any_of(engines[each].running, deadly)) {
+                    ++ended_engines;
+                    restart_engine(each);
+                }
+            }
+        }
+    }
+    /// Sends the body as a new request and goes on.
+    void send_and_go_on(std::size_t node) {
+        post(node, asks("deadly" + std::to_string(sent++), deadly_body));
+    }
     unsigned sent = 0;
     unsigned ended_engines = 0;
 };
@@ -87,4 +109,81 @@
     }
 }
 
+// Guards against what is known of the request at one node only, or for one
+// request only: engines are back before it comes again, so that nothing else
+// keeps their number down.
+TEST_CASE("what a request has done to engines is known at every node") {
+    constexpr unsigned times = 24;
+    for (unsigned const seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        deadly_cluster all;
+        for (unsigned each = 0; each < times; ++each) {
+            all.send_and_go_on(random() % node_count);
+            all.pass(milliseconds(200 + random() % 3'000));
+        }
+        CHECK(all.ended_engines <= most_ended);
+    }
+}
+
+// Guards against an act on what is known here while the others' word is on its
+// way: the request comes to each node at the same moment.
+TEST_CASE("a request that ends engines comes to all nodes at once") {
+    constexpr unsigned times = 8;
+    // Three that are under way besides when the third of the first ones ends.
+    constexpr unsigned most_at_once = most_ended + node_count;
+    deadly_cluster all;
+    for (unsigned each = 0; each < times; ++each) {
+        for (std::size_t node = 0; node < node_count; ++node) {
+            all.send_and_go_on(node);
+        }
+        all.pass(milliseconds(2'000));
+    }
+    CHECK(all.ended_engines <= most_at_once);
+}
+
+// Guards against others' requests that are taken for the deadly one since they
+// were under way at engines that ended.
+TEST_CASE("requests beside one that ends engines are served") {
+    constexpr unsigned times = 18;
+    constexpr unsigned most_unserved = 1;
+    deadly_cluster all;
+    for (unsigned each = 0; each < times; ++each) {
+        all.send_and_go_on(each % node_count);
+        all.post(
+            (each + 1) % node_count,
+            asks("other" + std::to_string(each), deadly_body + 1));
+        all.pass(milliseconds(2'000));
+    }
+    all.pass(milliseconds(5'000));
+    unsigned served = 0;
+    for (unsigned each = 0; each < times; ++each) {
+        std::string const id = "other" + std::to_string(each);
+        served += all.ended(id).how == outcome::done ? 1 : 0;
+    }
+    CHECK(served + most_unserved >= times);
+    CHECK(all.ended_engines <= most_ended);
+}
+
+// Guards against a memory that ends with its node's process.
+TEST_CASE("a node that begins anew runs no request that others hold") {
+    constexpr unsigned times = 6;
+    for (std::size_t node = 0; node < node_count; ++node) {
+        CAPTURE(node);
+        deadly_cluster all;
+        auto const send_all = [&] {
+            for (unsigned each = 0; each < times; ++each) {
+                all.send_and_go_on(node);
+                all.pass(milliseconds(2'000));
+            }
+        };
+        send_all();
+        all.kill(node);
+        all.pass(milliseconds(500));
+        all.start(node);
+        send_all();
+        CHECK(all.ended_engines <= most_ended);
+    }
+}
+
 } // namespace camphorpoint
--- a/test/support/scripted_environment.hpp
+++ b/test/support/scripted_environment.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
     bool needs_grant = true;
     bool owner_reachable = true;
     bool retry_left = true;
+    /// Other nodes count the ends of attempts.
+    bool word_comes = false;
+    /// For how long the content is not run.
+    std::optional<duration> held;
     std::vector<node_action> actions;
     std::vector<owner_message> told;
     std::vector<outcome> keys_ended;
@@ -64,9 +69,15 @@
         std::string const& /*answer*/, instant /*now*/) {
         keys_ended.push_back(how);
     }
-    void attempt_over(
+    bool attempt_over(
         live_request const& /*request*/, attempt_ended const& /*end*/,
-        instant /*now*/) {}
+        instant /*now*/) {
+        return word_comes;
+    }
+    std::optional<duration>
+    held_for(live_request const& /*request*/, instant /*now*/) const {
+        return held;
+    }
     void submit_service(live_request const& /*request*/, instant /*now*/) {}
     void withdraw_service(live_request const& /*request*/) {}
     void act(node_action const& action) { actions.push_back(action); }
