Shares of a common limit are lent, not computed

What callers would see, once the gateway uses the module: storms of second sends when all nodes start again on a lossy way or with a failure domain cut off. Cause: a node divided the slack by whom it knew, once two seconds of a guard by time were over; under loss or a cut these are too few. Ruled out: a divisor that falls on equal digests, which say nothing of a node behind a cut; a fixed divisor of 2,000. Change: limit_shares. The platform deals parts, as it deals partitions; a holder lends of its own under leases; a part that is new to a node counts after 5 s. The model deals partitions and sums what nodes have; no check was changed.

--- a/src/Membership/membership.cpp
+++ b/src/Membership/membership.cpp
@@ -13,7 +13,8 @@
     , self_(std::move(self))
     , at_{run, 0}
     , random_(random)
-    , endpoints_(settings) {
+    , endpoints_(settings)
+    , shares_(self_.id, settings.dealt_parts, settings.shares) {
     tell_self();
 }
 
@@ -130,6 +131,7 @@
     endpoints_.on_tick(now);
     forget_dead(now);
     send_greetings();
+    ask_for_share(now);
     ask_again(now);
     spread_urgent();
     run_probes(now);
--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -4,6 +4,7 @@
 #include "Core/time.hpp"
 #include "Membership/endpoint_table.hpp"
 #include "Membership/incarnation.hpp"
+#include "Membership/limit_shares.hpp"
 #include "Membership/membership_action.hpp"
 #include "Membership/membership_settings.hpp"
 #include "Membership/probe_message.hpp"
@@ -71,9 +72,12 @@
     /// Somebody else names a node; it takes part from now on. Only where nodes
     /// are met.
     void introduce(node_id const& node, instant now);
-    /// The platform names as many nodes as it can, so that there may be others
-    /// that it does not name. Only where nodes are met.
-    void on_names_exhausted(instant now);
+    /// The platform has dealt the parts of the common limits anew.
+    /// @param own     those of this node
+    /// @param holders the nodes that have any
+    void on_parts_dealt(
+        std::vector<std::size_t> const& own, std::vector<node_id> holders,
+        instant now);
     /// This node begins a planned stop and says so.
     void start_leaving(instant now);
     /// Time has passed.
@@ -89,10 +93,10 @@
     /// @returns all nodes that are neither dead nor gone, this one included,
     /// in the order of their names
     std::vector<live_node> live_nodes() const;
-    /// @returns among how many nodes, this one included, a common limit is to
-    ///          be divided: never fewer than may be at work. Only where nodes
-    ///          are met.
-    std::size_t sharers(instant now) const;
+    /// @returns the part of a common limit that this node may use, from 0 to 1.
+    ///          Only where nodes are met. Where the platform deals no parts it
+    ///          goes by the nodes that are known, and may be too much.
+    double share(instant now) const;
     /// @returns how many nodes that are there go before this one in an order
     ///          that all agree on: those with more of a processor first. Few
     ///          nodes do by it what one could do for all.
@@ -138,6 +142,7 @@
     void ask_again(instant now);
     void forget_dead(instant now);
     void send_greetings();
+    void ask_for_share(instant now);
     void outlive(incarnation former);
     std::chrono::milliseconds ask_pause(member_digest theirs) const;
     void list_node(node_instance const& node, instant now);
@@ -174,6 +179,8 @@
     void on_message(probe_request const& message, instant now);
     void on_message(member_ask const& message, instant now);
     void on_message(member_page const& message, instant now);
+    void on_message(share_ask const& message, instant now);
+    void on_message(share_given const& message, instant now);
     void say(event_code code, log_level level, std::string detail);
 
     membership_settings settings_;
@@ -206,8 +213,7 @@
     mutable std::uint64_t rank_of_ = std::numeric_limits<std::uint64_t>::max();
     mutable std::uint64_t digest_of_ =
         std::numeric_limits<std::uint64_t>::max();
-    /// Until then nodes that the platform does not name may be unknown here.
-    std::optional<instant> meeting_until_;
+    limit_shares shares_;
     /// The most nodes that a peer has lately known, and when it said so.
     std::uint32_t most_told_ = 0;
     instant most_told_at_;
--- a/src/Membership/membership_meeting.cpp
+++ b/src/Membership/membership_meeting.cpp
@@ -54,12 +54,32 @@
     }
 }
 
-void membership::on_names_exhausted(instant now) {
-    if (!meeting_until_) {
-        meeting_until_ = now + settings_.first_meeting;
+void membership::on_parts_dealt(
+    std::vector<std::size_t> const& own, std::vector<node_id> holders,
+    instant now) {
+    shares_.dealt(own, std::move(holders), now);
+}
+
+void membership::ask_for_share(instant now) {
+    if (auto const due = shares_.ask(now)) {
+        actions_.emplace_back(send_probe{
+            due->to, peer_address(due->to),
+            share_ask{self_.id, at_, due->number}});
     }
 }
 
+void membership::on_message(share_ask const& message, instant now) {
+    heard(message.from, message.at);
+    share_given const answer{
+        self_.id, at_, message.number, shares_.on_ask(message.from, now)};
+    actions_.emplace_back(send_probe{message.from, message.from.str(), answer});
+}
+
+void membership::on_message(share_given const& message, instant now) {
+    heard(message.from, message.at);
+    shares_.on_given(message.from, message.number, message.amount, now);
+}
+
 // Whom the platform names hears of this node directly: where all nodes begin at
 // once, by probes alone it would take ten seconds until all know all.
 void membership::send_greetings() {
@@ -247,12 +267,12 @@
     return rank_;
 }
 
-std::size_t membership::sharers(instant now) const {
+double membership::share(instant now) const {
+    if (settings_.dealt_parts > 0) {
+        return shares_.own(now);
+    }
     std::size_t const told = now < most_told_at_ + told_counts ? most_told_ : 0;
-    // A node that is alone is not met with this: the platform could name more.
-    bool const meeting = meeting_until_ && now < *meeting_until_;
-    std::size_t const unknown = meeting ? settings_.most_nodes : 0;
-    return std::max({members_.size() + 1, told, unknown});
+    return 1.0 / static_cast<double>(std::max(members_.size() + 1, told));
 }
 
 } // namespace camphorpoint
--- a/src/Membership/membership_settings.hpp
+++ b/src/Membership/membership_settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Membership/limit_shares.hpp"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -40,11 +42,10 @@
     /// for so long: it may only be out of reach and go on, and a limit that the
     /// rest shares anew would be overstepped. Then it is forgotten.
     std::chrono::milliseconds dead_shares{60'000};
-    /// Nodes that a limit is divided among while this node has just begun and
-    /// the platform may leave some unnamed: as many as there may be.
-    std::size_t most_nodes = 2'000;
-    /// How long that holds: by then each node has been greeted or told of.
-    std::chrono::milliseconds first_meeting{2'000};
+    /// Parts of each common limit that the platform deals to the nodes; 0 where
+    /// it deals none.
+    std::size_t dealt_parts = 0;
+    share_times shares;
     /// A node whom the platform names is greeted. So many at a time: a hundred
     /// are greeted in a second or two, and no link is filled by it.
     std::size_t greetings_per_tick = 8;
--- a/src/Membership/probe_message.hpp
+++ b/src/Membership/probe_message.hpp
@@ -161,9 +161,36 @@
     }
 };
 
+/// May I use some of your part of the limits that all share?
+struct share_ask {
+    node_id from;
+    incarnation at;
+    std::uint32_t number = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(from, at, number);
+    }
+};
+
+/// So much, in billionths of a limit, for the time of a lease from the ask on.
+struct share_given {
+    node_id from;
+    incarnation at;
+    /// Of the ask.
+    std::uint32_t number = 0;
+    std::uint32_t amount = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(from, at, number, amount);
+    }
+};
+
 /// All that nodes say to each other by datagram.
-using probe_message =
-    std::variant<probe, probe_ack, probe_request, member_ask, member_page>;
+using probe_message = std::variant<
+    probe, probe_ack, probe_request, member_ask, member_page, share_ask,
+    share_given>;
 
 /// @returns the datagram's bytes
 std::string encode_probe(probe_message const& message);
--- a/test/support/talk_model.cpp
+++ b/test/support/talk_model.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-membership_settings met_settings() {
+membership_settings met_settings(std::size_t parts) {
     membership_settings settings;
     settings.base = base_set::met;
+    settings.dealt_parts = parts;
     return settings;
 }
 
@@ -31,17 +32,19 @@
 
 } // namespace
 
-talk_node::talk_node(node_instance which, std::uint64_t run)
+talk_node::talk_node(node_instance which, std::uint64_t run, std::size_t parts)
     : self(std::move(which))
     , members(
-          met_settings(), self, run,
+          met_settings(parts), self, run,
           std::mt19937_64(hash_text(self.id.str(), run))) {}
 
 talk_model::talk_model(
-    std::size_t count, std::size_t domains, std::size_t listed)
-    : listed_(listed) {
+    std::size_t count, std::size_t domains, std::size_t listed,
+    std::uint64_t seed)
+    : listed_(listed)
+    , random_(seed) {
     for (std::size_t index = 0; index < count; ++index) {
-        nodes.emplace_back(instance(index, domains), 1);
+        nodes.emplace_back(instance(index, domains), 1, listed);
         places_[nodes.back().self.id.str()] = index;
     }
     for (talk_node& each : nodes) {
@@ -51,18 +54,24 @@
 }
 
 void talk_model::name_holders(talk_node& to) {
+    std::vector<node_id> holders;
     for (std::size_t index = 0; index < std::min(listed_, nodes.size());
          ++index) {
-        to.members.introduce(nodes[index].self.id, now);
+        holders.push_back(nodes[index].self.id);
+        to.members.introduce(holders.back(), now);
     }
-    if (listed_ > 0 && listed_ <= nodes.size()) {
-        to.members.on_names_exhausted(now);
+    std::vector<std::size_t> own;
+    for (std::size_t part = 0; part < listed_; ++part) {
+        if (holders[part % holders.size()] == to.self.id) {
+            own.push_back(part);
+        }
     }
+    to.members.on_parts_dealt(own, std::move(holders), now);
 }
 
 void talk_model::restart(std::size_t which, std::uint64_t run) {
     node_instance const self = nodes[which].self;
-    nodes[which] = talk_node(self, run);
+    nodes[which] = talk_node(self, run, listed_);
     name_holders(nodes[which]);
 }
 
@@ -141,7 +150,7 @@
     double sum = 0;
     for (talk_node const& each : nodes) {
         if (!each.down) {
-            sum += 1.0 / static_cast<double>(each.members.sharers(now));
+            sum += each.members.share(now);
         }
     }
     return sum;
--- a/test/support/talk_model.hpp
+++ b/test/support/talk_model.hpp
@@ -29,7 +29,7 @@
 
 /// One entry node: the decision objects that talk to other nodes.
 struct talk_node {
-    talk_node(node_instance which, std::uint64_t run);
+    talk_node(node_instance which, std::uint64_t run, std::size_t parts);
 
     node_instance self;
     membership members;
@@ -45,15 +45,18 @@
     /// @param count   nodes, all started at once
     /// @param domains failure domains, nodes in turn
     /// @param listed  how many of them the platform names to all, as holders of
-    ///                partitions
-    talk_model(std::size_t count, std::size_t domains, std::size_t listed);
+    ///                as many partitions
+    /// @param seed    of which datagrams get lost
+    talk_model(
+        std::size_t count, std::size_t domains, std::size_t listed,
+        std::uint64_t seed = 7);
 
     /// Goes on; `each_step` is called after each step.
     void run(
         duration span, std::function<void()> const& each_step = [] {});
     /// The process of a node starts anew and knows nothing.
     void restart(std::size_t which, std::uint64_t run);
-    /// Names the holders to a node.
+    /// Names the holders to a node, and the partitions that it holds.
     void name_holders(talk_node& to);
 
     /// @returns how many running nodes know all running nodes
@@ -87,7 +90,7 @@
     std::size_t listed_;
     std::unordered_map<std::string, std::size_t> places_;
     std::deque<datagram> under_way_;
-    std::mt19937_64 random_{7};
+    std::mt19937_64 random_;
     instant counted_from_;
 };
 
