Nodes that began in the store's outage serve as soon as it answers

What callers saw: after the store's return every request is refused for three seconds more, where all nodes have begun anew in the outage. The list was read 0.8 s after the return; the configuration was not before 3.9 s. Its reading had been asked in the outage, and each failure doubles how long the next one may be silent, to 3.2 s, with a pause of 1 s after it. Ruled out: leases, accounts, replicas' entries: all were there at 0.8 s. Change: when the store answers anything, a reading of declarations that was asked before and has not begun to come is ended, failures are forgotten and the pause is over. A request whose service has no entry yet waits for one while entries may still come back, within its objective, instead of being refused. Evidence: 'a node that begins in the store's outage ...' and 'a request waits for replicas ...' fail without the change (not ready after 1.5 s; 503) and pass.

--- a/src/Gateway/declaration_follower.cpp
+++ b/src/Gateway/declaration_follower.cpp
@@ -55,7 +55,8 @@
     , store_(&store)
     , watch_(&watch)
     , changed_(std::move(changed))
-    , plan_(times_of(beliefs.settings), drawn(beliefs.random)) {}
+    , plan_(times_of(beliefs.settings), drawn(beliefs.random))
+    , pause_timer_(beliefs.io) {}
 
 void declaration_follower::start() {
     asio::co_spawn(
@@ -66,9 +67,11 @@
     *running_ = false;
 }
 
-asio::awaitable<void> declaration_follower::pause(milliseconds time) {
-    asio::steady_timer timer(beliefs_->io, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+asio::awaitable<bool> declaration_follower::pause(milliseconds time) {
+    pause_timer_.expires_after(time);
+    auto const [error] =
+        co_await pause_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return !error;
 }
 
 void declaration_follower::new_era(store_era era, instant read_at) {
@@ -81,8 +84,16 @@
     look_again();
 }
 
+// Guards against a reading that was asked of the store while it was away: it
+// is silent for as long as its bound allows, up to seconds after the return,
+// and a node that has begun meanwhile refuses every request until then.
 void declaration_follower::store_came_back() {
-    plan_.distrust_wait();
+    plan_.store_returned();
+    bool const unanswered = reading_now_ && !waiting_ && !reading_.begun();
+    if (unanswered) {
+        reading_.cancel();
+    }
+    pause_timer_.cancel();
     look_again();
 }
 
@@ -103,7 +114,8 @@
 asio::awaitable<void> declaration_follower::end_useless_wait() {
     auto const alive = running_;
     instant const since = boot_clock::now();
-    co_await pause(news_on_its_way);
+    asio::steady_timer timer(beliefs_->io, news_on_its_way);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (!*alive) {
         co_return;
     }
@@ -140,11 +152,13 @@
     reading_ = platform::store_reading();
     reading_began_ = began;
     waiting_ = asked.waits;
+    reading_now_ = true;
     auto const batch = co_await ask(asked);
     if (!*alive) {
         co_return;
     }
     waiting_ = false;
+    reading_now_ = false;
     note_reading(
         *beliefs_, platform::store_topic::declarations,
         asked.whole ? "whole" : "on", asked.from.offset, began, reading_,
@@ -174,10 +188,9 @@
     while (*alive) {
         declaration_reading const asked =
             plan_.next(boot_clock::now(), beliefs_->nodes());
-        if (asked.pause > milliseconds::zero()) {
-            co_await pause(asked.pause);
-        }
-        if (*alive) {
+        bool const due =
+            asked.pause == milliseconds::zero() || co_await pause(asked.pause);
+        if (*alive && due) {
             co_await read(asked);
         }
     }
--- a/src/Gateway/declaration_follower.hpp
+++ b/src/Gateway/declaration_follower.hpp
@@ -44,7 +44,8 @@
     boost::asio::awaitable<platform::store_result<platform::keyed_batch>>
     ask(declaration_reading const& asked);
     boost::asio::awaitable<void> end_useless_wait();
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    /// @returns false when it was ended early, as another reading is due
+    boost::asio::awaitable<bool> pause(std::chrono::milliseconds time);
     std::chrono::milliseconds longest_wait() const;
     void look_again();
     void take_all(
@@ -58,7 +59,9 @@
     std::function<void()> changed_;
     declaration_plan plan_;
     platform::store_reading reading_;
-    /// Set while a wait goes on.
+    boost::asio::steady_timer pause_timer_;
+    /// Set while a reading, and while a wait, goes on.
+    bool reading_now_ = false;
     bool waiting_ = false;
     instant reading_began_;
     bool looking_ = false;
--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -45,6 +45,10 @@
     return store_back + store_settles;
 }
 
+bool gateway_beliefs::list_refills(instant now) const {
+    return store_lost_since == instant::max() && now < store_calm_from();
+}
+
 bool gateway_beliefs::store_calm(instant now) const {
     return store_lost_since == instant::max() && now >= store_calm_from();
 }
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -49,6 +49,10 @@
     bool store_calm(instant now) const;
     /// @returns when entries that lapsed with the store's last outage are back
     instant store_calm_from() const;
+    /// @returns true while entries of replicas may be missing from the list
+    /// that
+    ///          lapsed in the store's outage and are about to come back
+    bool list_refills(instant now) const;
     /// Writes a line.
     void note(log_line const& line) { log.write(line, boot_clock::now()); }
 
--- a/src/Gateway/list_follower.cpp
+++ b/src/Gateway/list_follower.cpp
@@ -134,6 +134,13 @@
         return false;
     }
     bool const seen = change == fleet_change::seen;
+    if (seen) {
+        // Those that wait for any replica of a service.
+        beliefs_->waiters.notify(adapter_id());
+        for (adapter_ref const& each : record.adapters) {
+            beliefs_->waiters.notify(each.id);
+        }
+    }
     beliefs_->note(
         log_line(seen ? event_code::replica_seen : event_code::replica_leaving)
             .with("replica", record.id.str())
--- a/src/Gateway/request_flow.hpp
+++ b/src/Gateway/request_flow.hpp
@@ -84,7 +84,8 @@
     boost::asio::awaitable<void> answer_all();
     boost::asio::awaitable<replica*> find_replica();
     boost::asio::awaitable<void> freshen_loads();
-    replica* plain_replica(instant now);
+    std::optional<replica*> plain_replica(instant now);
+    bool awaits_entries(instant now) const;
     std::optional<replica*> adapter_replica(instant now);
     replica* home_for(instant now);
     bool should_hold(replica const& at, instant now) const;
--- a/src/Gateway/request_flow_choice.cpp
+++ b/src/Gateway/request_flow_choice.cpp
@@ -58,8 +58,18 @@
 
 } // namespace
 
-replica* request_flow::plain_replica(instant now) {
+// Guards against refusals while a service's replicas are there and write their
+// entries again, which lapsed in the store's outage.
+bool request_flow::awaits_entries(instant now) const {
+    return !beliefs_->choice.any_open(need_.service) &&
+           beliefs_->list_refills(now) && now < arrived_ + route_->objective;
+}
+
+std::optional<replica*> request_flow::plain_replica(instant now) {
     replica* const best = beliefs_->choice.best(need_, now);
+    if (best == nullptr && awaits_entries(now)) {
+        return std::nullopt;
+    }
     if (best == nullptr) {
         reason_ = "no-replica";
         return nullptr;
@@ -194,6 +204,9 @@
         return nullptr;
     }
     bool const none = best == nullptr && home == nullptr;
+    if (none && awaits_entries(now)) {
+        return std::nullopt;
+    }
     if (none && now < arrived_ + route_->objective &&
         beliefs_->choice.any_open(need_.service)) {
         // All that lies anywhere is in use right now; some of it ends soon.
--- a/src/Routing/declaration_plan.hpp
+++ b/src/Routing/declaration_plan.hpp
@@ -74,6 +74,11 @@
     void new_era(store_era era, instant at) noexcept;
     /// The connection that a wait uses may have died with the store's outage.
     void distrust_wait() noexcept { wait_distrusted_ = true; }
+    /// The store answers again: the failures were its outage's.
+    void store_returned() noexcept {
+        distrust_wait();
+        failures_ = 0;
+    }
     /// @returns true when a wait should have brought something by now
     bool behind() const noexcept;
     /// A wait was ended, since it brought nothing.
--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -4,6 +4,10 @@
 #include "common/standin_main.hpp"
 
 #include <absl/strings/escaping.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -51,6 +55,13 @@
 asio::awaitable<void> metadata_http::answer(http_exchange& exchange) {
     ++calls;
     std::string const target = exchange.request().target;
+    if (silent) {
+        constexpr std::chrono::seconds longer_than_any_wait(20);
+        asio::steady_timer timer(
+            co_await asio::this_coro::executor, longer_than_any_wait);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_return;
+    }
     if (turns_away) {
         co_await exchange.respond(json_response(503, "{}"));
         co_return;
--- a/standins/metadata/metadata_http.hpp
+++ b/standins/metadata/metadata_http.hpp
@@ -31,6 +31,9 @@
 
     /// While set, calls are turned away.
     bool turns_away = false;
+    /// While set, calls are taken, not done and never answered, also those of
+    /// then once it is unset.
+    bool silent = false;
     /// While set, calls are done and get no answer.
     bool loses_answers = false;
     /// While set, records are added and whoever adds them gets no answer.
--- /dev/null
+++ b/test/gateway/store_return_test.cpp
@@ -0,0 +1,73 @@
+#include "test/gateway/gateway_world.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using testing::gateway_world;
+using testing::served_replica;
+using testing::within;
+
+namespace {
+
+/// Readings of declarations that fail wait longer each time: by then for more
+/// than three seconds.
+constexpr milliseconds outage{3'500};
+/// A node asks a store that is away again every second or so.
+constexpr milliseconds asked_again{1'500};
+
+void pass(gateway_world& world, milliseconds time) {
+    within(world, time, [] { return false; });
+}
+
+} // namespace
+
+// Guards against nodes that refuse every request for seconds after the store's
+// return, since each still waits for an answer that it asked for in the outage.
+TEST_CASE("a node that begins in the store's outage serves soon after it") {
+    gateway_world world;
+    world.metadata.silent = true;
+    world.begin_node();
+    pass(world, outage);
+    REQUIRE_FALSE(world.node_at(1).ready());
+    world.metadata.silent = false;
+    CHECK(within(world, asked_again, [&] { return world.node_at(1).ready(); }));
+    CHECK(world.ask_node(1, "/look/b", "", "q", "x").response.status == 200);
+}
+
+// Guards against refusals while replicas are there, whose entries lapsed in the
+// store's outage and are written again within two seconds.
+TEST_CASE("a request waits for replicas that write their entries again") {
+    gateway_world world;
+    world.metadata.silent = true;
+    world.begin_node();
+    world.unlist(world.first);
+    world.unlist(world.second);
+    world.unlist(world.plain);
+    pass(world, milliseconds(900));
+    world.metadata.silent = false;
+    // By then it has its configuration.
+    pass(world, asked_again);
+    boost::asio::steady_timer timer(world.loop.io(), milliseconds(300));
+    timer.async_wait([&](boost::system::error_code) {
+        world.list(world.plain, "app");
+        world.list(world.first, "llm");
+    });
+    std::string path = "/look/b";
+    std::string model;
+    SUBCASE("of a plain service") {}
+    SUBCASE("of a model") {
+        path = "/gen/a";
+        model = "m/a1";
+    }
+    auto const got = world.ask_node(1, path, model, "q", "x");
+    CHECK(got.response.status == 200);
+}
+
+} // namespace camphorpoint
