A replica whose address is another's gets no loads; a holder looks when it may order

What callers saw: requests for some adapters wait a second and are refused, load-takes-too-long, for three seconds after the store's return. A replica that had ended in the outage stood in the list until its entry lapsed. Its address had been given to another one, which answered each order with 421, 762 of them in 2.5 s in a row without a pause, while its home was asked for loads. Besides, partitions had settled at 13.5 s and nobody ordered before 14.0, as holders looked at their renewals only. Change: an order that another replica answers ends the belief in the one that was meant, until its entry is written anew, and the other nodes are told. A holder claims when replicas or the configuration have changed, and begins when its partitions settle. The stand-in of a replica answers reports whoever is meant, as the platform's do. Evidence: 'a replica whose address is another's ...' fails without the change (503) and passes; 'a holder knows when ...' is new with its function.

--- a/src/Gateway/slot_orderer.cpp
+++ b/src/Gateway/slot_orderer.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds replica_timeout{700};
 /// A worker without the right to order asks again.
 constexpr milliseconds no_right_pause{100};
+/// An entry lapses three writings, of a second or a little more, after the
+/// last.
+constexpr duration entry_lapses = std::chrono::seconds(4);
 /// The span over which the loads of base models are counted.
 constexpr duration load_window = std::chrono::seconds(5);
 
@@ -40,7 +43,8 @@
 slot_orderer::slot_orderer(
     gateway_beliefs& beliefs, platform::store_client& store)
     : beliefs_(&beliefs)
-    , store_(&store) {}
+    , store_(&store)
+    , claim_timer_(beliefs.io) {}
 
 void slot_orderer::start() {
     *running_ = true;
@@ -66,6 +70,9 @@
     if (*running_) {
         spawn_workers();
     }
+    if (!beliefs_->leases.without_token().empty()) {
+        claim_timer_.cancel();
+    }
 }
 
 std::optional<slot_limits> slot_orderer::limits_of(replica const& at) const {
@@ -308,12 +315,31 @@
     }
     held->account.answered(order, answer, boot_clock::now());
     publish(id, held->account);
+    if (answer == slot_answer::other_replica) {
+        note_replaced(id);
+    }
     if (answer == slot_answer::unsent) {
         asio::steady_timer timer(beliefs_->io, no_right_pause);
         co_await timer.async_wait(use_result);
     }
 }
 
+// Guards against a replica that has ended and stands in the list until its
+// entry lapses, after the store's outage for seconds: adapters were asked for
+// there, and the replica that has its address now turned each order away.
+void slot_orderer::note_replaced(endpoint_id const& id) {
+    instant const now = boot_clock::now();
+    replica const* const at = beliefs_->replicas.find(id);
+    if (at == nullptr || !at->open()) {
+        return;
+    }
+    beliefs_->note(log_line(event_code::replica_gone, log_level::warning)
+                       .with("replica", id.str())
+                       .with("why", "its address is another's"));
+    words_->suspect(*at, entry_lapses);
+    beliefs_->replicas.lost(id, false, now);
+}
+
 void slot_orderer::note_order(
     endpoint_id const& id, held_replica const& held, slot_order const& order,
     slot_answer answer) {
--- a/src/Gateway/slot_orderer.hpp
+++ b/src/Gateway/slot_orderer.hpp
@@ -66,6 +66,7 @@
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> leave();
     boost::asio::awaitable<void> renew_once();
+    boost::asio::awaitable<void> claim_used();
     boost::asio::awaitable<void> claim(std::size_t partition);
     boost::asio::awaitable<void> read_owners();
     boost::asio::awaitable<void> work(endpoint_id id, held_ptr held);
@@ -73,6 +74,7 @@
     boost::asio::awaitable<void> report(endpoint_id id, held_ptr held);
     boost::asio::awaitable<void>
     order(endpoint_id id, held_ptr held, slot_order order);
+    void note_replaced(endpoint_id const& id);
     void note_order(
         endpoint_id const& id, held_replica const& held,
         slot_order const& order, slot_answer answer);
@@ -90,6 +92,8 @@
     std::map<endpoint_id, held_ptr> held_;
     std::map<std::uint64_t, endpoint_id> by_short_name_;
 
+    /// Wakes whoever renews and claims.
+    boost::asio::steady_timer claim_timer_;
     std::uint64_t owners_generation_ = 0;
     instant owners_read_;
     // Shared with the coroutines, which end after it has turned false.
--- a/src/Gateway/slot_orderer_leases.cpp
+++ b/src/Gateway/slot_orderer_leases.cpp
@@ -69,24 +69,37 @@
     }
 }
 
+asio::awaitable<void> slot_orderer::claim_used() {
+    auto const alive = running_;
+    for (std::size_t const each : beliefs_->leases.without_token()) {
+        bool const used = std::ranges::any_of(
+            beliefs_->replicas.all(), [&](auto const& other) {
+                return partition_of(other.first) == each &&
+                       limits_of(other.second);
+            });
+        if (used && *alive) {
+            co_await claim(each);
+        }
+    }
+}
+
+// Guards against replicas that nobody orders for until the next renewal, though
+// their partition could be claimed, or has settled, long before: in the first
+// seconds of all nodes requests wait for these loads.
 asio::awaitable<void> slot_orderer::renew() {
     auto const alive = running_;
+    instant renew_at;
     while (*alive) {
-        co_await renew_once();
-        for (std::size_t const each : beliefs_->leases.without_token()) {
-            bool const used = std::ranges::any_of(
-                beliefs_->replicas.all(), [&](auto const& other) {
-                    return partition_of(other.first) == each &&
-                           limits_of(other.second);
-                });
-            if (used && *running_) {
-                co_await claim(each);
-            }
+        if (boot_clock::now() >= renew_at) {
+            co_await renew_once();
+            renew_at = boot_clock::now() + beliefs_->settings.leases.renewal;
         }
+        co_await claim_used();
         spawn_workers();
-        asio::steady_timer timer(
-            beliefs_->io, beliefs_->settings.leases.renewal);
-        co_await timer.async_wait(use_result);
+        instant const settled =
+            beliefs_->leases.next_settled(boot_clock::now());
+        claim_timer_.expires_after(time_until(std::min(renew_at, settled)));
+        co_await claim_timer_.async_wait(use_result);
     }
 }
 
--- a/src/Holding/partition_leases.cpp
+++ b/src/Holding/partition_leases.cpp
@@ -101,6 +101,17 @@
     return found->second.token;
 }
 
+instant partition_leases::next_settled(instant now) const {
+    instant next = instant::max();
+    for (auto const& [partition, each] : held_) {
+        instant const settled = each.gained + times_.settling;
+        if (!each.lost && settled > now) {
+            next = std::min(next, settled);
+        }
+    }
+    return next;
+}
+
 std::vector<std::size_t> partition_leases::held() const {
     std::vector<std::size_t> all;
     for (auto const& [partition, each] : held_) {
--- a/src/Holding/partition_leases.hpp
+++ b/src/Holding/partition_leases.hpp
@@ -66,6 +66,9 @@
     ///          node must not order for the partition
     std::optional<std::uint64_t>
     token(std::size_t partition, instant now) const;
+    /// @returns when the next partition may be ordered for that may not yet, as
+    ///          it was gained a moment ago; max when there is none
+    instant next_settled(instant now) const;
     /// @returns all partitions that this node was given last, and those whose
     ///          fencing number is still missing or of an earlier era
     std::vector<std::size_t> held() const;
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -136,12 +136,13 @@
     std::string_view const meant =
         exchange.request().fields.get("X-Target-Instance");
     http_response response;
-    if (!meant.empty() && meant != id_) {
+    if (target == "/report") {
+        // Whoever is meant, as the platform's replicas do.
+        response = report();
+    } else if (!meant.empty() && meant != id_) {
         response = json_response(421, "{}");
     } else if (target == "/order") {
         response = order(exchange.request().body);
-    } else if (target == "/report") {
-        response = report();
     } else {
         co_await run(exchange);
         co_return;
--- a/test/gateway/store_return_test.cpp
+++ b/test/gateway/store_return_test.cpp
@@ -70,4 +70,22 @@
     CHECK(got.response.status == 200);
 }
 
+// Guards against loads that are ordered at a replica which has ended, as long
+// as its entry stands: the replica that has its address turns them away.
+TEST_CASE("a replica whose address is another's gets no loads") {
+    gateway_world world;
+    served_replica gone(world.loop, "gone", "m", 3);
+    world.metadata.store().put(
+        "keyed.servers", gone.id,
+        gone.engine.entry("llm", world.second.address()));
+    REQUIRE(world.loop.run_until(
+        [&] { return world.node->knows(endpoint_id(gone.id)); }));
+    pass(world, milliseconds(2'000));
+    for (int each = 1; each <= 6; ++each) {
+        auto const got = world.ask(
+            "/gen/a", "m/a" + std::to_string(each), "q" + std::to_string(each));
+        CHECK(got.response.status == 200);
+    }
+}
+
 } // namespace camphorpoint
--- a/test/holding_test.cpp
+++ b/test/holding_test.cpp
@@ -522,4 +522,19 @@
     }
 }
 
+// Guards against a holder that looks at its partitions at its renewals only:
+// requests waited up to half a second more for the first loads.
+TEST_CASE("a holder knows when its partitions have settled") {
+    constexpr instant begin{std::chrono::hours(1)};
+    lease_times const times;
+    partition_leases leases(times);
+    CHECK(leases.next_settled(begin) == instant::max());
+    leases.granted(begin, 1, {3}, begin);
+    instant const settled = begin + times.settling;
+    CHECK(leases.next_settled(begin) == settled);
+    CHECK(leases.next_settled(settled) == instant::max());
+    leases.granted(settled, 2, {3, 4}, settled);
+    CHECK(leases.next_settled(settled) == settled + times.settling);
+}
+
 } // namespace camphorpoint
