The slack of second sends is divided by the partitions that were dealt

What callers would see: more second sends than the platform allows, a storm at replicas that fail, while a failure domain is cut off or all nodes have just begun. Cause: the gateway divided the slack by the nodes that it had heard within 4 s, as the module of membership did by those it knew. Two halves that do not hear each other each take all that is there. Change: a node's part of the slack is its part of the partitions, each of which the store deals to one node at a time; none while its lease is not valid. A lone node has all.

--- a/src/Gateway/gateway_beliefs.cpp
+++ b/src/Gateway/gateway_beliefs.cpp
@@ -41,6 +41,18 @@
     return static_cast<unsigned>(heard) + 1;
 }
 
+// Guards against nodes that divide by whom they hear: with a domain cut off, or
+// all nodes just begun, each hears too few, and together they send more often
+// than is allowed. A partition is held by one node at a time.
+unsigned gateway_beliefs::slack_sharers(instant now) const {
+    constexpr unsigned none = 1'000'000;
+    std::size_t const held = leases.valid(now) ? leases.held().size() : 0;
+    if (held == 0) {
+        return none;
+    }
+    return static_cast<unsigned>((partition_count + held - 1) / held);
+}
+
 instant gateway_beliefs::store_calm_from() const {
     return store_back + store_settles;
 }
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -46,6 +46,11 @@
     }
     /// @returns how many nodes there are, this one included
     unsigned nodes() const;
+    /// @returns among how many nodes the slack of second sends is to be
+    /// divided,
+    ///          by the partitions that this one holds of all; a number beyond
+    ///          any slack when it holds none
+    unsigned slack_sharers(instant now) const;
     /// @returns true when the store has answered lately and without a break
     bool store_calm(instant now) const;
     /// @returns when entries that lapsed with the store's last outage are back
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -188,9 +188,6 @@
 /// others' knowing, and another may have begun a moment ago.
 inline constexpr unsigned end_counters = 3;
 
-/// How many partitions the replicas fall into.
-inline constexpr std::size_t partition_count = 96;
-
 /// @returns the partition of a replica
 std::size_t partition_of(endpoint_id const& replica);
 
--- a/src/Gateway/request_flow.cpp
+++ b/src/Gateway/request_flow.cpp
@@ -274,7 +274,8 @@
         break;
     }
     // Told before the search for a replica, whose place would not be used.
-    if (!beliefs_->second_sends.left(need_.service, beliefs_->nodes(), now)) {
+    if (!beliefs_->second_sends.left(
+            need_.service, beliefs_->slack_sharers(now), now)) {
         reason_ += "-no-budget";
         return false;
     }
@@ -288,7 +289,8 @@
         return true;
     }
     instant const now = boot_clock::now();
-    if (!beliefs_->second_sends.take(need_.service, beliefs_->nodes(), now)) {
+    if (!beliefs_->second_sends.take(
+            need_.service, beliefs_->slack_sharers(now), now)) {
         reason_ += "-no-budget";
         return false;
     }
--- a/src/Holding/partition_leases.hpp
+++ b/src/Holding/partition_leases.hpp
@@ -13,6 +13,10 @@
 
 namespace camphorpoint {
 
+/// How many partitions the replicas fall into. The platform deals them to the
+/// nodes, each to one at a time.
+inline constexpr std::size_t partition_count = 96;
+
 /// Times of the leases by which a node orders for a part of the replicas.
 struct lease_times {
     /// A node that has sent nothing for so long loses its partitions.
--- a/test/gateway/second_sends_test.cpp
+++ b/test/gateway/second_sends_test.cpp
@@ -2,8 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <memory>
+#include <numeric>
 #include <string>
+#include <unistd.h>
+#include <vector>
 
 namespace camphorpoint {
 
@@ -89,4 +93,31 @@
     }
 }
 
+// Guards against second sends beyond the bound where nodes hear too few others:
+// a failure domain is cut off, or all have just begun.
+TEST_CASE("nodes share the slack of second sends by what was dealt to them") {
+    constexpr instant now{std::chrono::hours(1)};
+    boost::asio::io_context io;
+    gateway_beliefs node(io, gateway_settings(), STDOUT_FILENO);
+    second_send_limits const limits;
+
+    SUBCASE("nothing was dealt, and nobody is heard") {
+        CHECK(limits.slack / node.slack_sharers(now) < 1);
+    }
+    SUBCASE("a third was dealt, and nobody is heard") {
+        std::vector<std::size_t> third(partition_count / 3);
+        std::iota(third.begin(), third.end(), 0);
+        node.leases.granted(now, 1, third, now);
+        CHECK(node.slack_sharers(now) == 3);
+        instant const lapsed = now + limits.window;
+        CHECK(limits.slack / node.slack_sharers(lapsed) < 1);
+    }
+    SUBCASE("all was dealt: a node that is alone has all") {
+        std::vector<std::size_t> every(partition_count);
+        std::iota(every.begin(), every.end(), 0);
+        node.leases.granted(now, 1, every, now);
+        CHECK(node.slack_sharers(now) == 1);
+    }
+}
+
 } // namespace camphorpoint
