--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -231,8 +231,6 @@
     std::vector<std::uint64_t> wholes;
     std::vector<peer_quarantine> quarantines;
     std::vector<peer_gate> gates;
-    /// The sender knows which contents were held before it began.
-    bool knows_held = false;
     /// One at most.
     std::vector<peer_reading> readings;
     /// How far the sender has read what the operator declares; 0 when it says
@@ -243,6 +241,8 @@
     /// Set while the sender has begun and waits to hear how much others know:
     /// it is told at once.
     bool asks_declared = false;
+    /// The sender knows which contents were held before it began.
+    bool knows_held = false;
 
     static constexpr std::uint32_t current_format = 8;
 
@@ -251,8 +251,8 @@
         archive(
             format, from, present, loads, asks, answers, wants, uses, words,
             claims, suspicions, denials, ends, wholes, quarantines, gates,
-            knows_held, readings, declared_place, declared_total,
-            asks_declared);
+            readings, declared_place, declared_total, asks_declared,
+            knows_held);
     }
     /// @returns true when there is nothing to say
     bool empty() const noexcept {
--- a/src/Gateway/request_flow_ending.cpp
+++ b/src/Gateway/request_flow_ending.cpp
@@ -75,6 +75,7 @@
 // Guards against requests of one content that go out side by side while nobody
 // knows yet that it ends its replicas; see content_gate.
 asio::awaitable<bool> request_flow::pass_gate(endpoint_id at) {
+    auto const caller = leaving_;
     if (!words_->guards(content_, boot_clock::now())) {
         co_return true;
     }
@@ -89,7 +90,7 @@
     gate_run_ = run;
     replica const* const still = beliefs_->replicas.find(at);
     bool const usable =
-        still != nullptr && still->open() && !leaving_->gone && !refuse_held();
+        still != nullptr && still->open() && !caller->gone && !refuse_held();
     if (!usable) {
         leave_gate(attempt_end::unreached);
     }
--- a/src/Serving/content_router.cpp
+++ b/src/Serving/content_router.cpp
@@ -5,6 +5,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace camphorpoint {
@@ -85,7 +88,9 @@
         }
     }
     std::vector<node_id> chosen;
-    std::ranges::sample(others, std::back_inserter(chosen), most, random_);
+    std::ranges::sample(
+        others, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(most),
+        random_);
     return chosen;
 }
 
