--- a/src/Delivery/content_gate.cpp
+++ b/src/Delivery/content_gate.cpp
@@ -11,15 +11,15 @@
 constexpr duration run_lasts = std::chrono::seconds(1);
 /// A content that has run well is not asked for again for so long.
 constexpr duration proof_lasts = std::chrono::seconds(60);
-constexpr std::size_t most_passages = 8'192;
+constexpr std::size_t most_admissions = 8'192;
 
 } // namespace
 
 bool content_gate::may_begin(
     content_digest content, std::uint64_t run, instant now) {
     forget_old(now);
-    auto const [place, fresh] = passages_.try_emplace(content);
-    passage& of = place->second;
+    auto const [place, fresh] = admissions_.try_emplace(content);
+    admission& of = place->second;
     bool const taken = !fresh && now < of.until;
     if (taken && (of.proven || of.run != run)) {
         return of.proven;
@@ -29,28 +29,30 @@
 }
 
 void content_gate::ended(content_digest content, std::uint64_t run) {
-    auto const found = passages_.find(content);
-    bool const its = found != passages_.end() && !found->second.proven &&
+    auto const found = admissions_.find(content);
+    bool const its = found != admissions_.end() && !found->second.proven &&
                      found->second.run == run;
     if (its) {
-        passages_.erase(found);
+        admissions_.erase(found);
     }
 }
 
 void content_gate::proven(content_digest content, instant now) {
-    passages_[content] = {0, now + proof_lasts, true};
+    admissions_[content] = {0, now + proof_lasts, true};
 }
 
 void content_gate::forget_old(instant now) {
-    if (passages_.size() < most_passages) {
+    if (admissions_.size() < most_admissions) {
         return;
     }
-    std::erase_if(passages_, [now](auto const& each) {
+    std::erase_if(admissions_, [now](auto const& each) {
         return now >= each.second.until;
     });
-    if (passages_.size() >= most_passages) {
-        passages_.erase(std::ranges::min_element(
-            passages_, {}, [](auto const& each) { return each.second.until; }));
+    if (admissions_.size() >= most_admissions) {
+        admissions_.erase(
+            std::ranges::min_element(admissions_, {}, [](auto const& each) {
+                return each.second.until;
+            }));
     }
 }
 
--- a/src/Delivery/content_gate.hpp
+++ b/src/Delivery/content_gate.hpp
@@ -25,17 +25,17 @@
     /// A run has brought a part of its answer: others need not wait.
     void proven(content_digest content, instant now);
     /// A replica has ended under it: what was shown before no longer counts.
-    void broken(content_digest content) { passages_.erase(content); }
+    void broken(content_digest content) { admissions_.erase(content); }
 
 private:
-    struct passage {
+    struct admission {
         std::uint64_t run = 0;
         instant until;
         bool proven = false;
     };
     void forget_old(instant now);
 
-    std::unordered_map<content_digest, passage> passages_;
+    std::unordered_map<content_digest, admission> admissions_;
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/gateway_beliefs.hpp
+++ b/src/Gateway/gateway_beliefs.hpp
@@ -46,18 +46,16 @@
     }
     /// @returns how many nodes there are, this one included
     unsigned nodes() const;
-    /// @returns among how many nodes the slack of second sends is to be
-    /// divided,
-    ///          by the partitions that this one holds of all; a number beyond
-    ///          any slack when it holds none
+    /// @returns among how many nodes the slack of second sends is divided, by
+    ///          this node's part of the partitions; a number beyond any slack
+    ///          when it holds none
     unsigned slack_sharers(instant now) const;
     /// @returns true when the store has answered lately and without a break
     bool store_calm(instant now) const;
     /// @returns when entries that lapsed with the store's last outage are back
     instant store_calm_from() const;
-    /// @returns true while entries of replicas may be missing from the list
-    /// that
-    ///          lapsed in the store's outage and are about to come back
+    /// @returns true while entries of replicas that lapsed in the store's
+    ///          outage may be about to come back
     bool list_refills(instant now) const;
     /// Writes a line.
     void note(log_line const& line) { log.write(line, boot_clock::now()); }
--- a/src/Gateway/peer_words.hpp
+++ b/src/Gateway/peer_words.hpp
@@ -73,9 +73,8 @@
     bool tell_end(content_digest content, std::uint64_t replica);
     /// A run of a content ended well: it has not ended its replicas.
     void tell_whole(content_digest content);
-    /// @returns true when runs of a content begin one at a time: an end is
-    /// known
-    ///          here, or this node has begun and may not know of one
+    /// @returns true when runs of a content begin one at a time: a replica has
+    ///          ended under it, or this node has begun and may not know of that
     bool guards(content_digest content, instant now) const;
     /// A run asks to begin.
     /// @param run number of the run, unique over all nodes
--- a/src/Membership/limit_shares.hpp
+++ b/src/Membership/limit_shares.hpp
@@ -33,8 +33,8 @@
 /// shares are not computed: the platform deals parts, each to one node at a
 /// time, and a holder lends of its own what it does not use meanwhile. The
 /// shares add up to the limit at most, whatever gets lost or starts anew.
-/// Reference: D. Gifford, "Weighted voting for replicated data" (tokens), and
-/// C. Gray, D. Cheriton, "Leases", SOSP 1989.
+/// References: D. Barbara, H. Garcia-Molina, "The demarcation protocol", VLDB
+/// Journal 3(3), 1994; C. Gray, D. Cheriton, "Leases", SOSP 1989.
 class limit_shares {
 public:
     /// Amounts are in billionths of the limit, rounded down, so that they add
