Log: a replica that stays in use after its entry was removed, and for how long

Event 935 when an entry is removed and its replica kept; 933 says how long the replica was used after this node had read the removal.

--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -121,17 +121,33 @@
 }
 
 void registry_follower::log_removal(endpoint_id const& id) {
-    state_->log_event(
-        log_line(event_code::replica_gone).with("replica", id.str()));
+    replica const* const removed = state_->replicas.find(id);
+    duration const kept = removed == nullptr
+                              ? duration::zero()
+                              : boot_clock::now() - removed->missing_since;
+    state_->log_event(log_line(event_code::replica_gone)
+                          .with("replica", id.str())
+                          .with("kept_ms", kept));
     on_change_();
 }
 
+void registry_follower::log_kept(endpoint_id const& id) {
+    replica const* const kept = state_->replicas.find(id);
+    if (kept != nullptr && !kept->missing) {
+        state_->log_event(log_line(event_code::replica_kept)
+                              .with("replica", id.str())
+                              .with("leaving", kept->record.leaving ? 1U : 0U));
+    }
+}
+
 void registry_follower::apply_removal(endpoint_id const& id) {
     instant const now = boot_clock::now();
     bool const keep_until_stable = !state_->store_stable(now);
     if (state_->replicas.mark_unlisted(id, keep_until_stable, now) ==
         fleet_change::removed) {
         log_removal(id);
+    } else if (keep_until_stable) {
+        log_kept(id);
     }
 }
 
--- a/src/Gateway/registry_follower.hpp
+++ b/src/Gateway/registry_follower.hpp
@@ -60,6 +60,7 @@
     };
     record_effect apply_record(platform::keyed_record const& record);
     void apply_removal(endpoint_id const& id);
+    void log_kept(endpoint_id const& id);
     void apply_snapshot(platform::keyed_batch const& batch);
     void log_removal(endpoint_id const& id);
 
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -74,6 +74,7 @@
     event_name{event_code::replica_leaving, "replica-leaving"},
     event_name{event_code::replica_gone, "replica-gone"},
     event_name{event_code::replica_suspected, "replica-suspected"},
+    event_name{event_code::replica_kept, "replica-kept"},
     event_name{event_code::partition_gained, "partition-gained"},
     event_name{event_code::partition_lost, "partition-lost"},
     event_name{event_code::order_answered, "order-answered"},
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -78,6 +78,7 @@
     replica_leaving = 932,
     replica_gone = 933,
     replica_suspected = 934,
+    replica_kept = 935,
     partition_gained = 941,
     partition_lost = 942,
     order_answered = 943,
