A removed entry is kept only after an outage in which it can have expired

Callers: requests reached replicas 3.0 to 4.3 s after their entries were removed (DRAIN), as 25 of 90 nodes went on using them.

Cause: a node that had failed to reach the store, be it for 223 ms and by one call, took every removed entry for one that had expired in an outage, for that time and 2.3 s more.

Change: registry_outage_tracker. An entry expires after three heartbeats of silence, so the store must have answered no poll of the registry, by this node or by another one whose update arrives, for one and a half heartbeats. The heartbeat is a new setting, replica_heartbeat; a long poll lasts no longer than one, so that an idle registry is no silence.

What was ruled out: updates that hide a change (removals at 67.75 s followed no poll), late polls (0.78 s at most).

--- /dev/null
+++ b/src/Fleet/registry_outage_tracker.cpp
@@ -0,0 +1,49 @@
+#include "Fleet/registry_outage_tracker.hpp"
+
+#include <chrono>
+
+namespace camphorpoint {
+
+namespace {
+
+/// Within this time after a store outage, the replicas have written their
+/// expired registry entries again.
+constexpr duration settling_time = std::chrono::milliseconds(2'300);
+
+/// @returns the shortest outage in which an entry can expire. The entry may be
+///          one heartbeat old when the outage begins; half a heartbeat is left
+///          for the delay of the last answers.
+constexpr duration min_outage_of(duration heartbeat) {
+    return heartbeat + heartbeat / 2;
+}
+
+} // namespace
+
+registry_outage_tracker::registry_outage_tracker(duration heartbeat) noexcept
+    : min_outage_(min_outage_of(heartbeat)) {}
+
+void registry_outage_tracker::note_answer(instant now) noexcept {
+    // How long the store was unreachable before this node's first answer is
+    // unknown; a failed poll shows that it was.
+    bool const outage = last_answer_ ? now - *last_answer_ >= min_outage_
+                                     : failed_before_first_answer_;
+    if (outage) {
+        settled_from_ = now + settling_time;
+    }
+    last_answer_ = now;
+}
+
+void registry_outage_tracker::note_failure() noexcept {
+    failed_before_first_answer_ = failed_before_first_answer_ || !last_answer_;
+}
+
+void registry_outage_tracker::note_rollback(instant now) noexcept {
+    settled_from_ = now + settling_time;
+}
+
+bool registry_outage_tracker::may_have_expired(instant now) const noexcept {
+    return !last_answer_ || now - *last_answer_ >= min_outage_ ||
+           now < settled_from_;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Fleet/registry_outage_tracker.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <optional>
+
+namespace camphorpoint {
+
+/// Decides whether a registry entry that has disappeared may have expired in an
+/// outage of the store. Such an entry is written again soon after the outage,
+/// whereas the replica of an entry that was removed on purpose is leaving.
+///
+/// Guards against a node that takes one failed call of its own for an outage
+/// and keeps replicas that leave. An entry expires after three heartbeats of
+/// silence, so only an outage of about two heartbeats can cause it, and a poll
+/// of another node that was answered shows that the store was reachable.
+class registry_outage_tracker {
+public:
+    /// @param heartbeat interval at which a replica writes its entry
+    explicit registry_outage_tracker(duration heartbeat) noexcept;
+
+    /// Records that the store has answered a poll of the registry, by this node
+    /// or, as shown by its update, by another one.
+    void note_answer(instant now) noexcept;
+    /// Records that a poll of the registry by this node has failed.
+    void note_failure() noexcept;
+    /// Records that the store was restored from an older snapshot. Entries that
+    /// are missing there are written again as after an outage.
+    void note_rollback(instant now) noexcept;
+
+    /// @returns true when an entry that is missing now may have expired in an
+    ///          outage
+    bool may_have_expired(instant now) const noexcept;
+    /// @returns when the entries that expired in the last outage have been
+    ///          written again
+    instant settled_from() const noexcept { return settled_from_; }
+
+private:
+    duration min_outage_;
+    std::optional<instant> last_answer_;
+    bool failed_before_first_answer_ = false;
+    instant settled_from_;
+};
+
+} // namespace camphorpoint
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -62,6 +62,9 @@
             "leaving_serves", polls * into.registry_poll_interval,
             milliseconds(30), max_time) /
         polls;
+    into.replica_heartbeat = section.time(
+        "replica_heartbeat", into.replica_heartbeat, milliseconds(10),
+        max_time);
     section.refuse_unknown_keys();
 }
 
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds store_timeout{800};
     /// Minimum time between polls of the replica registry.
     std::chrono::milliseconds registry_poll_interval{670};
+    /// Interval at which each replica writes its registry entry.
+    std::chrono::milliseconds replica_heartbeat{1'000};
 
     /// A planned shutdown ends after this time, even if requests are running.
     std::chrono::milliseconds stop_limit{8'000};
--- a/src/Gateway/gateway_state.cpp
+++ b/src/Gateway/gateway_state.cpp
@@ -58,18 +58,9 @@
     return static_cast<unsigned>((partition_count + held - 1) / held);
 }
 
-instant gateway_state::store_stable_from() const {
-    return store_reachable_since + store_settling_time;
-}
-
 bool gateway_state::registry_refilling(instant now) const {
     return store_unreachable_since == instant::max() &&
-           now < store_stable_from();
-}
-
-bool gateway_state::store_stable(instant now) const {
-    return store_unreachable_since == instant::max() &&
-           now >= store_stable_from();
+           now < store_reachable_since + store_settling_time;
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -54,12 +54,6 @@
     ///          from this node's fraction of the partitions; a number above any
     ///          slack when the node holds no partition
     unsigned slack_divisor(instant now) const;
-    /// @returns true when the store is reachable and expired registry entries
-    ///          have had time to be written again
-    bool store_stable(instant now) const;
-    /// @returns when the registry entries that expired in the store's last
-    ///          outage have been written again
-    instant store_stable_from() const;
     /// @returns true while replicas may be about to write registry entries
     ///          again that expired in the store's outage
     bool registry_refilling(instant now) const;
--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-/// Duration of one long poll. A connection that has died without a reset is
-/// noticed after this time plus the store timeout.
-constexpr milliseconds long_poll_time{2'000};
+/// Longest duration of one long poll. A connection that has died without a
+/// reset is noticed after this time plus the store timeout.
+constexpr milliseconds max_long_poll_time{2'000};
 /// Delay after a failed call. A shorter delay would use up calls to the store
 /// that all nodes share.
 constexpr milliseconds retry_delay{250};
@@ -103,6 +103,7 @@
     , messenger_(&messenger)
     , on_change_(std::move(changed))
     , schedule_(state.settings.registry_poll_interval)
+    , outages_(state.settings.replica_heartbeat)
     , poll_timer_(state.io) {}
 
 void registry_follower::stop() {
@@ -142,11 +143,11 @@
 
 void registry_follower::apply_removal(endpoint_id const& id) {
     instant const now = boot_clock::now();
-    bool const keep_until_stable = !state_->store_stable(now);
-    if (state_->replicas.mark_unlisted(id, keep_until_stable, now) ==
+    bool const keep = outages_.may_have_expired(now);
+    if (state_->replicas.mark_unlisted(id, keep, now) ==
         fleet_change::removed) {
         log_removal(id);
-    } else if (keep_until_stable) {
+    } else if (keep) {
         log_kept(id);
     }
 }
@@ -210,6 +211,9 @@
     if (fit == registry_update_fit::later_epoch) {
         monitor_->observe_epoch(update.to.epoch, epoch_from_peer);
     }
+    if (update.to.epoch == state_->epoch) {
+        outages_.note_answer(now);
+    }
     if (fit == registry_update_fit::applies) {
         for (peer_registry_entry const& each : update.changes) {
             if (each.listed) {
@@ -253,9 +257,9 @@
         }
     }
     instant const now = boot_clock::now();
-    bool const keep_until_stable = !state_->store_stable(now);
-    for (endpoint_id const& id : state_->replicas.mark_unlisted_except(
-             listed, keep_until_stable, now)) {
+    bool const keep = outages_.may_have_expired(now);
+    for (endpoint_id const& id :
+         state_->replicas.mark_unlisted_except(listed, keep, now)) {
         log_removal(id);
     }
 }
@@ -267,7 +271,9 @@
     if (full) {
         co_return co_await store_->newest(topic, times, reading_);
     }
-    times.wait = long_poll_time;
+    // Longer polls of an idle registry would look like outages.
+    times.wait =
+        std::min(max_long_poll_time, state_->settings.replica_heartbeat);
     co_return co_await store_->read_on(topic, from, times, reading_);
 }
 
@@ -288,13 +294,16 @@
             batch.error() == platform::store_failure::forgotten;
         if (forgotten) {
             monitor_->note_answer();
+            outages_.note_answer(boot_clock::now());
             schedule_.position_expired();
         } else {
+            outages_.note_failure();
             monitor_->note_failure(topic, began, reading_, batch.error());
         }
         co_return forgotten;
     }
     monitor_->note_answer();
+    outages_.note_answer(boot_clock::now());
     store_position const next = batch.value().next;
     if (!schedule_.is_valid_answer(full, from, next)) {
         co_return false;
@@ -318,6 +327,7 @@
 
 void registry_follower::on_store_rollback(store_epoch epoch, instant read_at) {
     schedule_.enter_epoch(epoch, read_at);
+    outages_.note_rollback(boot_clock::now());
     poll_timer_.cancel();
     // The long poll in progress waits at a position of the previous epoch, for
     // up to two seconds.
@@ -333,8 +343,9 @@
     double random_sample = part(state_->random);
     while (*alive) {
         instant const now = boot_clock::now();
+        bool const settled = !outages_.may_have_expired(now);
         for (endpoint_id const& id :
-             state_->replicas.expire_missing(state_->store_stable(now), now)) {
+             state_->replicas.expire_missing(settled, now)) {
             log_removal(id);
         }
         // A node that regards the store as unreachable only notices its
@@ -351,10 +362,10 @@
             random_sample = part(state_->random);
             continue;
         }
-        instant const stable_from = state_->store_stable_from();
+        instant const settled_from = outages_.settled_from();
         instant const due = schedule_.next_poll_time(random_sample);
         instant const wake =
-            now < stable_from ? std::min(due, stable_from) : due;
+            now < settled_from ? std::min(due, settled_from) : due;
         poll_timer_.expires_after(time_until(wake));
         co_await poll_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/src/Gateway/registry_follower.hpp
+++ b/src/Gateway/registry_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/registry_outage_tracker.hpp"
 #include "Fleet/registry_poll_schedule.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_messenger.hpp"
@@ -70,6 +71,7 @@
     peer_messenger* messenger_;
     std::function<void()> on_change_;
     registry_poll_schedule schedule_;
+    registry_outage_tracker outages_;
     platform::store_reading reading_;
     boost::asio::steady_timer poll_timer_;
     // Shared with the coroutine, which ends after it has become false.
