A node's position in the registry does not move back behind peers' updates

Callers: a node could send requests to a leaving replica for up to 17 s, as it never learnt of the notice.

Cause: a poll that peers' updates had overtaken set the position back. The next poll read the same records again, found nothing new in them, and the node's update claimed their range without them. A node that had missed the peers' datagrams took it for complete.

--- a/src/Fleet/registry_poll_schedule.cpp
+++ b/src/Fleet/registry_poll_schedule.cpp
@@ -7,7 +7,8 @@
         // The poll was in progress when the store rolled back.
         return;
     }
-    position_ = end;
+    position_ = expired_ ? end : max_position(position_, end);
+    expired_ = false;
     epoch_ = end.epoch;
     polled_once_ = true;
     gap_ = false;
@@ -15,6 +16,11 @@
     last_poll_at_ = now;
 }
 
+store_position registry_poll_schedule::claimed_from(
+    store_position const& from, store_position const& end) const noexcept {
+    return is_ahead(end, position_) ? max_position(from, position_) : end;
+}
+
 void registry_poll_schedule::enter_epoch(store_epoch epoch, instant poll_at) {
     if (epoch > epoch_) {
         epoch_ = epoch;
--- a/src/Fleet/registry_poll_schedule.hpp
+++ b/src/Fleet/registry_poll_schedule.hpp
@@ -42,7 +42,10 @@
     explicit registry_poll_schedule(duration max_interval)
         : max_interval_(max_interval) {}
 
-    /// Records a successful poll by this node.
+    /// Records a successful poll by this node. The position moves back only
+    /// after `position_expired`. Guards against a poll that was overtaken by
+    /// another node's update: this node would read the same changes again, find
+    /// nothing new in them, and broadcast their range without them.
     /// @param end position up to which the poll has read
     void poll_completed(store_position end, instant now);
     /// @param full true when the full registry was requested, false when the
@@ -55,13 +58,30 @@
         bool full, store_position from, store_position end) const noexcept {
         return end.epoch >= epoch_ && (full || end.epoch == from.epoch);
     }
+    /// @returns the start of the range that this node's update may claim after
+    /// a
+    ///          poll: changes before it were reported by other nodes and are no
+    ///          longer new here. A node that has missed their updates must see
+    ///          a gap.
+    /// @param from position from which the poll has read
+    /// @param end position at which it has ended
+    store_position claimed_from(
+        store_position const& from, store_position const& end) const noexcept;
+    /// @returns true when this node knows the record at this position, or a
+    ///          newer one of the same replica
+    bool is_known(store_position const& record) const noexcept {
+        return polled_once_ && !expired_ && is_ahead(position_, record);
+    }
     /// Processes a registry update by another node, which covers the records
     /// between two positions of one epoch.
     /// @returns whether the records of the update are to be applied
     registry_update_fit
     handle_update(store_position from, store_position to, instant now);
     /// Records that the store's log no longer contains this node's position.
-    void position_expired() noexcept { full_poll_needed_ = true; }
+    void position_expired() noexcept {
+        full_poll_needed_ = true;
+        expired_ = true;
+    }
     /// Makes the next poll a full one.
     void require_full_poll() noexcept { full_poll_needed_ = true; }
     /// Records that the store is in a later epoch than this node has polled in.
@@ -92,6 +112,7 @@
     store_epoch epoch_{};
     instant epoch_poll_at_;
     bool full_poll_needed_ = true;
+    bool expired_ = false;
     bool polled_once_ = false;
     bool gap_ = false;
     instant last_poll_at_;
--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -29,6 +29,8 @@
 /// the replicas' controllers, so a full poll only repairs what was lost of
 /// these reports.
 constexpr duration full_poll_interval = std::chrono::seconds(20);
+/// Delay after a full poll whose answer was overtaken by other nodes' updates.
+constexpr duration overtaken_poll_delay = std::chrono::seconds(2);
 constexpr auto topic = platform::store_topic::replicas;
 
 /// @returns the registry entry to send for a replica; a removal when there is
@@ -193,7 +195,9 @@
         apply_removal(endpoint_id(record.key));
         return {false, true};
     }
-    bool const changed = apply_entry(*parsed);
+    // An entry that leaves is always broadcast, since this node may know that
+    // from an older record than the receivers.
+    bool const changed = apply_entry(*parsed) || parsed->leaving;
     for (adapter_ref const& each : parsed->adapters) {
         state_->waiters.notify(each.id);
     }
@@ -206,6 +210,7 @@
     if (update.to.epoch != update.from.epoch) {
         return;
     }
+    registry_poll_schedule const before = schedule_;
     registry_update_fit const fit =
         schedule_.handle_update(update.from, update.to, now);
     if (fit == registry_update_fit::later_epoch) {
@@ -216,6 +221,9 @@
     }
     if (fit == registry_update_fit::applies) {
         for (peer_registry_entry const& each : update.changes) {
+            if (before.is_known({update.to.epoch, each.position})) {
+                continue;
+            }
             if (each.listed) {
                 apply_entry(from_wire(each, state_->replicas));
             } else {
@@ -229,14 +237,12 @@
 void registry_follower::apply_and_broadcast(
     store_position from, platform::keyed_batch const& batch) {
     peer_registry_update update;
-    // Changes that peers have reported meanwhile are no longer changes here, so
-    // this message must not cover their range: a node that has missed the
-    // peers' messages would take its own view for complete.
-    bool const peers_ahead = is_ahead(batch.next, schedule_.position());
-    update.from =
-        max_position(from, peers_ahead ? schedule_.position() : batch.next);
+    update.from = schedule_.claimed_from(from, batch.next);
     update.to = batch.next;
     for (platform::keyed_record const& each : batch.records) {
+        if (schedule_.is_known({batch.next.epoch, each.place})) {
+            continue;
+        }
         record_effect const effect = apply_record(each);
         if (effect.changed) {
             endpoint_id const id(each.key);
@@ -308,7 +314,11 @@
     if (!schedule_.is_valid_answer(full, from, next)) {
         co_return false;
     }
-    if (full) {
+    if (full && schedule_.is_known(next)) {
+        // Updates by other nodes have overtaken the snapshot: it lists replicas
+        // whose removal is known, and lacks replicas that have joined.
+        full_poll_at_ = boot_clock::now() + overtaken_poll_delay;
+    } else if (full) {
         apply_snapshot(batch.value());
         monitor_->note_snapshot(topic, next.epoch);
     } else {
@@ -338,7 +348,7 @@
 
 asio::awaitable<void> registry_follower::follow() {
     auto const alive = running_;
-    instant last_full_poll = boot_clock::now();
+    full_poll_at_ = boot_clock::now() + full_poll_interval;
     std::uniform_real_distribution<double> part(0, 1);
     double random_sample = part(state_->random);
     while (*alive) {
@@ -352,9 +362,9 @@
         // recovery by its own polls.
         bool const store_unreachable =
             state_->store_unreachable_since != instant::max();
-        if (now >= last_full_poll + full_poll_interval) {
+        if (now >= full_poll_at_) {
             schedule_.require_full_poll();
-            last_full_poll = now;
+            full_poll_at_ = now + full_poll_interval;
         }
         if (store_unreachable ||
             now >= schedule_.next_poll_time(random_sample)) {
--- a/src/Gateway/registry_follower.hpp
+++ b/src/Gateway/registry_follower.hpp
@@ -72,6 +72,7 @@
     std::function<void()> on_change_;
     registry_poll_schedule schedule_;
     registry_outage_tracker outages_;
+    instant full_poll_at_;
     platform::store_reading reading_;
     boost::asio::steady_timer poll_timer_;
     // Shared with the coroutine, which ends after it has become false.
