--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -151,6 +151,7 @@
 }
 
 asio::awaitable<void> replica_engine::run(http_exchange& exchange) {
+    arrivals.push_back(clock_now());
     http_fields const& fields = exchange.request().fields;
     std::string const model(fields.get("X-Model"));
     if (!holds(model)) {
@@ -165,6 +166,7 @@
     }
     if (fault == replica_fault::full) {
         http_response response = not_run(503);
+        name_rate_limit(response.fields);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -192,6 +194,7 @@
     if (fault != replica_fault::unsigned_answer) {
         response.fields.add("X-Response-Signature", "signed." + id_);
     }
+    name_rate_limit(response.fields);
     response.fields.add(
         "X-Request-Id", std::string(fields.get("X-Request-Id")));
     response.body = "answer of " + id_ + " to " + exchange.request().body;
@@ -203,6 +206,7 @@
     http_fields answer;
     answer.add("Content-Type", "text/event-stream");
     answer.add("X-Response-Signature", "signed." + id_);
+    name_rate_limit(answer);
     answer.add(
         "X-Request-Id",
         std::string(exchange.request().fields.get("X-Request-Id")));
@@ -228,4 +232,10 @@
     co_await exchange.end_stream();
 }
 
+void replica_engine::name_rate_limit(http_fields& answer) const {
+    if (!rate_limit.empty()) {
+        answer.add("Server-Limit", rate_limit);
+    }
+}
+
 } // namespace standins
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace standins {
 
@@ -67,6 +68,11 @@
     /// Events of a stream, and the pause between them.
     unsigned events = 8;
     std::chrono::milliseconds pause{5};
+    /// The text that each answer gives as the rate of requests that the replica
+    /// takes, a decimal number per second; empty when it names none.
+    std::string rate_limit;
+    /// When each request arrived, whether it was run or not.
+    std::vector<camphorpoint::instant> arrivals;
     /// Where the caller has left before a stream's end, and how long ago.
     unsigned cancelled = 0;
 
@@ -81,6 +87,7 @@
     boost::asio::awaitable<void>
     stream(camphorpoint::http_exchange& exchange, replica_fault fault);
     bool holds(std::string const& model) const;
+    void name_rate_limit(camphorpoint::http_fields& answer) const;
 
     std::string id_;
     std::string model_;
