A replica's rate limit is kept by permits of its controller

Callers' requests reached replicas in need faster than these take (LIMIT): 18 and 29 requests in 4 s where 15 and 20 are allowed.

Change: each send to a replica that has named a limit needs a permit from the replica's controller (rate_schedule, one for all nodes); no answer is no permit. Permits are reserved ahead within a request's budget, else the request learns the true wait at once and goes elsewhere or is refused with it. Replicas without a limit go first; an adapter that is resident at limited ones only is loaded elsewhere. The limit is state of one incarnation, lifted by an answer to a request that was sent after it was named. Ruled out: shares by nodes, a limit that expires by time (docs/design/platform.md).

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -208,6 +208,35 @@
     target->usage_received_at = now;
 }
 
+bool fleet::limit_rate(
+    endpoint_id const& id, double per_second, instant named_at) {
+    replica* const target = find(id);
+    if (target == nullptr || named_at <= target->unlimited_at) {
+        return false;
+    }
+    std::optional<replica_rate_limit>& limit = target->rate_limit;
+    if (limit && named_at < limit->named_at) {
+        return false;
+    }
+    bool const changed = !limit || limit->per_second != per_second;
+    limit = replica_rate_limit{per_second, named_at};
+    return changed;
+}
+
+bool fleet::lift_rate_limit(endpoint_id const& id, instant sent_at) {
+    replica* const target = find(id);
+    if (target == nullptr) {
+        return false;
+    }
+    target->unlimited_at = std::max(target->unlimited_at, sent_at);
+    if (!target->rate_limit || sent_at <= target->rate_limit->named_at) {
+        return false;
+    }
+    target->rate_limit.reset();
+    target->permit_from = instant();
+    return true;
+}
+
 void fleet::expire_usage(instant now) {
     for (auto& [id, each] : all_) {
         std::erase_if(each.load_rejections, [&](auto const& denied) {
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,18 @@
 inline constexpr duration usage_report_lifetime =
     std::chrono::milliseconds(2'500);
 
+/// The rate of requests that a replica takes from all nodes together, as named
+/// in its answers.
+struct replica_rate_limit {
+    double per_second = 0;
+    /// When the latest answer that named it was received.
+    instant named_at;
+};
+
+/// A limited replica is selected like any other when its limit was not named
+/// for this long, since only an answer can show that the limit is lifted.
+inline constexpr duration rate_limit_check_interval = std::chrono::seconds(1);
+
 /// This node's view of one replica.
 struct replica {
     replica_record record;
@@ -67,6 +80,13 @@
     /// Load requests that the replica's controller denied since the adapters
     /// would be ready too late, with the time at which they would be ready.
     std::unordered_map<adapter_id, load_rejection> load_rejections;
+    /// Set while the replica limits the rate of its requests: each send needs a
+    /// permit from its controller.
+    std::optional<replica_rate_limit> rate_limit;
+    /// When the request was sent whose answer last named no rate.
+    instant unlimited_at;
+    /// No permit is available before this time.
+    instant permit_from;
     /// When the replica shuts down, if it announced this at short notice.
     instant shutdown_at = instant::max();
 
@@ -83,6 +103,11 @@
             found != load_rejections.end() && now < found->second.until;
         return is_valid ? &found->second : nullptr;
     }
+    /// @returns true when other replicas are preferred because of a limit
+    bool yields_to_others(instant now) const noexcept {
+        return rate_limit &&
+               now < rate_limit->named_at + rate_limit_check_interval;
+    }
     /// @returns the number of requests of all nodes that are running there
     unsigned running() const noexcept { return running_local + running_remote; }
     /// @returns true when the usage by other nodes was reported recently.
@@ -153,6 +178,16 @@
     ///                     ignored
     void update_usage(
         std::uint64_t replica_hash, replica_usage const& total, instant now);
+    /// Applies an answer that names a rate limit, received here or by another
+    /// node.
+    /// @param named_at when the answer was received
+    /// @returns true when the limit was unknown or another one
+    bool limit_rate(endpoint_id const& id, double per_second, instant named_at);
+    /// Applies an answer that names no rate limit. Answers may overtake each
+    /// other, so only one to a request that was sent after the limit was named
+    /// lifts it.
+    /// @returns true when this lifts a limit
+    bool lift_rate_limit(endpoint_id const& id, instant sent_at);
     /// Resets the usage by other nodes where the last report is too old, since
     /// the controller that counted has stopped, and drops denials that are no
     /// longer valid.
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -12,6 +12,9 @@
 /// Cost of a suspected replica, in multiples of a full batch: it is chosen only
 /// when no other replica is available.
 constexpr double suspicion_cost = 1'000;
+/// Cost of a replica that limits the rate of its requests: it is chosen before
+/// a suspected one only.
+constexpr double rate_limit_cost = 500;
 /// Cost of failures: a replica that fails four in ten requests more than its
 /// peers costs as much as one with two full batches more.
 constexpr double failure_cost = 5;
@@ -84,6 +87,7 @@
     replica const& each, replica_requirements const& requirements,
     instant now) const {
     return each.accepts_requests() &&
+           now + requirements.permit_budget >= each.permit_from &&
            each.shutdown_at > now + requirements.expected_time &&
            std::ranges::find(requirements.tried_replicas, each.record.id) ==
                requirements.tried_replicas.end();
@@ -96,6 +100,7 @@
     double const excess = above_mean < min_noticed_excess ? 0 : above_mean;
     double result = excess * failure_cost;
     result += each.health.suspected(now) ? suspicion_cost : 0;
+    result += each.yields_to_others(now) ? rate_limit_cost : 0;
     return result + utilization(each, now);
 }
 
@@ -117,6 +122,7 @@
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
             return !each->health.suspected(now) &&
+                   !each->yields_to_others(now) &&
                    utilization(*each, now) < max_compared_utilization;
         });
     if (others != all.begin()) {
@@ -169,7 +175,7 @@
         if (is_eligible(*each, requirements, now) &&
             !each->load_rejection_of(requirements.adapter, now) &&
             !is_resident && has_model(*each, requirements.model) &&
-            !each->health.suspected(now)) {
+            !each->rate_limit && !each->health.suspected(now)) {
             eligible.push_back(each->record.id);
         }
     }
@@ -217,6 +223,19 @@
     return soonest;
 }
 
+std::optional<duration> replica_selector::permit_wait(
+    replica_requirements const& requirements, instant now) const {
+    std::optional<duration> shortest;
+    for (replica const* const each : fleet_->of_service(requirements.service)) {
+        if (each->accepts_requests() && now < each->permit_from &&
+            satisfies(*each, requirements)) {
+            duration const wait = each->permit_from - now;
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
+}
+
 std::size_t replica_selector::resident_count(
     replica_requirements const& requirements, instant now) const {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -28,6 +28,9 @@
     /// How long the request may still run; replicas that shut down sooner are
     /// left out.
     duration expected_time{0};
+    /// How long the request may wait for a permit of a replica that limits the
+    /// rate of its requests.
+    duration permit_budget{0};
 };
 
 /// Selects replicas for requests. Reads a fleet and changes nothing.
@@ -58,6 +61,12 @@
     ///          there is none
     replica* soonest_ready_replica(
         replica_requirements const& requirements, instant now) const;
+    /// @returns the time until the first permit for a replica that could run
+    /// the
+    ///          request and limits the rate of its requests; nothing when no
+    ///          replica has denied a permit
+    std::optional<duration>
+    permit_wait(replica_requirements const& requirements, instant now) const;
     /// @returns how full the replica is, by its batch and by its unprocessed
     ///          prompt tokens; 1 is full
     static double utilization(replica const& each, instant now);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -220,6 +220,53 @@
     }
 };
 
+/// An answer of a replica has named a rate limit, or none.
+struct peer_rate_limit {
+    std::uint64_t replica = 0;
+    bool limited = false;
+    /// Thousandths of a request per second.
+    std::uint32_t milli_rate = 0;
+    /// Time since the answer was received or, when it named no limit, since its
+    /// request was sent.
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, limited, milli_rate, age_ms);
+    }
+};
+
+/// Asks the controller of a replica with a rate limit for a permit to send one
+/// request.
+struct peer_permit_request {
+    std::uint64_t number = 0;
+    /// The limit that the sender knows: the controller may be a new one.
+    peer_rate_limit limit;
+    /// How long the request may wait.
+    std::uint32_t budget_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(number, limit, budget_ms);
+    }
+};
+
+/// The controller's answer.
+struct peer_permit_reply {
+    std::uint64_t number = 0;
+    bool granted = false;
+    /// The replica no longer has a limit.
+    bool unlimited = false;
+    /// When granted, the request is to be sent after this time; otherwise the
+    /// time until the next permit.
+    std::uint32_t wait_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(number, granted, unlimited, wait_ms);
+    }
+};
+
 /// One message between nodes. Datagrams may be lost: all of their content is
 /// sent again, or is read from the registry a little later.
 struct peer_datagram {
@@ -246,6 +293,9 @@
     std::vector<std::uint64_t> completions;
     std::vector<peer_quarantine> quarantines;
     std::vector<peer_gate_message> gate_messages;
+    std::vector<peer_rate_limit> rate_limits;
+    std::vector<peer_permit_request> permit_requests;
+    std::vector<peer_permit_reply> permit_replies;
     /// At most one.
     std::vector<peer_registry_update> registry_updates;
     /// The sender's position in the operator's declarations; 0 when not
@@ -259,7 +309,7 @@
     /// The sender knows the quarantines that were in force before it started.
     bool knows_quarantines = false;
 
-    static constexpr std::uint32_t current_format = 8;
+    static constexpr std::uint32_t current_format = 9;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -267,8 +317,9 @@
             format, from, alive, replica_usages, usage_queries, answers_queries,
             load_requests, adapter_usages, residencies, claims, suspicions,
             load_rejections, crashes, completions, quarantines, gate_messages,
-            registry_updates, declared_position, declared_total,
-            queries_declared, knows_quarantines);
+            rate_limits, permit_requests, permit_replies, registry_updates,
+            declared_position, declared_total, queries_declared,
+            knows_quarantines);
     }
     /// @returns true when there is nothing to send
     bool empty() const noexcept {
@@ -277,7 +328,9 @@
                residencies.empty() && claims.empty() && suspicions.empty() &&
                load_rejections.empty() && crashes.empty() &&
                completions.empty() && quarantines.empty() &&
-               gate_messages.empty() && registry_updates.empty();
+               gate_messages.empty() && rate_limits.empty() &&
+               permit_requests.empty() && permit_replies.empty() &&
+               registry_updates.empty();
     }
 };
 
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -409,6 +409,9 @@
         if (auto const total = usage_message(name, now)) {
             message.replica_usages.push_back(*total);
             state_->replicas.update_usage(name, current_usage(name, now), now);
+            if (each.rate_limit) {
+                message.rate_limits.push_back(rate_limit_message(each, now));
+            }
         }
     }
     for (std::size_t const each : state_->leases.held_partitions()) {
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -3,6 +3,7 @@
 #include "Delivery/request_gate.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_datagram.hpp"
+#include "Limits/rate_schedule.hpp"
 #include "Ports/probe_link.hpp"
 #include "ReplicaControl/load_priority.hpp"
 
@@ -129,6 +130,18 @@
     std::vector<endpoint_id> query_replica_usage(
         std::vector<replica*> const& of, adapter_id const& adapter,
         instant now);
+    /// Applies what an answer of a replica says about its rate limit, and
+    /// reports it to the replica's controller.
+    /// @param per_second the rate that it names; nothing when it names none
+    /// @param sent_at when the request was sent
+    void report_rate_limit(
+        endpoint_id const& at, std::optional<double> per_second,
+        instant sent_at);
+    /// Asks the controller of a replica with a rate limit for a permit to send
+    /// one request there. A controller that does not answer has granted none.
+    /// @param budget how long the request may wait
+    boost::asio::awaitable<rate_permit>
+    request_permit(endpoint_id at, duration budget);
     /// @returns true when the lease holder of a replica in use is unknown, or
     ///          no message has been received from it for a while
     bool lacks_reachable_lease_holder(instant now) const;
@@ -185,6 +198,16 @@
     gate_node_of(request_fingerprint fingerprint, instant now) const;
     bool admit_locally(
         request_fingerprint fingerprint, std::uint64_t attempt, instant now);
+    void apply_rate_limit(
+        peer_rate_limit const& message, std::string_view by, instant now);
+    /// @returns the message about a replica's limit, or about its absence
+    static peer_rate_limit rate_limit_message(replica const& at, instant now);
+    std::optional<peer_permit_reply>
+    reserve_permit(std::uint64_t replica, duration budget, instant now);
+    void handle_permit_request(
+        peer_permit_request const& message, std::string const& from,
+        instant now);
+    void handle_permit_reply(peer_permit_reply const& message);
     void send_gate_message(std::string const& to, peer_gate_message message);
     void handle_gate_message(
         peer_gate_message const& message, std::string const& from, instant now);
@@ -194,6 +217,11 @@
         boost::asio::steady_timer* timer = nullptr;
         std::optional<bool> admitted;
     };
+    /// A permit request to another node, until it is answered.
+    struct pending_permit {
+        boost::asio::steady_timer* timer = nullptr;
+        std::optional<peer_permit_reply> reply;
+    };
     /// A crash that this node has seen, and how long its report is repeated.
     struct reported_crash {
         peer_crash crash;
@@ -214,6 +242,10 @@
     std::unordered_map<request_fingerprint, instant> reported_fingerprints_;
     request_gate gate_;
     std::unordered_map<std::uint64_t, pending_admission> pending_admissions_;
+    /// Permits for the replicas with a rate limit that this node controls.
+    std::unordered_map<std::uint64_t, rate_schedule> rate_schedules_;
+    std::unordered_map<std::uint64_t, pending_permit> pending_permits_;
+    std::uint64_t last_permit_request_ = 0;
     bool running_ = false;
 };
 
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -145,6 +145,15 @@
     for (peer_gate_message const& each : message.gate_messages) {
         handle_gate_message(each, message.from, now);
     }
+    for (peer_rate_limit const& each : message.rate_limits) {
+        apply_rate_limit(each, "message", now);
+    }
+    for (peer_permit_request const& each : message.permit_requests) {
+        handle_permit_request(each, message.from, now);
+    }
+    for (peer_permit_reply const& each : message.permit_replies) {
+        handle_permit_reply(each);
+    }
     if (message.knows_quarantines) {
         state_->quarantine_sync_state.on_message_from_synced_node(now);
     }
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -135,6 +135,9 @@
             co_return;
         }
         endpoint_id const id = at->record.id;
+        if (!co_await acquire_permit(id)) {
+            continue;
+        }
         if (!co_await enter_gate(id)) {
             continue;
         }
@@ -214,6 +217,7 @@
     caller_->call = call;
     tracker_.begin();
     ++attempts_;
+    attempt_began_at_ = now;
     state_->log_event(log_line(event_code::request_sent)
                           .with("id", demand_.id.str())
                           .with("replica", id.str())
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -95,6 +95,18 @@
     bool report_outcome(endpoint_id const& at, attempt_outcome end);
     boost::asio::awaitable<void> await_crash_reports();
     boost::asio::awaitable<bool> enter_gate(endpoint_id at);
+    /// Waits for a permit when the replica limits the rate of its requests.
+    /// @returns false when the request must look for another replica
+    boost::asio::awaitable<bool> acquire_permit(endpoint_id at);
+    /// @returns how long the request may wait for a permit
+    duration permit_budget(instant now) const;
+    /// Sets the reason of a refusal because of the rate limits of all replicas.
+    /// @returns true when there is such a reason
+    bool refuse_limited(instant now);
+    /// Applies what an answer says about the rate limit of its replica.
+    void note_rate_limit(
+        endpoint_id const& at, platform::answer_kind kind,
+        http_fields const& answer);
     void report_first_output();
     void leave_gate(attempt_outcome end);
     boost::asio::awaitable<void> run_attempts();
@@ -170,6 +182,7 @@
     duration longest_pause_{0};
     bool response_complete_ = false;
     unsigned attempts_ = 0;
+    instant attempt_began_at_;
     /// Resends that were charged to the budget.
     unsigned resends_ = 0;
     std::optional<http_response> failure_response_;
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -74,10 +74,14 @@
 }
 
 std::optional<replica*> request_handler::select_plain_replica(instant now) {
+    need_.permit_budget = permit_budget(now);
     replica* const best = state_->selector.best(need_, now);
     if (best == nullptr && awaits_registry_entries(now)) {
         return std::nullopt;
     }
+    if (best == nullptr && refuse_limited(now)) {
+        return nullptr;
+    }
     if (best == nullptr) {
         reason_ = "no-replica";
         return nullptr;
@@ -152,6 +156,7 @@
     // A replica that has filled up in the meantime is not kept, because it
     // would cause a refusal.
     if (requested != nullptr && requested->accepts_requests() &&
+        !requested->rate_limit &&
         requested->load_rejection_of(need_.adapter, now) == nullptr &&
         requested->load() < max_load && !requested->health.suspected(now)) {
         return requested;
@@ -177,6 +182,7 @@
 
 std::optional<replica*> request_handler::select_adapter_replica(instant now) {
     delayed_ = false;
+    need_.permit_budget = duration::zero();
     std::uint32_t const newest =
         state_->versions.newest(need_.adapter).value_or(0);
     need_.min_version = newest;
@@ -191,6 +197,12 @@
         best = state_->selector.best(need_, now);
     }
     bool const healthy = best != nullptr && !best->health.suspected(now);
+    if (healthy && best->yields_to_others(now)) {
+        // The adapter is resident at limited replicas only.
+        request_load_at(
+            state_->selector.next_preferred_replica(need_, now), false);
+        return best;
+    }
     if (healthy && best->usage_known(now) &&
         best->load() < immediate_load_limit) {
         request_additional_load(*best, now);
@@ -231,6 +243,18 @@
         return nullptr;
     }
     bool const none = best == nullptr && preferred == nullptr;
+    if (none) {
+        // The adapter can't be loaded elsewhere, so the request may wait for a
+        // permit.
+        need_.permit_budget = permit_budget(now);
+        best = state_->selector.best(need_, now);
+        if (best != nullptr) {
+            return best;
+        }
+        if (refuse_limited(now)) {
+            return nullptr;
+        }
+    }
     if (none && awaits_registry_entries(now)) {
         return std::nullopt;
     }
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -93,14 +93,16 @@
     return std::max(granted, extended);
 }
 
+bool partition_leases::controls(std::size_t partition, instant now) const {
+    auto const found = partitions_.find(partition);
+    return found != partitions_.end() && !found->second.superseded &&
+           valid(now) && now >= found->second.gained_at + times_.settling;
+}
+
 std::optional<std::uint64_t>
 partition_leases::token(std::size_t partition, instant now) const {
-    auto const found = partitions_.find(partition);
-    if (found == partitions_.end() || found->second.superseded || !valid(now) ||
-        now < found->second.gained_at + times_.settling) {
-        return std::nullopt;
-    }
-    return found->second.token;
+    return controls(partition, now) ? partitions_.at(partition).token
+                                    : std::nullopt;
 }
 
 instant partition_leases::next_settling_end(instant now) const {
--- a/src/ReplicaControl/partition_leases.hpp
+++ b/src/ReplicaControl/partition_leases.hpp
@@ -76,6 +76,9 @@
     /// Gives up all partitions.
     void clear();
 
+    /// @returns true when this node decides for the replicas of the partition:
+    ///          it holds the lease, and the former holder's has ended
+    bool controls(std::size_t partition, instant now) const;
     /// @returns the fencing number for commands sent now, or nothing when this
     ///          node must not command replicas of the partition
     std::optional<std::uint64_t>
