--- a/src/Fleet/registry_poll_schedule.hpp
+++ b/src/Fleet/registry_poll_schedule.hpp
@@ -58,11 +58,10 @@
         bool full, store_position from, store_position end) const noexcept {
         return end.epoch >= epoch_ && (full || end.epoch == from.epoch);
     }
-    /// @returns the start of the range that this node's update may claim after
-    /// a
-    ///          poll: changes before it were reported by other nodes and are no
-    ///          longer new here. A node that has missed their updates must see
-    ///          a gap.
+    /// @returns where the range begins that this node's update may claim after
+    ///          a poll. Changes before it were reported by other nodes and are
+    ///          no longer new here; a node that has missed their updates must
+    ///          see a gap.
     /// @param from position from which the poll has read
     /// @param end position at which it has ended
     store_position claimed_from(
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -61,10 +61,9 @@
     ///          there is none
     replica* soonest_ready_replica(
         replica_requirements const& requirements, instant now) const;
-    /// @returns the time until the first permit for a replica that could run
-    /// the
-    ///          request and limits the rate of its requests; nothing when no
-    ///          replica has denied a permit
+    /// @returns the time until the first permit of the replicas that could run
+    ///          the request and have denied one because of their rate limit;
+    ///          nothing when there is none
     std::optional<duration>
     permit_wait(replica_requirements const& requirements, instant now) const;
     /// @returns how full the replica is, by its batch and by its unprocessed
