A denied permit is not asked for again within the request's budget

Read in review: when no node is known to control a limited replica, the answer comes at once and names a wait of one second. A request of the most urgent class with a longer objective would have asked again without a pause, for up to the rest of its objective, and held the event loop. No deployment at hand has such an objective; no test shows it.

--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -16,6 +16,8 @@
 /// most urgent class waits for a permit. The rest of the queue is left to the
 /// most urgent class.
 constexpr int permit_wait_divisor = 2;
+/// A denied request does not ask the same replica again within its budget.
+constexpr duration min_denial_excess = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -52,7 +54,10 @@
         co_return false;
     }
     if (!permit.granted) {
-        current->permit_from = now + permit.wait;
+        // Guards against asking again and again: an unanswered request may name
+        // a shorter wait than this request's budget.
+        current->permit_from =
+            now + std::max(permit.wait, budget + min_denial_excess);
         co_return false;
     }
     if (permit.wait > duration::zero()) {
