A replica that is listed again counts as joined, so that its entry is broadcast

Callers: after a store outage, a node that had started in it knew no replica of a service for up to 20 s and refused its requests (no-replica).

Cause: a node that had kept the replica found nothing new in its entry when it was written again, and its update covered the range without it. Since positions do not move back any more, the other node skipped the entry in its own poll.

Its log shows both nodes read the two entries, and only the one that had kept the replicas in use.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -89,6 +89,10 @@
     if (restarted) {
         reset_after_restart(target);
     }
+    // Guards against a node that keeps the replica, finds nothing new in its
+    // entry and does not broadcast it: nodes that have started or dropped the
+    // replica meanwhile would not learn of it.
+    bool const returned = target.missing_since != instant::max();
     bool const was_leaving = target.record.leaving;
     bool const service_changed =
         inserted || target.record.service != record.service;
@@ -108,8 +112,9 @@
     if (service_changed) {
         rebuild_indexes();
     }
-    if (inserted || restarted) {
-        return record.leaving ? fleet_change::leaving : fleet_change::joined;
+    if (inserted || restarted || returned) {
+        return target.record.leaving ? fleet_change::leaving
+                                     : fleet_change::joined;
     }
     return target.record.leaving && !was_leaving ? fleet_change::leaving
                                                  : fleet_change::none;
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -246,7 +246,12 @@
             fixture.make_requirements(), fixture.now) == 2);
 
     SUBCASE("those that reappear are used as before") {
-        fixture.replicas.apply(entry("r1", {hot()}), fixture.now + seconds(1));
+        // Guards against an entry that is written again and that no node
+        // broadcasts, as the nodes that read it have kept the replica.
+        CHECK(
+            fixture.replicas.apply(
+                entry("r1", {hot()}), fixture.now + seconds(1)) ==
+            fleet_change::joined);
         auto const gone =
             fixture.replicas.expire_missing(true, fixture.now + seconds(3));
         REQUIRE(gone.size() == 1);
