Declarations: a long poll waits for the first configuration

Cause: while nothing was declared each node did a full poll every 500 ms; 87 nodes that start 14 s before the traffic made about two thousand calls. A long poll returns the first configuration as it is written, and a full poll every 5 s finds one that it has missed. The test of the old delay is replaced by one of the long poll and the full poll behind it; a second test bounds the calls of a node that waits 12 s (4; about 24 before, by the old delay).

Also: lists that are empty take no bytes in a datagram between nodes (17 lists of 8 bytes each before), and the fields of a status message are sent in status messages only. decision_tests of polls and declarations pass.

--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -328,8 +328,8 @@
     std::vector<peer_usage_message> usage_messages;
     /// At most one.
     std::vector<peer_registry_update> registry_updates;
-    /// The sender's position in the operator's declarations; 0 when not
-    /// reported.
+    /// The sender's position in the operator's declarations; sent, like the
+    /// members after it, in status messages only.
     store_position declared_position;
     /// How many declarations the sender knows: the sum of all versions.
     std::uint64_t declared_total = 0;
@@ -343,24 +343,46 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(
-            format, from, alive, replica_usages, usage_queries, answers_queries,
-            load_requests, adapter_usages, residencies, claims, suspicions,
-            load_rejections, crashes, completions, quarantines, gate_messages,
-            rate_limits, permit_requests, permit_replies, usage_messages,
-            registry_updates, declared_position, declared_total,
-            queries_declared, knows_quarantines);
+        archive(format, from, alive, answers_queries);
+        if (alive) {
+            archive(
+                declared_position, declared_total, queries_declared,
+                knows_quarantines);
+        }
+        // Most datagrams have one list or two. Empty lists would make up most
+        // of their bytes.
+        std::uint32_t present = present_lists();
+        archive(present);
+        for_each_list(*this, [&](auto& list, std::uint32_t bit) {
+            if ((present & bit) != 0) {
+                archive(list);
+            }
+        });
     }
     /// @returns true when there is nothing to send
-    bool empty() const noexcept {
-        return !alive && replica_usages.empty() && usage_queries.empty() &&
-               load_requests.empty() && adapter_usages.empty() &&
-               residencies.empty() && claims.empty() && suspicions.empty() &&
-               load_rejections.empty() && crashes.empty() &&
-               completions.empty() && quarantines.empty() &&
-               gate_messages.empty() && rate_limits.empty() &&
-               permit_requests.empty() && permit_replies.empty() &&
-               usage_messages.empty() && registry_updates.empty();
+    bool empty() const noexcept { return !alive && present_lists() == 0; }
+
+private:
+    /// Calls a function with each list and its bit.
+    template <class Datagram, class Function>
+    static void for_each_list(Datagram& of, Function&& call) {
+        std::uint32_t bit = 1;
+        auto const visit = [&](auto&... lists) {
+            ((call(lists, bit), bit <<= 1U), ...);
+        };
+        visit(
+            of.replica_usages, of.usage_queries, of.load_requests,
+            of.adapter_usages, of.residencies, of.claims, of.suspicions,
+            of.load_rejections, of.crashes, of.completions, of.quarantines,
+            of.gate_messages, of.rate_limits, of.permit_requests,
+            of.permit_replies, of.usage_messages, of.registry_updates);
+    }
+    std::uint32_t present_lists() const noexcept {
+        std::uint32_t present = 0;
+        for_each_list(*this, [&](auto const& list, std::uint32_t bit) {
+            present |= list.empty() ? 0 : bit;
+        });
+        return present;
     }
 };
 
--- a/src/Routing/declaration_poll_schedule.cpp
+++ b/src/Routing/declaration_poll_schedule.cpp
@@ -27,6 +27,9 @@
     if (last_full_poll_at_ < history_stale_until_) {
         return last_full_poll_at_ + settings_.stale_history_poll_interval;
     }
+    if (!configured_) {
+        return last_full_poll_at_ + settings_.unconfigured_full_poll_interval;
+    }
     // Between half and one and a half of the interval, so that nodes that
     // started together do not poll together.
     double const fraction = 0.5 + random_fraction_;
@@ -65,8 +68,6 @@
         // The result of the full poll was older than the oldest record that the
         // store still has.
         poll.delay = settings_.retry_delay;
-    } else if (answered_empty_) {
-        poll.delay = settings_.unconfigured_delay;
     }
     return poll;
 }
@@ -88,9 +89,8 @@
     bool const rolled_back = poll.full && expirations_ > 0;
     position_ =
         rolled_back ? end_position : max_position(position_, end_position);
-    answered_empty_ = !configured_;
     if (poll.full) {
-        full_poll_needed_ = !configured_;
+        full_poll_needed_ = false;
         last_full_poll_at_ = now;
         searched_total_ = peer_total_;
     } else {
--- a/src/Routing/declaration_poll_schedule.hpp
+++ b/src/Routing/declaration_poll_schedule.hpp
@@ -20,9 +20,10 @@
     /// Between a failed poll and the next one. Doubles in the same way.
     std::chrono::milliseconds retry_delay{250};
     std::chrono::milliseconds max_retry_delay{1'000};
-    /// Between two polls while there is no configuration at all. The
-    /// configuration is written some seconds before the first request arrives.
-    std::chrono::milliseconds unconfigured_delay{500};
+    /// Between two full polls while there is no configuration at all. A long
+    /// poll returns the first one as it is written; the full polls find one
+    /// that a long poll has missed.
+    std::chrono::milliseconds unconfigured_full_poll_interval{5'000};
     /// How often one of all nodes does a full poll, in case a record was missed
     /// without any sign of it. That node reports to the others how much it
     /// knows.
@@ -121,8 +122,6 @@
     bool full_poll_needed_ = true;
     bool configured_ = false;
     bool long_poll_distrusted_ = false;
-    /// The last poll was answered, but there is no configuration yet.
-    bool answered_empty_ = false;
     unsigned failures_ = 0;
     unsigned expirations_ = 0;
     instant last_full_poll_at_;
--- a/test/declaration_poll_schedule_test.cpp
+++ b/test/declaration_poll_schedule_test.cpp
@@ -42,10 +42,19 @@
     CHECK(schedule.next_poll(start, nodes).full);
     CHECK(schedule.next_poll(start, nodes).delay == milliseconds(0));
 
-    SUBCASE("another full poll, after a delay, while nothing is declared yet") {
-        schedule.poll_succeeded(schedule.next_poll(start, nodes), at(0), start);
-        CHECK(schedule.next_poll(start, nodes).full);
-        CHECK(schedule.next_poll(start, nodes).delay == milliseconds(500));
+    SUBCASE("which returns the first configuration as it is written") {
+        schedule.poll_succeeded(schedule.next_poll(start, nodes), at(3), start);
+        declaration_poll const next = schedule.next_poll(start, nodes);
+        CHECK_FALSE(next.full);
+        CHECK(next.long_poll);
+        CHECK(next.from == at(3));
+        CHECK(next.delay == milliseconds(0));
+        SUBCASE("and a full poll finds one that the long poll has missed") {
+            instant const later = start + seconds(5);
+            schedule.poll_succeeded(next, at(3), later);
+            CHECK(schedule.next_poll(later, nodes).full);
+            CHECK(schedule.next_poll(later, nodes).delay == milliseconds(0));
+        }
     }
     SUBCASE(
         "from where the full poll ended, as soon as there is a configuration") {
@@ -267,4 +276,23 @@
     CHECK(schedule.next_poll(then, nodes).from == at(4));
 }
 
+// Guards against many nodes that start some time before the first configuration
+// is written and use up the store's calls until then.
+TEST_CASE("nodes that wait for the first configuration make few calls") {
+    constexpr milliseconds call_time{10};
+    constexpr milliseconds long_poll_time{12'000};
+    constexpr seconds until_written{12};
+    declaration_poll_schedule schedule;
+    instant now = start;
+    unsigned calls = 0;
+    while (now < start + until_written) {
+        declaration_poll const poll = schedule.next_poll(now, 87);
+        now += poll.delay + call_time;
+        now += poll.long_poll ? long_poll_time : milliseconds(0);
+        ++calls;
+        schedule.poll_succeeded(poll, at(0), now);
+    }
+    CHECK(calls <= 4);
+}
+
 } // namespace camphorpoint
