--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -167,12 +167,8 @@
     std::optional<service_route> route_;
     /// The team of the caller's API key.
     std::optional<team_definition> team_;
-    /// API keys are in force for this request.
-    bool authenticated_ = false;
     /// Units taken from the team's usage cap, 0 for none.
     std::uint64_t granted_units_ = 0;
-    /// Status of a refusal that no replica takes part in, 0 for none.
-    int rejection_status_ = 0;
     replica_requirements need_;
     request_fingerprint fingerprint_{};
     /// Number of the admitted attempt at the request gate; set from the
@@ -194,6 +190,8 @@
     attempt_tracker tracker_{false};
     delivery_position position_;
     attempt_trace trace_;
+    /// API keys are in force for this request.
+    bool authenticated_ = false;
     /// The request is delayed until its replica has processed other prompts.
     bool delayed_ = false;
     bool response_started_ = false;
@@ -210,6 +208,8 @@
     std::optional<http_response> failure_response_;
     std::string reason_ = "unanswered";
     int status_ = 0;
+    /// Status of a refusal that no replica takes part in, 0 for none.
+    int rejection_status_ = 0;
     /// Shared with the callback for the caller's disconnection, which may
     /// outlive the handler.
     struct caller_state {
