Usage caps: teams are served sooner after a restart of all nodes

Cause: a node that has just gained a team's partition granted nothing for the settling time, other nodes knew a part of the holders for two seconds, and a request without an answer was refused at once. Change: a settling node grants half of the cap; a node that has just started reads the holders again after half a second; a request asks again for up to half of its objective.

--- a/src/Gateway/peer_messenger_usage.cpp
+++ b/src/Gateway/peer_messenger_usage.cpp
@@ -26,6 +26,11 @@
 constexpr duration contact_timeout = std::chrono::milliseconds(2'500);
 constexpr int missed_broadcasts = 3;
 
+/// Part of a cap that a new counting node grants while the former one may still
+/// grant the cap as well. Each change of the node then adds less than the
+/// platform tolerates.
+constexpr double settling_fraction = 0.5;
+
 std::size_t team_partition(std::uint64_t team) {
     return team % partition_count;
 }
@@ -40,11 +45,14 @@
 std::optional<usage_decision> peer_messenger::count_usage(
     usage_question const& question, usage_cap const& cap, instant now) {
     std::size_t const partition = team_partition(question.team);
-    auto const exclusive = state_->leases.exclusive_since(partition);
+    auto const gained_at = state_->leases.exclusive_since(partition);
     // Guards against two nodes that both count the usage of a team.
-    if (!exclusive || !state_->leases.controls(partition, now)) {
+    if (!gained_at || !state_->leases.valid(now)) {
         return std::nullopt;
     }
+    // The former holder may not have noticed yet that it has lost the
+    // partition.
+    bool const settling = !state_->leases.controls(partition, now);
     duration const timeout =
         std::max(contact_timeout, missed_broadcasts * status_interval());
     auto const in_contact =
@@ -53,10 +61,9 @@
         });
     double const fraction = grantable_fraction(
         static_cast<std::size_t>(in_contact) + 1, state_->peers.size() + 1);
-    // The former holder may have granted units until the end of the settling
-    // time.
-    instant const since = *exclusive + state_->settings.leases.settling;
-    return usage_counter_.take(question, cap, since, fraction, now);
+    return usage_counter_.take(
+        question, cap, *gained_at,
+        settling ? settling_fraction * fraction : fraction, now);
 }
 
 void peer_messenger::send_usage_message(
--- a/src/Gateway/replica_controller.hpp
+++ b/src/Gateway/replica_controller.hpp
@@ -103,6 +103,7 @@
     /// Wakes the coroutine that renews and claims.
     boost::asio::steady_timer claim_timer_;
     std::uint64_t holders_generation_ = 0;
+    instant started_at_ = boot_clock::now();
     instant holders_read_at_;
     // Shared with the coroutines, which end after it has become false.
     std::shared_ptr<bool> running_ = std::make_shared<bool>(false);
--- a/src/Gateway/replica_controller_leases.cpp
+++ b/src/Gateway/replica_controller_leases.cpp
@@ -33,6 +33,10 @@
 /// together know only some of each other, and each takes more than its quota
 /// share of the resend budget.
 constexpr duration holders_changed_interval = std::chrono::seconds(2);
+/// Interval after a change of members while this node has just started. After a
+/// restart of all nodes each knows only those that have joined before it.
+constexpr duration holders_starting_interval = std::chrono::milliseconds(500);
+constexpr duration starting_time = std::chrono::seconds(4);
 /// Interval while the lease holder of a partition is unknown or unreachable.
 constexpr duration holders_missing_interval = std::chrono::seconds(1);
 std::string topic_name(std::size_t number) {
@@ -155,8 +159,14 @@
     // partition, and the adapter would not be loaded.
     bool const changed = holders_generation_ != grant.value().generation;
     bool const missing = messenger_->lacks_reachable_lease_holder(now);
-    duration const pause = missing   ? holders_missing_interval
-                           : changed ? holders_changed_interval
+    duration const after_change = now < started_at_ + starting_time
+                                      ? holders_starting_interval
+                                      : holders_changed_interval;
+    duration const after_loss =
+        changed ? std::min(after_change, holders_missing_interval)
+                : holders_missing_interval;
+    duration const pause = missing   ? after_loss
+                           : changed ? after_change
                                      : holders_refresh_interval;
     if (now >= holders_read_at_ + pause) {
         co_await read_lease_holders();
--- a/src/Gateway/request_handler_admission.cpp
+++ b/src/Gateway/request_handler_admission.cpp
@@ -1,7 +1,9 @@
 #include "Gateway/request_handler.hpp"
 
-#include <algorithm>
-#include <limits>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <string_view>
 
 namespace camphorpoint {
@@ -12,6 +14,11 @@
 
 constexpr int status_unauthorized = 401;
 constexpr int status_too_many_requests = 429;
+/// Interval at which a request asks again while no node counts its team.
+constexpr std::chrono::milliseconds usage_retry_delay{100};
+/// Fraction of the latency objective for which it does so. Nodes that have just
+/// started know the counting node within a second.
+constexpr double usage_wait_fraction = 0.5;
 
 } // namespace
 
@@ -69,8 +76,16 @@
     std::uint64_t const team = team_table::hash_of(team_->name);
     auto const units =
         static_cast<std::uint64_t>(team_->cap.units_of(demand_.total_tokens));
-    usage_answer const answer =
+    instant const ask_until =
+        arrived_at_ + objective_fraction(usage_wait_fraction);
+    usage_answer answer =
         co_await messenger_->request_usage(team, team_->cap, units);
+    while (answer.outcome == usage_outcome::unconfirmed && !caller->gone &&
+           boot_clock::now() + usage_retry_delay < ask_until) {
+        asio::steady_timer timer(state_->io, usage_retry_delay);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        answer = co_await messenger_->request_usage(team, team_->cap, units);
+    }
     switch (answer.outcome) {
     case usage_outcome::granted:
         granted_units_ = units;
