Usage caps: a settling counter grants a third of the cap, and only that

The reduced fraction was not applied at all: charging unreported usage, which comes first, let the meter accrue at the whole rate (this also made the reduction of a counter in contact with few nodes ineffective). And half of the cap is too much for three changes in a window.

--- a/src/Gateway/peer_messenger_usage.cpp
+++ b/src/Gateway/peer_messenger_usage.cpp
@@ -26,11 +26,6 @@
 constexpr duration contact_timeout = std::chrono::milliseconds(2'500);
 constexpr int missed_broadcasts = 3;
 
-/// Part of a cap that a new counting node grants while the former one may still
-/// grant the cap as well. Each change of the node then adds less than the
-/// platform tolerates.
-constexpr double settling_fraction = 0.5;
-
 std::size_t team_partition(std::uint64_t team) {
     return team % partition_count;
 }
@@ -63,7 +58,7 @@
         static_cast<std::size_t>(in_contact) + 1, state_->peers.size() + 1);
     return usage_counter_.take(
         question, cap, *gained_at,
-        settling ? settling_fraction * fraction : fraction, now);
+        settling ? settling_usage_fraction * fraction : fraction, now);
 }
 
 void peer_messenger::send_usage_message(
--- a/src/Teams/usage_counter.cpp
+++ b/src/Teams/usage_counter.cpp
@@ -24,7 +24,8 @@
     if (earlier != decisions_.end()) {
         return earlier->second;
     }
-    counted_team const fresh{usage_meter(cap, since), since};
+    counted_team fresh{usage_meter(cap, since), since};
+    fresh.meter.set_fraction(fraction, since);
     auto const [found, added] = meters_.try_emplace(question.team, fresh);
     counted_team& counted = found->second;
     if (counted.since != since) {
@@ -32,9 +33,9 @@
         counted = fresh;
     }
     counted.meter.set_cap(cap, now);
+    counted.meter.set_fraction(fraction, now);
     counted.meter.charge(question.unreported, now);
-    usage_decision const decision =
-        counted.meter.take(question.units, fraction, now);
+    usage_decision const decision = counted.meter.take(question.units, now);
     decisions_.emplace(question.id, decision);
     recent_.push_back({question.id, now});
     return decision;
--- a/src/Teams/usage_counter.hpp
+++ b/src/Teams/usage_counter.hpp
@@ -11,6 +11,11 @@
 
 namespace camphorpoint {
 
+/// Part of a cap that a new counting node grants while the former one may not
+/// have noticed that it no longer counts the team. Three changes of the node
+/// within the platform's window then add less than the platform tolerates.
+inline constexpr double settling_usage_fraction = 0.35;
+
 /// A node's question whether a request is within its team's cap.
 struct usage_question {
     /// Identifies the question among those of all nodes; a repeated question
--- a/src/Teams/usage_meter.cpp
+++ b/src/Teams/usage_meter.cpp
@@ -25,9 +25,14 @@
     , burst_(cap.burst)
     , accrued_until_(since) {}
 
+void usage_meter::set_fraction(double fraction, instant now) {
+    accrue(now);
+    fraction_ = fraction;
+}
+
 void usage_meter::set_cap(usage_cap const& cap, instant now) {
     if (cap.per_second != per_second_ || cap.burst != burst_) {
-        accrue(1, now);
+        accrue(now);
         per_second_ = cap.per_second;
         burst_ = cap.burst;
         available_ = std::min(available_, burst_);
@@ -41,10 +46,10 @@
     return std::max({burst_, large, one_request});
 }
 
-void usage_meter::accrue(double fraction, instant now) {
+void usage_meter::accrue(instant now) {
     double const elapsed = seconds_real(now - accrued_until_).count();
     if (elapsed > 0) {
-        double const accrued = available_ + elapsed * per_second_ * fraction;
+        double const accrued = available_ + elapsed * per_second_ * fraction_;
         available_ = std::min(capacity(now), accrued);
         unused_ = std::min(
             unused_seconds * per_second_, unused_ + accrued - available_);
@@ -52,8 +57,8 @@
     }
 }
 
-usage_decision usage_meter::take(double units, double fraction, instant now) {
-    accrue(fraction, now);
+usage_decision usage_meter::take(double units, instant now) {
+    accrue(now);
     if (now < accrued_until_ || available_ < units) {
         bool const remembered = now < largest_denied_until_;
         largest_denied_ = std::max(
@@ -64,7 +69,7 @@
         seconds_real const wait =
             units > capacity(now)
                 ? longest
-                : seconds_real(units - available_) / (per_second_ * fraction);
+                : seconds_real(units - available_) / (per_second_ * fraction_);
         return {
             false, std::chrono::ceil<std::chrono::milliseconds>(
                        std::clamp(wait, seconds_real(0), longest))};
@@ -74,14 +79,14 @@
 }
 
 void usage_meter::charge(double units, instant now) {
-    accrue(1, now);
+    accrue(now);
     double const from_unused = std::min(unused_, units);
     unused_ -= from_unused;
     available_ = std::max(available_ - (units - from_unused), -burst_);
 }
 
 void usage_meter::give_back(double units, instant now) {
-    accrue(1, now);
+    accrue(now);
     available_ = std::min(capacity(now), available_ + units);
 }
 
--- a/src/Teams/usage_meter.hpp
+++ b/src/Teams/usage_meter.hpp
@@ -29,26 +29,28 @@
     ///              just before.
     usage_meter(usage_cap const& cap, instant since);
 
+    /// Sets the part of the rate that is available to this meter from now on.
+    /// @param fraction above 0 and at most 1
+    void set_fraction(double fraction, instant now);
     /// Changes the cap. A lower one applies to all units that are not granted
     /// yet.
     void set_cap(usage_cap const& cap, instant now);
     /// Grants the units of one request, or none.
-    /// @param units    what the request uses
-    /// @param fraction part of the rate that is available to this meter, above
-    ///                 0 and at most 1
-    usage_decision take(double units, double fraction, instant now);
+    /// @param units what the request uses
+    usage_decision take(double units, instant now);
     /// Deducts units that were used without being granted here.
     void charge(double units, instant now);
     /// Returns the units of a request that was granted and has not run.
     void give_back(double units, instant now);
 
 private:
-    void accrue(double fraction, instant now);
+    void accrue(instant now);
     /// @returns the units that accrue at most
     double capacity(instant now) const;
 
     double per_second_;
     double burst_;
+    double fraction_ = 1;
     double available_ = 0;
     /// Units that have accrued lately beyond the capacity. What was used
     /// without a grant is deducted from them first.
--- a/test/support/usage_simulation.cpp
+++ b/test/support/usage_simulation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <utility>
 
 namespace camphorpoint::testing {
 
@@ -69,7 +70,7 @@
             change_cap();
             double const units = size(random_);
             simulated_node& node = nodes_[random_() % nodes_.size()];
-            ideal_ += ideal_meter_.take(units, 1, now_).granted ? units : 0;
+            ideal_ += ideal_meter_.take(units, now_).granted ? units : 0;
             asked_for_ += units;
             if (decide(node, units)) {
                 grants_.push_back({now_, units});
@@ -107,9 +108,12 @@
     bool counter_answers(simulated_node const& node) const {
         bool const silent =
             during(scenario_.counter_silent_from, scenario_.counter_silent_for);
+        return !silent && !is_cut(node);
+    }
+    /// @returns true while the former counter has not noticed its successor
+    bool settles() const {
         instant const since = counted_since();
-        bool const settles = since > begin_ && now_ < since + settling;
-        return !silent && !settles && !is_cut(node);
+        return since > begin_ && now_ < since + settling;
     }
     double contact_fraction() const {
         bool const noticed =
@@ -123,9 +127,21 @@
         if (!cap_.limited()) {
             return {true, duration::zero()};
         }
+        instant const since = counted_since();
+        if (since != counter_since_) {
+            former_counter_ = std::exchange(counter_, usage_counter());
+            former_since_ = std::exchange(counter_since_, since);
+        }
+        // Half of the nodes still ask the former counter.
+        if (settles() && question % 2 == 0) {
+            return former_counter_.take(
+                {question, team, units, unreported}, cap_, former_since_,
+                contact_fraction(), now_);
+        }
+        double const part = settles() ? settling_usage_fraction : 1;
         return counter_.take(
-            {question, team, units, unreported}, cap_, counted_since(),
-            contact_fraction(), now_);
+            {question, team, units, unreported}, cap_, since,
+            part * contact_fraction(), now_);
     }
     /// Asks the counting node.
     std::optional<usage_decision>
@@ -159,7 +175,7 @@
             return decide_lent(node, units);
         case usage_policy::equal_shares:
             return own_shares_[static_cast<std::size_t>(&node - nodes_.data())]
-                .take(units, 1, now_)
+                .take(units, now_)
                 .granted;
         case usage_policy::counted_afterwards:
             return decide_afterwards(node, units);
@@ -275,6 +291,9 @@
     std::vector<simulated_node> nodes_;
     std::vector<usage_meter> own_shares_;
     usage_counter counter_;
+    instant counter_since_ = begin_;
+    usage_counter former_counter_;
+    instant former_since_ = begin_;
     /// Sees each request at once.
     usage_meter ideal_meter_{scenario_.cap, begin_};
     double ideal_ = 0;
--- a/test/usage_cap_property_test.cpp
+++ b/test/usage_cap_property_test.cpp
@@ -133,50 +133,50 @@
     usage_cap cap{usage_unit::tokens, 1'000, 2'000, 200};
     usage_meter meter(cap, start);
     SUBCASE("begins without a burst") {
-        usage_decision const first = meter.take(500, 1, start);
+        usage_decision const first = meter.take(500, start);
         CHECK_FALSE(first.granted);
         CHECK(first.retry_after == milliseconds(500));
         SUBCASE("and grants a denied request when it said it would") {
-            CHECK(meter.take(500, 1, start + first.retry_after).granted);
+            CHECK(meter.take(500, start + first.retry_after).granted);
         }
     }
     SUBCASE("grants the burst after an idle time") {
         instant const later = start + seconds(10);
-        CHECK(meter.take(2'000, 1, later).granted);
-        CHECK_FALSE(meter.take(1, 1, later).granted);
+        CHECK(meter.take(2'000, later).granted);
+        CHECK_FALSE(meter.take(1, later).granted);
         SUBCASE("and again what was returned") {
             meter.give_back(300, later);
-            CHECK(meter.take(300, 1, later).granted);
-            CHECK_FALSE(meter.take(1, 1, later).granted);
+            CHECK(meter.take(300, later).granted);
+            CHECK_FALSE(meter.take(1, later).granted);
         }
     }
     SUBCASE("grants a request that is larger than the burst") {
         instant const asked = start + seconds(10);
-        usage_decision const first = meter.take(3'500, 1, asked);
+        usage_decision const first = meter.take(3'500, asked);
         CHECK_FALSE(first.granted);
         CHECK(first.retry_after == milliseconds(1'500));
-        CHECK(meter.take(3'500, 1, asked + first.retry_after).granted);
-        CHECK_FALSE(meter.take(1, 1, asked + first.retry_after).granted);
+        CHECK(meter.take(3'500, asked + first.retry_after).granted);
+        CHECK_FALSE(meter.take(1, asked + first.retry_after).granted);
     }
     SUBCASE("never grants one that the cap does not cover") {
-        CHECK_FALSE(meter.take(1e9, 1, start + seconds(1'000)).granted);
+        CHECK_FALSE(meter.take(1e9, start + seconds(1'000)).granted);
         SUBCASE("which uses nothing") {
-            CHECK(meter.take(2'000, 1, start + seconds(1'000)).granted);
+            CHECK(meter.take(2'000, start + seconds(1'000)).granted);
         }
     }
     SUBCASE("applies a lower cap at once") {
         cap.per_second = 100;
         cap.burst = 100;
         meter.set_cap(cap, start + seconds(10));
-        CHECK(meter.take(100, 1, start + seconds(10)).granted);
-        CHECK_FALSE(meter.take(1, 1, start + seconds(10)).granted);
+        CHECK(meter.take(100, start + seconds(10)).granted);
+        CHECK_FALSE(meter.take(1, start + seconds(10)).granted);
     }
     SUBCASE("counts requests without a burst one by one") {
         cap = {usage_unit::requests, 2, 0, 200};
         usage_meter requests(cap, start);
-        CHECK(requests.take(1, 1, start + seconds(9)).granted);
-        CHECK_FALSE(requests.take(1, 1, start + seconds(9)).granted);
-        CHECK(requests.take(1, 1, start + milliseconds(9'500)).granted);
+        CHECK(requests.take(1, start + seconds(9)).granted);
+        CHECK_FALSE(requests.take(1, start + seconds(9)).granted);
+        CHECK(requests.take(1, start + milliseconds(9'500)).granted);
     }
 }
 
