--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -99,7 +99,7 @@
 }
 
 void peer_messenger::set_lease_holder(
-    std::size_t partition, std::string member) {
+    std::size_t partition, std::string const& member) {
     if (member != state_->own_address) {
         state_->peers.try_emplace(member, boot_clock::now());
     }
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -179,7 +179,7 @@
     bool lacks_reachable_lease_holder(instant now) const;
     /// Records the lease holder of a partition, as listed by the store.
     /// @param member peer address of the lease holder
-    void set_lease_holder(std::size_t partition, std::string member);
+    void set_lease_holder(std::size_t partition, std::string const& member);
 
 private:
     struct use_count {
