--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
-/// Buffered log lines are written at this interval.
+/// Buffered log lines are written, and credit for resends accrues, at this
+/// interval.
 constexpr milliseconds tick_interval{100};
 
 /// Part of the stop limit that is reserved for closing connections and stopping
@@ -197,6 +198,7 @@
         quarantine_persistence_.poll();
         log_if_ready();
         state_.log.flush(boot_clock::now());
+        state_.refresh_slack_share(boot_clock::now());
         asio::steady_timer timer(*io_, tick_interval);
         co_await timer.async_wait(use_result);
     }
--- a/src/Gateway/gateway_state.cpp
+++ b/src/Gateway/gateway_state.cpp
@@ -55,14 +55,9 @@
 // just started, that number is too low, and together the nodes resend more
 // often than is allowed. Leases are a safe measure, because each partition is
 // held by one node at a time.
-unsigned gateway_state::slack_divisor(instant now) const {
-    constexpr unsigned none = 1'000'000;
-    std::size_t const held =
-        leases.valid(now) ? leases.held_partitions().size() : 0;
-    if (held == 0) {
-        return none;
-    }
-    return static_cast<unsigned>((partition_count + held - 1) / held);
+void gateway_state::refresh_slack_share(instant now) {
+    double const held = static_cast<double>(leases.exclusive_partitions(now));
+    resends.set_slack_share(held / partition_count, now);
 }
 
 bool gateway_state::registry_refilling(instant now) const {
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -54,10 +54,9 @@
     bool behind_peers(instant now) const;
     /// @returns the number of running nodes, including this one
     unsigned nodes() const;
-    /// @returns the number by which the slack of resends is divided, derived
-    ///          from this node's fraction of the partitions; a number above any
-    ///          slack when the node holds no partition
-    unsigned slack_divisor(instant now) const;
+    /// Sets this node's share of the slack of resends to its fraction of the
+    /// partitions.
+    void refresh_slack_share(instant now);
     /// @returns true while replicas may be about to write registry entries
     ///          again that expired in the store's outage
     bool registry_refilling(instant now) const;
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -304,8 +304,7 @@
     }
     // Checked before the search for a replica, whose capacity would go unused
     // if the budget is exhausted.
-    if (!state_->resends.available(
-            need_.service, state_->slack_divisor(now), now)) {
+    if (!state_->resends.available(need_.service, now)) {
         reason_ += "-no-budget";
         return false;
     }
@@ -319,9 +318,7 @@
     if (resends_ >= tracker_.sends()) {
         return true;
     }
-    instant const now = boot_clock::now();
-    if (!state_->resends.try_consume(
-            need_.service, state_->slack_divisor(now), now)) {
+    if (!state_->resends.try_consume(need_.service, boot_clock::now())) {
         reason_ += "-no-budget";
         return false;
     }
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -133,6 +133,16 @@
                : std::nullopt;
 }
 
+std::size_t partition_leases::exclusive_partitions(instant now) const {
+    if (now >= renewed_at_ + times_.lease) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::ranges::count_if(partitions_, [&](auto const& each) {
+            return controls(each.first, now);
+        }));
+}
+
 bool partition_leases::holds(std::size_t partition) const {
     auto const found = partitions_.find(partition);
     return found != partitions_.end() && !found->second.superseded;
--- a/src/ReplicaControl/partition_leases.hpp
+++ b/src/ReplicaControl/partition_leases.hpp
@@ -94,6 +94,10 @@
     /// @returns since when no other node can have commanded replicas of the
     ///          partition; nothing when this node does not hold it
     std::optional<instant> exclusive_since(std::size_t partition) const;
+    /// @returns the number of partitions that no other node can hold now. The
+    ///          extension in an outage of the store does not count: the outage
+    ///          may concern this node only.
+    std::size_t exclusive_partitions(instant now) const;
     /// @returns true when this node holds the partition by the last granted
     ///          renewal
     bool holds(std::size_t partition) const;
