--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -123,12 +123,15 @@
     additional_nodes_.push_back(std::move(added));
 }
 
+void gateway_fixture::retire(std::unique_ptr<gateway> which) {
+    stop(which);
+    stopped_nodes_.push_back(std::move(which));
+}
+
 void gateway_fixture::restart_nodes() {
-    stop(node);
-    stopped_nodes_.push_back(std::move(node));
+    retire(std::move(node));
     for (additional_node& each : additional_nodes_) {
-        stop(each.node);
-        stopped_nodes_.push_back(std::move(each.node));
+        retire(std::move(each.node));
     }
     started_ = boot_clock::now();
     start(settings, node);
--- a/test/gateway/gateway_fixture.hpp
+++ b/test/gateway/gateway_fixture.hpp
@@ -74,6 +74,9 @@
     void reconnect_store(std::size_t which);
     /// Stops all nodes and starts as many new ones, which have no state.
     void restart_nodes();
+    /// Stops a node and keeps it until the fixture ends, since its last pending
+    /// operations still complete on the loop.
+    void retire(std::unique_ptr<gateway> which);
     /// Lists additional replicas of the model. From then on each replica of the
     /// model crashes when it runs a request with the given body.
     void add_replicas(unsigned count, std::string const& poison_body);
