Tests of the gateway earn credit for resends from the first request

They are not about the budget: the fixture's ratio now gives each request enough. Tests of the budget set their own.

rate_limit_test wrote statuses of pending requests into a vector that was destroyed before the nodes (valgrind: invalid write in gateway_fixture.cpp, a crash in one run of two): it is declared before them.

--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -52,6 +52,9 @@
     settings.leases.renewal = std::chrono::milliseconds(50);
     settings.leases.settling = std::chrono::milliseconds(100);
     settings.stop_accepts = std::chrono::milliseconds(20);
+    // A node that has just started has no credit for resends; with this ratio
+    // each request earns enough. Tests of the budget set their own.
+    settings.resends.ratio = 1'000;
     settings.stop_limit = std::chrono::milliseconds(4'000);
     before(*this);
     started_ = boot_clock::now();
--- a/test/gateway/rate_limit_test.cpp
+++ b/test/gateway/rate_limit_test.cpp
@@ -69,9 +69,11 @@
             at.engine.arrivals, [&](instant each) { return each >= since; }));
     }
 
+    /// Requests that are pending at the end of a test complete while the world
+    /// is destroyed, so this is destroyed after it.
+    std::vector<int> statuses;
     gateway_fixture world;
     std::size_t sent = 0;
-    std::vector<int> statuses;
 };
 
 } // namespace
