--- a/src/Delivery/attempt_tracker.cpp
+++ b/src/Delivery/attempt_tracker.cpp
@@ -21,6 +21,11 @@
     phase_ = attempt_phase::not_executed;
 }
 
+void attempt_tracker::on_declined() noexcept {
+    on_not_executed();
+    --sends_;
+}
+
 void attempt_tracker::on_answering() noexcept {
     assert(
         phase_ == attempt_phase::sent && "only a sent attempt can be answered");
--- a/src/Delivery/attempt_tracker.hpp
+++ b/src/Delivery/attempt_tracker.hpp
@@ -29,8 +29,11 @@
 class attempt_tracker {
 public:
     /// @param idempotent true when executing the request twice does no harm
-    explicit attempt_tracker(bool idempotent)
-        : idempotent_(idempotent) {}
+    /// @param sends      earlier attempts whose first byte was sent, by the
+    ///                   node that has relayed the request
+    explicit attempt_tracker(bool idempotent, unsigned sends = 0)
+        : idempotent_(idempotent)
+        , sends_(sends) {}
 
     /// Starts a further attempt. The previous one must have ended.
     void begin() noexcept;
@@ -38,6 +41,9 @@
     void on_sent() noexcept;
     /// Records the replica's answer that it has not executed the attempt.
     void on_not_executed() noexcept;
+    /// Records that the node to which the attempt was relayed has declined it,
+    /// and has sent it to no replica.
+    void on_declined() noexcept;
     /// Records that the replica has begun to answer.
     void on_answering() noexcept;
     /// Records that the attempt's answer has been received completely.
@@ -64,7 +70,7 @@
     bool idempotent_;
     bool earlier_attempt_may_run_ = false;
     attempt_phase phase_ = attempt_phase::unsent;
-    unsigned sends_ = 0;
+    unsigned sends_;
 };
 
 } // namespace camphorpoint
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -262,6 +262,12 @@
     }
 }
 
+void fleet::clear_suspicions() {
+    for (auto& [id, each] : all_) {
+        each.health.clear_suspicion();
+    }
+}
+
 void fleet::request_finished(endpoint_id const& id) {
     replica* const target = find(id);
     if (target != nullptr && target->running_local > 0) {
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -193,6 +193,10 @@
     /// longer valid.
     void expire_usage(instant now);
 
+    /// Ends the suspicion of all replicas: this node did not reach them because
+    /// of its own links.
+    void clear_suspicions();
+
     /// Counts a request of this node that was sent to the replica.
     /// @param prompt_tokens length of its prompt
     void
--- a/src/Fleet/replica_health.cpp
+++ b/src/Fleet/replica_health.cpp
@@ -62,6 +62,12 @@
     return true;
 }
 
+void replica_health::clear_suspicion() {
+    suspicions_ = 0;
+    truncated_in_row_ = 0;
+    suspected_until_ = {};
+}
+
 void replica_health::adopt_suspicion(instant until) {
     suspected_until_ = std::max(suspected_until_, until);
 }
--- a/src/Fleet/replica_health.hpp
+++ b/src/Fleet/replica_health.hpp
@@ -28,6 +28,8 @@
     bool add_outcome(health_signal signal, instant now);
     /// Adopts another node's suspicion of the replica.
     void adopt_suspicion(instant until);
+    /// Ends a suspicion that was not due to the replica.
+    void clear_suspicion();
 
     /// @returns true while no request should be sent there unless all other
     ///          replicas are unavailable as well
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -89,9 +89,13 @@
     , quarantine_persistence_(state_, store_, messenger_)
     , registry_follower_(
           state_, store_, monitor_, messenger_, [this] { on_update(); })
+    , reachability_prober_(state_, [this] { on_reachability_change(); })
     , caller_server_(
           io.get_executor(), default_limits(),
           [this](http_exchange& exchange) { return answer(exchange); })
+    , relay_server_(
+          io.get_executor(), default_limits(),
+          [this](http_exchange& exchange) { return answer_relayed(exchange); })
     , readiness_server_(
           io.get_executor(), http_limits(),
           [this](http_exchange& exchange) {
@@ -129,6 +133,7 @@
         [this] {
             running_ = false;
             quarantine_persistence_.stop();
+            reachability_prober_.stop();
             declarations_.stop();
             registry_follower_.stop();
         }};
@@ -159,12 +164,23 @@
         [this] {
             caller_server_.close();
         }};
+    relays_service_ = {
+        [this, &settings] {
+            return to_start_result(
+                relay_server_.listen(settings.peer_address),
+                settings.peer_address);
+        },
+        [this] {
+            relay_server_.close();
+        }};
     services_.add(service_name("peers"), {}, peers_service_);
     services_.add(
         service_name("store"), {service_name("peers")}, store_service_);
     services_.add(service_name("readiness"), {}, readiness_service_);
     services_.add(
         service_name("callers"), {service_name("store")}, callers_service_);
+    services_.add(
+        service_name("relays"), {service_name("store")}, relays_service_);
 }
 
 bool gateway::ready() {
@@ -177,10 +193,17 @@
     if (state_.configuration.version != limits_version_) {
         limits_version_ = state_.configuration.version;
         caller_server_.set_limits(limits_of(state_.configuration.limits));
+        relay_server_.set_limits(limits_of(state_.configuration.limits));
     }
     log_if_ready();
 }
 
+void gateway::on_reachability_change() {
+    messenger_.announce_status();
+    state_.waiters.notify_all();
+    controller_.on_reachability_change();
+}
+
 void gateway::log_if_ready() {
     if (!ready_logged_ && ready()) {
         ready_logged_ = true;
@@ -196,6 +219,7 @@
 asio::awaitable<void> gateway::tick() {
     while (running_) {
         quarantine_persistence_.poll();
+        reachability_prober_.poll();
         log_if_ready();
         state_.log.flush(boot_clock::now());
         state_.refresh_slack_share(boot_clock::now());
@@ -220,6 +244,8 @@
                          .with("running", state_.live_requests));
     controller_.stop();
     caller_server_.announce_end();
+    relay_server_.stop_accepting();
+    relay_server_.finish_connections();
     asio::co_spawn(
         *io_,
         [this, stopped = std::move(stopped)] { return await_drain(stopped); },
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_messenger.hpp"
 #include "Gateway/quarantine_persistence.hpp"
+#include "Gateway/reachability_prober.hpp"
 #include "Gateway/registry_follower.hpp"
 #include "Gateway/replica_controller.hpp"
 #include "Kernel/kernel.hpp"
@@ -63,6 +64,7 @@
 
 private:
     boost::asio::awaitable<void> answer(http_exchange& exchange);
+    boost::asio::awaitable<void> answer_relayed(http_exchange& exchange);
     boost::asio::awaitable<void> answer_readiness(http_exchange& exchange);
     boost::asio::awaitable<void> answer_metrics(http_exchange& exchange);
     http_response make_metrics_response();
@@ -70,6 +72,7 @@
     boost::asio::awaitable<void> tick();
     void add_services();
     void on_update();
+    void on_reachability_change();
     void log_if_ready();
 
     boost::asio::io_context* io_;
@@ -81,13 +84,18 @@
     declaration_follower declarations_;
     quarantine_persistence quarantine_persistence_;
     registry_follower registry_follower_;
+    reachability_prober reachability_prober_;
     http_server caller_server_;
+    /// Requests that other nodes relay, on the peer address. Callers do not
+    /// reach it.
+    http_server relay_server_;
     http_server readiness_server_;
     http_server metrics_server_;
     port_service peers_service_;
     port_service store_service_;
     port_service readiness_service_;
     port_service callers_service_;
+    port_service relays_service_;
     service_registry services_;
     kernel kernel_;
     // Shared with the coroutines that answer requests, which may outlive this
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 
 /// Counts an exchange while it is being answered.
@@ -37,6 +38,20 @@
     co_await flow.run();
 }
 
+asio::awaitable<void> gateway::answer_relayed(http_exchange& exchange) {
+    active_exchange_guard const counted(active_exchanges_);
+    auto terms = decode_relay_terms(
+        exchange.request().fields.get(platform::relay_field));
+    if (!terms) {
+        http_response refusal;
+        refusal.status = status_bad_request;
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    request_handler flow(state_, messenger_, exchange, std::move(terms));
+    co_await flow.run();
+}
+
 asio::awaitable<void> gateway::answer_readiness(http_exchange& exchange) {
     active_exchange_guard const counted(active_exchanges_);
     http_response answer;
@@ -60,6 +75,8 @@
         "teams_counted", static_cast<double>(messenger_.counted_teams()));
     state_.metrics.set_gauge("store_era", static_cast<double>(state_.epoch));
     state_.metrics.set_gauge("nodes", state_.nodes());
+    state_.metrics.set_gauge(
+        "replicas_unreachable", state_.reachability.partitioned() ? 1 : 0);
     state_.metrics.set_gauge(
         "store_calls", static_cast<double>(store_.calls()));
     http_response answer;
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include "Delivery/resend_budget.hpp"
 #include "Fleet/adapter_demand.hpp"
 #include "Fleet/fleet.hpp"
+#include "Fleet/replica_reachability.hpp"
 #include "Fleet/replica_selector.hpp"
 #include "Gateway/gateway_metrics.hpp"
 #include "Gateway/gateway_settings.hpp"
@@ -89,10 +90,15 @@
     request_quarantine quarantine;
     quarantine_sync quarantine_sync_state;
     http_pool replica_connections;
+    /// Connections over which requests are relayed to other nodes.
+    http_pool peer_connections;
+    replica_reachability reachability;
     partition_leases leases;
     /// Peer addresses of the known nodes, with the time of the last message
     /// from each.
     std::map<std::string, instant> peers;
+    /// What those that do not reach all replicas have reported.
+    std::map<std::string, replica_links> peer_links;
     /// When another node last reported more declarations than this node knows.
     instant behind_peers_at;
     /// Since when calls to the store fail; instant::max() while they succeed.
--- a/src/Gateway/peer_datagram.cpp
+++ b/src/Gateway/peer_datagram.cpp
@@ -16,6 +16,11 @@
     static constexpr gate_message_kind value = gate_message_kind::ended;
 };
 
+template <>
+struct last_value_of<replica_links> {
+    static constexpr replica_links value = replica_links::cut;
+};
+
 template <>
 struct last_value_of<usage_message_kind> {
     static constexpr usage_message_kind value = usage_message_kind::returned;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -2,6 +2,7 @@
 
 #include "Core/store_position.hpp"
 #include "Core/time.hpp"
+#include "Fleet/replica_reachability.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -339,7 +340,10 @@
     /// The sender knows the quarantines that were in force before it started.
     bool knows_quarantines = false;
 
-    static constexpr std::uint32_t current_format = 10;
+    /// What the sender reaches of the replicas.
+    replica_links links = replica_links::intact;
+
+    static constexpr std::uint32_t current_format = 11;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -347,7 +351,7 @@
         if (alive) {
             archive(
                 declared_position, declared_total, queries_declared,
-                knows_quarantines);
+                knows_quarantines, links);
         }
         // Most datagrams have one list or two. Empty lists would make up most
         // of their bytes.
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -38,11 +38,10 @@
 /// Broadcasts of a lease holder contain its claims and arrive several times
 /// within this period; after it the lease holder is looked up again.
 constexpr duration lease_holder_lost_after = std::chrono::seconds(3);
-/// A lease holder from which no message was received for this long, and for two
-/// broadcast intervals, gets no load requests. Nodes broadcast every 100 ms, in
-/// a cluster of 90 nodes about every second.
-constexpr duration lease_holder_suspected_after =
-    std::chrono::milliseconds(1'500);
+/// A node from which no message was received for this long, and for two
+/// broadcast intervals, gets no load requests and no relayed requests. Nodes
+/// broadcast every 100 ms, in a cluster of 90 nodes about every second.
+constexpr duration peer_suspected_after = std::chrono::milliseconds(1'500);
 /// A node is no longer counted as a peer when no message was received from it
 /// for this long.
 constexpr duration peer_expiry = std::chrono::seconds(20);
@@ -169,10 +168,10 @@
     duration const two_broadcasts = 2 * status_interval();
     if (last_received != state_->peers.end() &&
         now >= last_received->second +
-                   std::max(lease_holder_suspected_after, two_broadcasts)) {
+                   std::max(peer_suspected_after, two_broadcasts)) {
         handle_load_rejection(
             {request.replica, request.adapter,
-             clamped_milliseconds(lease_holder_suspected_after)},
+             clamped_milliseconds(peer_suspected_after)},
             now);
         return;
     }
@@ -382,6 +381,28 @@
     std::erase_if(state_->peers, [&](auto const& each) {
         return now >= each.second + peer_expiry;
     });
+    std::erase_if(state_->peer_links, [&](auto const& each) {
+        return !state_->peers.contains(each.first);
+    });
+}
+
+std::optional<std::string> peer_messenger::select_relay(
+    std::set<std::string> const& tried, replica_links worst, instant now) {
+    duration const max_age =
+        std::max<duration>(peer_suspected_after, 2 * status_interval());
+    std::vector<std::string> usable;
+    for (auto const& [peer, last_received] : state_->peers) {
+        auto const links = state_->peer_links.find(peer);
+        bool const reaches =
+            links == state_->peer_links.end() || links->second <= worst;
+        if (now < last_received + max_age && !tried.contains(peer) && reaches) {
+            usable.push_back(peer);
+        }
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    return usable[state_->random() % usable.size()];
 }
 
 peer_datagram peer_messenger::status_message() const {
@@ -391,6 +412,7 @@
     message.declared_total = state_->declared_total();
     message.knows_quarantines =
         state_->quarantine_sync_state.complete(boot_clock::now());
+    message.links = state_->reachability.links(boot_clock::now());
     return message;
 }
 
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -174,6 +174,15 @@
     void return_usage(std::uint64_t team, std::uint64_t units);
     /// @returns the number of teams whose usage this node counts
     std::size_t counted_teams() const noexcept { return usage_counter_.size(); }
+    /// Broadcasts this node's status at once.
+    void announce_status() { broadcast_status(boot_clock::now()); }
+    /// Selects a node to which a request can be relayed: one from which a
+    /// message was received lately, and which reaches replicas.
+    /// @param tried nodes that are not selected
+    /// @param worst nodes that reach less than this are not selected
+    /// @returns its peer address; nothing when there is no such node
+    std::optional<std::string> select_relay(
+        std::set<std::string> const& tried, replica_links worst, instant now);
     /// @returns true when the lease holder of a replica in use is unknown, or
     ///          no message has been received from it for a while
     bool lacks_reachable_lease_holder(instant now) const;
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -87,6 +87,11 @@
     }
     if (message.alive) {
         state_->startup.handle_peer_total(message.from, message.declared_total);
+        if (message.links == replica_links::intact) {
+            state_->peer_links.erase(message.from);
+        } else {
+            state_->peer_links[message.from] = message.links;
+        }
     }
     if (message.queries_declared) {
         send(message.from, status_message());
--- /dev/null
+++ b/src/Gateway/relay_terms.cpp
@@ -0,0 +1,56 @@
+#include "Gateway/relay_terms.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <system_error>
+
+namespace camphorpoint {
+
+namespace {
+
+/// Removes and returns the text before the next space.
+std::string_view take_word(std::string_view& text) {
+    std::size_t const end = std::min(text.find(' '), text.size());
+    std::string_view const word = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return word;
+}
+
+std::optional<int> parse_integer(std::string_view text) {
+    int value = 0;
+    auto const [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    bool const whole = error == std::errc() && end == text.data() + text.size();
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+std::string encode(relay_terms const& terms) {
+    int const priority =
+        terms.priority ? static_cast<int>(*terms.priority) : -1;
+    return fmt::format(
+        "{} {} {} {}", terms.sends, terms.counted ? 1 : 0, priority,
+        terms.team.str());
+}
+
+std::optional<relay_terms> decode_relay_terms(std::string_view text) {
+    auto const sends = parse_integer(take_word(text));
+    auto const counted = parse_integer(take_word(text));
+    auto const priority = parse_integer(take_word(text));
+    if (!sends || *sends < 0 || !counted || !priority) {
+        return std::nullopt;
+    }
+    relay_terms terms;
+    terms.sends = static_cast<unsigned>(*sends);
+    terms.counted = *counted != 0;
+    terms.team = team_id(std::string(text));
+    if (*priority >= 0) {
+        terms.priority = static_cast<unsigned>(*priority);
+    }
+    return terms;
+}
+
+} // namespace camphorpoint
--- /dev/null
+++ b/src/Gateway/relay_terms.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Teams/team_definition.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace camphorpoint {
+
+/// What an entry node that reaches no replica tells the peer to which it
+/// relays a request, so that both together count it once.
+struct relay_terms {
+    /// Sends of the request to replicas before it was relayed.
+    unsigned sends = 0;
+    /// The entry node has earned credit for resends with the request.
+    bool counted = false;
+    /// The team of the caller's API key, whose usage cap has granted the
+    /// request; empty for an anonymous caller.
+    team_id team;
+    /// The team's urgency; nothing when the route decides.
+    std::optional<unsigned> priority;
+};
+
+/// Value of the relay field in an answer of a peer that has not handled the
+/// request: it reaches no replica either, or lacks declarations.
+inline constexpr std::string_view relay_declined = "declined";
+
+/// @returns the value of the relay field of a request
+std::string encode(relay_terms const& terms);
+/// @returns the terms; nothing when the text is not in this form
+std::optional<relay_terms> decode_relay_terms(std::string_view text);
+
+} // namespace camphorpoint
--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/replica_controller.hpp"
 
 #include "Gateway/command_times.hpp"
+#include "Gateway/reachability_prober.hpp"
 #include "Ports/http_client.hpp"
 #include "platform/configuration_reader.hpp"
 #include "platform/order_wire.hpp"
@@ -276,6 +277,7 @@
     http_request request = platform::make_report_request(id);
     auto const got =
         co_await fetch(call, std::move(to), std::move(request), times);
+    record_reachability(state_->reachability, id, got.how, call);
     instant const now = boot_clock::now();
     constexpr int status_ok = 200;
     bool const answered =
@@ -317,6 +319,7 @@
     call_times const times = command_times(state_->leases);
     auto const got =
         co_await fetch(call, std::move(to), std::move(request), times);
+    record_reachability(state_->reachability, id, got.how, call);
     command_result answer = command_result::no_answer;
     if (got.how == call_result::answered) {
         answer = platform::read_order_answer(got.response.status);
--- a/src/Gateway/replica_controller.hpp
+++ b/src/Gateway/replica_controller.hpp
@@ -45,6 +45,8 @@
     int free_slots(std::uint64_t replica) const;
     /// Wakes the workers after replicas or versions have changed.
     void wake_workers();
+    /// Called when this node has lost or regained its links to all replicas.
+    void on_reachability_change();
 
 private:
     /// The slots of a replica, and the state of its worker.
@@ -70,6 +72,9 @@
 
     boost::asio::awaitable<void> run_renewals();
     boost::asio::awaitable<void> leave_group();
+    /// @returns true when another node should control this node's replicas
+    bool must_yield(instant now) const;
+    boost::asio::awaitable<void> yield_partitions();
     boost::asio::awaitable<void> renew_once();
     boost::asio::awaitable<void> claim_used_partitions();
     boost::asio::awaitable<void> claim_partition(std::size_t partition);
--- a/src/Gateway/replica_controller_leases.cpp
+++ b/src/Gateway/replica_controller_leases.cpp
@@ -76,6 +76,35 @@
     }
 }
 
+bool replica_controller::must_yield(instant now) const {
+    return state_->reachability.partitioned() &&
+           messenger_->select_relay({}, replica_links::partly_cut, now);
+}
+
+// Guards against replicas that get no commands although other nodes reach them:
+// their controller has lost its own links to them. It takes partitions again
+// when its links are back, or when no other node reaches replicas either.
+asio::awaitable<void> replica_controller::yield_partitions() {
+    auto const alive = running_;
+    if (!state_->leases.held_partitions().empty()) {
+        state_->log_event(log_line(event_code::partition_lost)
+                              .with("why", "replicas unreachable"));
+        state_->leases.clear();
+        wake_workers();
+        co_await leave_group();
+    }
+    // The new lease holders of partitions without replicas, such as those that
+    // count a team's usage, do not broadcast their claims.
+    if (*alive &&
+        boot_clock::now() >= holders_read_at_ + holders_missing_interval) {
+        co_await read_lease_holders();
+    }
+}
+
+void replica_controller::on_reachability_change() {
+    claim_timer_.cancel();
+}
+
 asio::awaitable<void> replica_controller::claim_used_partitions() {
     auto const alive = running_;
     for (std::size_t const each : state_->leases.partitions_without_token()) {
@@ -98,7 +127,11 @@
     auto const alive = running_;
     instant renew_at;
     while (*alive) {
-        if (boot_clock::now() >= renew_at) {
+        instant const now = boot_clock::now();
+        if (must_yield(now)) {
+            co_await yield_partitions();
+            renew_at = boot_clock::now() + state_->settings.leases.renewal;
+        } else if (now >= renew_at) {
             co_await renew_once();
             renew_at = boot_clock::now() + state_->settings.leases.renewal;
         }
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/request_handler.hpp"
 
 #include "Core/hash.hpp"
+#include "Gateway/reachability_prober.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -28,13 +29,17 @@
 } // namespace
 
 request_handler::request_handler(
-    gateway_state& state, peer_messenger& messenger, http_exchange& exchange)
+    gateway_state& state, peer_messenger& messenger, http_exchange& exchange,
+    std::optional<relay_terms> relayed)
     : state_(&state)
     , messenger_(&messenger)
     , exchange_(&exchange)
     , arrived_at_(boot_clock::now())
     , deadline_(arrived_at_)
     , demand_(platform::read_demand(exchange.request()))
+    , relayed_(std::move(relayed))
+    , counted_(relayed_ && relayed_->counted)
+    , resends_(relayed_ ? relayed_->sends : 0)
     , caller_(std::make_shared<caller_state>()) {
     ++state_->live_requests;
 }
@@ -56,7 +61,8 @@
     // The route is copied because the configuration may change while the
     // request runs.
     route_ = *found;
-    tracker_ = attempt_tracker(route_->idempotent());
+    tracker_ =
+        attempt_tracker(route_->idempotent(), relayed_ ? relayed_->sends : 0);
     position_ = delivery_position(demand_.last_event, route_->resumable);
     milliseconds const timeout =
         std::min(demand_.patience.value_or(route_->timeout), route_->timeout);
@@ -72,25 +78,41 @@
 }
 
 void request_handler::record_demand() {
-    if (!need_.adapter.empty()) {
+    if (!need_.adapter.empty() && !demand_recorded_) {
         state_->demand.add(need_.adapter, demand_.prompt_tokens, arrived_at_);
     }
-    state_->resends.on_request(need_.service, arrived_at_);
+    demand_recorded_ = true;
+    if (!counted_) {
+        counted_ = true;
+        state_->resends.on_request(need_.service, boot_clock::now());
+    }
 }
 
-asio::awaitable<void> request_handler::run() {
-    auto const caller = caller_;
+bool request_handler::admit() {
     if (!state_->may_serve(arrived_at_)) {
-        co_await finish(
-            state_->configured ? "declarations-behind" : "no-configuration");
-        co_return;
+        reason_ =
+            state_->configured ? "declarations-behind" : "no-configuration";
+        declined_ = true;
+        return false;
     }
     if (!resolve_route()) {
-        rejection_status_ = status_not_found;
-        co_await finish("no-route");
-        co_return;
+        // The node that has relayed the request knows its route.
+        declined_ = relayed_.has_value();
+        rejection_status_ = relayed_ ? 0 : status_not_found;
+        reason_ = "no-route";
+        return false;
+    }
+    if (relayed_ && state_->reachability.partitioned()) {
+        declined_ = true;
+        reason_ = "replicas-unreachable";
+        return false;
     }
-    if (!authenticate()) {
+    return authenticate();
+}
+
+asio::awaitable<void> request_handler::run() {
+    auto const caller = caller_;
+    if (!admit()) {
         co_await finish(reason_);
         co_return;
     }
@@ -100,7 +122,8 @@
                           .with("service", need_.service.str())
                           .with("team", team_ ? team_->name.str() : "")
                           .with("content", to_string(fingerprint_))
-                          .with("version", state_->configuration.version));
+                          .with("version", state_->configuration.version)
+                          .with("relayed", relayed_ ? 1 : 0));
     caller_->waiters = &state_->waiters;
     caller_->adapter = need_.adapter;
     exchange_->on_caller_gone([state = caller] {
@@ -116,7 +139,6 @@
         co_await finish(reason_);
         co_return;
     }
-    record_demand();
     co_await run_attempts();
 }
 
@@ -134,12 +156,27 @@
 
 asio::awaitable<void> request_handler::run_attempts() {
     auto const caller = caller_;
+    bool refused = false;
     while (!caller->gone) {
         if (refuse_quarantined()) {
             co_await finish(reason_);
             co_return;
         }
+        if (auto const peer = select_relay(refused, boot_clock::now())) {
+            if (co_await relay(*peer) == relay_outcome::ended) {
+                co_return;
+            }
+            continue;
+        }
+        record_demand();
         replica* const at = co_await find_replica();
+        if (at == nullptr && unreached_ > 0) {
+            state_->reachability.on_replicas_exhausted(boot_clock::now());
+        }
+        refused = at == nullptr;
+        if (refused && select_relay(refused, boot_clock::now())) {
+            continue;
+        }
         // The request may have been quarantined while it waited for its
         // adapter.
         if (at == nullptr || refuse_quarantined() || !consume_resend_budget()) {
@@ -247,6 +284,11 @@
     call_times times = send_times(now);
     call_result const opened = co_await call->open(
         std::move(to), std::move(request), std::move(times));
+    bool const in_time = boot_clock::now() < deadline_ - min_attempt_time;
+    if (in_time) {
+        record_reachability(state_->reachability, id, opened, *call);
+    }
+    unreached_ += in_time && opened == call_result::not_sent ? 1 : 0;
     attempt_outcome end = attempt_outcome::unreached;
     if (opened != call_result::not_sent) {
         tracker_.on_sent();
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -6,6 +6,7 @@
 #include "Delivery/request_fingerprint.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_messenger.hpp"
+#include "Gateway/relay_terms.hpp"
 #include "Ports/http_client.hpp"
 #include "Ports/http_server.hpp"
 #include "platform/request_wire.hpp"
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,7 +31,8 @@
 
 /// Handles one request: selects a replica, forwards the request to it, passes
 /// the answer back to the caller, and retries at other replicas where that is
-/// safe.
+/// safe. A node that reaches no replica relays the request to a peer, whose
+/// handler does the same on its behalf.
 class request_handler {
 public:
     /// @param state     the node's view of the cluster; must outlive the
@@ -37,9 +40,11 @@
     /// @param messenger sends load requests and crash reports to the other
     ///                  nodes; must outlive the handler
     /// @param exchange  the caller's request; must outlive the handler
+    /// @param relayed   set when another node has relayed the request
     request_handler(
         gateway_state& state, peer_messenger& messenger,
-        http_exchange& exchange);
+        http_exchange& exchange,
+        std::optional<relay_terms> relayed = std::nullopt);
     ~request_handler();
     request_handler(request_handler const&) = delete;
     request_handler& operator=(request_handler const&) = delete;
@@ -86,6 +91,17 @@
         bool broke_off = false;
     };
 
+    /// Result of relaying a request to a peer.
+    enum class relay_outcome : std::uint8_t {
+        /// The request has ended.
+        ended,
+        /// Another peer may be tried.
+        retry
+    };
+
+    /// Checks that the request can be handled here.
+    /// @returns false when it is refused
+    bool admit();
     bool resolve_route();
     /// Finds the team of the caller's API key.
     /// @returns false when the request is denied
@@ -95,8 +111,19 @@
     boost::asio::awaitable<bool> take_usage();
     /// Returns the units of a request that has not run.
     void return_unused_usage();
-    /// Records the request in the statistics of demand.
+    /// Records the request in the statistics of demand, and the credit that it
+    /// earns for resends, once.
     void record_demand();
+    /// @param refused true when this node would refuse the request
+    /// @returns the peer to which the request should be relayed now; nothing
+    ///          when this node should handle it itself
+    std::optional<std::string> select_relay(bool refused, instant now);
+    relay_terms make_relay_terms() const;
+    boost::asio::awaitable<relay_outcome> relay(std::string peer);
+    boost::asio::awaitable<relay_outcome>
+    pass_relayed_answer(std::shared_ptr<http_call> call);
+    boost::asio::awaitable<relay_outcome> finish_relay(attempt_outcome end);
+    boost::asio::awaitable<void> skip_answer(std::shared_ptr<http_call> call);
     /// @returns the urgency of the request, 0 for the most urgent
     unsigned priority() const;
     bool refuse_quarantined();
@@ -138,6 +165,8 @@
     boost::asio::awaitable<attempt_outcome>
     read_answer(endpoint_id at, std::shared_ptr<http_call> call);
     boost::asio::awaitable<attempt_outcome>
+    forward_answer(std::shared_ptr<http_call> call, platform::answer_kind kind);
+    boost::asio::awaitable<attempt_outcome>
     forward_stream(std::shared_ptr<http_call> call);
     boost::asio::awaitable<bool>
     forward_events(std::shared_ptr<http_call> call, joined_events events);
@@ -164,6 +193,8 @@
     instant arrived_at_;
     instant deadline_;
     platform::caller_demand demand_;
+    /// Set when another node has relayed the request.
+    std::optional<relay_terms> relayed_;
     std::optional<service_route> route_;
     /// The team of the caller's API key.
     std::optional<team_definition> team_;
@@ -202,6 +233,18 @@
     duration longest_pause_{0};
     bool response_complete_ = false;
     unsigned attempts_ = 0;
+    /// Attempts that could not connect to their replica.
+    unsigned unreached_ = 0;
+    /// Peers to which the request was relayed in vain.
+    std::set<std::string> tried_peers_;
+    /// The answer that is being forwarded is that of a peer.
+    bool relaying_ = false;
+    /// The request was refused before it was handled: another node may do it.
+    bool declined_ = false;
+    /// The request is in the statistics of demand.
+    bool demand_recorded_ = false;
+    /// The request has earned credit for resends.
+    bool counted_ = false;
     instant attempt_began_at_;
     /// Resends that were charged to the budget.
     unsigned resends_ = 0;
--- a/src/Gateway/request_handler_admission.cpp
+++ b/src/Gateway/request_handler_admission.cpp
@@ -28,6 +28,14 @@
         return true;
     }
     authenticated_ = true;
+    if (relayed_) {
+        // The entry node has checked the key, and the team's usage cap.
+        if (!relayed_->team.empty()) {
+            team_ = team_definition{
+                relayed_->team, {}, relayed_->priority, usage_cap()};
+        }
+        return true;
+    }
     std::string_view denial;
     if (demand_.credentials == credentials_kind::api_key) {
         team_definition const* const found =
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -63,7 +63,11 @@
             log_line(event_code::replica_suspected, log_level::warning)
                 .with("replica", at.str())
                 .with("rest_ms", suspected_for));
-        messenger_->broadcast_suspicion(*target, suspected_for);
+        // Guards against replicas that no node uses since this one has lost its
+        // own links to them.
+        if (!state_->reachability.in_doubt(now)) {
+            messenger_->broadcast_suspicion(*target, suspected_for);
+        }
     }
 }
 
@@ -186,7 +190,9 @@
 }
 
 void request_handler::log_completion(std::string_view reason) {
-    state_->metrics.count_request(caller_->gone ? "caller-gone" : reason);
+    // A relayed request is counted by the reason at its entry node.
+    std::string_view const counted = relayed_ ? "relayed" : reason;
+    state_->metrics.count_request(caller_->gone ? "caller-gone" : counted);
     duration const first = first_sent_at_ == instant{}
                                ? duration::zero()
                                : first_sent_at_ - arrived_at_;
@@ -210,6 +216,11 @@
     if (!response_complete_ && !caller->gone && !response_started_) {
         http_response answer = final_answer();
         status_ = answer.status;
+        if (relayed_ && declined_) {
+            answer.fields.add(
+                std::string(platform::relay_field),
+                std::string(relay_declined));
+        }
         response_complete_ = co_await exchange_->respond(std::move(answer));
     }
     log_completion(reason);
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -32,14 +32,27 @@
             state_->replicas.mark_unloading(
                 at, need_.adapter, boot_clock::now());
         }
-        // The answer is read to its end so that the connection can be reused.
-        while (auto const piece = co_await call->next_piece()) {
-            if (piece->empty() || caller->gone) {
-                break;
-            }
-        }
+        co_await skip_answer(call);
         co_return attempt_outcome::refused;
     }
+    co_return co_await forward_answer(call, kind);
+}
+
+// The answer is read to its end so that the connection can be reused.
+asio::awaitable<void>
+request_handler::skip_answer(std::shared_ptr<http_call> call) {
+    auto const caller = caller_;
+    while (auto const piece = co_await call->next_piece()) {
+        if (piece->empty() || caller->gone) {
+            break;
+        }
+    }
+}
+
+asio::awaitable<request_handler::attempt_outcome>
+request_handler::forward_answer(
+    std::shared_ptr<http_call> call, answer_kind kind) {
+    auto const caller = caller_;
     tracker_.on_answering();
     if (kind == answer_kind::spoiled) {
         co_return attempt_outcome::failed;
@@ -54,7 +67,7 @@
     if (stream) {
         co_return co_await forward_stream(call);
     }
-    co_return co_await forward_buffered(call, status);
+    co_return co_await forward_buffered(call, call->status());
 }
 
 asio::awaitable<bool> request_handler::write_to_caller(std::string_view piece) {
@@ -100,8 +113,10 @@
     while (true) {
         auto const left = std::chrono::duration_cast<milliseconds>(
             deadline_ + milliseconds(100) - boot_clock::now());
-        milliseconds const wait =
-            resumable ? std::min(left, stream_idle_timeout) : left;
+        // A peer resumes a stream itself.
+        milliseconds const wait = resumable && !relaying_
+                                      ? std::min(left, stream_idle_timeout)
+                                      : left;
         auto const piece =
             co_await call->next_piece(std::max(wait, milliseconds(1)));
         if (caller->gone) {
--- /dev/null
+++ b/src/Gateway/request_handler_relay.cpp
@@ -0,0 +1,162 @@
+#include "Gateway/request_handler.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using platform::answer_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Nodes answer each other within milliseconds; a connection that takes much
+/// longer leads to a node that is down.
+constexpr milliseconds peer_connect_timeout{300};
+/// Replicas that a request fails to reach before it is relayed although the
+/// node is not known to be partitioned.
+constexpr unsigned unreached_to_relay = 2;
+constexpr std::size_t max_tried_peers = 3;
+
+} // namespace
+
+std::optional<std::string>
+request_handler::select_relay(bool refused, instant now) {
+    bool const may_relay = !relayed_ && tracker_.may_resend() &&
+                           now < deadline_ - min_attempt_time &&
+                           tried_peers_.size() < max_tried_peers;
+    replica_links const links = state_->reachability.links(now);
+    bool const unreachable =
+        links == replica_links::cut || unreached_ >= unreached_to_relay;
+    if (may_relay && unreachable) {
+        return messenger_->select_relay(
+            tried_peers_, replica_links::partly_cut, now);
+    }
+    // The refusal may be due to this node's own links. Where several replicas
+    // have stopped, each node's links are partly cut, and none is asked.
+    if (may_relay && refused && links == replica_links::partly_cut) {
+        return messenger_->select_relay(
+            tried_peers_, replica_links::intact, now);
+    }
+    return std::nullopt;
+}
+
+relay_terms request_handler::make_relay_terms() const {
+    relay_terms terms;
+    terms.sends = tracker_.sends();
+    terms.counted = counted_;
+    if (team_) {
+        terms.team = team_->name;
+        terms.priority = team_->priority;
+    }
+    return terms;
+}
+
+asio::awaitable<request_handler::relay_outcome>
+request_handler::relay(std::string peer) {
+    auto const caller = caller_;
+    if (!consume_resend_budget()) {
+        co_await finish(reason_);
+        co_return relay_outcome::ended;
+    }
+    instant const now = boot_clock::now();
+    state_->log_event(log_line(event_code::request_relayed)
+                          .with("id", demand_.id.str())
+                          .with("peer", peer)
+                          .with("sends", tracker_.sends())
+                          .with("waited_ms", now - arrived_at_));
+    platform::relay_send_terms terms;
+    terms.remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
+    terms.after_event = position_.last();
+    terms.authenticated = authenticated_;
+    terms.relay = encode(make_relay_terms());
+    http_request request = platform::make_relay(exchange_->request(), terms);
+    call_times times = send_times(now);
+    times.connect = peer_connect_timeout;
+    auto const call = std::make_shared<http_call>(
+        state_->io.get_executor(), &state_->peer_connections);
+    caller_->call = call;
+    tracker_.begin();
+    tried_peers_.insert(peer);
+    ip_address to = parse_address(peer);
+    call_result const opened = co_await call->open(
+        std::move(to), std::move(request), std::move(times));
+    if (opened != call_result::not_sent) {
+        tracker_.on_sent();
+        counted_ = true;
+    }
+    if (opened == call_result::answered) {
+        co_return co_await pass_relayed_answer(call);
+    }
+    caller_->call = nullptr;
+    co_return co_await finish_relay(
+        opened == call_result::not_sent ? attempt_outcome::unreached
+                                        : attempt_outcome::silent);
+}
+
+asio::awaitable<request_handler::relay_outcome>
+request_handler::pass_relayed_answer(std::shared_ptr<http_call> call) {
+    auto const caller = caller_;
+    http_fields const fields = call->fields();
+    int const status = call->status();
+    answer_kind const kind = platform::judge_relayed_answer(status, fields);
+    bool const declined = fields.get(platform::relay_field) == relay_declined;
+    if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
+        if (declined) {
+            tracker_.on_declined();
+        } else {
+            tracker_.on_not_executed();
+        }
+        co_await skip_answer(call);
+        caller_->call = nullptr;
+        if (declined) {
+            co_return co_await finish_relay(attempt_outcome::refused);
+        }
+        constexpr int first_failure = 500;
+        if (!tracker_.may_run() && status >= first_failure) {
+            http_response refusal;
+            refusal.status = status;
+            refusal.fields = platform::pass_fields(fields);
+            failure_response_ = std::move(refusal);
+        }
+        co_await finish("refused-by-peer");
+        co_return relay_outcome::ended;
+    }
+    relaying_ = true;
+    attempt_outcome end = co_await forward_answer(call, kind);
+    relaying_ = false;
+    caller_->call = nullptr;
+    bool const late = boot_clock::now() >= deadline_;
+    if (late && end != attempt_outcome::finished) {
+        end = attempt_outcome::late;
+    }
+    // The peer has made the attempts that the route allows.
+    if (end == attempt_outcome::failed && failure_response_) {
+        co_await finish("replica-failed");
+        co_return relay_outcome::ended;
+    }
+    co_return co_await finish_relay(end);
+}
+
+asio::awaitable<request_handler::relay_outcome>
+request_handler::finish_relay(attempt_outcome end) {
+    auto const caller = caller_;
+    if (end == attempt_outcome::finished) {
+        co_await finish("answered");
+        co_return relay_outcome::ended;
+    }
+    if (caller->gone) {
+        co_await finish("caller-gone");
+        co_return relay_outcome::ended;
+    }
+    if (!may_retry(end)) {
+        co_await finish(reason_);
+        co_return relay_outcome::ended;
+    }
+    co_return relay_outcome::retry;
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -315,6 +315,9 @@
             reason_ = "too-late";
             co_return nullptr;
         }
+        if (select_relay(false, now)) {
+            co_return nullptr;
+        }
         endpoint_id const previous_target = load_target_;
         std::optional<replica*> const found = need_.adapter.empty()
                                                   ? select_plain_replica(now)
--- a/src/Gateway/waiter_list.cpp
+++ b/src/Gateway/waiter_list.cpp
@@ -20,6 +20,14 @@
     }
 }
 
+void waiter_list::notify_all() {
+    for (auto const& [adapter, timers] : waiting_) {
+        for (asio::steady_timer* const each : timers) {
+            each->cancel();
+        }
+    }
+}
+
 void waiter_list::notify(adapter_id const& adapter) {
     auto const found = waiting_.find(adapter);
     if (found != waiting_.end()) {
--- a/src/Gateway/waiter_list.hpp
+++ b/src/Gateway/waiter_list.hpp
@@ -22,6 +22,8 @@
     boost::asio::awaitable<void> wait(adapter_id adapter, instant until);
     /// Wakes all requests that wait for the adapter.
     void notify(adapter_id const& adapter);
+    /// Wakes all waiting requests.
+    void notify_all();
 
     /// @returns the number of waiting requests
     std::size_t size() const noexcept { return count_; }
--- a/standins/metadata/metadata_store.cpp
+++ b/standins/metadata/metadata_store.cpp
@@ -1,5 +1,7 @@
 #include "metadata/metadata_store.hpp"
 
+#include <set>
+
 namespace standins {
 
 namespace {
@@ -86,9 +88,16 @@
 
 void metadata_store::leave(std::string const& member) {
     members_.erase(member);
-    std::erase_if(
-        owners_, [&](auto const& each) { return each.second == member; });
-    ++generation_;
+    std::set<std::string> topics;
+    for (auto const& [part, owner] : owners_) {
+        topics.insert(part.first);
+    }
+    if (members_.empty()) {
+        owners_.clear();
+        ++generation_;
+    } else {
+        deal({topics.begin(), topics.end()});
+    }
 }
 
 void metadata_store::deal(std::vector<std::string> const& topics) {
--- a/test/delivery_test.cpp
+++ b/test/delivery_test.cpp
@@ -31,6 +31,12 @@
             CHECK_FALSE(booking.may_run());
             CHECK(booking.may_resend());
         }
+        SUBCASE("the node that it was relayed to has declined it") {
+            booking.on_declined();
+            CHECK_FALSE(booking.may_run());
+            CHECK(booking.may_resend());
+            CHECK(booking.sends() == 0);
+        }
         SUBCASE("the replica begins to answer and is cut off") {
             booking.on_answering();
             CHECK(booking.may_run());
--- a/test/gateway/partitioned_node.cpp
+++ b/test/gateway/partitioned_node.cpp
@@ -17,7 +17,6 @@
 /// Time from a cut until callers are served again: `contact_ms` of the users'
 /// deployments.
 constexpr std::chrono::milliseconds notice_time{3'000};
-constexpr std::size_t topics = 8;
 
 std::string text_of(ip_address const& address) {
     return fmt::format("{}:{}", address.host, address.port);
@@ -29,23 +28,17 @@
     : world_(world)
     , store_(
           world.loop.executor(), http_limits(),
-          [this](http_exchange& exchange) {
-              return metadata_.answer(exchange);
+          [registry = registry_, &world](http_exchange& exchange) {
+              bool const of_replicas =
+                  exchange.request().target.find("keyed.servers") !=
+                  std::string::npos;
+              return of_replicas ? registry->answer(exchange)
+                                 : world.metadata.answer(exchange);
           })
     , settings_(world.settings)
     , full_listener_(world.loop.io()) {
     REQUIRE(store_.listen(local(0)).empty());
-    for (auto const& [key, value] : world.metadata.store().newest("keyed.op")) {
-        metadata_.store().put("keyed.op", key, value);
-    }
     list_replicas();
-    std::vector<std::string> names;
-    for (std::size_t each = 0; each < topics; ++each) {
-        names.push_back(fmt::format("holding{}", each));
-    }
-    metadata_.store().join(
-        text_of(world.settings.peer_address), names, std::chrono::hours(1),
-        boot_clock::now());
     settings_.name = node_id("partitioned");
     settings_.caller_address = unused_address();
     settings_.readiness_address = unused_address();
@@ -69,7 +62,7 @@
           std::pair{&world_.plain, "app"}}) {
         std::string const address =
             replaced_address_.empty() ? replica->address() : replaced_address_;
-        metadata_.store().put(
+        registry_->store().put(
             "keyed.servers", replica->id,
             replica->engine.entry(service, address));
     }
@@ -144,7 +137,7 @@
 
 bool partitioned_node::holds_partitions() {
     std::string const self = text_of(settings_.peer_address);
-    for (auto const& [part, member] : metadata_.store().owners()) {
+    for (auto const& [part, member] : world_.metadata.store().owners()) {
         if (member == self) {
             return true;
         }
--- a/test/gateway/partitioned_node.hpp
+++ b/test/gateway/partitioned_node.hpp
@@ -14,12 +14,12 @@
 enum class partition_kind { refused, hanging };
 
 /// An additional node whose connections to all replicas can be cut, while the
-/// store, its callers and the first node of the fixture reach it. It has a
-/// store of its own, whose registry names other addresses of the replicas.
+/// store, its callers and the other nodes reach it. It has a registry of its
+/// own, which names other addresses of the replicas.
 class partitioned_node {
 public:
-    /// Starts the node without a partition, and waits until it is ready and
-    /// knows the first node of the fixture.
+    /// Starts the node with its links, and waits until it is ready and knows
+    /// the other nodes.
     explicit partitioned_node(gateway_fixture& world);
     ~partitioned_node();
 
@@ -45,7 +45,10 @@
     void list_replicas();
 
     gateway_fixture& world_;
-    standins::metadata_http metadata_;
+    /// Answers calls about the replica registry only. Shared with the server's
+    /// pending calls, which complete on the loop later.
+    std::shared_ptr<standins::metadata_http> registry_ =
+        std::make_shared<standins::metadata_http>();
     http_server store_;
     gateway_settings settings_;
     std::unique_ptr<gateway> node_;
