--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -242,6 +242,32 @@
     return true;
 }
 
+bool fleet::mark_brittle(
+    endpoint_id const& id, unsigned max_rejections, duration pause,
+    instant now) {
+    replica* const target = find(id);
+    if (target == nullptr) {
+        return false;
+    }
+    bool const unknown = !target->brittleness;
+    target->brittleness = replica_brittleness{max_rejections, now};
+    if (pause > duration::zero()) {
+        target->no_room_until = std::max(target->no_room_until, now + pause);
+    }
+    return unknown;
+}
+
+bool fleet::clear_brittle(endpoint_id const& id, instant sent_at) {
+    replica* const target = find(id);
+    if (target == nullptr || !target->brittleness ||
+        sent_at <= target->brittleness->named_at) {
+        return false;
+    }
+    target->brittleness.reset();
+    target->no_room_until = {};
+    return true;
+}
+
 void fleet::expire_usage(instant now) {
     for (auto& [id, each] : all_) {
         std::erase_if(each.load_rejections, [&](auto const& denied) {
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -52,6 +52,15 @@
 /// for this long, since only an answer can show that the limit is lifted.
 inline constexpr duration rate_limit_check_interval = std::chrono::seconds(1);
 
+/// A replica that falls over when it has to reject too many requests for want
+/// of room, as named in its answers.
+struct replica_brittleness {
+    /// Rejections in a second, of requests of all nodes, that it bears.
+    unsigned max_rejections = 0;
+    /// When the latest answer that named it was received.
+    instant named_at;
+};
+
 /// This node's view of one replica.
 struct replica {
     replica_record record;
@@ -87,6 +96,10 @@
     instant unlimited_at;
     /// No permit is available before this time.
     instant permit_from;
+    /// Set while the replica must not reject more than a few requests.
+    std::optional<replica_brittleness> brittleness;
+    /// A brittle replica has rejected a request and gets no others until then.
+    instant no_room_until;
     /// When the replica shuts down, if it announced this at short notice.
     instant shutdown_at = instant::max();
 
@@ -108,6 +121,14 @@
         return rate_limit &&
                now < rate_limit->named_at + rate_limit_check_interval;
     }
+    /// @returns false when a further request might be rejected by a brittle
+    ///          replica
+    bool has_room(instant now) const noexcept {
+        // Two other nodes may send at the same moment.
+        unsigned const reserve = std::min(2U, record.slots / 4);
+        return !brittleness ||
+               (now >= no_room_until && running() + reserve < record.slots);
+    }
     /// @returns the number of requests of all nodes that are running there
     unsigned running() const noexcept { return running_local + running_remote; }
     /// @returns true when the usage by other nodes was reported recently.
@@ -188,6 +209,18 @@
     /// lifts it.
     /// @returns true when this lifts a limit
     bool lift_rate_limit(endpoint_id const& id, instant sent_at);
+    /// Applies an answer that says that the replica is brittle, received here
+    /// or by another node.
+    /// @param pause how long the replica gets no requests, since it has
+    ///              rejected one
+    /// @returns true when that was unknown
+    bool mark_brittle(
+        endpoint_id const& id, unsigned max_rejections, duration pause,
+        instant now);
+    /// Applies an answer that does not say so. Only one to a request that was
+    /// sent after the latest that did lifts it.
+    /// @returns true when this lifts it
+    bool clear_brittle(endpoint_id const& id, instant sent_at);
     /// Resets the usage by other nodes where the last report is too old, since
     /// the controller that counted has stopped, and drops denials that are no
     /// longer valid.
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -86,7 +86,7 @@
 bool replica_selector::is_eligible(
     replica const& each, replica_requirements const& requirements,
     instant now) const {
-    return each.accepts_requests() &&
+    return each.accepts_requests() && each.has_room(now) &&
            now + requirements.permit_budget >= each.permit_from &&
            each.shutdown_at > now + requirements.expected_time &&
            std::ranges::find(requirements.tried_replicas, each.record.id) ==
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -237,6 +237,19 @@
     }
 };
 
+/// An answer has said that its replica is brittle.
+struct peer_brittle_replica {
+    std::uint64_t replica = 0;
+    std::uint32_t max_rejections = 0;
+    /// How long it gets no requests, since it has rejected one.
+    std::uint32_t pause_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, max_rejections, pause_ms);
+    }
+};
+
 /// Asks the controller of a replica with a rate limit for a permit to send one
 /// request.
 struct peer_permit_request {
@@ -324,6 +337,7 @@
     std::vector<peer_quarantine> quarantines;
     std::vector<peer_gate_message> gate_messages;
     std::vector<peer_rate_limit> rate_limits;
+    std::vector<peer_brittle_replica> brittle_replicas;
     std::vector<peer_permit_request> permit_requests;
     std::vector<peer_permit_reply> permit_replies;
     std::vector<peer_usage_message> usage_messages;
@@ -343,7 +357,7 @@
     /// What the sender reaches of the replicas.
     replica_links links = replica_links::intact;
 
-    static constexpr std::uint32_t current_format = 11;
+    static constexpr std::uint32_t current_format = 12;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -378,8 +392,9 @@
             of.replica_usages, of.usage_queries, of.load_requests,
             of.adapter_usages, of.residencies, of.claims, of.suspicions,
             of.load_rejections, of.crashes, of.completions, of.quarantines,
-            of.gate_messages, of.rate_limits, of.permit_requests,
-            of.permit_replies, of.usage_messages, of.registry_updates);
+            of.gate_messages, of.rate_limits, of.brittle_replicas,
+            of.permit_requests, of.permit_replies, of.usage_messages,
+            of.registry_updates);
     }
     std::uint32_t present_lists() const noexcept {
         std::uint32_t present = 0;
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -159,6 +159,14 @@
     void report_rate_limit(
         endpoint_id const& at, std::optional<double> per_second,
         instant sent_at);
+    /// Applies what an answer of a replica says about its brittleness, and
+    /// tells all nodes when it is news or the replica has rejected the request.
+    /// @param max_rejections as it names it; nothing when it names none
+    /// @param rejected the replica had no room for the request
+    /// @param sent_at when the request was sent
+    void report_brittleness(
+        endpoint_id const& at, std::optional<unsigned> max_rejections,
+        bool rejected, instant sent_at);
     /// Asks the controller of a replica with a rate limit for a permit to send
     /// one request there. A controller that does not answer has granted none.
     /// @param budget how long the request may wait
@@ -244,6 +252,9 @@
         request_fingerprint fingerprint, std::uint64_t attempt, instant now);
     void apply_rate_limit(
         peer_rate_limit const& message, std::string_view by, instant now);
+    /// @returns true when it was not known that the replica is brittle
+    bool apply_brittleness(
+        peer_brittle_replica const& message, std::string_view by, instant now);
     /// @returns the message about a replica's limit, or about its absence
     static peer_rate_limit rate_limit_message(replica const& at, instant now);
     std::optional<peer_permit_reply>
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -153,6 +153,9 @@
     for (peer_rate_limit const& each : message.rate_limits) {
         apply_rate_limit(each, "message", now);
     }
+    for (peer_brittle_replica const& each : message.brittle_replicas) {
+        apply_brittleness(each, "message", now);
+    }
     for (peer_permit_request const& each : message.permit_requests) {
         handle_permit_request(each, message.from, now);
     }
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -142,8 +142,9 @@
     /// Sets the reason of a refusal because of the rate limits of all replicas.
     /// @returns true when there is such a reason
     bool refuse_limited(instant now);
-    /// Applies what an answer says about the rate limit of its replica.
-    void note_rate_limit(
+    /// Applies what an answer says about the rate limit of its replica, and
+    /// about the rejections that it bears.
+    void note_limits(
         endpoint_id const& at, platform::answer_kind kind,
         http_fields const& answer);
     void report_first_output();
--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -69,7 +69,7 @@
         !caller->gone;
 }
 
-void request_handler::note_rate_limit(
+void request_handler::note_limits(
     endpoint_id const& at, platform::answer_kind kind,
     http_fields const& answer) {
     using platform::answer_kind;
@@ -78,6 +78,9 @@
         return;
     }
     platform::named_rate_limit const limit = platform::read_rate_limit(answer);
+    messenger_->report_brittleness(
+        at, platform::read_max_rejections(answer),
+        kind == answer_kind::not_executed, attempt_began_at_);
     // A refusal without a limit may come from a part of the replica that does
     // not know it.
     if (!limit.named && kind == answer_kind::not_executed) {
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -94,6 +94,8 @@
     replica_reported = 944,
     load_queued = 945,
     load_turned_away = 946,
+    replica_brittle = 947,
+    replica_not_brittle = 948,
     lines_left_out = 991
 };
 
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -164,9 +164,13 @@
         fault = faults.front();
         faults.pop_front();
     }
-    if (fault == replica_fault::full) {
+    bool const no_room = room > 0 && running_ >= room;
+    if (no_room) {
+        rejections.push_back(clock_now());
+    }
+    if (fault == replica_fault::full || no_room) {
         http_response response = not_run(503);
-        name_rate_limit(response.fields);
+        name_limits(response.fields);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -190,12 +194,17 @@
         co_await stream(exchange, fault);
         co_return;
     }
+    if (service_time > milliseconds(0)) {
+        ++running_;
+        co_await wait_for(service_time);
+        --running_;
+    }
     http_response response;
     response.status = fault == replica_fault::failure ? 500 : 200;
     if (fault != replica_fault::unsigned_answer) {
         response.fields.add("X-Response-Signature", "signed." + id_);
     }
-    name_rate_limit(response.fields);
+    name_limits(response.fields);
     response.fields.add(
         "X-Request-Id", std::string(fields.get("X-Request-Id")));
     response.body = "answer of " + id_ + " to " + exchange.request().body;
@@ -207,7 +216,7 @@
     http_fields answer;
     answer.add("Content-Type", "text/event-stream");
     answer.add("X-Response-Signature", "signed." + id_);
-    name_rate_limit(answer);
+    name_limits(answer);
     answer.add(
         "X-Request-Id",
         std::string(exchange.request().fields.get("X-Request-Id")));
@@ -233,10 +242,13 @@
     co_await exchange.end_stream();
 }
 
-void replica_engine::name_rate_limit(http_fields& answer) const {
+void replica_engine::name_limits(http_fields& answer) const {
     if (!rate_limit.empty()) {
         answer.add("Server-Limit", rate_limit);
     }
+    if (!brittle.empty()) {
+        answer.add("Server-Brittle", brittle);
+    }
 }
 
 } // namespace standins
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -73,6 +73,16 @@
     /// The text that each answer gives as the rate of requests that the replica
     /// takes, a decimal number per second; empty when it names none.
     std::string rate_limit;
+    /// The text that each answer gives as the rejections in a second that the
+    /// replica bears; empty when it names none.
+    std::string brittle;
+    /// Requests without a model that it runs at once; 0 for any number. Others
+    /// are rejected.
+    unsigned room = 0;
+    /// How long it runs each of them.
+    std::chrono::milliseconds service_time{0};
+    /// When it has rejected a request for want of room.
+    std::vector<camphorpoint::instant> rejections;
     /// When each request arrived, whether it was run or not.
     std::vector<camphorpoint::instant> arrivals;
     /// Where the caller has left before a stream's end, and how long ago.
@@ -89,7 +99,7 @@
     boost::asio::awaitable<void>
     stream(camphorpoint::http_exchange& exchange, replica_fault fault);
     bool holds(std::string const& model) const;
-    void name_rate_limit(camphorpoint::http_fields& answer) const;
+    void name_limits(camphorpoint::http_fields& answer) const;
 
     std::string id_;
     std::string model_;
@@ -100,6 +110,7 @@
     /// Its entry was written so often.
     mutable std::uint64_t heartbeats_ = 0;
     std::uint64_t fence_ = 0;
+    unsigned running_ = 0;
     std::map<std::string, held> adapters_;
 };
 
