A connection outlives a server that is silent for a second or so

With 1.5 s an idle stream was given up at the probe 2 s after its last byte when both probes fell into a silence of little more than a second. 2.2 s outlives that and still ends dead connections before contact_ms (3 s), so that a node notices in time that it is cut off. Read, not seen: loopback cannot hold back the kernel's acknowledgements, so no test shows it.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -52,8 +52,10 @@
 
 /// A connection that goes silent without a reset, as behind a partition, would
 /// hold what it carries for minutes. The kernel gives unacknowledged bytes up
-/// after this, and asks an idle server once a second.
-constexpr int silence_limit_ms = 1'500;
+/// after this, and asks an idle server once a second. The limit also ends these
+/// questions, whatever their number: a sound server may be silent for a second
+/// or so, in which two of them are lost.
+constexpr int silence_limit_ms = 2'200;
 constexpr int keep_alive_seconds = 1;
 constexpr int keep_alive_probes = 2;
 
