--- a/src/Delivery/resend_budget.cpp
+++ b/src/Delivery/resend_budget.cpp
@@ -19,8 +19,9 @@
 } // namespace
 
 std::int64_t resend_budget::step_number(instant now) const {
-    auto const width =
-        std::chrono::duration_cast<duration>(limits_.window) / steps_per_window;
+    constexpr auto steps = static_cast<std::int64_t>(steps_per_window);
+    duration const window = limits_.window;
+    duration const width = window / steps;
     return now.time_since_epoch() / width;
 }
 
