Resend budget: steps of an earlier window are dropped when the window changes

Read in the review of the change: with a longer window the steps have lower numbers, and older ones with higher numbers would stay at the front for good. delivery_test: a changed window starts from no credit (both directions).

--- a/src/Delivery/resend_budget.cpp
+++ b/src/Delivery/resend_budget.cpp
@@ -28,7 +28,11 @@
 template <class Step>
 Step& resend_budget::newest_step(std::deque<Step>& past, std::int64_t number) {
     constexpr auto kept = static_cast<std::int64_t>(history_steps);
-    while (!past.empty() && past.front().number <= number - kept) {
+    // After a change of the window the steps have other numbers.
+    auto const outside = [=](Step const& each) {
+        return each.number <= number - kept || each.number > number;
+    };
+    while (!past.empty() && outside(past.front())) {
         past.pop_front();
     }
     if (past.empty() || past.back().number != number) {
--- a/test/delivery_test.cpp
+++ b/test/delivery_test.cpp
@@ -133,6 +133,15 @@
         budget.set_slack_share(1, matured);
         CHECK(taken(budget, matured) <= 1);
     }
+    SUBCASE("a changed window starts from no credit") {
+        run(budget, 1, true);
+        for (seconds const window : {seconds(20), seconds(5)}) {
+            limits.window = window;
+            budget.set_limits(limits);
+            budget.set_slack_share(1, matured);
+            CHECK(taken(budget, matured) == 0);
+        }
+    }
     SUBCASE("services have separate budgets") {
         run(budget, 0.25, false);
         taken(budget, matured);
