--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -335,6 +335,12 @@
     return sum;
 }
 
+http_fields with_key(std::string const& key) {
+    http_fields fields;
+    fields.add("Authorization", "Bearer " + key);
+    return fields;
+}
+
 void append_filler_records(
     gateway_fixture& world, std::string const& topic, int count) {
     for (int each = 0; each < count; ++each) {
--- a/test/gateway/gateway_fixture.hpp
+++ b/test/gateway/gateway_fixture.hpp
@@ -143,6 +143,9 @@
     http_server store_;
 };
 
+/// @returns the header field of a caller with this API key
+http_fields with_key(std::string const& key);
+
 /// Appends records without new information, so that the log of the topic grows
 /// beyond the position from which a node reads on.
 void append_filler_records(
--- a/test/gateway/partition_from_replicas_test.cpp
+++ b/test/gateway/partition_from_replicas_test.cpp
@@ -14,16 +14,11 @@
 using testing::gateway_fixture;
 using testing::partition_kind;
 using testing::partitioned_node;
+using testing::with_key;
 using testing::within;
 
 namespace {
 
-http_fields with_key(std::string const& key) {
-    http_fields fields;
-    fields.add("Authorization", "Bearer " + key);
-    return fields;
-}
-
 /// @returns the name of a team whose usage the first node counts
 std::string team_counted_by_first_node(gateway_fixture& world) {
     constexpr std::size_t parts = 12;
--- a/test/gateway/team_test.cpp
+++ b/test/gateway/team_test.cpp
@@ -13,16 +13,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::gateway_fixture;
+using testing::with_key;
 using testing::within;
 
 namespace {
 
-http_fields with_key(std::string const& key) {
-    http_fields fields;
-    fields.add("Authorization", "Bearer " + key);
-    return fields;
-}
-
 /// A cluster of three nodes with two teams.
 struct team_world {
     team_world() {
