Tests of engines and services that fall silent and go on

On profiles no silence of a replica ends an answer: nothing bounds a step of a call but its deadline.

--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -83,7 +83,9 @@
     for (std::size_t index = 0; index < nodes.size(); ++index) {
         later(index, net_delay, list);
         for (fake_engine const& each : engines) {
-            later(index, net_delay, each.report());
+            if (now_ >= each.silent_until) {
+                later(index, net_delay, each.report());
+            }
         }
     }
     after(list_period, [this] { list_all(); });
@@ -125,6 +127,14 @@
     ++engines[engine].incarnation;
 }
 
+void cluster::silence_engine(std::size_t engine, milliseconds time) {
+    engines[engine].silent_until = now_ + time;
+}
+
+duration cluster::silence_left(endpoint_id const& engine) {
+    return std::max(duration(0), engine_at(engine).silent_until - now_);
+}
+
 void cluster::cut_streams(std::size_t engine) {
     std::vector<running_attempt> cut;
     for (auto const& [id, attempt] : running_) {
@@ -284,6 +294,10 @@
 }
 
 void cluster::take_order(std::size_t node, engine_order const& order) {
+    if (duration const left = silence_left(order.replica); left > duration(0)) {
+        after(left, [this, node, order] { take_order(node, order); });
+        return;
+    }
     fake_engine& engine = engine_at(order.replica);
     order_result const how = engine.take(order);
     later(
@@ -294,40 +308,72 @@
 
 void cluster::on(std::size_t node, start_attempt const& action) {
     attempts.push_back(action);
-    fake_engine& engine = engine_at(action.endpoint);
-    running_attempt attempt{node, action, action.from_token};
+    running_attempt const attempt{node, action, action.from_token};
     if (now_ >= action.send_before) {
         end_attempt(attempt, attempt_result::not_sent);
-        return;
+    } else if (silence_left(action.endpoint) > duration(0)) {
+        running_[action.id] = attempt;
+        await_engine(attempt, &cluster::begin);
+    } else {
+        begin(attempt);
     }
-    if (!engine.resident.contains(action.adapter)) {
+}
+
+void cluster::await_engine(
+    running_attempt const& attempt, void (cluster::*next)(running_attempt)) {
+    duration const left = std::min(
+        silence_left(attempt.order.endpoint), attempt.order.deadline - now_);
+    after(left, [this, attempt, next] {
+        if (!is_current(attempt)) {
+            return;
+        }
+        if (now_ >= attempt.order.deadline) {
+            end_attempt(attempt, attempt_result::timed_out);
+            return;
+        }
+        (this->*next)(attempt);
+    });
+}
+
+bool cluster::is_current(running_attempt const& attempt) const {
+    auto const found = running_.find(attempt.order.id);
+    return found != running_.end() &&
+           found->second.order.attempt == attempt.order.attempt;
+}
+
+void cluster::begin(running_attempt attempt) {
+    start_attempt const& order = attempt.order;
+    fake_engine& engine = engine_at(order.endpoint);
+    if (!engine.resident.contains(order.adapter)) {
         end_attempt(attempt, attempt_result::refused_not_loaded);
         return;
     }
-    if (action.from_token > 0 && !engine.known.contains(action.engine_id)) {
+    if (order.from_token > 0 && !engine.known.contains(order.engine_id)) {
         end_attempt(attempt, attempt_result::failed);
         return;
     }
-    if (action.from_token == 0) {
-        ++engine.begun[action.engine_id];
-        engine.known.insert(action.engine_id);
-        runs.push_back(action);
+    if (order.from_token == 0) {
+        ++engine.begun[order.engine_id];
+        engine.known.insert(order.engine_id);
+        runs.push_back(order);
     }
-    engine.running[action.engine_id] = action.adapter;
-    running_[action.id] = attempt;
+    engine.running[order.engine_id] = order.adapter;
+    running_[order.id] = attempt;
     after(engine.token_time, [this, attempt] { step(attempt); });
 }
 
 void cluster::step(running_attempt attempt) {
-    auto const found = running_.find(attempt.order.id);
-    if (found == running_.end() ||
-        found->second.order.attempt != attempt.order.attempt) {
+    if (!is_current(attempt)) {
         return;
     }
     if (now_ >= attempt.order.deadline) {
         end_attempt(attempt, attempt_result::timed_out);
         return;
     }
+    if (silence_left(attempt.order.endpoint) > duration(0)) {
+        await_engine(attempt, &cluster::step);
+        return;
+    }
     fake_engine const& engine = engine_at(attempt.order.endpoint);
     ++attempt.tokens;
     later(
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -55,6 +55,8 @@
     /// The engine's process ends and begins anew: its streams break off, its
     /// memory is empty.
     void restart_engine(std::size_t engine);
+    /// The engine's process stands still, and goes on after a while.
+    void silence_engine(std::size_t engine, milliseconds time);
     /// Breaks the connections of an engine's streams; it cancels them.
     void cut_streams(std::size_t engine);
 
@@ -108,7 +110,13 @@
     void on(std::size_t node, finish_request const& action);
     void on(std::size_t node, drain_finished const& action);
     void take_order(std::size_t node, engine_order const& order);
+    void begin(running_attempt attempt);
     void step(running_attempt attempt);
+    /// Goes on with an attempt when its engine does, unless it has ended.
+    void await_engine(
+        running_attempt const& attempt, void (cluster::*next)(running_attempt));
+    bool is_current(running_attempt const& attempt) const;
+    duration silence_left(endpoint_id const& engine);
     void end_attempt(running_attempt const& attempt, attempt_result how);
     std::size_t index_of(node_id const& id) const;
     fake_engine& engine_at(endpoint_id const& id);
--- a/test/support/fake_engine.hpp
+++ b/test/support/fake_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/ids.hpp"
+#include "Core/time.hpp"
 #include "Records/engine_order.hpp"
 #include "Records/instance_record.hpp"
 
@@ -33,6 +34,8 @@
     std::uint32_t tokens = 10;
     std::chrono::milliseconds token_time{20};
     std::chrono::milliseconds load_time{200};
+    /// Until then its process stands still: no token, answer or report leaves.
+    instant silent_until{};
 
     /// @returns true when a stream uses the adapter
     bool in_use(adapter_ref const& adapter) const {
