Reports of engines: their age counts from when they were asked for

What callers saw: nothing directly. An owner that reads an engine's report took it for measured `age_ms` before its arrival. An engine that falls silent within the answer, or whose answer is held up on its way, so reports a state of a second ago as that of now. Adapters that were loaded meanwhile count as vanished and are loaded again while their requests wait; an adapter that was put to use meanwhile counts as idle, and may be evicted under a stream that the entry node has left to the engine for a resume.

Evidence, an answer that stops after ten bytes for 700 ms, on the old code:

silent_endpoint_test.cpp:406: ERROR: CHECK( report->age >= silence + milliseconds(40) ) is NOT correct! values: CHECK( 40000000ns >= 740ms )

Change: the time since the question is added to the age. A report is then never newer than it says; at most it is older, by the way of its answer.

--- a/src/Ports/engine_http.cpp
+++ b/src/Ports/engine_http.cpp
@@ -275,8 +275,9 @@
 engine_http::report(endpoint_id replica, std::string address) {
     http_request request;
     request.target = "/report";
+    instant const asked = boot_clock::now();
     call_times times;
-    times.close_at = boot_clock::now() + timeout_;
+    times.close_at = asked + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
     fetch_result const got =
@@ -284,7 +285,13 @@
     if (got.how != call_result::answered || got.response.status != status_ok) {
         co_return std::nullopt;
     }
-    co_return parse_engine_report(got.response.body, std::move(replica));
+    auto report = parse_engine_report(got.response.body, std::move(replica));
+    if (report) {
+        // The engine may have measured right after the question, and its
+        // answer may have been held up since.
+        report->age += boot_clock::now() - asked;
+    }
+    co_return report;
 }
 
 } // namespace camphorpoint
--- a/src/Ports/engine_http.hpp
+++ b/src/Ports/engine_http.hpp
@@ -94,6 +94,8 @@
     /// Gives an order; nothing is sent past its not_after.
     boost::asio::awaitable<order_result>
     order(engine_order order, std::string address);
+    /// Reads an engine's report. Its age counts from when it was asked for, so
+    /// that it never seems newer than it is.
     /// @returns the engine's report, or nothing when it did not come in time
     boost::asio::awaitable<std::optional<engine_report>>
     report(endpoint_id replica, std::string address);
--- a/src/Records/engine_order.hpp
+++ b/src/Records/engine_order.hpp
@@ -51,7 +51,7 @@
     std::vector<adapter_ref> loading;
     /// Adapters that a running request uses.
     std::vector<adapter_ref> in_use;
-    /// How old the figures were when the engine sent them.
+    /// How old the figures are at most when the node receives them.
     duration age{};
 };
 
--- a/test/ports/silent_endpoint_test.cpp
+++ b/test/ports/silent_endpoint_test.cpp
@@ -375,4 +375,35 @@
     CHECK(end.took < longest);
 }
 
+// Guards against a report that counts as newer than it is because the engine
+// fell silent within its answer: an adapter that was loaded meanwhile would be
+// forgotten, or one that was put to use meanwhile would be evicted.
+TEST_CASE("the age of a report counts from when it was asked for") {
+    constexpr milliseconds silence{700};
+    loopback loop;
+    scripted_server const server(
+        loop, [&](tcp::socket& socket, std::size_t) -> asio::awaitable<void> {
+            std::string const body =
+                R"({"incarnation":2,"running":0,"queued":0,"resident":[],)"
+                R"("loading":[],"in_use":[],"age_ms":40})";
+            std::string const head = fmt::format(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.size());
+            std::string const begun = head + body.substr(0, 10);
+            std::string const rest = body.substr(10);
+            co_await testing::read_request(socket);
+            co_await testing::write_text(socket, begun);
+            co_await pause(silence);
+            co_await testing::write_text(socket, rest);
+            co_await testing::read_until(socket, "");
+        });
+    caller one(loop);
+    std::optional<engine_report> report;
+    loop.run([&]() -> asio::awaitable<void> {
+        report =
+            co_await one.engines.report(endpoint_id("e1"), server.address());
+    });
+    REQUIRE(report);
+    CHECK(report->age >= silence + milliseconds(40));
+}
+
 } // namespace camphorpoint
