Attempts: an engine is told when a request's deadline has passed

What was seen: an engine that was silent until a request's deadline, or too slow for it, went on with the request for its grace period (5 s at the stand-in), though its caller had the answer "unknown" and the grant was returned. The design says that the attempt is cancelled at the engine at a deadline; but the port closes the connection at the deadline itself, before the next tick of the decisions, so the attempt has ended when they come to cancel it, and a closed connection alone leaves the run to be resumed.

Evidence, a deadline of 200 ms at a silent engine, on the old code:

node_test.cpp:501: FATAL ERROR: REQUIRE( requests.size() == 2 ) is NOT correct! values: REQUIRE( 1 == 2 )

Change: the runner that sees an attempt time out tells the engine to stop, by the same call as a cancellation. The engine gets it at once after the deadline (the test waits at most 500 ms; it was never sent before).

--- a/src/Node/attempt_runner.cpp
+++ b/src/Node/attempt_runner.cpp
@@ -59,14 +59,16 @@
     attempt.cancelled = true;
     attempt.http.cancel();
     if (attempt.what.kind == endpoint_kind::engine && !what.keep_for_resume) {
-        asio::co_spawn(
-            executor_,
-            engines_->cancel_stream(
-                attempt.what.address, attempt.what.engine_id),
-            asio::detached);
+        tell_engine_to_stop(attempt.what);
     }
 }
 
+void attempt_runner::tell_engine_to_stop(start_attempt const& what) {
+    asio::co_spawn(
+        executor_, engines_->cancel_stream(what.address, what.engine_id),
+        asio::detached);
+}
+
 asio::awaitable<void> attempt_runner::run(running_ptr attempt) {
     attempt_ended end;
     bool const may_run = attempt->caller != nullptr && !attempt->cancelled &&
@@ -131,6 +133,10 @@
     };
     engine_stream_end const got = co_await engines_->run(
         attempt->http, std::move(request), std::move(sink));
+    if (got.how == attempt_result::timed_out) {
+        // The engine takes a closed connection for one that may be resumed.
+        tell_engine_to_stop(what);
+    }
     attempt_ended end;
     end.how = got.how;
     end.status = got.status;
--- a/src/Node/attempt_runner.hpp
+++ b/src/Node/attempt_runner.hpp
@@ -56,6 +56,8 @@
     boost::asio::awaitable<void> run(running_ptr attempt);
     boost::asio::awaitable<attempt_ended> run_engine(running_ptr attempt);
     boost::asio::awaitable<attempt_ended> run_service(running_ptr attempt);
+    /// Ends a run that nobody will read.
+    void tell_engine_to_stop(start_attempt const& what);
     void note_progress(running_attempt const& attempt);
 
     boost::asio::any_io_executor executor_;
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -453,6 +453,56 @@
     CHECK(engine.requests.front().target == "/v1/streams/engine-7");
 }
 
+// Guards against an engine that goes on with a request whose deadline has
+// passed: it was silent until then, and nothing tells it to stop.
+TEST_CASE("an engine is told when a request's deadline has passed") {
+    loopback loop;
+    test_node node(loop);
+    std::vector<http_request> requests;
+    http_server silent(
+        loop.executor(), {},
+        [&](http_exchange& exchange) -> asio::awaitable<void> {
+            requests.push_back(exchange.request());
+            if (exchange.request().method == "DELETE") {
+                http_response response;
+                co_await exchange.respond(std::move(response));
+                co_return;
+            }
+            asio::steady_timer timer(loop.io(), std::chrono::seconds(1));
+            co_await timer.async_wait(asio::use_awaitable);
+        });
+    REQUIRE(silent.listen(testing::local(0)).empty());
+    node.core.react = [&](node_event const& event,
+                          std::vector<node_action>& out) {
+        if (auto const* request = std::get_if<caller_request>(&event)) {
+            start_attempt start;
+            start.id = request->id;
+            start.attempt = 1;
+            start.endpoint = endpoint_id("e1");
+            start.address = "127.0.0.1:" + std::to_string(silent.port());
+            start.adapter = {adapter_id("audit"), 3};
+            start.engine_id = request_id("engine-7");
+            start.deadline = boot_clock::now() + std::chrono::milliseconds(200);
+            start.send_before = start.deadline;
+            out.emplace_back(start);
+        }
+        if (auto const* end = std::get_if<attempt_ended>(&event)) {
+            out.emplace_back(
+                finished(end->id, outcome::unknown, reason::deadline_passed));
+        }
+    };
+    node.ask_caller(completions, "", R"({"model":"a","stream":true})");
+    REQUIRE(node.core.last<attempt_ended>() != nullptr);
+    CHECK(node.core.last<attempt_ended>()->how == attempt_result::timed_out);
+    // The engine's answer to the first request is still under way.
+    auto const until = boot_clock::now() + std::chrono::milliseconds(500);
+    loop.run_until(
+        [&] { return requests.size() == 2 || boot_clock::now() >= until; });
+    REQUIRE(requests.size() == 2);
+    CHECK(requests.back().method == "DELETE");
+    CHECK(requests.back().target == "/v1/streams/engine-7");
+}
+
 // A caller with a key leaves and its run breaks off. A further attempt has
 // nobody to bring its answer to; told as not sent, it counts against a replica
 // that was not called.
