HTTP client: a host that answers window probes is not lost

What callers saw: a request with a long prompt ended as "unknown" (or was run a second time at the cost of the retry budget, and counted as a crash for the quarantine) when its endpoint's process stood still for more than 2.2 s before it had read the request, though the process went on long before the deadline.

Cause: TCP_USER_TIMEOUT, which ends a connection whose host acknowledges nothing, also ends one whose peer keeps its receive window closed, although the host answers each window probe. What does not fit into the peer's receive buffer (64 KB and more) waits in this node's kernel meanwhile.

Evidence, a prompt of 600 KB at an engine that reads it after 3 s, on the old code; a short prompt passed:

silent_endpoint_test.cpp:280: ERROR: CHECK( end.how == attempt_result::completed ) is NOT correct! values: CHECK( 5 == 0 ) silent_endpoint_test.cpp:281: ERROR: CHECK( end.tokens == 3 ) is NOT correct! values: CHECK( 0 == 3 )

Change: while a request of more than 32 KB is under way, `send_watch` looks every 250 ms whether all is acknowledged; when nothing has moved for a second and the host still answers, it extends the kernel's limit until the next window probe. Silences of 3 and 7 s are completed. The client is that of both paths.

A host that is lost after a longer stall is reported after at most as long again.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -1,14 +1,15 @@
 #include "Ports/http_client.hpp"
 
 #include "Ports/http_connection.hpp"
+#include "Ports/send_watch.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -50,27 +51,9 @@
     return message;
 }
 
-/// A connection that goes silent without a reset, as behind a partition, would
-/// hold what it carries for minutes. The kernel gives unacknowledged bytes up
-/// after this, and asks an idle server once a second. The limit also ends these
-/// questions, whatever their number: a sound server may be silent for a second
-/// or so, in which two of them are lost.
-constexpr int silence_limit_ms = 2'200;
-constexpr int keep_alive_seconds = 1;
-constexpr int keep_alive_probes = 2;
-
-void bound_silence(tcp::socket& socket) {
-    int const handle = socket.native_handle();
-    int const on = 1;
-    auto const set = [&](int level, int name, int value) {
-        ::setsockopt(handle, level, name, &value, sizeof value);
-    };
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, silence_limit_ms);
-    set(SOL_SOCKET, SO_KEEPALIVE, on);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_seconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_seconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
-}
+/// A longer request may not fit into the receive buffer of a server that does
+/// not read.
+constexpr std::size_t watched_request = 32U << 10U;
 
 /// @returns how long a server keeps an idle connection, as its answer tells,
 ///          less the time that a request may take on its way
@@ -91,7 +74,7 @@
 
 } // namespace
 
-class http_call::state {
+class http_call::state : public std::enable_shared_from_this<state> {
 public:
     state(asio::any_io_executor executor, http_pool* pool)
         : executor_(std::move(executor))
@@ -112,6 +95,8 @@
     }
     asio::awaitable<bool> make_connection();
     asio::awaitable<bool> write(http_request request);
+    void watch_sending();
+    static asio::awaitable<void> watch_sending(std::shared_ptr<state> self);
     asio::awaitable<bool> read_header();
     asio::awaitable<std::optional<std::string>> read_piece();
     asio::awaitable<std::optional<std::string>> read_some();
@@ -139,6 +124,8 @@
     std::array<char, piece_bytes> piece_{};
     /// The answer has no body, whatever its head tells.
     bool head_only_ = false;
+    /// The sending of the request is watched.
+    bool watched_ = false;
     bool reused_ = false;
     bool cancelled_ = false;
     bool timed_out_ = false;
@@ -161,7 +148,7 @@
     link_ = std::make_unique<http_connection>(executor_);
     link_->stream.socket().open(tcp::v4(), failure);
     if (!failure) {
-        bound_silence(link_->stream.socket());
+        internal::bound_silence(link_->stream.socket().native_handle());
     }
     instant const limit = std::min(times_.send_before, now() + times_.connect);
     link_->stream.expires_after(time_until(step_end(limit)));
@@ -173,11 +160,35 @@
     co_return !error && !cancelled_;
 }
 
+void http_call::state::watch_sending() {
+    asio::co_spawn(
+        executor_, watch_sending(shared_from_this()), asio::detached);
+}
+
+asio::awaitable<void>
+http_call::state::watch_sending(std::shared_ptr<state> self) {
+    asio::steady_timer timer(self->executor_);
+    internal::send_watch watch(now());
+    bool goes_on = true;
+    while (goes_on) {
+        timer.expires_after(internal::send_watch::period);
+        co_await timer.async_wait(use_result);
+        // A connection that was given back is another call's.
+        goes_on =
+            self->link_ != nullptr && self->link_->stream.socket().is_open() &&
+            watch.check(self->link_->stream.socket().native_handle(), now());
+    }
+}
+
 asio::awaitable<bool> http_call::state::write(http_request request) {
     head_only_ = request.method == "HEAD";
+    watched_ = request.body.size() > watched_request;
     begin_answer();
     auto const message = message_of(std::move(request));
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
+    if (watched_) {
+        watch_sending();
+    }
     auto const [error, size] =
         co_await http::async_write(link_->stream, message, use_result);
     note_loss(error);
@@ -270,6 +281,9 @@
         return;
     }
     if (pool_ != nullptr && parser_->keep_alive()) {
+        if (watched_) {
+            internal::bound_silence(link_->stream.socket().native_handle());
+        }
         link_->stream.expires_never();
         duration const kept = kept_by_server(parser_->get()["Keep-Alive"]);
         pool_->give(to_, std::move(link_), now(), kept);
--- a/test/ports/silent_endpoint_test.cpp
+++ b/test/ports/silent_endpoint_test.cpp
@@ -263,6 +263,13 @@
     SUBCASE("a short prompt") {
         prompt_bytes = 100;
     }
+    SUBCASE("a prompt that fills the receive buffer") {
+        prompt_bytes = 600'000;
+        SUBCASE("three seconds") {}
+        SUBCASE("seven seconds") {
+            silence = milliseconds(7'000);
+        }
+    }
     loopback loop;
     caller one(loop);
     one.engine_body = R"({"prompt":")" + std::string(prompt_bytes, 'a') + "\"}";
@@ -363,6 +370,15 @@
             co_await pause(milliseconds(10'000));
         };
     }
+    SUBCASE("its process stands still, then its host goes dark") {
+        longest = milliseconds(6'500);
+        prompt_bytes = 600'000;
+        fail = [](tcp::socket& socket, std::size_t) -> asio::awaitable<void> {
+            co_await pause(milliseconds(1'500));
+            dark_link const dark(socket);
+            co_await pause(milliseconds(10'000));
+        };
+    }
     loopback loop;
     scripted_server const server(loop, fail);
     caller one(loop);
