HTTP server: no request is read and dropped at a connection's end

A caller that sent its next request on a kept connection while the node closed it, after the idle time or in a planned shutdown, got neither an answer nor a refusal. It could not know that the request was not run, so requests that must not run twice were lost.

Cause: each end of a connection, whatever its reason, sent a FIN and then read and discarded for up to 500 ms, which is meant for the caller of an oversized request. A cancelled read also left bytes in the kernel that had come in time. A request behind one whose answer carried "Connection: close" was dropped. The shutdown waited for requests that run, not for those that are being read.

Change: before the end of an idle connection the server looks once more for bytes and answers a request that has come. Without an answer since the last request it closes without reading, so that the kernel resets what comes later. After an answer it waits up to 500 ms for the caller to close, and reads only the rest of a request that it has refused. A server that ends keeps a connection open for a request that already waits on it. Gateway and profile node wait, within their stop limits, until their connections have ended.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -276,7 +276,12 @@
     // that is read late in the shutdown would be cut off at its end.
     caller_server_.stop_accepting();
     caller_server_.finish_connections();
-    while (state_.live_requests > 0 && boot_clock::now() < limit) {
+    // A request that is being read is on a connection and is not live yet.
+    auto const open = [this] {
+        return caller_server_.open_connections() +
+               relay_server_.open_connections();
+    };
+    while (state_.live_requests + open() > 0 && boot_clock::now() < limit) {
         timer.expires_after(milliseconds(50));
         co_await timer.async_wait(use_result);
     }
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -390,9 +390,12 @@
 asio::awaitable<void> ports_driver::wait_for_answers() {
     constexpr std::chrono::milliseconds step{5};
     asio::steady_timer timer(io_);
-    // The decisions are done, but the last bytes of the last answers may still
-    // be on their way: closing now would cut them.
-    while (callers_.waiting() + operators_.answering() > 0 && !closed_) {
+    // The decisions are done, but the last requests may still be read, and the
+    // last bytes of the last answers be on their way: closing now would cut
+    // them.
+    callers_.finish_connections();
+    while (callers_.open_connections() + operators_.answering() > 0 &&
+           !closed_) {
         timer.expires_after(step);
         co_await timer.async_wait(use_result);
     }
--- a/src/Ports/caller_interface.cpp
+++ b/src/Ports/caller_interface.cpp
@@ -65,6 +65,11 @@
     return server_.listen(address);
 }
 
+void caller_interface::finish_connections() {
+    server_.stop_accepting();
+    server_.finish_connections();
+}
+
 caller_interface::call_ptr caller_interface::find(request_id const& id) const {
     auto const found = calls_->find(id);
     return found == calls_->end() ? nullptr : found->second;
--- a/src/Ports/caller_interface.hpp
+++ b/src/Ports/caller_interface.hpp
@@ -43,6 +43,13 @@
     call_ptr find(request_id const& id) const;
     /// @returns how many callers wait for an answer
     std::size_t waiting() const noexcept { return calls_->size(); }
+    /// Accepts no further connections and lets each open one end with its last
+    /// answer.
+    void finish_connections();
+    /// @returns how many connections are open
+    std::size_t open_connections() const noexcept {
+        return server_.open_connections();
+    }
     /// Closes everything.
     void close() { server_.close(); }
 
--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -54,6 +54,7 @@
     std::uint64_t refused() const noexcept { return refused_; }
     void end_connections(bool idle_too) {
         ending_ = true;
+        closing_ = closing_ || idle_too;
         for (auto const& link : open_) {
             link->end_soon(idle_too);
         }
@@ -71,6 +72,7 @@
     };
     std::uint64_t refused_ = 0;
     bool ending_ = false;
+    bool closing_ = false;
 };
 
 std::string http_server::state::listen(ip_address const& address) {
@@ -150,7 +152,7 @@
     auto link = std::make_shared<http_exchange::connection>(
         std::move(socket), limits_, bodies_);
     if (ending_) {
-        link->end_soon(false);
+        link->end_soon(closing_);
     }
     open_.insert(link);
     asio::co_spawn(
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -89,7 +89,8 @@
     /// Takes no further connections; those that are open go on.
     void stop_accepting();
     /// Lets each connection end: those without a request now, the others with
-    /// their answer, which says so.
+    /// their answer, which says so. Requests that have arrived are answered
+    /// first; later ones are never read.
     void finish_connections();
     /// Each answer from here on ends its connection.
     void announce_end();
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -27,6 +27,10 @@
 constexpr int status_too_large = 413;
 constexpr int status_failure = 500;
 constexpr int status_unavailable = 503;
+constexpr std::size_t first_read = 4U << 10U;
+/// How long a caller has to read the last answer before its connection is
+/// closed.
+constexpr std::chrono::milliseconds reader_patience{500};
 
 template <class Message>
 void copy_fields(http_fields const& from, Message& to) {
@@ -133,24 +137,43 @@
     }
 }
 
-asio::awaitable<bool> http_exchange::connection::await_request() {
-    if (buffer_.size() > 0) {
-        co_return true;
-    }
-    if (closing_) {
-        broken_ = true;
-        co_return false;
-    }
-    constexpr std::size_t first_read = 4U << 10U;
+asio::awaitable<void> http_exchange::connection::await_bytes() {
     stream_.expires_never();
     cancel_guard const guard(stream_, limits_.idle_timeout);
+    answer_ = answer_state::none;
     idle_ = true;
     auto const [error, size] = co_await stream_.async_read_some(
         buffer_.prepare(first_read), use_result);
     idle_ = false;
     buffer_.commit(size);
-    broken_ = broken_ || error;
-    co_return !error;
+    broken_ = broken_ || (error && error != asio::error::operation_aborted);
+}
+
+// Reads without waiting.
+void http_exchange::connection::read_arrived() {
+    beast::error_code error;
+    stream_.socket().non_blocking(true, error);
+    std::size_t const size =
+        stream_.socket().read_some(buffer_.prepare(first_read), error);
+    buffer_.commit(size);
+}
+
+asio::awaitable<bool> http_exchange::connection::await_request() {
+    if (buffer_.size() == 0 && !closing_) {
+        co_await await_bytes();
+    }
+    // A cancelled read leaves bytes that have arrived in the kernel. To close
+    // now would drop a request that came in time.
+    if (buffer_.size() == 0 && !broken_) {
+        read_arrived();
+    }
+    if (buffer_.size() == 0 || !stream_.socket().is_open()) {
+        broken_ = true;
+        co_return false;
+    }
+    answer_ = answer_state::none;
+    request_whole_ = false;
+    co_return true;
 }
 
 asio::awaitable<std::optional<http_request>>
@@ -189,8 +212,9 @@
         co_await refuse(error, true);
         co_return std::nullopt;
     }
+    request_whole_ = true;
     http::request<http::string_body> message = parser.release();
-    keep_alive_ = message.keep_alive() && !ending_;
+    keep_alive_ = message.keep_alive();
     co_return plain_request(std::move(message));
 }
 
@@ -215,7 +239,6 @@
 
 asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
     while (keep_alive_ && !broken_) {
-        answer_ = answer_state::none;
         head_only_ = false;
         std::optional<http_request> request = co_await read_request();
         if (request) {
@@ -226,19 +249,31 @@
     co_await finish();
 }
 
+// A request that arrives after the last answer stays unread: closing with
+// unread bytes resets the connection, which tells its caller that nothing was
+// read.
 asio::awaitable<void> http_exchange::connection::finish() {
-    constexpr std::chrono::milliseconds patience{500};
+    if (answer_ != answer_state::none) {
+        beast::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (request_whole_) {
+            co_await await_reader();
+        } else {
+            co_await discard_rest();
+        }
+    }
+    close();
+}
+
+// Guards against a reset that overtakes the answer: the caller of an oversized
+// request would never see why.
+asio::awaitable<void> http_exchange::connection::discard_rest() {
     constexpr std::size_t most_discarded = 4U << 20U;
     constexpr std::size_t step = 16U << 10U;
-    beast::error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    // Closing with unread bytes resets the connection, and the reset can
-    // overtake the answer: the caller of an oversized request would never see
-    // why. So the rest is read and thrown away for a moment.
     std::array<char, step> rest{};
     std::size_t discarded = 0;
-    stream_.expires_after(patience);
-    while (!ignored && discarded < most_discarded) {
+    stream_.expires_after(reader_patience);
+    while (discarded < most_discarded) {
         auto const [error, size] =
             co_await stream_.async_read_some(asio::buffer(rest), use_result);
         discarded += size;
@@ -246,7 +281,14 @@
             break;
         }
     }
-    close();
+}
+
+// Waits until the caller has closed its side, having read the answer. The wait
+// for an error completes once both sides are shut, also when bytes are unread.
+asio::awaitable<void> http_exchange::connection::await_reader() {
+    stream_.expires_never();
+    cancel_guard const guard(stream_, reader_patience);
+    co_await stream_.socket().async_wait(tcp::socket::wait_error, use_result);
 }
 
 // Guards against a second head within an answer: its caller would read it as a
@@ -258,6 +300,17 @@
     return first;
 }
 
+bool http_exchange::connection::request_waits() {
+    beast::error_code ignored;
+    return buffer_.size() > 0 || stream_.socket().available(ignored) > 0;
+}
+
+// A server that ends answers a request that already waits behind this one, and
+// ends the connection with the last of them.
+void http_exchange::connection::decide_keep_alive() {
+    keep_alive_ = keep_alive_ && (!ending_ || request_waits());
+}
+
 bool http_exchange::connection::note_write(beast::error_code error) {
     stream_.expires_never();
     broken_ = broken_ || error;
@@ -273,7 +326,7 @@
         static_cast<http::status>(response.status), http_1_1);
     copy_fields(response.fields, message);
     message.body() = std::move(response.body);
-    keep_alive_ = keep_alive_ && !ending_;
+    decide_keep_alive();
     message.keep_alive(keep_alive_);
     message.prepare_payload();
     http::response_serializer<http::string_body> serializer(message);
@@ -297,7 +350,7 @@
     http::response<http::empty_body> message(
         static_cast<http::status>(status), http_1_1);
     copy_fields(fields, message);
-    keep_alive_ = keep_alive_ && !ending_;
+    decide_keep_alive();
     message.keep_alive(keep_alive_);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -81,12 +81,18 @@
 
     boost::asio::awaitable<std::optional<http_request>> read_request();
     boost::asio::awaitable<bool> await_request();
+    boost::asio::awaitable<void> await_bytes();
+    void read_arrived();
+    bool request_waits();
+    void decide_keep_alive();
     boost::asio::awaitable<void>
     refuse(boost::beast::error_code error, bool anything_read);
     boost::asio::awaitable<void> refuse_with(int status, std::string_view why);
     boost::asio::awaitable<void>
     run_handler(http_handler const& handler, http_request request);
     boost::asio::awaitable<void> finish();
+    boost::asio::awaitable<void> discard_rest();
+    boost::asio::awaitable<void> await_reader();
     bool closed_by_peer();
     bool begin_answer(answer_state state);
     bool note_write(boost::beast::error_code error);
@@ -104,6 +110,8 @@
     bool closing_ = false;
     bool broken_ = false;
     answer_state answer_ = answer_state::none;
+    /// The current request was read to its end.
+    bool request_whole_ = false;
     /// The current request is a HEAD, whose answer has no body.
     bool head_only_ = false;
 };
--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -4,7 +4,9 @@
 #include "Ports/json_fields.hpp"
 #include "Ports/stream_position.hpp"
 #include "test/ports/loopback.hpp"
+#include "test/ports/request_fate.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -621,6 +623,46 @@
     }
 }
 
+// Guards against a planned stop that swallows a request which is being read:
+// its caller got neither an answer nor a refusal.
+TEST_CASE("a node that stops answers the request that it is reading") {
+    loopback loop;
+    test_node node(loop);
+    node.core.react = [](node_event const& event,
+                         std::vector<node_action>& out) {
+        if (std::holds_alternative<drain_started>(event)) {
+            out.emplace_back(drain_finished{});
+        }
+        if (auto const* request = std::get_if<caller_request>(&event)) {
+            out.emplace_back(
+                finished(request->id, outcome::not_run, reason::draining));
+        }
+    };
+    ip_address const address =
+        testing::local(node.running.driver().caller_port());
+    std::optional<raw_server::socket_type> caller;
+    loop.run([&]() -> asio::awaitable<void> {
+        caller.emplace(co_await testing::connect_to(address));
+    });
+    std::string const text =
+        "POST /v1/calls/scan HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
+    testing::send_now(*caller, text.substr(0, text.size() / 2));
+    asio::steady_timer soon(loop.io(), std::chrono::milliseconds(50));
+    soon.async_wait([&](boost::system::error_code) { node.running.drain(); });
+    asio::steady_timer later(loop.io(), std::chrono::milliseconds(150));
+    later.async_wait([&](boost::system::error_code) {
+        testing::send_now(*caller, text.substr(text.size() / 2));
+    });
+    auto what = testing::request_fate::pending;
+    loop.run([&]() -> asio::awaitable<void> {
+        what = co_await testing::read_fate(*caller);
+    });
+    CHECK(what == testing::request_fate::answered);
+    caller.reset();
+    CHECK(loop.run_until([&] { return node.stopped; }));
+    CHECK(node.drained);
+}
+
 TEST_CASE("a message to a node that nobody knows is reported at once") {
     loopback loop;
     test_node node(loop);
