Suspected replicas of an adapter are used when no other one has it in time

What callers saw: after the replicas that have an adapter were silent for a moment, its requests were refused (503, `all-full` or `load-takes-too-long`) by all nodes for the 1.5 to 6 seconds of the suspicion, although the replicas answered again. A stream that has begun and needs another replica was ended for the same reasons.

Cause: the choice of a replica for an adapter skips each suspected one, and the ways that follow look for a replica to load it at. When there is none, or its load takes too long, the request is refused. Plain services use a suspected replica when there is no other one; `suspicion_cost` says so too.

Change: before such a refusal the least loaded suspected replica that has the adapter and capacity is used. Others that have the adapter, and a load in time elsewhere, still go first.

Evidence, `suspected_replica_test` on the code before:

by the node that suspects it: CHECK( got.response.status == 200 ) values: CHECK( 503 == 200 ) by a node that has received the suspicion: CHECK( got.response.status == 200 ) values: CHECK( 503 == 200 ) after another one has not loaded the adapter in time: CHECK( got.response.status == 200 ) values: CHECK( 503 == 200 )

--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -198,6 +198,9 @@
     bool awaits_registry_entries(instant now) const;
     std::optional<replica*> select_adapter_replica(instant now);
     replica* select_preferred_replica(instant now);
+    /// @returns a suspected replica that has the adapter and capacity, when no
+    ///          other one that has it can be used; null when there is none
+    replica* select_suspected_replica(instant now);
     bool should_delay(replica const& at, instant now) const;
     bool load_already_rejected(instant now) const;
     void request_additional_load(replica const& best, instant now);
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -185,6 +185,16 @@
            now < arrived_at_ + objective_fraction(max_delay_fraction);
 }
 
+// Guards against refusals while each replica that has the adapter is suspected
+// and no other one has it ready in time. A replica that was silent for a moment
+// answers again long before its suspicion ends.
+replica* request_handler::select_suspected_replica(instant now) {
+    replica* const best = state_->selector.best(need_, now);
+    bool const usable = best != nullptr && !need_.adapter.empty() &&
+                        best->health.suspected(now) && best->load() < max_load;
+    return usable ? best : nullptr;
+}
+
 std::optional<replica*> request_handler::select_adapter_replica(instant now) {
     delayed_ = false;
     need_.permit_budget = duration::zero();
@@ -249,6 +259,9 @@
         request_load_at(preferred, true);
         return std::nullopt;
     }
+    if (replica* const last = select_suspected_replica(now)) {
+        return last;
+    }
     if (earliest_ready_in_ && preferred == nullptr) {
         reason_ = "load-takes-too-long";
         return nullptr;
@@ -353,7 +366,7 @@
         refreshed = false;
         if (now >= wait_until) {
             reason_ = "load-takes-too-long";
-            co_return nullptr;
+            co_return select_suspected_replica(now);
         }
         if (!waited && !delayed_) {
             state_->log_event(log_line(event_code::request_waits)
