A replica's silence during a load is not measured as the load's duration

What callers saw: after a replica was silent for a second during a load, the node that controls it took all adapters for slow to load. Requests were refused with too long forecasts, and waited for adapters that were ready.

Cause: the duration of a load ends with the status check that finds the adapter resident, which a silence delays. When it was the node's first load, it also set when later loads are first checked.

Change: a load during which three status checks in a row had no answer is not measured. Three, because of replicas that leave half of their commands unanswered one load in eight has as many.

Evidence, `load_forecast_test` on the code before, loads of 300 ms and a silence of a second:

the first load of a node (first check after): values: CHECK( 1306250000ns == 100000000ns ) a later load (typical duration): values: CHECK( 414000000ns == 300000000ns ) nor does it reduce the loads at a time: CHECK( fixture.limiter->can_start() ) values: CHECK( false )

--- a/src/ReplicaControl/slot_tracker.cpp
+++ b/src/ReplicaControl/slot_tracker.cpp
@@ -171,10 +171,28 @@
     return std::nullopt;
 }
 
+// Guards against forecasts and check times that are too long by the silence of
+// a replica: later requests would be refused, or wait for an adapter that is
+// ready.
+void slot_tracker::complete_load(
+    adapter_id const& id, slot& entry, instant now) {
+    bool const from_store = entry.from_store;
+    finish_load(entry);
+    if (entry.was_silent) {
+        return;
+    }
+    if (from_store) {
+        limiter_->record_load(now - entry.since);
+    } else if (is_cached(id)) {
+        limiter_->record_cached_load(now - entry.since);
+    }
+}
+
 void slot_tracker::on_repeated_command(
     replica_command const& command, command_result result, instant now) {
     slot& entry = slots_.at(command.adapter.id);
     entry.check_at = now + check_interval;
+    entry.unanswered_checks = 0;
     if (result != command_result::already_done) {
         return;
     }
@@ -182,12 +200,7 @@
         slots_.erase(command.adapter.id);
         return;
     }
-    if (entry.from_store) {
-        finish_load(entry);
-        limiter_->record_load(now - entry.since);
-    } else if (is_cached(command.adapter.id)) {
-        limiter_->record_cached_load(now - entry.since);
-    }
+    complete_load(command.adapter.id, entry, now);
     set_ready(command.adapter.id, entry, entry.version, now);
 }
 
@@ -225,6 +238,8 @@
     entry.since = now;
     entry.last_used = now;
     entry.reported_from = sequence_;
+    entry.unanswered_checks = 0;
+    entry.was_silent = false;
     bool const cached = is_cached(id);
     // A replacement waits for the adapter's running attempts, so its duration
     // says nothing about the store.
@@ -248,6 +263,10 @@
                            found->second.check_at != instant{};
     if (is_repeat) {
         found->second.check_at = now + check_interval;
+        ++found->second.unanswered_checks;
+        found->second.was_silent =
+            found->second.was_silent ||
+            found->second.unanswered_checks >= max_command_attempts;
         return;
     }
     ++unanswered_attempts_;
--- a/src/ReplicaControl/slot_tracker.hpp
+++ b/src/ReplicaControl/slot_tracker.hpp
@@ -162,6 +162,11 @@
         /// The load comes from the adapter store, so its duration shows how
         /// congested the path from the store is.
         bool from_store = false;
+        /// Status checks in a row without an answer.
+        unsigned unanswered_checks = 0;
+        /// The replica was silent during the load, so that its duration is
+        /// unknown.
+        bool was_silent = false;
         /// Count of accepted commands from which on a report shows this slot.
         std::uint64_t reported_from = 0;
     };
@@ -196,6 +201,8 @@
     load_or_evict(adapter_id const& id, instant now);
     bool load_allowed(adapter_id const& id) const;
     void finish_load(slot& entry);
+    /// Ends a load and adds its duration, where it is known, to the estimates.
+    void complete_load(adapter_id const& id, slot& entry, instant now);
     void set_ready(
         adapter_id const& id, slot& entry, std::uint32_t version, instant now);
     void adopt_resident(adapter_ref const& each, instant now);
--- a/test/load_forecast_test.cpp
+++ b/test/load_forecast_test.cpp
@@ -180,6 +180,53 @@
     }
 }
 
+// Guards against adapters that are taken for slow to load because their replica
+// was silent: its controller checks later loads too late and refuses requests.
+TEST_CASE("a silence of the replica during a load lengthens no later one") {
+    slot_tracker_fixture fixture;
+    auto const first_check = [&] {
+        return fixture.limiter->first_check_delay();
+    };
+    auto const check = [&](std::string const& name, command_result result) {
+        auto const command =
+            fixture.expect_command(replica_command_kind::load_adapter, name);
+        fixture.tracker.on_result(command, result, fixture.now);
+    };
+    auto const load_in_silence = [&](std::string const& name, int checks) {
+        fixture.request(adapter(name));
+        check(name, command_result::accepted);
+        fixture.advance(milliseconds(300));
+        for (int each = 0; each < checks; ++each) {
+            fixture.advance(milliseconds(200));
+            check(name, command_result::no_answer);
+            fixture.advance(milliseconds(15));
+        }
+        check(name, command_result::already_done);
+        REQUIRE(fixture.tracker.ready(adapter(name)));
+    };
+    SUBCASE("the first load of a node") {
+        duration const before = first_check();
+        load_in_silence("a", 5);
+        CHECK(first_check() == before);
+    }
+    SUBCASE("a later load") {
+        fixture.load("a");
+        duration const before = fixture.limiter->typical_duration();
+        load_in_silence("b", 5);
+        CHECK(fixture.limiter->typical_duration() == before);
+        SUBCASE("nor does it reduce the loads at a time") {
+            fixture.limiter->on_load_started();
+            CHECK(fixture.limiter->can_start());
+        }
+    }
+    SUBCASE("a check that is lost is no silence") {
+        load_in_silence("a", 1);
+        CHECK(
+            fixture.limiter->typical_duration() ==
+            milliseconds(300 + 200 + 15));
+    }
+}
+
 // Guards against a load window that stays too small: a node loses control of a
 // replica during a load and never counts that load as ended.
 TEST_CASE("a destroyed tracker ends its loads in the limiter") {
