--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -136,7 +136,16 @@
     return json_response(200, json::serialize(text));
 }
 
+asio::awaitable<void> replica_engine::end_of_silence() const {
+    while (clock_now() < silent_until) {
+        auto const left =
+            std::chrono::ceil<milliseconds>(silent_until - clock_now());
+        co_await wait_for(left);
+    }
+}
+
 asio::awaitable<void> replica_engine::answer(http_exchange& exchange) {
+    co_await end_of_silence();
     std::string const target = exchange.request().target;
     std::string_view const meant =
         exchange.request().fields.get("X-Target-Instance");
@@ -153,6 +162,7 @@
         co_return;
     }
     name_state(response.fields);
+    co_await end_of_silence();
     co_await exchange.respond(std::move(response));
 }
 
@@ -233,6 +243,7 @@
     response.fields.add(
         "X-Request-Id", std::string(fields.get("X-Request-Id")));
     response.body = "answer of " + id_ + " to " + exchange.request().body;
+    co_await end_of_silence();
     co_await exchange.respond(std::move(response));
 }
 
@@ -251,6 +262,7 @@
         static_cast<unsigned>(std::strtoul(last.c_str(), nullptr, 10)) + 1;
     for (unsigned number = from; number <= events; ++number) {
         co_await wait_for(pause);
+        co_await end_of_silence();
         std::string const event = "id: " + std::to_string(number) +
                                   "\ndata: w" + std::to_string(number) + "\n\n";
         if (fault == replica_fault::cut && number == from + 2) {
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -76,6 +76,8 @@
     std::string software = "v1";
     /// How long a load takes.
     std::chrono::milliseconds load_time{60};
+    /// It takes connections, but reads and writes nothing before this time.
+    camphorpoint::instant silent_until;
     /// Events of a stream, and the pause between them.
     unsigned events = 8;
     std::chrono::milliseconds pause{5};
@@ -112,6 +114,8 @@
     boost::asio::awaitable<void> run(camphorpoint::http_exchange& exchange);
     boost::asio::awaitable<void>
     stream(camphorpoint::http_exchange& exchange, replica_fault fault);
+    /// Waits until it is not silent.
+    boost::asio::awaitable<void> end_of_silence() const;
     bool holds(std::string const& model) const;
     /// @returns true when running the request ends the replica
     bool is_poison(camphorpoint::http_request const& request) const;
