--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/reachability_prober.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
 #include <utility>
 
@@ -48,7 +49,7 @@
 request_handler::~request_handler() {
     --state_->live_requests;
     // The callback for the caller's disconnection may still run.
-    caller_->call = nullptr;
+    caller_->calls.clear();
     caller_->waiters = nullptr;
 }
 
@@ -122,6 +123,21 @@
 }
 
 asio::awaitable<void> request_handler::run() {
+    auto const caller = caller_;
+    std::exception_ptr failure;
+    try {
+        co_await handle();
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    // A stalled attempt refers to this object while it is forwarded.
+    co_await stop_stalled();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+asio::awaitable<void> request_handler::handle() {
     auto const caller = caller_;
     if (!admit()) {
         co_await finish(reason_);
@@ -142,8 +158,8 @@
     caller_->adapter = need_.adapter;
     exchange_->on_caller_gone([state = caller] {
         state->gone = true;
-        if (state->call) {
-            state->call->cancel();
+        for (auto const& each : state->calls) {
+            each->cancel();
         }
         if (state->waiters != nullptr) {
             state->waiters->notify(state->adapter);
@@ -194,74 +210,116 @@
 
 asio::awaitable<void> request_handler::run_attempts() {
     auto const caller = caller_;
-    bool refused = false;
     while (!caller->gone) {
-        if (refuse_quarantined()) {
-            co_await finish(reason_);
-            co_return;
-        }
-        if (auto const peer = select_relay(refused, boot_clock::now())) {
-            if (co_await relay(*peer) == relay_outcome::ended) {
-                co_return;
-            }
-            continue;
+        next_step step = next_step::give_up;
+        if (!stall_has_ended()) {
+            step = co_await try_once();
         }
-        record_demand();
-        replica* const at = co_await find_replica();
-        if (at == nullptr && unreached_ > 0) {
-            state_->reachability.on_replicas_exhausted(boot_clock::now());
+        if (step == next_step::give_up && stalled_ && !caller->gone) {
+            step = co_await await_stalled();
         }
-        refused = at == nullptr;
-        if (refused && select_relay(refused, boot_clock::now())) {
-            continue;
-        }
-        // The request may have been quarantined while it waited for its
-        // adapter.
-        if (at == nullptr || refuse_quarantined() || !consume_resend_budget()) {
-            co_await finish(reason_);
-            co_return;
-        }
-        endpoint_id const id = at->record.id;
-        exchange_->check_caller();
         if (caller->gone) {
             break;
         }
-        if (!co_await acquire_permit(id)) {
-            continue;
-        }
-        if (!co_await enter_gate(id)) {
-            continue;
-        }
-        if (!co_await claim_slot(id) || !may_send(id, boot_clock::now())) {
-            leave_gate(attempt_outcome::unreached);
-            continue;
-        }
-        attempt_outcome const end =
-            co_await attempt(*state_->replicas.find(id));
-        record_health(id, end);
-        log_attempt(id, end);
-        bool const crash_reported = report_outcome(id, end);
-        leave_gate(end);
-        if (end == attempt_outcome::finished) {
-            co_await finish("answered");
+        if (step != next_step::search) {
+            bool const complete =
+                step == next_step::complete || response_complete_;
+            std::string const reason = complete ? "answered" : reason_;
+            co_await finish(reason);
             co_return;
         }
-        // A replica whose answer ended with its connection is healthy and may
-        // be selected again.
-        if (end != attempt_outcome::unproven) {
-            need_.tried_replicas.push_back(id);
-        }
-        if (!may_retry(end)) {
-            co_await finish(reason_);
-            co_return;
-        }
-        if (crash_reported) {
-            co_await await_crash_reports();
-        }
     }
     co_await finish("caller-gone");
 }
 
+asio::awaitable<request_handler::next_step> request_handler::try_once() {
+    auto const caller = caller_;
+    if (refuse_quarantined()) {
+        co_return next_step::give_up;
+    }
+    bool const refused = std::exchange(search_failed_, false);
+    if (auto const peer = select_relay(refused, boot_clock::now())) {
+        co_return co_await relay(*peer);
+    }
+    record_demand();
+    replica* const at = co_await find_replica();
+    if (stall_has_ended()) {
+        co_return next_step::give_up;
+    }
+    if (at == nullptr && unreached_ > 0) {
+        state_->reachability.on_replicas_exhausted(boot_clock::now());
+    }
+    search_failed_ = at == nullptr;
+    if (search_failed_ && select_relay(true, boot_clock::now())) {
+        co_return next_step::search;
+    }
+    // The request may have been quarantined while it waited for its adapter.
+    if (at == nullptr || refuse_quarantined() || !consume_resend_budget()) {
+        co_return next_step::give_up;
+    }
+    endpoint_id const id = at->record.id;
+    exchange_->check_caller();
+    if (caller->gone) {
+        co_return next_step::search;
+    }
+    if (!co_await clear_to_send(id)) {
+        co_return next_step::search;
+    }
+    replica& target = *state_->replicas.find(id);
+    ip_address to = target.record.address;
+    attempt_ref const attempt = begin_attempt(target);
+    attempt_outcome const end = co_await send_attempt(attempt, std::move(to));
+    co_return co_await after_attempt(attempt, end);
+}
+
+asio::awaitable<bool> request_handler::clear_to_send(endpoint_id at) {
+    if (!co_await acquire_permit(at)) {
+        co_return false;
+    }
+    if (!co_await enter_gate(at)) {
+        co_return false;
+    }
+    bool const claimed = co_await claim_slot(at);
+    bool const clear =
+        claimed && !stall_has_ended() && may_send(at, boot_clock::now());
+    if (!clear) {
+        leave_gate(attempt_outcome::unreached);
+    }
+    co_return clear;
+}
+
+asio::awaitable<request_handler::next_step>
+request_handler::after_attempt(attempt_ref attempt, attempt_outcome end) {
+    auto const caller = caller_;
+    endpoint_id const id = attempt->replica;
+    bool crash_reported = false;
+    if (end == attempt_outcome::stalled) {
+        on_stalled(attempt);
+    } else {
+        end = classify_end(*attempt, end);
+        crash_reported = conclude(*attempt, end);
+        leave_gate(end);
+    }
+    if (end == attempt_outcome::finished) {
+        co_return next_step::complete;
+    }
+    if (end == attempt_outcome::superseded) {
+        co_return next_step::give_up;
+    }
+    // A replica whose answer ended with its connection is healthy and may be
+    // selected again.
+    if (end != attempt_outcome::unproven) {
+        need_.tried_replicas.push_back(id);
+    }
+    if (!may_retry(end)) {
+        co_return next_step::give_up;
+    }
+    if (crash_reported) {
+        co_await await_crash_reports();
+    }
+    co_return next_step::search;
+}
+
 platform::send_terms
 request_handler::make_send_terms(replica const& at, instant now) const {
     platform::send_terms terms;
@@ -302,20 +360,17 @@
     return times;
 }
 
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::attempt(replica& at) {
+request_handler::attempt_ref request_handler::begin_attempt(replica& at) {
     instant const now = boot_clock::now();
     endpoint_id const id = at.record.id;
-    ip_address to = at.record.address;
-    http_request request =
-        platform::make_send(exchange_->request(), make_send_terms(at, now));
-    auto const call = std::make_shared<http_call>(
-        state_->io.get_executor(), &state_->replica_connections);
-    caller_->call = call;
+    auto const attempt = std::make_shared<forwarded_attempt>(
+        state_->io.get_executor(), state_->replica_connections, now);
+    attempt->replica = id;
+    attempt->software = make_software_key(at.record.software);
+    attempt->trace.after = position_.last().value_or(0);
+    caller_->calls.insert(attempt->call);
     tracker_.begin();
     ++attempts_;
-    attempt_began_at_ = now;
-    attempt_software_ = make_software_key(at.record.software);
     state_->log_event(log_line(event_code::request_sent)
                           .with("id", demand_.id.str())
                           .with("replica", id.str())
@@ -328,36 +383,65 @@
                           .with("waited_ms", now - arrived_at_));
     state_->replicas.request_started(id, demand_.prompt_tokens, now);
     messenger_->begin_use(id, need_.adapter, demand_.prompt_tokens);
-    trace_ = attempt_trace{position_.last().value_or(0)};
+    return attempt;
+}
+
+asio::awaitable<attempt_outcome>
+request_handler::send_attempt(attempt_ref attempt, ip_address to) {
+    auto const caller = caller_;
+    instant const now = boot_clock::now();
+    http_request request = platform::make_send(
+        exchange_->request(),
+        make_send_terms(*state_->replicas.find(attempt->replica), now));
     call_times times = send_times(now);
-    call_result const opened = co_await call->open(
+    call_result const opened = co_await attempt->call->open(
         std::move(to), std::move(request), std::move(times));
     bool const in_time = boot_clock::now() < deadline_ - min_attempt_time;
-    if (in_time) {
-        record_reachability(state_->reachability, id, opened, *call);
+    if (in_time && !response_complete_) {
+        record_reachability(
+            state_->reachability, attempt->replica, opened, *attempt->call);
     }
     unreached_ += in_time && opened == call_result::not_sent ? 1 : 0;
-    attempt_outcome end = attempt_outcome::unreached;
     if (opened != call_result::not_sent) {
         tracker_.on_sent();
-        end = attempt_outcome::silent;
+    }
+    if (response_complete_) {
+        co_return attempt_outcome::superseded;
     }
     if (opened == call_result::answered) {
-        end = co_await read_answer(id, call);
+        co_return co_await read_answer(attempt);
+    }
+    co_return opened == call_result::not_sent ? attempt_outcome::unreached
+                                              : attempt_outcome::silent;
+}
+
+attempt_outcome request_handler::classify_end(
+    forwarded_attempt const& attempt, attempt_outcome end) const {
+    if (end == attempt_outcome::finished || end == attempt_outcome::refused ||
+        end == attempt_outcome::superseded) {
+        return end;
     }
-    if (end == attempt_outcome::silent && !call->timed_out()) {
-        end = attempt_outcome::broken;
+    if (boot_clock::now() >= deadline_) {
+        return attempt_outcome::late;
     }
-    trace_.broke_off = trace_.broke_off || call->broke_off();
-    caller_->call = nullptr;
-    state_->replicas.request_finished(id);
-    messenger_->end_use(id, need_.adapter);
-    bool const late = boot_clock::now() >= deadline_;
-    if (late && end != attempt_outcome::finished &&
-        end != attempt_outcome::refused) {
-        end = attempt_outcome::late;
+    bool const broken =
+        end == attempt_outcome::silent && !attempt.call->timed_out();
+    return broken ? attempt_outcome::broken : end;
+}
+
+bool request_handler::conclude(
+    forwarded_attempt& attempt, attempt_outcome end) {
+    attempt.trace.broke_off =
+        attempt.trace.broke_off || attempt.call->broke_off();
+    caller_->calls.erase(attempt.call);
+    attempt.call->cancel();
+    state_->replicas.request_finished(attempt.replica);
+    messenger_->end_use(attempt.replica, need_.adapter);
+    if (!attempt.stalled) {
+        record_health(attempt, end);
     }
-    co_return end;
+    log_attempt(attempt, end);
+    return report_outcome(attempt, end);
 }
 
 bool request_handler::may_retry(attempt_outcome end) {
@@ -374,6 +458,7 @@
     }
     switch (end) {
     case attempt_outcome::finished:
+    case attempt_outcome::superseded:
         return false;
     case attempt_outcome::late:
         reason_ = "too-late";
@@ -391,6 +476,7 @@
     case attempt_outcome::silent:
     case attempt_outcome::broken:
     case attempt_outcome::unproven:
+    case attempt_outcome::stalled:
         reason_ =
             end == attempt_outcome::failed ? "replica-failed" : "broken-off";
         if (tracker_.sends() >= route_->attempts || !tracker_.may_resend()) {
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -4,6 +4,7 @@
 #include "Delivery/delivery_position.hpp"
 #include "Delivery/joined_events.hpp"
 #include "Delivery/request_fingerprint.hpp"
+#include "Gateway/forwarded_attempt.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_messenger.hpp"
 #include "Gateway/relay_terms.hpp"
@@ -54,55 +55,16 @@
     boost::asio::awaitable<void> run();
 
 private:
-    /// Result of one attempt.
-    enum class attempt_outcome : std::uint8_t {
-        /// The caller has received its complete answer, or has disconnected.
-        finished,
-        /// The replica, or another one at its address, reported that it did not
-        /// execute the request.
-        refused,
-        /// No byte of the request was sent.
-        unreached,
-        /// The replica executed the request and reported a failure, or sent an
-        /// invalid answer.
-        failed,
-        /// The replica sent nothing within the time-out.
-        silent,
-        /// The connection failed before the answer was complete.
-        broken,
-        /// The answer has no length and ended with its connection. Whether the
-        /// stream is complete is known only when another attempt has nothing to
-        /// add.
-        unproven,
-        /// The deadline passed during the attempt.
-        late
-    };
-
-    /// Details of one attempt, for the log.
-    struct attempt_trace {
-        /// Number of the last event that was passed to the caller before the
-        /// attempt.
-        std::uint64_t after = 0;
-        /// Bytes received after the last complete event.
-        std::size_t half_bytes = 0;
-        /// How the body of the answer ended.
-        std::string_view body = "none";
-        /// Set when the connection ended before the answer was complete.
-        bool broke_off = false;
-        /// Set when the replica has written an event, or a whole answer.
-        bool has_output = false;
-        /// The replica has rejected the request for want of capacity.
-        bool rejected = false;
-        /// How long the replica wants no requests of this node.
-        duration rest{0};
-    };
+    using attempt_ref = std::shared_ptr<forwarded_attempt>;
 
-    /// Result of relaying a request to a peer.
-    enum class relay_outcome : std::uint8_t {
-        /// The request has ended.
-        ended,
-        /// Another peer may be tried.
-        retry
+    /// What follows an attempt, or a search for a replica.
+    enum class next_step : std::uint8_t {
+        /// Look for a replica, or a peer.
+        search,
+        /// The caller has its answer.
+        complete,
+        /// No further attempt is possible now; `reason_` says why.
+        give_up
     };
 
     /// Checks that the request can be handled here.
@@ -125,10 +87,9 @@
     ///          when this node should handle it itself
     std::optional<std::string> select_relay(bool refused, instant now);
     relay_terms make_relay_terms() const;
-    boost::asio::awaitable<relay_outcome> relay(std::string peer);
-    boost::asio::awaitable<relay_outcome>
-    pass_relayed_answer(std::shared_ptr<http_call> call);
-    boost::asio::awaitable<relay_outcome> finish_relay(attempt_outcome end);
+    boost::asio::awaitable<next_step> relay(std::string peer);
+    boost::asio::awaitable<next_step> pass_relayed_answer(attempt_ref attempt);
+    next_step finish_relay(attempt_outcome end);
     boost::asio::awaitable<void> skip_answer(std::shared_ptr<http_call> call);
     /// @returns the urgency of the request, 0 for the most urgent
     unsigned priority() const;
@@ -140,7 +101,7 @@
     /// crashes by request fingerprint.
     /// @returns true when other nodes count the crashes and may be about to
     ///          quarantine the request
-    bool report_outcome(endpoint_id const& at, attempt_outcome end);
+    bool report_outcome(forwarded_attempt const& attempt, attempt_outcome end);
     boost::asio::awaitable<void> await_crash_reports();
     boost::asio::awaitable<bool> enter_gate(endpoint_id at);
     /// Waits for a permit when the replica limits the rate of its requests.
@@ -166,17 +127,17 @@
     /// Applies what an answer says about its replica: its shutdown, its rate
     /// limit, and the rejections that it bears.
     void note_limits(
-        endpoint_id const& at, platform::answer_kind kind,
+        forwarded_attempt& attempt, platform::answer_kind kind,
         http_fields const& answer);
     /// Applies the rest for which an answer asks.
-    void
-    note_rest(endpoint_id const& at, int status, http_fields const& answer);
+    void note_rest(
+        forwarded_attempt& attempt, int status, http_fields const& answer);
     /// @returns true when the current attempt may be sent: what was known of
     ///          the replica when it was selected may have changed since
     bool may_send(endpoint_id const& at, instant now) const;
     void report_first_output();
     /// Reports the first output of an attempt of this node.
-    void note_output();
+    void note_output(forwarded_attempt& attempt);
     void leave_gate(attempt_outcome end);
     /// Finds the software version at which a stream that the caller resumes
     /// must go on.
@@ -186,12 +147,18 @@
     void note_patience();
     /// @returns how long ago the stream that the caller resumes can have begun
     duration max_stream_age() const;
-    /// Binds the stream to the software version of the current attempt, before
-    /// events of it are forwarded.
-    void note_stream_event();
+    /// Binds the stream to the software version of an attempt, before events of
+    /// it are forwarded.
+    void note_stream_event(forwarded_attempt const& attempt);
     /// @returns the reason of a refusal for want of any usable replica
     std::string_view no_replica_reason();
+    boost::asio::awaitable<void> handle();
     boost::asio::awaitable<void> run_attempts();
+    /// Looks for a replica or a peer, and makes one attempt there.
+    boost::asio::awaitable<next_step> try_once();
+    /// Waits for the permissions that a send to the replica needs.
+    /// @returns false when the request must look for another replica
+    boost::asio::awaitable<bool> clear_to_send(endpoint_id at);
     boost::asio::awaitable<replica*> find_replica();
     boost::asio::awaitable<void> refresh_utilization();
     std::optional<replica*> select_plain_replica(instant now);
@@ -207,28 +174,54 @@
     void request_load_at(replica* preferred, bool urgent);
     duration wait_budget(instant now) const;
     duration objective_fraction(double part) const;
-    boost::asio::awaitable<attempt_outcome> attempt(replica& at);
-    boost::asio::awaitable<attempt_outcome>
-    read_answer(endpoint_id at, std::shared_ptr<http_call> call);
+    attempt_ref begin_attempt(replica& at);
     boost::asio::awaitable<attempt_outcome>
-    forward_answer(std::shared_ptr<http_call> call, platform::answer_kind kind);
+    send_attempt(attempt_ref attempt, ip_address to);
+    boost::asio::awaitable<attempt_outcome> read_answer(attempt_ref attempt);
     boost::asio::awaitable<attempt_outcome>
-    forward_stream(std::shared_ptr<http_call> call);
+    forward_answer(attempt_ref attempt, platform::answer_kind kind);
+    boost::asio::awaitable<attempt_outcome> forward_stream(attempt_ref attempt);
     boost::asio::awaitable<bool>
-    forward_events(std::shared_ptr<http_call> call, joined_events events);
-    boost::asio::awaitable<attempt_outcome> finish_stream_attempt(
-        std::shared_ptr<http_call> call, attempt_stream const& stream,
-        bool read_to_end);
+    forward_events(attempt_ref attempt, joined_events events);
+    boost::asio::awaitable<attempt_outcome>
+    finish_stream_attempt(attempt_ref attempt, bool read_to_end);
     boost::asio::awaitable<attempt_outcome>
-    forward_buffered(std::shared_ptr<http_call> call, int status);
+    forward_buffered(attempt_ref attempt);
+    void note_completed(forwarded_attempt& attempt);
+    /// Forwards a stream until it ends or stalls. A stalled attempt goes on
+    /// being forwarded.
+    boost::asio::awaitable<attempt_outcome> follow_stream(attempt_ref attempt);
+    boost::asio::awaitable<void> forward_to_end(attempt_ref attempt);
+    /// @returns how the attempt has ended, or that it has stalled
+    boost::asio::awaitable<attempt_outcome> await_end(attempt_ref attempt);
+    /// Waits while the stalled attempt is silent and no other is possible.
+    boost::asio::awaitable<next_step> await_stalled();
+    /// @returns true when an attempt has stalled that writes again or has ended
+    bool stall_has_ended() const;
+    /// @returns true when the events of a new attempt may follow what the
+    ///          caller has received until now
+    bool may_replace_stalled(forwarded_attempt const& attempt) const;
+    /// Ends the stalled attempt, before another one writes to the caller.
+    boost::asio::awaitable<void> stop_stalled();
+    void on_stalled(attempt_ref attempt);
+    /// Decides what follows the end of an attempt at a replica.
+    boost::asio::awaitable<next_step>
+    after_attempt(attempt_ref attempt, attempt_outcome end);
+    /// @returns how the attempt has ended, as the connection and the deadline
+    ///          show
+    attempt_outcome
+    classify_end(forwarded_attempt const& attempt, attempt_outcome end) const;
+    /// Releases the replica of an attempt that has ended, and reports the end.
+    /// @returns true when other nodes count the crashes of the request
+    bool conclude(forwarded_attempt& attempt, attempt_outcome end);
     boost::asio::awaitable<bool> write_to_caller(std::string_view piece);
     http_response final_answer();
     void log_completion(std::string_view reason);
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_retry(attempt_outcome end);
     bool consume_resend_budget();
-    void record_health(endpoint_id const& at, attempt_outcome end);
-    void log_attempt(endpoint_id const& at, attempt_outcome end);
+    void record_health(forwarded_attempt const& attempt, attempt_outcome end);
+    void log_attempt(forwarded_attempt const& attempt, attempt_outcome end);
     std::chrono::milliseconds retry_after() const;
     call_times send_times(instant now) const;
     platform::send_terms make_send_terms(replica const& at, instant now) const;
@@ -277,15 +270,12 @@
     std::optional<duration> refusal_retry_after_;
     /// The stream that the request begins or resumes.
     stream_key stream_{};
-    /// Software version of the current attempt's replica.
-    software_key attempt_software_{};
-    /// Software version of the replica that a peer has used, as that peer says.
-    std::optional<software_key> relayed_software_;
     /// The origin of the stream was recorded for this request.
     bool origin_recorded_ = false;
     attempt_tracker tracker_{false};
     delivery_position position_;
-    attempt_trace trace_;
+    /// The attempt that has stalled while its stream may go on.
+    attempt_ref stalled_;
     /// API keys are in force for this request.
     bool authenticated_ = false;
     /// The request is delayed until its replica has processed other prompts,
@@ -303,15 +293,14 @@
     unsigned unreached_ = 0;
     /// Peers to which the request was relayed in vain.
     std::set<std::string> tried_peers_;
-    /// The answer that is being forwarded is that of a peer.
-    bool relaying_ = false;
     /// The request was refused before it was handled: another node may do it.
     bool declined_ = false;
+    /// The latest search has found no replica.
+    bool search_failed_ = false;
     /// The request is in the statistics of demand.
     bool demand_recorded_ = false;
     /// The request has earned credit for resends.
     bool counted_ = false;
-    instant attempt_began_at_;
     /// Resends that were charged to the budget.
     unsigned resends_ = 0;
     std::optional<http_response> failure_response_;
@@ -323,7 +312,8 @@
     /// outlive the handler.
     struct caller_state {
         bool gone = false;
-        std::shared_ptr<http_call> call;
+        /// Calls of the attempts in progress.
+        std::set<std::shared_ptr<http_call>> calls;
         waiter_list* waiters = nullptr;
         adapter_id adapter;
     };
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -43,20 +43,22 @@
 } // namespace
 
 void request_handler::record_health(
-    endpoint_id const& at, attempt_outcome end) {
-    replica* const target = state_->replicas.find(at);
-    if (target == nullptr || caller_->gone) {
+    forwarded_attempt const& attempt, attempt_outcome end) {
+    replica* const target = state_->replicas.find(attempt.replica);
+    if (target == nullptr || caller_->gone ||
+        end == attempt_outcome::superseded) {
         return;
     }
     instant const now = boot_clock::now();
     health_signal evidence = health_signal::answered;
-    if (end == attempt_outcome::silent || end == attempt_outcome::unreached) {
+    if (end == attempt_outcome::silent || end == attempt_outcome::stalled ||
+        end == attempt_outcome::unreached) {
         evidence = health_signal::no_response;
     } else if (end == attempt_outcome::broken) {
         evidence = health_signal::truncated;
     } else if (
         end == attempt_outcome::failed || end == attempt_outcome::late ||
-        trace_.rejected) {
+        attempt.trace.rejected) {
         // A rejected request uses no capacity, so a replica that rejects would
         // seem to have more of it than its peers.
         evidence = health_signal::failed;
@@ -65,7 +67,7 @@
         duration const suspected_for = target->health.suspected_until() - now;
         state_->log_event(
             log_line(event_code::replica_suspected, log_level::warning)
-                .with("replica", at.str())
+                .with("replica", attempt.replica.str())
                 .with("rest_ms", suspected_for));
         // Guards against replicas that no node uses since this one has lost its
         // own links to them.
@@ -116,10 +118,10 @@
     }
 }
 
-void request_handler::note_output() {
+void request_handler::note_output(forwarded_attempt& attempt) {
     // A peer reports the output of its own attempts.
-    if (!trace_.has_output && !relaying_) {
-        trace_.has_output = true;
+    if (!attempt.trace.has_output && !attempt.relayed()) {
+        attempt.trace.has_output = true;
         messenger_->report_output(parts_);
     }
 }
@@ -136,44 +138,48 @@
 }
 
 bool request_handler::report_outcome(
-    endpoint_id const& at, attempt_outcome end) {
+    forwarded_attempt const& attempt, attempt_outcome end) {
     // A caller that disconnects ends its own attempt, and a replica that sends
     // an invalid answer keeps running. Neither counts as a crash.
-    if (end == attempt_outcome::broken && trace_.broke_off && !caller_->gone) {
-        if (trace_.has_output) {
+    if (end == attempt_outcome::broken && attempt.trace.broke_off &&
+        !caller_->gone) {
+        if (attempt.trace.has_output) {
             // Most streams that a crash breaks off have not caused it. One that
             // has crashes the next replica before it has further output.
             return false;
         }
-        std::uint64_t const process = incarnation_hash(at, state_->replicas);
+        std::uint64_t const process =
+            incarnation_hash(attempt.replica, state_->replicas);
         messenger_->report_part_crash(
-            parts_, fingerprint_, process, attempt_began_at_);
+            parts_, fingerprint_, process, attempt.began_at);
         return messenger_->report_crash(fingerprint_, process);
     }
     constexpr int first_redirect = 300;
-    bool const succeeded = response_complete_ &&
-                           tracker_.phase() == attempt_phase::completed &&
-                           status_ < first_redirect;
+    bool const succeeded =
+        response_complete_ && attempt.completed && status_ < first_redirect;
     if (succeeded) {
         messenger_->report_completion(fingerprint_);
     }
     return false;
 }
 
-void request_handler::log_attempt(endpoint_id const& at, attempt_outcome end) {
-    constexpr std::string_view names[] = {"finished", "refused", "unreached",
-                                          "failed",   "silent",  "broken",
-                                          "unproven", "late"};
+void request_handler::log_attempt(
+    forwarded_attempt const& attempt, attempt_outcome end) {
+    constexpr std::string_view names[] = {
+        "finished", "refused",  "unreached", "failed",  "silent",
+        "broken",   "unproven", "late",      "stalled", "superseded"};
+    attempt_trace const& trace = attempt.trace;
     state_->log_event(log_line(event_code::attempt_ended)
                           .with("id", demand_.id.str())
-                          .with("replica", at.str())
+                          .with("replica", attempt.replica.str())
                           .with("end", names[static_cast<std::size_t>(end)])
                           .with("may_run", static_cast<int>(tracker_.may_run()))
-                          .with("after", trace_.after)
+                          .with("after", trace.after)
                           .with("events", position_.last().value_or(0))
-                          .with("body", trace_.body)
-                          .with("half_bytes", trace_.half_bytes)
-                          .with("rest_ms", trace_.rest));
+                          .with("body", trace.body)
+                          .with("half_bytes", attempt.stream.incomplete_bytes())
+                          .with("silent_ms", trace.silence)
+                          .with("rest_ms", trace.rest));
 }
 
 milliseconds request_handler::retry_after() const {
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -11,32 +11,24 @@
 using platform::answer_kind;
 using std::chrono::milliseconds;
 
-namespace {
-
-/// A stream that may be resumed at another replica is abandoned after this time
-/// without data. This is twice the longest pause that the callers of any
-/// deployment accept.
-constexpr milliseconds stream_idle_timeout{1'500};
-
-} // namespace
-
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::read_answer(endpoint_id at, std::shared_ptr<http_call> call) {
+asio::awaitable<attempt_outcome>
+request_handler::read_answer(attempt_ref attempt) {
     auto const caller = caller_;
+    auto const call = attempt->call;
     int const status = call->status();
     answer_kind const kind = platform::judge_answer(status, call->fields());
-    note_limits(at, kind, call->fields());
-    note_rest(at, status, call->fields());
+    note_limits(*attempt, kind, call->fields());
+    note_rest(*attempt, status, call->fields());
     if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
         tracker_.on_not_executed();
         if (kind == answer_kind::misdirected && !need_.adapter.empty()) {
             state_->replicas.mark_unloading(
-                at, need_.adapter, boot_clock::now());
+                attempt->replica, need_.adapter, boot_clock::now());
         }
         co_await skip_answer(call);
         co_return attempt_outcome::refused;
     }
-    co_return co_await forward_answer(call, kind);
+    co_return co_await forward_answer(attempt, kind);
 }
 
 // The answer is read to its end so that the connection can be reused.
@@ -50,9 +42,8 @@
     }
 }
 
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::forward_answer(
-    std::shared_ptr<http_call> call, answer_kind kind) {
+asio::awaitable<attempt_outcome>
+request_handler::forward_answer(attempt_ref attempt, answer_kind kind) {
     auto const caller = caller_;
     tracker_.on_answering();
     if (kind == answer_kind::spoiled) {
@@ -65,10 +56,17 @@
     }
     bool const stream =
         route_->kind == route_kind::streaming && kind == answer_kind::success;
-    if (stream) {
-        co_return co_await forward_stream(call);
+    if (!stream) {
+        co_return co_await forward_buffered(attempt);
+    }
+    if (!may_replace_stalled(*attempt)) {
+        co_return attempt_outcome::superseded;
     }
-    co_return co_await forward_buffered(call, call->status());
+    co_await stop_stalled();
+    if (response_complete_) {
+        co_return attempt_outcome::superseded;
+    }
+    co_return co_await follow_stream(attempt);
 }
 
 asio::awaitable<bool> request_handler::write_to_caller(std::string_view piece) {
@@ -89,11 +87,12 @@
     co_return passed;
 }
 
-asio::awaitable<bool> request_handler::forward_events(
-    std::shared_ptr<http_call> call, joined_events events) {
+asio::awaitable<bool>
+request_handler::forward_events(attempt_ref attempt, joined_events events) {
     auto const caller = caller_;
-    note_output();
-    note_stream_event();
+    auto const call = attempt->call;
+    note_output(*attempt);
+    note_stream_event(*attempt);
     if (!response_started_) {
         response_started_ = true;
         status_ = call->status();
@@ -102,7 +101,7 @@
         if (relayed_ && route_->resumable) {
             fields.add(
                 std::string(platform::relay_field),
-                encode_relayed_software(attempt_software_));
+                encode_relayed_software(*attempt->software));
         }
         bool const started =
             co_await exchange_->begin_stream(status_, std::move(fields));
@@ -113,70 +112,69 @@
     co_return passed && !caller->gone;
 }
 
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::forward_stream(std::shared_ptr<http_call> call) {
+asio::awaitable<attempt_outcome>
+request_handler::forward_stream(attempt_ref attempt) {
     auto const caller = caller_;
-    bool const resumable = route_->resumable;
-    attempt_stream stream;
+    auto const call = attempt->call;
     while (true) {
+        instant const now = boot_clock::now();
         auto const left = std::chrono::duration_cast<milliseconds>(
-            deadline_ + milliseconds(100) - boot_clock::now());
-        // A peer resumes a stream itself.
-        milliseconds const wait = resumable && !relaying_
-                                      ? std::min(left, stream_idle_timeout)
-                                      : left;
+            deadline_ + milliseconds(100) - now);
+        attempt->begin_wait(now);
         auto const piece =
-            co_await call->next_piece(std::max(wait, milliseconds(1)));
+            co_await call->next_piece(std::max(left, milliseconds(1)));
+        bool const received = piece && !piece->empty();
+        attempt->end_wait(received, boot_clock::now());
         if (caller->gone) {
             co_return attempt_outcome::finished;
         }
-        if (!piece || piece->empty()) {
+        if (!received) {
             bool const read_to_end = piece.has_value();
-            co_return co_await finish_stream_attempt(call, stream, read_to_end);
+            co_return co_await finish_stream_attempt(attempt, read_to_end);
         }
-        stream.push(*piece);
-        joined_events events = join_events(stream, position_);
-        trace_.half_bytes = stream.incomplete_bytes();
+        attempt->stream.push(*piece);
+        joined_events events = join_events(attempt->stream, position_);
         bool const joined = events.joined;
         bool passed = true;
         if (!events.text.empty()) {
-            passed = co_await forward_events(call, std::move(events));
+            passed = co_await forward_events(attempt, std::move(events));
         }
         if (!passed) {
             call->cancel();
             co_return attempt_outcome::finished;
         }
         if (!joined) {
-            trace_.body = "not-joined";
+            attempt->trace.body = "not-joined";
             call->cancel();
             co_return attempt_outcome::failed;
         }
     }
 }
 
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::finish_stream_attempt(
-    std::shared_ptr<http_call> call, attempt_stream const& stream,
-    bool read_to_end) {
+asio::awaitable<attempt_outcome>
+request_handler::finish_stream_attempt(attempt_ref attempt, bool read_to_end) {
     auto const caller = caller_;
+    auto const call = attempt->call;
+    attempt_stream const& stream = attempt->stream;
+    attempt_trace& trace = attempt->trace;
     if (stream.incomplete_bytes() > 0) {
         position_.note_truncated_event();
     }
     if (!read_to_end) {
-        trace_.body = "cut";
+        trace.body = "cut";
         co_return attempt_outcome::silent;
     }
     bool const framed = !call->ends_with_connection();
-    trace_.body = framed ? "whole" : "connection-end";
+    trace.body = framed ? "whole" : "connection-end";
     stream_end const end = position_.classify_end(stream, framed);
     if (end == stream_end::unconfirmed) {
         co_return attempt_outcome::unproven;
     }
     if (end == stream_end::truncated) {
-        trace_.broke_off = !framed;
+        trace.broke_off = !framed;
         co_return framed ? attempt_outcome::failed : attempt_outcome::silent;
     }
-    tracker_.on_completed();
+    note_completed(*attempt);
     if (response_started_) {
         response_complete_ = co_await exchange_->end_stream();
         if (response_complete_ && origin_recorded_) {
@@ -193,9 +191,19 @@
     co_return attempt_outcome::finished;
 }
 
-asio::awaitable<request_handler::attempt_outcome>
-request_handler::forward_buffered(std::shared_ptr<http_call> call, int status) {
+// The newest attempt alone can be answering: it has replaced the earlier ones.
+void request_handler::note_completed(forwarded_attempt& attempt) {
+    attempt.completed = true;
+    if (tracker_.phase() == attempt_phase::answering) {
+        tracker_.on_completed();
+    }
+}
+
+asio::awaitable<attempt_outcome>
+request_handler::forward_buffered(attempt_ref attempt) {
     auto const caller = caller_;
+    auto const call = attempt->call;
+    int const status = call->status();
     http_response answer;
     answer.status = status;
     answer.fields = platform::pass_fields(call->fields());
@@ -209,13 +217,19 @@
         }
         answer.body += *piece;
     }
-    tracker_.on_completed();
+    note_completed(*attempt);
     constexpr int first_failure = 500;
     if (status >= first_failure) {
         failure_response_ = std::move(answer);
         co_return attempt_outcome::failed;
     }
-    note_output();
+    if (!response_started_) {
+        co_await stop_stalled();
+    }
+    if (response_started_) {
+        co_return attempt_outcome::failed;
+    }
+    note_output(*attempt);
     status_ = status;
     state_->metrics.observe_first_byte(boot_clock::now() - arrived_at_);
     response_complete_ = co_await exchange_->respond(std::move(answer));
--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -122,10 +122,12 @@
 }
 
 void request_handler::note_rest(
-    endpoint_id const& at, int status, http_fields const& answer) {
-    trace_.rest = read_retry_after(status, answer);
-    if (trace_.rest > duration::zero()) {
-        state_->replicas.mark_resting(at, boot_clock::now() + trace_.rest);
+    forwarded_attempt& attempt, int status, http_fields const& answer) {
+    duration const rest = read_retry_after(status, answer);
+    attempt.trace.rest = rest;
+    if (rest > duration::zero()) {
+        state_->replicas.mark_resting(
+            attempt.replica, boot_clock::now() + rest);
     }
 }
 
@@ -136,9 +138,10 @@
 }
 
 void request_handler::note_limits(
-    endpoint_id const& at, platform::answer_kind kind,
+    forwarded_attempt& attempt, platform::answer_kind kind,
     http_fields const& answer) {
     using platform::answer_kind;
+    endpoint_id const& at = attempt.replica;
     // A misdirected request was answered by another replica.
     if (kind == answer_kind::misdirected) {
         return;
@@ -149,11 +152,11 @@
     platform::named_rate_limit const limit = platform::read_rate_limit(answer);
     auto const max_rejections = platform::read_max_rejections(answer);
     bool const rejected = kind == answer_kind::not_executed;
-    trace_.rejected = rejected;
+    attempt.trace.rejected = rejected;
     // A refusal without a limit may come from a part of the replica that does
     // not know it.
     if (max_rejections || !rejected) {
-        messenger_->report_brittleness(at, max_rejections, attempt_began_at_);
+        messenger_->report_brittleness(at, max_rejections, attempt.began_at);
     }
     if (rejected && messenger_->is_brittle(at)) {
         messenger_->report_rejection(at, slot_number_);
@@ -167,7 +170,7 @@
                 .with("replica", at.str()));
         return;
     }
-    messenger_->report_rate_limit(at, limit.per_second, attempt_began_at_);
+    messenger_->report_rate_limit(at, limit.per_second, attempt.began_at);
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -56,12 +56,11 @@
     return terms;
 }
 
-asio::awaitable<request_handler::relay_outcome>
+asio::awaitable<request_handler::next_step>
 request_handler::relay(std::string peer) {
     auto const caller = caller_;
     if (!consume_resend_budget()) {
-        co_await finish(reason_);
-        co_return relay_outcome::ended;
+        co_return next_step::give_up;
     }
     instant const now = boot_clock::now();
     state_->log_event(log_line(event_code::request_relayed)
@@ -77,36 +76,40 @@
     http_request request = platform::make_relay(exchange_->request(), terms);
     call_times times = send_times(now);
     times.connect = peer_connect_timeout;
-    auto const call = std::make_shared<http_call>(
-        state_->io.get_executor(), &state_->peer_connections);
-    caller_->call = call;
+    auto const attempt = std::make_shared<forwarded_attempt>(
+        state_->io.get_executor(), state_->peer_connections, now);
+    caller_->calls.insert(attempt->call);
     tracker_.begin();
     tried_peers_.insert(peer);
     ip_address to = parse_address(peer);
-    call_result const opened = co_await call->open(
+    call_result const opened = co_await attempt->call->open(
         std::move(to), std::move(request), std::move(times));
     if (opened != call_result::not_sent) {
         tracker_.on_sent();
         counted_ = true;
     }
-    if (opened == call_result::answered) {
-        co_return co_await pass_relayed_answer(call);
+    next_step step = next_step::give_up;
+    if (opened == call_result::answered && !response_complete_) {
+        step = co_await pass_relayed_answer(attempt);
+    } else if (!response_complete_) {
+        step = finish_relay(
+            opened == call_result::not_sent ? attempt_outcome::unreached
+                                            : attempt_outcome::silent);
     }
-    caller_->call = nullptr;
-    co_return co_await finish_relay(
-        opened == call_result::not_sent ? attempt_outcome::unreached
-                                        : attempt_outcome::silent);
+    caller_->calls.erase(attempt->call);
+    co_return step;
 }
 
-asio::awaitable<request_handler::relay_outcome>
-request_handler::pass_relayed_answer(std::shared_ptr<http_call> call) {
+asio::awaitable<request_handler::next_step>
+request_handler::pass_relayed_answer(attempt_ref attempt) {
     auto const caller = caller_;
+    auto const call = attempt->call;
     http_fields const fields = call->fields();
     int const status = call->status();
     answer_kind const kind = platform::judge_relayed_answer(status, fields);
     std::string_view const relay_word = fields.get(platform::relay_field);
     bool const declined = relay_word == relay_declined;
-    relayed_software_ = decode_relayed_software(relay_word);
+    attempt->software = decode_relayed_software(relay_word);
     if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
         if (declined) {
             tracker_.on_declined();
@@ -114,9 +117,8 @@
             tracker_.on_not_executed();
         }
         co_await skip_answer(call);
-        caller_->call = nullptr;
         if (declined) {
-            co_return co_await finish_relay(attempt_outcome::refused);
+            co_return finish_relay(attempt_outcome::refused);
         }
         constexpr int first_failure = 500;
         if (!tracker_.may_run() && status >= first_failure) {
@@ -125,41 +127,28 @@
             refusal.fields = platform::pass_fields(fields);
             failure_response_ = std::move(refusal);
         }
-        co_await finish("refused-by-peer");
-        co_return relay_outcome::ended;
+        reason_ = "refused-by-peer";
+        co_return next_step::give_up;
     }
-    relaying_ = true;
-    attempt_outcome end = co_await forward_answer(call, kind);
-    relaying_ = false;
-    caller_->call = nullptr;
+    attempt_outcome end = co_await forward_answer(attempt, kind);
     bool const late = boot_clock::now() >= deadline_;
     if (late && end != attempt_outcome::finished) {
         end = attempt_outcome::late;
     }
     // The peer has made the attempts that the route allows.
     if (end == attempt_outcome::failed && failure_response_) {
-        co_await finish("replica-failed");
-        co_return relay_outcome::ended;
+        reason_ = "replica-failed";
+        co_return next_step::give_up;
     }
-    co_return co_await finish_relay(end);
+    co_return finish_relay(end);
 }
 
-asio::awaitable<request_handler::relay_outcome>
-request_handler::finish_relay(attempt_outcome end) {
-    auto const caller = caller_;
+request_handler::next_step request_handler::finish_relay(attempt_outcome end) {
     if (end == attempt_outcome::finished) {
-        co_await finish("answered");
-        co_return relay_outcome::ended;
-    }
-    if (caller->gone) {
-        co_await finish("caller-gone");
-        co_return relay_outcome::ended;
-    }
-    if (!may_retry(end)) {
-        co_await finish(reason_);
-        co_return relay_outcome::ended;
+        return next_step::complete;
     }
-    co_return relay_outcome::retry;
+    bool const retry = !caller_->gone && may_retry(end);
+    return retry ? next_step::search : next_step::give_up;
 }
 
 } // namespace camphorpoint
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -339,7 +339,7 @@
             reason_ = "too-late";
             co_return nullptr;
         }
-        if (select_relay(false, now)) {
+        if (stall_has_ended() || select_relay(false, now)) {
             co_return nullptr;
         }
         endpoint_id const previous_target = load_target_;
--- /dev/null
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -0,0 +1,147 @@
+#include "Gateway/request_handler.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cassert>
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+/// Another replica is sought for a stream that may be resumed after this time
+/// without data. Callers accept shorter pauses, and abandon a stream later.
+constexpr milliseconds stream_idle_timeout{1'500};
+/// While a stream is stalled and no other attempt is possible, this is checked
+/// again at this interval.
+constexpr milliseconds stalled_search_interval{300};
+
+} // namespace
+
+asio::awaitable<attempt_outcome>
+request_handler::follow_stream(attempt_ref attempt) {
+    auto const caller = caller_;
+    if (!route_->resumable || attempt->relayed()) {
+        // No other attempt could go on with the stream; a peer resumes it
+        // itself.
+        co_return co_await forward_stream(attempt);
+    }
+    asio::co_spawn(
+        state_->io.get_executor(), forward_to_end(attempt), asio::detached);
+    co_return co_await await_end(attempt);
+}
+
+asio::awaitable<void> request_handler::forward_to_end(attempt_ref attempt) {
+    auto const caller = caller_;
+    attempt_outcome end = attempt_outcome::failed;
+    try {
+        end = co_await forward_stream(attempt);
+    } catch (std::exception const&) {
+        attempt->failure = std::current_exception();
+    }
+    if (end == attempt_outcome::finished) {
+        // An attempt that was to replace this one is no longer needed.
+        for (auto const& each : caller->calls) {
+            each->cancel();
+        }
+    }
+    attempt->set_end(end);
+}
+
+asio::awaitable<attempt_outcome>
+request_handler::await_end(attempt_ref attempt) {
+    auto const caller = caller_;
+    while (!attempt->end) {
+        // A caller that reads slowly does not make a silent replica.
+        instant const silent_since =
+            attempt->waiting_since.value_or(boot_clock::now());
+        instant const stalls_at = silent_since + stream_idle_timeout;
+        if (boot_clock::now() >= stalls_at) {
+            co_return attempt_outcome::stalled;
+        }
+        attempt->changed.expires_after(time_until(stalls_at));
+        co_await attempt->changed.async_wait(use_result);
+    }
+    if (attempt->failure) {
+        std::rethrow_exception(attempt->failure);
+    }
+    co_return *attempt->end;
+}
+
+void request_handler::on_stalled(attempt_ref attempt) {
+    assert(!stalled_ && "the attempt that writes has replaced the earlier one");
+    attempt->stalled = true;
+    stalled_ = attempt;
+    record_health(*attempt, attempt_outcome::stalled);
+    leave_gate(attempt_outcome::stalled);
+    state_->log_event(
+        log_line(event_code::stream_stalled)
+            .with("id", demand_.id.str())
+            .with("replica", attempt->replica.str())
+            .with("events", position_.last().value_or(0))
+            .with("half_bytes", attempt->stream.incomplete_bytes()));
+}
+
+bool request_handler::stall_has_ended() const {
+    return stalled_ && stalled_->active();
+}
+
+asio::awaitable<request_handler::next_step> request_handler::await_stalled() {
+    auto const caller = caller_;
+    attempt_ref const attempt = stalled_;
+    std::string const refusal = reason_;
+    while (!attempt->active()) {
+        attempt->changed.expires_after(stalled_search_interval);
+        co_await attempt->changed.async_wait(use_result);
+        bool const searches = !attempt->active() && !caller->gone &&
+                              may_retry(attempt_outcome::stalled);
+        if (searches) {
+            co_return next_step::search;
+        }
+        reason_ = refusal;
+    }
+    stalled_.reset();
+    state_->log_event(log_line(event_code::stream_went_on)
+                          .with("id", demand_.id.str())
+                          .with("replica", attempt->replica.str())
+                          .with("instead", refusal)
+                          .with("silent_ms", attempt->trace.silence));
+    attempt_outcome const end = co_await await_end(attempt);
+    co_return co_await after_attempt(attempt, end);
+}
+
+bool request_handler::may_replace_stalled(
+    forwarded_attempt const& attempt) const {
+    // The stalled attempt may have begun the stream since the new one was sent.
+    bool const continues =
+        position_.may_resume() && need_.software == attempt.software;
+    return !stalled_ || !response_started_ || continues;
+}
+
+asio::awaitable<void> request_handler::stop_stalled() {
+    auto const caller = caller_;
+    attempt_ref const attempt = std::exchange(stalled_, nullptr);
+    if (!attempt) {
+        co_return;
+    }
+    bool const ended = attempt->end.has_value();
+    attempt->call->cancel();
+    while (!attempt->end) {
+        attempt->changed.expires_after(stalled_search_interval);
+        co_await attempt->changed.async_wait(use_result);
+    }
+    attempt_outcome const end = *attempt->end;
+    conclude(*attempt, ended ? classify_end(*attempt, end) : end);
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/request_handler_streams.cpp
+++ b/src/Gateway/request_handler_streams.cpp
@@ -74,19 +74,15 @@
         lifetime, std::max(waited, milliseconds(0)) + stream_age_margin);
 }
 
-void request_handler::note_stream_event() {
+void request_handler::note_stream_event(forwarded_attempt const& attempt) {
     if (!route_->resumable) {
         return;
     }
-    if (relaying_) {
-        // The peer has recorded the stream.
-        need_.software = relayed_software_;
-        return;
-    }
-    need_.software = attempt_software_;
-    if (!origin_recorded_) {
+    need_.software = attempt.software;
+    // A peer has recorded the stream that it relays.
+    if (!origin_recorded_ && !attempt.relayed()) {
         origin_recorded_ = true;
-        messenger_->record_stream(need_.service, {stream_, attempt_software_});
+        messenger_->record_stream(need_.service, {stream_, *attempt.software});
     }
 }
 
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -77,6 +77,8 @@
     event_name{event_code::stream_resumed, "stream-resumed"},
     event_name{event_code::part_tried, "part-tried"},
     event_name{event_code::software_recorded, "software-recorded"},
+    event_name{event_code::stream_stalled, "stream-stalled"},
+    event_name{event_code::stream_went_on, "stream-went-on"},
     event_name{event_code::replica_seen, "replica-seen"},
     event_name{event_code::replica_leaving, "replica-leaving"},
     event_name{event_code::replica_gone, "replica-gone"},
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -81,6 +81,8 @@
     stream_resumed = 926,
     part_tried = 927,
     software_recorded = 928,
+    stream_stalled = 929,
+    stream_went_on = 930,
     replica_seen = 931,
     replica_leaving = 932,
     replica_gone = 933,
--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -295,27 +295,47 @@
                       : additional_nodes_.at(which - 1).settings.caller_address;
 }
 
+asio::awaitable<fetch_result> gateway_fixture::fetch_stream(
+    ip_address to, std::string path, std::chrono::milliseconds patience,
+    unsigned after) {
+    http_call call(loop.executor());
+    http_request request;
+    request.method = "POST";
+    request.target = path;
+    request.fields.add("Host", "h");
+    request.fields.add("X-Request-Id", path);
+    request.fields.add("X-Request-Deadline", std::to_string(patience.count()));
+    if (after > 0) {
+        request.fields.add("Last-Event-Id", std::to_string(after));
+    }
+    call_times times;
+    times.each_step = patience + std::chrono::seconds(1);
+    co_return co_await fetch(call, std::move(to), std::move(request), times);
+}
+
 fetch_result gateway_fixture::stream_from_node(
     std::size_t which, std::string path, unsigned after) {
+    constexpr std::chrono::milliseconds patience{3'000};
     fetch_result result;
     loop.run([&]() -> asio::awaitable<void> {
-        http_call call(loop.executor());
-        http_request request;
-        request.method = "POST";
-        request.target = path;
-        request.fields.add("Host", "h");
-        request.fields.add("X-Request-Id", path);
-        request.fields.add("X-Request-Deadline", "3000");
-        if (after > 0) {
-            request.fields.add("Last-Event-Id", std::to_string(after));
-        }
         ip_address to = caller_address(which);
-        call_times times;
-        result = co_await fetch(call, std::move(to), std::move(request), times);
+        result = co_await fetch_stream(
+            std::move(to), std::move(path), patience, after);
     });
     return result;
 }
 
+void gateway_fixture::stream_from_node_async(
+    std::size_t which, std::string path, std::chrono::milliseconds patience,
+    std::optional<fetch_result>& result) {
+    ip_address to = caller_address(which);
+    asio::co_spawn(
+        loop.io(), fetch_stream(std::move(to), std::move(path), patience, 0),
+        [&result](std::exception_ptr const&, fetch_result got) {
+            result = std::move(got);
+        });
+}
+
 void gateway_fixture::send_async(
     std::string path, std::string model, std::string id) {
     ip_address to = settings.caller_address;
--- a/test/gateway/gateway_fixture.hpp
+++ b/test/gateway/gateway_fixture.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,13 @@
     /// @returns the received answer, also when it was cut off
     fetch_result
     stream_from_node(std::size_t node, std::string path, unsigned after);
+    /// Requests a stream of the service without adapters without waiting.
+    /// @param patience the deadline that the request names
+    /// @param result   receives the answer, also when it was cut off; must
+    ///                 outlive the request
+    void stream_from_node_async(
+        std::size_t node, std::string path, std::chrono::milliseconds patience,
+        std::optional<fetch_result>& result);
     /// Starts an additional node and waits until it is ready.
     void add_node();
     /// Starts an additional node without waiting until it is ready.
@@ -134,6 +142,9 @@
     boost::asio::awaitable<fetch_result> send(
         ip_address to, std::string path, std::string model, std::string id,
         std::string body, http_fields fields = {});
+    boost::asio::awaitable<fetch_result> fetch_stream(
+        ip_address to, std::string path, std::chrono::milliseconds patience,
+        unsigned after);
     ip_address caller_address(std::size_t node) const;
     void start(gateway_settings const& with, std::unique_ptr<gateway>& which);
     void stop(std::unique_ptr<gateway>& which);
--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <chrono>
 #include <optional>
@@ -37,6 +38,12 @@
     return number;
 }
 
+/// @returns the target of the request line
+std::string target_of(std::string_view head) {
+    std::size_t const begin = head.find(' ') + 1;
+    return std::string(head.substr(begin, head.find(' ', begin) - begin));
+}
+
 std::string head_of(scripted_attempt const& attempt) {
     bool const stream = attempt.status == 200;
     std::string head = fmt::format(
@@ -44,6 +51,9 @@
         attempt.status,
         attempt.is_signed ? "X-Response-Signature: signed\r\n" : "",
         stream ? "text/event-stream" : "text/plain");
+    if (attempt.not_executed) {
+        head += "X-Not-Executed: 1\r\n";
+    }
     if (!stream) {
         head += "Content-Length: 2\r\n";
     } else if (attempt.framing == body_framing::chunked) {
@@ -58,6 +68,27 @@
     co_return !error;
 }
 
+/// Waits, unless the peer closes the connection before.
+/// @returns false when it has done so
+asio::awaitable<bool>
+stay_silent(tcp::socket& socket, std::chrono::milliseconds time) {
+    constexpr std::chrono::milliseconds step{2};
+    instant const until = boot_clock::now() + time;
+    asio::steady_timer timer(socket.get_executor());
+    while (boot_clock::now() < until) {
+        std::array<char, 1> byte{};
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+        if (error && error != asio::error::would_block) {
+            co_return false;
+        }
+        timer.expires_after(step);
+        co_await timer.async_wait(use_result);
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> write_body(
     tcp::socket& socket, scripted_attempt const& attempt,
     std::string_view body) {
@@ -130,20 +161,38 @@
     }
 }
 
+scripted_attempt scripted_replica::next_attempt(std::string const& target) {
+    auto const found = scripts.find(target);
+    std::deque<scripted_attempt>& attempts =
+        found == scripts.end() ? script : found->second;
+    scripted_attempt attempt;
+    if (!attempts.empty()) {
+        attempt = std::move(attempts.front());
+        attempts.pop_front();
+    }
+    return attempt;
+}
+
 asio::awaitable<void> scripted_replica::serve(tcp::socket taken) {
     auto const link = std::make_shared<tcp::socket>(std::move(taken));
-    tcp::socket& socket = *link;
     std::string head;
     auto const [error, size] = co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(head), "\r\n\r\n", use_result);
+        *link, asio::dynamic_buffer(head), "\r\n\r\n", use_result);
     if (error) {
         co_return;
     }
-    scripted_attempt attempt;
-    if (!script.empty()) {
-        attempt = std::move(script.front());
-        script.pop_front();
-    }
+    std::size_t const record = records.size();
+    records.push_back({target_of(head), boot_clock::now(), {}, {}});
+    co_await answer(*link, head);
+    records[record].ended = boot_clock::now();
+    boost::system::error_code ignored;
+    link->close(ignored);
+}
+
+asio::awaitable<void>
+scripted_replica::answer(tcp::socket& socket, std::string head) {
+    std::size_t const record = records.size() - 1;
+    scripted_attempt const attempt = next_attempt(records[record].target);
     unsigned const after = last_event_of(head);
     last_event_ids.push_back(after);
     std::string const complete_body =
@@ -152,14 +201,33 @@
     bool const cut = attempt.bytes < complete_body.size();
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    bool written = true;
+    if (attempt.silent_before_head) {
+        written = co_await stay_silent(socket, attempt.silence);
+    }
+    if (!written) {
+        co_return;
+    }
+    if (attempt.status == 200) {
+        records[record].streaming = boot_clock::now();
+    }
     std::string head_text = head_of(attempt);
-    bool written = co_await write(socket, std::move(head_text));
+    written = co_await write(socket, std::move(head_text));
     if (written && attempt.status != 200) {
         std::string body = complete_body;
         written = co_await write(socket, std::move(body));
     } else if (written) {
         std::string const part = complete_body.substr(0, attempt.bytes);
-        written = co_await write_body(socket, attempt, part);
+        std::size_t const pause = std::min(attempt.silent_at, part.size());
+        std::string const first = part.substr(0, pause);
+        std::string const rest = part.substr(pause);
+        written = co_await write_body(socket, attempt, first);
+        if (written && attempt.silent_at != scripted_attempt::all) {
+            written = co_await stay_silent(socket, attempt.silence);
+        }
+        if (written) {
+            written = co_await write_body(socket, attempt, rest);
+        }
     }
     if (written && !cut && attempt.framing == body_framing::chunked &&
         attempt.status == 200) {
@@ -173,7 +241,6 @@
         co_await timer.async_wait(use_result);
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
-    socket.close(ignored);
 }
 
 } // namespace camphorpoint::testing
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -1,15 +1,19 @@
 #pragma once
 
+#include "Core/time.hpp"
 #include "test/ports/loopback.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +53,23 @@
     bool is_signed = true;
     /// Any other status is sent with a plain body instead of a stream.
     int status = 200;
+    /// Status other than 200: the answer says that the request has not run.
+    bool not_executed = false;
+    /// The attempt falls silent before this byte of its body, and then goes on.
+    std::size_t silent_at = all;
+    /// The attempt falls silent before its head.
+    bool silent_before_head = false;
+    std::chrono::milliseconds silence{0};
+};
+
+/// What a replica has seen of one attempt.
+struct attempt_record {
+    std::string target;
+    instant began;
+    /// When a stream was begun; nothing for another answer.
+    std::optional<instant> streaming;
+    /// When the attempt was over, or its connection was closed.
+    std::optional<instant> ended;
 };
 
 /// Replicas that send streams byte by byte as scripted, for any request. All of
@@ -69,12 +90,20 @@
 
     /// Behaviour of the next attempts; later attempts send complete streams.
     std::deque<scripted_attempt> script;
+    /// The same for the attempts of the requests with a target, which go before
+    /// `script`.
+    std::map<std::string, std::deque<scripted_attempt>> scripts;
+    /// All attempts so far.
+    std::vector<attempt_record> records;
     /// Last-Event-Id of each attempt so far, 0 for none.
     std::vector<unsigned> last_event_ids;
 
 private:
     boost::asio::awaitable<void> accept_all();
     boost::asio::awaitable<void> serve(raw_server::socket_type taken);
+    boost::asio::awaitable<void>
+    answer(boost::asio::ip::tcp::socket& socket, std::string head);
+    scripted_attempt next_attempt(std::string const& target);
     std::string body_of(
         scripted_attempt const& attempt, std::size_t number,
         unsigned after) const;
--- /dev/null
+++ b/test/gateway/silent_replica_test.cpp
@@ -0,0 +1,312 @@
+#include "test/gateway/caller_stream.hpp"
+#include "test/gateway/gateway_fixture.hpp"
+#include "test/gateway/scripted_replica.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using testing::attempt_record;
+using testing::caller_stream;
+using testing::disconnect_kind;
+using testing::gateway_fixture;
+using testing::scripted_attempt;
+using testing::scripted_replica;
+
+namespace {
+
+constexpr unsigned stream_events = 6;
+constexpr milliseconds patience{8'000};
+/// Longer than a node waits before it looks for another replica.
+constexpr milliseconds silence{2'200};
+constexpr milliseconds for_good{60'000};
+
+std::size_t body_bytes(unsigned events) {
+    return events * scripted_replica::event(1, 1).size();
+}
+
+scripted_attempt silent_at(std::size_t byte, milliseconds time = silence) {
+    scripted_attempt attempt;
+    attempt.silent_at = byte;
+    attempt.silence = time;
+    return attempt;
+}
+
+scripted_attempt silent_before_head(milliseconds time) {
+    scripted_attempt attempt;
+    attempt.silent_before_head = true;
+    attempt.silence = time;
+    return attempt;
+}
+
+scripted_attempt refusal() {
+    scripted_attempt attempt;
+    attempt.status = 503;
+    attempt.not_executed = true;
+    return attempt;
+}
+
+/// One node in front of replicas that answer as scripted. Streams below /runs/
+/// allow four attempts, those below /alone/ one, and those below /bare/ may not
+/// be resumed.
+class silent_fixture {
+public:
+    /// @param replicas number of replicas
+    /// @param slack    resends that the budget allows
+    explicit silent_fixture(unsigned replicas = 4, double slack = 1e6)
+        : world_([slack](gateway_fixture& before) {
+            before.settings.resends.slack = slack;
+            before.settings.resends.ratio = 0;
+            before.settings.stream_lifetime = milliseconds(0);
+        })
+        , replica_(world_.loop, stream_events) {
+        REQUIRE(world_.loop.run_until([this] { return world_.node->ready(); }));
+        world_.configure(
+            2, route("runs", 4, true) + route("alone", 1, true) +
+                   route("bare", 4, false));
+        for (unsigned each = 0; each < replicas; ++each) {
+            world_.metadata.store().put(
+                "keyed.servers", fmt::format("s{}", each),
+                replica_.entry("scripted"));
+        }
+        endpoint_id const last(fmt::format("s{}", replicas - 1));
+        REQUIRE(world_.loop.run_until([&] {
+            return world_.node->configuration_version() == 2 &&
+                   world_.node->knows_replica(last);
+        }));
+    }
+
+    /// Starts a request with a fingerprint of its own.
+    void start(std::string_view route, std::deque<scripted_attempt> attempts) {
+        std::string path = fmt::format("/{}/{}", route, answers_.size());
+        replica_.scripts[path] = std::move(attempts);
+        paths_.push_back(path);
+        auto& result = answers_.emplace_back();
+        world_.stream_from_node_async(0, path, patience, result);
+    }
+
+    /// Runs until all requests have their answers.
+    void finish() {
+        REQUIRE(within(world_, patience + milliseconds(2'000), [this] {
+            return std::ranges::all_of(
+                answers_, [](auto const& each) { return each.has_value(); });
+        }));
+    }
+
+    std::size_t size() const noexcept { return answers_.size(); }
+
+    /// @returns what the caller of a request has received
+    caller_stream stream(std::size_t which) const {
+        caller_stream caller(stream_events);
+        caller.add_answer(*answers_[which], replica_.records.size());
+        return caller;
+    }
+
+    /// @returns the attempts of a request, in order
+    std::vector<attempt_record> attempts(std::size_t which) const {
+        std::vector<attempt_record> result;
+        for (attempt_record const& each : replica_.records) {
+            if (each.target == paths_[which]) {
+                result.push_back(each);
+            }
+        }
+        return result;
+    }
+
+    gateway_fixture& world() noexcept { return world_; }
+
+private:
+    static std::string
+    route(std::string_view name, unsigned attempts, bool resumable) {
+        return fmt::format(
+            R"({{"name":"{0}","hostname":"h","path_prefix":"/{0}/",)"
+            R"("type":"streaming","timeout_ms":{3},"target_latency_ms":800,)"
+            R"("priority":0,"service":"scripted","attempts":{1},)"
+            R"("resumable":{2}}},)",
+            name, attempts, resumable, patience.count());
+    }
+
+    gateway_fixture world_;
+    scripted_replica replica_;
+    std::vector<std::string> paths_;
+    std::deque<std::optional<fetch_result>> answers_;
+};
+
+void check_complete(silent_fixture const& world) {
+    for (std::size_t each = 0; each < world.size(); ++each) {
+        caller_stream const caller = world.stream(each);
+        INFO("request " << each << ", events " << caller.last());
+        CHECK(caller.problem() == "");
+        CHECK(caller.complete());
+    }
+}
+
+/// A replica that is about to be replaced must have ended its attempt soon
+/// after the next one has begun.
+void check_overlaps(silent_fixture const& world) {
+    constexpr milliseconds longest_overlap{400};
+    for (std::size_t each = 0; each < world.size(); ++each) {
+        auto const attempts = world.attempts(each);
+        for (std::size_t next = 1; next < attempts.size(); ++next) {
+            attempt_record const& before = attempts[next - 1];
+            instant const begun =
+                attempts[next].streaming.value_or(instant::max());
+            if (begun < instant::max() && before.ended) {
+                INFO("request " << each << ", attempt " << next);
+                CHECK(*before.ended < begun + longest_overlap);
+            }
+        }
+    }
+}
+
+/// Starts streams that fall silent once, at any place.
+void start_at_all_places(
+    silent_fixture& world, std::string_view route,
+    std::deque<scripted_attempt> const& then = {}) {
+    constexpr std::size_t step = 3;
+    world.start(route, {silent_before_head(silence)});
+    for (std::size_t at = 0; at <= body_bytes(stream_events); at += step) {
+        std::deque<scripted_attempt> attempts = then;
+        attempts.push_front(silent_at(at));
+        world.start(route, std::move(attempts));
+    }
+}
+
+} // namespace
+
+// Guards against a stream that its node ends while its replica is only silent.
+TEST_CASE("a silent replica goes on where no other attempt is possible") {
+    SUBCASE("the route allows one attempt") {
+        silent_fixture world;
+        start_at_all_places(world, "alone");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the budget for resends is exhausted") {
+        silent_fixture world(4, 0);
+        start_at_all_places(world, "runs");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("there is no other replica") {
+        silent_fixture world(1);
+        start_at_all_places(world, "runs");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the stream may not be resumed") {
+        silent_fixture world;
+        start_at_all_places(world, "bare");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the node is being stopped") {
+        silent_fixture world(1);
+        start_at_all_places(world, "runs");
+        within(world.world(), milliseconds(300), [] { return false; });
+        world.world().node->drain([] {});
+        world.finish();
+        check_complete(world);
+    }
+}
+
+// Guards against a stream that is lost with the attempt that was to replace a
+// silent one.
+TEST_CASE("a silent replica goes on when its replacement does not begin") {
+    silent_fixture world;
+    SUBCASE("the other replicas refuse the request") {
+        start_at_all_places(
+            world, "runs", {refusal(), refusal(), refusal(), refusal()});
+    }
+    SUBCASE("the other replica is silent before its answer") {
+        start_at_all_places(world, "runs", {silent_before_head(for_good)});
+    }
+    SUBCASE("the other replica fails") {
+        scripted_attempt failure;
+        failure.status = 500;
+        start_at_all_places(
+            world, "runs", {failure, failure, failure, failure});
+    }
+    world.finish();
+    check_complete(world);
+    check_overlaps(world);
+}
+
+// Guards against a stream that waits for a replica that is gone.
+TEST_CASE("a stream of a replica that stays silent goes on elsewhere") {
+    // The time after which another replica is sought, and some to find it.
+    constexpr milliseconds longest{1'900};
+    silent_fixture world;
+    for (std::size_t at = 0; at < body_bytes(stream_events); at += 5) {
+        world.start("runs", {silent_at(at, for_good)});
+    }
+    world.finish();
+    check_complete(world);
+    check_overlaps(world);
+    for (std::size_t each = 0; each < world.size(); ++each) {
+        auto const attempts = world.attempts(each);
+        REQUIRE(attempts.size() == 2);
+        CHECK(attempts[1].began < attempts[0].began + longest);
+    }
+}
+
+// Guards against events that are missing, doubled or joined from two attempts,
+// and against attempts beyond those that the route allows.
+TEST_CASE(
+    "streams of replicas with random silences are complete and in order") {
+    constexpr unsigned route_attempts = 4;
+    constexpr unsigned requests = 120;
+    std::mt19937 random(7);
+    auto const below = [&random](std::size_t limit) {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+    };
+    silent_fixture world(route_attempts);
+    std::vector<bool> sound;
+    for (unsigned each = 0; each < requests; ++each) {
+        std::deque<scripted_attempt> attempts;
+        bool all_sound = true;
+        for (unsigned more = 0; more < route_attempts; ++more) {
+            scripted_attempt attempt =
+                silent_at(below(body_bytes(stream_events)));
+            attempt.silence = milliseconds(200 + below(2'800));
+            attempt.silent_before_head = more > 0 && below(4) == 0;
+            attempt.piece = below(2) == 0 ? 1 + below(30) : attempt.piece;
+            if (below(4) == 0) {
+                attempt.bytes = below(body_bytes(stream_events));
+                attempt.cut = below(2) == 0 ? disconnect_kind::closed
+                                            : disconnect_kind::reset;
+                all_sound = false;
+            }
+            if (more > 0 && below(5) == 0) {
+                attempt = refusal();
+            }
+            attempts.push_back(std::move(attempt));
+        }
+        sound.push_back(all_sound);
+        world.start("runs", std::move(attempts));
+    }
+    world.finish();
+    for (std::size_t each = 0; each < world.size(); ++each) {
+        caller_stream const caller = world.stream(each);
+        INFO("request " << each << ", events " << caller.last());
+        CHECK(caller.problem() == "");
+        CHECK((caller.complete() || !sound[each]));
+        CHECK(world.attempts(each).size() <= route_attempts);
+    }
+    check_overlaps(world);
+}
+
+} // namespace camphorpoint
--- a/test/gateway/stream_attempts_test.cpp
+++ b/test/gateway/stream_attempts_test.cpp
@@ -1,3 +1,4 @@
+#include "test/gateway/caller_stream.hpp"
 #include "test/gateway/gateway_fixture.hpp"
 #include "test/gateway/scripted_replica.hpp"
 
@@ -15,6 +16,7 @@
 namespace camphorpoint {
 
 using testing::body_framing;
+using testing::caller_stream;
 using testing::disconnect_kind;
 using testing::gateway_fixture;
 using testing::scripted_attempt;
@@ -89,56 +91,6 @@
     unsigned asked_ = 0;
 };
 
-/// The events that a caller received of one stream, over all its requests for
-/// it.
-class caller_stream {
-public:
-    /// @param after the last event that the caller already has, 0 for none
-    explicit caller_stream(unsigned after = 0)
-        : last_(after) {}
-
-    /// Checks and adds the events of an answer, complete or truncated.
-    /// @param runs number of attempts so far
-    void add_answer(fetch_result const& answer, std::size_t runs) {
-        std::string_view rest = answer.response.body;
-        while (!rest.empty()) {
-            std::size_t const end = rest.find("\n\n");
-            if (end == std::string_view::npos) {
-                problem_ += fmt::format("incomplete event '{}'; ", rest);
-                break;
-            }
-            add_event(rest.substr(0, end + 2), runs);
-            rest.remove_prefix(end + 2);
-        }
-        complete_ = answer.how == call_result::answered &&
-                    answer.response.status == 200;
-        if (complete_ && last_ != stream_events) {
-            problem_ += fmt::format("complete after {}; ", last_);
-        }
-    }
-
-    /// @returns the errors in the received events, empty for none
-    std::string const& problem() const noexcept { return problem_; }
-    unsigned last() const noexcept { return last_; }
-    bool complete() const noexcept { return complete_; }
-
-private:
-    void add_event(std::string_view event, std::size_t runs) {
-        bool known = false;
-        for (std::size_t run = 1; run <= runs; ++run) {
-            known = known || event == scripted_replica::event(run, last_ + 1);
-        }
-        if (!known) {
-            problem_ += fmt::format("'{}' after {}; ", event, last_);
-        }
-        ++last_;
-    }
-
-    std::string problem_;
-    unsigned last_;
-    bool complete_ = false;
-};
-
 std::size_t body_bytes(unsigned events) {
     return events * scripted_replica::event(1, 1).size();
 }
@@ -160,7 +112,7 @@
     std::string_view path, unsigned after = 0) {
     world.replica().last_event_ids.clear();
     world.replica().script = std::move(runs);
-    caller_stream caller(after);
+    caller_stream caller(stream_events, after);
     auto const answer = world.ask(path, 0, after);
     caller.add_answer(answer, world.replica().last_event_ids.size());
     return caller;
@@ -173,7 +125,7 @@
     constexpr std::size_t most_requests = 4;
     world.replica().last_event_ids.clear();
     world.replica().script = std::move(runs);
-    caller_stream caller;
+    caller_stream caller(stream_events);
     for (std::size_t each = 0; each < most_requests && !caller.complete();
          ++each) {
         auto const answer = world.ask("alone", each % nodes, caller.last());
