Log: how long an endpoint of a profile was silent, and why its answer was lost

On profiles a request that ended as "unknown" left a counter by reason and no line: whether its endpoint was silent, for how long, whether the connection was alive, and what excluded a further attempt could not be told.

`http_call` keeps an `answer_trace`: the endpoint's silence at the end, the longest one, and what became of the connection (alive, closed, reset, dead). Time in which this node does not read, since its caller is slow, is no silence. The end of an attempt bears it to the decisions, which write 501 (answer-delayed, a silence of half a second or longer that ended), 502 (answer-lost) and 503 (outcome-unknown: what excludes a further attempt, and the configuration under which the request was admitted).

Tests: the lines of a silence that ends, of one until the deadline, and none without a silence; the traces of 0.5 and 3 s of silence at every fifth byte, of crashes, of ends, and of hosts that are lost.

--- a/src/Node/attempt_runner.cpp
+++ b/src/Node/attempt_runner.cpp
@@ -96,6 +96,7 @@
         end.tokens = attempt->caller->delivered();
         end.received = attempt->caller->received();
     }
+    end.trace = attempt->http.trace();
     running_.erase({end.id, end.attempt});
     events_(std::move(end));
 }
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -72,6 +72,18 @@
     return std::chrono::seconds(seconds) - margin;
 }
 
+/// @returns what an error that ended an answer tells of the connection
+connection_state connection_state_of(beast::error_code const& error) {
+    if (error == asio::error::timed_out ||
+        error == asio::error::host_unreachable ||
+        error == asio::error::network_unreachable) {
+        return connection_state::dead;
+    }
+    bool const was_reset = error == asio::error::connection_reset ||
+                           error == asio::error::broken_pipe;
+    return was_reset ? connection_state::reset : connection_state::closed;
+}
+
 } // namespace
 
 class http_call::state : public std::enable_shared_from_this<state> {
@@ -112,6 +124,8 @@
     void give_back();
     void close();
     void note_loss(beast::error_code const& error);
+    /// Notes the end of a wait for the server.
+    void note_wait(beast::error_code const& error, bool answered);
 
     asio::any_io_executor executor_;
     http_pool* pool_;
@@ -130,6 +144,8 @@
     bool cancelled_ = false;
     bool timed_out_ = false;
     bool broke_off_ = false;
+    answer_trace trace_;
+    instant silent_since_;
 };
 
 asio::awaitable<bool> http_call::state::make_connection() {
@@ -185,13 +201,15 @@
     watched_ = request.body.size() > watched_request;
     begin_answer();
     auto const message = message_of(std::move(request));
+    trace_ = {};
+    silent_since_ = now();
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
     if (watched_) {
         watch_sending();
     }
     auto const [error, size] =
         co_await http::async_write(link_->stream, message, use_result);
-    note_loss(error);
+    note_wait(error, false);
     co_return !error;
 }
 
@@ -203,7 +221,7 @@
         link_->stream.expires_after(time_until(step_end(instant::max())));
         auto const [error, size] = co_await http::async_read_header(
             link_->stream, link_->buffer, *parser_, use_result);
-        note_loss(error);
+        note_wait(error, true);
         if (error) {
             co_return false;
         }
@@ -249,14 +267,15 @@
         body.data = piece_.data();
         body.size = piece_.size();
         body.more = true;
+        silent_since_ = now();
         link_->stream.expires_after(time_until(step_end(instant::max())));
         auto [error, size] = co_await http::async_read_some(
             link_->stream, link_->buffer, *parser_, use_result);
         if (error == http::error::need_buffer) {
             error = {};
         }
+        note_wait(error, true);
         if (error) {
-            note_loss(error);
             close();
             co_return std::nullopt;
         }
@@ -302,6 +321,23 @@
         broke_off_ || (error && !in_answer && !timed_out_ && !cancelled_);
 }
 
+void http_call::state::note_wait(
+    beast::error_code const& error, bool answered) {
+    instant const at = now();
+    duration const silence = at - silent_since_;
+    trace_.longest_silence = std::max(trace_.longest_silence, silence);
+    trace_.silence = error ? silence : duration(0);
+    if (error) {
+        note_loss(error);
+        if (broke_off_) {
+            trace_.connection = connection_state_of(error);
+        }
+    } else if (answered) {
+        trace_.answered = true;
+        silent_since_ = at;
+    }
+}
+
 void http_call::state::close() {
     if (link_ != nullptr) {
         link_->abort();
@@ -405,6 +441,10 @@
     return state_->broke_off_;
 }
 
+answer_trace const& http_call::trace() const noexcept {
+    return state_->trace_;
+}
+
 bool http_call::reused() const noexcept {
     return state_->reused_;
 }
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -3,6 +3,7 @@
 #include "Core/time.hpp"
 #include "Ports/http_message.hpp"
 #include "Ports/http_pool.hpp"
+#include "Records/answer_trace.hpp"
 #include "Settings/node_settings.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -107,6 +108,8 @@
     ///          when the server was silent, its answer could not be read, or
     ///          the call was cancelled
     bool broke_off() const noexcept;
+    /// @returns how the answer has arrived so far
+    answer_trace const& trace() const noexcept;
     /// @returns true when the connection had served an earlier call
     bool reused() const noexcept;
 
--- a/src/Serving/node_event.hpp
+++ b/src/Serving/node_event.hpp
@@ -4,6 +4,7 @@
 #include "Core/time.hpp"
 #include "Delivery/request_fingerprint.hpp"
 #include "Limits/endpoint_notice.hpp"
+#include "Records/answer_trace.hpp"
 #include "Records/engine_order.hpp"
 #include "Records/instance_record.hpp"
 #include "Records/log_record.hpp"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -76,6 +78,30 @@
     cancelled
 };
 
+/// @returns the name for log lines
+constexpr std::string_view to_string(attempt_result value) noexcept {
+    switch (value) {
+    case attempt_result::completed:
+        return "completed";
+    case attempt_result::not_sent:
+        return "not-sent";
+    case attempt_result::refused_not_loaded:
+        return "refused-not-loaded";
+    case attempt_result::refused_busy:
+        return "refused-busy";
+    case attempt_result::mismatch:
+        return "mismatch";
+    case attempt_result::truncated:
+        return "truncated";
+    case attempt_result::failed:
+        return "failed";
+    case attempt_result::timed_out:
+        return "timed-out";
+    default:
+        return "cancelled";
+    }
+}
+
 /// Further tokens of the answer were passed on to the caller.
 struct attempt_progress {
     request_id id;
@@ -99,6 +125,8 @@
     int status = 0;
     /// What the endpoint's answer says of its next requests.
     endpoint_notice notice{};
+    /// How the answer arrived.
+    answer_trace trace{};
 };
 
 /// A read of the log failed or timed out.
--- a/src/Serving/request_services.cpp
+++ b/src/Serving/request_services.cpp
@@ -3,7 +3,10 @@
 #include "Core/hash.hpp"
 #include "Placement/rendezvous.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <chrono>
 #include <variant>
 #include <vector>
 
@@ -11,6 +14,9 @@
 
 namespace {
 
+/// An answer with a longer silence of its endpoint is logged.
+constexpr std::chrono::milliseconds logged_silence{500};
+
 service_outcome service_end_of(attempt_result how) {
     switch (how) {
     case attempt_result::completed:
@@ -225,8 +231,35 @@
     return quarantine_.on_crash(*fingerprint, request.endpoint, now);
 }
 
+// A refusal shows in the counters and in the request's outcome.
+void request_services::log_attempt_end(
+    live_request const& request, attempt_ended const& end) {
+    bool const sent = end.how == attempt_result::truncated ||
+                      end.how == attempt_result::failed ||
+                      end.how == attempt_result::mismatch ||
+                      end.how == attempt_result::timed_out;
+    bool const delayed = end.trace.longest_silence >= logged_silence;
+    if (!sent && !delayed) {
+        return;
+    }
+    auto const in_ms = [](duration time) {
+        return std::chrono::floor<std::chrono::milliseconds>(time).count();
+    };
+    outbox_.emit(log_event{
+        sent ? event_code::answer_lost : event_code::answer_delayed,
+        sent ? log_level::warning : log_level::info,
+        fmt::format(
+            "request={} endpoint={} attempt={} end={} status={} received={} "
+            "silence_ms={} longest_silence_ms={} connection={}",
+            request.submitted.id.str(), request.endpoint.str(), end.attempt,
+            to_string(end.how), end.status, request.received,
+            in_ms(end.trace.silence), in_ms(end.trace.longest_silence),
+            to_string(end.trace.connection))});
+}
+
 bool request_services::record_attempt_end(
     live_request const& request, attempt_ended const& end, instant now) {
+    log_attempt_end(request, end);
     bool const reported_to_peers = report_to_quarantine(request, end, now);
     note_availability(request.endpoint, end.notice, now);
     if (end.how != attempt_result::cancelled) {
--- a/src/Serving/request_services.hpp
+++ b/src/Serving/request_services.hpp
@@ -65,6 +65,7 @@
     /// @returns the time until the first resting engine has rested, zero when
     ///          none rests
     std::chrono::milliseconds shortest_rest(instant now) const;
+    void log_attempt_end(live_request const& request, attempt_ended const& end);
     bool report_to_quarantine(
         live_request const& request, attempt_ended const& end, instant now);
 
--- a/src/Serving/request_tracker.hpp
+++ b/src/Serving/request_tracker.hpp
@@ -126,6 +126,8 @@
         live_request& request, outcome how, reason why,
         std::chrono::milliseconds retry_after, instant now,
         std::string const& answer = {}, std::string const& kept = {});
+    void
+    log_unknown_outcome(live_request const& request, reason why, instant now);
     void erase_request(live_request& request);
 
     void
--- a/src/Serving/request_tracker_completion.hpp
+++ b/src/Serving/request_tracker_completion.hpp
@@ -4,7 +4,10 @@
 
 #include "Serving/request_tracker.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <chrono>
 
 namespace camphorpoint {
 
@@ -134,6 +137,9 @@
     if (how != outcome::done) {
         count(count_reason::kind::refusal, why);
     }
+    if (how == outcome::unknown) {
+        log_unknown_outcome(request, why, now);
+    }
     finish_request last;
     last.id = request.submitted.id;
     last.how = how;
@@ -150,6 +156,26 @@
     stop_attempt(request, now);
 }
 
+template <request_environment Environment>
+void request_tracker<Environment>::log_unknown_outcome(
+    live_request const& request, reason why, instant now) {
+    auto const age =
+        std::chrono::floor<std::chrono::milliseconds>(now - request.admitted);
+    environment_.act(log_event{
+        event_code::outcome_unknown,
+        why == reason::caller_gone ? log_level::info : log_level::warning,
+        fmt::format(
+            "request={} profile={} reason={} endpoint={} attempt={} "
+            "resumes={} idempotent={} received={} delivered={} "
+            "caller_left={} age_ms={} configuration={}",
+            request.submitted.id.str(), request.submitted.profile.str(),
+            to_string(why), request.endpoint.str(), request.attempt,
+            request.resumes, request.target_profile.idempotent,
+            request.received, request.tokens,
+            request.detached || why == reason::caller_gone, age.count(),
+            request.configuration.value)});
+}
+
 template <request_environment Environment>
 void request_tracker<Environment>::erase_request(live_request& request) {
     timers_.remove(request.submitted.id, request.timer_at);
--- a/test/ports/silent_endpoint_test.cpp
+++ b/test/ports/silent_endpoint_test.cpp
@@ -144,6 +144,7 @@
     attempt_result how = attempt_result::not_sent;
     std::uint32_t tokens = 0;
     duration took{};
+    answer_trace trace{};
 };
 
 /// Calls a server, several times at once.
@@ -167,7 +168,7 @@
         };
         engine_stream_end const got =
             co_await engines.run(call, std::move(request), sink);
-        end = {got.how, got.tokens, boot_clock::now() - begun};
+        end = {got.how, got.tokens, boot_clock::now() - begun, call.trace()};
     }
     asio::awaitable<void> run_service(std::string address, answered& end) {
         instant const begun = boot_clock::now();
@@ -179,7 +180,7 @@
         http_call call(loop.executor(), &pool);
         service_call_end const got =
             co_await services.run(call, std::move(request));
-        end = {got.how, 0, boot_clock::now() - begun};
+        end = {got.how, 0, boot_clock::now() - begun, call.trace()};
     }
     /// @returns how the calls of a server ended, in order
     std::vector<answered>
@@ -251,7 +252,10 @@
     std::size_t const completed = static_cast<std::size_t>(
         std::ranges::count(ends, attempt_result::completed, &answered::how));
     CHECK(completed == ends.size());
-    CHECK(ends.front().took >= silence);
+    for (answered const& each : ends) {
+        CHECK(each.trace.longest_silence >= silence - milliseconds(100));
+        CHECK(each.trace.connection == connection_state::alive);
+    }
 }
 
 // Guards against a request that is given up while its engine's process stands
@@ -323,8 +327,10 @@
 TEST_CASE("an endpoint that is dead is reported soon") {
     milliseconds longest{};
     std::size_t prompt_bytes = 100;
+    connection_state ending = connection_state::dead;
     scripted_server::script fail;
     SUBCASE("its process crashes in the answer") {
+        ending = connection_state::reset;
         longest = milliseconds(200);
         fail = [](tcp::socket& socket, std::size_t) -> asio::awaitable<void> {
             co_await testing::read_request(socket);
@@ -337,6 +343,7 @@
         };
     }
     SUBCASE("its process ends before the head") {
+        ending = connection_state::closed;
         longest = milliseconds(200);
         fail = [](tcp::socket& socket, std::size_t) -> asio::awaitable<void> {
             co_await testing::read_request(socket);
@@ -389,6 +396,7 @@
         << std::chrono::duration_cast<milliseconds>(end.took).count() << " ms");
     CHECK(end.how == attempt_result::truncated);
     CHECK(end.took < longest);
+    CHECK(end.trace.connection == ending);
 }
 
 // Guards against a report that counts as newer than it is because the engine
--- a/test/serving_silence_test.cpp
+++ b/test/serving_silence_test.cpp
@@ -193,4 +193,57 @@
     CHECK(lost <= requests / 2);
 }
 
+// Guards against a truncated answer of which the log does not say whether its
+// endpoint was silent, for how long, and why no attempt followed.
+TEST_CASE("the log says how long an engine was silent") {
+    settled_cluster all(1);
+    std::vector<log_event> lines;
+    all.filter = [&](std::size_t, node_action const& action) {
+        if (auto const* line = std::get_if<log_event>(&action)) {
+            lines.push_back(*line);
+        }
+        return true;
+    };
+    auto const detail_of = [&](event_code code) {
+        for (log_event const& each : lines) {
+            if (each.code == code) {
+                return each.detail;
+            }
+        }
+        return std::string();
+    };
+    auto const has = [](std::string const& text, char const* part) {
+        return text.find(part) != std::string::npos;
+    };
+    all.engines[0].tokens = 50;
+    all.post(0, make_request("r", milliseconds(3'000)));
+    all.run(milliseconds(600));
+
+    SUBCASE("a silence that ended") {
+        all.silence_all(milliseconds(1'000));
+        all.run(milliseconds(4'000));
+        std::string const line = detail_of(event_code::answer_delayed);
+        CHECK(has(line, "request=r endpoint=e0 attempt=1 end=completed"));
+        CHECK(has(line, " longest_silence_ms=10"));
+        CHECK(detail_of(event_code::answer_lost).empty());
+    }
+    SUBCASE("a silence until the deadline") {
+        all.silence_all(milliseconds(9'000));
+        all.run(milliseconds(4'000));
+        std::string const line = detail_of(event_code::answer_lost);
+        CHECK(has(line, "request=r endpoint=e0 attempt=1 end=timed-out"));
+        CHECK(has(line, " silence_ms=24"));
+        CHECK(has(line, "connection=alive"));
+        std::string const end = detail_of(event_code::outcome_unknown);
+        CHECK(has(end, "profile=audit-note reason=deadline-passed"));
+        CHECK(has(end, "idempotent=true"));
+    }
+    SUBCASE("no silence") {
+        all.run(milliseconds(4'000));
+        CHECK(detail_of(event_code::answer_delayed).empty());
+        CHECK(detail_of(event_code::answer_lost).empty());
+        CHECK(detail_of(event_code::outcome_unknown).empty());
+    }
+}
+
 } // namespace camphorpoint
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -308,7 +308,7 @@
 
 void cluster::on(std::size_t node, start_attempt const& action) {
     attempts.push_back(action);
-    running_attempt const attempt{node, action, action.from_token};
+    running_attempt const attempt{node, action, action.from_token, now_};
     if (now_ >= action.send_before) {
         end_attempt(attempt, attempt_result::not_sent);
     } else if (silence_left(action.endpoint) > duration(0)) {
@@ -376,6 +376,10 @@
     }
     fake_engine const& engine = engine_at(attempt.order.endpoint);
     ++attempt.tokens;
+    attempt.longest_silence =
+        std::max(attempt.longest_silence, now_ - attempt.heard);
+    attempt.heard = now_;
+    attempt.answered = true;
     later(
         attempt.node, net_delay,
         attempt_progress{
@@ -402,6 +406,10 @@
     end.how = how;
     end.tokens = attempt.tokens;
     end.answer = attempt.order.return_answer ? "answer" : "";
+    end.trace.answered = attempt.answered;
+    end.trace.silence = now_ - attempt.heard;
+    end.trace.longest_silence =
+        std::max(attempt.longest_silence, end.trace.silence);
     later(attempt.node, net_delay, end);
 }
 
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -93,6 +93,10 @@
         std::size_t node = 0;
         start_attempt order;
         std::uint32_t tokens = 0;
+        /// When the engine last sent a token, or when the attempt began.
+        instant heard{};
+        bool answered = false;
+        duration longest_silence{};
     };
 
     void after(duration delay, std::function<void()> what);
