Membership: a deadline in a short silence does not make an endpoint suspect

What callers saw: a silence of a second, in which three requests with short deadlines ended, was followed by five seconds in which their node avoided the endpoint: with one engine, or all replicas of a service silent at once, each request was refused as not run (`no-endpoint`) though the endpoints went on. Deadlines that are too short for the answers did the same without any silence.

It shows only that the answer was not complete in time.

Evidence, one engine that stands still for 1.2 s, four requests of 240 ms at one node, then one of 3 s, on the old code (10: no-endpoint, 1: not run):

serving_silence_test.cpp:183: ERROR: CHECK( all.ended(...).why == reason::deadline_passed ) is NOT correct! values: CHECK( 10 == 5 ) serving_silence_test.cpp:190: ERROR: CHECK( all.ended("after").how == outcome::done ) is NOT correct! values: CHECK( 1 == 0 )

Change: calls that reach their deadlines count when the endpoint has sent nothing for 3 s, by all calls of the node that ended so; then all of them count.

Endpoints that refuse, reset or break off count as before.

--- a/src/Membership/endpoint_table.cpp
+++ b/src/Membership/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "Membership/endpoint_table.hpp"
 
+#include <utility>
+
 namespace camphorpoint {
 
 std::vector<endpoint_id> endpoint_table::apply_list(
@@ -62,10 +64,16 @@
     if (succeeded) {
         change_count_ += item.avoid_until ? 1 : 0;
         item.failures = 0;
+        item.silent_since.reset();
+        item.unanswered = 0;
         item.avoid_until.reset();
         return;
     }
-    ++item.failures;
+    add_failures(item, 1, now);
+}
+
+void endpoint_table::add_failures(entry& item, std::size_t count, instant now) {
+    item.failures += count;
     if (item.failures >= settings_.endpoint_failure_threshold) {
         change_count_ += item.avoid_until ? 0 : 1;
         item.avoid_until = now + settings_.endpoint_retry_delay;
@@ -73,6 +81,28 @@
     }
 }
 
+// Guards against an endpoint that is avoided for seconds after a short silence
+// in which calls reached their deadlines. That a call was not completed in time
+// says nothing by itself: its deadline may have been too short.
+void endpoint_table::record_timeout(
+    endpoint_id const& endpoint, answer_trace const& trace, instant now) {
+    auto const found = entries_.find(endpoint);
+    if (found == entries_.end()) {
+        return;
+    }
+    entry& item = found->second;
+    instant const heard = now - trace.silence;
+    bool const later = trace.answered && item.silent_since < heard;
+    if (!item.silent_since || later) {
+        item.silent_since = heard;
+        item.unanswered = 0;
+    }
+    ++item.unanswered;
+    if (now - *item.silent_since >= settings_.endpoint_silence_limit) {
+        add_failures(item, std::exchange(item.unanswered, 0), now);
+    }
+}
+
 void endpoint_table::on_tick(instant now) {
     if (!next_retry_check_ || now < *next_retry_check_) {
         return;
--- a/src/Membership/endpoint_table.hpp
+++ b/src/Membership/endpoint_table.hpp
@@ -3,6 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
 #include "Membership/membership_settings.hpp"
+#include "Records/answer_trace.hpp"
 #include "Records/instance_record.hpp"
 
 #include <cstdint>
@@ -43,6 +44,11 @@
     /// Records the result of a call of this node to an endpoint. Unknown
     /// endpoints are ignored.
     void record_call(endpoint_id const& endpoint, bool succeeded, instant now);
+    /// Records a call of this node that reached its deadline. Unknown endpoints
+    /// are ignored.
+    /// @param trace how the answer arrived until then
+    void record_timeout(
+        endpoint_id const& endpoint, answer_trace const& trace, instant now);
     /// Removes reports that are older than `leaving_report_lifetime`, if the
     /// list says that the endpoint is live or does not contain it.
     void expire_leaving_reports(instant now);
@@ -70,10 +76,17 @@
         /// report overrides a list that shows the endpoint as live.
         std::optional<instant> leaving_until;
         std::size_t failures = 0;
+        /// Since when the endpoint has sent nothing, by the calls that reached
+        /// their deadlines; empty after a call that was answered.
+        std::optional<instant> silent_since;
+        /// Calls since then that reached their deadlines and are not among the
+        /// failures yet.
+        std::size_t unanswered = 0;
         std::optional<instant> avoid_until;
     };
 
     static endpoint_state state_of(entry const& item);
+    void add_failures(entry& item, std::size_t count, instant now);
     void remove_unlisted();
     void schedule_retry_check(instant retry_at);
 
--- a/src/Membership/membership.cpp
+++ b/src/Membership/membership.cpp
@@ -110,6 +110,11 @@
     endpoints_.record_call(endpoint, succeeded, now);
 }
 
+void membership::on_endpoint_timeout(
+    endpoint_id const& endpoint, answer_trace const& trace, instant now) {
+    endpoints_.record_timeout(endpoint, trace, now);
+}
+
 void membership::start_leaving(instant /*now*/) {
     leaving_ = true;
     ++change_count_;
--- a/src/Membership/membership.hpp
+++ b/src/Membership/membership.hpp
@@ -76,6 +76,11 @@
     /// endpoint suspect on this node only.
     void
     on_endpoint_call(endpoint_id const& endpoint, bool succeeded, instant now);
+    /// Records a call to an endpoint that reached its deadline. It counts as
+    /// failed when the endpoint has been silent for long.
+    /// @param trace how the answer arrived until then
+    void on_endpoint_timeout(
+        endpoint_id const& endpoint, answer_trace const& trace, instant now);
     /// Adds a node that a source other than gossip has named, for instance the
     /// platform. Has an effect only if the members come from gossip.
     void add_known_node(node_id const& node, instant now);
--- a/src/Membership/membership_settings.hpp
+++ b/src/Membership/membership_settings.hpp
@@ -43,6 +43,10 @@
     /// Consecutive failed calls after which this node treats an endpoint as
     /// suspect.
     std::size_t endpoint_failure_threshold = 3;
+    /// A call that reaches its deadline counts as failed only when the endpoint
+    /// has been silent for this long, over all its calls. A healthy endpoint
+    /// may stand still for a second or more.
+    std::chrono::milliseconds endpoint_silence_limit{3'000};
     /// How long a suspect endpoint gets no requests before it is tried again.
     std::chrono::milliseconds endpoint_retry_delay{5'000};
     /// How long a dead member still counts among the nodes that share a limit,
--- a/src/Serving/request_services.cpp
+++ b/src/Serving/request_services.cpp
@@ -262,7 +262,9 @@
     log_attempt_end(request, end);
     bool const reported_to_peers = report_to_quarantine(request, end, now);
     note_availability(request.endpoint, end.notice, now);
-    if (end.how != attempt_result::cancelled) {
+    if (end.how == attempt_result::timed_out) {
+        services_.members.on_endpoint_timeout(request.endpoint, end.trace, now);
+    } else if (end.how != attempt_result::cancelled) {
         services_.members.on_endpoint_call(
             request.endpoint, endpoint_answered(end.how), now);
     }
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -223,6 +223,53 @@
     CHECK(first.state_of(engine.id) == endpoint_state::live);
 }
 
+// Guards against an endpoint that is avoided for seconds after a short silence,
+// or for deadlines that are too short for its answers.
+TEST_CASE("a deadline counts against an endpoint only in a long silence") {
+    network net(1);
+    endpoint_instance engine;
+    engine.id = endpoint_id("engine-1");
+    net.list.endpoints.push_back(engine);
+    net.deliver_instance_list();
+    membership& node = net.at(0).members;
+    auto const time_out = [&](std::chrono::milliseconds silence,
+                              bool answered) {
+        net.now += silence;
+        answer_trace trace;
+        trace.answered = answered;
+        trace.silence = silence;
+        node.on_endpoint_timeout(engine.id, trace, net.now);
+        return node.state_of(engine.id);
+    };
+    std::chrono::milliseconds const second(1'000);
+
+    SUBCASE("it is live through two seconds of silence") {
+        CHECK(time_out(second, false) == endpoint_state::live);
+        CHECK(time_out(second / 2, false) == endpoint_state::live);
+        CHECK(time_out(second / 2, false) == endpoint_state::live);
+        SUBCASE("and suspect after three") {
+            CHECK(time_out(second, false) == endpoint_state::suspect);
+        }
+        SUBCASE("and after a part of an answer from the beginning") {
+            CHECK(time_out(second, true) == endpoint_state::live);
+            CHECK(time_out(second, false) == endpoint_state::live);
+        }
+        SUBCASE("and after a complete answer from the beginning") {
+            node.on_endpoint_call(engine.id, true, net.now);
+            CHECK(time_out(second, false) == endpoint_state::live);
+            CHECK(time_out(second, false) == endpoint_state::live);
+        }
+    }
+    SUBCASE("one call alone makes nothing suspect") {
+        CHECK(time_out(4 * second, false) == endpoint_state::live);
+    }
+    SUBCASE("an endpoint that sends until each deadline is live") {
+        for (int call = 0; call < 10; ++call) {
+            CHECK(time_out(second / 2, true) == endpoint_state::live);
+        }
+    }
+}
+
 // Guards against datagrams that are fragmented on their way, and against
 // malformed datagrams that are taken for messages.
 TEST_CASE("datagrams are short, and malformed ones are dropped") {
--- a/test/serving_silence_test.cpp
+++ b/test/serving_silence_test.cpp
@@ -169,6 +169,27 @@
     }
 }
 
+// Guards against an engine that is avoided for seconds after a short silence in
+// which some requests reached their deadlines.
+TEST_CASE("deadlines in a short silence do not make an engine suspect") {
+    settled_cluster all(1);
+    all.post_to_all("first");
+    all.run(milliseconds(3'000));
+    all.silence_all(milliseconds(1'200));
+    for (int index = 0; index < 4; ++index) {
+        all.post(
+            0, make_request(fmt::format("short-{}", index), milliseconds(240)));
+        all.run(milliseconds(260));
+        CHECK(
+            all.ended(fmt::format("short-{}", index)).why ==
+            reason::deadline_passed);
+    }
+    all.run(milliseconds(300));
+    all.post(0, make_request("after", milliseconds(3'000)));
+    all.run(milliseconds(3'000));
+    CHECK(all.ended("after").how == outcome::done);
+}
+
 // Guards against an engine that hangs for good and is chosen again and again,
 // since its connections are alive.
 TEST_CASE("an engine that stays silent is avoided") {
