HTTP server: a configuration's limits hold for open connections

Beside a change of the configuration, a caller with a kept connection was held to the limits of the time at which it had connected: after a longer idle time was declared, its connection still ended after the old one, while the caller reused it; after larger bodies were allowed, it got 413 on the old connection and 200 on a new one.

Cause: each connection kept a copy of the limits of its start.

Change: connections share the server's limits and read them for each request. A connection keeps its first idle time at least, which its caller may rely on; a wait that has begun is extended.

--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -33,7 +33,7 @@
         http_handler handler)
         : executor_(std::move(executor))
         , acceptor_(executor_)
-        , limits_(limits)
+        , limits_(std::make_shared<http_limits>(limits))
         , handler_(std::move(handler))
         , bodies_(std::make_shared<byte_budget>(limits.bodies_in_all)) {}
 
@@ -47,7 +47,7 @@
 
     tcp::acceptor& acceptor() noexcept { return acceptor_; }
     std::size_t open() const noexcept { return open_.size(); }
-    void set_limits(http_limits limits) { limits_ = limits; }
+    void set_limits(http_limits limits) { *limits_ = limits; }
     void refuse_while(std::function<bool()> overloaded) {
         overloaded_ = std::move(overloaded);
     }
@@ -63,7 +63,8 @@
 private:
     asio::any_io_executor executor_;
     tcp::acceptor acceptor_;
-    http_limits limits_;
+    // Shared with the connections.
+    std::shared_ptr<http_limits> limits_;
     http_handler handler_;
     std::shared_ptr<byte_budget> bodies_;
     std::set<std::shared_ptr<http_exchange::connection>> open_;
@@ -140,7 +141,7 @@
 void http_server::state::take(tcp::socket socket) {
     // Past the limit a connection is closed at once: callers see a reset and
     // go to another node, and memory stays bounded.
-    if (open_.size() >= limits_.connections) {
+    if (open_.size() >= limits_->connections) {
         return;
     }
     if (overloaded_()) {
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -98,7 +98,8 @@
     /// their callers go to another server at once.
     /// @param overloaded called for each new connection
     void refuse_while(std::function<bool()> overloaded);
-    /// Limits for connections that are accepted from here on.
+    /// Limits for requests that are read from here on, also on connections that
+    /// are open. A connection keeps its first idle time at least.
     void set_limits(http_limits limits);
     /// Closes everything.
     void close();
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -1,11 +1,14 @@
 #include "Ports/http_server_connection.hpp"
 
+#include "Core/time.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <tuple>
@@ -92,10 +95,11 @@
 } // namespace
 
 http_exchange::connection::connection(
-    tcp::socket socket, http_limits const& limits,
+    tcp::socket socket, std::shared_ptr<http_limits const> limits,
     std::shared_ptr<byte_budget> bodies)
     : stream_(std::move(socket))
-    , limits_(limits)
+    , limits_(std::move(limits))
+    , first_idle_timeout_(limits_->idle_timeout)
     , bodies_(std::move(bodies)) {}
 
 void http_exchange::connection::close() {
@@ -137,16 +141,35 @@
     }
 }
 
+// A caller may have been told the idle time of an earlier configuration.
+std::chrono::milliseconds http_exchange::connection::idle_timeout() const {
+    return std::max(first_idle_timeout_, limits_->idle_timeout);
+}
+
 asio::awaitable<void> http_exchange::connection::await_bytes() {
-    stream_.expires_never();
-    cancel_guard const guard(stream_, limits_.idle_timeout);
     answer_ = answer_state::none;
+    instant const since = boot_clock::now();
+    auto const left = [&] {
+        return std::chrono::ceil<std::chrono::milliseconds>(
+            since + idle_timeout() - boot_clock::now());
+    };
+    // The idle time may have been raised during the wait.
+    while (buffer_.size() == 0 && !broken_ && !closing_ && left().count() > 0) {
+        co_await read_within(left());
+    }
+}
+
+asio::awaitable<void>
+http_exchange::connection::read_within(std::chrono::milliseconds time) {
+    stream_.expires_never();
+    cancel_guard const guard(stream_, time);
     idle_ = true;
     auto const [error, size] = co_await stream_.async_read_some(
         buffer_.prepare(first_read), use_result);
     idle_ = false;
     buffer_.commit(size);
-    broken_ = broken_ || (error && error != asio::error::operation_aborted);
+    broken_ = broken_ || !stream_.socket().is_open() ||
+              (error && error != asio::error::operation_aborted);
 }
 
 // Reads without waiting.
@@ -183,10 +206,10 @@
         co_return std::nullopt;
     }
     http::request_parser<http::string_body> parser;
-    parser.body_limit(limits_.body_bytes);
-    parser.header_limit(limits_.header_bytes);
+    parser.body_limit(limits_->body_bytes);
+    parser.header_limit(limits_->header_bytes);
     stream_.expires_never();
-    cancel_guard const guard(stream_, limits_.read_timeout);
+    cancel_guard const guard(stream_, limits_->read_timeout);
     auto const [header_error, header_size] =
         co_await http::async_read_header(stream_, buffer_, parser, use_result);
     if (header_error) {
@@ -198,7 +221,7 @@
     // Thousands of connections with a large body each would add up to more
     // than a node has; a chunked body counts as the largest.
     std::uint64_t const expected = parser.chunked()
-                                       ? limits_.body_bytes
+                                       ? limits_->body_bytes
                                        : parser.content_length().value_or(0);
     if (!bodies_->has(expected)) {
         co_await refuse_with(status_unavailable, "limit-reached");
@@ -330,7 +353,7 @@
     message.keep_alive(keep_alive_);
     message.prepare_payload();
     http::response_serializer<http::string_body> serializer(message);
-    stream_.expires_after(limits_.write_timeout);
+    stream_.expires_after(limits_->write_timeout);
     beast::error_code error;
     if (head_only_) {
         std::tie(error, std::ignore) =
@@ -354,7 +377,7 @@
     message.keep_alive(keep_alive_);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    stream_.expires_after(limits_.write_timeout);
+    stream_.expires_after(limits_->write_timeout);
     auto const [error, size] =
         co_await http::async_write_header(stream_, serializer, use_result);
     co_return note_write(error);
@@ -366,7 +389,7 @@
         // An empty chunk would end the answer; one to HEAD has no body.
         co_return !broken_;
     }
-    stream_.expires_after(limits_.write_timeout);
+    stream_.expires_after(limits_->write_timeout);
     auto const [error, size] = co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())),
         use_result);
@@ -378,7 +401,7 @@
     if (head_only_) {
         co_return !broken_;
     }
-    stream_.expires_after(limits_.write_timeout);
+    stream_.expires_after(limits_->write_timeout);
     auto const [error, size] = co_await asio::async_write(
         stream_, http::make_chunk_last(), use_result);
     co_return note_write(error);
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -51,7 +52,8 @@
     : public std::enable_shared_from_this<connection> {
 public:
     connection(
-        boost::asio::ip::tcp::socket socket, http_limits const& limits,
+        boost::asio::ip::tcp::socket socket,
+        std::shared_ptr<http_limits const> limits,
         std::shared_ptr<byte_budget> bodies);
 
     /// Answers requests until the connection ends.
@@ -82,6 +84,8 @@
     boost::asio::awaitable<std::optional<http_request>> read_request();
     boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void> await_bytes();
+    boost::asio::awaitable<void> read_within(std::chrono::milliseconds time);
+    std::chrono::milliseconds idle_timeout() const;
     void read_arrived();
     bool request_waits();
     void decide_keep_alive();
@@ -98,7 +102,9 @@
     bool note_write(boost::beast::error_code error);
 
     boost::beast::tcp_stream stream_;
-    http_limits limits_;
+    // The server's, which may change between two requests.
+    std::shared_ptr<http_limits const> limits_;
+    std::chrono::milliseconds first_idle_timeout_;
     std::shared_ptr<byte_budget> bodies_;
     std::optional<byte_budget::share> body_share_;
     boost::beast::flat_buffer buffer_;
--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -278,4 +278,34 @@
     }
 }
 
+// Guards against callers that rely on a configuration in force and are ended or
+// refused by the one under which they connected.
+TEST_CASE("new limits hold for connections that are open") {
+    kept_connections world;
+    tcp::socket& caller = world.connect();
+    http_limits raised = kept_connections::limits();
+
+    SUBCASE("a longer idle time") {
+        raised.idle_timeout = 5 * idle_timeout;
+        world.server.set_limits(raised);
+        world.run_for(2 * idle_timeout);
+        send_now(caller, request_text);
+        CHECK(world.await_fate(caller) == request_fate::answered);
+    }
+    SUBCASE("a larger body") {
+        std::string const body(raised.body_bytes + 1, 'x');
+        raised.body_bytes *= 2;
+        world.server.set_limits(raised);
+        std::string answer;
+        world.loop.run([&]() -> asio::awaitable<void> {
+            std::string const text = "POST / HTTP/1.1\r\nContent-Length: " +
+                                     std::to_string(body.size()) + "\r\n\r\n" +
+                                     body;
+            co_await testing::write_text(caller, text);
+            answer = co_await testing::read_until(caller, "\r\n\r\n");
+        });
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    }
+}
+
 } // namespace camphorpoint
