Gateway: one long turn of the event loop refuses no new connection

After one long turn of the loop, such as for a large configuration on a slow node, callers that connected in that turn or within the next 25 ms were closed unread, although the loop was on time again.

Cause: the refusal asked for the latest tick's delay, which stays until the next tick, or for the tick that is due, which a single long turn holds up.

Before, on the old code:

one long turn of the loop turns no caller away that connects in this turn: CHECK( what == request_fate::answered ): CHECK( 2 == 1 ) (reset) that connects right after it: CHECK( what == request_fate::answered ): CHECK( 2 == 1 ) (reset)

Change: new connections are refused while two ticks in a row are late, where the second one may still be due. A loop that is late turn after turn refuses within its second late turn; flooded_node_test passes unchanged. The gauge loop_delay_seconds keeps the latest delay.

Limit: a loop that is late in every other tick only refuses nobody.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -113,7 +113,7 @@
     , kernel_(services_) {
     controller_.set_messenger(messenger_);
     caller_server_.refuse_while([this] {
-        return loop_delay_.current(boot_clock::now()) >
+        return loop_delay_.sustained(boot_clock::now()) >
                state_.settings.max_loop_delay;
     });
     store_.on_era([this](store_epoch epoch) {
--- a/src/Ports/loop_delay.cpp
+++ b/src/Ports/loop_delay.cpp
@@ -31,6 +31,7 @@
         asio::steady_timer timer(loop, tick_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         instant const now = boot_clock::now();
+        state->delay_before_last = state->last_delay;
         state->last_delay = now - state->next_tick;
         state->next_tick = now + tick_interval;
     }
@@ -43,4 +44,13 @@
     return std::max(state_->last_delay, now - state_->next_tick);
 }
 
+duration loop_delay::sustained(instant now) const {
+    if (!state_->running) {
+        return duration::zero();
+    }
+    duration const overdue = now - state_->next_tick;
+    return std::min(
+        state_->last_delay, std::max(state_->delay_before_last, overdue));
+}
+
 } // namespace camphorpoint
--- a/src/Ports/loop_delay.hpp
+++ b/src/Ports/loop_delay.hpp
@@ -24,12 +24,17 @@
     void stop() { state_->running = false; }
     /// @returns how late the latest tick was, or the next one is by now
     duration current(instant now) const;
+    /// @returns by how much two ticks in a row were late at least, where the
+    ///          second one may still be due. A single long turn delays one
+    ///          tick, and says nothing about the turns after it.
+    duration sustained(instant now) const;
 
 private:
     struct state {
         bool running = false;
         instant next_tick;
         duration last_delay{0};
+        duration delay_before_last{0};
     };
     static boost::asio::awaitable<void>
     run(boost::asio::io_context& loop, std::shared_ptr<state> state);
