Ends of connections without an answer are logged, with their reason

Callers whose connection ended without an answer could not be told why: no event named an idle end, an unread close, a half request or an answer that was cut, and the counter of refused connections gives no time and no id.

Change: http_server reports each end of a connection without a whole answer of the handler to an observer. Events 801 (one line, 20 a second at most, with the bytes read and unread and the id where the head was read) and 802 (sums a second by reason), a counter by reason, on the gateway and the profile node.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -95,6 +95,8 @@
     , registry_follower_(
           state_, store_, monitor_, messenger_, [this] { on_update(); })
     , reachability_prober_(state_, [this] { on_reachability_change(); })
+    , caller_ends_(state_, "callers")
+    , relay_ends_(state_, "relays")
     , caller_server_(
           io.get_executor(), default_limits(),
           [this](http_exchange& exchange) { return answer(exchange); })
@@ -116,6 +118,10 @@
         return loop_delay_.sustained(boot_clock::now()) >
                state_.settings.max_loop_delay;
     });
+    caller_server_.observe_ends(
+        [this](connection_end_report const& end) { caller_ends_.add(end); });
+    relay_server_.observe_ends(
+        [this](connection_end_report const& end) { relay_ends_.add(end); });
     store_.on_era([this](store_epoch epoch) {
         monitor_.observe_epoch(epoch, epoch_from_answer);
     });
@@ -236,6 +242,8 @@
         software_persistence_.poll();
         reachability_prober_.poll();
         log_if_ready();
+        caller_ends_.poll();
+        relay_ends_.poll();
         state_.log.flush(boot_clock::now());
         state_.refresh_slack_share(boot_clock::now());
         asio::steady_timer timer(*io_, tick_interval);
@@ -290,6 +298,9 @@
                          .with("took_ms", boot_clock::now() - began));
     state_.log.flush(boot_clock::now());
     kernel_.stop();
+    caller_ends_.finish();
+    relay_ends_.finish();
+    state_.log.flush(boot_clock::now());
     stopped();
 }
 
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/findings.hpp"
+#include "Gateway/connection_end_log.hpp"
 #include "Gateway/declaration_follower.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_messenger.hpp"
@@ -88,6 +89,8 @@
     software_persistence software_persistence_;
     registry_follower registry_follower_;
     reachability_prober reachability_prober_;
+    connection_end_log caller_ends_;
+    connection_end_log relay_ends_;
     http_server caller_server_;
     /// Requests that other nodes relay, on the peer address. Callers do not
     /// reach it.
--- a/src/Gateway/gateway_metrics.cpp
+++ b/src/Gateway/gateway_metrics.cpp
@@ -47,6 +47,12 @@
             .Name("camphorpoint_gateway_orders_total")
             .Help("Orders to replicas by what was answered")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& connection_ends =
+        BuildCounter()
+            .Name("camphorpoint_gateway_connection_ends_total")
+            .Help("Connections that the node ended, or that ended without a "
+                  "whole answer, by reason")
+            .Register(registry);
     prometheus::Counter& gone_back =
         BuildCounter()
             .Name("camphorpoint_gateway_store_gone_back_total")
@@ -93,6 +99,10 @@
     state_->orders.Add({{"answer", std::string(answer)}}).Increment();
 }
 
+void gateway_metrics::count_connection_end(std::string_view why) {
+    state_->connection_ends.Add({{"reason", std::string(why)}}).Increment();
+}
+
 void gateway_metrics::count_store_rollback() {
     state_->gone_back.Increment();
 }
--- a/src/Gateway/gateway_metrics.hpp
+++ b/src/Gateway/gateway_metrics.hpp
@@ -29,6 +29,8 @@
     void count_store_rollback();
     /// Counts a command to a replica by the replica's answer.
     void count_command(std::string_view answer);
+    /// Counts the end of a connection by its reason.
+    void count_connection_end(std::string_view why);
     /// Records how long a request waited for its adapter to be loaded.
     void observe_load_wait(duration time);
     /// Records the time from a request's arrival to the first byte of its
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -84,6 +84,8 @@
           [this](request_id const& id) { return callers_.find(id); },
           [this](node_event event) { handle(std::move(event)); })
     , drain_timer_(io) {
+    callers_.observe_ends(
+        [this](connection_end_report const& end) { on_connection_end(end); });
     peers_service_ = {
         [this] { return start_peers(); },
         [this] {
@@ -314,10 +316,32 @@
     log_->write({code, log_level::info, std::move(detail)}, wall_now());
 }
 
+void ports_driver::on_connection_end(connection_end_report const& end) {
+    if (connection_ends_.add(end, now())) {
+        write_log(
+            event_code::connection_ended,
+            fmt::format(
+                "why={} status={} read={} unread={}", to_string(end.why),
+                end.status, end.bytes_read, end.bytes_unread));
+    }
+}
+
+void ports_driver::log_connection_ends(
+    std::vector<connection_end_sum> const& sums) {
+    for (connection_end_sum const& each : sums) {
+        write_log(
+            event_code::connections_ended,
+            fmt::format(
+                "why={} connections={} read={} unread={}", to_string(each.why),
+                each.connections, each.bytes_read, each.bytes_unread));
+    }
+}
+
 asio::awaitable<void> ports_driver::tick_all() {
     asio::steady_timer timer(io_);
     while (!closed_) {
         handle(tick{});
+        log_connection_ends(connection_ends_.take(now()));
         timer.expires_after(tick_period);
         co_await timer.async_wait(use_result);
     }
@@ -407,6 +431,7 @@
     if (!stopped_) {
         return;
     }
+    log_connection_ends(connection_ends_.take_all());
     write_log(
         event_code::node_stopped,
         fmt::format("node={} drained={}", settings_.name.str(), drained));
--- a/src/Node/ports_driver.hpp
+++ b/src/Node/ports_driver.hpp
@@ -7,6 +7,7 @@
 #include "Node/operator_interface.hpp"
 #include "Node/port_service.hpp"
 #include "Ports/caller_interface.hpp"
+#include "Ports/connection_end.hpp"
 #include "Ports/engine_http.hpp"
 #include "Ports/http_pool.hpp"
 #include "Ports/instance_list_http.hpp"
@@ -93,6 +94,8 @@
     boost::asio::awaitable<void> wait_for_answers();
     void take_instances(instance_list const& list);
     void receive(peer_identity const& from, std::string const& message);
+    void on_connection_end(connection_end_report const& end);
+    void log_connection_ends(std::vector<connection_end_sum> const& sums);
     void write_log(event_code code, std::string detail);
     void stop(bool drained);
     operator_view make_view();
@@ -107,6 +110,7 @@
     platform_log_http platform_log_;
     instance_list_http instances_;
     engine_http engines_;
+    connection_end_summary connection_ends_;
     caller_interface callers_;
     operator_interface operators_;
     peer_link peers_;
--- a/src/Ports/caller_interface.hpp
+++ b/src/Ports/caller_interface.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -50,6 +51,10 @@
     std::size_t open_connections() const noexcept {
         return server_.open_connections();
     }
+    /// Sets what takes the ends of connections.
+    void observe_ends(connection_end_observer observer) {
+        server_.observe_ends(std::move(observer));
+    }
     /// Closes everything.
     void close() { server_.close(); }
 
--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -51,6 +52,9 @@
     void refuse_while(std::function<bool()> overloaded) {
         overloaded_ = std::move(overloaded);
     }
+    void observe_ends(connection_end_observer observer) {
+        observer_ = std::move(observer);
+    }
     std::uint64_t refused() const noexcept { return refused_; }
     void end_connections(bool idle_too) {
         ending_ = true;
@@ -61,6 +65,13 @@
     }
 
 private:
+    void report(std::optional<connection_end_report> const& end) const {
+        if (end && observer_) {
+            observer_(*end);
+        }
+    }
+    void report_unread(tcp::socket const& socket, connection_end why) const;
+
     asio::any_io_executor executor_;
     tcp::acceptor acceptor_;
     // Shared with the connections.
@@ -71,6 +82,7 @@
     std::function<bool()> overloaded_ = [] {
         return false;
     };
+    connection_end_observer observer_;
     std::uint64_t refused_ = 0;
     bool ending_ = false;
     bool closing_ = false;
@@ -138,14 +150,25 @@
     }
 }
 
+void http_server::state::report_unread(
+    tcp::socket const& socket, connection_end why) const {
+    beast::error_code ignored;
+    connection_end_report end;
+    end.why = why;
+    end.bytes_unread = socket.available(ignored);
+    report(end);
+}
+
 void http_server::state::take(tcp::socket socket) {
     // Past the limit a connection is closed at once: callers see a reset and
     // go to another node, and memory stays bounded.
     if (open_.size() >= limits_->connections) {
+        report_unread(socket, connection_end::connection_limit);
         return;
     }
     if (overloaded_()) {
         ++refused_;
+        report_unread(socket, connection_end::overload);
         return;
     }
     beast::error_code ignored;
@@ -164,15 +187,16 @@
 
 asio::awaitable<void>
 http_server::state::serve(std::shared_ptr<http_exchange::connection> link) {
-    co_await link->run(handler_);
+    auto const end = co_await link->run(handler_);
     open_.erase(link);
+    report(end);
 }
 
 void http_server::state::close() {
     beast::error_code ignored;
     acceptor_.close(ignored);
     for (auto const& link : open_) {
-        link->close();
+        report(link->close());
     }
 }
 
@@ -183,6 +207,8 @@
 
 http_server::~http_server() {
     state_->close();
+    // Connections may end later, when the observer is gone.
+    state_->observe_ends(nullptr);
 }
 
 std::string http_server::listen(ip_address const& address) {
@@ -211,6 +237,10 @@
     state_->refuse_while(std::move(overloaded));
 }
 
+void http_server::observe_ends(connection_end_observer observer) {
+    state_->observe_ends(std::move(observer));
+}
+
 std::uint64_t http_server::refused_connections() const noexcept {
     return state_->refused();
 }
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Ports/connection_end.hpp"
 #include "Ports/http_message.hpp"
 #include "Settings/node_settings.hpp"
 
@@ -98,10 +99,13 @@
     /// their callers go to another server at once.
     /// @param overloaded called for each new connection
     void refuse_while(std::function<bool()> overloaded);
+    /// Sets what takes the ends of connections, except those by callers after a
+    /// whole answer.
+    void observe_ends(connection_end_observer observer);
     /// Limits for requests that are read from here on, also on connections that
     /// are open. A connection keeps its first idle time at least.
     void set_limits(http_limits limits);
-    /// Closes everything.
+    /// Closes everything. Requests without a whole answer are reported.
     void close();
     /// @returns how many connections were closed unread because of overload
     std::uint64_t refused_connections() const noexcept;
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -30,6 +30,7 @@
 constexpr int status_too_large = 413;
 constexpr int status_failure = 500;
 constexpr int status_unavailable = 503;
+constexpr std::size_t longest_id = 128;
 constexpr std::size_t first_read = 4U << 10U;
 /// How long a caller has to read the last answer before its connection is
 /// closed.
@@ -53,6 +54,24 @@
     return response;
 }
 
+/// @returns why a request that could not be read has no answer of the handler
+connection_end reason_of(beast::error_code error, bool anything_read) {
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit) {
+        return connection_end::too_large;
+    }
+    if (error == asio::error::operation_aborted && anything_read) {
+        return connection_end::read_timeout;
+    }
+    bool const not_http =
+        error.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message;
+    return not_http ? connection_end::bad_request
+                    : connection_end::half_request;
+}
+
 http_request plain_request(http::request<http::string_body> message) {
     http_request request;
     request.method = std::string(message.method_string());
@@ -102,32 +121,57 @@
     , first_idle_timeout_(limits_->idle_timeout)
     , bodies_(std::move(bodies)) {}
 
-void http_exchange::connection::close() {
+void http_exchange::connection::close_socket() {
     beast::error_code ignored;
     stream_.socket().close(ignored);
 }
 
+std::optional<connection_end_report> http_exchange::connection::close() {
+    std::optional<connection_end_report> end;
+    if (in_request_) {
+        why_ = why_.value_or(connection_end::closed);
+        end = take_report();
+    }
+    close_socket();
+    return end;
+}
+
+std::optional<connection_end_report> http_exchange::connection::take_report() {
+    if (!why_ && answer_ == answer_state::whole && request_waits()) {
+        why_ = connection_end::behind_last;
+    }
+    if (!why_ || reported_) {
+        return std::nullopt;
+    }
+    reported_ = true;
+    beast::error_code ignored;
+    connection_end_report end;
+    end.why = *why_;
+    end.id = request_id_;
+    end.status = own_status_;
+    end.bytes_read = request_bytes_ + buffer_.size();
+    end.bytes_unread = stream_.socket().available(ignored);
+    return end;
+}
+
 asio::awaitable<void>
 http_exchange::connection::refuse_with(int status, std::string_view why) {
     keep_alive_ = false;
+    own_status_ = status;
     http_response response = error_response(status, why);
     co_await respond(std::move(response));
 }
 
 asio::awaitable<void>
 http_exchange::connection::refuse(beast::error_code error, bool anything_read) {
-    if (error == http::error::body_limit ||
-        error == http::error::header_limit) {
+    why_ = reason_of(error, anything_read);
+    if (why_ == connection_end::too_large) {
         co_await refuse_with(status_too_large, "request-too-large");
-    } else if (error == asio::error::operation_aborted && anything_read) {
+    } else if (why_ == connection_end::read_timeout) {
         // A caller that sends its header byte by byte holds a connection for
         // read_timeout at the most.
         co_await refuse_with(status_timeout, "bad-request");
-    } else if (
-        error.category() ==
-            http::make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message) {
+    } else if (why_ == connection_end::bad_request) {
         co_await refuse_with(status_bad_request, "bad-request");
     }
     broken_ = true;
@@ -190,10 +234,14 @@
     if (buffer_.size() == 0 && !broken_) {
         read_arrived();
     }
-    if (buffer_.size() == 0 || !stream_.socket().is_open()) {
+    if (!stream_.socket().is_open() || buffer_.size() == 0) {
+        if (stream_.socket().is_open() && !broken_) {
+            why_ = closing_ ? connection_end::shutdown : connection_end::idle;
+        }
         broken_ = true;
         co_return false;
     }
+    in_request_ = true;
     answer_ = answer_state::none;
     request_whole_ = false;
     co_return true;
@@ -212,6 +260,9 @@
     cancel_guard const guard(stream_, limits_->read_timeout);
     auto const [header_error, header_size] =
         co_await http::async_read_header(stream_, buffer_, parser, use_result);
+    request_bytes_ += header_size;
+    request_id_ = std::string(parser.get()["X-Request-Id"]);
+    request_id_.resize(std::min(request_id_.size(), longest_id));
     if (header_error) {
         bool const anything = buffer_.size() > 0 || header_size > 0;
         co_await refuse(header_error, anything);
@@ -224,6 +275,7 @@
                                        ? limits_->body_bytes
                                        : parser.content_length().value_or(0);
     if (!bodies_->has(expected)) {
+        why_ = connection_end::body_budget;
         co_await refuse_with(status_unavailable, "limit-reached");
         broken_ = true;
         co_return std::nullopt;
@@ -231,6 +283,7 @@
     body_share_.emplace(*bodies_, expected);
     auto const [error, size] =
         co_await http::async_read(stream_, buffer_, parser, use_result);
+    request_bytes_ += size;
     if (error) {
         co_await refuse(error, true);
         co_return std::nullopt;
@@ -256,11 +309,29 @@
     // leaves a connection whose state nobody knows.
     broken_ = broken_ || failed || answer_ != answer_state::whole;
     if (failed) {
+        why_ = connection_end::handler_failed;
         co_await refuse_with(status_failure, "internal-error");
+    } else if (write_error_ || answer_ != answer_state::whole) {
+        why_ = end_of_answer();
     }
 }
 
-asio::awaitable<void> http_exchange::connection::run(http_handler handler) {
+connection_end http_exchange::connection::end_of_answer() {
+    if (!stream_.socket().is_open() && write_error_ != beast::error::timeout) {
+        return connection_end::closed;
+    }
+    if (write_error_ == beast::error::timeout) {
+        return connection_end::write_timeout;
+    }
+    if (write_error_ || closed_by_peer()) {
+        return connection_end::caller_gone;
+    }
+    return answer_ == answer_state::none ? connection_end::unanswered
+                                         : connection_end::cut;
+}
+
+asio::awaitable<std::optional<connection_end_report>>
+http_exchange::connection::run(http_handler handler) {
     while (keep_alive_ && !broken_) {
         head_only_ = false;
         std::optional<http_request> request = co_await read_request();
@@ -268,8 +339,16 @@
             co_await run_handler(handler, std::move(*request));
         }
         body_share_.reset();
+        if (!why_) {
+            in_request_ = false;
+            request_bytes_ = 0;
+            request_id_.clear();
+        }
     }
     co_await finish();
+    std::optional<connection_end_report> end = take_report();
+    close_socket();
+    co_return end;
 }
 
 // A request that arrives after the last answer stays unread: closing with
@@ -285,7 +364,6 @@
             co_await discard_rest();
         }
     }
-    close();
 }
 
 // Guards against a reset that overtakes the answer: the caller of an oversized
@@ -300,6 +378,7 @@
         auto const [error, size] =
             co_await stream_.async_read_some(asio::buffer(rest), use_result);
         discarded += size;
+        request_bytes_ += size;
         if (error) {
             break;
         }
@@ -337,6 +416,7 @@
 bool http_exchange::connection::note_write(beast::error_code error) {
     stream_.expires_never();
     broken_ = broken_ || error;
+    write_error_ = write_error_ ? write_error_ : error;
     return !error;
 }
 
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Ports/connection_end.hpp"
 #include "Ports/http_server.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -13,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace camphorpoint {
@@ -57,9 +59,13 @@
         std::shared_ptr<byte_budget> bodies);
 
     /// Answers requests until the connection ends.
-    boost::asio::awaitable<void> run(http_handler handler);
+    /// @returns why it has ended; nothing when its caller ended it after a
+    ///          whole answer, or when `close` has returned the reason
+    boost::asio::awaitable<std::optional<connection_end_report>>
+    run(http_handler handler);
     /// Closes at once.
-    void close();
+    /// @returns the end of a request that is read or answered, if there is one
+    std::optional<connection_end_report> close();
     /// Ends with the next answer.
     /// @param idle_too ends now when no request has begun
     void end_soon(bool idle_too);
@@ -99,6 +105,9 @@
     boost::asio::awaitable<void> await_reader();
     bool closed_by_peer();
     bool begin_answer(answer_state state);
+    connection_end end_of_answer();
+    std::optional<connection_end_report> take_report();
+    void close_socket();
     bool note_write(boost::beast::error_code error);
 
     boost::beast::tcp_stream stream_;
@@ -118,6 +127,16 @@
     answer_state answer_ = answer_state::none;
     /// The current request was read to its end.
     bool request_whole_ = false;
+    /// A request has begun and has no whole answer yet.
+    bool in_request_ = false;
+    /// Bytes of the current request that left the buffer.
+    std::uint64_t request_bytes_ = 0;
+    std::string request_id_;
+    /// Status of the answer that the handler did not give.
+    int own_status_ = 0;
+    boost::beast::error_code write_error_;
+    std::optional<connection_end> why_;
+    bool reported_ = false;
     /// The current request is a HEAD, whose answer has no body.
     bool head_only_ = false;
 };
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -52,6 +52,8 @@
     event_name{event_code::replica_lost, "replica-lost"},
     event_name{event_code::slot_taken_by_force, "slot-taken-by-force"},
     event_name{event_code::key_clocks_differ, "key-clocks-differ"},
+    event_name{event_code::connection_ended, "connection-ended"},
+    event_name{event_code::connections_ended, "connections-ended"},
     event_name{event_code::gateway_started, "gateway-started"},
     event_name{event_code::gateway_ready, "gateway-ready"},
     event_name{event_code::gateway_stopping, "gateway-stopping"},
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -56,6 +56,8 @@
     replica_lost = 609,
     slot_taken_by_force = 610,
     key_clocks_differ = 701,
+    connection_ended = 801,
+    connections_ended = 802,
     gateway_started = 901,
     gateway_ready = 902,
     gateway_stopping = 903,
