Streams of silent replicas: findings of the review

A reader who had not seen the work found, by reading: - a piece that had been received before a call was cancelled could still begin the stream at the old software version, after the new attempt was accepted; - a stalled attempt that had gone on and was replaced counted as silent again; - a caller that left at the last chunk made the replacement count as broken; - a buffered answer after a complete empty stream was written as a second one.

Each has its condition now; the windows are a turn of the loop wide and no test reaches them. The four cases of silent_replica_test pass on this code.

--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -42,7 +42,7 @@
     late,
     /// The replica is silent for longer than usual. The attempt goes on.
     stalled,
-    /// An earlier attempt, which had stalled, went on instead.
+    /// Another attempt of the same request went on instead.
     superseded
 };
 
@@ -96,8 +96,8 @@
         end = outcome;
         changed.cancel();
     }
-    /// @returns true when the attempt has not stalled, or has gone on since
-    bool active() const { return end.has_value() || !stalled; }
+    /// @returns true when the attempt has gone on after its stall, or has ended
+    bool stall_over() const { return end.has_value() || !stalled; }
 
     /// Empty when a peer makes the attempt.
     endpoint_id replica;
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -123,13 +123,15 @@
         attempt->begin_wait(now);
         auto const piece =
             co_await call->next_piece(std::max(left, milliseconds(1)));
-        bool const received = piece && !piece->empty();
+        // A piece that was received before the call was cancelled may come
+        // after the events of another attempt.
+        bool const received = piece && !piece->empty() && !call->cancelled();
         attempt->end_wait(received, boot_clock::now());
         if (caller->gone) {
             co_return attempt_outcome::finished;
         }
         if (!received) {
-            bool const read_to_end = piece.has_value();
+            bool const read_to_end = piece && piece->empty();
             co_return co_await finish_stream_attempt(attempt, read_to_end);
         }
         attempt->stream.push(*piece);
@@ -177,6 +179,7 @@
     note_completed(*attempt);
     if (response_started_) {
         response_complete_ = co_await exchange_->end_stream();
+        caller->gone = caller->gone || !response_complete_;
         if (response_complete_ && origin_recorded_) {
             messenger_->stream_completed(stream_);
         }
@@ -191,7 +194,8 @@
     co_return attempt_outcome::finished;
 }
 
-// The newest attempt alone can be answering: it has replaced the earlier ones.
+// The tracker follows the newest attempt. An earlier one may have executed the
+// request whatever becomes of it.
 void request_handler::note_completed(forwarded_attempt& attempt) {
     attempt.completed = true;
     if (tracker_.phase() == attempt_phase::answering) {
@@ -226,6 +230,9 @@
     if (!response_started_) {
         co_await stop_stalled();
     }
+    if (response_complete_) {
+        co_return attempt_outcome::superseded;
+    }
     if (response_started_) {
         co_return attempt_outcome::failed;
     }
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -93,17 +93,17 @@
 }
 
 bool request_handler::stall_has_ended() const {
-    return stalled_ && stalled_->active();
+    return stalled_ && stalled_->stall_over();
 }
 
 asio::awaitable<request_handler::next_step> request_handler::await_stalled() {
     auto const caller = caller_;
     attempt_ref const attempt = stalled_;
     std::string const refusal = reason_;
-    while (!attempt->active()) {
+    while (!attempt->stall_over()) {
         attempt->changed.expires_after(stalled_search_interval);
         co_await attempt->changed.async_wait(use_result);
-        bool const searches = !attempt->active() && !caller->gone &&
+        bool const searches = !attempt->stall_over() && !caller->gone &&
                               may_retry(attempt_outcome::stalled);
         if (searches) {
             co_return next_step::search;
@@ -140,8 +140,13 @@
         attempt->changed.expires_after(stalled_search_interval);
         co_await attempt->changed.async_wait(use_result);
     }
-    attempt_outcome const end = *attempt->end;
-    conclude(*attempt, ended ? classify_end(*attempt, end) : end);
+    attempt_outcome end = *attempt->end;
+    if (ended) {
+        end = classify_end(*attempt, end);
+    } else if (!attempt->stalled) {
+        end = attempt_outcome::superseded;
+    }
+    conclude(*attempt, end);
 }
 
 } // namespace camphorpoint
