Node tests: the log outlives the node

Trace: the fixture closed its log's file before the node, which now logs the end of a connection when it is closed (event 801); the write failed and threw in a destructor. The node's contract says that the log outlives it. No check is changed.

--- a/test/node/node_test.cpp
+++ b/test/node/node_test.cpp
@@ -131,12 +131,16 @@
     return end;
 }
 
+struct file_closer {
+    void operator()(std::FILE* file) const { std::fclose(file); }
+};
+
 /// A node over a fake core, on free ports.
 struct test_node {
     explicit test_node(loopback& the_loop)
         : loop(the_loop)
         , quiet(std::tmpfile())
-        , log(quiet)
+        , log(quiet.get())
         , running(
               the_loop.io(), test_settings(), 1, make_decisions(core), log) {
         findings problems;
@@ -146,7 +150,6 @@
             drained = whole;
         });
     }
-    ~test_node() { std::fclose(quiet); }
     test_node(test_node const&) = delete;
     test_node& operator=(test_node const&) = delete;
 
@@ -178,7 +181,8 @@
     }
 
     loopback& loop;
-    std::FILE* quiet;
+    // Closed after the node, which logs the ends of its connections.
+    std::unique_ptr<std::FILE, file_closer> quiet;
     log_writer log;
     fake_core core;
     node running;
