--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -273,6 +273,7 @@
 }
 
 asio::awaitable<bool> request_handler::clear_to_send(endpoint_id at) {
+    auto const caller = caller_;
     if (!co_await acquire_permit(at)) {
         co_return false;
     }
@@ -363,7 +364,7 @@
 request_handler::attempt_ref request_handler::begin_attempt(replica& at) {
     instant const now = boot_clock::now();
     endpoint_id const id = at.record.id;
-    auto const attempt = std::make_shared<forwarded_attempt>(
+    auto attempt = std::make_shared<forwarded_attempt>(
         state_->io.get_executor(), state_->replica_connections, now);
     attempt->replica = id;
     attempt->software = make_software_key(at.record.software);
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -203,7 +203,7 @@
     bool may_replace_stalled(forwarded_attempt const& attempt) const;
     /// Ends the stalled attempt, before another one writes to the caller.
     boost::asio::awaitable<void> stop_stalled();
-    void on_stalled(attempt_ref attempt);
+    void on_stalled(attempt_ref const& attempt);
     /// Decides what follows the end of an attempt at a replica.
     boost::asio::awaitable<next_step>
     after_attempt(attempt_ref attempt, attempt_outcome end);
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -78,7 +78,7 @@
     co_return *attempt->end;
 }
 
-void request_handler::on_stalled(attempt_ref attempt) {
+void request_handler::on_stalled(attempt_ref const& attempt) {
     assert(!stalled_ && "the attempt that writes has replaced the earlier one");
     attempt->stalled = true;
     stalled_ = attempt;
--- a/test/gateway/late_turn_test.cpp
+++ b/test/gateway/late_turn_test.cpp
@@ -67,6 +67,7 @@
     REQUIRE(world.loop.run_until([&] { return sent; }));
     request_fate what = request_fate::pending;
     world.loop.run([&]() -> asio::awaitable<void> {
+        auto const executor = caller.get_executor();
         what = co_await testing::read_fate(caller);
     });
     CHECK(what == request_fate::answered);
--- a/test/gateway/shutdown_test.cpp
+++ b/test/gateway/shutdown_test.cpp
@@ -47,6 +47,7 @@
             std::string const id = fmt::format("first{}", each);
             send_now(caller, request_text(id));
             world.loop.run([&]() -> asio::awaitable<void> {
+                auto const executor = caller.get_executor();
                 fates.add(co_await testing::read_fate(caller));
             });
         }
@@ -115,6 +116,7 @@
         send_now(caller, text.substr(text.size() / 2));
         request_fate what = request_fate::pending;
         world.loop.run([&]() -> asio::awaitable<void> {
+            auto const executor = caller.get_executor();
             what = co_await testing::read_fate(caller);
         });
         CHECK(what == request_fate::answered);
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -341,7 +341,8 @@
            found->second.order.attempt == attempt.order.attempt;
 }
 
-void cluster::begin(running_attempt attempt) {
+void cluster::begin(running_attempt begun) {
+    running_attempt const attempt = std::move(begun);
     start_attempt const& order = attempt.order;
     fake_engine& engine = engine_at(order.endpoint);
     if (!engine.resident.contains(order.adapter)) {
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -114,7 +114,7 @@
     void on(std::size_t node, finish_request const& action);
     void on(std::size_t node, drain_finished const& action);
     void take_order(std::size_t node, engine_order const& order);
-    void begin(running_attempt attempt);
+    void begin(running_attempt begun);
     void step(running_attempt attempt);
     /// Goes on with an attempt when its engine does, unless it has ended.
     void await_engine(
