Interface: reports of attempts, their condition, the cost of a replica in time

Change: the end of an attempt goes to the replica's controller with the count, the failure probability comes back with it; the cost of a replica is one function in its own file. The choice itself is unchanged: the formula is moved.

--- a/src/Delivery/joined_events.hpp
+++ b/src/Delivery/joined_events.hpp
@@ -11,6 +11,8 @@
 struct joined_events {
     /// Bytes of the events.
     std::string text;
+    /// Number of these events, without those that hold comments only.
+    unsigned count = 0;
     /// Position of the caller once it has received them.
     delivery_position position;
     /// False when nothing further of the attempt may be forwarded: an event
--- /dev/null
+++ b/src/Fleet/attempt_report.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Core/time.hpp"
+#include "Fleet/replica_health.hpp"
+
+namespace camphorpoint {
+
+/// What a node tells the controller of a replica about an attempt that has
+/// ended there.
+struct attempt_report {
+    health_signal signal = health_signal::answered;
+    /// Length of the request's prompt; 0 for a plain service.
+    unsigned prompt_tokens = 0;
+    /// From the send to the first output, or to the whole answer of a plain
+    /// service; zero when there was none.
+    duration first_output{0};
+    /// Mean time between two events of the answer; zero with fewer than two.
+    duration event_interval{0};
+};
+
+/// What the controller of a replica has learnt about it from the attempts of
+/// all nodes. A single node sees too few attempts: with 84 nodes three in half
+/// a minute.
+struct replica_condition {
+    /// Probability that the next attempt fails, 0 to 1.
+    double failure_probability = 0;
+};
+
+} // namespace camphorpoint
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -211,6 +211,7 @@
     target->remote_backlog.set(
         std::max(0.0, total.backlog_tokens - local_tokens), now);
     target->free_slots = total.free_slots;
+    target->condition = total.condition;
     target->usage_received_at = now;
 }
 
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -80,6 +80,8 @@
     /// controller, and when that report was received.
     unsigned running_remote = 0;
     instant usage_received_at;
+    /// What its controller has learnt about it, from the same report.
+    replica_condition condition;
     /// Adapters that could be loaded there at once, less those that wait for a
     /// load, from the same report. Negative when more adapters wait.
     int free_slots = 0;
--- /dev/null
+++ b/src/Fleet/replica_cost.cpp
@@ -0,0 +1,49 @@
+#include "Fleet/replica_cost.hpp"
+
+#include "Fleet/replica_selector.hpp"
+
+#include <chrono>
+
+namespace camphorpoint {
+
+namespace {
+
+using seconds_real = std::chrono::duration<double>;
+
+/// Time that a request waits at a replica with one full batch before it.
+constexpr seconds_real full_batch_time{1};
+/// Cost of a suspected replica: it is chosen only when no other replica is
+/// available.
+constexpr seconds_real suspicion_cost{1'000};
+/// Cost of a replica that limits the rate of its requests: it is chosen before
+/// a suspected one only.
+constexpr seconds_real rate_limit_cost{500};
+/// Cost of failures: a replica that fails four in ten requests more than its
+/// peers costs as much as one with two full batches more.
+constexpr double failure_cost = 5;
+/// Smaller differences in the failure fraction are taken for chance.
+constexpr double min_noticed_excess = 0.02;
+
+seconds_real failure_time(replica const& at, double mean, instant now) {
+    double const above_mean = at.health.failure_fraction(now) - mean;
+    return above_mean < min_noticed_excess
+               ? seconds_real(0)
+               : above_mean * failure_cost * full_batch_time;
+}
+
+seconds_real queueing_time(replica const& at, instant now) {
+    return replica_selector::utilization(at, now) * full_batch_time;
+}
+
+} // namespace
+
+duration expected_answer_time(
+    replica const& at, request_work const&, double mean_failures, instant now) {
+    seconds_real result = failure_time(at, mean_failures, now);
+    result += at.health.suspected(now) ? suspicion_cost : seconds_real(0);
+    result += at.yields_to_others(now) ? rate_limit_cost : seconds_real(0);
+    result += queueing_time(at, now);
+    return std::chrono::duration_cast<duration>(result);
+}
+
+} // namespace camphorpoint
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-/// Cost of a suspected replica, in multiples of a full batch: it is chosen only
-/// when no other replica is available.
-constexpr double suspicion_cost = 1'000;
-/// Cost of a replica that limits the rate of its requests: it is chosen before
-/// a suspected one only.
-constexpr double rate_limit_cost = 500;
-/// Cost of failures: a replica that fails four in ten requests more than its
-/// peers costs as much as one with two full batches more.
-constexpr double failure_cost = 5;
-
 /// Unprocessed prompt tokens that cost as much as a full batch: they pause all
 /// streams of the replica for as long as callers accept as good service.
 constexpr double full_backlog_tokens = 8'000;
@@ -39,9 +29,6 @@
 /// denied further load requests: each would have to wait for a slot even after
 /// its load.
 constexpr double full_utilization = 1;
-/// Smaller differences in the failure fraction are taken for chance.
-constexpr double min_noticed_excess = 0.02;
-
 /// Compares only whether a slot is free. Nodes receive usage reports at
 /// different times; if they compared the load, they would have a rarely used
 /// adapter loaded at several replicas.
@@ -117,16 +104,6 @@
                requirements.tried_replicas.end();
 }
 
-double
-replica_selector::cost(replica const& each, double mean, instant now) const {
-    double const above_mean = each.health.failure_fraction(now) - mean;
-    double const excess = above_mean < min_noticed_excess ? 0 : above_mean;
-    double result = excess * failure_cost;
-    result += each.health.suspected(now) ? suspicion_cost : 0;
-    result += each.yields_to_others(now) ? rate_limit_cost : 0;
-    return result + utilization(each, now);
-}
-
 std::vector<replica*> replica_selector::candidates(
     replica_requirements const& requirements, instant now) const {
     std::vector<replica*> found;
@@ -181,8 +158,9 @@
         failures += each->health.failure_fraction(now);
     }
     double const mean = failures / static_cast<double>(all.size());
-    return *std::ranges::min_element(
-        all, {}, [&](replica const* each) { return cost(*each, mean, now); });
+    return *std::ranges::min_element(all, {}, [&](replica const* each) {
+        return expected_answer_time(*each, requirements.work, mean, now);
+    });
 }
 
 replica* replica_selector::next_preferred_replica(
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -3,6 +3,7 @@
 #include "Core/software_key.hpp"
 #include "Core/time.hpp"
 #include "Fleet/fleet.hpp"
+#include "Fleet/replica_cost.hpp"
 
 #include <optional>
 #include <span>
@@ -33,6 +34,8 @@
     std::vector<endpoint_id> tried_replicas;
     /// The latest denials of a slot for this request.
     std::vector<slot_denial> slot_denials;
+    /// What the request asks of the replica that runs it.
+    request_work work;
     /// Any number. Requests with different numbers consider the replicas in a
     /// different order, so that nodes with the same view do not all choose the
     /// same one.
@@ -117,7 +120,6 @@
     ///          the request; in the past when neither is waited for
     static instant
     usable_from(replica const& each, replica_requirements const& requirements);
-    double cost(replica const& each, double mean, instant now) const;
     std::vector<replica*>
     candidates(replica_requirements const& requirements, instant now) const;
 
--- a/src/Fleet/running_request_tracker.cpp
+++ b/src/Fleet/running_request_tracker.cpp
@@ -61,6 +61,11 @@
     }
 }
 
+void running_request_tracker::add_attempt(
+    std::uint64_t replica, attempt_report const& report, instant now) {
+    replicas_[replica].outcomes.add_outcome(report.signal, now);
+}
+
 void running_request_tracker::add_expected_request(
     std::uint64_t replica, double probability, instant now) {
     replicas_[replica].expected.add(probability, expected_half_life, now);
@@ -83,6 +88,7 @@
                             state.waiting.value(waiting_half_life, now);
     result.running = state.running + static_cast<unsigned>(upcoming);
     result.backlog_tokens = state.backlog.remaining_tokens(now);
+    result.condition.failure_probability = state.outcomes.failure_fraction(now);
     return result;
 }
 
--- a/src/Fleet/running_request_tracker.hpp
+++ b/src/Fleet/running_request_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
+#include "Fleet/attempt_report.hpp"
 #include "Fleet/prompt_backlog.hpp"
 
 #include <cstdint>
@@ -20,6 +21,7 @@
     /// Adapters that could be loaded there at once, less those that wait for a
     /// load. Negative when more adapters wait.
     int free_slots = 0;
+    replica_condition condition;
 };
 
 /// Counts the running requests of all nodes at the replicas that this node
@@ -45,6 +47,9 @@
         adapter_id const& adapter, unsigned running, unsigned prompt_tokens,
         instant now);
 
+    /// Applies a node's report of an attempt that has ended at a replica.
+    void add_attempt(
+        std::uint64_t replica, attempt_report const& report, instant now);
     /// Records that a node was told how full a replica is and will, with this
     /// probability, send a request there. The expected request counts until it
     /// is reported, so that nodes that ask at the same moment do not all get
@@ -90,6 +95,7 @@
         prompt_backlog backlog;
         decaying_count expected;
         decaying_count waiting;
+        replica_health outcomes;
     };
 
     static void adjust(
--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -3,6 +3,7 @@
 #include "Core/ids.hpp"
 #include "Core/software_key.hpp"
 #include "Core/time.hpp"
+#include "Delivery/answer_timing.hpp"
 #include "Delivery/attempt_stream.hpp"
 #include "Ports/http_client.hpp"
 
@@ -77,6 +78,7 @@
         instant now)
         : call(std::make_shared<http_call>(executor, &pool))
         , began_at(now)
+        , timing(now)
         , changed(executor) {}
 
     /// @returns true when a peer makes the attempt on behalf of this node
@@ -103,6 +105,7 @@
     endpoint_id replica;
     std::shared_ptr<http_call> call;
     instant began_at;
+    answer_timing timing;
     /// Software version that writes the answer, where it is known.
     std::optional<software_key> software;
     attempt_stream stream;
--- a/src/Gateway/peer_datagram.cpp
+++ b/src/Gateway/peer_datagram.cpp
@@ -16,6 +16,11 @@
     static constexpr gate_message_kind value = gate_message_kind::ended;
 };
 
+template <>
+struct last_value_of<health_signal> {
+    static constexpr health_signal value = health_signal::no_response;
+};
+
 template <>
 struct last_value_of<replica_links> {
     static constexpr replica_links value = replica_links::cut;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -3,6 +3,7 @@
 #include "Core/store_position.hpp"
 #include "Core/time.hpp"
 #include "Delivery/stream_origins.hpp"
+#include "Fleet/replica_health.hpp"
 #include "Fleet/replica_reachability.hpp"
 
 #include <cereal/types/string.hpp>
@@ -120,6 +121,9 @@
     }
 };
 
+/// Probabilities are sent in thousandths.
+inline constexpr double permille = 1'000;
+
 /// Usage of a replica by the requests of all nodes, sent by its controller.
 struct peer_replica_usage {
     std::uint64_t replica = 0;
@@ -128,10 +132,28 @@
     /// How many more adapters could be loaded there now, less the pending load
     /// requests; negative when more are pending.
     std::int16_t free_slots = 0;
+    /// Probability that the next attempt there fails.
+    std::uint16_t failure_permille = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, running, backlog_tokens, free_slots);
+        archive(replica, running, backlog_tokens, free_slots, failure_permille);
+    }
+};
+
+/// An attempt of the sender has ended at a replica, for its controller.
+struct peer_attempt_report {
+    std::uint64_t replica = 0;
+    health_signal signal = health_signal::answered;
+    std::uint16_t prompt_tokens = 0;
+    std::uint32_t first_output_us = 0;
+    /// Mean time between two events; 0 when it is not known.
+    std::uint32_t event_interval_us = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(
+            replica, signal, prompt_tokens, first_output_us, event_interval_us);
     }
 };
 
@@ -444,6 +466,7 @@
     std::vector<peer_stream_record> stream_records;
     std::vector<peer_stream_question> stream_questions;
     std::vector<peer_stream_answer> stream_answers;
+    std::vector<peer_attempt_report> attempt_reports;
     /// At most one.
     std::vector<peer_registry_update> registry_updates;
     /// The sender's position in the operator's declarations; sent, like the
@@ -463,7 +486,7 @@
     /// What the sender reaches of the replicas.
     replica_links links = replica_links::intact;
 
-    static constexpr std::uint32_t current_format = 15;
+    static constexpr std::uint32_t current_format = 16;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -502,7 +525,7 @@
             of.rejections, of.leaving_replicas, of.permit_requests,
             of.permit_replies, of.usage_messages, of.stream_records,
             of.stream_questions, of.stream_answers, of.registry_updates,
-            of.part_crashes, of.part_inquiries);
+            of.part_crashes, of.part_inquiries, of.attempt_reports);
     }
     std::uint32_t present_lists() const noexcept {
         std::uint32_t present = 0;
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -15,6 +15,7 @@
 namespace camphorpoint {
 
 namespace asio = boost::asio;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 namespace {
@@ -59,6 +60,23 @@
     return 1 + nodes / nodes_at_full_rate;
 }
 
+peer_attempt_report
+report_message(std::uint64_t replica, attempt_report const& report) {
+    constexpr unsigned max_tokens = std::numeric_limits<std::uint16_t>::max();
+    auto const clamped = [](duration time) {
+        constexpr std::int64_t max_us =
+            std::numeric_limits<std::uint32_t>::max();
+        auto const count =
+            std::chrono::duration_cast<microseconds>(time).count();
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(count, 0, max_us));
+    };
+    return {
+        replica, report.signal,
+        static_cast<std::uint16_t>(std::min(report.prompt_tokens, max_tokens)),
+        clamped(report.first_output), clamped(report.event_interval)};
+}
+
 } // namespace
 
 std::size_t partition_of(endpoint_id const& replica) {
@@ -246,14 +264,16 @@
     send_use(key, count);
 }
 
-void peer_messenger::end_use(endpoint_id const& at, adapter_id const& adapter) {
+void peer_messenger::end_use(
+    endpoint_id const& at, adapter_id const& adapter,
+    std::optional<attempt_report> const& report) {
     use_key const key{at, adapter};
     auto const found = uses_.find(key);
     if (found == uses_.end()) {
         return;
     }
     --found->second.running;
-    send_use(key, found->second);
+    send_use(key, found->second, report);
     if (found->second.running == 0 && is_brittle(at)) {
         found->second.end_repeats = end_report_repeats;
     } else if (found->second.running == 0) {
@@ -261,7 +281,9 @@
     }
 }
 
-void peer_messenger::send_use(use_key const& key, use_count& count) {
+void peer_messenger::send_use(
+    use_key const& key, use_count& count,
+    std::optional<attempt_report> const& report) {
     auto const holder = lease_holders_.find(partition_of(key.replica));
     if (holder == lease_holders_.end()) {
         return;
@@ -270,15 +292,24 @@
         fleet::id_hash(key.replica), key.adapter.str(), count.running,
         count.prompt_tokens};
     count.prompt_tokens = 0;
+    peer_datagram message;
+    if (report) {
+        message.attempt_reports.push_back(
+            report_message(usage.replica, *report));
+    }
     if (holder->second == state_->own_address) {
-        handle_usage(usage, state_->own_address, boot_clock::now());
+        instant const now = boot_clock::now();
+        for (peer_attempt_report const& each : message.attempt_reports) {
+            handle_attempt_report(each, now);
+        }
+        handle_usage(usage, state_->own_address, now);
         return;
     }
-    peer_datagram message;
     message.adapter_usages.push_back(std::move(usage));
     for (int copy = 1; copy < copies_of_report(key.replica); ++copy) {
         peer_datagram repeated = message;
         repeated.adapter_usages.back().prompt_tokens = 0;
+        repeated.attempt_reports.clear();
         send(holder->second, std::move(repeated));
     }
     send(holder->second, std::move(message));
@@ -341,9 +372,20 @@
     load.running = static_cast<std::uint16_t>(total.running);
     load.backlog_tokens =
         static_cast<std::uint16_t>(std::min(total.backlog_tokens, max_tokens));
+    load.failure_permille = static_cast<std::uint16_t>(
+        total.condition.failure_probability * permille);
     return load;
 }
 
+void peer_messenger::handle_attempt_report(
+    peer_attempt_report const& report, instant now) {
+    attempt_report const ended{
+        report.signal, report.prompt_tokens,
+        microseconds(report.first_output_us),
+        microseconds(report.event_interval_us)};
+    request_tracker_.add_attempt(report.replica, ended, now);
+}
+
 void peer_messenger::handle_usage(
     peer_adapter_usage const& use, std::string const& from, instant now) {
     unsigned const before = request_tracker_.running(use.replica);
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -182,7 +182,11 @@
     void begin_use(
         endpoint_id const& at, adapter_id const& adapter,
         unsigned prompt_tokens);
-    void end_use(endpoint_id const& at, adapter_id const& adapter);
+    /// @param report how the attempt has ended; nothing when that says nothing
+    ///               about the replica
+    void end_use(
+        endpoint_id const& at, adapter_id const& adapter,
+        std::optional<attempt_report> const& report);
     /// Asks the controllers of replicas for their usage, where the last
     /// reported usage is out of date. Each answer wakes the requests that wait
     /// for the adapter.
@@ -280,8 +284,11 @@
     void handle(peer_datagram const& message);
     void send(std::string const& peer, peer_datagram message);
     void send_all(peer_datagram const& message);
-    void send_use(use_key const& key, use_count& count);
+    void send_use(
+        use_key const& key, use_count& count,
+        std::optional<attempt_report> const& report = std::nullopt);
     void repeat_uses();
+    void handle_attempt_report(peer_attempt_report const& report, instant now);
     void handle_usage(
         peer_adapter_usage const& use, std::string const& from, instant now);
     void handle_usage_query(
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -100,8 +100,10 @@
     }
     for (peer_replica_usage const& each : message.replica_usages) {
         replica_usage const total{
-            each.running, static_cast<double>(each.backlog_tokens),
-            each.free_slots};
+            each.running,
+            static_cast<double>(each.backlog_tokens),
+            each.free_slots,
+            {each.failure_permille / permille}};
         state_->replicas.update_usage(each.replica, total, now);
     }
     for (peer_replica_usage_query const& each : message.usage_queries) {
@@ -183,6 +185,9 @@
     for (peer_quarantine const& each : message.quarantines) {
         handle_quarantine(each, message.from, now);
     }
+    for (peer_attempt_report const& each : message.attempt_reports) {
+        handle_attempt_report(each, now);
+    }
     for (peer_adapter_usage const& each : message.adapter_usages) {
         handle_usage(each, message.from, now);
     }
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -78,6 +78,9 @@
     stream_ = make_stream_key(first, need_.service, need_.adapter);
     note_patience();
     need_.model = demand_.model;
+    need_.work = {
+        demand_.prompt_tokens, route_->objective, route_->accepted_gap,
+        timeout};
     need_.random_sample = state_->random();
     fingerprint_ = fingerprint_request(
         request.method, request.fields.get("Host"), request.target,
@@ -437,9 +440,11 @@
     caller_->calls.erase(attempt.call);
     attempt.call->cancel();
     state_->replicas.request_finished(attempt.replica);
-    messenger_->end_use(attempt.replica, need_.adapter);
-    if (!attempt.stalled) {
-        record_health(attempt, end);
+    auto const report =
+        attempt.stalled ? std::nullopt : make_attempt_report(attempt, end);
+    messenger_->end_use(attempt.replica, need_.adapter, report);
+    if (report) {
+        record_health(attempt, *report);
     }
     log_attempt(attempt, end);
     return report_outcome(attempt, end);
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -220,7 +220,12 @@
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_retry(attempt_outcome end);
     bool consume_resend_budget();
-    void record_health(forwarded_attempt const& attempt, attempt_outcome end);
+    /// @returns what the end of an attempt says about its replica; nothing when
+    ///          it says nothing
+    std::optional<attempt_report> make_attempt_report(
+        forwarded_attempt const& attempt, attempt_outcome end) const;
+    void record_health(
+        forwarded_attempt const& attempt, attempt_report const& report);
     void log_attempt(forwarded_attempt const& attempt, attempt_outcome end);
     std::chrono::milliseconds retry_after() const;
     call_times send_times(instant now) const;
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -42,14 +42,11 @@
 
 } // namespace
 
-void request_handler::record_health(
-    forwarded_attempt const& attempt, attempt_outcome end) {
-    replica* const target = state_->replicas.find(attempt.replica);
-    if (target == nullptr || caller_->gone ||
-        end == attempt_outcome::superseded) {
-        return;
+std::optional<attempt_report> request_handler::make_attempt_report(
+    forwarded_attempt const& attempt, attempt_outcome end) const {
+    if (caller_->gone || end == attempt_outcome::superseded) {
+        return std::nullopt;
     }
-    instant const now = boot_clock::now();
     health_signal evidence = health_signal::answered;
     if (end == attempt_outcome::silent || end == attempt_outcome::stalled ||
         end == attempt_outcome::unreached) {
@@ -63,7 +60,19 @@
         // seem to have more of it than its peers.
         evidence = health_signal::failed;
     }
-    if (target->health.add_outcome(evidence, now)) {
+    return attempt_report{
+        evidence, demand_.prompt_tokens, attempt.timing.first_output(),
+        attempt.timing.event_interval()};
+}
+
+void request_handler::record_health(
+    forwarded_attempt const& attempt, attempt_report const& report) {
+    replica* const target = state_->replicas.find(attempt.replica);
+    if (target == nullptr) {
+        return;
+    }
+    instant const now = boot_clock::now();
+    if (target->health.add_outcome(report.signal, now)) {
         duration const suspected_for = target->health.suspected_until() - now;
         state_->log_event(
             log_line(event_code::replica_suspected, log_level::warning)
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -92,6 +92,7 @@
     auto const caller = caller_;
     auto const call = attempt->call;
     note_output(*attempt);
+    attempt->timing.add(events.count, boot_clock::now());
     note_stream_event(*attempt);
     if (!response_started_) {
         response_started_ = true;
@@ -222,6 +223,7 @@
         answer.body += *piece;
     }
     note_completed(*attempt);
+    attempt->timing.add(1, boot_clock::now());
     constexpr int first_failure = 500;
     if (status >= first_failure) {
         failure_response_ = std::move(answer);
--- a/src/Routing/routing_configuration.hpp
+++ b/src/Routing/routing_configuration.hpp
@@ -43,6 +43,9 @@
     std::chrono::milliseconds timeout{0};
     /// An answer, or the first event of a stream, is on time within this.
     std::chrono::milliseconds objective{0};
+    /// Longest pause between two events of a stream that is on time; zero when
+    /// the operator names none.
+    std::chrono::milliseconds accepted_gap{0};
     /// 0 is the most urgent.
     unsigned priority = 0;
     /// Number of replicas to which one request may be sent.
