--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -82,7 +82,10 @@
     assert(!stalled_ && "the attempt that writes has replaced the earlier one");
     attempt->stalled = true;
     stalled_ = attempt;
-    record_health(*attempt, attempt_outcome::stalled);
+    auto const report = make_attempt_report(*attempt, attempt_outcome::stalled);
+    if (report) {
+        record_health(*attempt, *report);
+    }
     leave_gate(attempt_outcome::stalled);
     state_->log_event(
         log_line(event_code::stream_stalled)
