Choice of a replica: an index of the replicas that have an adapter

What callers would see at the size to design for: a node that chooses a replica for a request looks at all replicas of the service, several times a request. Change: the fleet keeps for each adapter the replicas that have an entry of it; entries of services are inserted in place instead of rebuilding all indexes with each new replica; a full poll is compared through a set.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -15,6 +15,7 @@
     print_ownership_capacity();
     print_entry_capacity();
     print_work_capacity();
+    print_selection_capacity();
     print_membership_capacity();
 }
 
--- a/bench/capacity_parts.hpp
+++ b/bench/capacity_parts.hpp
@@ -12,6 +12,8 @@
 void print_entry_capacity();
 /// The owners' work: scheduling, keys, the store's budget.
 void print_work_capacity();
+/// A gateway's choice of a replica: time against replicas.
+void print_selection_capacity();
 /// Bytes of what is sent and read.
 void print_message_sizes();
 
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -3,6 +3,7 @@
 #include "Core/hash.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace camphorpoint {
@@ -20,21 +21,63 @@
 /// requests that run now.
 constexpr duration remote_usage_lifetime = std::chrono::seconds(4);
 
+void insert_by_id(std::vector<replica*>& into, replica& target) {
+    auto const place = std::ranges::lower_bound(
+        into, target.record.id, {},
+        [](replica const* each) { return each->record.id; });
+    into.insert(place, &target);
+}
+
 } // namespace
 
 std::uint64_t fleet::id_hash(endpoint_id const& id) {
     return hash_text(id.str());
 }
 
-void fleet::rebuild_indexes() {
-    by_service_.clear();
-    by_hash_.clear();
-    for (auto& [id, each] : all_) {
-        by_service_[each.record.service].push_back(&each);
-        by_hash_[id_hash(id)] = &each;
+void fleet::add_to_service(replica& target) {
+    insert_by_id(by_service_[target.record.service], target);
+    by_hash_[id_hash(target.record.id)] = &target;
+}
+
+void fleet::remove_from_service(replica& target) {
+    std::erase(by_service_[target.record.service], &target);
+    by_hash_.erase(id_hash(target.record.id));
+}
+
+void fleet::index_adapter(adapter_id const& adapter, replica& target) {
+    insert_by_id(by_adapter_[adapter], target);
+}
+
+void fleet::unindex_adapter(adapter_id const& adapter, replica& target) {
+    auto const found = by_adapter_.find(adapter);
+    std::erase(found->second, &target);
+    if (found->second.empty()) {
+        by_adapter_.erase(found);
     }
 }
 
+void fleet::unindex_adapters(replica& target) {
+    for (auto const& [adapter, resident] : target.adapters) {
+        unindex_adapter(adapter, target);
+    }
+}
+
+resident_adapter&
+fleet::adapter_entry(replica& target, adapter_id const& adapter) {
+    auto const [entry, added] = target.adapters.try_emplace(adapter);
+    if (added) {
+        index_adapter(adapter, target);
+    }
+    return entry->second;
+}
+
+void fleet::forget(endpoint_id const& id) {
+    auto const found = all_.find(id);
+    unindex_adapters(found->second);
+    remove_from_service(found->second);
+    all_.erase(found);
+}
+
 void fleet::apply_adapters(
     replica& target, replica_record const& record, instant now) {
     std::unordered_map<adapter_id, resident_adapter> updated;
@@ -47,6 +90,16 @@
             updated[id] = resident;
         }
     }
+    for (auto const& [id, resident] : target.adapters) {
+        if (!updated.contains(id)) {
+            unindex_adapter(id, target);
+        }
+    }
+    for (auto const& [id, resident] : updated) {
+        if (!target.adapters.contains(id)) {
+            index_adapter(id, target);
+        }
+    }
     target.adapters = std::move(updated);
 }
 
@@ -61,6 +114,7 @@
 void fleet::reset_after_restart(replica& target) {
     // This node's requests at the earlier process complete on their own when
     // their connections break.
+    unindex_adapters(target);
     unsigned const running = target.running_local;
     replica_record record = std::move(target.record);
     record.leaving = false;
@@ -97,10 +151,16 @@
     bool const was_leaving = target.record.leaving;
     bool const service_changed =
         inserted || target.record.service != record.service;
-    apply_adapters(target, record, now);
+    if (service_changed && !inserted) {
+        remove_from_service(target);
+    }
     std::optional<incarnation> const started =
         record.started_at ? record.started_at : target.record.started_at;
     target.record = record;
+    if (service_changed) {
+        add_to_service(target);
+    }
+    apply_adapters(target, record, now);
     target.record.started_at = started;
     // A replica that has announced its shutdown never withdraws it.
     target.record.leaving = record.leaving || was_leaving;
@@ -110,9 +170,6 @@
         target.shutdown_at =
             std::min(target.shutdown_at, now + *record.remaining);
     }
-    if (service_changed) {
-        rebuild_indexes();
-    }
     if (inserted || restarted || returned) {
         return target.record.leaving ? fleet_change::leaving
                                      : fleet_change::joined;
@@ -139,9 +196,10 @@
 
 std::vector<endpoint_id> fleet::mark_unlisted_except(
     std::vector<endpoint_id> const& listed, bool keep_in_use, instant now) {
+    std::unordered_set<endpoint_id> const present(listed.begin(), listed.end());
     std::vector<endpoint_id> gone;
     for (auto const& [id, each] : all_) {
-        if (std::ranges::find(listed, id) == listed.end() &&
+        if (!present.contains(id) &&
             mark_unlisted(id, keep_in_use, now) == fleet_change::removed) {
             gone.push_back(id);
         }
@@ -166,10 +224,7 @@
         }
     }
     for (endpoint_id const& id : forgotten) {
-        all_.erase(id);
-    }
-    if (!forgotten.empty()) {
-        rebuild_indexes();
+        forget(id);
     }
     return gone;
 }
@@ -177,7 +232,7 @@
 void fleet::mark_resident(
     endpoint_id const& id, adapter_ref const& adapter, instant now) {
     if (replica* const target = find(id)) {
-        target->adapters[adapter.id] = {adapter.version, now, false};
+        adapter_entry(*target, adapter.id) = {adapter.version, now, false};
     }
 }
 
@@ -193,7 +248,7 @@
     endpoint_id const& id, adapter_id const& adapter, instant now) {
     if (replica* const target = find(id)) {
         add_cached(*target, adapter);
-        resident_adapter& resident = target->adapters[adapter];
+        resident_adapter& resident = adapter_entry(*target, adapter);
         resident.confirmed_at = now;
         resident.unloading = true;
     }
@@ -344,6 +399,13 @@
     return by_service_[service];
 }
 
+std::vector<replica*> const&
+fleet::with_adapter(adapter_id const& adapter) const {
+    static std::vector<replica*> const none;
+    auto const found = by_adapter_.find(adapter);
+    return found == by_adapter_.end() ? none : found->second;
+}
+
 replica* fleet::find_by_hash(std::uint64_t hash) {
     auto const found = by_hash_.find(hash);
     return found == by_hash_.end() ? nullptr : found->second;
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -266,6 +266,9 @@
     replica const* find(endpoint_id const& id) const;
     /// @returns all replicas of a service, ordered by id
     std::vector<replica*> const& of_service(service_id const& service);
+    /// @returns the replicas of all services that have an entry of the adapter,
+    ///          ordered by id
+    std::vector<replica*> const& with_adapter(adapter_id const& adapter) const;
     /// @returns every replica
     std::map<endpoint_id, replica> const& all() const noexcept { return all_; }
     /// @returns the hash that identifies a replica in messages between nodes
@@ -274,19 +277,28 @@
     replica* find_by_hash(std::uint64_t hash);
 
 private:
-    void rebuild_indexes();
+    void add_to_service(replica& target);
+    void remove_from_service(replica& target);
+    void index_adapter(adapter_id const& adapter, replica& target);
+    void unindex_adapter(adapter_id const& adapter, replica& target);
+    void unindex_adapters(replica& target);
+    resident_adapter& adapter_entry(replica& target, adapter_id const& adapter);
+    void forget(endpoint_id const& id);
     static bool
     has_restarted(replica const& known, replica_record const& record);
     static bool
     is_stale_record(replica const& known, replica_record const& record);
-    static void reset_after_restart(replica& target);
+    void reset_after_restart(replica& target);
     static void add_cached(replica& target, adapter_id const& adapter);
-    static void
+    void
     apply_adapters(replica& target, replica_record const& record, instant now);
 
     std::map<endpoint_id, replica> all_;
     std::unordered_map<service_id, std::vector<replica*>> by_service_;
     std::unordered_map<std::uint64_t, replica*> by_hash_;
+    /// At the size to design for a service has 12,000 replicas, and an adapter
+    /// is resident on a few of them.
+    std::unordered_map<adapter_id, std::vector<replica*>> by_adapter_;
     std::unordered_map<service_id, service_brittleness> brittle_services_;
 };
 
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -104,11 +104,19 @@
                requirements.tried_replicas.end();
 }
 
+std::vector<replica*> const& replica_selector::possible_replicas(
+    replica_requirements const& requirements) const {
+    return requirements.adapter.empty()
+               ? fleet_->of_service(requirements.service)
+               : fleet_->with_adapter(requirements.adapter);
+}
+
 std::vector<replica*> replica_selector::candidates(
     replica_requirements const& requirements, instant now) const {
     std::vector<replica*> found;
-    for (replica* const each : fleet_->of_service(requirements.service)) {
-        if (is_eligible(*each, requirements, now) &&
+    for (replica* const each : possible_replicas(requirements)) {
+        if (each->record.service == requirements.service &&
+            is_eligible(*each, requirements, now) &&
             satisfies(*each, requirements)) {
             found.push_back(each);
         }
@@ -252,11 +260,7 @@
 
 std::size_t replica_selector::resident_count(
     replica_requirements const& requirements, instant now) const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        fleet_->of_service(requirements.service), [&](replica const* each) {
-            return is_eligible(*each, requirements, now) &&
-                   satisfies(*each, requirements);
-        }));
+    return candidates(requirements, now).size();
 }
 
 bool replica_selector::any_accepts_requests(
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -120,6 +120,9 @@
     ///          the request; in the past when neither is waited for
     static instant
     usable_from(replica const& each, replica_requirements const& requirements);
+    /// @returns the replicas of which some may satisfy the requirements
+    std::vector<replica*> const&
+    possible_replicas(replica_requirements const& requirements) const;
     std::vector<replica*>
     candidates(replica_requirements const& requirements, instant now) const;
 
