Partition leases: decide who counts the usage of a limit

No change of behaviour: the condition under which a node counts a team's usage moves from the messenger into partition_leases, where a test without a network reaches it.

--- a/src/Gateway/peer_messenger_usage.cpp
+++ b/src/Gateway/peer_messenger_usage.cpp
@@ -40,9 +40,9 @@
 std::optional<usage_decision> peer_messenger::count_usage(
     usage_question const& question, usage_cap const& cap, instant now) {
     std::size_t const partition = team_partition(question.team);
-    auto const gained_at = state_->leases.exclusive_since(partition);
+    auto const gained_at = state_->leases.counting_since(partition, now);
     // Guards against two nodes that both count the usage of a team.
-    if (!gained_at || !state_->leases.valid(now)) {
+    if (!gained_at) {
         return std::nullopt;
     }
     // The former holder may not have noticed yet that it has lost the
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -133,6 +133,11 @@
                : std::nullopt;
 }
 
+std::optional<instant>
+partition_leases::counting_since(std::size_t partition, instant now) const {
+    return valid(now) ? exclusive_since(partition) : std::nullopt;
+}
+
 std::size_t partition_leases::exclusive_partitions(instant now) const {
     if (now >= renewed_at_ + times_.lease) {
         return 0;
--- a/src/ReplicaControl/partition_leases.hpp
+++ b/src/ReplicaControl/partition_leases.hpp
@@ -94,6 +94,11 @@
     /// @returns since when no other node can have commanded replicas of the
     ///          partition; nothing when this node does not hold it
     std::optional<instant> exclusive_since(std::size_t partition) const;
+    /// @returns since when this node alone counts what all nodes use of the
+    ///          limits that belong to the partition; nothing when it must not
+    ///          count them
+    std::optional<instant>
+    counting_since(std::size_t partition, instant now) const;
     /// @returns the number of partitions that no other node can hold now. The
     ///          extension in an outage of the store does not count: the outage
     ///          may concern this node only.
