--- a/test/support/usage_simulation.cpp
+++ b/test/support/usage_simulation.cpp
@@ -46,6 +46,9 @@
         , cap_(scenario.cap)
         , random_(seed)
         , nodes_(scenario.nodes)
+        , leased_(
+              scenario.loss, scenario.nodes, scenario.lost_datagrams, begin_,
+              seed)
         , own_shares_(
               scenario.policy == usage_policy::equal_shares ? scenario.nodes
                                                             : 0,
@@ -60,14 +63,17 @@
 
     usage_result run() {
         double const mean = 0.5 * (scenario_.min_units + scenario_.max_units);
-        std::exponential_distribution<> gap(
-            scenario_.demand * scenario_.cap.per_second / mean);
         std::uniform_int_distribution<unsigned> size(
             scenario_.min_units, scenario_.max_units);
         while (now_ < begin_ + scenario_.length) {
+            std::exponential_distribution<> gap(
+                demand() * scenario_.cap.per_second / mean);
             now_ += std::chrono::duration_cast<duration>(
                 std::chrono::duration<double>(gap(random_)));
             change_cap();
+            if (scenario_.loss.nodes > 0) {
+                leased_.advance(now_);
+            }
             double const units = size(random_);
             simulated_node& node = nodes_[random_() % nodes_.size()];
             ideal_ += ideal_meter_.take(units, now_).granted ? units : 0;
@@ -88,6 +94,10 @@
     bool during(seconds from, seconds length) const {
         return now_ >= begin_ + from && now_ < begin_ + from + length;
     }
+    double demand() const {
+        return now_ < begin_ + scenario_.demand_change ? scenario_.demand
+                                                       : scenario_.later_demand;
+    }
     double fraction() { return std::uniform_real_distribution<>()(random_); }
     bool lost() { return fraction() < scenario_.lost_datagrams; }
 
@@ -122,6 +132,16 @@
         std::size_t const cut = noticed ? cut_nodes_ : 0;
         return grantable_fraction(nodes_.size() - cut, nodes_.size());
     }
+    /// @returns nothing when the node asked does not count the team
+    std::optional<usage_decision> count_for(
+        simulated_node const& node, double units, std::uint64_t question) {
+        double const unreported = node.history.unreported();
+        if (scenario_.loss.nodes <= 0) {
+            return count(units, question, unreported);
+        }
+        auto const index = static_cast<std::size_t>(&node - nodes_.data());
+        return leased_.count(index, {question, team, units, unreported}, cap_);
+    }
     usage_decision
     count(double units, std::uint64_t question, double unreported) {
         if (!cap_.limited()) {
@@ -158,9 +178,7 @@
             messages_ += 2;
             bool const arrives = counter_answers(node) && !lost();
             auto const counted =
-                arrives ? std::optional(
-                              count(units, question, node.history.unreported()))
-                        : std::nullopt;
+                arrives ? count_for(node, units, question) : std::nullopt;
             if (counted && !lost()) {
                 decision = counted;
                 waited += microseconds(400 + random_() % 3'000);
@@ -294,6 +312,7 @@
     usage_cap cap_;
     std::mt19937_64 random_;
     std::vector<simulated_node> nodes_;
+    leased_counters leased_;
     std::vector<usage_meter> own_shares_;
     usage_counter counter_;
     instant counter_since_ = begin_;
--- a/test/support/usage_simulation.hpp
+++ b/test/support/usage_simulation.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "test/support/leased_counters.hpp"
+
 #include <Camphorpoint/Teams>
 
 #include <chrono>
@@ -29,6 +31,9 @@
     usage_cap cap{usage_unit::tokens, 4'200, 4'200, 200};
     /// Demand as a multiple of the cap.
     double demand = 4;
+    /// The demand from a time on.
+    double later_demand = 4;
+    std::chrono::seconds demand_change{1'000};
     /// Units of a request, drawn evenly.
     unsigned min_units = 800;
     unsigned max_units = 2'400;
@@ -42,6 +47,9 @@
     double cut_nodes = 0;
     std::chrono::seconds cut_from{1'000};
     std::chrono::seconds cut_for{0};
+    /// Nodes that lose the store. The counting node is then decided by leases,
+    /// and `counter_change` has no effect.
+    store_loss loss;
     /// The cap changes to this multiple of its rate; 0 lifts it.
     double changed_cap = 1;
     std::chrono::seconds cap_change{1'000};
--- a/test/usage_cap_property_test.cpp
+++ b/test/usage_cap_property_test.cpp
@@ -100,6 +100,65 @@
     }
 }
 
+// Guards against a former counter that goes on granting to nodes that have lost
+// the store as it has, while its successor grants the cap to the others.
+TEST_CASE("a usage cap is kept while its counter and other nodes lose the "
+          "store") {
+    usage_scenario trouble;
+    trouble.demand = 0.55;
+    trouble.demand_change = seconds(24);
+    trouble.loss.nodes = 0.35;
+    SUBCASE("once") {}
+    SUBCASE("once, and the demand is above the cap before") {
+        trouble.demand = 4;
+    }
+    SUBCASE("once, and datagrams are lost") {
+        trouble.lost_datagrams = 0.2;
+    }
+    SUBCASE("and so do its successors") {
+        trouble.loss.length = milliseconds(3'000);
+        trouble.loss.outages = 4;
+    }
+    SUBCASE("and so do its successors, and the demand is above the cap") {
+        trouble.demand = 4;
+        trouble.loss.length = milliseconds(3'000);
+        trouble.loss.outages = 4;
+    }
+    for (double const rate : {4'200.0, 60'000.0, 600'000.0}) {
+        for (unsigned const nodes : {7U, 87U, 300U, 1'900U}) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                CAPTURE(rate);
+                CAPTURE(nodes);
+                CAPTURE(seed);
+                usage_scenario scenario = scenario_of(rate, nodes);
+                scenario.demand = trouble.demand;
+                scenario.demand_change = trouble.demand_change;
+                scenario.lost_datagrams = trouble.lost_datagrams;
+                scenario.loss = trouble.loss;
+                CHECK(simulate_usage(scenario, seed).worst_window <= 1);
+            }
+        }
+    }
+}
+
+// Guards against counters that stop in an outage of the store in which no other
+// node can follow them.
+TEST_CASE("a usage cap is used while no node reaches the store") {
+    usage_scenario scenario = scenario_of(400'000, 87);
+    scenario.loss.nodes = 1;
+    scenario.length = seconds(40);
+    SUBCASE("and the demand is above it") {
+        usage_result const result = simulate_usage(scenario, 1);
+        CHECK(result.worst_window <= 1);
+        CHECK(result.used >= full_use);
+    }
+    SUBCASE("and the demand is below it") {
+        scenario.demand = 0.55;
+        usage_result const result = simulate_usage(scenario, 1);
+        CHECK(result.served >= full_use * result.ideally_served);
+    }
+}
+
 // Guards against a small team that is refused below its cap.
 TEST_CASE("a team below its cap is served, also the smallest") {
     usage_scenario scenario;
