Usage caps: test that a busy node asks again (fails)

A node that got no answer asks again after 150 ms, but every request that it decides meanwhile by itself starts these 150 ms anew, so that a node with more than seven requests of the team a second never asks again and goes on at its past rate, beside a counter that grants the whole cap.

Seen to fail on this commit: decision_tests -tc="a busy node asks*": no question in one second with a request each 10 ms.

--- a/test/usage_cap_property_test.cpp
+++ b/test/usage_cap_property_test.cpp
@@ -187,6 +187,23 @@
     CHECK(simulate_usage(scenario, 1).served >= 0.85);
 }
 
+// Guards against a node that goes on at its past rate for as long as it has
+// requests, although the counting node would answer: each request that is
+// decided without a question puts the next question off.
+TEST_CASE("a busy node asks a silent counting node again and again") {
+    instant now = instant() + seconds(100);
+    usage_history history;
+    history.mark_unanswered(0, now);
+    int questions = 0;
+    for (int each = 0; each < 100; ++each) {
+        now += milliseconds(10);
+        questions += history.presumed_unreachable(now) ? 0 : 1;
+        history.mark_unanswered(0, now);
+    }
+    CHECK(questions >= 5);
+    CHECK(questions <= 10);
+}
+
 TEST_CASE("the meter of one team") {
     instant const start = instant() + seconds(100);
     usage_cap cap{usage_unit::tokens, 1'000, 2'000, 200};
