Usage caps: a busy node asks its counting node again

What callers saw: after two lost datagrams, or a change of the counting node, a node with many requests of a team kept to 0.95 of its past rate (0.3 at the cap) and didn't ask the counter again as long as requests kept coming.

Cause and change: usage_history restarted the pause between two questions with every request that it decided without one. Only a question that stayed without an answer starts it now.

--- a/src/Teams/usage_history.cpp
+++ b/src/Teams/usage_history.cpp
@@ -57,7 +57,11 @@
 }
 
 void usage_history::mark_unanswered(double random_sample, instant now) {
-    last_unanswered_ = now;
+    // Requests that were decided without a question do not put off the next
+    // one: a busy node would never ask again otherwise.
+    if (!presumed_unreachable(now)) {
+        last_unanswered_ = now;
+    }
     if (unanswered_) {
         return;
     }
