The pace of replicas: learnt from reports, compared by the node that chooses

What callers saw: 2,267 of 13,002 streams late only by a pause over 300 ms; a share of 0.47 at the slow third of the replicas, 0.11 at the others. Cause: the selection counts slots and tokens. Slow replicas (2.4 times as long for an event) got 22 in 100 requests and have 17 in 100 of the capacity. Change: replica_pace learns the event interval of a replica from the reports of all nodes, corrected for how full the batch was (Theil-Sen); service_pace compares the replicas of a service. The cost and the utilization are in time: load_in_time, the backlog and the request's own prompt at the replica's time for a token, and the pause of running streams beyond their accepted gap. tokens_per_ms and full_backlog_tokens are gone. machine_slowdown keeps what a replica states for 0.3 s. Slow replicas weigh less in the ranking for adapters. With nothing learnt costs are those of slots and tokens (fleet_test unchanged).

--- a/src/Fleet/attempt_report.hpp
+++ b/src/Fleet/attempt_report.hpp
@@ -24,6 +24,17 @@
 struct replica_condition {
     /// Probability that the next attempt fails, 0 to 1.
     double failure_probability = 0;
+    /// Time between two events of a stream there, while the batch is half full;
+    /// zero when it is not known.
+    duration event_interval{0};
+    /// Time by which one more prompt token delays the first output there; zero
+    /// when it is not known.
+    duration token_time{0};
+    /// How much longer than usual work took on its machine when the replica
+    /// last said so; 1 when no statement holds.
+    double slowdown = 1;
+    /// Time since that statement.
+    duration slowdown_age{0};
 };
 
 } // namespace camphorpoint
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -3,6 +3,8 @@
 #include "Core/hash.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace camphorpoint {
@@ -19,6 +21,14 @@
 /// Streams take one to three seconds, so an older message does not describe the
 /// requests that run now.
 constexpr duration remote_usage_lifetime = std::chrono::seconds(4);
+/// A controller that takes over has learnt the pace of its replicas within this
+/// time.
+constexpr duration pace_lifetime = std::chrono::seconds(5);
+/// Paces change within seconds, and a comparison visits all replicas of the
+/// service.
+constexpr duration comparison_interval = std::chrono::milliseconds(200);
+/// A smaller difference changes no choice.
+constexpr double min_slowdown_difference = 0.25;
 
 } // namespace
 
@@ -213,6 +223,54 @@
     target->free_slots = total.free_slots;
     target->condition = total.condition;
     target->usage_received_at = now;
+    adopt_condition(*target, total.condition, now);
+    refresh_speeds(target->record.service, now);
+}
+
+void fleet::adopt_condition(
+    replica& target, replica_condition const& of, instant now) {
+    // A controller that has just taken over knows nothing yet.
+    bool const known = of.event_interval > duration::zero() ||
+                       of.token_time > duration::zero();
+    if (known || now >= target.pace_told_at + pace_lifetime) {
+        target.pace = {of.event_interval, of.token_time};
+        target.pace_told_at = known ? now : target.pace_told_at;
+    }
+    if (of.slowdown_age > duration::zero() || of.slowdown != 1) {
+        target.slowdown.set(of.slowdown, now - of.slowdown_age);
+    }
+}
+
+void fleet::refresh_speeds(service_id const& service, instant now) {
+    instant& next = next_comparison_[service];
+    if (now < next) {
+        return;
+    }
+    next = now + comparison_interval;
+    auto const& members = of_service(service);
+    std::vector<pace_measure> measures;
+    measures.reserve(members.size());
+    for (replica const* const each : members) {
+        measures.push_back(each->pace);
+    }
+    service_pace const common(measures);
+    for (replica* const each : members) {
+        each->speed = common.speed(each->pace);
+        each->local_backlog.set_token_time(each->speed.token_time, now);
+        each->remote_backlog.set_token_time(each->speed.token_time, now);
+    }
+}
+
+bool fleet::note_slowdown(endpoint_id const& id, double factor, instant now) {
+    replica* const target = find(id);
+    if (target == nullptr) {
+        return false;
+    }
+    double const known = target->slowdown.factor(now);
+    bool const differs =
+        std::abs(factor - known) > min_slowdown_difference * known;
+    target->slowdown.set(factor, now);
+    return differs;
 }
 
 bool fleet::limit_rate(
@@ -304,7 +362,7 @@
         });
         if (now >= each.usage_received_at + remote_usage_lifetime) {
             each.running_remote = 0;
-            each.remote_backlog = {};
+            each.remote_backlog.set(0, now);
         }
     }
 }
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Core/time.hpp"
+#include "Fleet/machine_slowdown.hpp"
 #include "Fleet/prompt_backlog.hpp"
 #include "Fleet/replica_health.hpp"
+#include "Fleet/replica_pace.hpp"
 #include "Fleet/replica_record.hpp"
 #include "Fleet/running_request_tracker.hpp"
 
@@ -88,6 +90,13 @@
     /// Prompts that this node and all other nodes have sent there.
     prompt_backlog local_backlog;
     prompt_backlog remote_backlog;
+    /// How long it takes for work, as its controller last told, and when.
+    pace_measure pace;
+    instant pace_told_at;
+    /// The same, compared with the other replicas of its service.
+    replica_speed speed;
+    /// What it or its controller last said about its machine.
+    machine_slowdown slowdown;
 
     /// When the entry disappeared from the registry.
     instant missing_since = instant::max();
@@ -143,6 +152,23 @@
     double load() const noexcept {
         return static_cast<double>(running()) / std::max(1U, record.slots);
     }
+    /// @returns how long work takes there at the moment, relative to the median
+    ///          replica of the service
+    double slowness(instant now) const {
+        return speed.pace * slowdown.factor(now);
+    }
+    /// @returns running requests per slot, by the time that they take there
+    double timed_load() const { return load_in_time(load(), speed.pace); }
+    /// @returns how long a prompt takes there at the moment
+    duration prompt_time(double tokens, instant now) const {
+        std::chrono::duration<double> const token = speed.token_time;
+        return std::chrono::duration_cast<duration>(
+            token * tokens * slowdown.factor(now));
+    }
+    /// @returns how long the prompts take that the replica has yet to process
+    duration backlog_time(instant now) const {
+        return prompt_time(backlog(now), now);
+    }
     /// @returns prompt tokens that the replica has yet to process
     double backlog(instant now) const {
         return local_backlog.remaining_tokens(now) +
@@ -203,6 +229,11 @@
     ///                     ignored
     void update_usage(
         std::uint64_t replica_hash, replica_usage const& total, instant now);
+    /// Applies what an answer of the replica, received here, says about its
+    /// machine.
+    /// @param factor 1 when work takes as long as usual
+    /// @returns true when that differs from what was known
+    bool note_slowdown(endpoint_id const& id, double factor, instant now);
     /// Applies an answer that names a rate limit, received here or by another
     /// node.
     /// @param named_at when the answer was received
@@ -275,6 +306,10 @@
 
 private:
     void rebuild_indexes();
+    static void
+    adopt_condition(replica& target, replica_condition const& of, instant now);
+    /// Compares the replicas of a service anew, when that is due.
+    void refresh_speeds(service_id const& service, instant now);
     static bool
     has_restarted(replica const& known, replica_record const& record);
     static bool
@@ -287,6 +322,8 @@
     std::map<endpoint_id, replica> all_;
     std::unordered_map<service_id, std::vector<replica*>> by_service_;
     std::unordered_map<std::uint64_t, replica*> by_hash_;
+    /// When the replicas of a service are compared next.
+    std::unordered_map<service_id, instant> next_comparison_;
     std::unordered_map<service_id, service_brittleness> brittle_services_;
 };
 
--- a/src/Fleet/prompt_backlog.hpp
+++ b/src/Fleet/prompt_backlog.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Core/time.hpp"
+#include "Fleet/replica_pace.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace camphorpoint {
 
@@ -22,21 +24,21 @@
         tokens_ = tokens;
         updated_at_ = now;
     }
+    /// Sets how long the replica takes for a token from now on.
+    void set_token_time(duration time, instant now) {
+        tokens_ = remaining_tokens(now);
+        updated_at_ = now;
+        token_time_ = time;
+    }
     /// @returns the prompt tokens that the replica has yet to process
     double remaining_tokens(instant now) const {
-        std::chrono::duration<double, std::milli> const passed =
-            now - updated_at_;
-        return std::max(0.0, tokens_ - passed.count() * tokens_per_ms);
+        std::chrono::duration<double> const passed = now - updated_at_;
+        std::chrono::duration<double> const token = token_time_;
+        return std::max(0.0, tokens_ - passed / token);
     }
 
 private:
-    /// Two thirds of the rate of the slower of today's engines (29 tokens per
-    /// ms, from the engines' data sheets). The remaining third is for the
-    /// streams that continue meanwhile: at the full rate, an event of five
-    /// tokens would take five steps full of prompt tokens, which is longer than
-    /// callers accept as good service.
-    static constexpr double tokens_per_ms = 20;
-
+    duration token_time_ = replica_speed::default_token_time;
     double tokens_ = 0;
     instant updated_at_;
 };
--- a/src/Fleet/replica_cost.cpp
+++ b/src/Fleet/replica_cost.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/replica_selector.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace camphorpoint {
@@ -35,14 +36,39 @@
     return replica_selector::utilization(at, now) * full_batch_time;
 }
 
+/// @returns what the request's slot costs beyond the same at the median
+///          replica, since the request holds it for longer there
+seconds_real extra_slot_time(replica const& at, instant now) {
+    double const part = 1.0 / std::max(1U, at.record.slots);
+    return (at.slowness(now) - 1) * part * full_batch_time;
+}
+
+/// @returns by how much the request's prompt pauses the streams that run there,
+///          all together, beyond the pauses that their route accepts
+seconds_real
+pause_time(replica const& at, request_work const& work, instant now) {
+    if (work.accepted_gap <= duration::zero()) {
+        return seconds_real(0);
+    }
+    duration const own = at.prompt_time(work.prompt_tokens, now);
+    duration const pause = at.backlog_time(now) + own;
+    duration const beyond =
+        std::clamp(pause - work.accepted_gap, duration::zero(), own);
+    return seconds_real(beyond) * at.running();
+}
+
 } // namespace
 
 duration expected_answer_time(
-    replica const& at, request_work const&, double mean_failures, instant now) {
+    replica const& at, request_work const& work, double mean_failures,
+    instant now) {
     seconds_real result = failure_time(at, mean_failures, now);
     result += at.health.suspected(now) ? suspicion_cost : seconds_real(0);
     result += at.yields_to_others(now) ? rate_limit_cost : seconds_real(0);
     result += queueing_time(at, now);
+    result += extra_slot_time(at, now);
+    result += at.prompt_time(work.prompt_tokens, now);
+    result += pause_time(at, work, now);
     return std::chrono::duration_cast<duration>(result);
 }
 
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -3,15 +3,18 @@
 #include "Placement/rendezvous.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <ranges>
 
 namespace camphorpoint {
 
 namespace {
 
-/// Unprocessed prompt tokens that cost as much as a full batch: they pause all
-/// streams of the replica for as long as callers accept as good service.
-constexpr double full_backlog_tokens = 8'000;
+/// A backlog that takes this long costs as much as a full batch: it pauses all
+/// streams of the replica for longer than callers accept as good service.
+constexpr std::chrono::duration<double> full_backlog_time =
+    std::chrono::milliseconds(400);
 /// Replicas with the adapter resident that are compared for a request.
 constexpr std::size_t max_compared = 3;
 
@@ -38,6 +41,15 @@
     return left.free_slots > 0 && right.free_slots <= 0;
 }
 
+/// Nodes learn of a pace at different times. Powers of two have them rank alike
+/// all the same; with the pace itself each would have adapters loaded at
+/// another replica.
+/// @returns the part of the adapters for which the replica is the first choice,
+///          relative to a replica with the usual pace
+double placement_weight(double pace) {
+    return std::exp2(std::min(0.0, -std::round(std::log2(pace))));
+}
+
 bool runs_software(
     replica const& each, replica_requirements const& requirements) {
     return !requirements.software ||
@@ -52,18 +64,21 @@
 } // namespace
 
 double replica_selector::utilization(replica const& each, instant now) {
-    return each.load() + each.backlog(now) / full_backlog_tokens;
+    return load_in_time(each.load(), each.slowness(now)) +
+           each.backlog_time(now) / full_backlog_time;
 }
 
-double
-replica_selector::utilization(replica_usage const& total, unsigned slots) {
+double replica_selector::utilization(
+    replica_usage const& total, unsigned slots, replica_speed const& speed) {
     double const load = total.running / std::max(1.0, 1.0 * slots);
-    return load + total.backlog_tokens / full_backlog_tokens;
+    std::chrono::duration<double> const token = speed.token_time;
+    return load_in_time(load, speed.pace) +
+           total.backlog_tokens * token / full_backlog_time;
 }
 
 bool replica_selector::has_capacity(
-    replica_usage const& total, unsigned slots) {
-    return utilization(total, slots) < full_utilization;
+    replica_usage const& total, unsigned slots, replica_speed const& speed) {
+    return utilization(total, slots, speed) < full_utilization;
 }
 
 bool replica_selector::satisfies(
@@ -185,8 +200,10 @@
     // If each node decided by the usage reports that it has received, the nodes
     // would load the adapter at several replicas, and from the weight store
     // although its preferred replica still has it cached.
-    auto const ranked =
-        rendezvous_top(requirements.adapter.str(), eligible, eligible.size());
+    auto const ranked = weighted_rendezvous(
+        requirements.adapter.str(), eligible, [&](endpoint_id const& id) {
+            return placement_weight(fleet_->find(id)->speed.pace);
+        });
     replica* with_cached = nullptr;
     replica* with_free_slot = nullptr;
     std::size_t visited = 0;
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -86,15 +86,20 @@
     ///          nothing when there is none
     std::optional<duration>
     usable_wait(replica_requirements const& requirements, instant now) const;
-    /// @returns how full the replica is, by its batch and by its unprocessed
-    ///          prompt tokens; 1 is full
+    /// @returns how full the replica is, by the time that its batch and its
+    ///          unprocessed prompts take there; 1 is full
     static double utilization(replica const& each, instant now);
     /// The same, by the usage that the replica's controller has counted.
     /// @param slots number of the replica's slots
-    static double utilization(replica_usage const& total, unsigned slots);
+    /// @param speed how long the replica takes for work
+    static double utilization(
+        replica_usage const& total, unsigned slots,
+        replica_speed const& speed = {});
     /// @returns true when the replica has capacity for one more request that
     ///          waits for a load there
-    static bool has_capacity(replica_usage const& total, unsigned slots);
+    static bool has_capacity(
+        replica_usage const& total, unsigned slots,
+        replica_speed const& speed = {});
     /// @returns the number of eligible replicas on which the adapter is
     ///          resident
     std::size_t
--- a/src/Fleet/running_request_tracker.cpp
+++ b/src/Fleet/running_request_tracker.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/running_request_tracker.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -55,6 +56,7 @@
     }
     auto const entry = state.requests.try_emplace({node, adapter}).first;
     adjust(state, adapter, entry->second.running, running);
+    state.pace.set_load(1.0 * state.running / state.slots, now);
     entry->second = {running, now};
     if (running == 0) {
         state.requests.erase(entry);
@@ -63,7 +65,27 @@
 
 void running_request_tracker::add_attempt(
     std::uint64_t replica, attempt_report const& report, instant now) {
-    replicas_[replica].outcomes.add_outcome(report.signal, now);
+    replica_state& state = replicas_[replica];
+    state.outcomes.add_outcome(report.signal, now);
+    state.pace.add(report, now);
+}
+
+void running_request_tracker::add_slowdown(
+    std::uint64_t replica, double factor, instant now) {
+    replicas_[replica].slowdown.set(factor, now);
+}
+
+void running_request_tracker::describe(
+    std::uint64_t replica, unsigned slots, std::optional<incarnation> process,
+    duration token_time, instant now) {
+    auto const found = replicas_.find(replica);
+    if (found == replicas_.end()) {
+        return;
+    }
+    replica_state& state = found->second;
+    state.slots = std::max(1U, slots);
+    state.pace.set_process(process);
+    state.backlog.set_token_time(token_time, now);
 }
 
 void running_request_tracker::add_expected_request(
@@ -89,6 +111,13 @@
     result.running = state.running + static_cast<unsigned>(upcoming);
     result.backlog_tokens = state.backlog.remaining_tokens(now);
     result.condition.failure_probability = state.outcomes.failure_fraction(now);
+    pace_measure const pace = state.pace.measure(now);
+    result.condition.event_interval = pace.event_interval;
+    result.condition.token_time = pace.token_time;
+    if (state.slowdown.stated(now)) {
+        result.condition.slowdown = state.slowdown.factor(now);
+        result.condition.slowdown_age = state.slowdown.age(now);
+    }
     return result;
 }
 
@@ -117,7 +146,7 @@
             requests = state.requests.erase(requests);
         }
         bool const idle =
-            state.requests.empty() &&
+            state.requests.empty() && state.pace.empty(now) &&
             state.backlog.remaining_tokens(now) <= 0 &&
             state.waiting.value(waiting_half_life, now) < negligible_count;
         each = idle ? replicas_.erase(each) : std::next(each);
--- a/src/Fleet/running_request_tracker.hpp
+++ b/src/Fleet/running_request_tracker.hpp
@@ -3,10 +3,13 @@
 #include "Core/ids.hpp"
 #include "Core/time.hpp"
 #include "Fleet/attempt_report.hpp"
+#include "Fleet/machine_slowdown.hpp"
 #include "Fleet/prompt_backlog.hpp"
+#include "Fleet/replica_pace.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -50,6 +53,16 @@
     /// Applies a node's report of an attempt that has ended at a replica.
     void add_attempt(
         std::uint64_t replica, attempt_report const& report, instant now);
+    /// Records what an answer of a replica says about its machine.
+    /// @param factor 1 when work takes as long as usual
+    void add_slowdown(std::uint64_t replica, double factor, instant now);
+    /// Sets what this node knows of a replica for which requests are counted.
+    /// @param slots      number of its slots
+    /// @param process    what runs there; a change forgets the learnt pace
+    /// @param token_time how long it takes for a prompt token
+    void describe(
+        std::uint64_t replica, unsigned slots,
+        std::optional<incarnation> process, duration token_time, instant now);
     /// Records that a node was told how full a replica is and will, with this
     /// probability, send a request there. The expected request counts until it
     /// is reported, so that nodes that ask at the same moment do not all get
@@ -96,6 +109,9 @@
         decaying_count expected;
         decaying_count waiting;
         replica_health outcomes;
+        replica_pace pace;
+        machine_slowdown slowdown;
+        unsigned slots = 1;
     };
 
     static void adjust(
--- a/src/Placement/rendezvous.hpp
+++ b/src/Placement/rendezvous.hpp
@@ -3,8 +3,10 @@
 #include "Core/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace camphorpoint {
@@ -50,4 +52,43 @@
     return result;
 }
 
+/// The same with members of different size: each is first for a part of the
+/// keys that is proportional to its weight. With equal weights the ranking is
+/// that of `rendezvous_top`.
+/// Reference: C. Schindelhauer, G. Schomaker, "Weighted distributed hash
+/// tables", SPAA 2005.
+/// @param weight_of positive weight of a member
+template <class Id, class Weight>
+std::vector<Id> weighted_rendezvous(
+    std::string_view key, std::vector<Id> const& members,
+    Weight const& weight_of) {
+    struct scored {
+        double score;
+        std::uint64_t hash;
+        Id const* id;
+    };
+    std::uint64_t const key_hash = hash_text(key);
+    std::vector<scored> ranked;
+    ranked.reserve(members.size());
+    for (Id const& each : members) {
+        std::uint64_t const hash =
+            combine_hashes(key_hash, hash_text(each.str()));
+        // Between 0 and 1, both excluded.
+        constexpr int unused_bits = 12;
+        double const uniform = std::ldexp(
+            static_cast<double>(hash >> unused_bits) + 0.5, unused_bits - 64);
+        ranked.push_back({-weight_of(each) / std::log(uniform), hash, &each});
+    }
+    std::ranges::sort(ranked, [](scored const& left, scored const& right) {
+        return std::tie(left.score, left.hash, *right.id) >
+               std::tie(right.score, right.hash, *left.id);
+    });
+    std::vector<Id> result;
+    result.reserve(ranked.size());
+    for (scored const& each : ranked) {
+        result.push_back(*each.id);
+    }
+    return result;
+}
+
 } // namespace camphorpoint
