Nodes: pace and slowdown of replicas on the wire, X-Server-Load read

What callers saw: streams sent to machines that are 2.5 times slower for 0.6 s, which the replicas state in each answer and no code read; waits and limits of the search in tokens of one engine. Change: platform::read_load decodes running, waiting, slots and the slowdown; figures that can't be read are counted and ignored, and none is taken for room. A slowdown goes to the replica's controller at the head of an answer, only when it differs by a quarter from what the node knows.

--- a/src/Gateway/gateway_metrics.cpp
+++ b/src/Gateway/gateway_metrics.cpp
@@ -59,6 +59,12 @@
             .Help("Returns of the store from an older copy")
             .Register(registry)
             .Add({});
+    prometheus::Counter& unreadable_loads =
+        BuildCounter()
+            .Name("camphorpoint_gateway_unreadable_loads_total")
+            .Help("Answers whose figures of the replica's load can't be read")
+            .Register(registry)
+            .Add({});
     prometheus::Family<prometheus::Gauge>& gauges =
         BuildGauge()
             .Name("camphorpoint_gateway_state")
@@ -107,6 +113,10 @@
     state_->gone_back.Increment();
 }
 
+void gateway_metrics::count_unreadable_load() {
+    state_->unreadable_loads.Increment();
+}
+
 void gateway_metrics::observe_load_wait(duration time) {
     state_->load_wait.Observe(seconds(time));
 }
--- a/src/Gateway/gateway_metrics.hpp
+++ b/src/Gateway/gateway_metrics.hpp
@@ -36,6 +36,8 @@
     /// Records the time from a request's arrival to the first byte of its
     /// answer.
     void observe_first_byte(duration time);
+    /// Counts an answer whose figures of the replica's load can't be read.
+    void count_unreadable_load();
     /// Sets the gauge with this name.
     void set_gauge(std::string_view gauge, double value);
     /// @returns all metrics in the Prometheus text format
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -10,9 +10,11 @@
 #include <cereal/types/vector.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <ratio>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -134,10 +136,42 @@
     std::int16_t free_slots = 0;
     /// Probability that the next attempt there fails.
     std::uint16_t failure_permille = 0;
+    /// Time between two events of a stream at half load, and time for a prompt
+    /// token; 0 when they are not known.
+    std::uint16_t interval_ticks = 0;
+    std::uint16_t token_ticks = 0;
+    /// How long work takes on its machine, 100 as usual, as the replica last
+    /// said, and how long ago; 0 when no statement holds.
+    std::uint16_t slowdown_percent = 0;
+    std::uint16_t slowdown_age_ms = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, running, backlog_tokens, free_slots, failure_permille);
+        archive(
+            replica, running, backlog_tokens, free_slots, failure_permille,
+            interval_ticks, token_ticks, slowdown_percent, slowdown_age_ms);
+    }
+};
+
+/// Units of `peer_replica_usage`: their largest counts are six seconds between
+/// two events and six milliseconds for a prompt token.
+using interval_tick =
+    std::chrono::duration<std::uint32_t, std::ratio<1, 10'000>>;
+using token_tick =
+    std::chrono::duration<std::uint32_t, std::ratio<1, 10'000'000>>;
+/// Factors are sent in hundredths.
+inline constexpr double percent = 100;
+
+/// An answer says how long work takes on a replica's machine at the moment, and
+/// the sender has not known that. For the replica's controller.
+struct peer_slowdown {
+    std::uint64_t replica = 0;
+    /// 100 as usual.
+    std::uint16_t percent = 100;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, percent);
     }
 };
 
@@ -467,6 +501,7 @@
     std::vector<peer_stream_question> stream_questions;
     std::vector<peer_stream_answer> stream_answers;
     std::vector<peer_attempt_report> attempt_reports;
+    std::vector<peer_slowdown> slowdowns;
     /// At most one.
     std::vector<peer_registry_update> registry_updates;
     /// The sender's position in the operator's declarations; sent, like the
@@ -486,7 +521,7 @@
     /// What the sender reaches of the replicas.
     replica_links links = replica_links::intact;
 
-    static constexpr std::uint32_t current_format = 16;
+    static constexpr std::uint32_t current_format = 17;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -525,7 +560,8 @@
             of.rejections, of.leaving_replicas, of.permit_requests,
             of.permit_replies, of.usage_messages, of.stream_records,
             of.stream_questions, of.stream_answers, of.registry_updates,
-            of.part_crashes, of.part_inquiries, of.attempt_reports);
+            of.part_crashes, of.part_inquiries, of.attempt_reports,
+            of.slowdowns);
     }
     std::uint32_t present_lists() const noexcept {
         std::uint32_t present = 0;
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -77,6 +77,26 @@
         clamped(report.first_output), clamped(report.event_interval)};
 }
 
+template <class Tick>
+std::uint16_t tick_count(duration time) {
+    constexpr std::int64_t max_count =
+        std::numeric_limits<std::uint16_t>::max();
+    using tick = std::chrono::duration<std::int64_t, typename Tick::period>;
+    auto const count = std::chrono::duration_cast<tick>(time).count();
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(count, 0, max_count));
+}
+
+void set_pace(peer_replica_usage& load, replica_condition const& of) {
+    load.interval_ticks = tick_count<interval_tick>(of.event_interval);
+    load.token_ticks = tick_count<token_tick>(of.token_time);
+    if (of.slowdown_age > duration::zero() || of.slowdown != 1) {
+        load.slowdown_percent =
+            static_cast<std::uint16_t>(of.slowdown * percent);
+        load.slowdown_age_ms = tick_count<milliseconds>(of.slowdown_age);
+    }
+}
+
 } // namespace
 
 std::size_t partition_of(endpoint_id const& replica) {
@@ -374,6 +394,7 @@
         static_cast<std::uint16_t>(std::min(total.backlog_tokens, max_tokens));
     load.failure_permille = static_cast<std::uint16_t>(
         total.condition.failure_probability * permille);
+    set_pace(load, total.condition);
     return load;
 }
 
@@ -383,9 +404,37 @@
         report.signal, report.prompt_tokens,
         microseconds(report.first_output_us),
         microseconds(report.event_interval_us)};
+    if (replica const* const at =
+            state_->replicas.find_by_hash(report.replica)) {
+        describe(report.replica, *at, now);
+    }
     request_tracker_.add_attempt(report.replica, ended, now);
 }
 
+void peer_messenger::describe(
+    std::uint64_t hash, replica const& at, instant now) {
+    request_tracker_.describe(
+        hash, at.record.slots, at.record.started_at, at.speed.token_time, now);
+}
+
+void peer_messenger::report_slowdown(endpoint_id const& at, double factor) {
+    instant const now = boot_clock::now();
+    auto const holder = lease_holders_.find(partition_of(at));
+    if (!state_->replicas.note_slowdown(at, factor, now) ||
+        holder == lease_holders_.end()) {
+        return;
+    }
+    std::uint64_t const hash = fleet::id_hash(at);
+    if (holder->second == state_->own_address) {
+        request_tracker_.add_slowdown(hash, factor, now);
+        return;
+    }
+    peer_datagram message;
+    message.slowdowns.push_back(
+        {hash, static_cast<std::uint16_t>(factor * percent)});
+    send(holder->second, std::move(message));
+}
+
 void peer_messenger::handle_usage(
     peer_adapter_usage const& use, std::string const& from, instant now) {
     unsigned const before = request_tracker_.running(use.replica);
@@ -510,6 +559,7 @@
             continue;
         }
         std::uint64_t const name = fleet::id_hash(id);
+        describe(name, each, now);
         if (auto const total = usage_message(name, now)) {
             message.replica_usages.push_back(*total);
             state_->replicas.update_usage(name, current_usage(name, now), now);
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -187,6 +187,10 @@
     void end_use(
         endpoint_id const& at, adapter_id const& adapter,
         std::optional<attempt_report> const& report);
+    /// Applies what an answer of a replica says about its machine, and tells
+    /// the replica's controller when it differs from what this node has known.
+    /// @param factor 1 when work takes as long as usual
+    void report_slowdown(endpoint_id const& at, double factor);
     /// Asks the controllers of replicas for their usage, where the last
     /// reported usage is out of date. Each answer wakes the requests that wait
     /// for the adapter.
@@ -289,6 +293,8 @@
         std::optional<attempt_report> const& report = std::nullopt);
     void repeat_uses();
     void handle_attempt_report(peer_attempt_report const& report, instant now);
+    /// Tells the tracker what this node knows of a replica.
+    void describe(std::uint64_t hash, replica const& at, instant now);
     void handle_usage(
         peer_adapter_usage const& use, std::string const& from, instant now);
     void handle_usage_query(
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -20,6 +20,18 @@
            static_cast<std::uint8_t>(load_priority::prefetch);
 }
 
+replica_condition read_condition(peer_replica_usage const& from) {
+    replica_condition result;
+    result.failure_probability = from.failure_permille / permille;
+    result.event_interval = interval_tick(from.interval_ticks);
+    result.token_time = token_tick(from.token_ticks);
+    if (from.slowdown_percent > 0) {
+        result.slowdown = from.slowdown_percent / percent;
+        result.slowdown_age = milliseconds(from.slowdown_age_ms);
+    }
+    return result;
+}
+
 } // namespace
 
 bool peer_messenger::has_capacity_for(
@@ -33,7 +45,7 @@
         return true;
     }
     replica_usage const total = request_tracker_.usage(request.replica, now);
-    return replica_selector::has_capacity(total, at->record.slots);
+    return replica_selector::has_capacity(total, at->record.slots, at->speed);
 }
 
 void peer_messenger::handle_load_request(
@@ -100,10 +112,8 @@
     }
     for (peer_replica_usage const& each : message.replica_usages) {
         replica_usage const total{
-            each.running,
-            static_cast<double>(each.backlog_tokens),
-            each.free_slots,
-            {each.failure_permille / permille}};
+            each.running, static_cast<double>(each.backlog_tokens),
+            each.free_slots, read_condition(each)};
         state_->replicas.update_usage(each.replica, total, now);
     }
     for (peer_replica_usage_query const& each : message.usage_queries) {
@@ -188,6 +198,10 @@
     for (peer_attempt_report const& each : message.attempt_reports) {
         handle_attempt_report(each, now);
     }
+    for (peer_slowdown const& each : message.slowdowns) {
+        request_tracker_.add_slowdown(
+            each.replica, each.percent / percent, now);
+    }
     for (peer_adapter_usage const& each : message.adapter_usages) {
         handle_usage(each, message.from, now);
     }
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -129,6 +129,8 @@
     void note_limits(
         forwarded_attempt& attempt, platform::answer_kind kind,
         http_fields const& answer);
+    /// Applies what an answer says about its replica's load.
+    void note_load(endpoint_id const& at, http_fields const& answer);
     /// Applies the rest for which an answer asks.
     void note_rest(
         forwarded_attempt& attempt, int status, http_fields const& answer);
--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -137,6 +137,18 @@
            !target->resting(now);
 }
 
+void request_handler::note_load(
+    endpoint_id const& at, http_fields const& answer) {
+    platform::named_load const load = platform::read_load(answer);
+    if (load.named && !load.figures) {
+        state_->metrics.count_unreadable_load();
+        return;
+    }
+    if (load.figures && load.figures->slowdown) {
+        messenger_->report_slowdown(at, *load.figures->slowdown);
+    }
+}
+
 void request_handler::note_limits(
     forwarded_attempt& attempt, platform::answer_kind kind,
     http_fields const& answer) {
@@ -149,6 +161,7 @@
     if (platform::announces_leaving(answer)) {
         messenger_->report_leaving(at);
     }
+    note_load(at, answer);
     platform::named_rate_limit const limit = platform::read_rate_limit(answer);
     auto const max_rejections = platform::read_max_rejections(answer);
     bool const rejected = kind == answer_kind::not_executed;
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -37,13 +37,13 @@
 /// has the adapter cached. A higher number would load rare adapters at every
 /// replica.
 constexpr unsigned max_load_targets = 2;
-/// Prompt tokens that a replica should have to process at a time, including the
+/// Time that a replica should have to process prompts at a time, including the
 /// new prompt. With more, the replica's streams pause for longer than their
 /// callers accept, and the latency objective leaves time to wait here. Below
 /// `min_prompt_backlog` a long prompt is sent at once, because it would never
 /// find a smaller backlog.
-constexpr double max_prompt_backlog = 4'500;
-constexpr double min_prompt_backlog = 500;
+constexpr milliseconds max_prompt_backlog{225};
+constexpr milliseconds min_prompt_backlog{25};
 /// A request is delayed for at most this fraction of its objective. A long
 /// prompt needs the remaining time to be processed.
 constexpr double max_delay_fraction = 0.45;
@@ -163,7 +163,8 @@
     if (requested != nullptr && requested->accepts_requests() &&
         !requested->resting(now) && !requested->rate_limit &&
         requested->load_rejection_of(need_.adapter, now) == nullptr &&
-        requested->load() < max_load && !requested->health.suspected(now)) {
+        requested->timed_load() < max_load &&
+        !requested->health.suspected(now)) {
         return requested;
     }
     replica* const next = state_->selector.next_preferred_replica(need_, now);
@@ -179,9 +180,9 @@
 }
 
 bool request_handler::should_delay(replica const& at, instant now) const {
-    double const waiting = at.backlog(now);
-    return waiting > min_prompt_backlog &&
-           waiting + demand_.prompt_tokens > max_prompt_backlog &&
+    duration const waiting = at.backlog_time(now);
+    duration const own = at.prompt_time(demand_.prompt_tokens, now);
+    return waiting > min_prompt_backlog && waiting + own > max_prompt_backlog &&
            now < arrived_at_ + objective_fraction(max_delay_fraction);
 }
 
@@ -191,7 +192,8 @@
 replica* request_handler::select_suspected_replica(instant now) {
     replica* const best = state_->selector.best(need_, now);
     bool const usable = best != nullptr && !need_.adapter.empty() &&
-                        best->health.suspected(now) && best->load() < max_load;
+                        best->health.suspected(now) &&
+                        best->timed_load() < max_load;
     return usable ? best : nullptr;
 }
 
@@ -225,7 +227,7 @@
         return best;
     }
     if (healthy && best->usage_known(now) &&
-        best->load() < immediate_load_limit) {
+        best->timed_load() < immediate_load_limit) {
         request_additional_load(*best, now);
         delayed_ = should_delay(*best, now);
         if (delayed_) {
@@ -241,9 +243,10 @@
                                preferred != nullptr &&
                                preferred->usage_known(now) &&
                                now < arrived_at_ + route_->objective / 2;
-    if (healthy && !usage_unknown && best->load() < max_load) {
-        if (preferred != nullptr && preferred->load() < best->load() &&
-            best->load() >= replication_load) {
+    if (healthy && !usage_unknown && best->timed_load() < max_load) {
+        if (preferred != nullptr &&
+            preferred->timed_load() < best->timed_load() &&
+            best->timed_load() >= replication_load) {
             request_load_at(preferred, false);
         }
         return best;
@@ -255,7 +258,7 @@
     bool const service_busy = state_->selector.mean_utilization(
                                   need_.service, now) >= busy_utilization;
     if (preferred != nullptr &&
-        (preferred->load() < max_load || !service_busy)) {
+        (preferred->timed_load() < max_load || !service_busy)) {
         request_load_at(preferred, true);
         return std::nullopt;
     }
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -443,6 +443,35 @@
     }
 }
 
+// Some replicas state their load, and how slow their machine is at the moment.
+// Guards against figures that no replica can mean: a negative or huge one would
+// have the replica avoided, or preferred, by every node.
+TEST_CASE("the load that an answer states is decoded") {
+    auto const load_of = [](std::string const& text) {
+        http_fields fields;
+        fields.add("X-Server-Load", text);
+        return read_load(fields);
+    };
+    CHECK_FALSE(read_load({}).named);
+    auto const whole = load_of("3, 1,8,250");
+    REQUIRE(whole.figures);
+    CHECK(whole.figures->running == 3);
+    CHECK(whole.figures->waiting == 1);
+    CHECK(whole.figures->slots == 8);
+    CHECK(whole.figures->slowdown == 2.5);
+    auto const without_slowdown = load_of("3,0,8");
+    REQUIRE(without_slowdown.figures);
+    CHECK_FALSE(without_slowdown.figures->slowdown);
+    for (std::string const text :
+         {"3,0", "3", "3,,8,100", "3,0,8,", ",3,0,8", "3,0,8,100,1",
+          "-1,0,8,100", "3,0,8,-100", "3,0,8,0", "3,0,8,nan", "3,0,8,1e9",
+          "3,0,8,10001", "99999999999999999999,0,8,100", "a,b,c", " "}) {
+        CAPTURE(text);
+        CHECK(load_of(text).named);
+        CHECK_FALSE(load_of(text).figures);
+    }
+}
+
 // Guards against a rest that no node keeps since its text is unusual, and
 // against one that lasts forever.
 TEST_CASE("the rest that a replica asks for is decoded") {
