Poison parts: less evidence is enough once the retries are spent

What callers saw: two parts that crash replicas at once kept a small service down, and seven sends of one counted, where three are allowed (seed 27). Cause: crashes by the first part are baseline for the second one, so that 8 to 18 crashes were wanted, while the rule allows five and three retries more. Change: from the fifth crash on an error of 0.05 is accepted instead of 0.004, where the node has six other attempts. A trial of a quarantined part waits until its node has seen no crash for a second.

--- a/src/Delivery/crash_baseline.cpp
+++ b/src/Delivery/crash_baseline.cpp
@@ -12,11 +12,25 @@
 constexpr double min_crashes = 3;
 /// Probability at which a sound part is taken for a poison one.
 constexpr double error_probability = 0.004;
+/// A poison part that has crashed this many replicas is allowed hardly any
+/// retry more, so that to wait for more evidence costs more than a wrong
+/// quarantine, which a trial lifts.
+constexpr double budgeted_crashes = 5;
+/// Probability of such a mistake from then on.
+constexpr double late_error_probability = 0.05;
+/// Fewer attempts give too rough an estimate for that.
+constexpr std::size_t min_attempts = 6;
 /// Crashes at which a part must have been present to explain all of them.
 constexpr std::size_t min_explained = 3;
 /// Latest attempts that are remembered.
 constexpr std::size_t max_attempts = 128;
 
+/// @returns how many attempts in succession are all broken off with at most
+///          the probability error, each with the given one
+double succession(double error, double probability) {
+    return std::ceil(std::log(error) / std::log(probability));
+}
+
 } // namespace
 
 void crash_baseline::record(
@@ -57,9 +71,19 @@
     // result grows with their number.
     double const probability =
         static_cast<double>(crashed + 1) / static_cast<double>(total + 2);
-    double const needed =
-        std::ceil(std::log(error_probability) / std::log(probability));
-    return static_cast<std::size_t>(std::max(min_crashes, needed));
+    double needed =
+        std::max(min_crashes, succession(error_probability, probability));
+    if (total >= min_attempts) {
+        double const late = succession(late_error_probability, probability);
+        needed = std::min(needed, std::max(budgeted_crashes, late));
+    }
+    return static_cast<std::size_t>(needed);
+}
+
+bool crash_baseline::crashed_since(instant time) const {
+    return std::ranges::any_of(attempts_, [time](attempt const& each) {
+        return each.at > time && each.crashed;
+    });
 }
 
 } // namespace camphorpoint
--- a/src/Delivery/crash_baseline.hpp
+++ b/src/Delivery/crash_baseline.hpp
@@ -33,6 +33,8 @@
     std::size_t crashes_to_confirm(
         request_fingerprint part, std::vector<std::uint64_t> const& replicas,
         instant since) const;
+    /// @returns true when a crash broke off an attempt after that time
+    bool crashed_since(instant time) const;
 
 private:
     struct attempt {
--- a/src/Delivery/part_monitor.cpp
+++ b/src/Delivery/part_monitor.cpp
@@ -18,6 +18,8 @@
 /// that has started anew would try it once more.
 constexpr duration trial_from = std::chrono::seconds(3);
 constexpr duration trial_until = std::chrono::seconds(120);
+/// A trial while replicas crash, for whatever reason, shows nothing.
+constexpr duration calm_before_trial = std::chrono::seconds(1);
 
 } // namespace
 
@@ -102,7 +104,8 @@
 bool part_monitor::try_quarantined(request_fingerprint part, instant now) {
     auto const age = quarantine_->quarantined_since(part, now);
     bool const due = age && *age >= trial_from && *age < trial_until;
-    return due && tried_.insert(part).second;
+    return due && !baseline_.crashed_since(now - calm_before_trial) &&
+           tried_.insert(part).second;
 }
 
 std::vector<quarantine_update> part_monitor::quarantine_confirmed(instant now) {
--- a/test/poison_parts_property_test.cpp
+++ b/test/poison_parts_property_test.cpp
@@ -168,12 +168,8 @@
 // known of a part gets lost, or a sound part is taken for a poison one.
 TEST_CASE("a poison part is run by few replicas, at random times") {
     constexpr std::uint64_t seeds = 40;
-    // The next test has this seed.
-    constexpr std::uint64_t known_failure = 27;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        if (seed != known_failure) {
-            check_part_rules(random_scenario(seed), false);
-        }
+        check_part_rules(random_scenario(seed), false);
     }
 }
 
