Usage caps: a counting node that alone has lost the store stops

Cause: from 2.5 s on 29 of 84 nodes reached no store. The store gave their partitions to others from 4.35 s on. The former holders' leases went on through the extension for outages (15 s), which relies on replicas that refuse an old fencing number; nobody checks one when usage is counted. Only holders with replicas to command claimed their partitions, so the former holders of the others, and the nodes without the store that asked them, did not learn of the successors: 14 nodes still held 16 partitions at 11.6 s, when the store was back. In the 8 s the 55 nodes with the store routed 4,641 requests of the team and refused 698 as over-cap; the other 29 routed 2,239 and refused none.

Change: - The lease holder claims the partitions of capped teams too, so that the former holder stops and all nodes ask the new one, in the outage as well. - Where claims don't arrive: a holder whose renewals fail counts no longer than its lease when the status of another node shows that the store has answered since then. In an outage for all nodes it goes on as before. The simulation plays both. The test and its bound are unchanged.

Price: one log record for each capped team and change of its holder, in partitions without replicas.

--- a/src/Fleet/registry_outage_tracker.cpp
+++ b/src/Fleet/registry_outage_tracker.cpp
@@ -11,13 +11,6 @@
 /// expired registry entries again.
 constexpr duration settling_time = std::chrono::milliseconds(2'300);
 
-/// @returns the shortest outage in which an entry can expire. The entry may be
-///          one heartbeat old when the outage begins; half a heartbeat is left
-///          for the delay of the last answers.
-constexpr duration min_outage_of(duration heartbeat) {
-    return heartbeat + heartbeat / 2;
-}
-
 } // namespace
 
 registry_outage_tracker::registry_outage_tracker(duration heartbeat) noexcept
--- a/src/Fleet/registry_outage_tracker.hpp
+++ b/src/Fleet/registry_outage_tracker.hpp
@@ -18,6 +18,15 @@
 /// peers tell it afterwards that their polls were answered all along.
 class registry_outage_tracker {
 public:
+    /// @returns the shortest outage of the store in which an entry can expire.
+    ///          An answer counts as recent for as long.
+    /// @param heartbeat interval at which a replica writes its entry
+    static constexpr duration min_outage_of(duration heartbeat) noexcept {
+        // The entry may be one heartbeat old when the outage begins; half a
+        // heartbeat is left for the delay of the last answers.
+        return heartbeat + heartbeat / 2;
+    }
+
     /// @param heartbeat interval at which a replica writes its entry
     explicit registry_outage_tracker(duration heartbeat) noexcept;
 
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -472,4 +472,8 @@
 /// @returns the partition that a replica belongs to
 std::size_t partition_of(endpoint_id const& replica);
 
+/// @returns the partition whose lease holder counts a team's usage
+/// @param team the hash of its name
+std::size_t partition_of_team(std::uint64_t team);
+
 } // namespace camphorpoint
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -89,6 +89,11 @@
         state_->startup.handle_peer_total(message.from, message.declared_total);
         handlers_.on_registry_answered(
             milliseconds(message.registry_answered_ms));
+        if (message.registry_answered_ms > 0) {
+            state_->leases.on_store_answered_other(
+                now - registry_outage_tracker::min_outage_of(
+                          state_->settings.replica_heartbeat));
+        }
         if (message.links == replica_links::intact) {
             state_->peer_links.erase(message.from);
         } else {
--- a/src/Gateway/peer_messenger_usage.cpp
+++ b/src/Gateway/peer_messenger_usage.cpp
@@ -26,20 +26,20 @@
 constexpr duration contact_timeout = std::chrono::milliseconds(2'500);
 constexpr int missed_broadcasts = 3;
 
-std::size_t team_partition(std::uint64_t team) {
+} // namespace
+
+std::size_t partition_of_team(std::uint64_t team) {
     return team % partition_count;
 }
 
-} // namespace
-
 std::string peer_messenger::usage_counter_of(std::uint64_t team) const {
-    auto const holder = lease_holders_.find(team_partition(team));
+    auto const holder = lease_holders_.find(partition_of_team(team));
     return holder == lease_holders_.end() ? std::string() : holder->second;
 }
 
 std::optional<usage_decision> peer_messenger::count_usage(
     usage_question const& question, usage_cap const& cap, instant now) {
-    std::size_t const partition = team_partition(question.team);
+    std::size_t const partition = partition_of_team(question.team);
     auto const gained_at = state_->leases.counting_since(partition, now);
     // Guards against two nodes that both count the usage of a team.
     if (!gained_at) {
--- a/src/Gateway/replica_controller.hpp
+++ b/src/Gateway/replica_controller.hpp
@@ -76,6 +76,11 @@
     bool must_yield(instant now) const;
     boost::asio::awaitable<void> yield_partitions();
     boost::asio::awaitable<void> renew_once();
+    /// @returns true when the partition has replicas that this node may command
+    bool has_controlled_replicas(std::size_t partition) const;
+    /// @returns true when the lease holder of the partition counts the usage of
+    ///          a team that has a cap
+    bool counts_capped_team(std::size_t partition) const;
     boost::asio::awaitable<void> claim_used_partitions();
     boost::asio::awaitable<void> claim_partition(std::size_t partition);
     boost::asio::awaitable<void> read_lease_holders();
--- a/src/Gateway/replica_controller_leases.cpp
+++ b/src/Gateway/replica_controller_leases.cpp
@@ -93,8 +93,8 @@
         wake_workers();
         co_await leave_group();
     }
-    // The new lease holders of partitions without replicas, such as those that
-    // count a team's usage, do not broadcast their claims.
+    // The new lease holders of partitions without replicas and capped teams do
+    // not broadcast their claims.
     if (*alive &&
         boot_clock::now() >= holders_read_at_ + holders_missing_interval) {
         co_await read_lease_holders();
@@ -105,15 +105,27 @@
     claim_timer_.cancel();
 }
 
+bool replica_controller::has_controlled_replicas(std::size_t partition) const {
+    return std::ranges::any_of(state_->replicas.all(), [&](auto const& each) {
+        return partition_of(each.first) == partition && limits_of(each.second);
+    });
+}
+
+// Guards against a former holder that has lost the store, and against nodes
+// that have lost it too and ask the former holder: both learn of the new one by
+// its claim.
+bool replica_controller::counts_capped_team(std::size_t partition) const {
+    return std::ranges::any_of(state_->teams.all(), [&](auto const& each) {
+        return each.cap.limited() &&
+               partition_of_team(team_table::hash_of(each.name)) == partition;
+    });
+}
+
 asio::awaitable<void> replica_controller::claim_used_partitions() {
     auto const alive = running_;
     for (std::size_t const each : state_->leases.partitions_without_token()) {
-        bool const used =
-            std::ranges::any_of(state_->replicas.all(), [&](auto const& other) {
-                return partition_of(other.first) == each &&
-                       limits_of(other.second);
-            });
-        if (used && *alive) {
+        if ((has_controlled_replicas(each) || counts_capped_team(each)) &&
+            *alive) {
             co_await claim_partition(each);
         }
     }
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -77,6 +77,10 @@
     }
 }
 
+void partition_leases::on_store_answered_other(instant at) {
+    answered_other_at_ = std::max(answered_other_at_, at);
+}
+
 void partition_leases::clear() {
     partitions_.clear();
 }
@@ -135,7 +139,10 @@
 
 std::optional<instant>
 partition_leases::counting_since(std::size_t partition, instant now) const {
-    return valid(now) ? exclusive_since(partition) : std::nullopt;
+    bool const own_outage = answered_other_at_ >= failing_since_;
+    bool const entitled =
+        own_outage ? now < renewed_at_ + times_.lease : valid(now);
+    return entitled ? exclusive_since(partition) : std::nullopt;
 }
 
 std::size_t partition_leases::exclusive_partitions(instant now) const {
--- a/src/ReplicaControl/partition_leases.hpp
+++ b/src/ReplicaControl/partition_leases.hpp
@@ -69,6 +69,11 @@
     /// Records a fencing number that another node uses for the partition. A
     /// number higher than this node's own ends its hold on the partition.
     void on_higher_token(std::size_t partition, std::uint64_t token);
+    /// Records that the store has answered another node. When this node's
+    /// renewals have failed since before, the outage is its own, and another
+    /// node may receive its partitions.
+    /// @param at the store has answered at this time or later
+    void on_store_answered_other(instant at);
     /// Handles a rollback of the store to an older snapshot. Every partition
     /// must be claimed again; until then this node continues with the previous
     /// fencing numbers, which every new one overrides.
@@ -96,7 +101,9 @@
     std::optional<instant> exclusive_since(std::size_t partition) const;
     /// @returns since when this node alone counts what all nodes use of the
     ///          limits that belong to the partition; nothing when it must not
-    ///          count them
+    ///          count them. No one checks a fencing number there, so the
+    ///          extension in an outage of the store applies only while the
+    ///          store may be out for all nodes.
     std::optional<instant>
     counting_since(std::size_t partition, instant now) const;
     /// @returns the number of partitions that no other node can hold now. The
@@ -131,6 +138,8 @@
     store_epoch renewal_epoch_{};
     std::uint64_t generation_ = 0;
     instant renewed_at_;
+    /// The latest known time at which the store has answered another node.
+    instant answered_other_at_;
     /// First failed renewal of the current unbroken series that began within
     /// the lease; max when there is none.
     instant failing_since_ = instant::max();
--- a/src/Teams/team_table.hpp
+++ b/src/Teams/team_table.hpp
@@ -35,6 +35,8 @@
     std::vector<shared_api_key> const& shared_keys() const noexcept {
         return shared_keys_;
     }
+    /// @returns all teams
+    std::vector<team_definition> const& all() const noexcept { return teams_; }
     /// @returns the number of teams
     std::size_t size() const noexcept { return teams_.size(); }
     /// @returns the hash by which nodes name a team to each other
--- a/test/replica_control_test.cpp
+++ b/test/replica_control_test.cpp
@@ -485,6 +485,32 @@
         CHECK_FALSE(strict.token(4, start + milliseconds(2'100)));
     }
 
+    // A holder that alone has lost the store goes on counting the usage of a
+    // team, beside the node that has received the partition.
+    SUBCASE("usage is counted until the lease ends, or through an outage") {
+        instant const failed = start + milliseconds(600);
+        for (int step = 1; step <= 10; ++step) {
+            leases.on_renewal_failed(start + step * milliseconds(600));
+        }
+        instant const in_lease = start + times.lease - milliseconds(1);
+        instant const extended = start + seconds(6);
+        CHECK(leases.counting_since(4, extended) == start);
+        SUBCASE("also when the store last answered another node before") {
+            leases.on_store_answered_other(failed - milliseconds(1));
+            CHECK(leases.counting_since(4, extended) == start);
+        }
+        SUBCASE("not extended once the store has answered another node") {
+            leases.on_store_answered_other(failed);
+            CHECK(leases.counting_since(4, in_lease) == start);
+            CHECK_FALSE(leases.counting_since(4, extended));
+            CHECK(leases.token(4, extended) == 17);
+        }
+        SUBCASE("not when another node has claimed the partition") {
+            leases.on_higher_token(4, 18);
+            CHECK_FALSE(leases.counting_since(4, in_lease));
+        }
+    }
+
     // After a rollback the store assigns the log position of a claim again.
     // Replicas would accept the commands of two holders with the same fencing
     // number.
--- a/test/support/leased_counters.cpp
+++ b/test/support/leased_counters.cpp
@@ -11,6 +11,10 @@
 constexpr milliseconds step_length{20};
 /// A node reads the holders again within this time after a change.
 constexpr seconds read_interval{2};
+/// Nodes send their status at this interval for each ten nodes.
+constexpr milliseconds status_interval{100};
+/// A status shows that the store has answered within this time.
+constexpr milliseconds status_age{1'800};
 
 } // namespace
 
@@ -41,11 +45,15 @@
 void leased_counters::step() {
     connect_nodes();
     assign();
+    send_status();
     for (std::size_t each = 0; each < nodes_.size(); ++each) {
         if (now_ >= nodes_[each].renew_at) {
             renew(each);
         }
         node& at = nodes_[each];
+        if (now_ < last_store_answer_ + status_age) {
+            at.leases.on_store_answered_other(now_ - status_age);
+        }
         if (at.has_store && now_ >= at.read_holder_at) {
             at.read_holder_at = instant::max();
             set_holder(at, owner_);
@@ -120,6 +128,35 @@
     if (!gained.empty()) {
         set_holder(at, index);
     }
+    if (!at.leases.partitions_without_token().empty() &&
+        at.leases.set_token(partition, ++log_position_)) {
+        send_claim(index, log_position_);
+    }
+}
+
+void leased_counters::send_claim(std::size_t holder, std::uint64_t token) {
+    for (std::size_t each = 0; each < nodes_.size(); ++each) {
+        node& at = nodes_[each];
+        if (each != holder && fraction() >= lost_datagrams_) {
+            at.leases.on_higher_token(partition, token);
+            set_holder(at, holder);
+        }
+    }
+}
+
+void leased_counters::send_status() {
+    for (node const& each : nodes_) {
+        last_store_answer_ = each.has_store ? now_ : last_store_answer_;
+    }
+    if (now_ < status_at_) {
+        return;
+    }
+    status_at_ = now_ + status_interval * (1 + nodes_.size() / 10);
+    for (std::size_t each = 0; each < nodes_.size(); ++each) {
+        if (auto const token = nodes_[each].leases.token(partition, now_)) {
+            send_claim(each, *token);
+        }
+    }
 }
 
 void leased_counters::set_holder(node& at, std::size_t holder) {
--- a/test/support/leased_counters.hpp
+++ b/test/support/leased_counters.hpp
@@ -62,6 +62,8 @@
     void assign();
     void renew(std::size_t index);
     void set_holder(node& at, std::size_t holder);
+    void send_claim(std::size_t holder, std::uint64_t token);
+    void send_status();
 
     lease_times times_;
     store_loss loss_;
@@ -74,6 +76,9 @@
     std::size_t owner_ = 0;
     instant owner_until_;
     std::uint64_t generation_ = 1;
+    std::uint64_t log_position_ = 0;
+    instant status_at_;
+    instant last_store_answer_;
     std::optional<unsigned> outage_;
 };
 
