Answers without end are closed after a bounded number of bytes and time

What callers saw: a server may send bytes without end, in a head or a body. A refused request lasted until its deadline and got no other replica, a stream of comments was passed on for good, and an event of many lines held the node's loop. Finished streams of the profiles kept their slot until their deadline, and a refusal with a body without end counted as lost.

Cause: a time-out of each piece never ends such an answer. The framing of a body (chunk extension, trailer) had no bound in bytes, nor had the rest of a refusal, an answer to an earlier request, and blank events in a row. A report and a command had no bound in time. Each piece of an event was searched from the event's start.

Change: http_call::reject and invalid; bounds as named constants (framing 64 KB, unwanted rest 64 KB and 50 ms, reports and orders 1 MB and four steps, blank events 256 KB). An attempt with bytes that are no answer ends as failed with body "invalid": no crash, the health signal of a truncated answer, an answer for the reachability of the links. A refusal of a plain service holds by its head. A profile's stream ends at its last event.

--- a/app/load/service_caller.cpp
+++ b/app/load/service_caller.cpp
@@ -45,6 +45,9 @@
             co_return;
         }
         body += *piece;
+        if (body.size() > largest_answer) {
+            co_return;
+        }
     }
 }
 
--- a/app/load/stream_caller.cpp
+++ b/app/load/stream_caller.cpp
@@ -128,6 +128,10 @@
                 co_return link_end::broke;
             }
         }
+        if (reader.pending_bytes() > largest_answer) {
+            call.cancel();
+            co_return link_end::broke;
+        }
         if (planned_->slowness.count() > 0) {
             co_await pause(executor_, planned_->slowness);
         }
--- a/src/Delivery/attempt_stream.cpp
+++ b/src/Delivery/attempt_stream.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-/// Events hold a few tokens, so a longer one is invalid.
+/// In bytes. Events hold a few tokens, so a longer one is invalid. The same
+/// bounds the blank events in a row: replicas write such a one of a few bytes
+/// every few seconds to keep a connection open.
 constexpr std::size_t max_event_bytes = 256U << 10U;
 
 /// @returns the value of an id line if it is a number
@@ -46,13 +48,14 @@
     }
 }
 
+/// @param from no event ends before this position
 /// @returns the length of the first complete event including its empty line; 0
 ///          when there is none yet
-std::size_t event_length(std::string_view text) {
+std::size_t event_length(std::string_view text, std::size_t from) {
     constexpr std::string_view empty_lines[] = {"\n\n", "\n\r\n"};
     std::size_t length = std::string_view::npos;
     for (std::string_view const each : empty_lines) {
-        std::size_t const position = text.find(each);
+        std::size_t const position = text.find(each, from);
         if (position != std::string_view::npos) {
             length = std::min(length, position + each.size());
         }
@@ -68,19 +71,24 @@
 }
 
 std::optional<complete_event> attempt_stream::next() {
-    std::size_t const length = event_length(buffer_);
+    std::size_t const length = event_length(buffer_, searched_);
+    searched_ = 0;
     if (length == 0) {
+        // An end that is split between two pieces begins in the last two bytes.
+        constexpr std::size_t split = 2;
+        searched_ = buffer_.size() - std::min(buffer_.size(), split);
         return std::nullopt;
     }
     complete_event event;
     event.text = buffer_.substr(0, length);
     read_lines(event);
+    blank_bytes_ = event.blank ? blank_bytes_ + length : 0;
     buffer_.erase(0, length);
     return event;
 }
 
 bool attempt_stream::too_long() const noexcept {
-    return buffer_.size() > max_event_bytes;
+    return buffer_.size() > max_event_bytes || blank_bytes_ > max_event_bytes;
 }
 
 } // namespace camphorpoint
--- a/src/Delivery/attempt_stream.hpp
+++ b/src/Delivery/attempt_stream.hpp
@@ -33,11 +33,16 @@
     bool empty() const noexcept { return empty_; }
     /// @returns number of buffered bytes that do not form a complete event
     std::size_t incomplete_bytes() const noexcept { return buffer_.size(); }
-    /// @returns true when the incomplete event exceeds the maximum length
+    /// @returns true when the incomplete event, or the blank ones since the
+    ///          last that was not, exceed the maximum length of an event
     bool too_long() const noexcept;
 
 private:
     std::string buffer_;
+    /// No event ends before this position.
+    std::size_t searched_ = 0;
+    /// Bytes of the blank events since the last that was not blank.
+    std::size_t blank_bytes_ = 0;
     bool empty_ = true;
 };
 
--- a/src/Gateway/command_times.hpp
+++ b/src/Gateway/command_times.hpp
@@ -22,8 +22,7 @@
 /// @param leases the leases under which the command is given
 /// @returns the limits; nothing is sent after the lease has expired
 inline call_times command_times(partition_leases const& leases) {
-    call_times times;
-    times.each_step = command_timeout;
+    call_times times = short_call_times(command_timeout);
     times.send_before = leases.expires_at();
     return times;
 }
--- a/src/Gateway/reachability_prober.cpp
+++ b/src/Gateway/reachability_prober.cpp
@@ -120,7 +120,7 @@
     if (!call.reused()) {
         links.on_connected(at);
     }
-    if (how == call_result::answered) {
+    if (how == call_result::answered || call.invalid()) {
         links.on_answered();
     } else {
         links.on_answer_missing(at, now);
--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -284,11 +284,10 @@
     ip_address to = at->record.address;
     bool const first = !controlled->tracker.has_report();
     http_call call(state_->io.get_executor(), &state_->replica_connections);
-    call_times times;
-    times.each_step = replica_timeout;
+    call_times const times = short_call_times(replica_timeout);
     http_request request = platform::make_report_request(id);
-    auto const got =
-        co_await fetch(call, std::move(to), std::move(request), times);
+    auto const got = co_await fetch(
+        call, std::move(to), std::move(request), times, largest_control_answer);
     record_reachability(state_->reachability, id, got.how, call);
     if (platform::announces_leaving(got.response.fields)) {
         messenger_->report_leaving(id);
@@ -332,8 +331,8 @@
         co_return;
     }
     call_times const times = command_times(state_->leases);
-    auto const got =
-        co_await fetch(call, std::move(to), std::move(request), times);
+    auto const got = co_await fetch(
+        call, std::move(to), std::move(request), times, largest_control_answer);
     record_reachability(state_->reachability, id, got.how, call);
     command_result answer = command_result::no_answer;
     if (got.how == call_result::answered) {
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -428,9 +428,11 @@
     if (boot_clock::now() >= deadline_) {
         return attempt_outcome::late;
     }
-    bool const broken =
-        end == attempt_outcome::silent && !attempt.call->timed_out();
-    return broken ? attempt_outcome::broken : end;
+    if (end != attempt_outcome::silent || attempt.call->timed_out()) {
+        return end;
+    }
+    return attempt.call->invalid() ? attempt_outcome::failed
+                                   : attempt_outcome::broken;
 }
 
 bool request_handler::conclude(
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -90,7 +90,6 @@
     boost::asio::awaitable<next_step> relay(std::string peer);
     boost::asio::awaitable<next_step> pass_relayed_answer(attempt_ref attempt);
     next_step finish_relay(attempt_outcome end);
-    boost::asio::awaitable<void> skip_answer(std::shared_ptr<http_call> call);
     /// @returns the urgency of the request, 0 for the most urgent
     unsigned priority() const;
     bool refuse_quarantined();
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -51,7 +51,10 @@
     if (end == attempt_outcome::silent || end == attempt_outcome::stalled ||
         end == attempt_outcome::unreached) {
         evidence = health_signal::no_response;
-    } else if (end == attempt_outcome::broken) {
+    } else if (
+        end == attempt_outcome::broken ||
+        (end == attempt_outcome::failed && attempt.call->invalid())) {
+        // Nothing that the replica sends can be used, as after a crash.
         evidence = health_signal::truncated;
     } else if (
         end == attempt_outcome::failed || end == attempt_outcome::late ||
@@ -178,6 +181,8 @@
         "finished", "refused",  "unreached", "failed",  "silent",
         "broken",   "unproven", "late",      "stalled", "superseded"};
     attempt_trace const& trace = attempt.trace;
+    std::string_view const body =
+        attempt.call->invalid() ? "invalid" : trace.body;
     state_->log_event(log_line(event_code::attempt_ended)
                           .with("id", demand_.id.str())
                           .with("replica", attempt.replica.str())
@@ -185,7 +190,7 @@
                           .with("may_run", static_cast<int>(tracker_.may_run()))
                           .with("after", trace.after)
                           .with("events", position_.last().value_or(0))
-                          .with("body", trace.body)
+                          .with("body", body)
                           .with("half_bytes", attempt.stream.incomplete_bytes())
                           .with("silent_ms", trace.silence)
                           .with("rest_ms", trace.rest));
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -25,23 +25,12 @@
             state_->replicas.mark_unloading(
                 attempt->replica, need_.adapter, boot_clock::now());
         }
-        co_await skip_answer(call);
+        co_await call->skip_rest();
         co_return attempt_outcome::refused;
     }
     co_return co_await forward_answer(attempt, kind);
 }
 
-// The answer is read to its end so that the connection can be reused.
-asio::awaitable<void>
-request_handler::skip_answer(std::shared_ptr<http_call> call) {
-    auto const caller = caller_;
-    while (auto const piece = co_await call->next_piece()) {
-        if (piece->empty() || caller->gone) {
-            break;
-        }
-    }
-}
-
 asio::awaitable<attempt_outcome>
 request_handler::forward_answer(attempt_ref attempt, answer_kind kind) {
     auto const caller = caller_;
@@ -147,6 +136,9 @@
             co_return attempt_outcome::finished;
         }
         if (!joined) {
+            if (attempt->stream.too_long()) {
+                call->reject();
+            }
             attempt->trace.body = "not-joined";
             call->cancel();
             co_return attempt_outcome::failed;
@@ -212,15 +204,10 @@
     http_response answer;
     answer.status = status;
     answer.fields = platform::pass_fields(call->fields());
-    while (true) {
-        auto const piece = co_await call->next_piece();
-        if (!piece || answer.body.size() > largest_answer) {
-            co_return attempt_outcome::silent;
-        }
-        if (piece->empty()) {
-            break;
-        }
-        answer.body += *piece;
+    bool const whole = co_await read_body(*call, answer.body);
+    if (!whole) {
+        attempt->trace.body = "cut";
+        co_return attempt_outcome::silent;
     }
     note_completed(*attempt);
     attempt->timing.add(1, boot_clock::now());
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -116,7 +116,7 @@
         } else {
             tracker_.on_not_executed();
         }
-        co_await skip_answer(call);
+        co_await call->skip_rest();
         if (declined) {
             co_return finish_relay(attempt_outcome::refused);
         }
--- a/src/Ports/engine_http.cpp
+++ b/src/Ports/engine_http.cpp
@@ -194,8 +194,6 @@
     end.how = attempt_result::truncated;
     engine_stream stream(request.id, request.adapter, request.from_token);
     event_stream_reader reader;
-    // What ends the call behind the last chunk takes nothing from the answer.
-    bool whole = false;
     while (auto const piece = co_await call.next_piece()) {
         if (piece->empty()) {
             break;
@@ -203,14 +201,11 @@
         reader.push(*piece);
         while (auto const event = reader.next()) {
             stream_verdict const verdict = stream.take(*event);
-            if (verdict == stream_verdict::finished) {
-                continue;
-            }
             bool const good = verdict == stream_verdict::token ||
                               verdict == stream_verdict::last;
             if (!good) {
                 call.cancel();
-                end.how = whole ? attempt_result::completed : end_of(verdict);
+                end.how = end_of(verdict);
                 co_return end;
             }
             end.tokens = stream.next_token();
@@ -221,17 +216,20 @@
                 end.how = attempt_result::cancelled;
                 co_return end;
             }
-            whole = verdict == stream_verdict::last;
+            if (verdict == stream_verdict::last) {
+                // The answer is whole, whatever follows and however the call
+                // ends.
+                end.how = attempt_result::completed;
+                co_await call.skip_rest();
+                co_return end;
+            }
         }
         if (reader.pending_bytes() > largest_event) {
-            call.cancel();
-            end.how =
-                whole ? attempt_result::completed : attempt_result::truncated;
+            call.reject();
             co_return end;
         }
     }
-    end.how = whole ? attempt_result::completed
-                    : end_of_loss(call, request, attempt_result::truncated);
+    end.how = end_of_loss(call, request, attempt_result::truncated);
     co_return end;
 }
 
@@ -244,7 +242,9 @@
     times.close_at = boot_clock::now() + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
-    co_await fetch(call, parse_address(address), std::move(request), times);
+    ip_address to = parse_address(address);
+    co_await fetch(
+        call, std::move(to), std::move(request), times, largest_control_answer);
 }
 
 asio::awaitable<order_result>
@@ -258,8 +258,9 @@
     times.each_step = std::chrono::hours(1);
     http_call call(executor_, pool_);
     http_request request = order_request(order);
-    fetch_result const got =
-        co_await fetch(call, parse_address(address), std::move(request), times);
+    ip_address to = parse_address(address);
+    fetch_result const got = co_await fetch(
+        call, std::move(to), std::move(request), times, largest_control_answer);
     switch (got.how) {
     case call_result::not_sent:
         co_return order_result::not_sent;
@@ -280,8 +281,9 @@
     times.close_at = asked + timeout_;
     times.each_step = timeout_;
     http_call call(executor_, pool_);
-    fetch_result const got =
-        co_await fetch(call, parse_address(address), std::move(request), times);
+    ip_address to = parse_address(address);
+    fetch_result const got = co_await fetch(
+        call, std::move(to), std::move(request), times, largest_control_answer);
     if (got.how != call_result::answered || got.response.status != status_ok) {
         co_return std::nullopt;
     }
--- a/src/Ports/event_stream.cpp
+++ b/src/Ports/event_stream.cpp
@@ -50,8 +50,11 @@
 }
 
 std::optional<stream_event> event_stream_reader::next() {
-    std::size_t const end = pending_.find(event_end);
+    std::size_t const end = pending_.find(event_end, searched_);
+    searched_ = 0;
     if (end == std::string::npos) {
+        // An end that is split between two pieces begins in the last byte.
+        searched_ = pending_.empty() ? 0 : pending_.size() - 1;
         return std::nullopt;
     }
     std::string_view block = std::string_view(pending_).substr(0, end);
--- a/src/Ports/event_stream.hpp
+++ b/src/Ports/event_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,6 +32,8 @@
 
 private:
     std::string pending_;
+    /// No event ends before this place.
+    std::size_t searched_ = 0;
 };
 
 } // namespace camphorpoint
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -113,6 +113,8 @@
     asio::awaitable<std::optional<std::string>> read_piece();
     asio::awaitable<std::optional<std::string>> read_some();
     asio::awaitable<bool> read_own_header(std::string sent);
+    asio::awaitable<bool> skip_stray();
+    void reject();
     /// @returns true when the answer whose header was read must bear the id
     bool must_echo() const {
         constexpr unsigned first_success = 200;
@@ -144,6 +146,7 @@
     bool cancelled_ = false;
     bool timed_out_ = false;
     bool broke_off_ = false;
+    bool invalid_ = false;
     answer_trace trace_;
     instant silent_since_;
 };
@@ -230,9 +233,28 @@
         }
         begin_answer();
     }
+    invalid_ = true;
     co_return false;
 }
 
+// The length of an answer to an earlier request is not limited by what this
+// request's caller awaits.
+asio::awaitable<bool> http_call::state::skip_stray() {
+    std::size_t skipped = 0;
+    bool whole = !parser_->need_eof();
+    while (whole && !parser_->is_done()) {
+        auto const piece = co_await read_some();
+        skipped += piece ? piece->size() : 0;
+        whole = piece.has_value() && skipped <= largest_answer;
+    }
+    co_return whole&& link_ != nullptr;
+}
+
+void http_call::state::reject() {
+    invalid_ = true;
+    close();
+}
+
 asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
     // More than one answer too many is no accident of timing.
     constexpr int most_strays = 2;
@@ -246,15 +268,13 @@
         if (sent.empty() || unnamed || got == sent) {
             co_return true;
         }
-        bool whole = !parser_->need_eof();
-        while (whole && !parser_->is_done()) {
-            whole = (co_await read_some()).has_value();
-        }
-        if (!whole || link_ == nullptr) {
-            co_return false;
+        bool const skipped = co_await skip_stray();
+        if (!skipped) {
+            break;
         }
         begin_answer();
     }
+    invalid_ = true;
     co_return false;
 }
 
@@ -317,8 +337,9 @@
             http::make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
-    broke_off_ =
-        broke_off_ || (error && !in_answer && !timed_out_ && !cancelled_);
+    invalid_ = invalid_ || in_answer;
+    broke_off_ = broke_off_ || (error && !in_answer && !timed_out_ &&
+                                !cancelled_ && !invalid_);
 }
 
 void http_call::state::note_wait(
@@ -424,6 +445,25 @@
     co_return co_await self->read_piece();
 }
 
+asio::awaitable<void> http_call::skip_rest() {
+    auto const self = state_;
+    self->times_.close_at =
+        std::min(self->times_.close_at, now() + longest_skipping);
+    std::size_t skipped = 0;
+    while (skipped <= largest_skipped_rest) {
+        auto const piece = co_await self->read_piece();
+        if (!piece || piece->empty()) {
+            co_return;
+        }
+        skipped += piece->size();
+    }
+    self->reject();
+}
+
+void http_call::reject() {
+    state_->reject();
+}
+
 void http_call::cancel() {
     state_->cancelled_ = true;
     state_->close();
@@ -441,6 +481,10 @@
     return state_->broke_off_;
 }
 
+bool http_call::invalid() const noexcept {
+    return state_->invalid_;
+}
+
 answer_trace const& http_call::trace() const noexcept {
     return state_->trace_;
 }
@@ -456,8 +500,31 @@
     return times;
 }
 
-asio::awaitable<fetch_result>
-fetch(http_call& call, ip_address to, http_request request, call_times times) {
+call_times short_call_times(std::chrono::milliseconds step) {
+    call_times times;
+    times.close_at = now() + steps_per_call * step;
+    times.each_step = step;
+    return times;
+}
+
+asio::awaitable<bool>
+read_body(http_call& call, std::string& body, std::size_t largest) {
+    while (auto const piece = co_await call.next_piece()) {
+        if (piece->empty()) {
+            co_return true;
+        }
+        body += *piece;
+        if (body.size() > largest) {
+            call.reject();
+            break;
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<fetch_result> fetch(
+    http_call& call, ip_address to, http_request request, call_times times,
+    std::size_t largest) {
     fetch_result result;
     result.how = co_await call.open(std::move(to), std::move(request), times);
     if (result.how != call_result::answered) {
@@ -466,15 +533,9 @@
     result.how = call_result::lost;
     result.response.status = call.status();
     result.response.fields = call.fields();
-    while (auto piece = co_await call.next_piece()) {
-        if (piece->empty()) {
-            result.how = call_result::answered;
-            break;
-        }
-        result.response.body += *piece;
-        if (result.response.body.size() > largest_answer) {
-            break;
-        }
+    bool const whole = co_await read_body(call, result.response.body, largest);
+    if (whole) {
+        result.how = call_result::answered;
     }
     co_return result;
 }
@@ -483,8 +544,8 @@
     asio::any_io_executor executor, ip_address to, http_request request,
     std::chrono::milliseconds timeout) {
     http_call call(std::move(executor));
-    call_times times;
-    times.each_step = timeout;
+    call_times times = short_call_times(timeout);
+    times.close_at += longest_answer;
     co_return co_await fetch(call, std::move(to), std::move(request), times);
 }
 
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -97,6 +97,12 @@
     /// @param timeout how long to wait for the next piece
     boost::asio::awaitable<std::optional<std::string>>
     next_piece(std::chrono::milliseconds timeout);
+    /// Reads the rest of an answer that is not wanted, so that its connection
+    /// can be used again. Closes the connection when the rest is longer, or
+    /// takes longer, than a new connection is worth.
+    boost::asio::awaitable<void> skip_rest();
+    /// Closes the connection, since what came is no answer.
+    void reject();
     /// Closes the connection; a read in progress ends as cut.
     void cancel();
     /// @returns true when the call was cancelled
@@ -108,6 +114,9 @@
     ///          when the server was silent, its answer could not be read, or
     ///          the call was cancelled
     bool broke_off() const noexcept;
+    /// @returns true when the server has sent bytes that are no answer:
+    ///          malformed, longer than any answer, or not this request's
+    bool invalid() const noexcept;
     /// @returns how the answer has arrived so far
     answer_trace const& trace() const noexcept;
     /// @returns true when the connection had served an earlier call
@@ -124,10 +133,28 @@
     http_response response;
 };
 
-/// An answer that is longer than this is cut: it bounds what a broken server
-/// can make a node keep.
+/// In bytes. A longer answer is cut: it bounds what a broken server can make a
+/// node keep.
 inline constexpr std::size_t largest_answer = std::size_t{16} << 20U;
 
+/// In bytes. For the answer to an order or a question for a report, of which a
+/// node has one in progress for each replica: ten times what a replica with a
+/// thousand adapters reports.
+inline constexpr std::size_t largest_control_answer = std::size_t{1} << 20U;
+
+/// In bytes. The rest of an unwanted answer is read for its connection only.
+/// On a way of 10 Mbit/s this takes 50 ms, as long as a new connection.
+inline constexpr std::size_t largest_skipped_rest = std::size_t{64} << 10U;
+
+/// The rest of an unwanted answer is awaited no longer; see
+/// largest_skipped_rest.
+inline constexpr std::chrono::milliseconds longest_skipping{50};
+
+/// A call of four steps ends at the latest after this many times its time-out:
+/// connection, request, head and body take one each. Guards against a body that
+/// comes a byte at a time, for which a time-out of each piece never ends.
+inline constexpr int steps_per_call = 4;
+
 /// An answer that comes piece by piece without end is given up after this: the
 /// largest that is taken needs 13 s on a way of 10 Mbit/s.
 inline constexpr std::chrono::milliseconds longest_answer{20'000};
@@ -139,20 +166,35 @@
 /// @param silence for the connection, the header, and each piece
 call_times reading_times_of(std::chrono::milliseconds silence);
 
+/// Bounds of a call whose answer is short.
+/// @param step for the connection, the request, the header, and each piece
+call_times short_call_times(std::chrono::milliseconds step);
+
+/// Reads the body of an answer whose header was read.
+/// @param body    receives what has come, also of a body that is cut; must
+///                outlive the reading
+/// @param largest in bytes; a longer body is rejected
+/// @returns true when the body came whole
+boost::asio::awaitable<bool> read_body(
+    http_call& call, std::string& body, std::size_t largest = largest_answer);
+
 /// Makes a whole call.
 /// @param executor where it runs
 /// @param to       the server's address
 /// @param request  what to send
-/// @param timeout  for the connection, the header and each piece
+/// @param timeout  for the connection, the request, the header and each piece;
+///                 the body may take longest_answer
 /// @returns the answer, or how the call failed
 boost::asio::awaitable<fetch_result> fetch(
     boost::asio::any_io_executor executor, ip_address to, http_request request,
     std::chrono::milliseconds timeout);
 
 /// Makes a whole call over a pooled connection.
-/// @param call  a call that was not used before
-/// @param times bounds that hold for the whole call
-boost::asio::awaitable<fetch_result>
-fetch(http_call& call, ip_address to, http_request request, call_times times);
+/// @param call    a call that was not used before
+/// @param times   bounds that hold for the whole call
+/// @param largest in bytes; a longer body is rejected
+boost::asio::awaitable<fetch_result> fetch(
+    http_call& call, ip_address to, http_request request, call_times times,
+    std::size_t largest = largest_answer);
 
 } // namespace camphorpoint
--- a/src/Ports/http_connection.hpp
+++ b/src/Ports/http_connection.hpp
@@ -4,14 +4,21 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstddef>
 #include <utility>
 
 namespace camphorpoint::internal {
 
+/// In bytes. What is read of a connection before it is parsed: the head of an
+/// answer, or what frames a piece of its body. Without a bound it grows with a
+/// chunk's extension or a trailer that does not end.
+inline constexpr std::size_t largest_framing = std::size_t{64} << 10U;
+
 /// One client connection and what was read from it beyond the last answer.
 struct http_connection {
     explicit http_connection(boost::asio::any_io_executor executor)
-        : stream(std::move(executor)) {}
+        : stream(std::move(executor))
+        , buffer(largest_framing) {}
 
     /// Closes without a further byte: what the kernel still holds back is
     /// thrown away instead of sent.
--- a/src/Ports/service_http.cpp
+++ b/src/Ports/service_http.cpp
@@ -45,24 +45,32 @@
     times.close_at = request.deadline;
     times.each_step = std::chrono::hours(1);
     times.echoed = "X-Request-Id";
-    fetch_result got = co_await fetch(
-        call, parse_address(request.address), message_of(request), times);
+    call_result const opened = co_await call.open(
+        parse_address(request.address), message_of(request), times);
     service_call_end end;
-    if (got.how != call_result::answered) {
-        end.how = got.how == call_result::not_sent
+    if (opened != call_result::answered) {
+        end.how = opened == call_result::not_sent
                       ? attempt_result::not_sent
                       : end_of_loss(call, request.deadline);
         co_return end;
     }
-    end.status = got.response.status;
-    end.notice = read_endpoint_notice(end.status, got.response.fields);
+    end.status = call.status();
+    end.notice = read_endpoint_notice(end.status, call.fields());
     if (end.status != status_ok) {
+        // The head tells it; a body that does not end takes nothing from it.
         end.how = end.status == status_unavailable
                       ? attempt_result::refused_busy
                       : attempt_result::failed;
+        co_await call.skip_rest();
         co_return end;
     }
-    auto const answer = parse_json_object(got.response.body);
+    std::string body;
+    bool const whole = co_await read_body(call, body);
+    if (!whole) {
+        end.how = end_of_loss(call, request.deadline);
+        co_return end;
+    }
+    auto const answer = parse_json_object(body);
     // A late answer to an earlier call on the same connection bears that call's
     // id; it is dropped.
     if (!answer || json_text(*answer, "id") != request.id.str()) {
@@ -70,7 +78,7 @@
         co_return end;
     }
     end.how = attempt_result::completed;
-    end.answer = std::move(got.response.body);
+    end.answer = std::move(body);
     co_return end;
 }
 
--- a/test/gateway/raw_answers_test.cpp
+++ b/test/gateway/raw_answers_test.cpp
@@ -52,8 +52,17 @@
     milliseconds pause{0};
     /// Bytes that are written before the text, after the request has arrived.
     std::string prefix = {};
+    /// Bytes that are written after the text, again and again until the node
+    /// closes the connection. With a pause, once after each.
+    std::string repeated = {};
 };
 
+/// In bytes. An answer without end is closed here if the node has not closed
+/// its connection before.
+constexpr std::size_t most_written = std::size_t{64} << 20U;
+/// In bytes. What the kernels of both ends hold of a connection at the most.
+constexpr std::size_t in_kernel = std::size_t{8} << 20U;
+
 std::string field_of(std::string_view head, std::string_view name) {
     std::size_t const place = head.find(name);
     if (place == std::string_view::npos) {
@@ -147,6 +156,10 @@
     std::vector<std::string> last_event_ids;
     /// Connections that the node has closed while an answer was being written.
     unsigned aborted_writes = 0;
+    /// Bytes written of the longest answer without end.
+    std::size_t longest_endless = 0;
+    /// Answers without end whose connection is open.
+    unsigned endless_open = 0;
 
 private:
     asio::awaitable<void> accept_all() {
@@ -192,6 +205,25 @@
         co_return true;
     }
 
+    /// Writes until the node closes the connection.
+    asio::awaitable<void> write_endless(
+        tcp::socket& socket, std::string repeated, milliseconds pause) {
+        constexpr std::size_t least = std::size_t{16} << 10U;
+        std::string text = repeated;
+        while (pause == milliseconds(0) && text.size() < least) {
+            text += repeated;
+        }
+        std::size_t written = 0;
+        bool open = true;
+        ++endless_open;
+        while (open && written < most_written) {
+            open = co_await write(socket, text, all_at_once, pause);
+            written += open ? text.size() : 0;
+        }
+        --endless_open;
+        longest_endless = std::max(longest_endless, written);
+    }
+
     asio::awaitable<void> serve(tcp::socket socket) {
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
@@ -212,6 +244,9 @@
                 with_id(answer.text, field_of(request, "X-Request-Id: "));
             bool const written = co_await write(
                 socket, std::move(text), answer.piece, answer.pause);
+            if (written && !answer.repeated.empty()) {
+                co_await write_endless(socket, answer.repeated, answer.pause);
+            }
             if (written && answer.ending == after_answer::stays) {
                 continue;
             }
@@ -814,4 +849,165 @@
     CHECK(complete(*answer));
 }
 
+namespace {
+
+std::string const filler(1'000, 'a');
+/// Well above the time that a bounded reading takes, and below the deadline of
+/// a request.
+constexpr milliseconds promptly{1'500};
+
+raw_answer endless(std::string text, std::string repeated) {
+    raw_answer answer{std::move(text)};
+    answer.repeated = std::move(repeated);
+    return answer;
+}
+
+/// Sends a request and measures its time.
+struct timed_answer {
+    timed_answer(raw_fixture& world, std::string_view route) {
+        instant const began = boot_clock::now();
+        got = world.ask(route);
+        took = boot_clock::now() - began;
+    }
+
+    fetch_result got;
+    duration took{};
+};
+
+/// @returns true when the node has closed all answers without end early
+bool closed_early(raw_fixture& world, std::size_t bound = in_kernel) {
+    bool const closed = world.world.loop.run_until(
+        [&] { return world.replica.endless_open == 0; });
+    return closed && world.replica.longest_endless < bound;
+}
+
+} // namespace
+
+// Guards against a node that runs out of memory, and against a request that
+// lasts until its deadline, when a replica sends bytes without end that are no
+// answer.
+TEST_CASE("an answer without end leaves its request to another replica") {
+    raw_fixture world;
+    raw_answer answer;
+    SUBCASE("a header line") {
+        answer = endless("HTTP/1.1 200 OK\r\nX-Long: ", filler);
+    }
+    SUBCASE("header lines") {
+        answer = endless("HTTP/1.1 200 OK\r\n", "X-Line: " + filler + "\r\n");
+    }
+    SUBCASE("interim answers") {
+        answer = endless("", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n");
+    }
+    SUBCASE("a chunk's extension") {
+        answer = endless(head(chunked_field) + "5;x=", filler);
+    }
+    SUBCASE("bytes in place of a chunk") {
+        answer = endless(chunked_and_cut(event(1)), "0" + filler);
+    }
+    SUBCASE("a trailer") {
+        answer =
+            endless(chunked_and_cut(events(1, 2)) + "0\r\n", "X-Line: a\r\n");
+    }
+    SUBCASE("an event") {
+        answer = endless(chunked_and_cut(event(1) + "id: 2\n"), chunk(filler));
+    }
+    SUBCASE("an event of many lines") {
+        answer =
+            endless(chunked_and_cut(event(1) + "id: 2\n"), chunk("data: a\n"));
+    }
+    SUBCASE("an event in a body without length") {
+        answer = endless(unframed("id: 1\n"), filler);
+    }
+    SUBCASE("the answer of a failure") {
+        answer = endless(head(chunked_field, 500), chunk(filler));
+    }
+    world.replica.script.push_back(answer);
+    timed_answer const asked(world, "runs");
+    CHECK(asked.got.response.body == events(1, stream_events));
+    CHECK(complete(asked.got));
+    CHECK(asked.took < promptly);
+    CHECK(world.replica.last_event_ids.size() == 2);
+    CHECK(closed_early(world, largest_answer + in_kernel));
+}
+
+// Guards against a stream that a replica keeps open with blocks that are no
+// event for its caller, and against a caller that is sent them without end.
+TEST_CASE("comments without end leave a stream to another replica") {
+    raw_fixture world;
+    std::string const comment = ": " + filler + "\n\n";
+    world.replica.script.push_back(
+        endless(chunked_and_cut(event(1)), chunk(comment)));
+    timed_answer const asked(world, "runs");
+    std::string const& body = asked.got.response.body;
+    CHECK(body.starts_with(event(1)));
+    CHECK(body.ends_with(events(2, stream_events)));
+    CHECK(body.size() < (1U << 20U));
+    CHECK(complete(asked.got));
+    CHECK(asked.took < promptly);
+    CHECK(closed_early(world));
+}
+
+// Guards against a refused request that lasts until its deadline because the
+// rest of the refusal is read for the sake of its connection.
+TEST_CASE("a refusal without end leaves its request to another replica") {
+    raw_fixture world;
+    std::string const refusal =
+        head("X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n", 503);
+    raw_answer answer = endless(refusal, chunk(filler));
+    SUBCASE("as fast as it is read") {}
+    SUBCASE("a few bytes at a time") {
+        answer = endless(refusal, chunk("a"));
+        answer.pause = milliseconds(5);
+    }
+    SUBCASE("another replica's") {
+        answer = endless(head(chunked_field, 421), chunk(filler));
+    }
+    world.replica.script.push_back(answer);
+    timed_answer const asked(world, "runs");
+    CHECK(asked.got.response.body == events(1, stream_events));
+    CHECK(complete(asked.got));
+    CHECK(asked.took < promptly);
+    CHECK(closed_early(world));
+}
+
+// Guards against an answer that promises that a request has not run, or that
+// looks whole, when its replica has sent bytes without end.
+TEST_CASE("a caller is told the truth of an answer without end") {
+    constexpr int unknown = 502;
+    raw_fixture world;
+    raw_answer answer;
+    SUBCASE("in its head") {
+        answer = endless("HTTP/1.1 200 OK\r\nX-Long: ", filler);
+    }
+    SUBCASE("in its body") {
+        answer = endless(head(chunked_field, 404), chunk(filler));
+    }
+    SUBCASE("in its first event") {
+        answer = endless(head(chunked_field) + chunk("id: 1\n"), chunk(filler));
+    }
+    world.replica.script.push_back(answer);
+    timed_answer const asked(world, "alone");
+    CHECK(asked.got.how == call_result::answered);
+    CHECK(asked.got.response.status == unknown);
+    CHECK(asked.got.response.fields.get("X-Not-Executed").empty());
+    CHECK(asked.took < promptly);
+    CHECK(closed_early(world, largest_answer + in_kernel));
+}
+
+// Guards against a request that is quarantined although none of its replicas
+// crashed: they sent bytes that are no answer, and still run.
+TEST_CASE("an answer without end does not count as a crash") {
+    constexpr unsigned requests = 3;
+    raw_fixture world;
+    for (unsigned each = 0; each < requests * replicas; ++each) {
+        world.replica.script.push_back(
+            endless("HTTP/1.1 200 OK\r\nX-Long: ", filler));
+    }
+    for (unsigned each = 0; each < requests; ++each) {
+        std::size_t const before = world.replica.last_event_ids.size();
+        world.ask_at("/runs/same");
+        CHECK(world.replica.last_event_ids.size() > before);
+    }
+}
+
 } // namespace camphorpoint
--- a/test/stream_events_test.cpp
+++ b/test/stream_events_test.cpp
@@ -230,4 +230,31 @@
     }
 }
 
+// Guards against a stream that a replica keeps open with comments without end:
+// none of them is an event that is too long.
+TEST_CASE("blank events in a row are bounded as one event is") {
+    std::string const comment = ": " + std::string(1'000, 'a') + "\n\n";
+    constexpr std::size_t few = 200;
+    constexpr std::size_t many = 300;
+    attempt_stream stream;
+    auto const push = [&](std::size_t count) {
+        for (std::size_t each = 0; each < count; ++each) {
+            stream.push(comment);
+            CHECK(stream.next().has_value());
+        }
+    };
+    push(few);
+    CHECK_FALSE(stream.too_long());
+    SUBCASE("an event between them begins a new count") {
+        stream.push("id: 1\ndata: a\n\n");
+        CHECK(stream.next().has_value());
+        push(few);
+        CHECK_FALSE(stream.too_long());
+    }
+    SUBCASE("too many") {
+        push(many - few);
+        CHECK(stream.too_long());
+    }
+}
+
 } // namespace camphorpoint
