Outcomes of all nodes come together at a replica's controller

Cause: a node sees three of a replica's requests in half a minute, its estimate weighs one by a sixteenth, and each node tries the replica again by itself. Change: the controller estimates the failure probability from the reports of all nodes (replica_outcomes), avoids a replica from a half on, and permits one probe in all each half second, by the answer to a usage query; two answered probes readmit it. It keeps this while no node has requests there, and forgets it when another process runs there. A failure costs a request that may be repeated the time of a further attempt, another one its patience. From two avoided replicas on that are half of all, none is left out and the cost decides. Of full replicas those are compared whose usage is known: one that looked full long ago was not asked for, and was chosen though avoided by then. A rejection has a signal of its own and counts only while the replica has room. A stalled attempt is reported to the controller. Events 950 and 951.

--- a/src/Fleet/attempt_report.hpp
+++ b/src/Fleet/attempt_report.hpp
@@ -16,6 +16,8 @@
     duration first_output{0};
     /// Mean time between two events of the answer; zero with fewer than two.
     duration event_interval{0};
+    /// The controller had permitted the attempt at an avoided replica.
+    bool probe = false;
 };
 
 /// What the controller of a replica has learnt about it from the attempts of
@@ -24,6 +26,11 @@
 struct replica_condition {
     /// Probability that the next attempt fails, 0 to 1.
     double failure_probability = 0;
+    /// Requests should be sent elsewhere.
+    bool avoided = false;
+    /// The receiver may send one request to the avoided replica. Set only in
+    /// the answer to a usage query.
+    bool probe_permitted = false;
 };
 
 } // namespace camphorpoint
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -211,7 +211,14 @@
     target->remote_backlog.set(
         std::max(0.0, total.backlog_tokens - local_tokens), now);
     target->free_slots = total.free_slots;
+    if (target->condition.avoided && !total.condition.avoided) {
+        // What this node has seen itself describes the replica as it was.
+        target->health = {};
+    }
     target->condition = total.condition;
+    if (total.condition.probe_permitted) {
+        target->probe_until = now + probe_permission_lifetime;
+    }
     target->usage_received_at = now;
 }
 
@@ -309,12 +316,17 @@
     }
 }
 
-void fleet::request_started(
+bool fleet::request_started(
     endpoint_id const& id, unsigned prompt_tokens, instant now) {
-    if (replica* const target = find(id)) {
-        ++target->running_local;
-        target->local_backlog.add(prompt_tokens, now);
+    replica* const target = find(id);
+    if (target == nullptr) {
+        return false;
     }
+    ++target->running_local;
+    target->local_backlog.add(prompt_tokens, now);
+    bool const probe = target->probe_permitted(now);
+    target->probe_until = {};
+    return probe;
 }
 
 void fleet::clear_suspicions() {
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -40,6 +40,11 @@
 inline constexpr duration usage_report_lifetime =
     std::chrono::milliseconds(2'500);
 
+/// A node that may try an avoided replica sends the request for which it asked
+/// within this time; a later one has to ask again.
+inline constexpr duration probe_permission_lifetime =
+    std::chrono::milliseconds(100);
+
 /// The rate of requests that a replica takes from all nodes together, as named
 /// in its answers.
 struct replica_rate_limit {
@@ -82,6 +87,8 @@
     instant usage_received_at;
     /// What its controller has learnt about it, from the same report.
     replica_condition condition;
+    /// This node may send a request to the avoided replica before this time.
+    instant probe_until;
     /// Adapters that could be loaded there at once, less those that wait for a
     /// load, from the same report. Negative when more adapters wait.
     int free_slots = 0;
@@ -139,6 +146,25 @@
     bool usage_known(instant now) const noexcept {
         return now < usage_received_at + usage_report_lifetime;
     }
+    /// @returns true while the replica's controller advises against it
+    bool avoided(instant now) const noexcept {
+        return condition.avoided && usage_known(now);
+    }
+    /// @returns true while this node may try it with one request
+    bool probe_permitted(instant now) const noexcept {
+        return now < probe_until;
+    }
+    /// @returns true while requests should be sent to other replicas, by what
+    ///          the controller or this node has seen of it
+    bool distrusted(instant now) const noexcept {
+        return !probe_permitted(now) && (health.suspected(now) || avoided(now));
+    }
+    /// @returns the probability that an attempt there fails
+    double failure_probability(instant now) const {
+        double const own = health.failure_fraction(now);
+        return usage_known(now) ? std::max(own, condition.failure_probability)
+                                : own;
+    }
     /// @returns running requests per slot
     double load() const noexcept {
         return static_cast<double>(running()) / std::max(1U, record.slots);
@@ -168,6 +194,9 @@
     /// restarted counts as joined.
     /// @returns what has changed
     fleet_change apply(replica_record const& record, instant now);
+    /// @returns true when the entry is of another process than the known one
+    static bool
+    has_restarted(replica const& known, replica_record const& record);
     /// Marks a replica whose entry has disappeared from the registry. It is
     /// removed at once, unless `keep_in_use` is set, since entries that expire
     /// during a store outage reappear after it.
@@ -254,9 +283,11 @@
     /// of its own links.
     void clear_suspicions();
 
-    /// Counts a request of this node that was sent to the replica.
+    /// Counts a request of this node that was sent to the replica. It uses up
+    /// the permission to try an avoided replica.
     /// @param prompt_tokens length of its prompt
-    void
+    /// @returns true when there was such a permission
+    bool
     request_started(endpoint_id const& id, unsigned prompt_tokens, instant now);
     /// Counts the completion of a request of this node.
     void request_finished(endpoint_id const& id);
@@ -276,8 +307,6 @@
 private:
     void rebuild_indexes();
     static bool
-    has_restarted(replica const& known, replica_record const& record);
-    static bool
     is_stale_record(replica const& known, replica_record const& record);
     static void reset_after_restart(replica& target);
     static void add_cached(replica& target, adapter_id const& adapter);
--- a/src/Fleet/replica_cost.cpp
+++ b/src/Fleet/replica_cost.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/replica_selector.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace camphorpoint {
@@ -18,17 +19,35 @@
 /// Cost of a replica that limits the rate of its requests: it is chosen before
 /// a suspected one only.
 constexpr seconds_real rate_limit_cost{500};
-/// Cost of failures: a replica that fails four in ten requests more than its
-/// peers costs as much as one with two full batches more.
-constexpr double failure_cost = 5;
 /// Smaller differences in the failure fraction are taken for chance.
 constexpr double min_noticed_excess = 0.02;
 
-seconds_real failure_time(replica const& at, double mean, instant now) {
-    double const above_mean = at.health.failure_fraction(now) - mean;
+/// Bound of the probability by which a repeated request is expected to fail
+/// again: the next attempt goes to another replica.
+constexpr double max_repeated_failure = 0.9;
+/// Patience of a caller that has stated none.
+constexpr seconds_real usual_patience{5};
+
+/// @returns the time that the caller loses when the attempt fails
+seconds_real loss_by_failure(request_work const& work, double probability) {
+    bool const stated = work.patience > duration::zero();
+    seconds_real const patience = stated ? work.patience : usual_patience;
+    seconds_real const attempt = work.objective;
+    double const again = std::min(probability, max_repeated_failure);
+    return work.repeatable ? std::min(patience, attempt / (1 - again))
+                           : patience;
+}
+
+seconds_real failure_time(
+    replica const& at, request_work const& work, double mean, instant now) {
+    if (at.probe_permitted(now)) {
+        return seconds_real(0);
+    }
+    double const probability = at.failure_probability(now);
+    double const above_mean = probability - mean;
     return above_mean < min_noticed_excess
                ? seconds_real(0)
-               : above_mean * failure_cost * full_batch_time;
+               : above_mean * loss_by_failure(work, probability);
 }
 
 seconds_real queueing_time(replica const& at, instant now) {
@@ -38,9 +57,11 @@
 } // namespace
 
 duration expected_answer_time(
-    replica const& at, request_work const&, double mean_failures, instant now) {
-    seconds_real result = failure_time(at, mean_failures, now);
-    result += at.health.suspected(now) ? suspicion_cost : seconds_real(0);
+    replica const& at, request_work const& work, double mean_failures,
+    instant now) {
+    seconds_real result = failure_time(at, work, mean_failures, now);
+    bool const suspected = at.health.suspected(now) && !at.probe_permitted(now);
+    result += suspected ? suspicion_cost : seconds_real(0);
     result += at.yields_to_others(now) ? rate_limit_cost : seconds_real(0);
     result += queueing_time(at, now);
     return std::chrono::duration_cast<duration>(result);
--- a/src/Fleet/replica_cost.hpp
+++ b/src/Fleet/replica_cost.hpp
@@ -16,6 +16,8 @@
     duration accepted_gap{0};
     /// Time until the request's deadline, at its arrival.
     duration patience{0};
+    /// The request may be sent again after a failed attempt.
+    bool repeatable = false;
 };
 
 /// Returns the time within which a replica is expected to begin a successful
--- a/src/Fleet/replica_health.cpp
+++ b/src/Fleet/replica_health.cpp
@@ -38,7 +38,8 @@
     failures_ = failure_fraction(now);
     failures_ += (failed - failures_) * newest_weight;
     updated_at_ = now;
-    if (signal == health_signal::answered || signal == health_signal::failed) {
+    if (signal != health_signal::truncated &&
+        signal != health_signal::no_response) {
         suspicions_ = 0;
         truncated_in_row_ = 0;
         suspected_until_ = {};
--- a/src/Fleet/replica_health.hpp
+++ b/src/Fleet/replica_health.hpp
@@ -16,7 +16,9 @@
     /// answers, a lossy one only a few.
     truncated,
     /// The replica was unreachable, or no data was received in time.
-    no_response
+    no_response,
+    /// The replica rejected the request for want of room.
+    rejected
 };
 
 /// Health of one replica as seen by one node. Only the outcomes of attempts
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -3,7 +3,10 @@
 #include "Placement/rendezvous.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <ranges>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -38,6 +41,41 @@
     return left.free_slots > 0 && right.free_slots <= 0;
 }
 
+/// From this many avoided replicas on that are half of all, the cause is not
+/// the replicas: the others could not take their load, and requests are sent by
+/// cost.
+constexpr std::ptrdiff_t min_common_failures = 2;
+
+bool fail_in_common(std::vector<replica*> const& all, instant now) {
+    auto const avoided = std::ranges::count_if(
+        all, [&](replica const* each) { return each->avoided(now); });
+    return avoided >= min_common_failures && 2 * avoided >= std::ssize(all);
+}
+
+/// Removes the replicas that their controllers advise against.
+/// @returns the removed ones
+std::vector<replica*> remove_avoided(std::vector<replica*>& all, instant now) {
+    auto const avoided = [&](replica const* each) {
+        return each->avoided(now) || each->probe_permitted(now);
+    };
+    std::vector<replica*> removed;
+    std::ranges::copy_if(all, std::back_inserter(removed), avoided);
+    std::erase_if(all, avoided);
+    return removed;
+}
+
+/// Guards against a replica that looked full to this node long ago, was not
+/// asked for since, and is avoided by now: of full replicas those are compared
+/// whose usage is known.
+void remove_unknown(std::vector<replica*>& all, instant now) {
+    auto const known = [&](replica const* each) {
+        return each->usage_known(now);
+    };
+    if (std::ranges::any_of(all, known)) {
+        std::erase_if(all, std::not_fn(known));
+    }
+}
+
 bool runs_software(
     replica const& each, replica_requirements const& requirements) {
     return !requirements.software ||
@@ -116,9 +154,11 @@
     return found;
 }
 
-std::vector<replica*> replica_selector::compared_replicas(
+replica_selector::choice replica_selector::make_choice(
     replica_requirements const& requirements, instant now) const {
     auto all = candidates(requirements, now);
+    bool const in_common = fail_in_common(all, now);
+    std::vector<replica*> avoided = remove_avoided(all, now);
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
             return !each->health.suspected(now) &&
@@ -127,6 +167,20 @@
         });
     if (others != all.begin()) {
         all.erase(others, all.end());
+    } else {
+        remove_unknown(all, now);
+        if (in_common) {
+            all.insert(all.end(), avoided.begin(), avoided.end());
+            avoided.clear();
+        }
+    }
+    bool const few = !requirements.adapter.empty();
+    if (few && !avoided.empty()) {
+        // One of them is asked for in place of the last compared one.
+        std::swap(
+            avoided.front(),
+            avoided[requirements.random_sample % avoided.size()]);
+        avoided.resize(1);
     }
     // Usage reports from other nodes are older than the time between two
     // requests. If all nodes chose the least loaded replica by the same old
@@ -134,9 +188,8 @@
     // random candidates spreads requests as well as fresh reports would.
     // Reference: M. Mitzenmacher, "How useful is old information?", IEEE
     // Transactions on Parallel and Distributed Systems 11(1), 2000.
-    std::size_t const compared_count = requirements.adapter.empty()
-                                           ? all.size()
-                                           : std::min(all.size(), max_compared);
+    std::size_t const compared_count =
+        few ? std::min(all.size(), max_compared - avoided.size()) : all.size();
     std::uint64_t random_left = requirements.random_sample;
     for (std::size_t index = 0; index < compared_count; ++index) {
         std::size_t const remaining = all.size() - index;
@@ -144,18 +197,35 @@
         random_left /= remaining;
     }
     all.resize(compared_count);
-    return all;
+    return {std::move(all), std::move(avoided)};
+}
+
+std::vector<replica*> replica_selector::compared_replicas(
+    replica_requirements const& requirements, instant now) const {
+    choice of = make_choice(requirements, now);
+    of.compared.insert(of.compared.end(), of.avoided.begin(), of.avoided.end());
+    return std::move(of.compared);
 }
 
 replica* replica_selector::best(
     replica_requirements const& requirements, instant now) const {
-    auto const all = compared_replicas(requirements, now);
+    choice const of = make_choice(requirements, now);
+    auto const permitted = [&](replica const* each) {
+        return each->probe_permitted(now);
+    };
+    for (auto const* const each : {&of.avoided, &of.compared}) {
+        auto const probed = std::ranges::find_if(*each, permitted);
+        if (probed != each->end()) {
+            return *probed;
+        }
+    }
+    auto const& all = of.compared.empty() ? of.avoided : of.compared;
     if (all.empty()) {
         return nullptr;
     }
     double failures = 0;
     for (replica const* const each : all) {
-        failures += each->health.failure_fraction(now);
+        failures += each->failure_probability(now);
     }
     double const mean = failures / static_cast<double>(all.size());
     return *std::ranges::min_element(all, {}, [&](replica const* each) {
@@ -175,7 +245,7 @@
         if (is_eligible(*each, requirements, now) &&
             !each->load_rejection_of(requirements.adapter, now) &&
             !is_resident && has_model(*each, requirements.model) &&
-            !each->rate_limit && !each->health.suspected(now)) {
+            !each->rate_limit && !each->distrusted(now)) {
             eligible.push_back(each->record.id);
         }
     }
@@ -273,7 +343,7 @@
     double sum = 0;
     unsigned count = 0;
     for (replica const* const each : fleet_->of_service(service)) {
-        if (each->accepts_requests() && !each->health.suspected(now)) {
+        if (each->accepts_requests() && !each->distrusted(now)) {
             sum += utilization(*each, now);
             ++count;
         }
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -61,8 +61,8 @@
     ///          is resident, for a plain service the one with the lowest cost
     ///          of all; null when no replica can run it
     replica* best(replica_requirements const& requirements, instant now) const;
-    /// @returns the replicas that `best` compares; their usage reports should
-    ///          be fresh
+    /// @returns the replicas that `best` compares, and avoided ones that the
+    ///          request might try; their usage reports should be fresh
     std::vector<replica*> compared_replicas(
         replica_requirements const& requirements, instant now) const;
     /// @returns the replica at which the adapter should be loaded next: the
@@ -120,6 +120,14 @@
     ///          the request; in the past when neither is waited for
     static instant
     usable_from(replica const& each, replica_requirements const& requirements);
+    /// The replicas among which a request has to choose.
+    struct choice {
+        std::vector<replica*> compared;
+        /// Those that the request might try, when their controllers permit it.
+        std::vector<replica*> avoided;
+    };
+    choice
+    make_choice(replica_requirements const& requirements, instant now) const;
     std::vector<replica*>
     candidates(replica_requirements const& requirements, instant now) const;
 
--- a/src/Fleet/running_request_tracker.cpp
+++ b/src/Fleet/running_request_tracker.cpp
@@ -61,9 +61,40 @@
     }
 }
 
-void running_request_tracker::add_attempt(
-    std::uint64_t replica, attempt_report const& report, instant now) {
-    replicas_[replica].outcomes.add_outcome(report.signal, now);
+// Guards against a replica that is avoided because it is full: its load would
+// swing between none and twice its room. A replica that rejects requests
+// although it has room fails them.
+avoidance_change running_request_tracker::add_attempt(
+    std::uint64_t replica, unsigned slots, attempt_report const& report,
+    instant now) {
+    bool const rejected = report.signal == health_signal::rejected;
+    if (rejected && running(replica) > slots) {
+        return avoidance_change::none;
+    }
+    return replicas_[replica].outcomes.add(report, now);
+}
+
+bool running_request_tracker::take_probe(
+    std::uint64_t replica, bool suitable, instant now) {
+    auto const found = replicas_.find(replica);
+    return found != replicas_.end() &&
+           found->second.outcomes.take_probe(suitable, now);
+}
+
+replica_outcomes const*
+running_request_tracker::outcomes(std::uint64_t replica) const {
+    auto const found = replicas_.find(replica);
+    return found == replicas_.end() ? nullptr : &found->second.outcomes;
+}
+
+bool running_request_tracker::forget_outcomes(std::uint64_t replica) {
+    auto const found = replicas_.find(replica);
+    if (found == replicas_.end()) {
+        return false;
+    }
+    bool const avoided = found->second.outcomes.avoided();
+    found->second.outcomes = replica_outcomes();
+    return avoided;
 }
 
 void running_request_tracker::add_expected_request(
@@ -88,7 +119,9 @@
                             state.waiting.value(waiting_half_life, now);
     result.running = state.running + static_cast<unsigned>(upcoming);
     result.backlog_tokens = state.backlog.remaining_tokens(now);
-    result.condition.failure_probability = state.outcomes.failure_fraction(now);
+    result.condition.failure_probability =
+        state.outcomes.failure_probability(now);
+    result.condition.avoided = state.outcomes.avoided();
     return result;
 }
 
@@ -117,7 +150,7 @@
             requests = state.requests.erase(requests);
         }
         bool const idle =
-            state.requests.empty() &&
+            state.requests.empty() && state.outcomes.forgettable(now) &&
             state.backlog.remaining_tokens(now) <= 0 &&
             state.waiting.value(waiting_half_life, now) < negligible_count;
         each = idle ? replicas_.erase(each) : std::next(each);
--- a/src/Fleet/running_request_tracker.hpp
+++ b/src/Fleet/running_request_tracker.hpp
@@ -4,6 +4,7 @@
 #include "Core/time.hpp"
 #include "Fleet/attempt_report.hpp"
 #include "Fleet/prompt_backlog.hpp"
+#include "Fleet/replica_outcomes.hpp"
 
 #include <cstdint>
 #include <map>
@@ -48,8 +49,20 @@
         instant now);
 
     /// Applies a node's report of an attempt that has ended at a replica.
-    void add_attempt(
-        std::uint64_t replica, attempt_report const& report, instant now);
+    /// @param slots number of the replica's slots
+    /// @returns what this changes for the requests of all nodes
+    avoidance_change add_attempt(
+        std::uint64_t replica, unsigned slots, attempt_report const& report,
+        instant now);
+    /// Permits a node that asks for the usage of an avoided replica one attempt
+    /// there, when one is due.
+    /// @param suitable see `replica_outcomes::take_probe`
+    bool take_probe(std::uint64_t replica, bool suitable, instant now);
+    /// @returns what the nodes have reported of attempts there, or null
+    replica_outcomes const* outcomes(std::uint64_t replica) const;
+    /// Forgets the outcomes of a replica that has restarted.
+    /// @returns true when the replica was avoided
+    bool forget_outcomes(std::uint64_t replica);
     /// Records that a node was told how full a replica is and will, with this
     /// probability, send a request there. The expected request counts until it
     /// is reported, so that nodes that ask at the same moment do not all get
@@ -95,7 +108,7 @@
         prompt_backlog backlog;
         decaying_count expected;
         decaying_count waiting;
-        replica_health outcomes;
+        replica_outcomes outcomes;
     };
 
     static void adjust(
--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -112,6 +112,8 @@
     attempt_trace trace;
     /// The complete answer was received.
     bool completed = false;
+    /// The replica is avoided, and its controller has permitted the attempt.
+    bool probe = false;
     /// Set while data of the answer's body are awaited.
     std::optional<instant> waiting_since;
     bool stalled = false;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -114,16 +114,28 @@
     /// Number of replicas that the sender asks about; one of them gets the
     /// request.
     std::uint8_t queried_replicas = 1;
+    /// The request loses little when it is sent to an avoided replica and
+    /// fails.
+    bool may_probe = false;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, adapter, queried_replicas);
+        archive(replica, adapter, queried_replicas, may_probe);
     }
 };
 
 /// Probabilities are sent in thousandths.
 inline constexpr double permille = 1'000;
 
+/// Bits of `peer_replica_usage::flags`.
+enum peer_usage_flag : std::uint8_t {
+    /// Requests should be sent to other replicas.
+    usage_avoided = 1,
+    /// The receiver may send one request there all the same. Only the answer to
+    /// a query has this bit.
+    usage_probe_permitted = 2
+};
+
 /// Usage of a replica by the requests of all nodes, sent by its controller.
 struct peer_replica_usage {
     std::uint64_t replica = 0;
@@ -134,10 +146,14 @@
     std::int16_t free_slots = 0;
     /// Probability that the next attempt there fails.
     std::uint16_t failure_permille = 0;
+    /// Values of `peer_usage_flag`.
+    std::uint8_t flags = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(replica, running, backlog_tokens, free_slots, failure_permille);
+        archive(
+            replica, running, backlog_tokens, free_slots, failure_permille,
+            flags);
     }
 };
 
@@ -149,11 +165,14 @@
     std::uint32_t first_output_us = 0;
     /// Mean time between two events; 0 when it is not known.
     std::uint32_t event_interval_us = 0;
+    /// The controller had permitted the attempt at an avoided replica.
+    bool probe = false;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(
-            replica, signal, prompt_tokens, first_output_us, event_interval_us);
+            replica, signal, prompt_tokens, first_output_us, event_interval_us,
+            probe);
     }
 };
 
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -51,7 +51,7 @@
 /// for this long.
 constexpr duration peer_expiry = std::chrono::seconds(20);
 
-/// Usage entries in one datagram, twelve bytes each, and as many claims.
+/// Usage entries in one datagram, seventeen bytes each, and as many claims.
 constexpr std::size_t max_usages_per_datagram = 40;
 constexpr std::size_t max_claims_per_datagram = 40;
 
@@ -72,9 +72,12 @@
             std::clamp<std::int64_t>(count, 0, max_us));
     };
     return {
-        replica, report.signal,
+        replica,
+        report.signal,
         static_cast<std::uint16_t>(std::min(report.prompt_tokens, max_tokens)),
-        clamped(report.first_output), clamped(report.event_interval)};
+        clamped(report.first_output),
+        clamped(report.event_interval),
+        report.probe};
 }
 
 } // namespace
@@ -293,7 +296,11 @@
         count.prompt_tokens};
     count.prompt_tokens = 0;
     peer_datagram message;
-    if (report) {
+    // A replica that this node does not reach may be reached by all others.
+    bool const own_links = report &&
+                           report->signal == health_signal::no_response &&
+                           state_->reachability.in_doubt(boot_clock::now());
+    if (report && !own_links) {
         message.attempt_reports.push_back(
             report_message(usage.replica, *report));
     }
@@ -374,16 +381,63 @@
         static_cast<std::uint16_t>(std::min(total.backlog_tokens, max_tokens));
     load.failure_permille = static_cast<std::uint16_t>(
         total.condition.failure_probability * permille);
+    load.flags = total.condition.avoided ? usage_avoided : 0;
     return load;
 }
 
+void peer_messenger::log_avoidance(
+    endpoint_id const& at, bool begins, std::string_view why, instant now) {
+    replica_outcomes const* const seen =
+        request_tracker_.outcomes(fleet::id_hash(at));
+    event_code const code =
+        begins ? event_code::replica_avoided : event_code::replica_readmitted;
+    log_line line(code, begins ? log_level::warning : log_level::info);
+    line.with("replica", at.str()).with("why", why);
+    if (seen != nullptr) {
+        double const probability = seen->failure_probability(now);
+        line.with("failure_permille", static_cast<int>(probability * permille))
+            .with("failed", static_cast<int>(seen->failed_attempts(now)))
+            .with("answered", static_cast<int>(seen->answered_attempts(now)))
+            .with("probes", seen->probes())
+            .with("avoided_ms", now - seen->avoided_since());
+    }
+    state_->log_event(line);
+}
+
+void peer_messenger::forget_outcomes(endpoint_id const& at) {
+    replica_outcomes const* const seen =
+        request_tracker_.outcomes(fleet::id_hash(at));
+    if (seen != nullptr && seen->avoided()) {
+        log_avoidance(at, false, "restart", boot_clock::now());
+    }
+    request_tracker_.forget_outcomes(fleet::id_hash(at));
+}
+
 void peer_messenger::handle_attempt_report(
     peer_attempt_report const& report, instant now) {
     attempt_report const ended{
         report.signal, report.prompt_tokens,
         microseconds(report.first_output_us),
-        microseconds(report.event_interval_us)};
-    request_tracker_.add_attempt(report.replica, ended, now);
+        microseconds(report.event_interval_us), report.probe};
+    replica const* const at = state_->replicas.find_by_hash(report.replica);
+    // Guards against outcomes that no later message of this node erases: the
+    // replica's controller is another one now.
+    if (at == nullptr || !is_lease_holder(at->record.id)) {
+        return;
+    }
+    constexpr std::string_view names[] = {
+        "answered", "failed", "truncated", "no-response", "rejected"};
+    auto const signal = static_cast<std::size_t>(report.signal);
+    if (signal >= std::size(names)) {
+        return;
+    }
+    avoidance_change const change = request_tracker_.add_attempt(
+        report.replica, at->record.slots, ended, now);
+    if (change != avoidance_change::none) {
+        log_avoidance(
+            at->record.id, change == avoidance_change::began, names[signal],
+            now);
+    }
 }
 
 void peer_messenger::handle_usage(
@@ -407,18 +461,32 @@
     handlers_.on_usage(of_all);
 }
 
+void peer_messenger::permit_own_probe(
+    std::uint64_t replica, bool suitable, instant now) {
+    if (request_tracker_.take_probe(replica, suitable, now)) {
+        replica_usage total = current_usage(replica, now);
+        total.condition.probe_permitted = true;
+        state_->replicas.update_usage(replica, total, now);
+    }
+}
+
 std::vector<endpoint_id> peer_messenger::query_replica_usage(
-    std::vector<replica*> const& of, adapter_id const& adapter, instant now) {
+    std::vector<replica*> const& of, adapter_id const& adapter, bool may_probe,
+    instant now) {
     std::vector<endpoint_id> asked;
-    for (replica const* const each : of) {
+    for (replica* const each : of) {
         auto const holder = lease_holders_.find(partition_of(each->record.id));
-        bool const known = holder != lease_holders_.end() &&
-                           holder->second != state_->own_address;
-        if (known && now >= each->usage_received_at + usage_max_age) {
+        if (holder == lease_holders_.end()) {
+            continue;
+        }
+        std::uint64_t const hash = fleet::id_hash(each->record.id);
+        if (holder->second == state_->own_address) {
+            permit_own_probe(hash, may_probe, now);
+        } else if (now >= each->usage_received_at + usage_max_age) {
             peer_datagram message;
             message.usage_queries.push_back(
-                {fleet::id_hash(each->record.id), adapter.str(),
-                 static_cast<std::uint8_t>(of.size())});
+                {hash, adapter.str(), static_cast<std::uint8_t>(of.size()),
+                 may_probe});
             send(holder->second, std::move(message));
             asked.push_back(each->record.id);
         }
@@ -429,10 +497,13 @@
 void peer_messenger::handle_usage_query(
     peer_replica_usage_query const& query, std::string const& from,
     instant now) {
-    auto const total = usage_message(query.replica, now);
+    auto total = usage_message(query.replica, now);
     if (!total) {
         return;
     }
+    if (request_tracker_.take_probe(query.replica, query.may_probe, now)) {
+        total->flags |= usage_probe_permitted;
+    }
     request_tracker_.add_expected_request(
         query.replica, 1.0 / std::max<double>(1, query.queried_replicas), now);
     peer_datagram message;
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -187,13 +187,18 @@
     void end_use(
         endpoint_id const& at, adapter_id const& adapter,
         std::optional<attempt_report> const& report);
+    /// Forgets how attempts at a replica have ended, since another process runs
+    /// there now.
+    void forget_outcomes(endpoint_id const& at);
     /// Asks the controllers of replicas for their usage, where the last
     /// reported usage is out of date. Each answer wakes the requests that wait
     /// for the adapter.
+    /// @param may_probe the request loses little when it is sent to an avoided
+    ///                  replica and fails
     /// @returns the replicas whose controllers were asked
     std::vector<endpoint_id> query_replica_usage(
         std::vector<replica*> const& of, adapter_id const& adapter,
-        instant now);
+        bool may_probe, instant now);
     /// Applies what an answer of a replica says about its rate limit, and
     /// reports it to the replica's controller.
     /// @param per_second the rate that it names; nothing when it names none
@@ -289,6 +294,10 @@
         std::optional<attempt_report> const& report = std::nullopt);
     void repeat_uses();
     void handle_attempt_report(peer_attempt_report const& report, instant now);
+    /// Permits this node to try an avoided replica that it controls.
+    void permit_own_probe(std::uint64_t replica, bool suitable, instant now);
+    void log_avoidance(
+        endpoint_id const& at, bool begins, std::string_view why, instant now);
     void handle_usage(
         peer_adapter_usage const& use, std::string const& from, instant now);
     void handle_usage_query(
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -103,7 +103,9 @@
             each.running,
             static_cast<double>(each.backlog_tokens),
             each.free_slots,
-            {each.failure_permille / permille}};
+            {each.failure_permille / permille,
+             (each.flags & usage_avoided) != 0,
+             (each.flags & usage_probe_permitted) != 0}};
         state_->replicas.update_usage(each.replica, total, now);
     }
     for (peer_replica_usage_query const& each : message.usage_queries) {
--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -156,6 +156,10 @@
 }
 
 bool registry_follower::apply_entry(replica_record const& record) {
+    replica const* const known = state_->replicas.find(record.id);
+    if (known != nullptr && fleet::has_restarted(*known, record)) {
+        messenger_->forget_outcomes(record.id);
+    }
     fleet_change const change =
         state_->replicas.apply(record, boot_clock::now());
     if (change == fleet_change::none) {
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -79,8 +79,8 @@
     note_patience();
     need_.model = demand_.model;
     need_.work = {
-        demand_.prompt_tokens, route_->objective, route_->accepted_gap,
-        timeout};
+        demand_.prompt_tokens, route_->objective, route_->accepted_gap, timeout,
+        route_->idempotent()};
     need_.random_sample = state_->random();
     fingerprint_ = fingerprint_request(
         request.method, request.fields.get("Host"), request.target,
@@ -385,7 +385,8 @@
                           .with("prompt", demand_.prompt_tokens)
                           .with("try", attempts_)
                           .with("waited_ms", now - arrived_at_));
-    state_->replicas.request_started(id, demand_.prompt_tokens, now);
+    attempt->probe =
+        state_->replicas.request_started(id, demand_.prompt_tokens, now);
     messenger_->begin_use(id, need_.adapter, demand_.prompt_tokens);
     return attempt;
 }
@@ -440,10 +441,12 @@
     caller_->calls.erase(attempt.call);
     attempt.call->cancel();
     state_->replicas.request_finished(attempt.replica);
-    auto const report =
-        attempt.stalled ? std::nullopt : make_attempt_report(attempt, end);
+    // This node has judged a stalled attempt when it stalled; the controller
+    // hears of it here only.
+    auto const report = make_attempt_report(
+        attempt, attempt.stalled ? attempt_outcome::stalled : end);
     messenger_->end_use(attempt.replica, need_.adapter, report);
-    if (report) {
+    if (report && !attempt.stalled) {
         record_health(attempt, *report);
     }
     log_attempt(attempt, end);
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -161,6 +161,8 @@
     boost::asio::awaitable<bool> clear_to_send(endpoint_id at);
     boost::asio::awaitable<replica*> find_replica();
     boost::asio::awaitable<void> refresh_utilization();
+    /// @returns true when the request loses little by trying an avoided replica
+    bool may_probe() const;
     std::optional<replica*> select_plain_replica(instant now);
     bool awaits_registry_entries(instant now) const;
     std::optional<replica*> select_adapter_replica(instant now);
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -53,16 +53,16 @@
         evidence = health_signal::no_response;
     } else if (end == attempt_outcome::broken) {
         evidence = health_signal::truncated;
-    } else if (
-        end == attempt_outcome::failed || end == attempt_outcome::late ||
-        attempt.trace.rejected) {
+    } else if (end == attempt_outcome::failed || end == attempt_outcome::late) {
+        evidence = health_signal::failed;
+    } else if (attempt.trace.rejected) {
         // A rejected request uses no capacity, so a replica that rejects would
         // seem to have more of it than its peers.
-        evidence = health_signal::failed;
+        evidence = health_signal::rejected;
     }
     return attempt_report{
         evidence, demand_.prompt_tokens, attempt.timing.first_output(),
-        attempt.timing.event_interval()};
+        attempt.timing.event_interval(), attempt.probe};
 }
 
 void request_handler::record_health(
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -163,7 +163,7 @@
     if (requested != nullptr && requested->accepts_requests() &&
         !requested->resting(now) && !requested->rate_limit &&
         requested->load_rejection_of(need_.adapter, now) == nullptr &&
-        requested->load() < max_load && !requested->health.suspected(now)) {
+        requested->load() < max_load && !requested->distrusted(now)) {
         return requested;
     }
     replica* const next = state_->selector.next_preferred_replica(need_, now);
@@ -191,7 +191,7 @@
 replica* request_handler::select_suspected_replica(instant now) {
     replica* const best = state_->selector.best(need_, now);
     bool const usable = best != nullptr && !need_.adapter.empty() &&
-                        best->health.suspected(now) && best->load() < max_load;
+                        best->distrusted(now) && best->load() < max_load;
     return usable ? best : nullptr;
 }
 
@@ -217,7 +217,7 @@
         need_.min_version = least;
         best = state_->selector.best(need_, now);
     }
-    bool const healthy = best != nullptr && !best->health.suspected(now);
+    bool const healthy = best != nullptr && !best->distrusted(now);
     if (healthy && best->yields_to_others(now)) {
         // The adapter is resident at limited replicas only.
         request_load_at(
@@ -303,12 +303,19 @@
            preferred->load_rejection_of(need_.adapter, now) != nullptr;
 }
 
+// A request that has failed once, or that may not be sent again, would lose
+// more by a failed probe.
+bool request_handler::may_probe() const {
+    return route_->idempotent() && attempts_ == 0;
+}
+
 asio::awaitable<void> request_handler::refresh_utilization() {
     auto const caller = caller_;
     instant const began = boot_clock::now();
     instant const until = began + utilization_query_timeout;
     auto const queried = messenger_->query_replica_usage(
-        state_->selector.compared_replicas(need_, began), need_.adapter, began);
+        state_->selector.compared_replicas(need_, began), need_.adapter,
+        may_probe(), began);
     auto const unanswered = [&](endpoint_id const& id) {
         replica const* const at = state_->replicas.find(id);
         return at != nullptr && at->usage_received_at < began;
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -104,6 +104,8 @@
     event_name{event_code::replica_not_brittle, "replica-not-brittle"},
     event_name{
         event_code::brittle_replica_rejected, "brittle-replica-rejected"},
+    event_name{event_code::replica_avoided, "replica-avoided"},
+    event_name{event_code::replica_readmitted, "replica-readmitted"},
     event_name{event_code::lines_left_out, "lines-left-out"},
 };
 
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -107,6 +107,8 @@
     replica_brittle = 947,
     replica_not_brittle = 948,
     brittle_replica_rejected = 949,
+    replica_avoided = 950,
+    replica_readmitted = 951,
     lines_left_out = 991
 };
 
