--- a/test/replica_outcomes_test.cpp
+++ b/test/replica_outcomes_test.cpp
@@ -380,6 +380,37 @@
     }
 }
 
+// Guards against a failing replica that draws the whole load because its peers
+// have more requests than slots: each of 704 requests a second would go there.
+TEST_CASE("one replica of a service without room fails everything") {
+    outcome_scenario scenario;
+    scenario.answer_time = milliseconds(50);
+    scenario.load = 1.1;
+    for (unsigned const nodes : {1U, 7U, 84U, 1'900U}) {
+        CAPTURE(nodes);
+        scenario.nodes = nodes;
+        outcome_result const result = simulate_outcomes(scenario, 1);
+        CHECK(result.failed_before_avoided <= 60);
+        CHECK(result.failed_per_second_after <= 2.01);
+        CHECK(result.recovered_share >= 0.8);
+    }
+}
+
+// The same with 448 requests a second, which fill three replicas.
+TEST_CASE("one replica of a service that is nearly full fails everything") {
+    outcome_scenario scenario;
+    scenario.answer_time = milliseconds(50);
+    scenario.load = 0.7;
+    for (unsigned const nodes : {1U, 7U, 84U, 1'900U}) {
+        CAPTURE(nodes);
+        scenario.nodes = nodes;
+        outcome_result const result = simulate_outcomes(scenario, 1);
+        CHECK(result.failed_before_avoided <= 60);
+        CHECK(result.failed_per_second_after <= 2.01);
+        CHECK(result.recovered_share >= 0.8);
+    }
+}
+
 // Shows that the model has the failure that the outcomes of all nodes prevent.
 TEST_CASE("nodes that learn alone send hundreds of requests to it") {
     outcome_scenario scenario;
