--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -61,8 +61,8 @@
     ///          is resident, for a plain service the one with the lowest cost
     ///          of all; null when no replica can run it
     replica* best(replica_requirements const& requirements, instant now) const;
-    /// @returns the replicas that `best` compares; their usage reports should
-    ///          be fresh
+    /// @returns the replicas that `best` compares, and avoided ones that the
+    ///          request might try; their usage reports should be fresh
     std::vector<replica*> compared_replicas(
         replica_requirements const& requirements, instant now) const;
     /// @returns the replica at which the adapter should be loaded next: the
@@ -128,6 +128,14 @@
     /// @returns the replicas of which some may satisfy the requirements
     std::vector<replica*> const&
     possible_replicas(replica_requirements const& requirements) const;
+    /// The replicas among which a request has to choose.
+    struct choice {
+        std::vector<replica*> compared;
+        /// Those that the request might try, when their controllers permit it.
+        std::vector<replica*> avoided;
+    };
+    choice
+    make_choice(replica_requirements const& requirements, instant now) const;
     std::vector<replica*>
     candidates(replica_requirements const& requirements, instant now) const;
 
--- a/src/Fleet/running_request_tracker.hpp
+++ b/src/Fleet/running_request_tracker.hpp
@@ -5,6 +5,7 @@
 #include "Fleet/attempt_report.hpp"
 #include "Fleet/machine_slowdown.hpp"
 #include "Fleet/prompt_backlog.hpp"
+#include "Fleet/replica_outcomes.hpp"
 #include "Fleet/replica_pace.hpp"
 
 #include <cstdint>
@@ -50,9 +51,6 @@
         adapter_id const& adapter, unsigned running, unsigned prompt_tokens,
         instant now);
 
-    /// Applies a node's report of an attempt that has ended at a replica.
-    void add_attempt(
-        std::uint64_t replica, attempt_report const& report, instant now);
     /// Records what an answer of a replica says about its machine.
     /// @param factor 1 when work takes as long as usual
     void add_slowdown(std::uint64_t replica, double factor, instant now);
@@ -63,6 +61,21 @@
     void describe(
         std::uint64_t replica, unsigned slots,
         std::optional<incarnation> process, duration token_time, instant now);
+    /// Applies a node's report of an attempt that has ended at a replica.
+    /// @param slots number of the replica's slots
+    /// @returns what this changes for the requests of all nodes
+    avoidance_change add_attempt(
+        std::uint64_t replica, unsigned slots, attempt_report const& report,
+        instant now);
+    /// Permits a node that asks for the usage of an avoided replica one attempt
+    /// there, when one is due.
+    /// @param suitable see `replica_outcomes::take_probe`
+    bool take_probe(std::uint64_t replica, bool suitable, instant now);
+    /// @returns what the nodes have reported of attempts there, or null
+    replica_outcomes const* outcomes(std::uint64_t replica) const;
+    /// Forgets the outcomes of a replica that has restarted.
+    /// @returns true when the replica was avoided
+    bool forget_outcomes(std::uint64_t replica);
     /// Records that a node was told how full a replica is and will, with this
     /// probability, send a request there. The expected request counts until it
     /// is reported, so that nodes that ask at the same moment do not all get
@@ -108,10 +121,10 @@
         prompt_backlog backlog;
         decaying_count expected;
         decaying_count waiting;
-        replica_health outcomes;
         replica_pace pace;
         machine_slowdown slowdown;
         unsigned slots = 1;
+        replica_outcomes outcomes;
     };
 
     static void adjust(
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -29,6 +29,8 @@
         result.slowdown = from.slowdown_percent / percent;
         result.slowdown_age = milliseconds(from.slowdown_age_ms);
     }
+    result.avoided = (from.flags & usage_avoided) != 0;
+    result.probe_permitted = (from.flags & usage_probe_permitted) != 0;
     return result;
 }
 
