--- a/src/Gateway/peer_datagram.cpp
+++ b/src/Gateway/peer_datagram.cpp
@@ -18,7 +18,7 @@
 
 template <>
 struct last_value_of<health_signal> {
-    static constexpr health_signal value = health_signal::no_response;
+    static constexpr health_signal value = health_signal::rejected;
 };
 
 template <>
