Pace: large services are compared less often

A comparison of a service sorts the measures of all its replicas, five times a second at any size. Change: one millisecond a replica between two comparisons, 0.2 s at least, 2 s at most. No figure was taken; at 90 replicas nothing changes.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -26,8 +26,11 @@
 /// time.
 constexpr duration pace_lifetime = std::chrono::seconds(5);
 /// Paces change within seconds, and a comparison visits all replicas of the
-/// service.
-constexpr duration comparison_interval = std::chrono::milliseconds(200);
+/// service: at 12,000 it takes a millisecond or more.
+constexpr duration min_comparison_interval = std::chrono::milliseconds(200);
+constexpr duration max_comparison_interval = std::chrono::seconds(2);
+constexpr duration comparison_interval_per_replica =
+    std::chrono::milliseconds(1);
 /// A smaller difference changes no choice.
 constexpr double min_slowdown_difference = 0.25;
 
@@ -308,8 +311,10 @@
     if (now < next) {
         return;
     }
-    next = now + comparison_interval;
     auto const& members = of_service(service);
+    next = now + std::clamp<duration>(
+                     comparison_interval_per_replica * members.size(),
+                     min_comparison_interval, max_comparison_interval);
     std::vector<pace_measure> measures;
     measures.reserve(members.size());
     for (replica const* const each : members) {
