Findings of the review of the joined parts

A 421 counted as an answer of the replica. Requests whose deadline passed at a full replica counted as its failures. - A fast replica's queue counted for less than its length; a negative slope of noise raised the service's time for a token; a long slow spell ended at the controller after 0.3 s. - A former lease holder's repeated claim moved the known holder back; an outage for all nodes could be taken for one's own within a renewal interval (the subcase at that border moves by the interval); requests within one time-out all asked a silent counter. - An answer to an earlier request that breaks off counted as bytes that are no answer; a report of 16,000 adapters was too long. - A wrongly quarantined part might never get its trial.

--- a/src/Delivery/part_monitor.cpp
+++ b/src/Delivery/part_monitor.cpp
@@ -20,6 +20,9 @@
 constexpr duration trial_until = std::chrono::seconds(120);
 /// A trial while replicas crash, for whatever reason, shows nothing.
 constexpr duration calm_before_trial = std::chrono::seconds(1);
+/// A replica that goes on crashing for another reason must not leave a sound
+/// part quarantined.
+constexpr duration trial_in_any_case = std::chrono::seconds(30);
 
 } // namespace
 
@@ -104,8 +107,12 @@
 bool part_monitor::try_quarantined(request_fingerprint part, instant now) {
     auto const age = quarantine_->quarantined_since(part, now);
     bool const due = age && *age >= trial_from && *age < trial_until;
-    return due && !baseline_.crashed_since(now - calm_before_trial) &&
-           tried_.insert(part).second;
+    if (!due) {
+        return false;
+    }
+    bool const calm = *age >= trial_in_any_case ||
+                      !baseline_.crashed_since(now - calm_before_trial);
+    return calm && tried_.insert(part).second;
 }
 
 std::vector<quarantine_update> part_monitor::quarantine_confirmed(instant now) {
--- a/src/Fleet/attempt_report.hpp
+++ b/src/Fleet/attempt_report.hpp
@@ -39,6 +39,8 @@
     duration slowdown_age{0};
     /// Requests should be sent elsewhere.
     bool avoided = false;
+    /// Probes have shown lately that it has recovered.
+    bool readmitted = false;
     /// The receiver may send one request to the avoided replica. Set only in
     /// the answer to a usage query.
     bool probe_permitted = false;
--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -37,7 +37,9 @@
 void insert_by_id(std::vector<replica*>& into, replica& target) {
     auto const place = std::ranges::lower_bound(
         into, target.record.id, {},
-        [](replica const* each) { return each->record.id; });
+        [](replica const* each) -> endpoint_id const& {
+            return each->record.id;
+        });
     into.insert(place, &target);
 }
 
@@ -279,8 +281,9 @@
     target->remote_backlog.set(
         std::max(0.0, total.backlog_tokens - local_tokens), now);
     target->free_slots = total.free_slots;
-    if (target->condition.avoided && !total.condition.avoided) {
-        // What this node has seen itself describes the replica as it was.
+    if (target->condition.avoided && total.condition.readmitted) {
+        // What this node has seen itself describes the replica as it was. A
+        // controller that has just taken over says nothing about that.
         target->health = {};
     }
     target->condition = total.condition;
@@ -333,11 +336,19 @@
     if (target == nullptr) {
         return false;
     }
+    factor = std::clamp(factor, 1.0, machine_slowdown::max_factor);
     double const known = target->slowdown.factor(now);
     bool const differs =
         std::abs(factor - known) > min_slowdown_difference * known;
+    // What the controller was told ends unless it is repeated.
+    bool const fades =
+        factor > 1 + min_slowdown_difference &&
+        now >= target->slowdown_told_at + machine_slowdown::lifetime / 2;
     target->slowdown.set(factor, now);
-    return differs;
+    if (differs || fades) {
+        target->slowdown_told_at = now;
+    }
+    return differs || fades;
 }
 
 bool fleet::limit_rate(
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -104,6 +104,8 @@
     replica_speed speed;
     /// What it or its controller last said about its machine.
     machine_slowdown slowdown;
+    /// When this node last told the controller of a slowdown.
+    instant slowdown_told_at;
 
     /// When the entry disappeared from the registry.
     instant missing_since = instant::max();
--- a/src/Fleet/replica_health.hpp
+++ b/src/Fleet/replica_health.hpp
@@ -17,7 +17,8 @@
     truncated,
     /// The replica was unreachable, or no data was received in time.
     no_response,
-    /// The replica rejected the request for want of room.
+    /// The replica rejected the request for want of room, or did not answer
+    /// before the deadline.
     rejected
 };
 
--- a/src/Fleet/replica_outcomes.cpp
+++ b/src/Fleet/replica_outcomes.cpp
@@ -85,6 +85,7 @@
     // The failures describe the replica as it was.
     failed_ = 0;
     answered_probes_ = 0;
+    readmitted_at_ = now;
     bool const was_avoided = std::exchange(avoided_, false);
     return was_avoided ? avoidance_change::ended : avoidance_change::none;
 }
@@ -117,7 +118,8 @@
     if ((!avoided_ && cleared) || now < due) {
         return false;
     }
-    next_probe_at_ = now + interval;
+    // An answered probe brings the next one forward.
+    next_probe_at_ = now + failing_probe_interval;
     ++probes_;
     return true;
 }
--- a/src/Fleet/replica_outcomes.hpp
+++ b/src/Fleet/replica_outcomes.hpp
@@ -3,6 +3,8 @@
 #include "Core/time.hpp"
 #include "Fleet/attempt_report.hpp"
 
+#include <chrono>
+
 namespace camphorpoint {
 
 /// What the outcome of an attempt has changed.
@@ -36,10 +38,20 @@
     double answered_attempts(instant now) const;
     /// @returns the probes that were permitted since the replica is avoided
     unsigned probes() const noexcept { return probes_; }
+    /// @returns true for a while after answered probes have shown that the
+    ///          replica has recovered
+    bool readmitted(instant now) const {
+        return readmitted_at_ != instant{} &&
+               now < readmitted_at_ + readmission_notice;
+    }
     /// @returns when the replica began to be avoided
     instant avoided_since() const noexcept { return avoided_since_; }
 
 private:
+    /// Nodes that ask or hear a broadcast within it learn of the recovery.
+    static constexpr duration readmission_notice =
+        std::chrono::milliseconds(2'500);
+
     double remaining(instant now) const;
     void count(bool failed, instant now);
     void begin_avoidance(instant now);
@@ -50,6 +62,7 @@
     instant updated_at_;
     bool avoided_ = false;
     instant avoided_since_;
+    instant readmitted_at_;
     instant next_probe_at_;
     unsigned probes_ = 0;
     /// Probes that were answered, with no failed one between them.
--- a/src/Fleet/replica_pace.cpp
+++ b/src/Fleet/replica_pace.cpp
@@ -108,11 +108,11 @@
     if (auto const at = intervals_.value_at(reference_load, by_load, now)) {
         result.event_interval = from_microseconds(std::exp(*at));
     }
-    double const by_tokens =
-        first_outputs_.slope(min_token_distance, now).value_or(0);
-    if (by_tokens > 0) {
+    // A slope that noise has made negative counts as the shortest time: without
+    // it the median of the service would be that of the longer ones.
+    if (auto const by_tokens = first_outputs_.slope(min_token_distance, now)) {
         result.token_time = std::clamp(
-            from_microseconds(by_tokens), min_token_time, max_token_time);
+            from_microseconds(*by_tokens), min_token_time, max_token_time);
     }
     return result;
 }
@@ -122,7 +122,9 @@
 }
 
 double load_in_time(double load, double pace) {
-    return load < 1 ? 1 - std::pow(1 - load, pace) : 1 + (load - 1) * pace;
+    double const queue_pace = std::max(1.0, pace);
+    return load < 1 ? 1 - std::pow(1 - load, pace)
+                    : 1 + (load - 1) * queue_pace;
 }
 
 service_pace::service_pace(std::span<pace_measure const> of)
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -64,11 +64,18 @@
     return avoided >= min_common_failures && 2 * avoided >= std::ssize(all);
 }
 
+/// @returns true when this node may try the replica, and it has room: a request
+///          would be refused for want of it although other replicas have some
+bool can_probe(replica const& each, instant now) {
+    return each.probe_permitted(now) &&
+           replica_selector::utilization(each, now) < max_compared_utilization;
+}
+
 /// Removes the replicas that their controllers advise against.
 /// @returns the removed ones
 std::vector<replica*> remove_avoided(std::vector<replica*>& all, instant now) {
     auto const avoided = [&](replica const* each) {
-        return each->avoided(now) || each->probe_permitted(now);
+        return each->avoided(now) || can_probe(*each, now);
     };
     std::vector<replica*> removed;
     std::ranges::copy_if(all, std::back_inserter(removed), avoided);
@@ -81,7 +88,7 @@
 /// whose usage is known.
 void remove_unknown(std::vector<replica*>& all, instant now) {
     auto const known = [&](replica const* each) {
-        return each->usage_known(now);
+        return each->usage_known(now) && !each->health.suspected(now);
     };
     if (std::ranges::any_of(all, known)) {
         std::erase_if(all, std::not_fn(known));
@@ -234,7 +241,7 @@
     replica_requirements const& requirements, instant now) const {
     choice const of = make_choice(requirements, now);
     auto const permitted = [&](replica const* each) {
-        return each->probe_permitted(now);
+        return can_probe(*each, now);
     };
     for (auto const* const each : {&of.avoided, &of.compared}) {
         auto const probed = std::ranges::find_if(*each, permitted);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -135,7 +135,9 @@
     usage_avoided = 1,
     /// The receiver may send one request there all the same. Only the answer to
     /// a query has this bit.
-    usage_probe_permitted = 2
+    usage_probe_permitted = 2,
+    /// Probes have shown lately that the replica has recovered.
+    usage_readmitted = 4
 };
 
 /// Usage of a replica by the requests of all nodes, sent by its controller.
--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -403,6 +403,7 @@
         total.condition.failure_probability * permille);
     set_pace(load, total.condition);
     load.flags = total.condition.avoided ? usage_avoided : 0;
+    load.flags |= total.condition.readmitted ? usage_readmitted : 0;
     return load;
 }
 
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -31,6 +31,7 @@
     }
     result.avoided = (from.flags & usage_avoided) != 0;
     result.probe_permitted = (from.flags & usage_probe_permitted) != 0;
+    result.readmitted = (from.flags & usage_readmitted) != 0;
     return result;
 }
 
@@ -134,8 +135,9 @@
         if (each.partition >= partition_count) {
             continue;
         }
-        store_lease_holder(each.partition, message.from);
-        state_->leases.on_higher_token(each.partition, each.token);
+        if (state_->leases.on_claim(each.partition, each.token)) {
+            store_lease_holder(each.partition, message.from);
+        }
     }
     for (peer_residency const& each : message.residencies) {
         replica const* const at = state_->replicas.find_by_hash(each.replica);
@@ -206,8 +208,11 @@
         handle_attempt_report(each, now);
     }
     for (peer_slowdown const& each : message.slowdowns) {
-        request_tracker_.add_slowdown(
-            each.replica, each.percent / percent, now);
+        replica const* const at = state_->replicas.find_by_hash(each.replica);
+        if (at != nullptr && is_lease_holder(at->record.id)) {
+            request_tracker_.add_slowdown(
+                each.replica, each.percent / percent, now);
+        }
     }
     for (peer_adapter_usage const& each : message.adapter_usages) {
         handle_usage(each, message.from, now);
--- a/src/Gateway/peer_messenger_usage.cpp
+++ b/src/Gateway/peer_messenger_usage.cpp
@@ -110,6 +110,7 @@
         question.team = team;
         question.units = units;
         question.unreported = static_cast<std::uint64_t>(unreported);
+        usage_histories_[team].mark_asked(began);
         decision = co_await query_usage(std::move(counter), question);
     }
     instant const now = boot_clock::now();
--- a/src/Gateway/replica_controller_leases.cpp
+++ b/src/Gateway/replica_controller_leases.cpp
@@ -93,8 +93,8 @@
         wake_workers();
         co_await leave_group();
     }
-    // The new lease holders of partitions without replicas and capped teams do
-    // not broadcast their claims.
+    // The new lease holders of partitions that have neither replicas nor a
+    // capped team do not broadcast their claims.
     if (*alive &&
         boot_clock::now() >= holders_read_at_ + holders_missing_interval) {
         co_await read_lease_holders();
@@ -124,8 +124,10 @@
 asio::awaitable<void> replica_controller::claim_used_partitions() {
     auto const alive = running_;
     for (std::size_t const each : state_->leases.partitions_without_token()) {
-        if ((has_controlled_replicas(each) || counts_capped_team(each)) &&
-            *alive) {
+        if (!*alive) {
+            co_return;
+        }
+        if (has_controlled_replicas(each) || counts_capped_team(each)) {
             co_await claim_partition(each);
         }
     }
@@ -251,11 +253,12 @@
         std::move(topic),
         static_cast<unsigned>(partition % partitions_per_topic),
         std::move(record));
-    if (!offset) {
+    if (!*alive || !offset) {
         co_return;
     }
     std::uint64_t const token = fencing_number(offset.value());
     if (state_->leases.set_token(partition, token)) {
+        messenger_->set_lease_holder(partition, state_->own_address);
         messenger_->broadcast_claim(partition, token);
     }
 }
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -44,7 +44,10 @@
 
 std::optional<attempt_report> request_handler::make_attempt_report(
     forwarded_attempt const& attempt, attempt_outcome end) const {
-    if (caller_->gone || end == attempt_outcome::superseded) {
+    // A replica that is not the one meant has shown nothing about that one.
+    bool const misdirected =
+        end == attempt_outcome::refused && !attempt.trace.rejected;
+    if (caller_->gone || misdirected || end == attempt_outcome::superseded) {
         return std::nullopt;
     }
     health_signal evidence = health_signal::answered;
@@ -56,11 +59,12 @@
         (end == attempt_outcome::failed && attempt.call->invalid())) {
         // Nothing that the replica sends can be used, as after a crash.
         evidence = health_signal::truncated;
-    } else if (end == attempt_outcome::failed || end == attempt_outcome::late) {
+    } else if (end == attempt_outcome::failed) {
         evidence = health_signal::failed;
-    } else if (attempt.trace.rejected) {
+    } else if (attempt.trace.rejected || end == attempt_outcome::late) {
         // A rejected request uses no capacity, so a replica that rejects would
-        // seem to have more of it than its peers.
+        // seem to have more of it than its peers. A request whose deadline has
+        // passed may have waited for room, too.
         evidence = health_signal::rejected;
     }
     return attempt_report{
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -241,13 +241,16 @@
 // request's caller awaits.
 asio::awaitable<bool> http_call::state::skip_stray() {
     std::size_t skipped = 0;
-    bool whole = !parser_->need_eof();
-    while (whole && !parser_->is_done()) {
+    invalid_ = parser_->need_eof();
+    while (!invalid_ && !parser_->is_done()) {
         auto const piece = co_await read_some();
-        skipped += piece ? piece->size() : 0;
-        whole = piece.has_value() && skipped <= largest_answer;
+        if (!piece) {
+            co_return false;
+        }
+        skipped += piece->size();
+        invalid_ = skipped > largest_answer;
     }
-    co_return whole&& link_ != nullptr;
+    co_return !invalid_ && link_ != nullptr;
 }
 
 void http_call::state::reject() {
@@ -270,7 +273,7 @@
         }
         bool const skipped = co_await skip_stray();
         if (!skipped) {
-            break;
+            co_return false;
         }
         begin_answer();
     }
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -138,9 +138,9 @@
 inline constexpr std::size_t largest_answer = std::size_t{16} << 20U;
 
 /// In bytes. For the answer to an order or a question for a report, of which a
-/// node has one in progress for each replica: ten times what a replica with a
-/// thousand adapters reports.
-inline constexpr std::size_t largest_control_answer = std::size_t{1} << 20U;
+/// node has one in progress for each replica: twice what a replica that lists
+/// 16,000 adapters reports, at a hundred bytes each.
+inline constexpr std::size_t largest_control_answer = std::size_t{4} << 20U;
 
 /// In bytes. The rest of an unwanted answer is read for its connection only.
 /// On a way of 10 Mbit/s this takes 50 ms, as long as a new connection.
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -77,6 +77,12 @@
     }
 }
 
+bool partition_leases::on_claim(std::size_t partition, std::uint64_t token) {
+    bool const newest = token >= highest_tokens_[partition];
+    on_higher_token(partition, token);
+    return newest;
+}
+
 void partition_leases::on_store_answered_other(instant at) {
     answered_other_at_ = std::max(answered_other_at_, at);
 }
@@ -139,7 +145,12 @@
 
 std::optional<instant>
 partition_leases::counting_since(std::size_t partition, instant now) const {
-    bool const own_outage = answered_other_at_ >= failing_since_;
+    // Renewals fail at some moment within an interval after an outage has
+    // begun, and messages of other nodes are late. Guards against an outage for
+    // all nodes that its holders take for their own.
+    bool const own_outage =
+        failing_since_ != instant::max() &&
+        answered_other_at_ >= failing_since_ + times_.renewal;
     bool const entitled =
         own_outage ? now < renewed_at_ + times_.lease : valid(now);
     return entitled ? exclusive_since(partition) : std::nullopt;
--- a/src/Teams/usage_history.hpp
+++ b/src/Teams/usage_history.hpp
@@ -21,6 +21,11 @@
     /// Records that the counting node has answered, also with a denial.
     /// @param reported units used without a grant that the question reported
     void mark_answered(double reported, instant now);
+    /// Records a question to a node that has left the last one unanswered:
+    /// requests that arrive before its time-out do not ask as well.
+    void mark_asked(instant now) {
+        last_unanswered_ = unanswered_ ? now : last_unanswered_;
+    }
     /// Records that the counting node has not answered.
     /// @param random_sample evenly distributed from 0 to 1. It decides how long
     ///        this node waits before its first request, so that all nodes
