--- a/test/replica_pace_test.cpp
+++ b/test/replica_pace_test.cpp
@@ -186,8 +186,8 @@
 // A third of a service's replicas take 2.4 times as long for an event, and get
 // 22 in 100 requests where they can do 17: 47 in 100 of their streams pause for
 // too long. One tracker hears of all nodes' attempts, so that their number only
-// names who reports. The load is that of "Two customers with hard load": 400 streams a
-// second at 90 replicas, one report in twenty lost.
+// names who reports. The load is that of "Two customers with hard load": 400
+// streams a second at 90 replicas, one report in twenty lost.
 TEST_CASE("the pace of each replica is known within a fifth in five seconds") {
     struct deployment {
         unsigned nodes;
