--- a/test/replica_pace_test.cpp
+++ b/test/replica_pace_test.cpp
@@ -157,7 +157,7 @@
         --park.running[end.replica];
         auto const hash = park.hashes[end.replica];
         if (park.uniform() >= lost_) {
-            tracker.add_attempt(hash, end.report, end.at);
+            tracker.add_attempt(hash, slots, end.report, end.at);
         }
         tracker.update(end.node, hash, adapter_id("m/hot"), 0, 0, end.at);
         tell(end.replica);
