--- a/src/Fleet/replica_outcomes.cpp
+++ b/src/Fleet/replica_outcomes.cpp
@@ -118,8 +118,7 @@
     if ((!avoided_ && cleared) || now < due) {
         return false;
     }
-    // An answered probe brings the next one forward.
-    next_probe_at_ = now + failing_probe_interval;
+    next_probe_at_ = now + interval;
     ++probes_;
     return true;
 }
--- a/src/Fleet/replica_outcomes.hpp
+++ b/src/Fleet/replica_outcomes.hpp
@@ -41,16 +41,16 @@
     /// @returns true for a while after answered probes have shown that the
     ///          replica has recovered
     bool readmitted(instant now) const {
-        return readmitted_at_ != instant{} &&
+        return !avoided_ && readmitted_at_ != instant{} &&
                now < readmitted_at_ + readmission_notice;
     }
     /// @returns when the replica began to be avoided
     instant avoided_since() const noexcept { return avoided_since_; }
 
 private:
-    /// Nodes that ask or hear a broadcast within it learn of the recovery.
-    static constexpr duration readmission_notice =
-        std::chrono::milliseconds(2'500);
+    /// Nodes that ask or hear a broadcast within it learn of the recovery: one
+    /// of 1,900 nodes asks for a replica in tens of seconds.
+    static constexpr duration readmission_notice = std::chrono::seconds(60);
 
     double remaining(instant now) const;
     void count(bool failed, instant now);
--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -64,18 +64,29 @@
     return avoided >= min_common_failures && 2 * avoided >= std::ssize(all);
 }
 
-/// @returns true when this node may try the replica, and it has room: a request
-///          would be refused for want of it although other replicas have some
-bool can_probe(replica const& each, instant now) {
-    return each.probe_permitted(now) &&
-           replica_selector::utilization(each, now) < max_compared_utilization;
+/// No request for an adapter is sent to a replica that is fuller than this.
+constexpr double max_probed_utilization = 1.25;
+
+/// Guards against requests for an adapter that are refused for want of room at
+/// the replica that is tried, although others have some. Plain services queue
+/// requests themselves.
+/// @returns true when this node may send the request to the replica as a probe
+bool can_probe(
+    replica const& each, replica_requirements const& requirements,
+    instant now) {
+    bool const has_room =
+        requirements.adapter.empty() ||
+        replica_selector::utilization(each, now) < max_probed_utilization;
+    return has_room && each.probe_permitted(now);
 }
 
 /// Removes the replicas that their controllers advise against.
 /// @returns the removed ones
-std::vector<replica*> remove_avoided(std::vector<replica*>& all, instant now) {
+std::vector<replica*> remove_avoided(
+    std::vector<replica*>& all, replica_requirements const& requirements,
+    instant now) {
     auto const avoided = [&](replica const* each) {
-        return each->avoided(now) || can_probe(*each, now);
+        return each->avoided(now) || can_probe(*each, requirements, now);
     };
     std::vector<replica*> removed;
     std::ranges::copy_if(all, std::back_inserter(removed), avoided);
@@ -188,7 +199,7 @@
     replica_requirements const& requirements, instant now) const {
     auto all = candidates(requirements, now);
     bool const in_common = fail_in_common(all, now);
-    std::vector<replica*> avoided = remove_avoided(all, now);
+    std::vector<replica*> avoided = remove_avoided(all, requirements, now);
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
             return !each->health.suspected(now) &&
@@ -241,7 +252,7 @@
     replica_requirements const& requirements, instant now) const {
     choice const of = make_choice(requirements, now);
     auto const permitted = [&](replica const* each) {
-        return can_probe(*each, now);
+        return can_probe(*each, requirements, now);
     };
     for (auto const* const each : {&of.avoided, &of.compared}) {
         auto const probed = std::ranges::find_if(*each, permitted);
--- a/src/Fleet/running_request_tracker.cpp
+++ b/src/Fleet/running_request_tracker.cpp
@@ -99,13 +99,8 @@
 bool running_request_tracker::take_probe(
     std::uint64_t replica, bool suitable, instant now) {
     auto const found = replicas_.find(replica);
-    if (found == replicas_.end()) {
-        return false;
-    }
-    replica_state& state = found->second;
-    // While requests run there it needs no trial.
-    bool const wanted = state.outcomes.avoided() || state.running == 0;
-    return wanted && state.outcomes.take_probe(suitable, now);
+    return found != replicas_.end() &&
+           found->second.outcomes.take_probe(suitable, now);
 }
 
 replica_outcomes const*
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -135,9 +135,8 @@
         if (each.partition >= partition_count) {
             continue;
         }
-        if (state_->leases.on_claim(each.partition, each.token)) {
-            store_lease_holder(each.partition, message.from);
-        }
+        store_lease_holder(each.partition, message.from);
+        state_->leases.on_higher_token(each.partition, each.token);
     }
     for (peer_residency const& each : message.residencies) {
         replica const* const at = state_->replicas.find_by_hash(each.replica);
--- a/src/ReplicaControl/partition_leases.cpp
+++ b/src/ReplicaControl/partition_leases.cpp
@@ -77,12 +77,6 @@
     }
 }
 
-bool partition_leases::on_claim(std::size_t partition, std::uint64_t token) {
-    bool const newest = token >= highest_tokens_[partition];
-    on_higher_token(partition, token);
-    return newest;
-}
-
 void partition_leases::on_store_answered_other(instant at) {
     answered_other_at_ = std::max(answered_other_at_, at);
 }
--- a/src/ReplicaControl/partition_leases.hpp
+++ b/src/ReplicaControl/partition_leases.hpp
@@ -69,10 +69,6 @@
     /// Records a fencing number that another node uses for the partition. A
     /// number higher than this node's own ends its hold on the partition.
     void on_higher_token(std::size_t partition, std::uint64_t token);
-    /// Records another node's claim of the partition. Guards against a former
-    /// holder that repeats its claim and is asked in place of the new one.
-    /// @returns false when a higher number is known
-    bool on_claim(std::size_t partition, std::uint64_t token);
     /// Records that the store has answered another node. When this node's
     /// renewals have failed since before, the outage is its own, and another
     /// node may receive its partitions.
