A suspected replica is not tried for a few failures; findings of the linter

Tests: a reserve, the order of a timer, named loop variables, an integer loop counter; their checks are as before.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -287,7 +287,11 @@
         target->health = {};
     }
     target->condition = total.condition;
-    if (total.condition.probe_permitted) {
+    // A replica that this node suspects is tried only when it is avoided: an
+    // idle one with a few failures can wait until the suspicion ends.
+    bool const may_try =
+        total.condition.avoided || !target->health.suspected(now);
+    if (total.condition.probe_permitted && may_try) {
         target->probe_until = now + probe_permission_lifetime;
     }
     target->usage_received_at = now;
--- a/test/fleet_index_test.cpp
+++ b/test/fleet_index_test.cpp
@@ -80,6 +80,7 @@
 
 std::vector<endpoint_id> ids_of(std::vector<replica*> const& replicas) {
     std::vector<endpoint_id> result;
+    result.reserve(replicas.size());
     for (replica const* const each : replicas) {
         result.push_back(each->record.id);
     }
--- a/test/gateway/command_times_test.cpp
+++ b/test/gateway/command_times_test.cpp
@@ -73,11 +73,11 @@
     leases.on_renewal_granted(now, 1, {4}, now);
     raw_server server(
         loop, [&](raw_server::socket_type& socket) -> asio::awaitable<void> {
+            asio::steady_timer timer(loop.io());
             co_await testing::read_request(socket);
             co_await testing::write_text(
                 socket,
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            asio::steady_timer timer(loop.io());
             boost::system::error_code closed;
             while (!closed) {
                 timer.expires_after(pause);
--- a/test/replica_pace_test.cpp
+++ b/test/replica_pace_test.cpp
@@ -193,8 +193,10 @@
         unsigned nodes;
         std::size_t replicas;
     };
-    for (auto const [nodes, replicas] :
+    for (deployment const& each :
          {deployment{58, 90}, deployment{300, 90}, deployment{1'900, 300}}) {
+        unsigned const nodes = each.nodes;
+        std::size_t const replicas = each.replicas;
         CAPTURE(nodes);
         double const rate = 4.4 * static_cast<double>(replicas);
         park_simulation simulation(replicas, nodes, rate, 0.05, nodes);
@@ -221,8 +223,9 @@
         double least;
         double most;
     };
-    for (auto const [rate, least, most] :
+    for (traffic const& each :
          {traffic{400, 0.4, 1.05}, traffic{650, 0.8, 1.1}}) {
+        double const rate = each.rate;
         CAPTURE(rate);
         park_simulation simulation(90, 58, rate, 0.05, 7);
         simulation.run(seconds(10));
@@ -236,8 +239,8 @@
         }
         double const capacity = (30 / slow_pace) / (30 / slow_pace + 60);
         MESSAGE("slow: " << slow / all << ", of the capacity: " << capacity);
-        CHECK(slow / all <= capacity * most);
-        CHECK(slow / all >= capacity * least);
+        CHECK(slow / all <= capacity * each.most);
+        CHECK(slow / all >= capacity * each.least);
     }
 }
 
@@ -275,7 +278,8 @@
     CHECK(load_in_time(0.02, slow_pace) > 0.97 * 0.02 * slow_pace);
     CHECK(load_in_time(1, slow_pace) == 1);
     CHECK(load_in_time(1.5, slow_pace) == 1 + 0.5 * slow_pace);
-    for (double load = 0; load < 2; load += 0.1) {
+    for (int tenth = 0; tenth < 20; ++tenth) {
+        double const load = 0.1 * tenth;
         CHECK(
             load_in_time(load + 0.1, slow_pace) >
             load_in_time(load, slow_pace));
