--- a/test/support/outcome_simulation.cpp
+++ b/test/support/outcome_simulation.cpp
@@ -148,7 +148,7 @@
                 auto request = std::make_shared<simulated_request>();
                 request->node = random_() % scenario_.nodes;
                 ++requests_;
-                ask(std::move(request));
+                ask(request);
                 schedule_arrival();
             });
     }
@@ -203,7 +203,7 @@
         return total;
     }
 
-    void ask(request_ref request) {
+    void ask(request_ref const& request) {
         std::size_t const node = request->node;
         load(node);
         need_.tried_replicas = request->tried;
