Soak of real processes: reproduces REFUSED and TWICE

Callers saw requests that ran after a refusal and bookings that ran twice, and no run of ours did. The soak starts the store, replicas, nodes and a link process for each node, ends, stops and restarts them in overlapping series, publishes configurations, and compares what callers were told with the ledger that all replicas write: an id that ran twice, that was refused and ran, that was reset and ran. Callers keep their connection until its node ends it, and send again only after a promise or a reset.

The replica stand-in names the request in each answer, as replicas do.

--- /dev/null
+++ b/standins/link/faulty_link.cpp
@@ -0,0 +1,173 @@
+#include "link/faulty_link.hpp"
+
+#include "common/standin_main.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace standins {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t piece_bytes = 16U << 10U;
+
+tcp::endpoint endpoint_of(camphorpoint::ip_address const& address) {
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+} // namespace
+
+struct faulty_link::connection {
+    explicit connection(socket_type from)
+        : client(std::move(from))
+        , server(client.get_executor()) {}
+
+    /// @param reset the peers see a reset instead of an end
+    void close(bool reset) {
+        boost::system::error_code ignored;
+        asio::socket_base::linger const at_once(true, 0);
+        for (socket_type* each : {&client, &server}) {
+            if (reset) {
+                each->set_option(at_once, ignored);
+            }
+            each->close(ignored);
+        }
+    }
+
+    socket_type client;
+    socket_type server;
+};
+
+faulty_link::faulty_link(
+    asio::io_context& io, link_faults faults, std::uint64_t seed)
+    : io_(&io)
+    , faults_(faults)
+    , random_(seed) {}
+
+std::string faulty_link::listen(
+    camphorpoint::ip_address const& at,
+    camphorpoint::ip_address const& target) {
+    auto const acceptor = std::make_shared<tcp::acceptor>(*io_);
+    boost::system::error_code error;
+    acceptor->open(tcp::v4(), error);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor->bind(endpoint_of(at), error);
+    if (!error) {
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return error.message();
+    }
+    asio::co_spawn(*io_, accept_all(acceptor, target), asio::detached);
+    return {};
+}
+
+asio::awaitable<void> faulty_link::accept_all(
+    std::shared_ptr<tcp::acceptor> acceptor, camphorpoint::ip_address target) {
+    while (true) {
+        auto [error, socket] = co_await acceptor->async_accept(use_result);
+        if (error) {
+            continue;
+        }
+        auto const link = std::make_shared<connection>(std::move(socket));
+        asio::co_spawn(*io_, forward_requests(link, target), asio::detached);
+    }
+}
+
+asio::awaitable<void> faulty_link::forward_requests(
+    std::shared_ptr<connection> link, camphorpoint::ip_address target) {
+    tcp::endpoint const remote = endpoint_of(target);
+    auto const [refused] =
+        co_await link->server.async_connect(remote, use_result);
+    if (refused) {
+        link->close(true);
+        co_return;
+    }
+    boost::system::error_code ignored;
+    link->client.set_option(tcp::no_delay(true), ignored);
+    link->server.set_option(tcp::no_delay(true), ignored);
+    asio::co_spawn(*io_, forward_answers(link), asio::detached);
+    std::array<char, piece_bytes> bytes{};
+    for (bool first = true;; first = false) {
+        auto const [error, size] = co_await link->client.async_read_some(
+            asio::buffer(bytes), use_result);
+        if (error) {
+            break;
+        }
+        if (!first && occurs(faults_.stray)) {
+            std::string const text = stray_answer();
+            co_await asio::async_write(
+                link->client, asio::buffer(text), use_result);
+        }
+        co_await delay();
+        bool const cut = occurs(faults_.cut);
+        if (cut && occurs(50)) {
+            break;
+        }
+        auto const [failed, written] = co_await asio::async_write(
+            link->server, asio::buffer(bytes.data(), size), use_result);
+        if (failed || cut) {
+            break;
+        }
+    }
+    link->close(occurs(50));
+}
+
+asio::awaitable<void>
+faulty_link::forward_answers(std::shared_ptr<connection> link) {
+    std::array<char, piece_bytes> bytes{};
+    while (true) {
+        auto const [error, size] = co_await link->server.async_read_some(
+            asio::buffer(bytes), use_result);
+        if (error) {
+            break;
+        }
+        co_await delay();
+        auto const [failed, written] = co_await asio::async_write(
+            link->client, asio::buffer(bytes.data(), size), use_result);
+        if (failed) {
+            break;
+        }
+    }
+    link->close(false);
+}
+
+asio::awaitable<void> faulty_link::delay() {
+    constexpr std::uint64_t longest_ms = 400;
+    if (occurs(faults_.delay)) {
+        co_await wait_for(std::chrono::milliseconds(random_() % longest_ms));
+    }
+}
+
+bool faulty_link::occurs(unsigned percent) {
+    constexpr unsigned whole = 100;
+    return random_() % whole < percent;
+}
+
+std::string faulty_link::stray_answer() {
+    constexpr std::array<std::string_view, 6> heads{
+        "503 Any\r\nX-Not-Executed: 1",
+        "429 Any\r\nX-Not-Executed: 1",
+        "421 Any\r\nX-Not-Executed: 1",
+        "408 Any",
+        "503 Any\r\nX-Request-Id: earlier\r\nX-Not-Executed: 1",
+        "200 Any\r\nX-Response-Signature: stray"};
+    return fmt::format(
+        "HTTP/1.1 {}\r\nContent-Length: 0\r\n\r\n",
+        heads.at(random_() % heads.size()));
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/link/faulty_link.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Settings/node_settings.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace standins {
+
+/// How often things go wrong on a link, in a hundred pieces that a client
+/// sends.
+struct link_faults {
+    /// An answer that belongs to no request, or to an earlier one, precedes the
+    /// request's own answer.
+    unsigned stray = 0;
+    /// The connection ends in both directions, with or without a reset.
+    unsigned cut = 0;
+    /// The piece, or what answers it, is held back.
+    unsigned delay = 0;
+};
+
+/// Forwards TCP connections and disturbs them.
+class faulty_link {
+public:
+    /// @param seed of the faults
+    faulty_link(
+        boost::asio::io_context& io, link_faults faults, std::uint64_t seed);
+
+    /// Forwards what connects to an address.
+    /// @returns why it can't listen; empty when it does
+    std::string listen(
+        camphorpoint::ip_address const& at,
+        camphorpoint::ip_address const& target);
+
+private:
+    using socket_type = boost::asio::ip::tcp::socket;
+    struct connection;
+
+    boost::asio::awaitable<void> accept_all(
+        std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
+        camphorpoint::ip_address target);
+    boost::asio::awaitable<void> forward_requests(
+        std::shared_ptr<connection> link, camphorpoint::ip_address target);
+    boost::asio::awaitable<void>
+    forward_answers(std::shared_ptr<connection> link);
+    boost::asio::awaitable<void> delay();
+    bool occurs(unsigned percent);
+    std::string stray_answer();
+
+    boost::asio::io_context* io_;
+    link_faults faults_;
+    std::mt19937_64 random_;
+};
+
+} // namespace standins
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -154,15 +154,24 @@
         // Whoever is meant, as the platform's replicas do.
         response = report();
     } else if (!meant.empty() && meant != id_) {
-        response = json_response(421, "{}");
+        response = not_run(421);
     } else if (target == "/order") {
         response = order(exchange.request().body);
     } else {
         co_await run(exchange);
         co_return;
     }
-    name_state(response.fields);
     co_await end_of_silence();
+    co_await respond(exchange, std::move(response));
+}
+
+asio::awaitable<void>
+replica_engine::respond(http_exchange& exchange, http_response response) const {
+    std::string_view const id = exchange.request().fields.get("X-Request-Id");
+    if (!id.empty()) {
+        response.fields.add("X-Request-Id", std::string(id));
+    }
+    name_state(response.fields);
     co_await exchange.respond(std::move(response));
 }
 
@@ -181,21 +190,34 @@
     return false;
 }
 
+replica_fault replica_engine::next_fault() {
+    if (faults.empty()) {
+        return draw_fault ? draw_fault() : replica_fault::none;
+    }
+    replica_fault const next = faults.front();
+    faults.pop_front();
+    return next;
+}
+
+void replica_engine::begin_run(http_request const& request) {
+    std::string const id(request.fields.get("X-Request-Id"));
+    ++runs[id];
+    run_fields[id] = request.fields;
+    if (on_run) {
+        on_run(request);
+    }
+}
+
 asio::awaitable<void> replica_engine::run(http_exchange& exchange) {
     arrivals.push_back(clock_now());
     http_fields const& fields = exchange.request().fields;
     std::string const model(fields.get("X-Model"));
     if (!holds(model)) {
-        http_response response = json_response(421, "{}");
-        name_state(response.fields);
-        co_await exchange.respond(std::move(response));
+        http_response response = not_run(421);
+        co_await respond(exchange, std::move(response));
         co_return;
     }
-    replica_fault fault = replica_fault::none;
-    if (!faults.empty()) {
-        fault = faults.front();
-        faults.pop_front();
-    }
+    replica_fault const fault = next_fault();
     bool const no_room = room > 0 && running_ >= room;
     if (no_room) {
         record_rejection();
@@ -205,12 +227,10 @@
         if (!rest.empty()) {
             response.fields.add("Retry-After", rest);
         }
-        name_state(response.fields);
-        co_await exchange.respond(std::move(response));
+        co_await respond(exchange, std::move(response));
         co_return;
     }
-    ++runs[std::string(fields.get("X-Request-Id"))];
-    run_fields[std::string(fields.get("X-Request-Id"))] = fields;
+    begin_run(exchange.request());
     if (is_poison(exchange.request())) {
         if (on_crash) {
             on_crash();
@@ -235,16 +255,16 @@
         --running_;
     }
     http_response response;
-    response.status = fault == replica_fault::failure ? 500 : 200;
-    if (fault != replica_fault::unsigned_answer) {
+    bool const failed = fault == replica_fault::failure;
+    response.status = failed ? failure_status : 200;
+    bool const is_signed =
+        failed ? failure_signed : fault != replica_fault::unsigned_answer;
+    if (is_signed) {
         response.fields.add("X-Response-Signature", "signed." + id_);
     }
-    name_state(response.fields);
-    response.fields.add(
-        "X-Request-Id", std::string(fields.get("X-Request-Id")));
     response.body = "answer of " + id_ + " to " + exchange.request().body;
     co_await end_of_silence();
-    co_await exchange.respond(std::move(response));
+    co_await respond(exchange, std::move(response));
 }
 
 asio::awaitable<void>
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -27,7 +27,7 @@
     cut,
     /// A success without the replica's signature.
     unsigned_answer,
-    /// The request is run and fails.
+    /// The request is run and fails, with `failure_status`.
     failure,
     /// The request is taken and never answered.
     silence
@@ -60,6 +60,14 @@
     std::function<void()> on_crash;
     /// What befalls the next requests, in order.
     std::deque<replica_fault> faults;
+    /// Draws what befalls a request when `faults` names nothing.
+    std::function<replica_fault()> draw_fault;
+    /// Status of a request that is run and fails.
+    int failure_status = 500;
+    /// Whether the answer of a request that is run and fails is signed.
+    bool failure_signed = true;
+    /// Called when a request begins to run.
+    std::function<void(camphorpoint::http_request const& request)> on_run;
     /// How often each request has run.
     std::map<std::string, unsigned> runs;
     /// The fields of the last run of each request.
@@ -120,7 +128,14 @@
     /// @returns true when running the request ends the replica
     bool is_poison(camphorpoint::http_request const& request) const;
     void record_rejection();
+    replica_fault next_fault();
+    void begin_run(camphorpoint::http_request const& request);
     void name_state(camphorpoint::http_fields& answer) const;
+    /// Sends an answer with the request's id and what the replica says of
+    /// itself.
+    boost::asio::awaitable<void> respond(
+        camphorpoint::http_exchange& exchange,
+        camphorpoint::http_response response) const;
 
     std::string id_;
     std::string model_;
--- /dev/null
+++ b/test/soak/caller.cpp
@@ -0,0 +1,208 @@
+#include "test/soak/caller.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace camphorpoint::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds deadline{2'500};
+/// A caller waits for its answer this much longer than its deadline.
+constexpr milliseconds grace{1'000};
+constexpr int resends = 3;
+
+bool is_promise(int status) {
+    constexpr std::array promises{408, 421, 429, 503};
+    return std::ranges::find(promises, status) != promises.end();
+}
+
+/// Ends what a socket waits for when a time has passed.
+class time_limit {
+public:
+    time_limit(tcp::socket& socket, milliseconds time)
+        : timer_(socket.get_executor(), time) {
+        timer_.async_wait([&socket, active = active_](auto const& error) {
+            if (!error && *active) {
+                socket.cancel();
+            }
+        });
+    }
+    ~time_limit() { *active_ = false; }
+    time_limit(time_limit const&) = delete;
+    time_limit& operator=(time_limit const&) = delete;
+
+private:
+    std::shared_ptr<bool> active_ = std::make_shared<bool>(true);
+    asio::steady_timer timer_;
+};
+
+/// @returns true when the peer's kernel has reset the connection
+bool was_reset(tcp::socket& socket) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+    return error != 0;
+}
+
+} // namespace
+
+caller::caller(
+    deployment const& target, caller_records& records, std::string name,
+    std::uint64_t seed)
+    : target_(&target)
+    , records_(&records)
+    , name_(std::move(name))
+    , random_(seed) {}
+
+asio::awaitable<void> caller::pause(milliseconds time) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(use_result);
+}
+
+asio::awaitable<void> caller::run() {
+    ++records_->callers;
+    for (unsigned number = 0; !records_->stopping; ++number) {
+        co_await run_operation(number);
+        constexpr std::uint64_t longest_pause_ms = 60;
+        milliseconds const rest(draw(longest_pause_ms));
+        co_await pause(rest);
+    }
+    --records_->callers;
+}
+
+asio::awaitable<void> caller::run_operation(unsigned number) {
+    constexpr std::uint64_t kinds = 10;
+    std::uint64_t const kind = draw(kinds);
+    request wanted;
+    wanted.path = kind < 6 ? "/book/" : kind < 8 ? "/look/" : "/once/";
+    wanted.adapter = kind >= 8;
+    bool const once = wanted.path != "/look/";
+    for (int attempt = 0; attempt <= resends; ++attempt) {
+        wanted.id = fmt::format("{}-{}-{}", name_, number, attempt);
+        if (once) {
+            records_->once_only.insert(wanted.id);
+        }
+        fate const what = co_await send(wanted);
+        if (what == fate::final) {
+            co_return;
+        }
+        // Each request that is sent again has a connection of its own.
+        socket_.reset();
+        constexpr std::uint64_t longest_wait_ms = 400;
+        milliseconds const wait(draw(longest_wait_ms));
+        co_await pause(wait);
+    }
+}
+
+asio::awaitable<bool> caller::connect() {
+    if (socket_ != nullptr) {
+        co_return true;
+    }
+    ip_address const& to = target_->nodes[draw(target_->nodes.size())].callers;
+    tcp::endpoint const remote(asio::ip::make_address(to.host), to.port);
+    socket_ = std::make_unique<tcp::socket>(co_await asio::this_coro::executor);
+    buffer_.clear();
+    time_limit const limit(*socket_, milliseconds(1'000));
+    auto const [error] = co_await socket_->async_connect(remote, use_result);
+    if (error) {
+        socket_.reset();
+    }
+    co_return socket_ != nullptr;
+}
+
+asio::awaitable<caller::fate> caller::send(request const& wanted) {
+    bool const connected = co_await connect();
+    if (!connected) {
+        co_return fate::unconnected;
+    }
+    std::string const body = "to " + wanted.id;
+    std::string const text = fmt::format(
+        "POST {0}x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {1}\r\n"
+        "X-Request-Deadline: {2}\r\n{3}Content-Length: {4}\r\n\r\n{5}",
+        wanted.path, wanted.id, deadline.count(),
+        wanted.adapter
+            ? fmt::format("X-Model: m/a{}\r\nX-Token-Count: 10,40\r\n", draw(6))
+            : "",
+        body.size(), body);
+    time_limit const limit(*socket_, deadline + grace);
+    auto const [error, size] =
+        co_await asio::async_write(*socket_, asio::buffer(text), use_result);
+    if (error) {
+        co_return note(fate::reset, wanted.id);
+    }
+    co_return co_await read_answer(wanted);
+}
+
+asio::awaitable<caller::fate> caller::read_answer(request const& wanted) {
+    http::response_parser<http::string_body> parser;
+    auto const [error, size] =
+        co_await http::async_read(*socket_, buffer_, parser, use_result);
+    if (!error) {
+        int const status = parser.get().result_int();
+        fate const what = judge(status, parser.get().body(), wanted);
+        if (!parser.keep_alive()) {
+            socket_.reset();
+        }
+        co_return what;
+    }
+    fate what = fate::final;
+    bool const nothing_came = !parser.got_some() && buffer_.size() == 0;
+    if (nothing_came && error != asio::error::operation_aborted) {
+        // The end of a connection can arrive before the reset that answers what
+        // was sent at the same time.
+        constexpr milliseconds step{10};
+        bool reset = error == asio::error::connection_reset;
+        for (int each = 0; each < 20 && !reset; ++each) {
+            co_await pause(step);
+            reset = was_reset(*socket_);
+        }
+        what = reset ? fate::reset : fate::final;
+    }
+    socket_.reset();
+    co_return note(what, wanted.id);
+}
+
+caller::fate
+caller::judge(int status, std::string const& body, request const& wanted) {
+    if (is_promise(status)) {
+        return note(fate::refused, wanted.id);
+    }
+    constexpr int first_redirect = 300;
+    bool const success = status < first_redirect;
+    bool const own = wanted.adapter || body.ends_with("to " + wanted.id);
+    if (success && !own) {
+        records_->told.foreign.push_back(wanted.id);
+    }
+    records_->told.served += success ? 1 : 0;
+    return note(fate::final, wanted.id);
+}
+
+caller::fate caller::note(fate what, std::string const& id) {
+    if (what == fate::refused) {
+        records_->told.refused.insert(id);
+    } else if (what == fate::reset) {
+        records_->told.reset.insert(id);
+    }
+    return what;
+}
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/caller.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "test/soak/deployment.hpp"
+#include "test/soak/ledger.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace camphorpoint::soak {
+
+/// What all callers of a run have in common.
+struct caller_records {
+    told_fates told;
+    /// Ids of requests that may run once at most.
+    std::set<std::string> once_only;
+    /// Set when no further requests are to be sent.
+    bool stopping = false;
+    unsigned callers = 0;
+};
+
+/// A caller that sends one request after the other on a connection that it
+/// keeps until its node ends it. It sends a request again only when it was told
+/// that the request has not run.
+class caller {
+public:
+    /// @param target  where the nodes are; must outlive the caller
+    /// @param records what callers were told; must outlive the caller
+    caller(
+        deployment const& target, caller_records& records, std::string name,
+        std::uint64_t seed);
+
+    /// Sends requests until the run stops.
+    boost::asio::awaitable<void> run();
+
+private:
+    /// What became of one request.
+    enum class fate : std::uint8_t {
+        /// It has been answered, whether it has run or not is told or unknown.
+        final,
+        /// It has not run, as a status promises.
+        refused,
+        /// The connection was reset before any answer: it was not read.
+        reset,
+        /// No node takes the connection.
+        unconnected
+    };
+    struct request {
+        std::string path;
+        std::string id;
+        bool adapter = false;
+    };
+
+    boost::asio::awaitable<void> run_operation(unsigned number);
+    boost::asio::awaitable<fate> send(request const& wanted);
+    boost::asio::awaitable<fate> read_answer(request const& wanted);
+    boost::asio::awaitable<bool> connect();
+    fate judge(int status, std::string const& body, request const& wanted);
+    fate note(fate what, std::string const& id);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+
+    deployment const* target_;
+    caller_records* records_;
+    std::string name_;
+    std::mt19937_64 random_;
+    std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/child_process.cpp
@@ -0,0 +1,100 @@
+#include "test/soak/child_process.hpp"
+
+#include <sys/wait.h>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+extern char** environ; // NOLINT
+
+namespace camphorpoint::soak {
+
+namespace {
+
+/// What a process is started with, freed with this object.
+struct spawn_actions {
+    spawn_actions() { ::posix_spawn_file_actions_init(&actions); }
+    ~spawn_actions() { ::posix_spawn_file_actions_destroy(&actions); }
+    spawn_actions(spawn_actions const&) = delete;
+    spawn_actions& operator=(spawn_actions const&) = delete;
+
+    posix_spawn_file_actions_t actions{};
+};
+
+} // namespace
+
+child_process::child_process(std::vector<std::string> words, std::string log)
+    : words_(std::move(words))
+    , log_(std::move(log)) {}
+
+child_process::~child_process() {
+    end();
+}
+
+void child_process::start() {
+    if (running()) {
+        return;
+    }
+    spawn_actions made;
+    constexpr int mode = 0644;
+    ::posix_spawn_file_actions_addopen(
+        &made.actions, STDOUT_FILENO, log_.c_str(),
+        O_WRONLY | O_APPEND | O_CREAT, mode);
+    ::posix_spawn_file_actions_adddup2(
+        &made.actions, STDOUT_FILENO, STDERR_FILENO);
+    std::vector<char*> arguments;
+    arguments.reserve(words_.size() + 1);
+    for (std::string& each : words_) {
+        arguments.push_back(each.data());
+    }
+    arguments.push_back(nullptr);
+    ended_by_ = 0;
+    int const error = ::posix_spawn(
+        &id_, arguments.front(), &made.actions, nullptr, arguments.data(),
+        environ);
+    if (error != 0) {
+        id_ = 0;
+        throw std::system_error(error, std::generic_category(), words_.front());
+    }
+}
+
+void child_process::send_signal(int number) {
+    if (!running()) {
+        return;
+    }
+    if (number == SIGKILL || number == SIGTERM) {
+        ended_by_ = number;
+    }
+    ::kill(id_, number);
+}
+
+bool child_process::running() {
+    int status = 0;
+    if (id_ != 0 && ::waitpid(id_, &status, WNOHANG) == id_) {
+        note_end(status);
+    }
+    return id_ != 0;
+}
+
+void child_process::end() {
+    if (running()) {
+        send_signal(SIGKILL);
+        int status = 0;
+        ::waitpid(id_, &status, 0);
+        note_end(status);
+    }
+}
+
+void child_process::note_end(int status) {
+    id_ = 0;
+    bool const expected =
+        WIFSIGNALED(status) ? WTERMSIG(status) == ended_by_
+                            : ended_by_ == SIGTERM && WEXITSTATUS(status) == 0;
+    crashed_ = crashed_ || !expected;
+}
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/child_process.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace camphorpoint::soak {
+
+/// A process of the run. It is killed and reaped at the latest with this
+/// object.
+class child_process {
+public:
+    /// @param words   the program and its arguments
+    /// @param log     file to which its output is added
+    child_process(std::vector<std::string> words, std::string log);
+    ~child_process();
+    child_process(child_process const&) = delete;
+    child_process& operator=(child_process const&) = delete;
+
+    /// Starts the process, or starts it again after its end.
+    /// @throws std::system_error when it can't be started
+    void start();
+    /// Sends a signal; a process that has ended gets none.
+    void send_signal(int number);
+    /// @returns true while the process exists
+    bool running();
+    /// @returns true when it has ended by itself with a failure, or by a signal
+    ///          that was not sent here
+    bool has_crashed() const noexcept { return crashed_; }
+    /// Kills the process and waits for its end.
+    void end();
+
+private:
+    void note_end(int status);
+
+    std::vector<std::string> words_;
+    std::string log_;
+    pid_t id_ = 0;
+    /// The last signal sent here that ends a process, 0 for none.
+    int ended_by_ = 0;
+    bool crashed_ = false;
+};
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/deployment.cpp
@@ -0,0 +1,208 @@
+#include "test/soak/deployment.hpp"
+
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+#include <utility>
+
+namespace camphorpoint::soak {
+
+namespace {
+
+constexpr unsigned store_port = 7'000;
+/// A node's view of the store, and its own addresses.
+constexpr unsigned first_view = 7'010;
+constexpr unsigned first_node = 8'000;
+constexpr unsigned ports_of_node = 10;
+constexpr unsigned first_replica = 10'000;
+/// The links of a node to the replicas have their ports, shifted by this much
+/// for each node.
+constexpr unsigned shift_of_node = 500;
+
+void write_file(std::string const& name, std::string const& text) {
+    std::ofstream(name, std::ios::trunc) << text;
+}
+
+std::string text_of(ip_address const& address) {
+    return fmt::format("{}:{}", address.host, address.port);
+}
+
+/// @returns an address of the loopback network that no other run has
+std::string own_host() {
+    auto const id = static_cast<unsigned>(::getpid());
+    constexpr unsigned byte = 256;
+    constexpr unsigned first_network = 200;
+    constexpr unsigned networks = 50;
+    return fmt::format(
+        "127.{}.{}.{}", first_network + id / (byte * byte) % networks,
+        id / byte % byte, id % byte);
+}
+
+unsigned total_replicas(soak_settings const& settings) {
+    return settings.replicas + settings.replicas / 2;
+}
+
+} // namespace
+
+deployment::deployment(soak_settings const& settings)
+    : ledger(settings.work + "/ledger")
+    , settings_(settings)
+    , host_(own_host()) {
+    std::filesystem::create_directories(settings.work);
+    store = at(store_port);
+    add_store();
+    for (unsigned each = 0; each < total_replicas(settings); ++each) {
+        add_replica(each);
+    }
+    for (unsigned each = 0; each < settings.nodes; ++each) {
+        add_node(each);
+    }
+}
+
+ip_address deployment::at(unsigned port) const {
+    return {host_, static_cast<std::uint16_t>(port)};
+}
+
+std::unique_ptr<child_process> deployment::process(
+    std::string const& name, std::vector<std::string> words) const {
+    words.front() = settings_.programs + "/" + words.front();
+    return std::make_unique<child_process>(
+        std::move(words), settings_.work + "/" + name + ".log");
+}
+
+std::string deployment::configuration(unsigned version) {
+    std::string routes;
+    auto const add = [&](std::string_view name, std::string_view type,
+                         std::string_view service, unsigned attempts) {
+        routes += fmt::format(
+            R"({}{{"name":"{}","hostname":"h","path_prefix":"/{}/",)"
+            R"("type":"{}","timeout_ms":2500,"target_latency_ms":800,)"
+            R"("priority":0,"service":"{}","attempts":{}}})",
+            routes.empty() ? "" : ",", name, name, type, service, attempts);
+    };
+    add("book", "unsafe", "app", 1 + version % 2);
+    add("look", "safe", "app", 2);
+    add("once", "streaming", "llm", 1 + version % 3);
+    add("new" + std::to_string(version), "unsafe", "app", 1);
+    return fmt::format(
+        R"({{"version":{},"routes":[{}],"services":[{{"name":"llm",)"
+        R"("engine":{{"adapter_slots":8,"loads_per_s":5,)"
+        R"("models":[{{"name":"m","load_s":0.1}}]}}}},{{"name":"app"}}]}})",
+        version, routes);
+}
+
+void deployment::add_store() {
+    std::string const config = settings_.work + "/config.json";
+    write_file(config, configuration(1));
+    std::vector<std::string> entries;
+    for (unsigned each = 0; each < total_replicas(settings_); ++each) {
+        bool const plain = each < settings_.replicas;
+        std::string const file =
+            fmt::format("{}/r{}.json", settings_.work, each);
+        write_file(
+            file,
+            fmt::format(
+                R"({{"service":"{}","address":"{}","zone":"z",)"
+                R"("version":"v1","slots":8,"state":"ready","models":[{}],)"
+                R"("sequence":1,"born":1767225600000}})",
+                plain ? "app" : "llm", text_of(at(first_replica + each)),
+                plain ? "" : R"({"name":"m","version":1,"adapters":[]})"));
+        entries.push_back(fmt::format("r{}={}", each, file));
+    }
+    std::vector<std::string> views;
+    for (unsigned each = 0; each < settings_.nodes; ++each) {
+        views.push_back(fmt::format(
+            "{}={}", text_of(at(first_view + each)),
+            shift_of_node * (each + 1)));
+    }
+    store_process_ = process(
+        "store",
+        {"standin-metadata", "--listen=" + text_of(store), "--config=" + config,
+         fmt::format("--replicas={}", fmt::join(entries, ",")),
+         fmt::format("--views={}", fmt::join(views, ","))});
+}
+
+void deployment::add_replica(unsigned number) {
+    bool const plain = number < settings_.replicas;
+    replicas.push_back(process(
+        fmt::format("replica-{}", number),
+        {"standin-replica", "--listen=" + text_of(at(first_replica + number)),
+         fmt::format("--id=r{}", number), plain ? "--model=" : "--model=m",
+         "--ledger=" + ledger,
+         fmt::format("--fault_percent={}", settings_.replica_faults),
+         fmt::format("--seed={}", settings_.seed * 1'000 + number)}));
+}
+
+void deployment::add_node(unsigned number) {
+    unsigned const base = first_node + number * ports_of_node;
+    std::string const file = fmt::format("{}/n{}.toml", settings_.work, number);
+    write_file(
+        file, fmt::format(
+                  "[gateway]\nname = \"n{0}\"\nfailure_domain = \"z\"\n"
+                  "caller_address = \"{1}\"\nreadiness_address = \"{2}\"\n"
+                  "peer_address = \"{3}\"\nmetrics_address = \"{4}\"\n"
+                  "stop_limit = \"3s\"\n[store]\naddress = \"{5}\"\n"
+                  "replica_heartbeat = \"500ms\"\n[second_sends]\n"
+                  "ratio = \"1\"\nslack = \"100\"\nwindow = \"10s\"\n"
+                  "[leases]\nlease = \"2s\"\n",
+                  number, text_of(at(base)), text_of(at(base + 1)),
+                  text_of(at(base + 2)), text_of(at(base + 3)),
+                  text_of(at(first_view + number))));
+    std::vector<std::string> ways;
+    for (unsigned each = 0; each < total_replicas(settings_); ++each) {
+        unsigned const port = first_replica + each;
+        ways.push_back(fmt::format(
+            "{}={}", text_of(at(port + shift_of_node * (number + 1))),
+            text_of(at(port))));
+    }
+    node_processes made;
+    made.callers = at(base);
+    made.readiness = at(base + 1);
+    made.node = process(
+        fmt::format("node-{}", number),
+        {"camphorpoint", "serve", "--settings=" + file});
+    made.link = process(
+        fmt::format("link-{}", number),
+        {"standin-link", fmt::format("--ways={}", fmt::join(ways, ",")),
+         fmt::format("--seed={}", settings_.seed * 1'000 + number),
+         fmt::format("--stray_percent={}", settings_.link_faults),
+         fmt::format("--cut_percent={}", settings_.link_faults / 2),
+         fmt::format("--delay_percent={}", settings_.link_faults)});
+    nodes.push_back(std::move(made));
+}
+
+void deployment::start() {
+    store_process_->start();
+    for (auto const& each : replicas) {
+        each->start();
+    }
+    for (node_processes& each : nodes) {
+        each.link->start();
+        each.node->start();
+    }
+}
+
+void deployment::end() {
+    for (node_processes& each : nodes) {
+        each.node->end();
+        each.link->end();
+    }
+    for (auto const& each : replicas) {
+        each->end();
+    }
+    store_process_->end();
+}
+
+std::vector<std::string> deployment::crashed() const {
+    std::vector<std::string> names;
+    for (std::size_t each = 0; each < nodes.size(); ++each) {
+        if (nodes[each].node->has_crashed()) {
+            names.push_back(fmt::format("node-{}", each));
+        }
+    }
+    return names;
+}
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,175 @@
+#include "Ports/http_client.hpp"
+#include "test/soak/caller.hpp"
+#include "test/soak/disruptions.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <filesystem>
+#include <string>
+
+ABSL_FLAG(std::string, programs, ".", "folder of the programs");
+ABSL_FLAG(
+    std::string, work, "soak", "folder for logs; one is added for a seed");
+ABSL_FLAG(std::uint64_t, seed, 1, "of the first run");
+ABSL_FLAG(unsigned, runs, 1, "how many seeds");
+ABSL_FLAG(unsigned, seconds, 10, "how long callers send, a run");
+ABSL_FLAG(unsigned, nodes, 3, "nodes");
+ABSL_FLAG(unsigned, replicas, 4, "replicas of the plain service");
+ABSL_FLAG(unsigned, callers, 24, "callers");
+ABSL_FLAG(unsigned, replica_faults, 10, "percent");
+ABSL_FLAG(unsigned, link_faults, 4, "percent");
+
+namespace camphorpoint::soak {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+asio::awaitable<void> wait_for(milliseconds time) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(use_result);
+}
+
+/// Waits until all nodes are ready, for at most the given time.
+asio::awaitable<bool> await_ready(deployment const& target, seconds most) {
+    instant const until = boot_clock::now() + most;
+    auto const executor = co_await asio::this_coro::executor;
+    for (node_processes const& each : target.nodes) {
+        int status = 0;
+        while (status != 200 && boot_clock::now() < until) {
+            http_request request;
+            request.target = "/readiness";
+            ip_address to = each.readiness;
+            fetch_result const got = co_await fetch(
+                executor, std::move(to), std::move(request), milliseconds(200));
+            status = got.response.status;
+            co_await wait_for(milliseconds(50));
+        }
+        if (status != 200) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+/// One run: processes, callers and disruptions.
+class soak_run {
+public:
+    explicit soak_run(soak_settings const& settings)
+        : settings_(settings)
+        , target_(settings)
+        , disruptions_(target_, settings.seed) {}
+
+    /// @returns true when no promise was broken
+    bool play() {
+        target_.start();
+        bool done = false;
+        bool ready = false;
+        asio::co_spawn(io_, drive(ready), [&](std::exception_ptr) {
+            done = true;
+            io_.stop();
+        });
+        io_.run();
+        target_.end();
+        return report(done && ready);
+    }
+
+private:
+    asio::awaitable<void> drive(bool& ready) {
+        ready = co_await await_ready(target_, seconds(20));
+        for (unsigned each = 0; ready && each < settings_.callers; ++each) {
+            callers_.emplace_back(
+                target_, records_, fmt::format("c{}", each),
+                settings_.seed * 10'000 + each);
+            asio::co_spawn(io_, callers_.back().run(), asio::detached);
+        }
+        asio::co_spawn(
+            io_, disruptions_.run(records_.stopping), asio::detached);
+        co_await wait_for(seconds(settings_.seconds));
+        records_.stopping = true;
+        while (records_.callers > 0 || disruptions_.active() > 0) {
+            co_await wait_for(milliseconds(50));
+        }
+        // What runs after its refusal runs within the deadline.
+        co_await wait_for(milliseconds(2'500));
+    }
+
+    bool report(bool played) const {
+        auto const runs = read_ledger(target_.ledger);
+        auto const found =
+            find_violations(runs, records_.told, records_.once_only);
+        for (violation const& each : found) {
+            fmt::print("seed {}: {} {}\n", settings_.seed, each.rule, each.id);
+        }
+        auto const crashed = target_.crashed();
+        for (std::string const& each : crashed) {
+            fmt::print("seed {}: {} crashed\n", settings_.seed, each);
+        }
+        fmt::print(
+            "seed {}: {} requests that may run once, {} runs, {} served, {} "
+            "refused, {} reset, {} disruptions, {} violations{}\n",
+            settings_.seed, records_.once_only.size(), runs.size(),
+            records_.told.served, records_.told.refused.size(),
+            records_.told.reset.size(), disruptions_.begun(), found.size(),
+            played ? "" : ", not played");
+        std::fflush(stdout);
+        return played && found.empty() && crashed.empty();
+    }
+
+    soak_settings settings_;
+    asio::io_context io_{1};
+    deployment target_;
+    caller_records records_;
+    std::deque<caller> callers_;
+    disruptions disruptions_;
+};
+
+bool play_all() {
+    bool good = true;
+    soak_settings settings;
+    settings.programs = absl::GetFlag(FLAGS_programs);
+    settings.nodes = absl::GetFlag(FLAGS_nodes);
+    settings.replicas = absl::GetFlag(FLAGS_replicas);
+    settings.callers = absl::GetFlag(FLAGS_callers);
+    settings.seconds = absl::GetFlag(FLAGS_seconds);
+    settings.replica_faults = absl::GetFlag(FLAGS_replica_faults);
+    settings.link_faults = absl::GetFlag(FLAGS_link_faults);
+    for (unsigned each = 0; each < absl::GetFlag(FLAGS_runs); ++each) {
+        settings.seed = absl::GetFlag(FLAGS_seed) + each;
+        settings.work =
+            fmt::format("{}/{}", absl::GetFlag(FLAGS_work), settings.seed);
+        std::filesystem::remove_all(settings.work);
+        soak_run run(settings);
+        good = run.play() && good;
+    }
+    return good;
+}
+
+} // namespace
+
+} // namespace camphorpoint::soak
+
+int main(int argc, char** argv) {
+    absl::SetProgramUsageMessage(
+        "Runs real processes under disruptions, and compares what callers were "
+        "told with what replicas have run.");
+    absl::ParseCommandLine(argc, argv);
+    return camphorpoint::soak::play_all() ? 0 : 1;
+}
