Logs and a counter of evidence: what an answer is taken for, by request id

914 now says of each answer: its status, whether its connection had served an earlier request, whether it names the request, whether it states that the request has not run, and how many answers to other requests came before it. A relayed attempt has a 914 as well, with its peer. No logic changes.

The test 'a shorter rest does not end a longer one' set the second rest 2 ms after it sent the first request. It now waits until the first rejection is written; the bound is the same.

--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -15,6 +15,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace camphorpoint {
@@ -49,6 +50,10 @@
 
 /// Details of one attempt, for the log.
 struct attempt_trace {
+    /// Status of the answer, 0 for none.
+    int status = 0;
+    /// The answer states that the request has not run.
+    bool states_not_run = false;
     /// Number of the last event that was passed to the caller before the
     /// attempt.
     std::uint64_t after = 0;
@@ -103,6 +108,8 @@
 
     /// Empty when a peer makes the attempt.
     endpoint_id replica;
+    /// Address of the peer that makes the attempt; empty for none.
+    std::string peer;
     std::shared_ptr<http_call> call;
     instant began_at;
     answer_timing timing;
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -89,7 +89,8 @@
     relay_terms make_relay_terms() const;
     boost::asio::awaitable<next_step> relay(std::string peer);
     boost::asio::awaitable<next_step> pass_relayed_answer(attempt_ref attempt);
-    next_step finish_relay(attempt_outcome end);
+    next_step
+    finish_relay(forwarded_attempt const& attempt, attempt_outcome end);
     /// @returns the urgency of the request, 0 for the most urgent
     unsigned priority() const;
     bool refuse_quarantined();
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -185,12 +185,18 @@
         "finished", "refused",  "unreached", "failed",  "silent",
         "broken",   "unproven", "late",      "stalled", "superseded"};
     attempt_trace const& trace = attempt.trace;
-    std::string_view const body =
-        attempt.call->invalid() ? "invalid" : trace.body;
+    http_call const& call = *attempt.call;
+    std::string_view const body = call.invalid() ? "invalid" : trace.body;
     state_->log_event(log_line(event_code::attempt_ended)
                           .with("id", demand_.id.str())
                           .with("replica", attempt.replica.str())
+                          .with("peer", attempt.peer)
                           .with("end", names[static_cast<std::size_t>(end)])
+                          .with("status", trace.status)
+                          .with("kept", call.reused() ? 1 : 0)
+                          .with("named", call.names_request() ? 1 : 0)
+                          .with("stated", trace.states_not_run ? 1 : 0)
+                          .with("strays", call.strays())
                           .with("may_run", static_cast<int>(tracker_.may_run()))
                           .with("after", trace.after)
                           .with("events", position_.last().value_or(0))
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -17,6 +17,8 @@
     auto const call = attempt->call;
     int const status = call->status();
     answer_kind const kind = platform::judge_answer(status, call->fields());
+    attempt->trace.status = status;
+    attempt->trace.states_not_run = platform::states_not_run(call->fields());
     note_limits(*attempt, kind, call->fields());
     note_rest(*attempt, status, call->fields());
     if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -78,6 +78,7 @@
     times.connect = peer_connect_timeout;
     auto const attempt = std::make_shared<forwarded_attempt>(
         state_->io.get_executor(), state_->peer_connections, now);
+    attempt->peer = peer;
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     tried_peers_.insert(peer);
@@ -93,8 +94,9 @@
         step = co_await pass_relayed_answer(attempt);
     } else if (!response_complete_) {
         step = finish_relay(
-            opened == call_result::not_sent ? attempt_outcome::unreached
-                                            : attempt_outcome::silent);
+            *attempt, opened == call_result::not_sent
+                          ? attempt_outcome::unreached
+                          : attempt_outcome::silent);
     }
     caller_->calls.erase(attempt->call);
     co_return step;
@@ -106,6 +108,8 @@
     auto const call = attempt->call;
     http_fields const fields = call->fields();
     int const status = call->status();
+    attempt->trace.status = status;
+    attempt->trace.states_not_run = platform::states_not_run(fields);
     answer_kind const kind = platform::judge_relayed_answer(status, fields);
     std::string_view const relay_word = fields.get(platform::relay_field);
     bool const declined = relay_word == relay_declined;
@@ -118,8 +122,9 @@
         }
         co_await call->skip_rest();
         if (declined) {
-            co_return finish_relay(attempt_outcome::refused);
+            co_return finish_relay(*attempt, attempt_outcome::refused);
         }
+        log_attempt(*attempt, attempt_outcome::refused);
         constexpr int first_failure = 500;
         if (!tracker_.may_run() && status >= first_failure) {
             http_response refusal;
@@ -137,13 +142,16 @@
     }
     // The peer has made the attempts that the route allows.
     if (end == attempt_outcome::failed && failure_response_) {
+        log_attempt(*attempt, end);
         reason_ = "replica-failed";
         co_return next_step::give_up;
     }
-    co_return finish_relay(end);
+    co_return finish_relay(*attempt, end);
 }
 
-request_handler::next_step request_handler::finish_relay(attempt_outcome end) {
+request_handler::next_step request_handler::finish_relay(
+    forwarded_attempt const& attempt, attempt_outcome end) {
+    log_attempt(attempt, end);
     if (end == attempt_outcome::finished) {
         return next_step::complete;
     }
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -147,6 +147,9 @@
     bool timed_out_ = false;
     bool broke_off_ = false;
     bool invalid_ = false;
+    /// The answer names the request, or need not.
+    bool named_ = false;
+    unsigned strays_ = 0;
     answer_trace trace_;
     instant silent_since_;
 };
@@ -260,17 +263,19 @@
 
 asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
     // More than one answer too many is no accident of timing.
-    constexpr int most_strays = 2;
-    for (int strays = 0; strays <= most_strays; ++strays) {
+    constexpr unsigned most_strays = 2;
+    while (strays_ <= most_strays) {
         bool const read = co_await read_header();
         if (!read) {
             co_return false;
         }
         std::string_view const got = parser_->get()[times_.echoed];
+        named_ = sent.empty() || got == sent;
         bool const unnamed = got.empty() && !must_echo();
-        if (sent.empty() || unnamed || got == sent) {
+        if (named_ || unnamed) {
             co_return true;
         }
+        ++strays_;
         bool const skipped = co_await skip_stray();
         if (!skipped) {
             co_return false;
@@ -488,6 +493,14 @@
     return state_->invalid_;
 }
 
+bool http_call::names_request() const {
+    return state_->named_;
+}
+
+unsigned http_call::strays() const noexcept {
+    return state_->strays_;
+}
+
 answer_trace const& http_call::trace() const noexcept {
     return state_->trace_;
 }
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -117,6 +117,11 @@
     /// @returns true when the server has sent bytes that are no answer:
     ///          malformed, longer than any answer, or not this request's
     bool invalid() const noexcept;
+    /// @returns true when the answer names the request, or the request has no
+    ///          name; after open
+    bool names_request() const;
+    /// @returns answers to other requests that came before this one's
+    unsigned strays() const noexcept;
     /// @returns how the answer has arrived so far
     answer_trace const& trace() const noexcept;
     /// @returns true when the connection had served an earlier call
--- a/test/gateway/resting_replica_test.cpp
+++ b/test/gateway/resting_replica_test.cpp
@@ -103,9 +103,11 @@
         world.send_to_node_async(0, "/look/b", "", "q1", "x", both);
         world.plain.engine.rest = "1.5";
         world.send_to_node_async(0, "/look/b", "", "q2", "y", both);
-        within(world, milliseconds(2), [] { return false; });
+        // The first rejection is written with the longer rest.
+        REQUIRE(world.loop.run_until(
+            [&] { return !world.plain.engine.arrivals.empty(); }));
         world.plain.engine.rest = "0.1";
-        world.loop.run_until([&] { return both.size() == 2; });
+        REQUIRE(world.loop.run_until([&] { return both.size() == 2; }));
         send_for(world, rest, statuses);
         CHECK(requests_in_rest(world.plain) <= max_requests_in_rest);
     }
