--- a/test/ports/crossed_answers_test.cpp
+++ b/test/ports/crossed_answers_test.cpp
@@ -1,5 +1,6 @@
 #include "Ports/engine_http.hpp"
 #include "Ports/service_http.hpp"
+#include "Serving/request_tracker.hpp"
 #include "test/ports/loopback.hpp"
 
 #include <doctest/doctest.h>
@@ -118,4 +119,29 @@
     }
 }
 
+// A refusal that names no request stands where the answer is expected: it may
+// be an earlier request's, or nobody's. Taken for this request's own, the
+// request counts as not run while it runs.
+TEST_CASE("a refusal without a name does not say that this one has not run") {
+    loopback loop;
+    std::string const unnamed =
+        "HTTP/1.1 503 Any\r\nContent-Length: 4\r\n\r\nbusy";
+    SUBCASE("of an engine") {
+        CHECK_FALSE(internal::never_ran(run_engine(loop, unnamed)));
+    }
+    SUBCASE("of an engine that lacks the adapter") {
+        CHECK_FALSE(internal::never_ran(
+            run_engine(loop, "HTTP/1.1 409 Any\r\nContent-Length: 0\r\n\r\n")));
+    }
+    SUBCASE("of a service") {
+        CHECK_FALSE(internal::never_ran(run_service(loop, unnamed)));
+    }
+    SUBCASE("one that names the request does say it") {
+        std::string const named = "HTTP/1.1 503 Any\r\nX-Request-Id: r1\r\n"
+                                  "Content-Length: 4\r\n\r\nbusy";
+        CHECK(internal::never_ran(run_engine(loop, named)));
+        CHECK(internal::never_ran(run_service(loop, named)));
+    }
+}
+
 } // namespace camphorpoint
