An answer without an id on a kept connection is another request's

Callers saw bookings that ran twice, and 503 or 408 for bookings that ran. Cause: on a kept connection the client threw away a success without an id, but took any other answer without one for the request's own. A server that sends a 408 for an idle connection, or a late or extra refusal, so speaks for a request that it has just begun to run: the node sends it to the next replica, or tells its caller 'not run'.

Change: each status is treated as a success was; successes_echo is gone. It works because endpoints repeat the id in each answer, so the own answer follows the stray one. Where none follows, the request counts as one that may have run. The stand-ins of engines and services repeat it in refusals and failures, too.

--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -360,7 +360,6 @@
         times.idle_at_most = max_idle_if_not_idempotent;
     }
     times.echoed = std::string(platform::id_field);
-    times.successes_echo = true;
     return times;
 }
 
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -115,14 +115,6 @@
     asio::awaitable<bool> read_own_header(std::string sent);
     asio::awaitable<bool> skip_stray();
     void reject();
-    /// @returns true when the answer whose header was read must bear the id
-    bool must_echo() const {
-        constexpr unsigned first_success = 200;
-        constexpr unsigned first_redirect = 300;
-        unsigned const status = parser_->get().result_int();
-        return times_.successes_echo && reused_ && status >= first_success &&
-               status < first_redirect;
-    }
     void give_back();
     void close();
     void note_loss(beast::error_code const& error);
@@ -271,8 +263,8 @@
         }
         std::string_view const got = parser_->get()[times_.echoed];
         named_ = sent.empty() || got == sent;
-        bool const unnamed = got.empty() && !must_echo();
-        if (named_ || unnamed) {
+        bool const only_request = !reused_;
+        if (named_ || (got.empty() && only_request)) {
             co_return true;
         }
         ++strays_;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -44,13 +44,11 @@
     bool fresh = false;
     /// A kept connection that was idle for longer is not taken.
     duration idle_at_most = duration::max();
-    /// A header field that the answer must repeat from the request, when it
-    /// bears it. Guards against an answer to an earlier request that comes
-    /// late, where the next one is expected: it is read and thrown away.
+    /// A header field that each answer repeats from its request. An answer that
+    /// repeats another one's is read and thrown away, and so is one that
+    /// repeats none on a connection that has served an earlier request: a
+    /// server may send answers that are late, or that belong to no request.
     std::string echoed;
-    /// The server repeats it in each success. Then one without it, on a kept
-    /// connection, is another request's as well.
-    bool successes_echo = false;
 };
 
 /// One call, whose answer is read piece by piece.
--- a/standins/common/standin_main.cpp
+++ b/standins/common/standin_main.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 namespace standins {
@@ -43,6 +44,16 @@
     return response;
 }
 
+asio::awaitable<void> respond_named(
+    camphorpoint::http_exchange& exchange,
+    camphorpoint::http_response response) {
+    std::string_view const id = exchange.request().fields.get("X-Request-Id");
+    if (!id.empty()) {
+        response.fields.add("X-Request-Id", std::string(id));
+    }
+    co_await exchange.respond(std::move(response));
+}
+
 camphorpoint::instant clock_now() noexcept {
     return camphorpoint::boot_clock::now();
 }
--- a/standins/common/standin_main.hpp
+++ b/standins/common/standin_main.hpp
@@ -24,6 +24,11 @@
 /// @returns an answer with a JSON body
 camphorpoint::http_response json_response(int status, std::string body);
 
+/// Sends an answer that names its request, as endpoints do.
+boost::asio::awaitable<void> respond_named(
+    camphorpoint::http_exchange& exchange,
+    camphorpoint::http_response response);
+
 /// @returns the monotonic clock's reading; the logic is given it, and reads no
 /// clock itself
 camphorpoint::instant clock_now() noexcept;
--- a/standins/engine/engine_http.cpp
+++ b/standins/engine/engine_http.cpp
@@ -173,21 +173,21 @@
     auto const wanted =
         read_completion(exchange.request(), engine_.settings().default_tokens);
     if (!wanted) {
-        co_await exchange.respond(
-            json_response(400, "{\"error\":\"bad-request\"}"));
+        co_await respond_named(
+            exchange, json_response(400, "{\"error\":\"bad-request\"}"));
         co_return;
     }
     submit_result const result = engine_.submit(*wanted, clock_now());
     if (result.verdict == submit_verdict::not_loaded) {
-        co_await exchange.respond(
-            json_response(409, "{\"error\":\"not-loaded\"}"));
+        co_await respond_named(
+            exchange, json_response(409, "{\"error\":\"not-loaded\"}"));
         co_return;
     }
     if (result.run == nullptr) {
         std::string const text = result.verdict == submit_verdict::busy
                                      ? "{\"error\":\"busy\"}"
                                      : "{\"error\":\"leaving\"}";
-        co_await exchange.respond(json_response(503, text));
+        co_await respond_named(exchange, json_response(503, text));
         co_return;
     }
     work_.notify_all();
@@ -198,14 +198,14 @@
 engine_http::resume(http_exchange& exchange, std::string request) {
     run_batch::run_ptr const run = engine_.batch().find(request);
     if (run == nullptr) {
-        co_await exchange.respond(
-            json_response(404, "{\"error\":\"unknown-stream\"}"));
+        co_await respond_named(
+            exchange, json_response(404, "{\"error\":\"unknown-stream\"}"));
         co_return;
     }
     if (exchange.request().method == "DELETE") {
         engine_.cancel(*run, clock_now());
         stepped_.notify_all();
-        co_await exchange.respond(json_response(200, "{}"));
+        co_await respond_named(exchange, json_response(200, "{}"));
         co_return;
     }
     std::uint32_t const from =
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -167,12 +167,8 @@
 
 asio::awaitable<void>
 replica_engine::respond(http_exchange& exchange, http_response response) const {
-    std::string_view const id = exchange.request().fields.get("X-Request-Id");
-    if (!id.empty()) {
-        response.fields.add("X-Request-Id", std::string(id));
-    }
     name_state(response.fields);
-    co_await exchange.respond(std::move(response));
+    co_await respond_named(exchange, std::move(response));
 }
 
 bool replica_engine::is_poison(http_request const& request) const {
--- a/standins/service/service_http.cpp
+++ b/standins/service/service_http.cpp
@@ -47,7 +47,8 @@
 asio::awaitable<void> service_http::call(http_exchange& exchange) {
     if (leaving_ || !capacity_.begin()) {
         records_.count_refusal();
-        co_await exchange.respond(json_response(503, "{\"error\":\"busy\"}"));
+        co_await respond_named(
+            exchange, json_response(503, "{\"error\":\"busy\"}"));
         co_return;
     }
     camphorpoint::http_request const& request = exchange.request();
@@ -71,7 +72,8 @@
     }
     if (errors_ > 0) {
         --errors_;
-        co_await exchange.respond(json_response(500, "{\"error\":\"failed\"}"));
+        co_await respond_named(
+            exchange, json_response(500, "{\"error\":\"failed\"}"));
         co_return false;
     }
     camphorpoint::http_request const& request = exchange.request();
