A status says nothing that its sender has not stated

Callers saw 503, 429 and 408 for requests that ran, and bookings that ran twice after a 421. Cause: a replica's own failure with one of these statuses was passed on as it was, and to a caller they promise 'not run'; a 421 counted as 'not run' without a statement; a refusal counted also when it named no request.

Change: not run needs both the request's id and the statement. The check judge_answer(421, {}) == misdirected contradicted the protocol ('no other response states this') and is replaced by checks of each status, without the statement and without the id.

--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -16,7 +16,8 @@
     auto const caller = caller_;
     auto const call = attempt->call;
     int const status = call->status();
-    answer_kind const kind = platform::judge_answer(status, call->fields());
+    answer_kind const kind =
+        platform::judge_answer(status, call->fields(), call->names_request());
     attempt->trace.status = status;
     attempt->trace.states_not_run = platform::states_not_run(call->fields());
     note_limits(*attempt, kind, call->fields());
@@ -37,7 +38,7 @@
 request_handler::forward_answer(attempt_ref attempt, answer_kind kind) {
     auto const caller = caller_;
     tracker_.on_answering();
-    if (kind == answer_kind::spoiled) {
+    if (kind == answer_kind::spoiled || kind == answer_kind::unstated) {
         co_return attempt_outcome::failed;
     }
     if (response_started_ && kind == answer_kind::failure) {
--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -154,8 +154,9 @@
     http_fields const& answer) {
     using platform::answer_kind;
     endpoint_id const& at = attempt.replica;
-    // A misdirected request was answered by another replica.
-    if (kind == answer_kind::misdirected) {
+    // A misdirected request was answered by another replica, and one with a
+    // refusal that states nothing may have been.
+    if (kind == answer_kind::misdirected || kind == answer_kind::unstated) {
         return;
     }
     if (platform::announces_leaving(answer)) {
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -133,19 +133,24 @@
 TEST_CASE("an answer is judged by its header") {
     http_fields good;
     good.add("X-Response-Signature", "s");
-    CHECK(judge_answer(200, good) == answer_kind::success);
-    CHECK(judge_answer(200, {}) == answer_kind::spoiled);
-    CHECK(judge_answer(500, good) == answer_kind::failure);
-    CHECK(judge_answer(421, {}) == answer_kind::misdirected);
+    CHECK(judge_answer(200, good, true) == answer_kind::success);
+    CHECK(judge_answer(200, {}, true) == answer_kind::spoiled);
+    CHECK(judge_answer(500, good, true) == answer_kind::failure);
     SUBCASE("an encoded body is not the replica's") {
         good.add("Content-Encoding", "gzip");
-        CHECK(judge_answer(200, good) == answer_kind::spoiled);
+        CHECK(judge_answer(200, good, true) == answer_kind::spoiled);
     }
-    SUBCASE("503 promises nothing unless the replica says so") {
-        CHECK(judge_answer(503, {}) == answer_kind::failure);
+    SUBCASE("a status promises nothing unless the replica states it") {
         http_fields refused;
         refused.add("X-Not-Executed", "1");
-        CHECK(judge_answer(503, refused) == answer_kind::not_executed);
+        for (int const status : {408, 421, 429, 503}) {
+            CHECK(judge_answer(status, {}, true) == answer_kind::unstated);
+            CHECK(
+                judge_answer(status, refused, false) == answer_kind::unstated);
+        }
+        CHECK(judge_answer(421, refused, true) == answer_kind::misdirected);
+        CHECK(judge_answer(503, refused, true) == answer_kind::not_executed);
+        CHECK(judge_answer(400, refused, true) == answer_kind::not_executed);
     }
 }
 
