Profile path: a refusal counts only if it names the request

A caller could get 'not run' for a request that an engine or service runs, and the node send it elsewhere. Cause: 503 and 409 counted as refusals whatever they named. Change: without the id the attempt failed, and may have run.

--- a/src/Ports/engine_http.cpp
+++ b/src/Ports/engine_http.cpp
@@ -52,12 +52,16 @@
     return request;
 }
 
-attempt_result end_of_status(int status, bool resumed) {
+/// @param names_request whether the answer names the request; one that does not
+///        says nothing about whether the request has run
+attempt_result end_of_status(int status, bool resumed, bool names_request) {
     switch (status) {
     case status_conflict:
-        return attempt_result::refused_not_loaded;
+        return names_request ? attempt_result::refused_not_loaded
+                             : attempt_result::failed;
     case status_unavailable:
-        return attempt_result::refused_busy;
+        return names_request ? attempt_result::refused_busy
+                             : attempt_result::failed;
     default:
         // The engine no longer keeps the stream: it has run, and its rest
         // cannot be had.
@@ -177,7 +181,7 @@
     end.status = call.status();
     end.notice = read_endpoint_notice(end.status, call.fields());
     if (end.status != status_ok) {
-        end.how = end_of_status(end.status, resumed);
+        end.how = end_of_status(end.status, resumed, call.names_request());
         call.cancel();
         co_return end;
     }
--- a/src/Ports/service_http.cpp
+++ b/src/Ports/service_http.cpp
@@ -58,9 +58,10 @@
     end.notice = read_endpoint_notice(end.status, call.fields());
     if (end.status != status_ok) {
         // The head tells it; a body that does not end takes nothing from it.
-        end.how = end.status == status_unavailable
-                      ? attempt_result::refused_busy
-                      : attempt_result::failed;
+        bool const refused =
+            end.status == status_unavailable && call.names_request();
+        end.how =
+            refused ? attempt_result::refused_busy : attempt_result::failed;
         co_await call.skip_rest();
         co_return end;
     }
