A request that was read does not end by a reset; a failed handler knows no outcome

Callers take a reset for 'not read' and send the request again. Cause: a connection that was closed while its request ran, or whose handler ended without an answer, was closed with unread bytes behind the request (a line end, the next request), and the kernel then resets it. Change: what has arrived behind a request that may have run is read before the close. Behind an answered request it still causes the reset, since it is another request, unread.

A handler that threw was reported with 500 and X-Outcome not-run, although it may have sent the request on: unknown. Read; no test, as no handler throws.

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -33,14 +34,18 @@
 /// closed.
 constexpr std::chrono::milliseconds reader_patience{500};
 
-http_response error_response(int status, std::string_view what) {
+/// @param outcome of the request: "not-run", or "unknown" when its handler may
+///        have sent it on
+http_response
+error_response(int status, std::string_view outcome, std::string_view what) {
     http_response response;
     response.status = status;
     response.fields.add("Content-Type", "application/json");
-    response.fields.add("X-Outcome", "not-run");
+    response.fields.add("X-Outcome", std::string(outcome));
     response.fields.add("X-Reason", std::string(what));
-    response.body = "{\"error\":{\"outcome\":\"not-run\",\"reason\":\"" +
-                    std::string(what) + "\"}}\n";
+    response.body = fmt::format(
+        "{{\"error\":{{\"outcome\":\"{}\",\"reason\":\"{}\"}}}}\n", outcome,
+        what);
     return response;
 }
 
@@ -121,6 +126,7 @@
     if (in_request_) {
         why_ = why_.value_or(connection_end::closed);
         end = take_report();
+        discard_behind_request();
     }
     close_socket();
     return end;
@@ -148,7 +154,9 @@
 http_exchange::connection::refuse_with(int status, std::string_view why) {
     keep_alive_ = false;
     own_status_ = status;
-    http_response response = error_response(status, why);
+    bool const handled = why_ == connection_end::handler_failed;
+    http_response response =
+        error_response(status, handled ? "unknown" : "not-run", why);
     co_await respond(std::move(response));
 }
 
@@ -337,10 +345,28 @@
     }
     co_await finish();
     std::optional<connection_end_report> end = take_report();
+    discard_behind_request();
     close_socket();
     co_return end;
 }
 
+// Closing with unread bytes resets the connection. To its caller a reset means
+// that nothing was read, so bytes behind a request that may have run must not
+// cause one. Behind an answered request they may: they are another request.
+void http_exchange::connection::discard_behind_request() {
+    constexpr std::size_t most_discarded = 4U << 20U;
+    bool const may_have_run = request_whole_ && answer_ != answer_state::whole;
+    std::size_t discarded = 0;
+    while (may_have_run && discarded < most_discarded) {
+        buffer_.clear();
+        read_arrived();
+        if (buffer_.size() == 0) {
+            break;
+        }
+        discarded += buffer_.size();
+    }
+}
+
 // A request that arrives after the last answer stays unread: closing with
 // unread bytes resets the connection, which tells its caller that nothing was
 // read.
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -108,6 +108,8 @@
     connection_end end_of_answer();
     std::optional<connection_end_report> take_report();
     void close_socket();
+    /// Reads what has arrived behind a request that has no whole answer.
+    void discard_behind_request();
     bool note_write(boost::beast::error_code error);
 
     boost::beast::tcp_stream stream_;
--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -56,6 +56,9 @@
         if (during_request) {
             during_request();
         }
+        if (!answers) {
+            co_return;
+        }
         http_response response;
         response.body = "ok";
         co_await exchange.respond(std::move(response));
@@ -97,6 +100,8 @@
 
     loopback loop;
     int handled = 0;
+    /// The handler answers requests.
+    bool answers = true;
     std::function<void()> during_request;
     std::vector<std::unique_ptr<tcp::socket>> callers;
     http_server server;
@@ -308,4 +313,35 @@
     }
 }
 
+// Guards against a caller that sends a request again, since a reset tells it
+// that the first one was not read, while a replica runs that one.
+TEST_CASE("a request that was read does not end by a reset") {
+    kept_connections world;
+    tcp::socket& caller = world.connect();
+    std::string behind;
+    bool closes = true;
+    SUBCASE("the server is closed, a line end behind the request") {
+        behind = "\r\n";
+    }
+    SUBCASE("the server is closed, the next request behind it") {
+        behind = request_text;
+    }
+    SUBCASE("the server is closed, a large request behind it") {
+        behind = std::string(100'000, 'x');
+    }
+    SUBCASE("the handler ends without an answer") {
+        behind = request_text;
+        closes = false;
+    }
+    world.answers = false;
+    world.during_request = [&] {
+        REQUIRE_FALSE(send_now(caller, behind));
+        if (closes) {
+            world.server.close();
+        }
+    };
+    REQUIRE_FALSE(send_now(caller, request_text));
+    CHECK(world.await_fate(caller) == request_fate::read_unanswered);
+}
+
 } // namespace camphorpoint
