A relayed request is refused only by its peer's own word

Callers of a node that reaches no replica saw 503 with Retry-After for bookings that had run and been answered 302, 400, 409 or 503. Cause: the entry node took any unsigned answer with a status from 300 to 499, or 503, for the refusal of its peer, though the peer passes replicas' failures on unchanged; replicas need not sign failures.

Change: a peer marks its own refusals in the relay field ('refused', beside 'declined'), which no replica's answer bears past a node. Anything else is a replica's answer and is judged as one. A peer that cannot read the terms declines instead of answering 400.

--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace camphorpoint {
@@ -12,7 +14,6 @@
 namespace {
 
 constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 
 /// Counts an exchange while it is being answered.
@@ -43,8 +44,10 @@
     auto terms = decode_relay_terms(
         exchange.request().fields.get(platform::relay_field));
     if (!terms) {
-        http_response refusal;
-        refusal.status = status_bad_request;
+        http_response refusal = platform::own_answer(
+            status_unavailable, exchange.request(), std::nullopt);
+        refusal.fields.add(
+            std::string(platform::relay_field), std::string(relay_declined));
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
--- a/src/Gateway/relay_terms.hpp
+++ b/src/Gateway/relay_terms.hpp
@@ -30,6 +30,11 @@
 /// request: it reaches no replica either, or lacks declarations.
 inline constexpr std::string_view relay_declined = "declined";
 
+/// Value of the relay field in an answer by which a peer itself refuses the
+/// request: no replica has run it or will. An answer that a peer passes on from
+/// a replica has neither value.
+inline constexpr std::string_view relay_refused = "refused";
+
 /// @returns the value of the relay field of a peer's answer: the software
 ///          version of the replica that writes the stream
 std::string encode_relayed_software(software_key software);
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -266,10 +266,10 @@
     if (!response_complete_ && !caller->gone && !response_started_) {
         http_response answer = final_answer();
         status_ = answer.status;
-        if (relayed_ && declined_) {
+        if (relayed_ && !tracker_.may_run()) {
             answer.fields.add(
                 std::string(platform::relay_field),
-                std::string(relay_declined));
+                std::string(declined_ ? relay_declined : relay_refused));
         }
         response_complete_ = co_await exchange_->respond(std::move(answer));
     }
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -110,11 +110,11 @@
     int const status = call->status();
     attempt->trace.status = status;
     attempt->trace.states_not_run = platform::states_not_run(fields);
-    answer_kind const kind = platform::judge_relayed_answer(status, fields);
     std::string_view const relay_word = fields.get(platform::relay_field);
     bool const declined = relay_word == relay_declined;
+    bool const refused = declined || relay_word == relay_refused;
     attempt->software = decode_relayed_software(relay_word);
-    if (kind == answer_kind::not_executed || kind == answer_kind::misdirected) {
+    if (refused && call->names_request()) {
         if (declined) {
             tracker_.on_declined();
         } else {
@@ -135,6 +135,8 @@
         reason_ = "refused-by-peer";
         co_return next_step::give_up;
     }
+    // A peer does not pass on a replica's refusal.
+    answer_kind const kind = platform::judge_answer(status, fields, false);
     attempt_outcome end = co_await forward_answer(attempt, kind);
     bool const late = boot_clock::now() >= deadline_;
     if (late && end != attempt_outcome::finished) {
