A relayed request is repeated only if both nodes may repeat it

A booking could run twice: the peer decided by its own configuration whether a relayed request may be sent again, while the entry node, which answers for it, knew a version in which it runs once.

Evidence: with terms that allow it the peer sends twice after a lost answer, which is what every relayed request got before; with terms that do not, once ('a relayed request is repeated only if both nodes may repeat it').

Change: the terms say whether the entry node may repeat the request; a flag in a word that older nodes read as a truth value.

--- a/src/Gateway/relay_terms.hpp
+++ b/src/Gateway/relay_terms.hpp
@@ -16,6 +16,8 @@
     unsigned sends = 0;
     /// The entry node has earned credit for resends with the request.
     bool counted = false;
+    /// By the entry node's configuration the request may run twice.
+    bool idempotent = false;
     /// Software version at which the stream must go on; nothing when the
     /// request begins it.
     std::optional<software_key> software;
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -63,8 +63,9 @@
     // The route is copied because the configuration may change while the
     // request runs.
     route_ = *found;
-    tracker_ =
-        attempt_tracker(route_->idempotent(), relayed_ ? relayed_->sends : 0);
+    idempotent_ = route_->idempotent() && (!relayed_ || relayed_->idempotent);
+    route_->resumable = route_->resumable && idempotent_;
+    tracker_ = attempt_tracker(idempotent_, relayed_ ? relayed_->sends : 0);
     position_ = delivery_position(demand_.last_event, route_->resumable);
     milliseconds const timeout =
         std::min(demand_.patience.value_or(route_->timeout), route_->timeout);
@@ -80,7 +81,7 @@
     need_.model = demand_.model;
     need_.work = {
         demand_.prompt_tokens, route_->objective, route_->accepted_gap, timeout,
-        route_->idempotent()};
+        idempotent_};
     need_.random_sample = state_->random();
     fingerprint_ = fingerprint_request(
         request.method, request.fields.get("Host"), request.target,
@@ -356,7 +357,7 @@
         std::chrono::duration_cast<milliseconds>(deadline_ - now) +
         milliseconds(100);
     times.connect = connect_timeout;
-    if (!route_->idempotent()) {
+    if (!idempotent_) {
         times.idle_at_most = max_idle_if_not_idempotent;
     }
     times.echoed = std::string(platform::id_field);
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -244,6 +244,9 @@
     /// Set when another node has relayed the request.
     std::optional<relay_terms> relayed_;
     std::optional<service_route> route_;
+    /// The request may run twice, also by the configuration of the node that
+    /// has relayed it.
+    bool idempotent_ = false;
     /// The team of the caller's API key.
     std::optional<team_definition> team_;
     /// Units taken from the team's usage cap, 0 for none.
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -48,6 +48,7 @@
     relay_terms terms;
     terms.sends = tracker_.sends();
     terms.counted = counted_;
+    terms.idempotent = idempotent_;
     terms.software = need_.software;
     if (team_) {
         terms.team = team_->name;
--- a/test/gateway/refused_requests_test.cpp
+++ b/test/gateway/refused_requests_test.cpp
@@ -1,3 +1,5 @@
+#include "Gateway/relay_terms.hpp"
+#include "platform/request_wire.hpp"
 #include "test/gateway/partitioned_node.hpp"
 
 #include <doctest/doctest.h>
@@ -242,4 +244,44 @@
     }
 }
 
+// Guards against a booking that runs twice because the node to which it was
+// relayed knows a configuration that lets it be repeated.
+TEST_CASE("a relayed request is repeated only if both nodes may repeat it") {
+    gateway_fixture world;
+    world.more_replicas.push_back(
+        std::make_unique<testing::served_replica>(world.loop, "p2", "", 0));
+    world.list(*world.more_replicas.back(), "app");
+    REQUIRE(world.loop.run_until(
+        [&] { return world.node->knows_replica(endpoint_id("p2")); }));
+    bool may_repeat = false;
+    SUBCASE("the entry node may not") {}
+    SUBCASE("the entry node may") {
+        may_repeat = true;
+    }
+    world.plain.engine.faults = {replica_fault::answer_lost};
+    world.more_replicas.back()->engine.faults = {replica_fault::answer_lost};
+    relay_terms terms;
+    terms.idempotent = may_repeat;
+    http_request request;
+    request.method = "POST";
+    request.target = "/look/a";
+    for (auto const& [name, value] :
+         {std::pair("Host", "h"), std::pair("X-Request-Id", "relayed"),
+          std::pair("X-Request-Deadline", "2000")}) {
+        request.fields.add(name, value);
+    }
+    request.fields.add(std::string(platform::relay_field), encode(terms));
+    fetch_result got;
+    world.loop.run([&]() -> asio::awaitable<void> {
+        http_call call(world.loop.executor());
+        ip_address to = world.settings.peer_address;
+        call_times times;
+        got = co_await fetch(call, std::move(to), std::move(request), times);
+    });
+    unsigned const elsewhere =
+        world.more_replicas.back()->engine.runs["relayed"];
+    CHECK(world.runs("relayed") + elsewhere == (may_repeat ? 2 : 1));
+    CHECK(got.response.status == 502);
+}
+
 } // namespace camphorpoint
