--- a/src/Gateway/gateway_metrics.cpp
+++ b/src/Gateway/gateway_metrics.cpp
@@ -65,6 +65,12 @@
             .Help("Answers whose figures of the replica's load can't be read")
             .Register(registry)
             .Add({});
+    prometheus::Family<prometheus::Counter>& untrusted_answers =
+        BuildCounter()
+            .Name("camphorpoint_gateway_untrusted_answers_total")
+            .Help("Answers that say nothing about the request for which they "
+                  "came, by kind")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges =
         BuildGauge()
             .Name("camphorpoint_gateway_state")
@@ -117,6 +123,14 @@
     state_->unreadable_loads.Increment();
 }
 
+void gateway_metrics::count_untrusted_answers(
+    std::string_view kind, unsigned number) {
+    if (number > 0) {
+        state_->untrusted_answers.Add({{"kind", std::string(kind)}})
+            .Increment(number);
+    }
+}
+
 void gateway_metrics::observe_load_wait(duration time) {
     state_->load_wait.Observe(seconds(time));
 }
--- a/src/Gateway/gateway_metrics.hpp
+++ b/src/Gateway/gateway_metrics.hpp
@@ -38,6 +38,10 @@
     void observe_first_byte(duration time);
     /// Counts an answer whose figures of the replica's load can't be read.
     void count_unreadable_load();
+    /// Counts answers that say nothing about the request for which they came:
+    /// "stray", of another request or of none, or "unstated", a status that
+    /// would promise what the replica has not stated.
+    void count_untrusted_answers(std::string_view kind, unsigned number);
     /// Sets the gauge with this name.
     void set_gauge(std::string_view gauge, double value);
     /// @returns all metrics in the Prometheus text format
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -186,6 +186,7 @@
         "broken",   "unproven", "late",      "stalled", "superseded"};
     attempt_trace const& trace = attempt.trace;
     http_call const& call = *attempt.call;
+    state_->metrics.count_untrusted_answers("stray", call.strays());
     std::string_view const body = call.invalid() ? "invalid" : trace.body;
     state_->log_event(log_line(event_code::attempt_ended)
                           .with("id", demand_.id.str())
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -38,6 +38,8 @@
 request_handler::forward_answer(attempt_ref attempt, answer_kind kind) {
     auto const caller = caller_;
     tracker_.on_answering();
+    state_->metrics.count_untrusted_answers(
+        "unstated", kind == answer_kind::unstated ? 1 : 0);
     if (kind == answer_kind::spoiled || kind == answer_kind::unstated) {
         co_return attempt_outcome::failed;
     }
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -35,14 +35,16 @@
     return std::ranges::find(promises, status) != promises.end();
 }
 
-/// Ends what a socket waits for when a time has passed.
+/// Closes a socket when a time has passed.
 class time_limit {
 public:
     time_limit(tcp::socket& socket, milliseconds time)
         : timer_(socket.get_executor(), time) {
         timer_.async_wait([&socket, active = active_](auto const& error) {
             if (!error && *active) {
-                socket.cancel();
+                // A cancellation would miss a wait that begins right after it.
+                boost::system::error_code ignored;
+                socket.close(ignored);
             }
         });
     }
@@ -123,7 +125,7 @@
     buffer_.clear();
     time_limit const limit(*socket_, milliseconds(1'000));
     auto const [error] = co_await socket_->async_connect(remote, use_result);
-    if (error) {
+    if (error || !socket_->is_open()) {
         socket_.reset();
     }
     co_return socket_ != nullptr;
--- a/test/soak/child_process.cpp
+++ b/test/soak/child_process.cpp
@@ -46,6 +46,9 @@
         O_WRONLY | O_APPEND | O_CREAT, mode);
     ::posix_spawn_file_actions_adddup2(
         &made.actions, STDOUT_FILENO, STDERR_FILENO);
+    // Connections of this process would stay open in the new one.
+    ::posix_spawn_file_actions_addclosefrom_np(
+        &made.actions, STDERR_FILENO + 1);
     std::vector<char*> arguments;
     arguments.reserve(words_.size() + 1);
     for (std::string& each : words_) {
@@ -53,6 +56,7 @@
     }
     arguments.push_back(nullptr);
     ended_by_ = 0;
+    ++starts_;
     int const error = ::posix_spawn(
         &id_, arguments.front(), &made.actions, nullptr, arguments.data(),
         environ);
--- a/test/soak/child_process.hpp
+++ b/test/soak/child_process.hpp
@@ -25,6 +25,8 @@
     void send_signal(int number);
     /// @returns true while the process exists
     bool running();
+    /// @returns how often it was started
+    unsigned starts() const noexcept { return starts_; }
     /// @returns true when it has ended by itself with a failure, or by a signal
     ///          that was not sent here
     bool has_crashed() const noexcept { return crashed_; }
@@ -37,6 +39,7 @@
     std::vector<std::string> words_;
     std::string log_;
     pid_t id_ = 0;
+    unsigned starts_ = 0;
     /// The last signal sent here that ends a process, 0 for none.
     int ended_by_ = 0;
     bool crashed_ = false;
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -72,7 +72,7 @@
         co_await end_process(replica, SIGKILL);
         break;
     case 5:
-        co_await stop_process(replica, brief);
+        co_await stop_process(replica, draw(2) == 0 ? brief : lengthy);
         break;
     case 6:
         // The node reaches no replica: new connections hang.
@@ -98,7 +98,9 @@
 disruptions::end_process(child_process& which, int signal) {
     which.send_signal(signal);
     constexpr milliseconds step{20};
-    while (which.running()) {
+    // Another disruption may have started it again meanwhile.
+    unsigned const starts = which.starts();
+    while (which.running() && which.starts() == starts) {
         co_await pause(step);
     }
     milliseconds const away = draw_time(milliseconds(50), milliseconds(1'500));
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -104,17 +104,28 @@
             io_, disruptions_.run(records_.stopping), asio::detached);
         co_await wait_for(seconds(settings_.seconds));
         records_.stopping = true;
-        while (records_.callers > 0 || disruptions_.active() > 0) {
+        instant const until = boot_clock::now() + seconds(20);
+        while (active() && boot_clock::now() < until) {
             co_await wait_for(milliseconds(50));
         }
+        ready = !active();
         // What runs after its refusal runs within the deadline.
         co_await wait_for(milliseconds(2'500));
     }
 
+    bool active() const {
+        return records_.callers > 0 || disruptions_.active() > 0;
+    }
+
     bool report(bool played) const {
         auto const runs = read_ledger(target_.ledger);
         auto const found =
             find_violations(runs, records_.told, records_.once_only);
+        if (active()) {
+            fmt::print(
+                "seed {}: {} callers and {} disruptions have not ended\n",
+                settings_.seed, records_.callers, disruptions_.active());
+        }
         for (violation const& each : found) {
             fmt::print("seed {}: {} {}\n", settings_.seed, each.rule, each.id);
         }
