Profile path: no status of an unknown outcome promises that nothing has run

A caller of an idempotent request that had been sent and failed got 429 when the retry budget denied a resend: to a caller that status says 'not run', while X-Outcome said unknown. Found by listing every place that answers 408, 421, 429 or 503; no one has reported it. Change: an unknown outcome with such a reason is answered 502.

--- a/src/Ports/caller_answer.cpp
+++ b/src/Ports/caller_answer.cpp
@@ -51,12 +51,7 @@
     return json_text(message->get_object(), "content");
 }
 
-} // namespace
-
-int status_of(outcome how, reason why) noexcept {
-    if (how == outcome::done) {
-        return ok;
-    }
+int status_of_reason(outcome how, reason why) noexcept {
     switch (why) {
     case reason::bad_request:
     case reason::deadline_invalid:
@@ -90,6 +85,19 @@
     }
 }
 
+} // namespace
+
+int status_of(outcome how, reason why) noexcept {
+    if (how == outcome::done) {
+        return ok;
+    }
+    int const status = status_of_reason(how, why);
+    // To callers these statuses promise that the request has not run.
+    bool const promises = status == request_timeout || status == too_many ||
+                          status == unavailable;
+    return how == outcome::unknown && promises ? bad_gateway : status;
+}
+
 void add_outcome(http_fields& fields, finish_request const& end) {
     constexpr std::int64_t second = 1'000;
     fields.add("X-Outcome", std::string(to_string(end.how)));
