Findings of the linter in the soak and the tests of refusals

Waits of the soak use the stand-ins' wait_for instead of two of their own; the test's replica reads by itself and sees the end of a connection.

--- a/test/gateway/refused_requests_test.cpp
+++ b/test/gateway/refused_requests_test.cpp
@@ -2,6 +2,9 @@
 #include "platform/request_wire.hpp"
 #include "test/gateway/partitioned_node.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -11,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace camphorpoint {
@@ -71,13 +75,18 @@
                        "X-Response-Signature: signed\r\n";
 
 private:
-    asio::awaitable<void> serve(raw_server::socket_type& socket) {
+    asio::awaitable<void> serve(raw_server::socket_type& accepted) {
+        raw_server::socket_type socket(std::move(accepted));
+        std::string request;
         for (bool first = true;; first = false) {
-            std::string const request = co_await testing::read_request(socket);
-            if (request.empty()) {
+            auto const [error, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                asio::as_tuple(asio::use_awaitable));
+            if (error) {
                 co_return;
             }
             std::string const id = id_of(request);
+            request.erase(0, size);
             ++runs[id];
             std::string text = first ? first_stray : stray;
             std::string own = head;
@@ -86,7 +95,7 @@
                 own.replace(place, 4, id);
             }
             text += "HTTP/1.1 " + own + "Content-Length: 2\r\n\r\nok";
-            co_await testing::write_text(socket, std::move(text));
+            co_await testing::write_text(socket, text);
         }
     }
 
@@ -194,7 +203,8 @@
     }
     for (std::string const signature :
          {"X-Response-Signature: signed\r\n", ""}) {
-        replicas.head = status + "\r\nX-Request-Id: {id}\r\n" + signature;
+        replicas.head =
+            fmt::format("{}\r\nX-Request-Id: {{id}}\r\n{}", status, signature);
         std::string const id = "own" + std::to_string(signature.size());
         auto const got = world.ask("/pay/a", "", id);
         CHECK(got.response.status == 502);
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -1,7 +1,8 @@
 #include "test/soak/caller.hpp"
 
+#include "common/standin_main.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <array>
-#include <optional>
 #include <utility>
 
 namespace camphorpoint::soak {
@@ -75,18 +75,13 @@
     , name_(std::move(name))
     , random_(seed) {}
 
-asio::awaitable<void> caller::pause(milliseconds time) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(use_result);
-}
-
 asio::awaitable<void> caller::run() {
     ++records_->callers;
     for (unsigned number = 0; !records_->stopping; ++number) {
         co_await run_operation(number);
         constexpr std::uint64_t longest_pause_ms = 60;
         milliseconds const rest(draw(longest_pause_ms));
-        co_await pause(rest);
+        co_await standins::wait_for(rest);
     }
     --records_->callers;
 }
@@ -111,7 +106,7 @@
         socket_.reset();
         constexpr std::uint64_t longest_wait_ms = 400;
         milliseconds const wait(draw(longest_wait_ms));
-        co_await pause(wait);
+        co_await standins::wait_for(wait);
     }
 }
 
@@ -159,7 +154,7 @@
     auto const [error, size] =
         co_await http::async_read(*socket_, buffer_, parser, use_result);
     if (!error) {
-        int const status = parser.get().result_int();
+        int const status = static_cast<int>(parser.get().result_int());
         fate const what = judge(status, parser.get().body(), wanted);
         if (!parser.keep_alive()) {
             socket_.reset();
@@ -174,7 +169,7 @@
         constexpr milliseconds step{10};
         bool reset = error == asio::error::connection_reset;
         for (int each = 0; each < 20 && !reset; ++each) {
-            co_await pause(step);
+            co_await standins::wait_for(step);
             reset = was_reset(*socket_);
         }
         what = reset ? fate::reset : fate::final;
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -64,7 +63,6 @@
     boost::asio::awaitable<bool> connect();
     fate judge(int status, std::string const& body, request const& wanted);
     fate note(fate what, std::string const& id);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     std::uint64_t draw(std::uint64_t below) { return random_() % below; }
 
     deployment const* target_;
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -1,49 +1,37 @@
 #include "test/soak/disruptions.hpp"
 
 #include "Ports/http_client.hpp"
+#include "common/standin_main.hpp"
 #include "platform/keyed_records.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <signal.h>
+#include <utility>
 
 namespace camphorpoint::soak {
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-namespace {
-
-constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
-
-} // namespace
-
-disruptions::disruptions(deployment& target, std::uint64_t seed)
-    : target_(&target)
+disruptions::disruptions(
+    asio::any_io_executor executor, deployment& target, std::uint64_t seed)
+    : executor_(std::move(executor))
+    , target_(&target)
     , random_(seed) {}
 
-asio::awaitable<void> disruptions::pause(milliseconds time) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(use_result);
-}
-
 milliseconds disruptions::draw_time(milliseconds least, milliseconds most) {
     return least + milliseconds(draw((most - least).count()));
 }
 
 asio::awaitable<void> disruptions::run(bool const& stopping) {
-    auto const executor = co_await asio::this_coro::executor;
     while (!stopping) {
         ++begun_;
-        asio::co_spawn(executor, begin_one(), asio::detached);
+        asio::co_spawn(executor_, begin_one(), asio::detached);
         milliseconds const rest =
             draw_time(milliseconds(100), milliseconds(600));
-        co_await pause(rest);
+        co_await standins::wait_for(rest);
     }
 }
 
@@ -81,7 +69,7 @@
     case 7:
         // The node reaches no replica: connections are refused.
         node.link->end();
-        co_await pause(lengthy);
+        co_await standins::wait_for(lengthy);
         node.link->start();
         break;
     case 8:
@@ -101,17 +89,17 @@
     // Another disruption may have started it again meanwhile.
     unsigned const starts = which.starts();
     while (which.running() && which.starts() == starts) {
-        co_await pause(step);
+        co_await standins::wait_for(step);
     }
     milliseconds const away = draw_time(milliseconds(50), milliseconds(1'500));
-    co_await pause(away);
+    co_await standins::wait_for(away);
     which.start();
 }
 
 asio::awaitable<void>
 disruptions::stop_process(child_process& which, milliseconds time) {
     which.send_signal(SIGSTOP);
-    co_await pause(time);
+    co_await standins::wait_for(time);
     which.send_signal(SIGCONT);
 }
 
@@ -124,8 +112,7 @@
         platform::keyed_bytes("config", deployment::configuration(version_)));
     ip_address to = target_->store;
     co_await fetch(
-        co_await asio::this_coro::executor, std::move(to), std::move(request),
-        milliseconds(1'000));
+        executor_, std::move(to), std::move(request), milliseconds(1'000));
 }
 
 } // namespace camphorpoint::soak
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -2,6 +2,7 @@
 
 #include "test/soak/deployment.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
@@ -14,8 +15,11 @@
 /// disruptions are under way at a time.
 class disruptions {
 public:
-    /// @param target must outlive the disruptions
-    disruptions(deployment& target, std::uint64_t seed);
+    /// @param executor where they run
+    /// @param target   must outlive the disruptions
+    disruptions(
+        boost::asio::any_io_executor executor, deployment& target,
+        std::uint64_t seed);
 
     /// Begins a new disruption every few hundred milliseconds until the run
     /// stops.
@@ -33,11 +37,11 @@
     boost::asio::awaitable<void>
     stop_process(child_process& which, std::chrono::milliseconds time);
     boost::asio::awaitable<void> publish();
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     std::chrono::milliseconds
     draw_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
     std::uint64_t draw(std::uint64_t below) { return random_() % below; }
 
+    boost::asio::any_io_executor executor_;
     deployment* target_;
     std::mt19937_64 random_;
     unsigned version_ = 1;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,16 +1,15 @@
 #include "Ports/http_client.hpp"
+#include "common/standin_main.hpp"
 #include "test/soak/caller.hpp"
 #include "test/soak/disruptions.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
 #include <chrono>
@@ -40,12 +39,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
-
-asio::awaitable<void> wait_for(milliseconds time) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(use_result);
-}
+using standins::wait_for;
 
 /// Waits until all nodes are ready, for at most the given time.
 asio::awaitable<bool> await_ready(deployment const& target, seconds most) {
@@ -75,14 +69,14 @@
     explicit soak_run(soak_settings const& settings)
         : settings_(settings)
         , target_(settings)
-        , disruptions_(target_, settings.seed) {}
+        , disruptions_(io_.get_executor(), target_, settings.seed) {}
 
     /// @returns true when no promise was broken
     bool play() {
         target_.start();
         bool done = false;
         bool ready = false;
-        asio::co_spawn(io_, drive(ready), [&](std::exception_ptr) {
+        asio::co_spawn(io_, drive(ready), [&](std::exception_ptr const&) {
             done = true;
             io_.stop();
         });
