One odd key or item does not end the reading of the store's list

Callers would have got 503 from nodes that never became ready, or that no longer learned of replicas: a node reads the list of replicas in full at its start and every 20 s, page by page.

Cause: the key that ends a page stood in the request for the next page as it is, so that a blank, an ampersand or a line break in it made the request malformed or named another key. A page with a key that is no UTF-8, or with one item without a key, was unreadable as a whole, and an item whose value can't be decoded was taken for a removal.

Evidence, before the change, with the stand-in of the store that decodes the query as RFC 3986 tells: port_tests -tc="a node reads the pages*": with the key "p1 x" at the end of a page the node is not ready after 2 s (the test ends there); port_tests -tc="one odd item*": the page is unreadable for the first of 8 items (the test ends there). After it: all pass, 6 keys and 8 items at both places.

The fix: the key is percent-encoded, keys may hold any bytes, and an item that can't be read is counted and skipped.

--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -23,8 +23,25 @@
 
 namespace {
 
+/// @returns the text of a query's value: RFC 3986, section 2.1
+std::string percent_decoded(std::string_view encoded) {
+    constexpr std::size_t escape_size = 3;
+    std::string text;
+    while (!encoded.empty()) {
+        std::string_view const digits = encoded.substr(0, escape_size);
+        bool const escape = digits.size() == escape_size && digits[0] == '%';
+        std::string const byte =
+            escape ? absl::HexStringToBytes(
+                         absl::string_view(&digits[1], escape_size - 1))
+                   : std::string(1, digits[0]);
+        text += byte;
+        encoded.remove_prefix(escape ? escape_size : 1);
+    }
+    return text;
+}
+
 std::string query(std::string_view target, std::string_view name) {
-    return std::string(camphorpoint::query_value(target, name));
+    return percent_decoded(camphorpoint::query_value(target, name));
 }
 
 std::uint64_t number(std::string const& text) {
--- a/test/gateway/odd_entries_test.cpp
+++ b/test/gateway/odd_entries_test.cpp
@@ -136,6 +136,24 @@
     }
 }
 
+// Guards against a list of which only the pages before an odd key are read: the
+// request for the next page was malformed, or the page with the key could not
+// be parsed.
+TEST_CASE("a node reads the pages after one that an odd key ends") {
+    for (std::string const& odd :
+         {std::string("p1 x"), std::string("p1&after=zz"),
+          std::string("p1\r\nX: y"), std::string("p1%20+#?"),
+          std::string("p1\xff\xfe"), std::string(255, 'p')}) {
+        CAPTURE(odd);
+        gateway_fixture world([&](gateway_fixture& before) {
+            before.metadata.page_items = 1;
+            put(before, odd, "7");
+        });
+        REQUIRE(within(world, bound, [&] { return world.node->ready(); }));
+        check_serves(world, "s1");
+    }
+}
+
 // Guards against an odd entry that stays out of use after its replica has
 // written it anew, and against one that keeps its replica in use.
 TEST_CASE("an odd entry that is corrected is used") {
--- a/test/platform/odd_records_test.cpp
+++ b/test/platform/odd_records_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/configuration_reader.hpp"
 #include "platform/json_access.hpp"
+#include "platform/keyed_records.hpp"
 #include "platform/quarantine_record.hpp"
 #include "platform/software_record.hpp"
 
@@ -45,6 +46,13 @@
     return std::string(levels, '[') + std::string(levels, ']');
 }
 
+/// @returns a page of the newest records
+std::string page_of(std::string const& items) {
+    return fmt::format(R"({{"items":[{}],"more_pages":true,"end":9}})", items);
+}
+
+constexpr char const* sound_item = R"({"key":"r9","value":"e30="})";
+
 } // namespace
 
 // Guards against replicas that are made up from an odd entry: requests sent
@@ -202,4 +210,46 @@
     CHECK_FALSE(read_software_record(nested(100'000)));
 }
 
+// Guards against a list that is not followed any more: one odd item made the
+// whole page unreadable, and an item whose value can't be decoded was taken for
+// a removal.
+TEST_CASE("one odd item of a page leaves the others readable") {
+    for (std::string const& odd :
+         {std::string("7"), std::string("null"), std::string("[]"),
+          std::string("{}"), std::string(R"({"key":7,"value":"e30="})"),
+          std::string(R"({"key":"odd","value":7})"),
+          std::string(R"({"key":"odd","value":"%%%"})"),
+          std::string("{\"key\":\"\xff\xfe\",\"value\":7}")}) {
+        for (bool const before : {true, false}) {
+            CAPTURE(odd);
+            CAPTURE(before);
+            keyed_batch batch;
+            auto const next = decode_newest_page(
+                page_of(
+                    before ? odd + "," + sound_item : sound_item + ("," + odd)),
+                batch);
+            REQUIRE(next);
+            CHECK_FALSE(next->empty());
+            REQUIRE(batch.records.size() == 1);
+            CHECK(batch.records.front().key == "r9");
+            CHECK(batch.records.front().value == "{}");
+            CHECK(batch.unreadable == 1);
+            CHECK(batch.next.offset == 9);
+        }
+    }
+    keyed_batch batch;
+    CHECK_FALSE(decode_newest_page(
+        R"({"items":[],"more_pages":false,"end":1e300})", batch));
+    CHECK_FALSE(decode_newest_page(
+        R"({"items":[],"more_pages":false,"end":"4"})", batch));
+}
+
+// Guards against a key that ends a page and is not a word: the request for the
+// next page was malformed, and the rest of the list was never read.
+TEST_CASE("a key is encoded in the query of the next page") {
+    CHECK(query_encoded("r-1.a_b~Z9") == "r-1.a_b~Z9");
+    CHECK(query_encoded("a b&c=d/\r\n%\xff") == "a%20b%26c%3Dd%2F%0D%0A%25%FF");
+    CHECK(query_encoded("").empty());
+}
+
 } // namespace camphorpoint
