Questions of a restarted node have numbers of their own

A node asks others for the origin of a stream, for permits and slots of replicas, and for the units of a team; the answers are matched by the question's number, and the node that answers recognises a repeat by the asking node's address and the number. Numbers began at 1 in each process. A peer that was suspended while a node restarted could answer a question of the earlier process, and the new process would take it for the answer to its own question with the same number: another stream's software version (ORDER), or a permit for another replica. A team's first questions after a restart counted as repeats of those before it.

Evidence: port_tests -tc="questions of a restarted*" before the change: 3 of 3 questions after a restart have the number of an earlier one. After it: none of 3. That callers saw this is not shown.

The fix: each process starts its numbers at random.

--- a/src/Gateway/peer_messenger.cpp
+++ b/src/Gateway/peer_messenger.cpp
@@ -113,7 +113,13 @@
           state.io.get_executor(),
           [this](std::string const& bytes) { receive(bytes); })
     , part_monitor_(state.quarantine)
-    , stream_origins_(state.settings.stream_lifetime) {}
+    // Guards against late answers to an earlier process of this node, and
+    // against a controller that takes a question for a repeat of an earlier
+    // process's: both know a question by this node's address and its number.
+    , last_permit_request_(state.random())
+    , last_usage_request_(state.random())
+    , stream_origins_(state.settings.stream_lifetime)
+    , last_stream_question_(state.random()) {}
 
 std::string peer_messenger::start() {
     std::string problem = link_.listen(state_->settings.peer_address);
