An answer with an id is not the answer to a request without one

http_call compares the echoed field of an answer with that of its request unless the request has none. On a connection that has served another request, a late copy of that one's answer was then taken for the answer. The comparison now holds in both cases; calls that name no echoed field are as before.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -262,7 +262,8 @@
             co_return false;
         }
         std::string_view const got = parser_->get()[times_.echoed];
-        named_ = sent.empty() || got == sent;
+        // An answer with a name is not the answer to a request without one.
+        named_ = got == sent;
         bool const only_request = !reused_;
         if (named_ || (got.empty() && only_request)) {
             co_return true;
