A late copy of a request's answer is not the answer to an order

Orders and questions for reports go over the same kept connections as requests, and have no id. A replica may send an extra answer late, where the next one is expected (PROTOCOL). A copy of a request's answer was then taken for the answer to the order: of a 421 the controller concluded that another replica has the address, dropped the replica and told the other nodes to suspect it; of a 412 that a later controller has taken over; of a 200 that the adapter is loaded.

Evidence: port_tests -tc="a late copy of a request's*" before the change: with a 421 the replica is dropped (933 "another replica has its address") and the request for the adapter gets 503; 943 shows "other-replica", "fenced", "out-of-step", "holds" and "rejected" for the five copied statuses, though the replica had answered 202 each time. After it: five times "accepted" and then "holds", and 200 for the request.

The fix: both calls take only answers without X-Request-Id. They still send none, as PROTOCOL shows them, and use the same connections, so that the number of new connections does not change. A late copy of an answer to an order or report, which has no id, can still be taken for that of the next order or report on the connection.

--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -284,7 +284,8 @@
     ip_address to = at->record.address;
     bool const first = !controlled->tracker.has_report();
     http_call call(state_->io.get_executor(), &state_->replica_connections);
-    call_times const times = short_call_times(replica_timeout);
+    call_times times = short_call_times(replica_timeout);
+    times.echoed = platform::id_field;
     http_request request = platform::make_report_request(id);
     auto const got = co_await fetch(
         call, std::move(to), std::move(request), times, largest_control_answer);
@@ -330,7 +331,9 @@
         controlled->tracker.on_result(command, command_result::not_sent, now);
         co_return;
     }
-    call_times const times = command_times(state_->leases);
+    call_times times = command_times(state_->leases);
+    // Commands have no id, and the connection may have served requests.
+    times.echoed = platform::id_field;
     auto const got = co_await fetch(
         call, std::move(to), std::move(request), times, largest_control_answer);
     record_reachability(state_->reachability, id, got.how, call);
