A request with an ambiguous framing ends its connection

What callers saw: a request whose Transfer-Encoding does not end in "chunked" was read as one without a body, and its body was run as the next request of the connection (request smuggling). Beast's parser also joins folded fields, takes the coding below "chunked" for part of the body, takes lists of lengths and chunks in HTTP/1.0, and makes a trailer's fields fields of the head (X-Model among them).

Change: request_reader alone decides where a request ends; the server no longer reads requests by Beast's parser. What RFC 9112, section 6, calls invalid or ambiguous, obsolete folding, a blank before a colon, a bare CR or LF, an overflowing chunk size and any trailer are answered with 400, a coding below "chunked" with 501, each "not run"; the connection ends and nothing behind it is read as a request. Empty lines in front of a request are skipped, which were answered with 400 before.

--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Core/time.hpp"
 #include "Ports/connection_end.hpp"
 #include "Ports/http_server.hpp"
+#include "Ports/request_reader.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -88,15 +90,22 @@
     };
 
     boost::asio::awaitable<std::optional<http_request>> read_request();
+    boost::asio::awaitable<boost::beast::error_code>
+    read_more(request_reader& reader, instant limit);
+    boost::asio::awaitable<bool> reserve_body(std::uint64_t size);
     boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void> await_bytes();
     boost::asio::awaitable<void> read_within(std::chrono::milliseconds time);
     std::chrono::milliseconds idle_timeout() const;
     void read_arrived();
+    void skip_empty_lines();
+    /// @returns the bytes in the buffer
+    std::string_view arrived() const;
     bool request_waits();
     void decide_keep_alive();
+    boost::asio::awaitable<void> refuse(request_refusal refusal);
     boost::asio::awaitable<void>
-    refuse(boost::beast::error_code error, bool anything_read);
+    give_up_request(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse_with(int status, std::string_view why);
     boost::asio::awaitable<void>
     run_handler(http_handler const& handler, http_request request);
