A server that ends does so for a caller that always has a request waiting

Cause: decide_keep_alive kept a connection without a bound while bytes waited.

Change: requests that wait behind others are answered for a second from the first announcement of the end; then the next answer ends the connection. Connections that finish read no waiting request after that second. Bytes that the server has in its own buffer behind an answered request are a request that did not run: the connection is now reset, as the kernel does for bytes that it still holds, unless a part of the answer in front is not acknowledged.

Seen to fail before: port_tests -tc="a server that ends tells*": 4.001 and 4.003 s to "Connection: close" (2 s allowed; the caller stops sending after 4 s), and -tc="a request behind another*": the request that came together with one that ends the connection was not reset. Both pass now; the 27 cases of http_server_test, connection_end_test, connection_end_report_test, shutdown_test and node_test that were run pass.

--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -24,6 +24,9 @@
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_pause{100};
 constexpr std::size_t max_accepted_together = 64;
+/// How long a server that ends goes on reading requests that wait behind
+/// others.
+constexpr std::chrono::seconds time_for_waiting{1};
 
 } // namespace
 
@@ -56,13 +59,7 @@
         observer_ = std::move(observer);
     }
     std::uint64_t refused() const noexcept { return refused_; }
-    void end_connections(bool idle_too) {
-        ending_ = true;
-        closing_ = closing_ || idle_too;
-        for (auto const& link : open_) {
-            link->end_soon(idle_too);
-        }
-    }
+    void end_connections(bool idle_too);
 
 private:
     void report(std::optional<connection_end_report> const& end) const {
@@ -84,8 +81,9 @@
     };
     connection_end_observer observer_;
     std::uint64_t refused_ = 0;
-    bool ending_ = false;
     bool closing_ = false;
+    /// Until then requests that wait are read; set once the server ends.
+    std::optional<instant> waiting_limit_;
 };
 
 std::string http_server::state::listen(ip_address const& address) {
@@ -175,8 +173,8 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto link = std::make_shared<http_exchange::connection>(
         std::move(socket), limits_, bodies_);
-    if (ending_) {
-        link->end_soon(closing_);
+    if (waiting_limit_) {
+        link->end_soon(closing_, *waiting_limit_);
     }
     open_.insert(link);
     asio::co_spawn(
@@ -192,6 +190,15 @@
     report(end);
 }
 
+void http_server::state::end_connections(bool idle_too) {
+    closing_ = closing_ || idle_too;
+    waiting_limit_ =
+        waiting_limit_.value_or(boot_clock::now() + time_for_waiting);
+    for (auto const& link : open_) {
+        link->end_soon(idle_too, *waiting_limit_);
+    }
+}
+
 void http_server::state::close() {
     beast::error_code ignored;
     acceptor_.close(ignored);
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -90,10 +90,12 @@
     /// Takes no further connections; those that are open go on.
     void stop_accepting();
     /// Lets each connection end: those without a request now, the others with
-    /// their answer, which says so. Requests that have arrived are answered
-    /// first; later ones are never read.
+    /// their answer, which says so. Requests that wait behind others are
+    /// answered first, for a second from the first call of this or of
+    /// announce_end on; later ones are never read.
     void finish_connections();
-    /// Each answer from here on ends its connection.
+    /// Each answer from here on ends its connection, except one behind which a
+    /// request waits, for a second.
     void announce_end();
     /// Sets a condition under which new connections are closed unread, so that
     /// their callers go to another server at once.
--- a/src/Ports/http_server_answers.cpp
+++ b/src/Ports/http_server_answers.cpp
@@ -38,9 +38,11 @@
 }
 
 // A server that ends answers a request that already waits behind this one, and
-// ends the connection with the last of them.
+// ends the connection with the last of them. A caller that always has one
+// waiting is told when the limit has passed.
 void http_exchange::connection::decide_keep_alive() {
-    keep_alive_ = keep_alive_ && (!ending_ || request_waits());
+    bool const in_time = boot_clock::now() < waiting_limit_;
+    keep_alive_ = keep_alive_ && (!ending_ || (in_time && request_waits()));
 }
 
 bool http_exchange::connection::note_write(beast::error_code error) {
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -4,9 +4,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
-#include <algorithm>
 #include <array>
 #include <exception>
 #include <utility>
@@ -69,8 +69,9 @@
     return end;
 }
 
-void http_exchange::connection::end_soon(bool idle_too) {
+void http_exchange::connection::end_soon(bool idle_too, instant limit) {
     ending_ = true;
+    waiting_limit_ = limit;
     closing_ = closing_ || idle_too;
     if (idle_ && idle_too) {
         stream_.cancel();
@@ -115,7 +116,7 @@
 
 asio::awaitable<std::optional<connection_end_report>>
 http_exchange::connection::run(http_handler handler) {
-    while (keep_alive_ && !broken_) {
+    while (may_read_on()) {
         head_only_ = false;
         std::optional<http_request> request = co_await read_request();
         if (request) {
@@ -131,10 +132,35 @@
     co_await finish();
     std::optional<connection_end_report> end = take_report();
     discard_behind_request();
+    reset_unread();
     close_socket();
     co_return end;
 }
 
+bool http_exchange::connection::may_read_on() const {
+    bool const too_late = closing_ && boot_clock::now() >= waiting_limit_;
+    return keep_alive_ && !broken_ && (!too_late || exchange_number_ == 0);
+}
+
+// The kernel resets a connection that is closed with unread bytes, and drops
+// what its caller has not acknowledged. A request in the buffer counts as
+// unread, unless the reset would drop a part of the answer in front of it.
+void http_exchange::connection::reset_unread() {
+    int unacknowledged = 0;
+    bool const delivered =
+        stream_.socket().is_open() &&
+        ::ioctl(stream_.socket().native_handle(), SIOCOUTQ, &unacknowledged) ==
+            0 &&
+        unacknowledged == 0;
+    skip_empty_lines();
+    if (answer_ == answer_state::whole && request_whole_ && !write_error_ &&
+        buffer_.size() > 0 && delivered) {
+        beast::error_code ignored;
+        stream_.socket().set_option(
+            asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 // Closing with unread bytes resets the connection. To its caller a reset means
 // that nothing was read, so bytes behind a request that may have run must not
 // cause one. Behind an answered request they may: they are another request.
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -68,9 +68,10 @@
     /// Closes at once.
     /// @returns the end of a request that is read or answered, if there is one
     std::optional<connection_end_report> close();
-    /// Ends with the next answer.
+    /// Ends with the next answer behind which no request waits.
     /// @param idle_too ends now when no request has begun
-    void end_soon(bool idle_too);
+    /// @param limit    requests that wait then are not read
+    void end_soon(bool idle_too, instant limit);
 
     /// The parts of http_exchange.
     boost::asio::awaitable<bool> respond(http_response response);
@@ -103,6 +104,7 @@
     std::string_view arrived() const;
     bool request_waits();
     void decide_keep_alive();
+    bool may_read_on() const;
     boost::asio::awaitable<void> refuse(request_refusal refusal);
     boost::asio::awaitable<void>
     give_up_request(boost::beast::error_code error);
@@ -117,6 +119,8 @@
     connection_end end_of_answer();
     std::optional<connection_end_report> take_report();
     void close_socket();
+    /// Lets the caller know that the bytes in the buffer were not read.
+    void reset_unread();
     /// Reads what has arrived behind a request that has no whole answer.
     void discard_behind_request();
     bool note_write(boost::beast::error_code error);
@@ -132,6 +136,7 @@
     std::uint64_t exchange_number_ = 0;
     bool keep_alive_ = true;
     bool ending_ = false;
+    instant waiting_limit_{};
     bool idle_ = false;
     bool closing_ = false;
     bool broken_ = false;
--- a/src/Ports/http_server_reading.cpp
+++ b/src/Ports/http_server_reading.cpp
@@ -236,6 +236,7 @@
 
 bool http_exchange::connection::request_waits() {
     beast::error_code ignored;
+    skip_empty_lines();
     return buffer_.size() > 0 || stream_.socket().available(ignored) > 0;
 }
 
--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -281,6 +281,50 @@
         CHECK(world.await_fate(caller) == request_fate::reset);
         CHECK(world.handled == 2);
     }
+    SUBCASE("it arrives together with one that ends the connection") {
+        std::string const two = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n" +
+                                std::string(request_text);
+        send_now(caller, two);
+        read_all();
+        CHECK(count("HTTP/1.1 200") == 1);
+        CHECK(world.await_fate(caller) == request_fate::reset);
+        CHECK(world.handled == 2);
+    }
+}
+
+// Guards against a caller that always has a request waiting: its connection is
+// kept, and is cut within a request when the process ends.
+TEST_CASE("a server that ends tells a caller that always has one waiting") {
+    constexpr milliseconds allowed{2'000};
+    constexpr milliseconds request_time{5};
+    kept_connections world;
+    tcp::socket& caller = world.connect();
+    auto const began = boot_clock::now();
+    world.during_request = [&] {
+        if (boot_clock::now() < began + 2 * allowed) {
+            send_now(caller, request_text);
+            std::this_thread::sleep_for(request_time);
+        }
+    };
+    send_now(caller, request_text);
+    SUBCASE("when its end is announced") {
+        world.server.announce_end();
+    }
+    SUBCASE("when it finishes its connections") {
+        world.server.finish_connections();
+    }
+    std::string answers;
+    world.loop.run([&]() -> asio::awaitable<void> {
+        answers = co_await testing::read_until(caller, "Connection: close");
+    });
+    CHECK(boot_clock::now() - began < allowed);
+    CHECK(answers.find("Connection: close") != std::string::npos);
+    int const handled = world.handled;
+    world.loop.run([&]() -> asio::awaitable<void> {
+        answers = co_await testing::read_until(caller, "");
+    });
+    CHECK(world.await_fate(caller) == request_fate::reset);
+    CHECK(world.handled == handled);
 }
 
 // Guards against callers that rely on a configuration in force and are ended or
