--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Core/time.hpp"
 #include "Ports/connection_end.hpp"
 #include "Ports/http_server.hpp"
+#include "Ports/request_reader.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,9 +68,10 @@
     /// Closes at once.
     /// @returns the end of a request that is read or answered, if there is one
     std::optional<connection_end_report> close();
-    /// Ends with the next answer.
+    /// Ends with the next answer behind which no request waits.
     /// @param idle_too ends now when no request has begun
-    void end_soon(bool idle_too);
+    /// @param limit    requests that wait then are not read
+    void end_soon(bool idle_too, instant limit);
 
     /// The parts of http_exchange.
     boost::asio::awaitable<bool> respond(http_response response);
@@ -88,15 +91,23 @@
     };
 
     boost::asio::awaitable<std::optional<http_request>> read_request();
+    boost::asio::awaitable<boost::beast::error_code>
+    read_more(request_reader& reader, instant limit);
+    boost::asio::awaitable<bool> reserve_body(std::uint64_t size);
     boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void> await_bytes();
     boost::asio::awaitable<void> read_within(std::chrono::milliseconds time);
     std::chrono::milliseconds idle_timeout() const;
     void read_arrived();
+    void skip_empty_lines();
+    /// @returns the bytes in the buffer
+    std::string_view arrived() const;
     bool request_waits();
     void decide_keep_alive();
+    bool may_read_on() const;
+    boost::asio::awaitable<void> refuse(request_refusal refusal);
     boost::asio::awaitable<void>
-    refuse(boost::beast::error_code error, bool anything_read);
+    give_up_request(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse_with(int status, std::string_view why);
     boost::asio::awaitable<void>
     run_handler(http_handler const& handler, http_request request);
@@ -108,6 +119,8 @@
     connection_end end_of_answer();
     std::optional<connection_end_report> take_report();
     void close_socket();
+    /// Lets the caller know that the bytes in the buffer were not read.
+    void reset_unread();
     /// Reads what has arrived behind a request that has no whole answer.
     void discard_behind_request();
     bool note_write(boost::beast::error_code error);
@@ -123,6 +136,7 @@
     std::uint64_t exchange_number_ = 0;
     bool keep_alive_ = true;
     bool ending_ = false;
+    instant waiting_limit_{};
     bool idle_ = false;
     bool closing_ = false;
     bool broken_ = false;
