Soak: faults of answers, replica ids, software versions and the registry

Copies of short answers, refusals, answers that break off, renewals of replica ids at one address, releases forth and back, kills of all nodes, odd registry entries, callers that pipeline and callers that resume streams, each by a flag of its own that is 0 by default. Replicas write the run, the version and the number into each event; the soak compares what callers read with the runs (ORDER), and with the registry that nodes follow (UNSEEN). The file record in a seed's folder has the time of each answer and disruption.

--- a/standins/link/faulty_link.cpp
+++ b/standins/link/faulty_link.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <string_view>
 #include <utility>
 
@@ -28,6 +29,25 @@
     return {asio::ip::make_address(address.host), address.port};
 }
 
+bool begins_answer(std::string_view piece) {
+    return piece.starts_with("HTTP/1.1 ");
+}
+
+/// @returns true when the piece is an answer with a length, and all of it
+bool is_whole_answer(std::string_view piece) {
+    constexpr std::string_view end_of_head = "\r\n\r\n";
+    constexpr std::string_view length_field = "\r\nContent-Length: ";
+    std::size_t const head = piece.find(end_of_head);
+    std::size_t const length = piece.find(length_field);
+    if (!begins_answer(piece) || head == std::string_view::npos ||
+        length >= head) {
+        return false;
+    }
+    std::string const digits(piece.substr(length + length_field.size(), 10));
+    std::size_t const body = piece.size() - head - end_of_head.size();
+    return std::strtoull(digits.c_str(), nullptr, 10) == body;
+}
+
 } // namespace
 
 struct faulty_link::connection {
@@ -49,6 +69,8 @@
 
     socket_type client;
     socket_type server;
+    /// An answer that is to arrive a second time.
+    std::string copy;
 };
 
 faulty_link::faulty_link(
@@ -136,15 +158,55 @@
             break;
         }
         co_await delay();
+        std::string_view const piece(bytes.data(), size);
+        if (begins_answer(piece)) {
+            co_await send_copy(link, std::chrono::milliseconds(0));
+        }
+        bool const broken = occurs(faults_.broken);
         auto const [failed, written] = co_await asio::async_write(
-            link->client, asio::buffer(bytes.data(), size), use_result);
-        if (failed) {
+            link->client,
+            asio::buffer(bytes.data(), broken ? random_() % size : size),
+            use_result);
+        if (failed || broken) {
             break;
         }
+        if (is_whole_answer(piece) && occurs(faults_.copy)) {
+            keep_copy(link, piece);
+        }
     }
     link->close(false);
 }
 
+void faulty_link::keep_copy(
+    std::shared_ptr<connection> const& link, std::string_view answer) {
+    link->copy = answer;
+    constexpr std::uint64_t longest_ms = 50;
+    std::chrono::milliseconds after(0);
+    switch (random_() % 3) {
+    case 0:
+        break;
+    case 1:
+        after = std::chrono::milliseconds(random_() % longest_ms);
+        break;
+    default:
+        // The next answer takes it along.
+        return;
+    }
+    asio::co_spawn(*io_, send_copy(link, after), asio::detached);
+}
+
+asio::awaitable<void> faulty_link::send_copy(
+    std::shared_ptr<connection> link, std::chrono::milliseconds after) {
+    if (after > std::chrono::milliseconds(0)) {
+        co_await wait_for(after);
+    }
+    std::string const copy = std::exchange(link->copy, {});
+    if (!copy.empty()) {
+        co_await asio::async_write(
+            link->client, asio::buffer(copy), use_result);
+    }
+}
+
 asio::awaitable<void> faulty_link::delay() {
     constexpr std::uint64_t longest_ms = 400;
     if (occurs(faults_.delay)) {
--- a/standins/link/faulty_link.hpp
+++ b/standins/link/faulty_link.hpp
@@ -6,10 +6,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace standins {
 
@@ -23,6 +25,12 @@
     unsigned cut = 0;
     /// The piece, or what answers it, is held back.
     unsigned delay = 0;
+    /// An answer that fits into one piece arrives a second time: at once, some
+    /// milliseconds later, or in front of the next answer, and always where an
+    /// answer is expected to begin.
+    unsigned copy = 0;
+    /// An answer ends in the middle of a piece, and the connection with it.
+    unsigned broken = 0;
 };
 
 /// Forwards TCP connections and disturbs them.
@@ -49,6 +57,10 @@
         std::shared_ptr<connection> link, camphorpoint::ip_address target);
     boost::asio::awaitable<void>
     forward_answers(std::shared_ptr<connection> link);
+    void
+    keep_copy(std::shared_ptr<connection> const& link, std::string_view answer);
+    boost::asio::awaitable<void> send_copy(
+        std::shared_ptr<connection> link, std::chrono::milliseconds after);
     boost::asio::awaitable<void> delay();
     bool occurs(unsigned percent);
     std::string stray_answer();
--- a/standins/link/main.cpp
+++ b/standins/link/main.cpp
@@ -19,6 +19,8 @@
     "requests after a connection's first that a stray answer precedes");
 ABSL_FLAG(unsigned, cut_percent, 0, "requests that end their connection");
 ABSL_FLAG(unsigned, delay_percent, 0, "pieces that are held back");
+ABSL_FLAG(unsigned, copy_percent, 0, "short answers that arrive twice");
+ABSL_FLAG(unsigned, broken_percent, 0, "pieces of answers that break off");
 
 int main(int argc, char** argv) {
     absl::SetProgramUsageMessage(
@@ -29,6 +31,8 @@
     faults.stray = absl::GetFlag(FLAGS_stray_percent);
     faults.cut = absl::GetFlag(FLAGS_cut_percent);
     faults.delay = absl::GetFlag(FLAGS_delay_percent);
+    faults.copy = absl::GetFlag(FLAGS_copy_percent);
+    faults.broken = absl::GetFlag(FLAGS_broken_percent);
     standins::faulty_link link(io, faults, absl::GetFlag(FLAGS_seed));
     for (std::string const& each : absl::GetFlag(FLAGS_ways)) {
         std::size_t const equals = each.find('=');
--- a/standins/metadata/main.cpp
+++ b/standins/metadata/main.cpp
@@ -49,17 +49,32 @@
     std::string listen(std::string const& address) {
         return server_.listen(camphorpoint::parse_address(address));
     }
+    /// @param entry one that names no address is put as it is, an empty one
+    ///              removes the replica
     void put(std::string const& replica, std::string const& entry) {
-        boost::json::object text = boost::json::parse(entry).as_object();
-        auto const address = camphorpoint::parse_address(
-            std::string(text.at("address").as_string()));
-        text["address"] =
-            address.host + ":" + std::to_string(address.port + shift_);
-        replicas_.store().put(
-            "keyed.servers", replica, boost::json::serialize(text));
+        replicas_.store().put("keyed.servers", replica, shifted(entry));
     }
 
 private:
+    std::string shifted(std::string const& entry) const {
+        boost::system::error_code error;
+        boost::json::value parsed = boost::json::parse(entry, error);
+        boost::json::object* const text = parsed.if_object();
+        if (error || text == nullptr || !text->contains("address") ||
+            !text->at("address").is_string()) {
+            return entry;
+        }
+        std::string const named(text->at("address").as_string());
+        auto const address = camphorpoint::parse_address(named);
+        constexpr int highest_port = 65'535;
+        if (address.port == 0 || address.port + shift_ > highest_port) {
+            return entry;
+        }
+        (*text)["address"] =
+            address.host + ":" + std::to_string(address.port + shift_);
+        return boost::json::serialize(parsed);
+    }
+
     int shift_;
     standins::metadata_http replicas_;
     camphorpoint::http_server server_;
@@ -100,6 +115,14 @@
             view->put(name, entry);
         }
     }
+    metadata.on_put = [&](std::string const& topic, std::string const& key,
+                          std::string const& value) {
+        for (auto const& view : views) {
+            if (topic == "keyed.servers") {
+                view->put(key, value);
+            }
+        }
+    };
     return standins::serve_standin(
         io, absl::GetFlag(FLAGS_listen),
         [&](camphorpoint::http_exchange& exchange) {
--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -143,6 +143,9 @@
         auto const key_size = static_cast<unsigned char>(body[length_bytes]);
         std::string key = body.substr(length_bytes + 1, key_size);
         std::string value = body.substr(length_bytes + 1 + key_size);
+        if (on_put) {
+            on_put(topic, key, value);
+        }
         store_.put(topic, std::move(key), std::move(value));
         return store_.end(topic) - 1;
     }
--- a/standins/metadata/metadata_http.hpp
+++ b/standins/metadata/metadata_http.hpp
@@ -40,6 +40,11 @@
     bool loses_append_answers = false;
     /// Items of one page of the newest records.
     std::size_t page_items = 500;
+    /// Called when a call has put a record of a keyed topic.
+    std::function<void(
+        std::string const& topic, std::string const& key,
+        std::string const& value)>
+        on_put;
     /// Called with the topic when a page was made that others follow.
     std::function<void(std::string const& topic)> page_made;
     /// What the way to whoever asks carries in a second, all answers together;
--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -7,10 +7,12 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <fcntl.h>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unistd.h>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:7020", "address to serve on");
@@ -19,10 +21,16 @@
 ABSL_FLAG(unsigned, slots, 8, "places for adapters");
 ABSL_FLAG(
     std::string, ledger, "",
-    "file to which a line is added when a request begins to run: its id and "
-    "body");
+    "file to which a line is added when a request begins to run: its id, the "
+    "replica and the number of the run, the software version, the event after "
+    "which it was resumed, its body");
+ABSL_FLAG(std::string, software, "v1", "version of its software");
+ABSL_FLAG(unsigned, events, 8, "of a stream");
+ABSL_FLAG(unsigned, pause_ms, 5, "before each event");
 ABSL_FLAG(
     unsigned, fault_percent, 0, "how many of a hundred requests meet a fault");
+ABSL_FLAG(
+    unsigned, refusal_percent, 0, "how many of a hundred requests are refused");
 ABSL_FLAG(std::uint64_t, seed, 1, "of the faults");
 
 namespace {
@@ -38,9 +46,14 @@
     run_ledger(run_ledger const&) = delete;
     run_ledger& operator=(run_ledger const&) = delete;
 
-    void add(camphorpoint::http_request const& request) const {
+    /// @param run names the run
+    void
+    add(camphorpoint::http_request const& request,
+        std::string const& run) const {
+        std::string_view const last = request.fields.get("Last-Event-Id");
         std::string const line = fmt::format(
-            "{} {}\n", request.fields.get("X-Request-Id"), request.body);
+            "{} {} {} {}\n", request.fields.get("X-Request-Id"), run,
+            last.empty() ? "0" : last, request.body);
         // One call for a line, so that lines of several processes don't mix.
         [[maybe_unused]] auto const written =
             ::write(file_, line.data(), line.size());
@@ -53,9 +66,10 @@
 /// Draws what befalls requests.
 class fault_source {
 public:
-    fault_source(std::uint64_t seed, unsigned percent)
+    fault_source(std::uint64_t seed, unsigned percent, unsigned refusals)
         : random_(seed)
-        , percent_(percent) {}
+        , percent_(percent)
+        , refusals_(refusals) {}
 
     standins::replica_fault draw(standins::replica_engine& replica) {
         using standins::replica_fault;
@@ -66,6 +80,9 @@
         // 408, 429 and 503 promise nothing here: the request has run.
         constexpr std::array statuses{302, 400, 408, 409, 429, 500, 503};
         constexpr unsigned whole = 100;
+        if (random_() % whole < refusals_) {
+            return replica_fault::full;
+        }
         if (random_() % whole >= percent_) {
             return replica_fault::none;
         }
@@ -77,6 +94,7 @@
 private:
     std::mt19937_64 random_;
     unsigned percent_;
+    unsigned refusals_;
 };
 
 } // namespace
@@ -89,13 +107,24 @@
         absl::GetFlag(FLAGS_id), absl::GetFlag(FLAGS_model),
         absl::GetFlag(FLAGS_slots));
     run_ledger const ledger(absl::GetFlag(FLAGS_ledger));
+    auto const name_run = [&](std::uint64_t run) {
+        return fmt::format(
+            "{}.{} {}", absl::GetFlag(FLAGS_id), run,
+            absl::GetFlag(FLAGS_software));
+    };
     if (!absl::GetFlag(FLAGS_ledger).empty()) {
         replica.on_run = [&](camphorpoint::http_request const& request) {
-            ledger.add(request);
+            ledger.add(request, name_run(replica.run_count()));
+        };
+        replica.event_text = [&](std::uint64_t run, unsigned number) {
+            return fmt::format("{} {}", name_run(run), number);
         };
     }
+    replica.events = absl::GetFlag(FLAGS_events);
+    replica.pause = std::chrono::milliseconds(absl::GetFlag(FLAGS_pause_ms));
     fault_source faults(
-        absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_fault_percent));
+        absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_fault_percent),
+        absl::GetFlag(FLAGS_refusal_percent));
     replica.draw_fault = [&] {
         return faults.draw(replica);
     };
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -198,6 +198,7 @@
 void replica_engine::begin_run(http_request const& request) {
     std::string const id(request.fields.get("X-Request-Id"));
     ++runs[id];
+    ++run_count_;
     run_fields[id] = request.fields;
     if (on_run) {
         on_run(request);
@@ -265,6 +266,7 @@
 
 asio::awaitable<void>
 replica_engine::stream(http_exchange& exchange, replica_fault fault) {
+    std::uint64_t const run = run_count_;
     http_fields answer;
     answer.add("Content-Type", "text/event-stream");
     answer.add("X-Response-Signature", "signed." + id_);
@@ -279,8 +281,10 @@
     for (unsigned number = from; number <= events; ++number) {
         co_await wait_for(pause);
         co_await end_of_silence();
-        std::string const event = "id: " + std::to_string(number) +
-                                  "\ndata: w" + std::to_string(number) + "\n\n";
+        std::string const data =
+            event_text ? event_text(run, number) : "w" + std::to_string(number);
+        std::string const event =
+            "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
         if (fault == replica_fault::cut && number == from + 2) {
             std::string const half = event.substr(0, event.size() / 2);
             co_await exchange.write_piece(half);
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -68,6 +68,8 @@
     bool failure_signed = true;
     /// Called when a request begins to run.
     std::function<void(camphorpoint::http_request const& request)> on_run;
+    /// @returns how many requests have begun to run
+    std::uint64_t run_count() const noexcept { return run_count_; }
     /// How often each request has run.
     std::map<std::string, unsigned> runs;
     /// The fields of the last run of each request.
@@ -89,6 +91,8 @@
     /// Events of a stream, and the pause between them.
     unsigned events = 8;
     std::chrono::milliseconds pause{5};
+    /// The data of an event; "w" and its number when not set.
+    std::function<std::string(std::uint64_t run, unsigned number)> event_text;
     /// The text that each answer gives as the rate of requests that the replica
     /// takes, a decimal number per second; empty when it names none.
     std::string rate_limit;
@@ -147,6 +151,7 @@
     mutable std::uint64_t heartbeats_ = 0;
     std::uint64_t fence_ = 0;
     unsigned running_ = 0;
+    std::uint64_t run_count_ = 0;
     std::map<std::string, held> adapters_;
 };
 
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -25,7 +25,6 @@
 namespace {
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
-constexpr milliseconds deadline{2'500};
 /// A caller waits for its answer this much longer than its deadline.
 constexpr milliseconds grace{1'000};
 constexpr int resends = 3;
@@ -69,10 +68,11 @@
 
 caller::caller(
     deployment const& target, caller_records& records, std::string name,
-    std::uint64_t seed)
+    soak_settings const& settings, std::uint64_t seed)
     : target_(&target)
     , records_(&records)
     , name_(std::move(name))
+    , settings_(settings)
     , random_(seed) {}
 
 asio::awaitable<void> caller::run() {
@@ -86,12 +86,32 @@
     --records_->callers;
 }
 
-asio::awaitable<void> caller::run_operation(unsigned number) {
+caller::request caller::draw_request() {
     constexpr std::uint64_t kinds = 10;
     std::uint64_t const kind = draw(kinds);
     request wanted;
     wanted.path = kind < 6 ? "/book/" : kind < 8 ? "/look/" : "/once/";
-    wanted.adapter = kind >= 8;
+    wanted.events = kind >= 8;
+    if (wanted.events) {
+        wanted.fields =
+            fmt::format("X-Model: m/a{}\r\nX-Token-Count: 10,40\r\n", draw(6));
+    }
+    return wanted;
+}
+
+asio::awaitable<void> caller::run_operation(unsigned number) {
+    constexpr std::uint64_t whole = 100;
+    std::uint64_t const drawn =
+        settings_.streams + settings_.pipelined == 0 ? whole : draw(whole);
+    if (drawn < settings_.streams) {
+        co_await run_stream(number);
+        co_return;
+    }
+    if (drawn < settings_.streams + settings_.pipelined) {
+        co_await run_pair(number);
+        co_return;
+    }
+    request wanted = draw_request();
     bool const once = wanted.path != "/look/";
     for (int attempt = 0; attempt <= resends; ++attempt) {
         wanted.id = fmt::format("{}-{}-{}", name_, number, attempt);
@@ -110,11 +130,77 @@
     }
 }
 
+asio::awaitable<void> caller::run_pair(unsigned number) {
+    bool const connected = co_await connect();
+    if (!connected) {
+        co_return;
+    }
+    std::string text;
+    std::array<request, 2> pair;
+    for (std::size_t each = 0; each < pair.size(); ++each) {
+        request& wanted = pair.at(each);
+        wanted.path = "/book/";
+        wanted.id = fmt::format("{}-{}-p{}", name_, number, each);
+        records_->once_only.insert(wanted.id);
+        text += text_of(wanted);
+    }
+    time_limit const limit(*socket_, pair.front().patience * 2 + grace);
+    // What becomes of a write that fails is seen by the reads.
+    co_await asio::async_write(*socket_, asio::buffer(text), use_result);
+    for (std::size_t each = 0; each < pair.size() && socket_; ++each) {
+        co_await read_answer(pair.at(each));
+    }
+}
+
+asio::awaitable<void> caller::run_stream(unsigned number) {
+    stream_reading got;
+    constexpr std::array patiences{2'500, 6'000, 9'000};
+    milliseconds const patience(patiences.at(draw(patiences.size())));
+    bool const names_all = draw(4) == 0;
+    auto const until = boot_clock::now() + patience;
+    for (int attempt = 0; !got.whole && boot_clock::now() < until; ++attempt) {
+        request wanted;
+        wanted.path = "/draft/";
+        wanted.events = true;
+        wanted.id = fmt::format("{}-{}-s{}", name_, number, attempt);
+        wanted.fields = "X-Model: m\r\nX-Token-Count: 10,40\r\n";
+        wanted.patience =
+            names_all
+                ? patience
+                : std::chrono::ceil<milliseconds>(until - boot_clock::now());
+        bool const resumes = !got.events.empty();
+        if (resumes) {
+            wanted.fields += fmt::format(
+                "Last-Event-Id: {}\r\nResumes: {}\r\n",
+                got.events.back().number, got.first_request);
+        }
+        answer_ = {};
+        co_await send(wanted);
+        bool const success = answer_.status == 200;
+        auto const events =
+            success ? parse_events(answer_.body) : std::vector<stream_event>();
+        records_->told.resumed += resumes && !events.empty() ? 1 : 0;
+        if (!events.empty() && got.first_request.empty()) {
+            got.first_request = wanted.id;
+        }
+        got.events.insert(got.events.end(), events.begin(), events.end());
+        got.whole = success && answer_.whole;
+        if (!got.whole) {
+            socket_.reset();
+            constexpr std::uint64_t longest_wait_ms = 400;
+            milliseconds const wait(draw(longest_wait_ms));
+            co_await standins::wait_for(wait);
+        }
+    }
+    records_->told.streams.push_back(std::move(got));
+}
+
 asio::awaitable<bool> caller::connect() {
     if (socket_ != nullptr) {
         co_return true;
     }
-    ip_address const& to = target_->nodes[draw(target_->nodes.size())].callers;
+    node_ = draw(target_->nodes.size());
+    ip_address const& to = target_->nodes[node_].callers;
     tcp::endpoint const remote(asio::ip::make_address(to.host), to.port);
     socket_ = std::make_unique<tcp::socket>(co_await asio::this_coro::executor);
     buffer_.clear();
@@ -126,21 +212,22 @@
     co_return socket_ != nullptr;
 }
 
+std::string caller::text_of(request const& wanted) {
+    std::string const body = "to " + wanted.id;
+    return fmt::format(
+        "POST {0}x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {1}\r\n"
+        "X-Request-Deadline: {2}\r\n{3}Content-Length: {4}\r\n\r\n{5}",
+        wanted.path, wanted.id, wanted.patience.count(), wanted.fields,
+        body.size(), body);
+}
+
 asio::awaitable<caller::fate> caller::send(request const& wanted) {
     bool const connected = co_await connect();
     if (!connected) {
         co_return fate::unconnected;
     }
-    std::string const body = "to " + wanted.id;
-    std::string const text = fmt::format(
-        "POST {0}x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {1}\r\n"
-        "X-Request-Deadline: {2}\r\n{3}Content-Length: {4}\r\n\r\n{5}",
-        wanted.path, wanted.id, deadline.count(),
-        wanted.adapter
-            ? fmt::format("X-Model: m/a{}\r\nX-Token-Count: 10,40\r\n", draw(6))
-            : "",
-        body.size(), body);
-    time_limit const limit(*socket_, deadline + grace);
+    std::string const text = text_of(wanted);
+    time_limit const limit(*socket_, wanted.patience + grace);
     auto const [error, size] =
         co_await asio::async_write(*socket_, asio::buffer(text), use_result);
     if (error) {
@@ -153,9 +240,17 @@
     http::response_parser<http::string_body> parser;
     auto const [error, size] =
         co_await http::async_read(*socket_, buffer_, parser, use_result);
+    if (parser.is_header_done()) {
+        answer_.status = static_cast<int>(parser.get().result_int());
+        answer_.body = parser.get().body();
+        answer_.whole = !error;
+    }
+    target_->note(fmt::format(
+        "answered {} n{} {} {}", wanted.id, node_,
+        parser.is_header_done() ? answer_.status : 0,
+        error ? error.message() : "whole"));
     if (!error) {
-        int const status = static_cast<int>(parser.get().result_int());
-        fate const what = judge(status, parser.get().body(), wanted);
+        fate const what = judge(wanted);
         if (!parser.keep_alive()) {
             socket_.reset();
         }
@@ -178,14 +273,17 @@
     co_return note(what, wanted.id);
 }
 
-caller::fate
-caller::judge(int status, std::string const& body, request const& wanted) {
-    if (is_promise(status)) {
+caller::fate caller::judge(request const& wanted) {
+    if (is_promise(answer_.status)) {
         return note(fate::refused, wanted.id);
     }
     constexpr int first_redirect = 300;
-    bool const success = status < first_redirect;
-    bool const own = wanted.adapter || body.ends_with("to " + wanted.id);
+    bool const success = answer_.status < first_redirect;
+    bool const own =
+        wanted.path == "/draft/" ||
+        (wanted.events
+             ? parse_events(answer_.body).size() == target_->stream_events()
+             : answer_.body.ends_with("to " + wanted.id));
     if (success && !own) {
         records_->told.foreign.push_back(wanted.id);
     }
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -34,7 +36,7 @@
     /// @param records what callers were told; must outlive the caller
     caller(
         deployment const& target, caller_records& records, std::string name,
-        std::uint64_t seed);
+        soak_settings const& settings, std::uint64_t seed);
 
     /// Sends requests until the run stops.
     boost::asio::awaitable<void> run();
@@ -54,21 +56,40 @@
     struct request {
         std::string path;
         std::string id;
-        bool adapter = false;
+        /// Further lines of its head.
+        std::string fields;
+        bool events = false;
+        std::chrono::milliseconds patience{2'500};
+    };
+    /// What the last answer was.
+    struct answer {
+        int status = 0;
+        std::string body;
+        bool whole = false;
     };
 
     boost::asio::awaitable<void> run_operation(unsigned number);
+    request draw_request();
+    /// Sends two requests at once on one connection.
+    boost::asio::awaitable<void> run_pair(unsigned number);
+    /// Reads a stream, and resumes it as long as its patience lasts.
+    boost::asio::awaitable<void> run_stream(unsigned number);
+    static std::string text_of(request const& wanted);
     boost::asio::awaitable<fate> send(request const& wanted);
     boost::asio::awaitable<fate> read_answer(request const& wanted);
     boost::asio::awaitable<bool> connect();
-    fate judge(int status, std::string const& body, request const& wanted);
+    fate judge(request const& wanted);
     fate note(fate what, std::string const& id);
     std::uint64_t draw(std::uint64_t below) { return random_() % below; }
 
     deployment const* target_;
     caller_records* records_;
     std::string name_;
+    soak_settings settings_;
     std::mt19937_64 random_;
+    /// The node that it is connected to.
+    std::size_t node_ = 0;
+    answer answer_;
     std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
     boost::beast::flat_buffer buffer_;
 };
--- a/test/soak/child_process.cpp
+++ b/test/soak/child_process.cpp
@@ -35,6 +35,15 @@
     end();
 }
 
+void child_process::set_argument(
+    std::string const& name, std::string const& value) {
+    std::string const prefix = name + "=";
+    std::erase_if(words_, [&](std::string const& each) {
+        return each.starts_with(prefix);
+    });
+    words_.push_back(prefix + value);
+}
+
 void child_process::start() {
     if (running()) {
         return;
--- a/test/soak/child_process.hpp
+++ b/test/soak/child_process.hpp
@@ -18,6 +18,9 @@
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
 
+    /// Replaces an argument of the next starts.
+    /// @param name such as --id
+    void set_argument(std::string const& name, std::string const& value);
     /// Starts the process, or starts it again after its end.
     /// @throws std::system_error when it can't be started
     void start();
@@ -25,6 +28,8 @@
     void send_signal(int number);
     /// @returns true while the process exists
     bool running();
+    /// @returns the file to which its output is added
+    std::string const& name() const noexcept { return log_; }
     /// @returns how often it was started
     unsigned starts() const noexcept { return starts_; }
     /// @returns true when it has ended by itself with a failure, or by a signal
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -1,9 +1,12 @@
 #include "test/soak/deployment.hpp"
 
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
 #include <fmt/format.h>
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <unistd.h>
 #include <utility>
 
@@ -52,10 +55,10 @@
     , host_(own_host()) {
     std::filesystem::create_directories(settings.work);
     store = at(store_port);
-    add_store();
     for (unsigned each = 0; each < total_replicas(settings); ++each) {
         add_replica(each);
     }
+    add_store();
     for (unsigned each = 0; each < settings.nodes; ++each) {
         add_node(each);
     }
@@ -75,16 +78,19 @@
 std::string deployment::configuration(unsigned version) {
     std::string routes;
     auto const add = [&](std::string_view name, std::string_view type,
-                         std::string_view service, unsigned attempts) {
+                         std::string_view service, unsigned attempts,
+                         bool resumable = false) {
         routes += fmt::format(
             R"({}{{"name":"{}","hostname":"h","path_prefix":"/{}/",)"
             R"("type":"{}","timeout_ms":2500,"target_latency_ms":800,)"
-            R"("priority":0,"service":"{}","attempts":{}}})",
-            routes.empty() ? "" : ",", name, name, type, service, attempts);
+            R"("priority":0,"service":"{}","attempts":{},"resumable":{}}})",
+            routes.empty() ? "" : ",", name, name, type, service, attempts,
+            resumable);
     };
     add("book", "unsafe", "app", 1 + version % 2);
     add("look", "safe", "app", 2);
     add("once", "streaming", "llm", 1 + version % 3);
+    add("draft", "streaming", "llm", 2, true);
     add("new" + std::to_string(version), "unsafe", "app", 1);
     return fmt::format(
         R"({{"version":{},"routes":[{}],"services":[{{"name":"llm",)"
@@ -97,19 +103,11 @@
     std::string const config = settings_.work + "/config.json";
     write_file(config, configuration(1));
     std::vector<std::string> entries;
-    for (unsigned each = 0; each < total_replicas(settings_); ++each) {
-        bool const plain = each < settings_.replicas;
+    for (replica_processes const& each : replicas) {
         std::string const file =
-            fmt::format("{}/r{}.json", settings_.work, each);
-        write_file(
-            file,
-            fmt::format(
-                R"({{"service":"{}","address":"{}","zone":"z",)"
-                R"("version":"v1","slots":8,"state":"ready","models":[{}],)"
-                R"("sequence":1,"born":1767225600000}})",
-                plain ? "app" : "llm", text_of(at(first_replica + each)),
-                plain ? "" : R"({"name":"m","version":1,"adapters":[]})"));
-        entries.push_back(fmt::format("r{}={}", each, file));
+            fmt::format("{}/{}.json", settings_.work, each.id);
+        write_file(file, entry(each));
+        entries.push_back(fmt::format("{}={}", each.id, file));
     }
     std::vector<std::string> views;
     for (unsigned each = 0; each < settings_.nodes; ++each) {
@@ -125,14 +123,69 @@
 }
 
 void deployment::add_replica(unsigned number) {
-    bool const plain = number < settings_.replicas;
-    replicas.push_back(process(
+    replica_processes made;
+    made.id = fmt::format("r{}", number);
+    made.model = number < settings_.replicas ? "" : "m";
+    made.address = at(first_replica + number);
+    made.process = process(
         fmt::format("replica-{}", number),
-        {"standin-replica", "--listen=" + text_of(at(first_replica + number)),
-         fmt::format("--id=r{}", number), plain ? "--model=" : "--model=m",
-         "--ledger=" + ledger,
+        {"standin-replica", "--listen=" + text_of(made.address),
+         "--id=" + made.id, "--model=" + made.model, "--ledger=" + ledger,
+         fmt::format("--events={}", stream_events()),
+         fmt::format("--pause_ms={}", settings_.streams > 0 ? 60 : 5),
+         fmt::format("--refusal_percent={}", settings_.refusals),
          fmt::format("--fault_percent={}", settings_.replica_faults),
-         fmt::format("--seed={}", settings_.seed * 1'000 + number)}));
+         fmt::format("--seed={}", settings_.seed * 1'000 + number)});
+    replicas.push_back(std::move(made));
+}
+
+std::uint64_t deployment::stream_events() const noexcept {
+    return settings_.streams > 0 ? events_of_stream : events_of_short_stream;
+}
+
+std::string
+deployment::entry(replica_processes const& which, std::string_view state) {
+    bool const plain = which.model.empty();
+    return fmt::format(
+        R"({{"service":"{}","address":"{}","zone":"z","version":"{}",)"
+        R"("slots":8,"state":"{}","models":[{}],"sequence":1,)"
+        R"("born":1767225600000}})",
+        plain ? "app" : "llm", text_of(which.address), which.software, state,
+        plain ? "" : R"({"name":"m","version":1,"adapters":[]})");
+}
+
+void deployment::renew(replica_processes& which, std::string software) const {
+    std::string const stem = which.id.substr(0, which.id.find('-'));
+    which.id = fmt::format("{}-{}", stem, ++which.renewals);
+    which.software = std::move(software);
+    which.process->set_argument("--id", which.id);
+    which.process->set_argument("--software", which.software);
+    which.process->end();
+    which.process->start();
+    note(fmt::format("starts {} {}", which.id, which.software));
+}
+
+void deployment::note(std::string const& line) const {
+    std::ofstream(settings_.work + "/record", std::ios::app)
+        << absl::FormatTime(
+               "%Y-%m-%dT%H:%M:%E3SZ ", absl::Now(), absl::UTCTimeZone())
+        << line << '\n';
+}
+
+std::vector<std::string> deployment::unseen_replicas() const {
+    std::vector<std::string> unseen;
+    for (std::size_t each = 0; each < nodes.size(); ++each) {
+        std::ifstream log(fmt::format("{}/node-{}.log", settings_.work, each));
+        std::string const text(std::istreambuf_iterator<char>(log), {});
+        for (replica_processes const& replica : replicas) {
+            std::string const seen =
+                fmt::format(R"("replica-seen","replica":"{}")", replica.id);
+            if (text.find(seen) == std::string::npos) {
+                unseen.push_back(fmt::format("node-{} {}", each, replica.id));
+            }
+        }
+    }
+    return unseen;
 }
 
 void deployment::add_node(unsigned number) {
@@ -167,6 +220,8 @@
         fmt::format("link-{}", number),
         {"standin-link", fmt::format("--ways={}", fmt::join(ways, ",")),
          fmt::format("--seed={}", settings_.seed * 1'000 + number),
+         fmt::format("--copy_percent={}", settings_.copies),
+         fmt::format("--broken_percent={}", settings_.broken_answers),
          fmt::format("--stray_percent={}", settings_.link_faults),
          fmt::format("--cut_percent={}", settings_.link_faults / 2),
          fmt::format("--delay_percent={}", settings_.link_faults)});
@@ -175,8 +230,8 @@
 
 void deployment::start() {
     store_process_->start();
-    for (auto const& each : replicas) {
-        each->start();
+    for (replica_processes const& each : replicas) {
+        each.process->start();
     }
     for (node_processes& each : nodes) {
         each.link->start();
@@ -189,8 +244,8 @@
         each.node->end();
         each.link->end();
     }
-    for (auto const& each : replicas) {
-        each->end();
+    for (replica_processes const& each : replicas) {
+        each.process->end();
     }
     store_process_->end();
 }
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace camphorpoint::soak {
@@ -26,8 +27,32 @@
     unsigned replica_faults = 10;
     /// How many of a hundred requests meet each fault of a link.
     unsigned link_faults = 4;
+    /// How many of a hundred requests a replica refuses.
+    unsigned refusals = 0;
+    /// How many of a hundred short answers arrive twice.
+    unsigned copies = 0;
+    /// How many of a hundred pieces of answers break off, with the connection.
+    unsigned broken_answers = 0;
+    /// How many of a hundred operations send two requests at once on one
+    /// connection.
+    unsigned pipelined = 0;
+    /// How many of a hundred operations are streams that callers resume.
+    unsigned streams = 0;
+    /// Shares of each kind of disruption: processes that end, stop and restart;
+    /// replicas that start again under another id; changes of the software
+    /// version of the model service; kills of all nodes at once; entries in the
+    /// registry that are no replica's.
+    unsigned process_faults = 10;
+    unsigned renewals = 0;
+    unsigned releases = 0;
+    unsigned herd_kills = 0;
+    unsigned odd_entries = 0;
 };
 
+/// Events of each stream of a run with streams that callers resume.
+constexpr std::uint64_t events_of_stream = 30;
+constexpr std::uint64_t events_of_short_stream = 8;
+
 /// A node and the links to its replicas.
 struct node_processes {
     ip_address callers;
@@ -36,6 +61,20 @@
     std::unique_ptr<child_process> link;
 };
 
+/// A replica: its address stays, its process and its id do not.
+struct replica_processes {
+    std::unique_ptr<child_process> process;
+    std::string id;
+    /// Empty for the plain service.
+    std::string model;
+    std::string software = "v1";
+    ip_address address;
+    /// How often it was given another id.
+    unsigned renewals = 0;
+    /// One renewal is under way.
+    bool renewing = false;
+};
+
 /// Real processes on one loopback address: the store, replicas, nodes, and for
 /// each node a process that carries its connections to all replicas.
 class deployment {
@@ -50,9 +89,21 @@
     static std::string configuration(unsigned version);
     /// @returns the names of the processes that have ended unasked
     std::vector<std::string> crashed() const;
+    /// Ends a replica and starts it under another id at its address.
+    void renew(replica_processes& which, std::string software) const;
+    /// @returns the text of a replica's entry in the registry
+    static std::string
+    entry(replica_processes const& which, std::string_view state = "ready");
+    /// Adds a line to the run's record, behind the time of day.
+    void note(std::string const& line) const;
+    /// @returns for each node that runs the replicas that it has not seen in
+    ///          the registry
+    std::vector<std::string> unseen_replicas() const;
+    /// @returns how many events a stream has
+    std::uint64_t stream_events() const noexcept;
 
     std::vector<node_processes> nodes;
-    std::vector<std::unique_ptr<child_process>> replicas;
+    std::vector<replica_processes> replicas;
     ip_address store;
     std::string ledger;
 
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <random>
+#include <string>
 
 namespace camphorpoint::soak {
 
@@ -19,7 +20,7 @@
     /// @param target   must outlive the disruptions
     disruptions(
         boost::asio::any_io_executor executor, deployment& target,
-        std::uint64_t seed);
+        soak_settings const& settings);
 
     /// Begins a new disruption every few hundred milliseconds until the run
     /// stops.
@@ -36,14 +37,34 @@
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
     boost::asio::awaitable<void>
     stop_process(child_process& which, std::chrono::milliseconds time);
+    /// Ends, stops or restarts a process, or publishes a configuration.
+    boost::asio::awaitable<void> disturb_processes();
     boost::asio::awaitable<void> publish();
+    /// Starts a replica under another id at its address; the entry of the
+    /// former id stays for up to three heartbeats.
+    boost::asio::awaitable<void>
+    renew(replica_processes& which, std::string software);
+    /// Replaces the replicas of the model service, one after the other, with
+    /// those of another software version; in some cases all nodes end
+    /// meanwhile, or soon after.
+    boost::asio::awaitable<void> release();
+    boost::asio::awaitable<void> kill_all_nodes();
+    /// Adds an entry to the registry that is no replica's.
+    boost::asio::awaitable<void> add_odd_entry();
+    /// Adds a record to a keyed topic of the store.
+    boost::asio::awaitable<void>
+    append(std::string topic, std::string const& key, std::string const& value);
     std::chrono::milliseconds
     draw_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
     std::uint64_t draw(std::uint64_t below) { return random_() % below; }
 
     boost::asio::any_io_executor executor_;
     deployment* target_;
+    soak_settings settings_;
     std::mt19937_64 random_;
+    std::string software_ = "v1";
+    bool releasing_ = false;
+    unsigned odd_entries_ = 0;
     unsigned version_ = 1;
     unsigned begun_ = 0;
     unsigned active_ = 0;
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -1,24 +1,31 @@
 #include "test/soak/ledger.hpp"
 
 #include <fstream>
+#include <sstream>
 
 namespace camphorpoint::soak {
 
-std::map<std::string, unsigned> read_ledger(std::string const& file) {
-    std::map<std::string, unsigned> runs;
+run_records read_ledger(std::string const& file) {
+    run_records records;
     std::ifstream lines(file);
     std::string line;
     while (std::getline(lines, line)) {
-        ++runs[line.substr(0, line.find(' '))];
+        std::istringstream words(line);
+        stream_run run;
+        std::string name;
+        std::string software;
+        words >> run.request >> name >> software >> run.after;
+        ++records.counts[run.request];
+        records.runs[name] = run;
     }
-    return runs;
+    return records;
 }
 
 std::vector<violation> find_violations(
-    std::map<std::string, unsigned> const& runs, told_fates const& told,
+    run_records const& records, told_fates const& told,
     std::set<std::string> const& once_only) {
     std::vector<violation> found;
-    for (auto const& [id, count] : runs) {
+    for (auto const& [id, count] : records.counts) {
         if (!once_only.contains(id)) {
             continue;
         }
@@ -38,4 +45,16 @@
     return found;
 }
 
+std::vector<violation> find_stream_violations(
+    run_records const& records, told_fates const& told, std::uint64_t events) {
+    std::vector<violation> found;
+    for (stream_reading const& each : told.streams) {
+        std::string const what = find_disorder(each, events, records.runs);
+        if (!what.empty()) {
+            found.push_back({"ORDER", each.first_request + ": " + what});
+        }
+    }
+    return found;
+}
+
 } // namespace camphorpoint::soak
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "test/soak/stream_reading.hpp"
+
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -17,25 +20,43 @@
     std::set<std::string> reset;
     /// Answers to another request, or successes that no replica has signed.
     std::vector<std::string> foreign;
+    /// What callers have read of streams that they may resume.
+    std::vector<stream_reading> streams;
+    /// Requests that resumed a stream and were served.
+    unsigned resumed = 0;
     unsigned served = 0;
     unsigned unknown = 0;
 };
 
 /// One broken promise.
 struct violation {
-    /// REFUSED, TWICE, RESET or MIXED.
+    /// REFUSED, TWICE, RESET, MIXED or ORDER.
     std::string rule;
-    std::string id;
+    /// The id of a request, and what is wrong with a stream.
+    std::string what;
+};
+
+/// What the replicas have written.
+struct run_records {
+    /// How often each id has run.
+    std::map<std::string, unsigned> counts;
+    /// All runs by their names.
+    std::map<std::string, stream_run> runs;
 };
 
 /// Reads the ledger that the replicas have written together.
-/// @returns how often each id has run
-std::map<std::string, unsigned> read_ledger(std::string const& file);
+run_records read_ledger(std::string const& file);
 
 /// Compares what callers were told with what has run.
 /// @param once_only ids of requests that may run once at most
 std::vector<violation> find_violations(
-    std::map<std::string, unsigned> const& runs, told_fates const& told,
+    run_records const& records, told_fates const& told,
     std::set<std::string> const& once_only);
 
+/// @param events how many a stream has
+/// @returns the streams of which a caller got something else than one run, or
+///          several that continue each other
+std::vector<violation> find_stream_violations(
+    run_records const& records, told_fates const& told, std::uint64_t events);
+
 } // namespace camphorpoint::soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -12,11 +12,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
 #include <deque>
 #include <filesystem>
+#include <iterator>
 #include <string>
 
 ABSL_FLAG(std::string, programs, ".", "folder of the programs");
@@ -30,6 +32,16 @@
 ABSL_FLAG(unsigned, callers, 24, "callers");
 ABSL_FLAG(unsigned, replica_faults, 10, "percent");
 ABSL_FLAG(unsigned, link_faults, 4, "percent");
+ABSL_FLAG(unsigned, refusals, 0, "percent of requests that replicas refuse");
+ABSL_FLAG(unsigned, copies, 0, "percent of short answers that arrive twice");
+ABSL_FLAG(unsigned, broken_answers, 0, "percent of pieces of answers");
+ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
+ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
+ABSL_FLAG(unsigned, process_faults, 10, "share of disruptions");
+ABSL_FLAG(unsigned, renewals, 0, "share of disruptions: replicas' other ids");
+ABSL_FLAG(unsigned, releases, 0, "share of disruptions: software versions");
+ABSL_FLAG(unsigned, herd_kills, 0, "share of disruptions: all nodes at once");
+ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
 
 namespace camphorpoint::soak {
 
@@ -69,7 +81,7 @@
     explicit soak_run(soak_settings const& settings)
         : settings_(settings)
         , target_(settings)
-        , disruptions_(io_.get_executor(), target_, settings.seed) {}
+        , disruptions_(io_.get_executor(), target_, settings) {}
 
     /// @returns true when no promise was broken
     bool play() {
@@ -90,7 +102,7 @@
         ready = co_await await_ready(target_, seconds(20));
         for (unsigned each = 0; ready && each < settings_.callers; ++each) {
             callers_.emplace_back(
-                target_, records_, fmt::format("c{}", each),
+                target_, records_, fmt::format("c{}", each), settings_,
                 settings_.seed * 10'000 + each);
             asio::co_spawn(io_, callers_.back().run(), asio::detached);
         }
@@ -113,15 +125,24 @@
 
     bool report(bool played) const {
         auto const runs = read_ledger(target_.ledger);
-        auto const found =
-            find_violations(runs, records_.told, records_.once_only);
+        auto found = find_violations(runs, records_.told, records_.once_only);
+        std::ranges::copy(
+            find_stream_violations(
+                runs, records_.told, target_.stream_events()),
+            std::back_inserter(found));
+        if (played) {
+            for (std::string const& each : target_.unseen_replicas()) {
+                found.push_back({"UNSEEN", each});
+            }
+        }
         if (active()) {
             fmt::print(
                 "seed {}: {} callers and {} disruptions have not ended\n",
                 settings_.seed, records_.callers, disruptions_.active());
         }
         for (violation const& each : found) {
-            fmt::print("seed {}: {} {}\n", settings_.seed, each.rule, each.id);
+            fmt::print(
+                "seed {}: {} {}\n", settings_.seed, each.rule, each.what);
         }
         auto const crashed = target_.crashed();
         for (std::string const& each : crashed) {
@@ -129,11 +150,15 @@
         }
         fmt::print(
             "seed {}: {} requests that may run once, {} runs, {} served, {} "
-            "refused, {} reset, {} disruptions, {} violations{}\n",
-            settings_.seed, records_.once_only.size(), runs.size(),
+            "refused, {} reset, {} streams, {} resumed, {} whole, {} "
+            "disruptions, {} violations{}\n",
+            settings_.seed, records_.once_only.size(), runs.counts.size(),
             records_.told.served, records_.told.refused.size(),
-            records_.told.reset.size(), disruptions_.begun(), found.size(),
-            played ? "" : ", not played");
+            records_.told.reset.size(), records_.told.streams.size(),
+            records_.told.resumed,
+            std::ranges::count(
+                records_.told.streams, true, &stream_reading::whole),
+            disruptions_.begun(), found.size(), played ? "" : ", not played");
         std::fflush(stdout);
         return played && found.empty() && crashed.empty();
     }
@@ -156,6 +181,16 @@
     settings.seconds = absl::GetFlag(FLAGS_seconds);
     settings.replica_faults = absl::GetFlag(FLAGS_replica_faults);
     settings.link_faults = absl::GetFlag(FLAGS_link_faults);
+    settings.refusals = absl::GetFlag(FLAGS_refusals);
+    settings.copies = absl::GetFlag(FLAGS_copies);
+    settings.broken_answers = absl::GetFlag(FLAGS_broken_answers);
+    settings.pipelined = absl::GetFlag(FLAGS_pipelined);
+    settings.streams = absl::GetFlag(FLAGS_streams);
+    settings.process_faults = absl::GetFlag(FLAGS_process_faults);
+    settings.renewals = absl::GetFlag(FLAGS_renewals);
+    settings.releases = absl::GetFlag(FLAGS_releases);
+    settings.herd_kills = absl::GetFlag(FLAGS_herd_kills);
+    settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
     for (unsigned each = 0; each < absl::GetFlag(FLAGS_runs); ++each) {
         settings.seed = absl::GetFlag(FLAGS_seed) + each;
         settings.work =
