--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -155,7 +155,9 @@
 asio::awaitable<void> caller::run_stream(unsigned number) {
     stream_reading got;
     constexpr std::array patiences{2'500, 6'000, 9'000};
-    milliseconds const patience(patiences.at(draw(patiences.size())));
+    milliseconds const patience(
+        settings_.patience > 0 ? settings_.patience
+                               : patiences.at(draw(patiences.size())));
     bool const names_all = draw(4) == 0;
     auto const until = boot_clock::now() + patience;
     for (int attempt = 0; !got.whole && boot_clock::now() < until; ++attempt) {
@@ -192,6 +194,9 @@
             co_await standins::wait_for(wait);
         }
     }
+    target_->note(fmt::format(
+        "stream {} patience {} {}", got.first_request, patience.count(),
+        names_all ? "always named" : "named as left"));
     records_->told.streams.push_back(std::move(got));
 }
 
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -3,6 +3,7 @@
 #include "Settings/node_settings.hpp"
 #include "test/soak/child_process.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -38,6 +39,8 @@
     unsigned pipelined = 0;
     /// How many of a hundred operations are streams that callers resume.
     unsigned streams = 0;
+    /// How long callers of these streams wait, in milliseconds; drawn when 0.
+    int patience = 0;
     /// Shares of each kind of disruption: processes that end, stop and restart;
     /// replicas that start again under another id; changes of the software
     /// version of the model service; kills of all nodes at once; entries in the
@@ -47,6 +50,8 @@
     unsigned releases = 0;
     unsigned herd_kills = 0;
     unsigned odd_entries = 0;
+    /// The longest time between two disruptions.
+    std::chrono::milliseconds disruption_pause{600};
 };
 
 /// Events of each stream of a run with streams that callers resume.
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -88,7 +88,7 @@
         ++begun_;
         asio::co_spawn(executor_, begin_one(), asio::detached);
         milliseconds const rest =
-            draw_time(milliseconds(100), milliseconds(600));
+            draw_time(milliseconds(100), settings_.disruption_pause);
         co_await standins::wait_for(rest);
     }
 }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -37,11 +37,13 @@
 ABSL_FLAG(unsigned, broken_answers, 0, "percent of pieces of answers");
 ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
 ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
+ABSL_FLAG(int, patience_ms, 0, "of callers that resume streams; 0: drawn");
 ABSL_FLAG(unsigned, process_faults, 10, "share of disruptions");
 ABSL_FLAG(unsigned, renewals, 0, "share of disruptions: replicas' other ids");
 ABSL_FLAG(unsigned, releases, 0, "share of disruptions: software versions");
 ABSL_FLAG(unsigned, herd_kills, 0, "share of disruptions: all nodes at once");
 ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
+ABSL_FLAG(unsigned, disruption_ms, 600, "longest time between disruptions");
 
 namespace camphorpoint::soak {
 
@@ -186,11 +188,14 @@
     settings.broken_answers = absl::GetFlag(FLAGS_broken_answers);
     settings.pipelined = absl::GetFlag(FLAGS_pipelined);
     settings.streams = absl::GetFlag(FLAGS_streams);
+    settings.patience = absl::GetFlag(FLAGS_patience_ms);
     settings.process_faults = absl::GetFlag(FLAGS_process_faults);
     settings.renewals = absl::GetFlag(FLAGS_renewals);
     settings.releases = absl::GetFlag(FLAGS_releases);
     settings.herd_kills = absl::GetFlag(FLAGS_herd_kills);
     settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
+    settings.disruption_pause =
+        milliseconds(absl::GetFlag(FLAGS_disruption_ms));
     for (unsigned each = 0; each < absl::GetFlag(FLAGS_runs); ++each) {
         settings.seed = absl::GetFlag(FLAGS_seed) + each;
         settings.work =
