--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -108,8 +108,9 @@
         absl::GetFlag(FLAGS_slots));
     run_ledger const ledger(absl::GetFlag(FLAGS_ledger));
     auto const name_run = [&](std::uint64_t run) {
+        // The process may have been started again under its id.
         return fmt::format(
-            "{}.{} {}", absl::GetFlag(FLAGS_id), run,
+            "{}.{}.{} {}", absl::GetFlag(FLAGS_id), ::getpid(), run,
             absl::GetFlag(FLAGS_software));
     };
     if (!absl::GetFlag(FLAGS_ledger).empty()) {
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -158,7 +158,8 @@
     milliseconds const patience(
         settings_.patience > 0 ? settings_.patience
                                : patiences.at(draw(patiences.size())));
-    bool const names_all = draw(4) == 0;
+    constexpr std::uint64_t whole = 100;
+    bool const names_all = draw(whole) < settings_.always_named;
     auto const until = boot_clock::now() + patience;
     for (int attempt = 0; !got.whole && boot_clock::now() < until; ++attempt) {
         request wanted;
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -41,6 +41,8 @@
     unsigned streams = 0;
     /// How long callers of these streams wait, in milliseconds; drawn when 0.
     int patience = 0;
+    /// How many of a hundred of them name all of it with each request.
+    unsigned always_named = 25;
     /// Shares of each kind of disruption: processes that end, stop and restart;
     /// replicas that start again under another id; changes of the software
     /// version of the model service; kills of all nodes at once; entries in the
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -38,6 +38,8 @@
 ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
 ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
 ABSL_FLAG(int, patience_ms, 0, "of callers that resume streams; 0: drawn");
+ABSL_FLAG(
+    unsigned, always_named, 25, "percent of streams: patience named as whole");
 ABSL_FLAG(unsigned, process_faults, 10, "share of disruptions");
 ABSL_FLAG(unsigned, renewals, 0, "share of disruptions: replicas' other ids");
 ABSL_FLAG(unsigned, releases, 0, "share of disruptions: software versions");
@@ -189,6 +191,7 @@
     settings.pipelined = absl::GetFlag(FLAGS_pipelined);
     settings.streams = absl::GetFlag(FLAGS_streams);
     settings.patience = absl::GetFlag(FLAGS_patience_ms);
+    settings.always_named = absl::GetFlag(FLAGS_always_named);
     settings.process_faults = absl::GetFlag(FLAGS_process_faults);
     settings.renewals = absl::GetFlag(FLAGS_renewals);
     settings.releases = absl::GetFlag(FLAGS_releases);
