--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -152,12 +152,17 @@
     }
 }
 
+milliseconds caller::draw_patience() {
+    constexpr std::uint64_t whole = 100;
+    constexpr milliseconds brief{2'500};
+    constexpr std::array lengthy{milliseconds(6'000), milliseconds(9'000)};
+    bool const is_long = draw(whole) < settings_.long_patience;
+    return is_long ? lengthy.at(draw(lengthy.size())) : brief;
+}
+
 asio::awaitable<void> caller::run_stream(unsigned number) {
     stream_reading got;
-    constexpr std::array patiences{2'500, 6'000, 9'000};
-    milliseconds const patience(
-        settings_.patience > 0 ? settings_.patience
-                               : patiences.at(draw(patiences.size())));
+    milliseconds const patience = draw_patience();
     constexpr std::uint64_t whole = 100;
     bool const names_all = draw(whole) < settings_.always_named;
     auto const until = boot_clock::now() + patience;
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -72,6 +72,7 @@
     request draw_request();
     /// Sends two requests at once on one connection.
     boost::asio::awaitable<void> run_pair(unsigned number);
+    std::chrono::milliseconds draw_patience();
     /// Reads a stream, and resumes it as long as its patience lasts.
     boost::asio::awaitable<void> run_stream(unsigned number);
     static std::string text_of(request const& wanted);
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -39,8 +39,9 @@
     unsigned pipelined = 0;
     /// How many of a hundred operations are streams that callers resume.
     unsigned streams = 0;
-    /// How long callers of these streams wait, in milliseconds; drawn when 0.
-    int patience = 0;
+    /// How many of a hundred of their callers wait longer than the route's
+    /// time-out.
+    unsigned long_patience = 66;
     /// How many of a hundred of them name all of it with each request.
     unsigned always_named = 25;
     /// Shares of each kind of disruption: processes that end, stop and restart;
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -266,7 +266,9 @@
 
 asio::awaitable<void> disruptions::add_odd_entry() {
     std::string const key = fmt::format("odd-{}", ++odd_entries_);
-    std::string const text = odd_entry(draw(odd_kinds), target_->store.host);
+    std::uint64_t const kind = draw(odd_kinds);
+    std::string const text = odd_entry(kind, target_->store.host);
+    target_->note(fmt::format("{} of kind {}", key, kind));
     co_await append("keyed.servers", key, text);
     milliseconds const there = draw_time(milliseconds(0), milliseconds(4'000));
     co_await standins::wait_for(there);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -37,7 +37,9 @@
 ABSL_FLAG(unsigned, broken_answers, 0, "percent of pieces of answers");
 ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
 ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
-ABSL_FLAG(int, patience_ms, 0, "of callers that resume streams; 0: drawn");
+ABSL_FLAG(
+    unsigned, long_patience, 66,
+    "percent of streams whose caller waits longer than the time-out");
 ABSL_FLAG(
     unsigned, always_named, 25, "percent of streams: patience named as whole");
 ABSL_FLAG(unsigned, process_faults, 10, "share of disruptions");
@@ -190,7 +192,7 @@
     settings.broken_answers = absl::GetFlag(FLAGS_broken_answers);
     settings.pipelined = absl::GetFlag(FLAGS_pipelined);
     settings.streams = absl::GetFlag(FLAGS_streams);
-    settings.patience = absl::GetFlag(FLAGS_patience_ms);
+    settings.long_patience = absl::GetFlag(FLAGS_long_patience);
     settings.always_named = absl::GetFlag(FLAGS_always_named);
     settings.process_faults = absl::GetFlag(FLAGS_process_faults);
     settings.renewals = absl::GetFlag(FLAGS_renewals);
