Log the connection of an attempt

Event 914 names the connection that carried the attempt by a number that is unique in the process. Two attempts of one request id with the same number used one connection, which neither the id nor the replica's id tells: a replica that has started again has another id at the same address.

This tells two causes of a refusal that was not this attempt's apart: a copy of an earlier attempt's refusal (the same connection), and a replica that runs what it has refused (also over connections of their own). No logic changes.

--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -194,6 +194,7 @@
                           .with("peer", attempt.peer)
                           .with("end", names[static_cast<std::size_t>(end)])
                           .with("status", trace.status)
+                          .with("connection", call.connection())
                           .with("kept", call.reused() ? 1 : 0)
                           .with("named", call.names_request() ? 1 : 0)
                           .with("stated", trace.states_not_run ? 1 : 0)
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -135,6 +135,7 @@
     /// The sending of the request is watched.
     bool watched_ = false;
     bool reused_ = false;
+    std::uint64_t connection_ = 0;
     bool cancelled_ = false;
     bool timed_out_ = false;
     bool broke_off_ = false;
@@ -152,6 +153,7 @@
     }
     reused_ = link_ != nullptr;
     if (reused_) {
+        connection_ = link_->number;
         co_return true;
     }
     beast::error_code failure;
@@ -160,6 +162,7 @@
         co_return false;
     }
     link_ = std::make_unique<http_connection>(executor_);
+    connection_ = link_->number;
     link_->stream.socket().open(tcp::v4(), failure);
     if (!failure) {
         internal::bound_silence(link_->stream.socket().native_handle());
@@ -501,6 +504,10 @@
     return state_->reused_;
 }
 
+std::uint64_t http_call::connection() const noexcept {
+    return state_->connection_;
+}
+
 call_times reading_times_of(std::chrono::milliseconds silence) {
     call_times times;
     times.close_at = now() + longest_answer;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -124,6 +125,9 @@
     answer_trace const& trace() const noexcept;
     /// @returns true when the connection had served an earlier call
     bool reused() const noexcept;
+    /// @returns the number of the connection that carries the call; 0 before
+    ///          there is one
+    std::uint64_t connection() const noexcept;
 
 private:
     class state;
