Send a request id once on a connection

Callers were told 503 for requests that may run once and had run (REFUSED), and such requests ran twice (TWICE), beside replicas that had started again.

All sends of a request bear its id, and an answer is matched to its request by that id alone. A replica may send a copy of an answer late, where the connection's next answer is expected. A refused request is sent on to another replica id; while the entries of two starts of one process are both in the registry, that id has the same address, and the pool, whose key is the address, returned the connection of the refusal. Its copy then counted as the refusal of the second send.

What identifies an answer is then the connection and the id, which two sends never share, whichever handler sends them; this holds for replicas, peers, engines and services, since all name their requests by call_times::echoed. A new connection for each repeated send would cost more where an idle one is fit for use; a list in the request does not cover two handlers of one id.

The stand-in of the test now serves its connections side by side, since a replica gets two of them; before, the second one waited for the end of the first.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -112,7 +112,7 @@
     asio::awaitable<bool> read_header();
     asio::awaitable<std::optional<std::string>> read_piece();
     asio::awaitable<std::optional<std::string>> read_some();
-    asio::awaitable<bool> read_own_header(std::string sent);
+    asio::awaitable<bool> read_own_header();
     asio::awaitable<bool> skip_stray();
     void reject();
     void give_back();
@@ -125,6 +125,8 @@
     http_pool* pool_;
     ip_address to_;
     call_times times_;
+    /// What names the request; empty for nothing.
+    std::string id_;
     // Stays allocated until the call ends, since a read may still refer to it
     // while it is being closed.
     std::unique_ptr<http_connection> link_;
@@ -149,7 +151,7 @@
 
 asio::awaitable<bool> http_call::state::make_connection() {
     if (pool_ != nullptr && !times_.fresh) {
-        link_ = pool_->take(to_, now(), times_.idle_at_most);
+        link_ = pool_->take(to_, now(), times_.idle_at_most, id_);
     }
     reused_ = link_ != nullptr;
     if (reused_) {
@@ -256,7 +258,7 @@
     close();
 }
 
-asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
+asio::awaitable<bool> http_call::state::read_own_header() {
     // More than one answer too many is no accident of timing.
     constexpr unsigned most_strays = 2;
     while (strays_ <= most_strays) {
@@ -265,7 +267,7 @@
             co_return false;
         }
         std::string_view const got = parser_->get()[times_.echoed];
-        named_ = sent.empty() || got == sent;
+        named_ = id_.empty() || got == id_;
         bool const only_request = !reused_;
         if (named_ || (got.empty() && only_request)) {
             co_return true;
@@ -380,6 +382,7 @@
     auto const self = state_;
     self->to_ = std::move(to);
     self->times_ = times;
+    self->id_ = std::string(request.fields.get(self->times_.echoed));
     bool const connected = co_await self->make_connection();
     // The guard of leases and grants: a process that was paused, or that waited
     // long for its connection, finds here that its time has run out. It is the
@@ -389,10 +392,9 @@
         self->close();
         co_return call_result::not_sent;
     }
-    std::string echo(request.fields.get(self->times_.echoed));
+    self->link_->carried.add(self->id_);
     bool const sent = co_await self->write(std::move(request));
-    bool const answered =
-        sent && co_await self->read_own_header(std::move(echo));
+    bool const answered = sent && co_await self->read_own_header();
     if (!answered) {
         self->close();
         co_return call_result::lost;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -48,7 +48,9 @@
     /// A header field that each answer repeats from its request. An answer that
     /// repeats another one's is read and thrown away, and so is one that
     /// repeats none on a connection that has served an earlier request: a
-    /// server may send answers that are late, or that belong to no request.
+    /// server may send answers that are late, or that belong to no request. No
+    /// two requests with the same value share a connection, since a late copy
+    /// of the first one's answer would count as the second one's.
     std::string echoed;
 };
 
--- a/src/Ports/http_connection.hpp
+++ b/src/Ports/http_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Ports/carried_ids.hpp"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -36,6 +38,7 @@
 
     /// Names it in the log.
     std::uint64_t const number = next_connection_number();
+    carried_ids carried;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
 };
--- a/src/Ports/http_pool.cpp
+++ b/src/Ports/http_pool.cpp
@@ -44,20 +44,29 @@
 
 http_pool::~http_pool() = default;
 
-http_pool::connection_ptr
-http_pool::take(ip_address const& to, instant now, duration idle_at_most) {
+http_pool::connection_ptr http_pool::take(
+    ip_address const& to, instant now, duration idle_at_most,
+    std::string_view id) {
     drop_old(now);
     auto const found = idle_.find(to);
     if (found == idle_.end()) {
         return nullptr;
     }
+    kept_list& list = found->second;
     connection_ptr result;
-    while (!found->second.empty() && result == nullptr &&
-           now - found->second.back().since < idle_at_most) {
-        duration const longest = found->second.back().longest;
-        duration const age = now - found->second.back().since;
-        result = std::move(found->second.back().connection);
-        found->second.pop_back();
+    auto next = list.end();
+    while (next != list.begin() && result == nullptr) {
+        --next;
+        duration const age = now - next->since;
+        if (age >= idle_at_most) {
+            break;
+        }
+        if (next->connection->carried.contains(id)) {
+            continue;
+        }
+        duration const longest = next->longest;
+        result = std::move(next->connection);
+        next = list.erase(next);
         --count_;
         // A server that closed an idle connection would answer the next
         // request with a reset, whose fate is then unknown. Asking the socket
@@ -66,7 +75,7 @@
             result = nullptr;
         }
     }
-    if (found->second.empty()) {
+    if (list.empty()) {
         idle_.erase(found);
     }
     return result;
@@ -84,6 +93,9 @@
     ip_address const& to, connection_ptr connection, instant now,
     duration longest) {
     drop_old(now);
+    if (connection->carried.full()) {
+        return;
+    }
     duration const kept = std::min<duration>(longest, limits_.idle_time);
     kept_list& list = idle_[to];
     list.push_back({std::move(connection), now, kept});
--- a/src/Ports/http_pool.hpp
+++ b/src/Ports/http_pool.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace camphorpoint {
 
@@ -35,12 +36,15 @@
 
     /// @param idle_at_most older ones are left, as for a request that can't be
     ///        sent again when the server has dropped the connection unnoticed
+    /// @param id           connections that have carried a request with this
+    ///                     id are left; empty for a request without an id
     /// @returns an idle connection that the server has not closed, or null
     connection_ptr take(
         ip_address const& to, instant now,
-        duration idle_at_most = duration::max());
-    /// Keeps a connection whose last answer was read whole; past the limits
-    /// the oldest is closed.
+        duration idle_at_most = duration::max(), std::string_view id = {});
+    /// Keeps a connection whose last answer was read whole, unless it has
+    /// carried as many requests as it may; past the limits the oldest is
+    /// closed.
     /// @param longest how long the server keeps it at the most, if it said so
     void give(
         ip_address const& to, connection_ptr connection, instant now,
--- a/test/gateway/repeated_sends_test.cpp
+++ b/test/gateway/repeated_sends_test.cpp
@@ -55,7 +55,7 @@
     restarted_replica(gateway_fixture& world, std::string name)
         : name_(std::move(name))
         , server_(world.loop, [this](raw_server::socket_type& socket) {
-            return serve(socket);
+            return accept(socket);
         }) {
         for (std::string const& id : {earlier(), current()}) {
             world.metadata.store().put(
@@ -83,9 +83,16 @@
     unsigned refusals = 0;
 
 private:
-    asio::awaitable<void> serve(raw_server::socket_type& accepted) {
+    // The server accepts a connection when the script of the one before ends.
+    asio::awaitable<void> accept(raw_server::socket_type& accepted) {
         auto const socket =
             std::make_shared<raw_server::socket_type>(std::move(accepted));
+        asio::co_spawn(socket->get_executor(), serve(socket), asio::detached);
+        co_return;
+    }
+
+    asio::awaitable<void>
+    serve(std::shared_ptr<raw_server::socket_type> socket) {
         std::string request;
         std::string copy;
         while (true) {
