--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -112,7 +112,7 @@
     asio::awaitable<bool> read_header();
     asio::awaitable<std::optional<std::string>> read_piece();
     asio::awaitable<std::optional<std::string>> read_some();
-    asio::awaitable<bool> read_own_header(std::string sent);
+    asio::awaitable<bool> read_own_header();
     asio::awaitable<bool> skip_stray();
     void reject();
     void give_back();
@@ -125,6 +125,8 @@
     http_pool* pool_;
     ip_address to_;
     call_times times_;
+    /// What names the request; empty for nothing.
+    std::string id_;
     // Stays allocated until the call ends, since a read may still refer to it
     // while it is being closed.
     std::unique_ptr<http_connection> link_;
@@ -135,6 +137,7 @@
     /// The sending of the request is watched.
     bool watched_ = false;
     bool reused_ = false;
+    std::uint64_t connection_ = 0;
     bool cancelled_ = false;
     bool timed_out_ = false;
     bool broke_off_ = false;
@@ -148,10 +151,11 @@
 
 asio::awaitable<bool> http_call::state::make_connection() {
     if (pool_ != nullptr && !times_.fresh) {
-        link_ = pool_->take(to_, now(), times_.idle_at_most);
+        link_ = pool_->take(to_, now(), times_.idle_at_most, id_);
     }
     reused_ = link_ != nullptr;
     if (reused_) {
+        connection_ = link_->number;
         co_return true;
     }
     beast::error_code failure;
@@ -160,6 +164,7 @@
         co_return false;
     }
     link_ = std::make_unique<http_connection>(executor_);
+    connection_ = link_->number;
     link_->stream.socket().open(tcp::v4(), failure);
     if (!failure) {
         internal::bound_silence(link_->stream.socket().native_handle());
@@ -253,7 +258,7 @@
     close();
 }
 
-asio::awaitable<bool> http_call::state::read_own_header(std::string sent) {
+asio::awaitable<bool> http_call::state::read_own_header() {
     // More than one answer too many is no accident of timing.
     constexpr unsigned most_strays = 2;
     while (strays_ <= most_strays) {
@@ -263,7 +268,7 @@
         }
         std::string_view const got = parser_->get()[times_.echoed];
         // An answer with a name is not the answer to a request without one.
-        named_ = got == sent;
+        named_ = got == id_;
         bool const only_request = !reused_;
         if (named_ || (got.empty() && only_request)) {
             co_return true;
@@ -378,6 +383,7 @@
     auto const self = state_;
     self->to_ = std::move(to);
     self->times_ = times;
+    self->id_ = std::string(request.fields.get(self->times_.echoed));
     bool const connected = co_await self->make_connection();
     // The guard of leases and grants: a process that was paused, or that waited
     // long for its connection, finds here that its time has run out. It is the
@@ -387,10 +393,9 @@
         self->close();
         co_return call_result::not_sent;
     }
-    std::string echo(request.fields.get(self->times_.echoed));
+    self->link_->carried.add(self->id_);
     bool const sent = co_await self->write(std::move(request));
-    bool const answered =
-        sent && co_await self->read_own_header(std::move(echo));
+    bool const answered = sent && co_await self->read_own_header();
     if (!answered) {
         self->close();
         co_return call_result::lost;
@@ -502,6 +507,10 @@
     return state_->reused_;
 }
 
+std::uint64_t http_call::connection() const noexcept {
+    return state_->connection_;
+}
+
 call_times reading_times_of(std::chrono::milliseconds silence) {
     call_times times;
     times.close_at = now() + longest_answer;
