Log lines stay UTF-8 whatever a value holds

Keys of the store and names of replicas are bytes that any writer has chosen. They stood in the log as they were, so that a line with an odd one was no JSON (RFC 8259, section 8.1) and readers of the log lost it. A byte that is no UTF-8 is now written as a question mark.

--- a/src/Telemetry/decision_log.cpp
+++ b/src/Telemetry/decision_log.cpp
@@ -4,7 +4,9 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <fcntl.h>
 #include <iterator>
 #include <unistd.h>
@@ -18,11 +20,53 @@
         .count();
 }
 
-/// RFC 8259, section 7. Bytes above 127 are left as they are.
+/// @returns the length of the UTF-8 character at the start of a text: RFC 3629,
+///          section 4; 0 when there is none
+std::size_t character_size(std::string_view text) {
+    constexpr unsigned char first_continuation = 0x80;
+    constexpr unsigned char last_continuation = 0xBF;
+    auto const byte = [&](std::size_t place) {
+        return static_cast<unsigned char>(text[place]);
+    };
+    unsigned char const lead = byte(0);
+    if (lead < first_continuation) {
+        return 1;
+    }
+    std::size_t const size = lead >= 0xC2 && lead <= 0xDF   ? 2
+                             : lead >= 0xE0 && lead <= 0xEF ? 3
+                             : lead >= 0xF0 && lead <= 0xF4 ? 4
+                                                            : 0;
+    if (size == 0 || text.size() < size) {
+        return 0;
+    }
+    // The second byte excludes overlong forms, surrogates and what is beyond
+    // the last character.
+    unsigned char const least = lead == 0xE0   ? 0xA0
+                                : lead == 0xF0 ? 0x90
+                                               : first_continuation;
+    unsigned char const most = lead == 0xED   ? 0x9F
+                               : lead == 0xF4 ? 0x8F
+                                              : last_continuation;
+    bool valid = byte(1) >= least && byte(1) <= most;
+    for (std::size_t place = 2; place < size; ++place) {
+        valid = valid && byte(place) >= first_continuation &&
+                byte(place) <= last_continuation;
+    }
+    return valid ? size : 0;
+}
+
+/// RFC 8259, sections 7 and 8.1: a byte that is no UTF-8 becomes a question
+/// mark.
 void append_escaped(fmt::memory_buffer& into, std::string_view text) {
     constexpr unsigned char first_printable = 0x20;
-    for (char const each : text) {
-        if (each == '"' || each == '\\') {
+    while (!text.empty()) {
+        char const each = text.front();
+        std::size_t const size = character_size(text);
+        if (size == 0) {
+            into.push_back('?');
+        } else if (size > 1) {
+            into.append(text.data(), text.data() + size);
+        } else if (each == '"' || each == '\\') {
             into.push_back('\\');
             into.push_back(each);
         } else if (static_cast<unsigned char>(each) < first_printable) {
@@ -30,6 +74,7 @@
         } else {
             into.push_back(each);
         }
+        text.remove_prefix(std::max<std::size_t>(size, 1));
     }
 }
 
--- a/test/decision_log_test.cpp
+++ b/test/decision_log_test.cpp
@@ -53,6 +53,33 @@
                 "\"status\":503}\n");
 }
 
+// Guards against lines that no reader of JSON takes: a key that another writer
+// has chosen may be any bytes.
+TEST_CASE("a value that is no UTF-8 leaves its line valid") {
+    auto const logged = [](std::string_view value) {
+        std::string const text = log_line(event_code::replica_gone)
+                                     .with("v", value)
+                                     .text(wall_time());
+        std::size_t const begin = text.find("\"v\":\"") + 5;
+        return text.substr(begin, text.rfind('"') - begin);
+    };
+    for (std::string_view const each :
+         {"\x7f", "\xc3\xa4", "\xe2\x82\xac", "\xed\x9f\xbf",
+          "\xf0\x9f\x98\x80", "\xf4\x8f\xbf\xbf"}) {
+        CHECK(logged(each) == each);
+    }
+    CHECK(
+        logged("a\xff"
+               "b") == "a?b");
+    CHECK(logged("\xc3") == "?");
+    CHECK(logged("\xc3(") == "?(");
+    CHECK(logged("\xc0\xaf") == "??");
+    CHECK(logged("\xe0\x80\x80") == "???");
+    CHECK(logged("\xed\xa0\x80") == "???");
+    CHECK(logged("\xf4\x90\x80\x80") == "????");
+    CHECK(logged("\xe2\x82\"") == "??\\\"");
+}
+
 // Whatever collects the log stops reading. The pipe fills, and a node that
 // waits for it answers no request any more.
 TEST_CASE("a reader that stops reading holds nothing up") {
