A lost record of a service's versions counts as several versions

What callers could see: after a restart of all nodes behind a release, streams of the old version answered 200 with the rest from the new one.

Cause: where the store has no record of a service, the version that is seen is recorded as the only one at once, since no node can have served the service before. A record that can't be read, stands under another service's key, or was lost in a rollback looked the same.

A node that starts after a rollback does not know that there was one; that is left.

--- a/src/Gateway/software_persistence.cpp
+++ b/src/Gateway/software_persistence.cpp
@@ -34,6 +34,7 @@
 
 void software_persistence::on_store_rollback() {
     loaded_ = false;
+    may_lack_records_ = true;
     saved_.clear();
 }
 
@@ -46,10 +47,10 @@
     for (service_id const& each : services) {
         auto const found = saved_.find(each);
         // No record means that no node has served the service before, so that
-        // it has no older streams.
-        duration const memory = found == saved_.end()
-                                    ? duration::zero()
-                                    : state_->settings.stream_lifetime;
+        // it has no older streams, unless the record may be lost.
+        bool const is_new = found == saved_.end() && !may_lack_records_;
+        duration const memory =
+            is_new ? duration::zero() : state_->settings.stream_lifetime;
         record const current{
             each, state_->software.only_version(each, memory, now)};
         if (found == saved_.end() || found->second != current) {
@@ -107,18 +108,29 @@
     if (absent) {
         co_return true;
     }
+    may_lack_records_ = may_lack_records_ || batch.value().unreadable > 0;
     for (platform::keyed_record const& each : batch.value().records) {
-        auto const kept =
-            platform::read_software_record(each.value.value_or(""));
-        if (!kept) {
-            continue;
-        }
-        saved_[kept->service] = *kept;
-        adopt(*kept);
+        record const kept = parse(each);
+        saved_[kept.service] = kept;
+        adopt(kept);
     }
     co_return true;
 }
 
+software_persistence::record
+software_persistence::parse(platform::keyed_record const& stored) {
+    service_id const service(stored.key);
+    auto const read = platform::read_software_record(stored.value.value_or(""));
+    if (read && read->service == service) {
+        return *read;
+    }
+    state_->log_event(
+        log_line(event_code::configuration_rejected, log_level::error)
+            .with("service", stored.key)
+            .with("findings", "not a valid record of its software versions"));
+    return {service, std::nullopt};
+}
+
 asio::awaitable<bool> software_persistence::write(record update) {
     auto const alive = running_;
     store_epoch const epoch = state_->epoch;
--- a/src/Gateway/software_persistence.hpp
+++ b/src/Gateway/software_persistence.hpp
@@ -42,11 +42,15 @@
     boost::asio::awaitable<bool> write(record update);
     void adopt(record const& known);
     std::optional<record> next_unsaved(instant now);
+    record parse(platform::keyed_record const& stored);
 
     gateway_state* state_;
     platform::store_client* store_;
-    /// The records as they are in the store.
+    /// The records as they are in the store. One that can't be read stands for
+    /// several versions.
     std::map<service_id, record> saved_;
+    /// The store may have lost records, in a rollback or as unreadable ones.
+    bool may_lack_records_ = false;
     bool loaded_ = false;
     bool active_ = false;
     instant give_up_at_;
--- a/test/gateway/software_versions_test.cpp
+++ b/test/gateway/software_versions_test.cpp
@@ -306,6 +306,44 @@
     CHECK(seen.refused == 2 * std::size(callers));
 }
 
+// Guards against nodes that take the one version which they have seen since
+// their start for the only one, since the store no longer states that there
+// were several.
+TEST_CASE("a stream is not joined when the record of its service is lost") {
+    mixed_versions_fixture world;
+    auto& metadata = world.world().metadata;
+    continuations seen;
+    std::string const id = "s";
+    constexpr milliseconds write_time{1'500};
+    world.pass(write_time);
+    do {
+        world.begin_stream(0, "alone", id);
+    } while (!world.began_at_old());
+    world.unlist("old");
+
+    SUBCASE("it can't be read") {
+        metadata.store().put("keyed.software", "scripted", "{\"service\":[");
+        world.world().restart_nodes();
+    }
+    SUBCASE("it is one of another service") {
+        metadata.store().put(
+            "keyed.software", "scripted", R"({"service":"other"})");
+        world.world().restart_nodes();
+    }
+    SUBCASE("the store is rolled back to a time before it") {
+        world.world().restart_nodes();
+        auto snapshot = metadata.store();
+        snapshot.put("keyed.software", "scripted", "");
+        metadata.come_back(snapshot);
+    }
+    world.pass(write_time);
+    for (unsigned each = 0; each < 3; ++each) {
+        world.add(world.resume(each, id, id), seen);
+    }
+    CHECK(seen.mixed == 0);
+    CHECK(seen.refused == 3);
+}
+
 // Guards against a resumption that waits, or goes on at another software
 // version, when the version of its stream is gone or unknown.
 TEST_CASE("a stream that can't go on is refused at once") {
