A caller that leaves while its next request waits is noticed

Cause: the bytes of the next request end the one wait for readability, and a peek sees these bytes, but not the end of the connection behind them.

Change: the kernel is asked for the end itself (POLLRDHUP), which it tells while bytes in front are unread; a connection with such bytes is looked at every 200 ms while its exchange runs. Nothing is read ahead, so a request that waits stays in the kernel and is reset when the connection ends. Only callers that have a further request waiting cost the timer and a system call.

Seen to fail before: port_tests -tc="a server notices callers*", the three sections "the caller closes behind its next request": not noticed within 500 ms. They pass now; the 15 cases of http_server_test, connection_end_test, connection_end_report_test and shutdown_test pass.

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <exception>
+#include <poll.h>
 #include <utility>
 
 namespace camphorpoint {
@@ -24,6 +25,9 @@
 /// How long a caller has to read the last answer before its connection is
 /// closed.
 constexpr std::chrono::milliseconds reader_patience{500};
+/// How often a connection with unread bytes is looked at for its end. Replicas
+/// have to be told within 500 ms.
+constexpr std::chrono::milliseconds look_interval{200};
 
 } // namespace
 
@@ -33,7 +37,8 @@
     : stream_(std::move(socket))
     , limits_(std::move(limits))
     , first_idle_timeout_(limits_->idle_timeout)
-    , bodies_(std::move(bodies)) {}
+    , bodies_(std::move(bodies))
+    , look_timer_(stream_.get_executor()) {}
 
 void http_exchange::connection::close_socket() {
     beast::error_code ignored;
@@ -220,29 +225,39 @@
     co_await stream_.socket().async_wait(tcp::socket::wait_error, use_result);
 }
 
+// The kernel tells of the end also while bytes in front of it are unread.
 bool http_exchange::connection::closed_by_peer() {
-    std::array<char, 1> byte{};
-    beast::error_code error;
-    stream_.socket().non_blocking(true, error);
-    stream_.socket().receive(
-        asio::buffer(byte), tcp::socket::message_peek, error);
-    return error && error != asio::error::would_block;
+    pollfd state{stream_.socket().native_handle(), POLLRDHUP, 0};
+    return !stream_.socket().is_open() || ::poll(&state, 1, 0) > 0;
 }
 
 void http_exchange::connection::watch(std::function<void()> gone) {
     gone_ = std::move(gone);
-    std::uint64_t const number = exchange_number_;
-    // Readable with nothing to read is how a closed connection shows. Bytes to
-    // read are the caller's next request, which waits its turn.
+    // Readable with nothing to read is how a closed connection shows.
     stream_.socket().async_wait(
         tcp::socket::wait_read,
-        [self = shared_from_this(), number](beast::error_code error) {
+        [self = shared_from_this(), number = exchange_number_](auto error) {
             if (!error && number == self->exchange_number_) {
-                self->check_caller();
+                self->look_again_for_caller(number);
             }
         });
 }
 
+// Bytes to read are the caller's next request, which stays unread until its
+// turn. The socket is readable from then on, and no wait tells of its end.
+void http_exchange::connection::look_again_for_caller(std::uint64_t exchange) {
+    check_caller();
+    if (!gone_) {
+        return;
+    }
+    look_timer_.expires_after(look_interval);
+    look_timer_.async_wait([self = shared_from_this(), exchange](auto error) {
+        if (!error && exchange == self->exchange_number_) {
+            self->look_again_for_caller(exchange);
+        }
+    });
+}
+
 void http_exchange::connection::check_caller() {
     if (gone_ && closed_by_peer()) {
         broken_ = true;
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -115,6 +116,7 @@
     boost::asio::awaitable<void> discard_rest();
     boost::asio::awaitable<void> await_reader();
     bool closed_by_peer();
+    void look_again_for_caller(std::uint64_t exchange);
     bool begin_answer(answer_state state);
     connection_end end_of_answer();
     std::optional<connection_end_report> take_report();
@@ -133,6 +135,7 @@
     std::optional<byte_budget::share> body_share_;
     boost::beast::flat_buffer buffer_;
     std::function<void()> gone_;
+    boost::asio::steady_timer look_timer_;
     std::uint64_t exchange_number_ = 0;
     bool keep_alive_ = true;
     bool ending_ = false;
--- a/test/ports/http_server_test.cpp
+++ b/test/ports/http_server_test.cpp
@@ -1,6 +1,8 @@
+#include "Core/time.hpp"
 #include "Ports/http_server.hpp"
 #include "test/ports/loopback.hpp"
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
@@ -192,6 +194,59 @@
         CHECK(loop.run_until([&] { return gone && refused; }));
     }
 
+    // A caller that sends its next request early leaves. Its first request
+    // would be worked on for nobody.
+    SUBCASE("the caller closes behind its next request") {
+        asio::steady_timer forever(
+            loop.io(), asio::steady_timer::time_point::max());
+        server.handler = [&](http_exchange& exchange) -> asio::awaitable<void> {
+            exchange.on_caller_gone([&] {
+                gone = true;
+                forever.cancel();
+            });
+            boost::system::error_code ignored;
+            co_await forever.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+        };
+        bool resets = false;
+        bool together = false;
+        SUBCASE("that waits in the kernel") {}
+        SUBCASE("that was read with the first one") {
+            together = true;
+        }
+        SUBCASE("by a reset") {
+            resets = true;
+        }
+        std::optional<raw_server::socket_type> caller;
+        loop.run([&]() -> asio::awaitable<void> {
+            caller.emplace(co_await testing::connect_to(
+                testing::local(server.server.port())));
+            std::string const text =
+                together ? post("x") + post("y") : post("x");
+            co_await testing::write_text(*caller, text);
+        });
+        REQUIRE(loop.run_until([&] { return server.handled == 1; }));
+        loop.run([&]() -> asio::awaitable<void> {
+            std::string const next = post("z");
+            co_await testing::write_text(*caller, next);
+            asio::steady_timer timer(loop.io(), std::chrono::milliseconds(300));
+            co_await timer.async_wait(asio::use_awaitable);
+        });
+        CHECK_FALSE(gone);
+        auto const left = boot_clock::now();
+        if (resets) {
+            caller->set_option(asio::socket_base::linger(true, 0));
+        }
+        caller.reset();
+        asio::steady_timer limit(loop.io(), std::chrono::milliseconds(500));
+        limit.async_wait([&](auto const&) { forever.cancel(); });
+        CHECK(loop.run_until(
+            [&] { return server.server.open_connections() == 0; }));
+        CHECK(gone);
+        CHECK(boot_clock::now() - left < std::chrono::milliseconds(500));
+        CHECK(server.handled == 1);
+    }
+
     // A caller asks for a stream and never reads it. Without a limit the node
     // would keep the whole stream, and the connection, for ever.
     SUBCASE("the caller never reads") {
