Believe a stated refusal only with the status of a refusal

A caller of a request that may run once got a 503, and the request ran twice, when a replica that ran it answered with another status and X-Not-Executed, as when the head of an answer is cut by the head of a refusal. judge_answer looked at the field only. The statuses with which a replica states that it has not run a request are 400, 421, 429 and 503; with any other one the answer contradicts itself and is none: the caller gets 502, and a request that may run once is not sent again.

"an answer that contradicts itself does not state a refusal", each of its three cases: 503 and two runs before, 502 and one run after.

--- a/test/gateway/refused_requests_test.cpp
+++ b/test/gateway/refused_requests_test.cpp
@@ -216,6 +216,29 @@
     CHECK(replicas.runs["again"] == 2);
 }
 
+// Guards against a booking that runs twice, or is reported as not run, because
+// an answer of another status bears the field that states a refusal.
+TEST_CASE("an answer that contradicts itself does not state a refusal") {
+    scripted_world world;
+    answering_replicas replicas(world, 2);
+    std::string status;
+    SUBCASE("a success") {
+        status = "200 OK";
+    }
+    SUBCASE("a failure of the request") {
+        status = "500 Any";
+    }
+    SUBCASE("a success whose head was cut by the head of a refusal") {
+        status = "200 OK\r\nX-Half: aHTTP/1.1 503 Any";
+    }
+    replicas.head = status + "\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\n"
+                             "X-Response-Signature: signed\r\n";
+    auto const got = world.ask("/pay/a", "", "odd");
+    CHECK(got.response.status == 502);
+    CHECK(got.response.fields.get("X-Not-Executed").empty());
+    CHECK(replicas.runs["odd"] == 1);
+}
+
 // Guards against a booking that is reported as not run because the failure of
 // its replica came through a peer.
 TEST_CASE("a replica's failure keeps its status when a peer passes it on") {
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -150,7 +150,13 @@
         }
         CHECK(judge_answer(421, refused, true) == answer_kind::misdirected);
         CHECK(judge_answer(503, refused, true) == answer_kind::not_executed);
+        CHECK(judge_answer(429, refused, true) == answer_kind::not_executed);
         CHECK(judge_answer(400, refused, true) == answer_kind::not_executed);
+        CHECK(judge_answer(408, refused, true) == answer_kind::unstated);
+        refused.add("X-Response-Signature", "s");
+        for (int const status : {200, 204, 302, 404, 500, 504}) {
+            CHECK(judge_answer(status, refused, true) == answer_kind::spoiled);
+        }
     }
 }
 
