Take an answer that names two requests for none

A caller of a request that may run once got a 503, and the request ran twice, when the head of its answer was run together with another one: of two ids the first counted. Neither tells whose answer it is, so the connection is closed and the request may have run: the caller gets 502 at once.

"an answer that names two requests is no answer": 503 and two runs before; with the ids in the other order 504 after 3,100 ms. 502 and one run after, in both cases.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -266,6 +266,10 @@
         if (!read) {
             co_return false;
         }
+        if (!times_.echoed.empty() && parser_->get().count(times_.echoed) > 1) {
+            // The head of one answer, cut by the head of another one.
+            break;
+        }
         std::string_view const got = parser_->get()[times_.echoed];
         named_ = id_.empty() || got == id_;
         bool const only_request = !reused_;
--- a/test/gateway/refused_requests_test.cpp
+++ b/test/gateway/refused_requests_test.cpp
@@ -1,3 +1,4 @@
+#include "Core/time.hpp"
 #include "Gateway/relay_terms.hpp"
 #include "platform/request_wire.hpp"
 #include "test/gateway/partitioned_node.hpp"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -239,6 +241,30 @@
     CHECK(replicas.runs["odd"] == 1);
 }
 
+// Guards against the same by an answer in which the head of another one begins:
+// of two ids none tells whose answer it is.
+TEST_CASE("an answer that names two requests is no answer") {
+    scripted_world world;
+    answering_replicas replicas(world, 2);
+    std::string const own = "503 Any\r\nX-Request-Id: {id}\r\n"
+                            "X-Not-Executed: 1\r\n";
+    std::string const half = "X-Half: aHTTP/1.1 200 OK\r\n"
+                             "X-Response-Signature: signed\r\n";
+    SUBCASE("this one and another") {
+        replicas.head = own + half + "X-Request-Id: other\r\n";
+    }
+    SUBCASE("another and this one") {
+        replicas.head = "503 Any\r\nX-Request-Id: other\r\n"
+                        "X-Not-Executed: 1\r\n" +
+                        half + "X-Request-Id: {id}\r\n";
+    }
+    instant const began = boot_clock::now();
+    auto const got = world.ask("/pay/a", "", "two");
+    CHECK(got.response.status == 502);
+    CHECK(replicas.runs["two"] == 1);
+    CHECK(boot_clock::now() - began < std::chrono::milliseconds(1'000));
+}
+
 // Guards against a booking that is reported as not run because the failure of
 // its replica came through a peer.
 TEST_CASE("a replica's failure keeps its status when a peer passes it on") {
