Only a caller's request without an id takes a new connection

The request handler asks for a new connection for a caller's request without an id instead; orders and reports take kept ones as before.

--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -360,6 +360,9 @@
         times.idle_at_most = max_idle_if_not_idempotent;
     }
     times.echoed = std::string(platform::id_field);
+    // An answer to an earlier request of a kept connection could not be told
+    // from the answer to a request without an id.
+    times.fresh = demand_.id.empty();
     return times;
 }
 
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -150,10 +150,7 @@
 };
 
 asio::awaitable<bool> http_call::state::make_connection() {
-    // An answer to an earlier request of the connection could not be told from
-    // the answer to a request without an id.
-    bool const unnamed = !times_.echoed.empty() && id_.empty();
-    if (pool_ != nullptr && !times_.fresh && !unnamed) {
+    if (pool_ != nullptr && !times_.fresh) {
         link_ = pool_->take(to_, now(), times_.idle_at_most, id_);
     }
     reused_ = link_ != nullptr;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -40,8 +40,8 @@
     std::chrono::milliseconds each_step{5'000};
     /// For the connection alone; a shorter each_step goes first.
     std::chrono::milliseconds connect{5'000};
-    /// Takes a connection of its own, not a kept one: after a silence the kept
-    /// ones may be silent too.
+    /// Takes a connection of its own, not a kept one, on which an answer to an
+    /// earlier request may come late.
     bool fresh = false;
     /// A kept connection that was idle for longer is not taken.
     duration idle_at_most = duration::max();
