--- a/test/gateway/crossed_orders_test.cpp
+++ b/test/gateway/crossed_orders_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -42,7 +43,9 @@
 /// report.
 class copying_replica {
 public:
-    /// @param copied_status of the copy
+    /// @param copied_status of the copy of an answer to a request; 0 to copy
+    /// the
+    ///                      answers to reports instead
     copying_replica(loopback& loop, int copied_status)
         : copied_status_(copied_status)
         , server_(loop, [this](raw_server::socket_type& socket) {
@@ -93,17 +96,20 @@
                 co_return;
             }
             std::string const id = field_of(request, "X-Request-Id: ");
-            std::string text = answer_to(request);
-            if (!id.empty()) {
+            std::string const answer = answer_to(request);
+            std::string text = answer;
+            if (id.empty() && !copy.empty()) {
+                ++copies;
+                text = std::exchange(copy, {}) + answer;
+            }
+            if (copied_status_ == 0 && request.starts_with("GET /report")) {
+                copy = answer;
+            } else if (copied_status_ != 0 && !id.empty()) {
                 copy = answer_text(
                     copied_status_,
                     fmt::format(
                         "X-Request-Id: {}\r\nX-Not-Executed: 1\r\n", id),
                     "");
-            } else if (!copy.empty()) {
-                ++copies;
-                text = copy + text;
-                copy.clear();
             }
             co_await testing::write_text(socket, std::move(text));
         }
@@ -113,6 +119,28 @@
     raw_server server_;
 };
 
+/// Requests an adapter of a replica that sends copies, which takes an order.
+void load_adapter(int copied_status) {
+    CAPTURE(copied_status);
+    gateway_fixture world([](gateway_fixture& before) {
+        before.unlist(before.first);
+        before.unlist(before.second);
+    });
+    copying_replica replica(world.loop, copied_status);
+    world.metadata.store().put("keyed.servers", "r9", replica.entry());
+    endpoint_id const id("r9");
+    REQUIRE(within(world, seconds(2), [&] {
+        return world.node->ready() && world.node->routes_to(id);
+    }));
+    // The report that follows the listing is on a connection of its own.
+    within(world, milliseconds(300), [] { return false; });
+    REQUIRE(world.ask("/gen/x", "m", "q1").response.status == 200);
+    CHECK(world.ask("/gen/y", "m/a1", "q2").response.status == 200);
+    CHECK(world.node->routes_to(id));
+    CHECK(replica.copies > 0);
+    CHECK(replica.orders == 2);
+}
+
 } // namespace
 
 // Guards against a late copy of an answer to a request that is taken for the
@@ -121,25 +149,14 @@
 // is loaded.
 TEST_CASE("a late copy of a request's answer is not the answer to an order") {
     for (int const status : {421, 412, 409, 200, 503}) {
-        CAPTURE(status);
-        gateway_fixture world([](gateway_fixture& before) {
-            before.unlist(before.first);
-            before.unlist(before.second);
-        });
-        copying_replica replica(world.loop, status);
-        world.metadata.store().put("keyed.servers", "r9", replica.entry());
-        endpoint_id const id("r9");
-        REQUIRE(within(world, seconds(2), [&] {
-            return world.node->ready() && world.node->routes_to(id);
-        }));
-        // The report that follows the listing is on a connection of its own.
-        within(world, milliseconds(300), [] { return false; });
-        REQUIRE(world.ask("/gen/x", "m", "q1").response.status == 200);
-        CHECK(world.ask("/gen/y", "m/a1", "q2").response.status == 200);
-        CHECK(world.node->routes_to(id));
-        CHECK(replica.copies > 0);
-        CHECK(replica.orders == 2);
+        load_adapter(status);
     }
 }
 
+// Guards against a late copy of a report that is taken for the answer to an
+// order: of its 200 the node concludes that the adapter is loaded.
+TEST_CASE("a late copy of a report is not the answer to an order") {
+    load_adapter(0);
+}
+
 } // namespace camphorpoint
--- a/test/gateway/software_versions_test.cpp
+++ b/test/gateway/software_versions_test.cpp
@@ -69,6 +69,22 @@
         }
     }
 
+    /// Moves the routes to another service that may write streams.
+    void move_routes() {
+        world_.unlist(world_.plain);
+        world_.metadata.store().put(
+            "keyed.servers", "moved0", moved_.entry("app", "v1"));
+        std::string moved = route("runs", 4) + route("alone", 1);
+        std::string const from = "scripted";
+        for (std::size_t at = moved.find(from); at != std::string::npos;
+             at = moved.find(from)) {
+            moved.replace(at, from.size(), "app");
+        }
+        world_.configure(3, moved);
+        pass(milliseconds(500));
+        REQUIRE(world_.node_at(0).configuration_version() == 3);
+    }
+
     /// Removes the replicas of one version from the registry.
     /// @param time that passes after it
     void
@@ -159,6 +175,7 @@
     gateway_fixture world_;
     scripted_replica old_{world_.loop, stream_events};
     scripted_replica new_{world_.loop, stream_events};
+    scripted_replica moved_{world_.loop, stream_events};
 };
 
 } // namespace
@@ -344,6 +361,23 @@
     CHECK(seen.refused == 3);
 }
 
+// Guards against a stream that goes on at another service, since the record of
+// its origin is looked for under the service to which its route leads now.
+TEST_CASE("a stream is not joined of two services when its route moves") {
+    mixed_versions_fixture world;
+    continuations seen;
+    constexpr milliseconds record_time{1'500};
+    world.pass(record_time);
+    std::string const id = "s";
+    world.begin_stream(0, "alone", id);
+    world.move_routes();
+    constexpr std::size_t nodes = 3;
+    for (std::size_t each = 0; each < nodes; ++each) {
+        world.add(world.resume(each, id, id), seen);
+    }
+    CHECK(seen.refused == nodes);
+}
+
 // Guards against a resumption that waits, or goes on at another software
 // version, when the version of its stream is gone or unknown.
 TEST_CASE("a stream that can't go on is refused at once") {
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -210,6 +210,21 @@
     }
 }
 
+// Guards against streams that are joined since the earlier version of a replica
+// is forgotten when its entry names another one.
+TEST_CASE("a replica that changes its version was of two versions") {
+    fleet replicas;
+    software_history history(replicas);
+    service_id const service("llm");
+    replicas.apply(record_of("a", "v1"), at(seconds(0)));
+    for (int second = 0; second <= 100; ++second) {
+        history.note_current(at(seconds(second)));
+    }
+    replicas.apply(record_of("a", "v2"), at(seconds(100)));
+    CHECK_FALSE(history.only_version(
+        service, default_stream_lifetime, at(seconds(101))));
+}
+
 // Guards against a version that came and went while a node could not read the
 // registry: what the store stated before the pause no longer holds.
 TEST_CASE("what the store stated of a service holds until the view pauses") {
