Signals are held from the first statement of main on

Change: main blocks SIGHUP, SIGTERM and SIGINT before anything else. `serve` delivers them when its handlers are set, so a node reads its settings again or stops; the other commands deliver them at once. A node with profiles, which reads its settings once, ignores SIGHUP.

The project has no test of its own for it yet.

--- a/app/gateway_command.cpp
+++ b/app/gateway_command.cpp
@@ -2,6 +2,7 @@
 
 #include "Gateway/gateway.hpp"
 #include "app/files.hpp"
+#include "app/signals.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -65,8 +66,8 @@
     }
 }
 
-asio::awaitable<void> heed_reload(settings_watch& watch) {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
+asio::awaitable<void>
+heed_reload(asio::signal_set& signals, settings_watch& watch) {
     while (true) {
         co_await signals.async_wait(use_result);
         watch.look();
@@ -91,13 +92,15 @@
     }
     settings_watch watch(running, file, text);
     asio::co_spawn(io, look_at_file(watch), asio::detached);
-    asio::co_spawn(io, heed_reload(watch), asio::detached);
+    asio::signal_set reloads(io, SIGHUP);
+    asio::co_spawn(io, heed_reload(reloads, watch), asio::detached);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](auto const& error, int) {
         if (!error) {
             running.drain([&] { io.stop(); });
         }
     });
+    release_signals();
     io.run();
     return exit_code::ok;
 }
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,5 +1,6 @@
 #include "app/arguments.hpp"
 #include "app/command.hpp"
+#include "app/signals.hpp"
 
 #include <fmt/format.h>
 
@@ -30,6 +31,11 @@
     if (!given.problems.empty()) {
         return exit_code::usage;
     }
+    // A node may be told to stop or to read its settings before it has set up
+    // what handles the signal.
+    if (wanted->run != run_serve) {
+        release_signals();
+    }
     return wanted->run({given.words.begin() + 1, given.words.end()});
 }
 
@@ -38,6 +44,7 @@
 } // namespace camphorpoint
 
 int main(int argc, char** argv) {
+    camphorpoint::hold_signals();
     auto const given = camphorpoint::parse_arguments({argv + 1, argv + argc});
     return static_cast<int>(camphorpoint::run(given));
 }
--- a/app/serve_command.cpp
+++ b/app/serve_command.cpp
@@ -7,6 +7,7 @@
 #include "app/files.hpp"
 #include "app/flags.hpp"
 #include "app/gateway_command.hpp"
+#include "app/signals.hpp"
 #include "platform/settings_place.hpp"
 
 #include <absl/flags/flag.h>
@@ -56,12 +57,15 @@
         fmt::print(stderr, "{}", problems.report());
         return exit_code::failed;
     }
+    // The settings of this kind of node are read once.
+    std::signal(SIGHUP, SIG_IGN);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](auto const& error, int) {
         if (!error) {
             running.drain();
         }
     });
+    release_signals();
     io.run();
     return exit_code::ok;
 }
