--- a/src/Gateway/request_handler_streams.cpp
+++ b/src/Gateway/request_handler_streams.cpp
@@ -6,6 +6,7 @@
 namespace camphorpoint {
 
 namespace asio = boost::asio;
+
 // Guards against a stream whose events come from two software versions: what
 // they write does not fit together, and replicas do not check it.
 asio::awaitable<bool> request_handler::resolve_stream_origin() {
