--- a/test/gateway/crossed_orders_test.cpp
+++ b/test/gateway/crossed_orders_test.cpp
@@ -88,7 +88,8 @@
             "id: 1\ndata: w\n\n");
     }
 
-    asio::awaitable<void> serve(raw_server::socket_type& socket) {
+    asio::awaitable<void> serve(raw_server::socket_type& accepted) {
+        raw_server::socket_type socket(std::move(accepted));
         std::string copy;
         while (true) {
             std::string const request = co_await testing::read_request(socket);
