A node that checks its connections late still sees that their hosts answer

Callers saw: a long request to an engine that stands still before it has read it ends as if the engine were lost, though its host answers.

Evidence: ports_0 looped on, five at a time beside builds (load 13 to 22): 1 of 51 runs failed, in 'an engine that reads its request late completes the answer' (not-completed, 0 tokens of 3). That case alone, 12 at a time: 2 of 48 failed. No other case of the shard failed.

Cause: TCP_USER_TIMEOUT (2.2 s) is extended while the host answers the kernel's window probes, and a check believed an acknowledgement of the last 250 ms only, which is also the time between two checks. A check that comes later than planned, by however little, misses what was acknowledged before that; the kernel's probes come at about 0.2, 0.6 and 1.4 s, so that one miss is enough.

Change: what counts is an acknowledgement since the check before.

Test, 12 connections a section: checks every 280 ms and every 600 ms failed 3 of 3 before; 3 of 3 passed after. The case above, 12 at a time beside builds: 48 of 48 passed; 'an endpoint that is dead is reported soon', 8 at a time: 8 of 8.

--- a/src/Ports/send_watch.cpp
+++ b/src/Ports/send_watch.cpp
@@ -16,6 +16,9 @@
 /// that is lost while it receives.
 constexpr milliseconds shortest_stall{1'000};
 
+/// The kernel counts acknowledgements in ticks, of 10 ms at the most.
+constexpr milliseconds kernel_tick{10};
+
 void set_option(int handle, int level, int name, int value) noexcept {
     ::setsockopt(handle, level, name, &value, sizeof value);
 }
@@ -56,7 +59,7 @@
         limit_silence(handle, silence_limit);
     } else if (
         now - stalled_since_ >= shortest_stall &&
-        since_last_ack(handle) <= period) {
+        since_last_ack(handle) <= now - checked_at_ + kernel_tick) {
         // The kernel counts from the beginning of the stall, and doubles the
         // time between its window probes: the next one comes when the stall
         // has lasted about twice as long.
@@ -64,6 +67,7 @@
             std::chrono::ceil<milliseconds>(now - stalled_since_);
         limit_silence(handle, 2 * stalled + period + silence_limit);
     }
+    checked_at_ = now;
     unacknowledged_ = unacknowledged;
     return goes_on;
 }
--- a/src/Ports/send_watch.hpp
+++ b/src/Ports/send_watch.hpp
@@ -27,14 +27,17 @@
     static constexpr std::chrono::milliseconds period{250};
 
     explicit send_watch(instant now) noexcept
-        : stalled_since_(now) {}
-    /// Checks a connection, each time the same.
+        : stalled_since_(now)
+        , checked_at_(now) {}
+    /// Checks a connection, each time the same. A check that comes late takes
+    /// note of all that was acknowledged since the one before.
     /// @param handle its socket, which is open
     /// @returns false when all data has been acknowledged
     bool check(int handle, instant now) noexcept;
 
 private:
     instant stalled_since_;
+    instant checked_at_;
     int unacknowledged_ = 0;
 };
 
