Signals are held before the shared libraries are initialised

Callers saw: a node to which SIGHUP or SIGTERM comes early in its start ends by the signal's default action; it neither runs on nor stops in order.

Cause: main held the signals, but main runs after the constructors of about 40 shared libraries and of the program itself.

Evidence: start_tests preloads a library into the real program that raises the signal in a constructor.

Change: an entry of .preinit_array blocks the signals; the loader calls it before any constructor. The whole sanitized build was not run.

start_tests also sends SIGHUP and SIGTERM at seeded times from the program's first instructions on. The time before them, which ends with the loading of the libraries, is reported and not bounded. child_process names its id and the status of its last end; own_host of the soak has its own file.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -44,7 +44,6 @@
 } // namespace camphorpoint
 
 int main(int argc, char** argv) {
-    camphorpoint::hold_signals();
     auto const given = camphorpoint::parse_arguments({argv + 1, argv + argc});
     return static_cast<int>(camphorpoint::run(given));
 }
--- a/app/signals.hpp
+++ b/app/signals.hpp
@@ -2,10 +2,9 @@
 
 namespace camphorpoint {
 
-/// Blocks the signals that tell a running node to stop or to read its settings
-/// again. One that comes is delivered by release_signals.
-void hold_signals();
-/// Delivers signals from here on.
+/// Delivers the signals that tell a running node to stop or to read its
+/// settings again. The program blocks them from its start to this call; those
+/// that came meanwhile are delivered by it.
 void release_signals();
 
 } // namespace camphorpoint
--- a/test/soak/child_process.cpp
+++ b/test/soak/child_process.cpp
@@ -104,6 +104,7 @@
 
 void child_process::note_end(int status) {
     id_ = 0;
+    wait_status_ = status;
     bool const expected =
         WIFSIGNALED(status) ? WTERMSIG(status) == ended_by_
                             : ended_by_ == SIGTERM && WEXITSTATUS(status) == 0;
--- a/test/soak/child_process.hpp
+++ b/test/soak/child_process.hpp
@@ -28,6 +28,10 @@
     void send_signal(int number);
     /// @returns true while the process exists
     bool running();
+    /// @returns the process id, 0 when none runs
+    pid_t id() const noexcept { return id_; }
+    /// @returns the last end as waitpid reports it, 0 before the first end
+    int wait_status() const noexcept { return wait_status_; }
     /// @returns the file to which its output is added
     std::string const& name() const noexcept { return log_; }
     /// @returns how often it was started
@@ -47,6 +51,7 @@
     unsigned starts_ = 0;
     /// The last signal sent here that ends a process, 0 for none.
     int ended_by_ = 0;
+    int wait_status_ = 0;
     bool crashed_ = false;
 };
 
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -1,5 +1,7 @@
 #include "test/soak/deployment.hpp"
 
+#include "test/soak/own_host.hpp"
+
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <fmt/format.h>
@@ -7,7 +9,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <unistd.h>
 #include <utility>
 
 namespace camphorpoint::soak {
@@ -32,17 +33,6 @@
     return fmt::format("{}:{}", address.host, address.port);
 }
 
-/// @returns an address of the loopback network that no other run has
-std::string own_host() {
-    auto const id = static_cast<unsigned>(::getpid());
-    constexpr unsigned byte = 256;
-    constexpr unsigned first_network = 200;
-    constexpr unsigned networks = 50;
-    return fmt::format(
-        "127.{}.{}.{}", first_network + id / (byte * byte) % networks,
-        id / byte % byte, id % byte);
-}
-
 unsigned total_replicas(soak_settings const& settings) {
     return settings.replicas + settings.replicas / 2;
 }
