A version that an entry named before counts as having served

What callers saw: a stream that began at a replica went on at the same replica after its entry named another software version, or at any replica of the new version, where the service had a single version before.

Cause: software_history asks which versions the entries name now. An entry that keeps its id and names another version, or another service, left no trace of the earlier one in the fleet.

Change: the fleet keeps such versions of a service for as long as it keeps removed replicas. Streams of theirs that still run are announced to their keepers by the path that exists for a second version.

Evidence: decision_tests -tc="a replica that changes its version*", extended by the end of the time (160 s), a version that changes back, a move to another service and a return after a removal.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -93,6 +93,27 @@
     all_.erase(found);
 }
 
+void fleet::keep_former_software(replica_record const& former, instant now) {
+    auto& versions = former_versions_[former.service];
+    auto const found =
+        std::ranges::find(versions, former.software, &former_software::version);
+    if (found != versions.end()) {
+        found->until = now;
+    } else {
+        versions.push_back({former.software, now});
+    }
+}
+
+void fleet::expire_former_software(instant now) {
+    for (auto& [service, versions] : former_versions_) {
+        std::erase_if(versions, [&](former_software const& each) {
+            return now >= each.until + removed_retention;
+        });
+    }
+    std::erase_if(
+        former_versions_, [](auto const& each) { return each.second.empty(); });
+}
+
 void fleet::apply_adapters(
     replica& target, replica_record const& record, instant now) {
     std::unordered_map<adapter_id, resident_adapter> updated;
@@ -156,6 +177,10 @@
     if (!inserted && !restarted && is_stale_record(target, record)) {
         return fleet_change::none;
     }
+    if (!inserted && (target.record.software != record.software ||
+                      target.record.service != record.service)) {
+        keep_former_software(target.record, now);
+    }
     if (restarted) {
         reset_after_restart(target);
     }
@@ -241,6 +266,7 @@
     for (endpoint_id const& id : forgotten) {
         forget(id);
     }
+    expire_former_software(now);
     return gone;
 }
 
@@ -489,6 +515,13 @@
     return by_service_[service];
 }
 
+std::vector<former_software> const&
+fleet::former_versions(service_id const& service) const {
+    static std::vector<former_software> const none;
+    auto const found = former_versions_.find(service);
+    return found == former_versions_.end() ? none : found->second;
+}
+
 std::vector<replica*> const&
 fleet::with_adapter(adapter_id const& adapter) const {
     static std::vector<replica*> const none;
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -210,6 +210,14 @@
     }
 };
 
+/// A software version that replicas of a service ran under an id which now
+/// names another version or service.
+struct former_software {
+    software_version version;
+    /// When the last of these entries changed.
+    instant until;
+};
+
 /// A change in this node's view of a replica, for the log.
 enum class fleet_change : std::uint8_t { none, joined, leaving, removed };
 
@@ -238,7 +246,8 @@
     std::vector<endpoint_id> mark_unlisted_except(
         std::vector<endpoint_id> const& listed, bool keep_in_use, instant now);
     /// Removes replicas whose entry is still missing when the store is stable
-    /// again, and forgets those that were removed long ago. Entries that
+    /// again, and forgets those that were removed long ago, and software
+    /// versions that entries named before then. Entries that
     /// expired in an outage reappear within two seconds of the store's
     /// recovery, no matter when they were found missing. Guards against a
     /// replica that leaves just after the recovery and gets requests until it
@@ -330,6 +339,10 @@
     replica const* find(endpoint_id const& id) const;
     /// @returns all replicas of a service, ordered by id
     std::vector<replica*> const& of_service(service_id const& service);
+    /// @returns the software versions whose streams may still be resumed
+    ///          although the entries of their replicas name others
+    std::vector<former_software> const&
+    former_versions(service_id const& service) const;
     /// @returns the replicas of all services that have an entry of the adapter,
     ///          ordered by id
     std::vector<replica*> const& with_adapter(adapter_id const& adapter) const;
@@ -348,6 +361,8 @@
     void unindex_adapters(replica& target);
     resident_adapter& adapter_entry(replica& target, adapter_id const& adapter);
     void forget(endpoint_id const& id);
+    void keep_former_software(replica_record const& former, instant now);
+    void expire_former_software(instant now);
     static void
     adopt_condition(replica& target, replica_condition const& of, instant now);
     /// Compares the replicas of a service anew, when that is due.
@@ -368,6 +383,8 @@
     /// When the replicas of a service are compared next.
     std::unordered_map<service_id, instant> next_comparison_;
     std::unordered_map<service_id, service_brittleness> brittle_services_;
+    std::unordered_map<service_id, std::vector<former_software>>
+        former_versions_;
 };
 
 } // namespace camphorpoint
--- a/src/Fleet/software_history.cpp
+++ b/src/Fleet/software_history.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/software_history.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace camphorpoint {
@@ -62,18 +63,27 @@
 }
 
 service_versions software_history::find_versions(service_id const& service) {
-    std::optional<software_version> only;
+    software_version const* only = nullptr;
+    auto const differs = [&](software_version const& each) {
+        only = only == nullptr ? &each : only;
+        return *only != each;
+    };
     // Replicas that were removed are part of the fleet for as long as streams
-    // of theirs may be resumed.
-    for (replica const* const each : replicas_->of_service(service)) {
-        if (only && *only != each->record.software) {
-            return {version_knowledge::several, {}};
-        }
-        only = each->record.software;
+    // of theirs may be resumed, and so are versions that entries named before.
+    if (std::ranges::any_of(
+            replicas_->former_versions(service), differs,
+            &former_software::version) ||
+        std::ranges::any_of(
+            replicas_->of_service(service), differs,
+            [](replica const* each) -> software_version const& {
+                return each->record.software;
+            })) {
+        return {version_knowledge::several, {}};
     }
-    return only
-               ? service_versions{version_knowledge::seen, make_software_key(*only)}
-               : service_versions{};
+    return only == nullptr
+               ? service_versions{}
+               : service_versions{
+                     version_knowledge::seen, make_software_key(*only)};
 }
 
 } // namespace camphorpoint
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -220,9 +220,47 @@
     for (int second = 0; second <= 100; ++second) {
         history.note_current(at(seconds(second)));
     }
-    replicas.apply(record_of("a", "v2"), at(seconds(100)));
-    CHECK_FALSE(history.only_version(
-        service, default_stream_lifetime, at(seconds(101))));
+    auto const only = [&](seconds time) {
+        history.note_current(at(time));
+        replicas.expire_missing(true, at(time));
+        return history.only_version(service, default_stream_lifetime, at(time));
+    };
+    replica_record changed = record_of("a", "v2");
+    changed.heartbeat = 2;
+    SUBCASE("while streams of the earlier one may be resumed") {
+        replicas.apply(changed, at(seconds(100)));
+        CHECK_FALSE(history.only_version(
+            service, default_stream_lifetime, at(seconds(101))));
+        for (int second = 101; second < 160; ++second) {
+            CHECK_FALSE(only(seconds(second)));
+        }
+        CHECK(only(seconds(160)) == make_software_key(software_version("v2")));
+    }
+    SUBCASE("also if it changes back") {
+        replicas.apply(changed, at(seconds(100)));
+        replicas.apply(record_of("a", "v1"), at(seconds(102)));
+        CHECK_FALSE(only(seconds(103)));
+    }
+    SUBCASE("also if it moves to another service") {
+        replicas.apply(record_of("b", "v2"), at(seconds(100)));
+        changed = record_of("b", "v2");
+        changed.service = service_id("other");
+        replicas.apply(changed, at(seconds(101)));
+        CHECK_FALSE(only(seconds(102)));
+        for (int second = 103; second <= 161; ++second) {
+            history.note_current(at(seconds(second)));
+        }
+        CHECK(only(seconds(161)) == make_software_key(software_version("v1")));
+    }
+    SUBCASE("also if it comes back after its removal") {
+        replicas.apply(record_of("b", "v2"), at(seconds(100)));
+        replicas.mark_unlisted(endpoint_id("b"), false, at(seconds(101)));
+        replicas.expire_missing(true, at(seconds(101)));
+        replica_record back = record_of("b", "v1");
+        back.heartbeat = 2;
+        replicas.apply(back, at(seconds(102)));
+        CHECK_FALSE(only(seconds(103)));
+    }
 }
 
 // Guards against a version that came and went while a node could not read the
