Orders and reports to replicas bear ids of their own

Callers saw 503 though their adapter's replica was there: a late copy of a 421 counted as the next order's answer, and the node took the replica for replaced. A late copy of a report counted as "the order holds", so that a request was sent to a replica that did not have its adapter yet.

Cause: orders and reports bore no id, and two of them shared a kept connection, so that an answer was matched by the connection alone.

Change: a call with call_times::own_id gets an id that no other call has. An answer counts if it repeats this id, or if it bears none and no earlier answer on the connection was without one. The pool leaves connections on which a copy without an id may be due. Such a connection still serves requests, which skip answers without an id.

Cost: none in connections with a replica that repeats the id; with one that does not, a connection for each order or report at the most.

Changes to the test: orders and reports are known by their target, as they bear ids now; each case runs with and without repeated ids; while answers to requests are copied, the connection of a report is closed, so that an order still follows a request on its connection; connections are counted. The replica accepts further connections while one is open. With unrepeated ids no two orders or reports share a connection: there the test demands that copies are due, not that they are sent.

--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -286,6 +286,7 @@
     http_call call(state_->io.get_executor(), &state_->replica_connections);
     call_times times = short_call_times(replica_timeout);
     times.echoed = platform::id_field;
+    times.own_id = true;
     http_request request = platform::make_report_request(id);
     auto const got = co_await fetch(
         call, std::move(to), std::move(request), times, largest_control_answer);
@@ -332,8 +333,8 @@
         co_return;
     }
     call_times times = command_times(state_->leases);
-    // Commands have no id, and the connection may have served requests.
     times.echoed = platform::id_field;
+    times.own_id = true;
     auto const got = co_await fetch(
         call, std::move(to), std::move(request), times, largest_control_answer);
     record_reachability(state_->reachability, id, got.how, call);
--- a/src/Ports/carried_ids.cpp
+++ b/src/Ports/carried_ids.cpp
@@ -7,6 +7,7 @@
 namespace camphorpoint::internal {
 
 void carried_ids::add(std::string_view id) {
+    unnamed_ = unnamed_ || id.empty();
     if (!id.empty()) {
         hashes_.push_back(hash_text(id));
     }
--- a/src/Ports/carried_ids.hpp
+++ b/src/Ports/carried_ids.hpp
@@ -16,8 +16,12 @@
     /// 8 KiB, at one new connection in a thousand requests.
     static constexpr std::size_t limit = 1'000;
 
-    /// @param id empty for a request without an id, which is not recorded
+    /// @param id empty for a request without an id, whose answer bears none
     void add(std::string_view id);
+    /// Records that an answer without an id has come.
+    void note_unnamed() noexcept { unnamed_ = true; }
+    /// @returns true when a late copy of an answer may come without an id
+    bool unnamed() const noexcept { return unnamed_; }
     /// @returns true when a request with this id was carried; rarely also for
     ///          an id whose hash equals that of a carried one
     bool contains(std::string_view id) const;
@@ -26,6 +30,7 @@
 
 private:
     std::vector<std::uint64_t> hashes_;
+    bool unnamed_ = false;
 };
 
 } // namespace camphorpoint::internal
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -10,11 +10,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <limits>
+#include <random>
 #include <utility>
 
 namespace camphorpoint {
@@ -51,6 +54,16 @@
     return message;
 }
 
+/// @returns an id that no other call has, of this process or another
+std::string make_call_id() {
+    static std::uint64_t const process = [] {
+        std::random_device source;
+        return std::uniform_int_distribution<std::uint64_t>()(source);
+    }();
+    static std::atomic<std::uint64_t> last{0};
+    return fmt::format("{:016x}-{}", process, ++last);
+}
+
 /// A longer request may not fit into the receive buffer of a server that does
 /// not read.
 constexpr std::size_t watched_request = 32U << 10U;
@@ -114,6 +127,8 @@
     asio::awaitable<std::optional<std::string>> read_some();
     asio::awaitable<bool> read_own_header();
     asio::awaitable<bool> skip_stray();
+    /// @returns true when the answer whose header was read may be this call's
+    bool is_own_answer();
     void reject();
     void give_back();
     void close();
@@ -151,7 +166,8 @@
 
 asio::awaitable<bool> http_call::state::make_connection() {
     if (pool_ != nullptr && !times_.fresh) {
-        link_ = pool_->take(to_, now(), times_.idle_at_most, id_);
+        link_ =
+            pool_->take(to_, now(), times_.idle_at_most, id_, times_.own_id);
     }
     reused_ = link_ != nullptr;
     if (reused_) {
@@ -258,6 +274,19 @@
     close();
 }
 
+bool http_call::state::is_own_answer() {
+    std::string_view const got = parser_->get()[times_.echoed];
+    // An answer with a name is not the answer to a request without one.
+    named_ = got == id_;
+    bool const only_unnamed =
+        !reused_ || (times_.own_id && !link_->carried.unnamed());
+    bool const own = named_ || (got.empty() && only_unnamed);
+    if (got.empty()) {
+        link_->carried.note_unnamed();
+    }
+    return own;
+}
+
 asio::awaitable<bool> http_call::state::read_own_header() {
     // More than one answer too many is no accident of timing.
     constexpr unsigned most_strays = 2;
@@ -270,11 +299,7 @@
             // The head of one answer, cut by the head of another one.
             break;
         }
-        std::string_view const got = parser_->get()[times_.echoed];
-        // An answer with a name is not the answer to a request without one.
-        named_ = got == id_;
-        bool const only_request = !reused_;
-        if (named_ || (got.empty() && only_request)) {
+        if (is_own_answer()) {
             co_return true;
         }
         ++strays_;
@@ -387,6 +412,9 @@
     auto const self = state_;
     self->to_ = std::move(to);
     self->times_ = times;
+    if (times.own_id) {
+        request.fields.add(times.echoed, make_call_id());
+    }
     self->id_ = std::string(request.fields.get(self->times_.echoed));
     bool const connected = co_await self->make_connection();
     // The guard of leases and grants: a process that was paused, or that waited
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -52,6 +52,13 @@
     /// two requests with the same value share a connection, since a late copy
     /// of the first one's answer would count as the second one's.
     std::string echoed;
+    /// Gives the call an id of its own in the field `echoed`, for a call that
+    /// is not a caller's request, such as an order. The server need not repeat
+    /// this id: an answer without one counts on a connection on which no
+    /// earlier answer was without one, and so no copy without an id may come
+    /// late. With a server that repeats no such id, a connection carries one of
+    /// these calls, beside any number of others.
+    bool own_id = false;
 };
 
 /// One call, whose answer is read piece by piece.
--- a/src/Ports/http_pool.cpp
+++ b/src/Ports/http_pool.cpp
@@ -46,7 +46,7 @@
 
 http_pool::connection_ptr http_pool::take(
     ip_address const& to, instant now, duration idle_at_most,
-    std::string_view id) {
+    std::string_view id, bool all_named) {
     drop_old(now);
     auto const found = idle_.find(to);
     if (found == idle_.end()) {
@@ -61,7 +61,8 @@
         if (age >= idle_at_most) {
             break;
         }
-        if (next->connection->carried.contains(id)) {
+        internal::carried_ids const& carried = next->connection->carried;
+        if (carried.contains(id) || (all_named && carried.unnamed())) {
             continue;
         }
         duration const longest = next->longest;
--- a/src/Ports/http_pool.hpp
+++ b/src/Ports/http_pool.hpp
@@ -38,10 +38,13 @@
     ///        sent again when the server has dropped the connection unnoticed
     /// @param id           connections that have carried a request with this
     ///                     id are left; empty for a request without an id
+    /// @param all_named    connections on which an answer without an id may
+    ///                     come late are left
     /// @returns an idle connection that the server has not closed, or null
     connection_ptr take(
         ip_address const& to, instant now,
-        duration idle_at_most = duration::max(), std::string_view id = {});
+        duration idle_at_most = duration::max(), std::string_view id = {},
+        bool all_named = false);
     /// Keeps a connection whose last answer was read whole, unless it has
     /// carried as many requests as it may; past the limits the oldest is
     /// closed.
--- a/test/gateway/crossed_orders_test.cpp
+++ b/test/gateway/crossed_orders_test.cpp
@@ -1,11 +1,14 @@
 #include "test/gateway/gateway_fixture.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,18 +41,25 @@
         body.size(), body);
 }
 
-/// A replica with the model m that sends a copy of an answer to a request late:
-/// in front of the next answer on the connection, if that is to an order or a
-/// report.
+/// Which answers a replica copies, and how it answers orders and reports.
+struct copying_script {
+    /// Status of the copies of answers to requests; 0 for no copies of these.
+    int request_status = 0;
+    bool copies_reports = false;
+    /// Status of the late answers that follow an order; 0 for none.
+    int order_status = 0;
+    /// Whether answers to orders and reports repeat the id of their call.
+    bool echoes = true;
+};
+
+/// A replica with the model m that sends a copy of an answer late: in front of
+/// the next answer on the connection, if that is to an order or a report.
 class copying_replica {
 public:
-    /// @param copied_status of the copy of an answer to a request; 0 to copy
-    /// the
-    ///                      answers to reports instead
-    copying_replica(loopback& loop, int copied_status)
-        : copied_status_(copied_status)
+    copying_replica(loopback& loop, copying_script script)
+        : script_(script)
         , server_(loop, [this](raw_server::socket_type& socket) {
-            return serve(socket);
+            return accept(socket);
         }) {}
 
     std::string entry() const {
@@ -59,25 +69,49 @@
             R"([{{"name":"m","version":1,"adapters":[]}}]}})",
             server_.address().port);
     }
+    std::size_t connections() const { return server_.connections(); }
 
+    /// Copies that are due on some connection, or have been sent.
+    unsigned prepared = 0;
     unsigned copies = 0;
     unsigned orders = 0;
+    unsigned reports = 0;
 
 private:
+    static bool is_report(std::string const& request) {
+        return request.starts_with("GET /report");
+    }
+
+    static bool is_order(std::string const& request) {
+        return request.starts_with("POST /order");
+    }
+
+    std::string id_line(std::string const& request) const {
+        std::string const id = field_of(request, "X-Request-Id: ");
+        return id.empty() || !script_.echoes
+                   ? ""
+                   : fmt::format("X-Request-Id: {}\r\n", id);
+    }
+
     std::string answer_to(std::string const& request) {
-        if (request.starts_with("GET /report")) {
+        if (is_report(request)) {
+            ++reports;
             std::string const adapters = orders > 0 ? R"("a1@1")" : "";
+            // Copies of answers to requests need a connection that an order
+            // may take after a request.
+            std::string const end =
+                script_.request_status == 0 ? "" : "Connection: close\r\n";
             return answer_text(
-                200, "",
+                200, id_line(request) + end,
                 fmt::format(
                     R"({{"busy":false,"sequence":{},"models":[{{"name":"m",)"
                     R"("version":1,"adapters":[{}]}}]}})",
                     std::min(orders, 1U), adapters));
         }
-        if (request.starts_with("POST /order")) {
+        if (is_order(request)) {
             // A repeat asks whether the order holds.
             ++orders;
-            return answer_text(orders == 1 ? 202 : 200, "", "");
+            return answer_text(orders == 1 ? 202 : 200, id_line(request), "");
         }
         return answer_text(
             200,
@@ -88,46 +122,73 @@
             "id: 1\ndata: w\n\n");
     }
 
-    asio::awaitable<void> serve(raw_server::socket_type& accepted) {
-        raw_server::socket_type socket(std::move(accepted));
+    /// @returns what comes late of the answer to a request; empty for nothing
+    std::string
+    copy_of(std::string const& request, std::string const& answer) const {
+        if (is_report(request)) {
+            return script_.copies_reports ? answer : "";
+        }
+        if (is_order(request)) {
+            return script_.order_status == 0
+                       ? ""
+                       : answer_text(
+                             script_.order_status, id_line(request), "");
+        }
+        return script_.request_status == 0
+                   ? ""
+                   : answer_text(
+                         script_.request_status,
+                         fmt::format(
+                             "X-Request-Id: {}\r\nX-Not-Executed: 1\r\n",
+                             field_of(request, "X-Request-Id: ")),
+                         "");
+    }
+
+    // The server accepts a connection when the script of the one before ends.
+    asio::awaitable<void> accept(raw_server::socket_type& accepted) {
+        auto const executor = accepted.get_executor();
+        asio::co_spawn(executor, serve(std::move(accepted)), asio::detached);
+        co_return;
+    }
+
+    asio::awaitable<void> serve(raw_server::socket_type socket) {
         std::string copy;
         while (true) {
             std::string const request = co_await testing::read_request(socket);
             if (request.empty()) {
                 co_return;
             }
-            std::string const id = field_of(request, "X-Request-Id: ");
             std::string const answer = answer_to(request);
             std::string text = answer;
-            if (id.empty() && !copy.empty()) {
+            bool const control = is_report(request) || is_order(request);
+            if (control && !copy.empty()) {
                 ++copies;
                 text = std::exchange(copy, {}) + answer;
             }
-            if (copied_status_ == 0 && request.starts_with("GET /report")) {
-                copy = answer;
-            } else if (copied_status_ != 0 && !id.empty()) {
-                copy = answer_text(
-                    copied_status_,
-                    fmt::format(
-                        "X-Request-Id: {}\r\nX-Not-Executed: 1\r\n", id),
-                    "");
+            std::string next = copy_of(request, answer);
+            if (!next.empty()) {
+                ++prepared;
+                copy = std::move(next);
             }
             co_await testing::write_text(socket, std::move(text));
         }
     }
 
-    int copied_status_;
+    copying_script script_;
     raw_server server_;
 };
 
 /// Requests an adapter of a replica that sends copies, which takes an order.
-void load_adapter(int copied_status) {
-    CAPTURE(copied_status);
+void load_adapter(copying_script const& script) {
+    CAPTURE(script.request_status);
+    CAPTURE(script.copies_reports);
+    CAPTURE(script.order_status);
+    CAPTURE(script.echoes);
     gateway_fixture world([](gateway_fixture& before) {
         before.unlist(before.first);
         before.unlist(before.second);
     });
-    copying_replica replica(world.loop, copied_status);
+    copying_replica replica(world.loop, script);
     world.metadata.store().put("keyed.servers", "r9", replica.entry());
     endpoint_id const id("r9");
     REQUIRE(within(world, seconds(2), [&] {
@@ -138,8 +199,26 @@
     REQUIRE(world.ask("/gen/x", "m", "q1").response.status == 200);
     CHECK(world.ask("/gen/y", "m/a1", "q2").response.status == 200);
     CHECK(world.node->routes_to(id));
-    CHECK(replica.copies > 0);
+    CHECK(replica.prepared > 0);
     CHECK(replica.orders == 2);
+    // An answer to an order that is not believed is followed by a report.
+    CHECK(replica.reports == 1);
+    if (script.echoes || script.request_status != 0) {
+        CHECK(replica.copies > 0);
+    }
+    // Calls whose answers name them share connections with each other.
+    std::size_t const unnamed =
+        script.echoes ? 1 : replica.orders + replica.reports;
+    CHECK(replica.connections() <= unnamed + 1);
+}
+
+/// Loads from a replica that repeats the ids of orders and reports, and from
+/// one that does not.
+void load_adapter_of_each(copying_script script) {
+    for (bool const echoes : {true, false}) {
+        script.echoes = echoes;
+        load_adapter(script);
+    }
 }
 
 } // namespace
@@ -150,14 +229,29 @@
 // is loaded.
 TEST_CASE("a late copy of a request's answer is not the answer to an order") {
     for (int const status : {421, 412, 409, 200, 503}) {
-        load_adapter(status);
+        copying_script script;
+        script.request_status = status;
+        load_adapter_of_each(script);
     }
 }
 
 // Guards against a late copy of a report that is taken for the answer to an
 // order: of its 200 the node concludes that the adapter is loaded.
 TEST_CASE("a late copy of a report is not the answer to an order") {
-    load_adapter(0);
+    copying_script script;
+    script.copies_reports = true;
+    load_adapter_of_each(script);
+}
+
+// Guards against a late answer to an order that is taken for the answer to the
+// next one: of a 412 the node concludes that another node controls the replica,
+// of a 421 that the replica is gone.
+TEST_CASE("a late answer to an order is not the answer to the next one") {
+    for (int const status : {200, 202, 400, 409, 412, 421}) {
+        copying_script script;
+        script.order_status = status;
+        load_adapter_of_each(script);
+    }
 }
 
 } // namespace camphorpoint
