A stream whose route has moved to another service is refused

What callers saw: a stream that began at one service was resumed at the service to which a configuration had moved its route meanwhile: one answer of two services.

Cause: the record of an origin and the conclusion from a single version are kept by the service to which the route leads at the resumption; that the stream began at it was taken for granted.

Change: route_history compares each configuration with the one before. A service that is given requests which led elsewhere counts as one of several versions for as long as streams may be resumed, so that only a record lets a stream go on. The store's record of a single version names a fingerprint of the routes, without which a node that has just started does not adopt it; a peer with other routes than the asking node does not state that a version is single. Routes that don't move cost no datagram; a question has one number more.

--- a/src/Gateway/declaration_follower.cpp
+++ b/src/Gateway/declaration_follower.cpp
@@ -247,7 +247,10 @@
         return true;
     }
     state_->configuration = std::move(*declared);
-    state_->routes = route_table(state_->configuration);
+    route_table routes(state_->configuration);
+    state_->route_changes.note_change(
+        state_->routes, routes, boot_clock::now());
+    state_->routes = std::move(routes);
     apply_teams();
     state_->configured = true;
     schedule_.mark_configured();
--- a/src/Gateway/gateway_state.cpp
+++ b/src/Gateway/gateway_state.cpp
@@ -37,6 +37,13 @@
     , replica_connections(connection_limits)
     , leases(settings.leases) {}
 
+service_versions
+gateway_state::stream_versions(service_id const& service, instant now) {
+    return route_changes.limit(
+        software.versions(service, settings.stream_lifetime, now), service,
+        now);
+}
+
 unsigned gateway_state::nodes() const {
     // Nodes from which no message was received lately have stopped.
     instant const now = boot_clock::now();
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -17,6 +17,7 @@
 #include "Ports/http_pool.hpp"
 #include "ReplicaControl/partition_leases.hpp"
 #include "Routing/declared_versions.hpp"
+#include "Routing/route_history.hpp"
 #include "Routing/route_table.hpp"
 #include "Routing/startup_gate.hpp"
 #include "Teams/team_table.hpp"
@@ -64,6 +65,9 @@
     /// @returns true while replicas may be about to write registry entries
     ///          again that expired in the store's outage
     bool registry_refilling(instant now) const;
+    /// @returns the software versions that may have written the streams which
+    ///          callers may resume at a service
+    service_versions stream_versions(service_id const& service, instant now);
     /// Writes a line to the decision log.
     void log_event(log_line const& line) { log.write(line, boot_clock::now()); }
 
@@ -91,6 +95,7 @@
     std::mt19937_64 random;
     replica_selector selector{replicas};
     software_history software{replicas};
+    route_history route_changes{settings.stream_lifetime};
     waiter_list waiters;
     resend_budget resends;
     request_quarantine quarantine;
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -454,10 +454,12 @@
     std::uint64_t number = 0;
     std::uint64_t stream = 0;
     std::string service;
+    /// Fingerprint of the asking node's routes.
+    std::uint64_t routes = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(number, stream, service);
+        archive(number, stream, service, routes);
     }
 };
 
--- a/src/Gateway/peer_messenger_streams.cpp
+++ b/src/Gateway/peer_messenger_streams.cpp
@@ -61,9 +61,7 @@
     service_id const& service, stream_record const& record) {
     instant const now = boot_clock::now();
     stream_origins_.add(record, now);
-    auto const only = state_->software.only_version(
-        service, state_->settings.stream_lifetime, now);
-    if (only == record.software) {
+    if (state_->stream_versions(service, now).only() == record.software) {
         stream_origins_.defer_announcement(service, record, now);
     } else {
         announce_stream(record);
@@ -78,8 +76,7 @@
 // When a second version appears, the origin of those that run is needed.
 void peer_messenger::announce_deferred_streams(instant now) {
     for (service_id const& service : stream_origins_.deferred_services()) {
-        if (state_->software.only_version(
-                service, state_->settings.stream_lifetime, now)) {
+        if (state_->stream_versions(service, now).only()) {
             continue;
         }
         for (stream_record const& each : stream_origins_.take_deferred(
@@ -93,8 +90,7 @@
     stream_key stream, service_id const& service, instant now) {
     return {
         stream_origins_.find(stream, now),
-        state_->software.versions(
-            service, state_->settings.stream_lifetime, now)};
+        state_->stream_versions(service, now)};
 }
 
 asio::awaitable<stream_resumption>
@@ -115,7 +111,8 @@
     result.asked = static_cast<unsigned>(keepers.size());
     peer_stream_question const question{
         ++last_stream_question_, static_cast<std::uint64_t>(stream),
-        service.str()};
+        service.str(),
+        static_cast<std::uint64_t>(state_->route_changes.fingerprint())};
     asio::steady_timer timer(state_->io);
     pending_stream_question& pending =
         pending_stream_questions_[question.number];
@@ -165,8 +162,16 @@
     peer_datagram reply;
     for (peer_stream_question const& each : message.stream_questions) {
         stream_key const stream{each.stream};
-        auto answer =
-            to_wire(stream, evidence_of(stream, service_id(each.service), now));
+        origin_evidence evidence =
+            evidence_of(stream, service_id(each.service), now);
+        // One of the nodes has not read the newest configuration yet, by which
+        // the route may have moved.
+        bool const same_routes = route_fingerprint{each.routes} ==
+                                 state_->route_changes.fingerprint();
+        if (evidence.versions.only() && !same_routes) {
+            evidence.versions.knowledge = version_knowledge::seen;
+        }
+        auto answer = to_wire(stream, evidence);
         answer.number = each.number;
         reply.stream_answers.push_back(answer);
     }
--- a/src/Gateway/software_persistence.cpp
+++ b/src/Gateway/software_persistence.cpp
@@ -38,8 +38,23 @@
     saved_.clear();
 }
 
+software_persistence::record software_persistence::make_record(
+    service_id const& service, duration memory, instant now) {
+    auto const only =
+        state_->route_changes
+            .limit(
+                state_->software.versions(service, memory, now), service, now)
+            .only();
+    return only ? record{service, only, state_->route_changes.fingerprint()}
+                : record{service, {}, {}};
+}
+
 std::optional<software_persistence::record>
 software_persistence::next_unsaved(instant now) {
+    // Without routes this node can't tell where streams began.
+    if (!state_->configured) {
+        return std::nullopt;
+    }
     std::set<service_id> services;
     for (auto const& [id, each] : state_->replicas.all()) {
         services.insert(each.record.service);
@@ -51,8 +66,7 @@
         bool const is_new = found == saved_.end() && !may_lack_records_;
         duration const memory =
             is_new ? duration::zero() : state_->settings.stream_lifetime;
-        record const current{
-            each, state_->software.only_version(each, memory, now)};
+        record const current = make_record(each, memory, now);
         if (found == saved_.end() || found->second != current) {
             return current;
         }
@@ -103,8 +117,12 @@
     if ((!batch && !absent) || epoch != state_->epoch) {
         co_return false;
     }
+    bool const first = !loaded_ && !may_lack_records_;
     loaded_ = true;
     saved_.clear();
+    if (first && (absent || batch.value().records.empty())) {
+        state_->route_changes.adopt_first_start();
+    }
     if (absent) {
         co_return true;
     }
@@ -128,7 +146,7 @@
         log_line(event_code::configuration_rejected, log_level::error)
             .with("service", stored.key)
             .with("findings", "not a valid record of its software versions"));
-    return {service, std::nullopt};
+    return {service, std::nullopt, std::nullopt};
 }
 
 asio::awaitable<bool> software_persistence::write(record update) {
@@ -151,8 +169,9 @@
 }
 
 void software_persistence::adopt(record const& known) {
-    if (known.only_version) {
+    if (known.only_version && known.routes) {
         state_->software.adopt(known.service, *known.only_version);
+        state_->route_changes.adopt(known.service, *known.routes);
     }
 }
 
--- a/src/Gateway/software_persistence.hpp
+++ b/src/Gateway/software_persistence.hpp
@@ -41,6 +41,8 @@
     boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> write(record update);
     void adopt(record const& known);
+    /// @param memory for how long a version must have been alone
+    record make_record(service_id const& service, duration memory, instant now);
     std::optional<record> next_unsaved(instant now);
     record parse(platform::keyed_record const& stored);
 
--- a/src/Routing/route_table.hpp
+++ b/src/Routing/route_table.hpp
@@ -24,6 +24,8 @@
     /// @returns the route with the longest matching prefix, or null
     service_route const*
     find(std::string_view host, std::string_view path) const;
+    /// @returns all routes, in the order of the configuration
+    std::vector<service_route> const& all() const noexcept { return routes_; }
     /// @returns the number of routes
     std::size_t size() const noexcept { return routes_.size(); }
 
--- a/test/gateway/software_versions_test.cpp
+++ b/test/gateway/software_versions_test.cpp
@@ -69,8 +69,20 @@
         }
     }
 
+    /// Lists the replicas of the old version as ones of the new version.
+    void change_old() {
+        for (unsigned each = 0; each < replicas_per_version; ++each) {
+            list(old_, fmt::format("old{}", each), "v2");
+        }
+    }
+
     /// Moves the routes to another service that may write streams.
     void move_routes() {
+        declare_moved_routes();
+        pass(milliseconds(500));
+        REQUIRE(world_.node_at(0).configuration_version() == 3);
+    }
+    void declare_moved_routes() {
         world_.unlist(world_.plain);
         world_.metadata.store().put(
             "keyed.servers", "moved0", moved_.entry("app", "v1"));
@@ -81,8 +93,6 @@
             moved.replace(at, from.size(), "app");
         }
         world_.configure(3, moved);
-        pass(milliseconds(500));
-        REQUIRE(world_.node_at(0).configuration_version() == 3);
     }
 
     /// Removes the replicas of one version from the registry.
@@ -370,7 +380,37 @@
     world.pass(record_time);
     std::string const id = "s";
     world.begin_stream(0, "alone", id);
-    world.move_routes();
+    SUBCASE("while the nodes run") {
+        world.move_routes();
+    }
+    SUBCASE("and all nodes are killed then") {
+        world.move_routes();
+        world.world().restart_nodes();
+    }
+    SUBCASE("and all nodes are killed before they know it") {
+        world.declare_moved_routes();
+        world.world().restart_nodes();
+        world.pass(milliseconds(500));
+        REQUIRE(world.world().node_at(0).configuration_version() == 3);
+    }
+    constexpr std::size_t nodes = 3;
+    for (std::size_t each = 0; each < nodes; ++each) {
+        world.add(world.resume(each, id, id), seen);
+    }
+    CHECK(seen.refused == nodes);
+}
+
+// Guards against a stream that goes on at another software version, since the
+// entries of its replicas name that version under the same ids.
+TEST_CASE("a stream is not joined when its replicas change their version") {
+    mixed_versions_fixture world(false);
+    continuations seen;
+    constexpr milliseconds record_time{1'500};
+    world.pass(record_time);
+    std::string const id = "s";
+    world.begin_stream(0, "alone", id);
+    world.change_old();
+    world.pass(milliseconds(500));
     constexpr std::size_t nodes = 3;
     for (std::size_t each = 0; each < nodes; ++each) {
         world.add(world.resume(each, id, id), seen);
@@ -424,7 +464,7 @@
         CHECK(read->stream_records.front().software == 2);
     }
     SUBCASE("a question and its answer") {
-        message.stream_questions = {{1, 2, "llm"}};
+        message.stream_questions = {{1, 2, "llm", 3}};
         peer_stream_answer answer;
         answer.number = 1;
         answer.state = origin_state::ambiguous;
@@ -434,6 +474,7 @@
         REQUIRE(read);
         REQUIRE(read->stream_questions.size() == 1);
         CHECK(read->stream_questions.front().service == "llm");
+        CHECK(read->stream_questions.front().routes == 3);
         REQUIRE(read->stream_answers.size() == 1);
         CHECK(read->stream_answers.front().state == origin_state::ambiguous);
         CHECK(
--- a/test/platform/odd_records_test.cpp
+++ b/test/platform/odd_records_test.cpp
@@ -199,11 +199,12 @@
         CHECK_FALSE(read_quarantine(each, now));
     }
     CHECK_FALSE(read_quarantine(nested(100'000), now));
-    REQUIRE(read_software_record(R"({"service":"s","version":4})"));
+    REQUIRE(read_software_record(R"({"service":"s","version":4,"routes":5})"));
     for (char const* const each :
          {R"({"service":"s","version":1e300})",
           R"({"service":"s","version":-1})", R"({"service":"s","version":"4"})",
-          R"({"service":4})", "", "7"}) {
+          R"({"service":"s","version":4,"routes":-5})", R"({"service":4})", "",
+          "7"}) {
         CAPTURE(each);
         CHECK_FALSE(read_software_record(each));
     }
