Late writes of records have no effect behind newer ones

What callers saw: none reported; found by reading.

Cause: the store may carry out a write that it has not answered seconds later if its condition still holds, and `store_client::put` named no condition. A writer also took the records it had read for those in the store after a write without an answer.

Change: `put` names the end of the topic that its writer has read (`at`). The end comes with each read and write, so that no call is added for it. The lease holder writes one record of versions again when it gains the lease, and after a write without an answer, since a condition protects only behind a newer write. The writer of quarantines reads again after a failed write, unless the store turned the call away. The records of versions are written only while the lease is valid. The store's stand-in knows `at` and late appends.

A producer with an epoch was weighed: the group's generation goes back with the store, and the epoch would need a state of its own.

--- a/src/Gateway/quarantine_persistence.cpp
+++ b/src/Gateway/quarantine_persistence.cpp
@@ -107,6 +107,8 @@
         co_return false;
     }
     loaded_ = true;
+    saved_.clear();
+    end_ = absent ? store_position{epoch, 0} : batch.value().next;
     if (absent) {
         co_return true;
     }
@@ -136,9 +138,11 @@
     std::string key = key_of(update.fingerprint);
     std::string text = platform::write_quarantine(update, wall_now());
     auto const written =
-        co_await store_->put(topic, std::move(key), std::move(text));
+        co_await store_->put(topic, std::move(key), std::move(text), end_);
     instant const now = boot_clock::now();
     if (!written) {
+        // A call that was turned away has not been done and will not be.
+        loaded_ = written.error() == platform::store_failure::turned_away;
         note_failure(written.error(), now);
         co_return false;
     }
@@ -146,6 +150,7 @@
     if (epoch != state_->epoch) {
         co_return false;
     }
+    end_ = written.value();
     saved_[update.fingerprint] = update.revision;
     state_->log_event(log_line(event_code::content_kept)
                           .with("content", to_string(update.fingerprint))
--- a/src/Gateway/quarantine_persistence.hpp
+++ b/src/Gateway/quarantine_persistence.hpp
@@ -18,8 +18,10 @@
 /// against a poison request that crashes three more replicas after a restart of
 /// all nodes. One node at a time reads and writes for all, namely the lease
 /// holder of one fixed partition, so that the number of calls does not grow
-/// with the number of nodes. Two nodes that do so at the same time cause no
-/// harm.
+/// with the number of nodes. A write names the end of the log that its writer
+/// has read, so that neither another writer's record nor a newer one is
+/// replaced by a write that is carried out late; after a failed one the records
+/// are read again.
 class quarantine_persistence {
 public:
     /// @param state     must outlive this
@@ -50,6 +52,8 @@
     peer_messenger* messenger_;
     /// Revision of each quarantine as it is in the store.
     std::map<request_fingerprint, std::uint32_t> saved_;
+    /// Where the topic ends, by the last read or write.
+    store_position end_;
     bool loaded_ = false;
     bool active_ = false;
     unsigned failures_ = 0;
--- a/src/Gateway/software_persistence.cpp
+++ b/src/Gateway/software_persistence.cpp
@@ -36,6 +36,7 @@
     loaded_ = false;
     may_lack_records_ = true;
     saved_.clear();
+    written_end_.reset();
 }
 
 std::optional<software_persistence::record>
@@ -44,6 +45,7 @@
     for (auto const& [id, each] : state_->replicas.all()) {
         services.insert(each.record.service);
     }
+    std::optional<record> repeated;
     for (service_id const& each : services) {
         auto const found = saved_.find(each);
         // No record means that no node has served the service before, so that
@@ -56,8 +58,9 @@
         if (found == saved_.end() || found->second != current) {
             return current;
         }
+        repeated = current;
     }
-    return std::nullopt;
+    return written_end_ == end_ ? std::nullopt : repeated;
 }
 
 void software_persistence::poll() {
@@ -66,7 +69,10 @@
         return;
     }
     next_at_ = now + check_interval;
-    bool const writes = state_->leases.holds(writer_partition);
+    bool const writes = may_write(now);
+    if (!writes) {
+        written_end_.reset();
+    }
     if (loaded_ && (!writes || !next_unsaved(now))) {
         return;
     }
@@ -75,11 +81,15 @@
         state_->io, [this] { return work(); }, asio::detached);
 }
 
+bool software_persistence::may_write(instant now) const {
+    return state_->leases.holds(writer_partition) && state_->leases.valid(now);
+}
+
 asio::awaitable<void> software_persistence::work() {
     auto const alive = running_;
     // Another node may have written since this one has read.
     bool done = co_await read();
-    while (done && *alive && state_->leases.holds(writer_partition)) {
+    while (done && *alive && may_write(boot_clock::now())) {
         auto const update = next_unsaved(boot_clock::now());
         if (!update) {
             break;
@@ -105,6 +115,7 @@
     }
     loaded_ = true;
     saved_.clear();
+    end_ = absent ? store_position{epoch, 0} : batch.value().next;
     if (absent) {
         co_return true;
     }
@@ -137,10 +148,13 @@
     std::string key = update.service.str();
     std::string text = platform::write_software_record(update);
     auto const written =
-        co_await store_->put(topic, std::move(key), std::move(text));
+        co_await store_->put(topic, std::move(key), std::move(text), end_);
     if (!written || epoch != state_->epoch) {
+        written_end_.reset();
         co_return false;
     }
+    end_ = written.value();
+    written_end_ = end_;
     state_->log_event(
         log_line(event_code::software_recorded)
             .with("service", update.service.str())
--- a/src/Gateway/software_persistence.hpp
+++ b/src/Gateway/software_persistence.hpp
@@ -17,6 +17,12 @@
 /// after a restart of all nodes, which no longer know at which version a stream
 /// began, although one version has served all along. A record is written only
 /// when it changes, by the lease holder of one fixed partition.
+///
+/// Guards also against a write without an answer that the store carries out
+/// late: each write names the end of the log that its writer has read, so that
+/// any later write makes it void. A lease holder therefore writes once when it
+/// has gained the lease, and after a write without an answer, also if the
+/// records are right.
 class software_persistence {
 public:
     /// @param state must outlive this
@@ -41,6 +47,7 @@
     boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> write(record update);
     void adopt(record const& known);
+    bool may_write(instant now) const;
     std::optional<record> next_unsaved(instant now);
     record parse(platform::keyed_record const& stored);
 
@@ -49,6 +56,12 @@
     /// The records as they are in the store. One that can't be read stands for
     /// several versions.
     std::map<service_id, record> saved_;
+    /// Where the topic ends, by the last read or write.
+    store_position end_;
+    /// End of the topic behind this node's last write as the lease holder; none
+    /// when a write of an earlier one, or one without an answer, may still be
+    /// carried out.
+    std::optional<store_position> written_end_;
     /// The store may have lost records, in a rollback or as unreadable ones.
     bool may_lack_records_ = false;
     bool loaded_ = false;
--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace standins {
 
@@ -23,6 +24,9 @@
 
 namespace {
 
+/// An answer that is lost leaves its connection open for so long.
+constexpr milliseconds longest_hold{5'000};
+
 /// @returns the text of a query's value: RFC 3986, section 2.1
 std::string percent_decoded(std::string_view encoded) {
     constexpr std::size_t escape_size = 3;
@@ -83,6 +87,13 @@
         co_await exchange.respond(json_response(503, "{}"));
         co_return;
     }
+    bool const adds = camphorpoint::path_of(target) == "/log-append";
+    if (adds && !delays_appends_to.empty() &&
+        query(target, "topic") == delays_appends_to) {
+        delayed_.push_back({target, exchange.request().body});
+        co_await lose_answer(exchange, longest_hold);
+        co_return;
+    }
     http_response response;
     if (camphorpoint::path_of(target) == "/log-read") {
         response = co_await read(target);
@@ -92,9 +103,8 @@
     if (epoch != 0) {
         response.fields.add("Store-Era", std::to_string(epoch));
     }
-    bool const added = camphorpoint::path_of(target) == "/log-append";
-    if (loses_answers || (added && loses_append_answers)) {
-        co_await lose_answer(exchange, milliseconds(5'000));
+    if (loses_answers || (adds && loses_append_answers)) {
+        co_await lose_answer(exchange, longest_hold);
         co_return;
     }
     co_await send(exchange, std::move(response));
@@ -144,16 +154,21 @@
         return owners();
     }
     if (path == "/log-append") {
-        std::uint64_t const place = append(target, body);
-        json::object const answer{{"offset", place}, {"end", place + 1}};
-        return json_response(200, json::serialize(answer));
+        return append(target, body);
     }
     return json_response(404, "{}");
 }
 
-std::uint64_t
+http_response
 metadata_http::append(std::string const& target, std::string const& body) {
     std::string const topic = query(target, "topic");
+    auto const part = static_cast<unsigned>(number(query(target, "part")));
+    std::uint64_t const place = store_.end(topic, part);
+    std::string const condition = query(target, "at");
+    if (!condition.empty() && number(condition) != place) {
+        return json_response(
+            412, json::serialize(json::object{{"end", place}}));
+    }
     ++appends[topic];
     constexpr std::size_t length_bytes = 4;
     if (topic.starts_with("keyed.") && body.size() > length_bytes) {
@@ -164,10 +179,17 @@
             on_put(topic, key, value);
         }
         store_.put(topic, std::move(key), std::move(value));
-        return store_.end(topic) - 1;
+    } else {
+        store_.append(topic, part, body);
+    }
+    json::object const answer{{"offset", place}, {"end", place + 1}};
+    return json_response(200, json::serialize(answer));
+}
+
+void metadata_http::carry_out_delayed() {
+    for (delayed_append const& each : std::exchange(delayed_, {})) {
+        append(each.target, each.body);
     }
-    auto const part = static_cast<unsigned>(number(query(target, "part")));
-    return store_.append(topic, part, body);
 }
 
 http_response
--- a/standins/metadata/metadata_http.hpp
+++ b/standins/metadata/metadata_http.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace standins {
 
@@ -38,6 +39,14 @@
     bool loses_answers = false;
     /// While set, records are added and whoever adds them gets no answer.
     bool loses_append_answers = false;
+    /// While not empty, appends to this topic get no answer, and are delayed
+    /// until `carry_out_delayed`.
+    std::string delays_appends_to;
+    /// Carries out the delayed appends whose condition still holds, in the
+    /// order in which they were received.
+    void carry_out_delayed();
+    /// @returns the number of appends that are delayed
+    std::size_t delayed() const noexcept { return delayed_.size(); }
     /// Items of one page of the newest records.
     std::size_t page_items = 500;
     /// Called when a call has put a record of a keyed topic.
@@ -62,7 +71,8 @@
 private:
     camphorpoint::http_response
     respond(std::string const& target, std::string const& body);
-    std::uint64_t append(std::string const& target, std::string const& body);
+    camphorpoint::http_response
+    append(std::string const& target, std::string const& body);
     camphorpoint::http_response
     newest(std::string const& topic, std::string const& after);
     camphorpoint::http_response join(std::string const& body);
@@ -73,7 +83,13 @@
         camphorpoint::http_exchange& exchange,
         camphorpoint::http_response response);
 
+    struct delayed_append {
+        std::string target;
+        std::string body;
+    };
+
     metadata_store store_;
+    std::vector<delayed_append> delayed_;
     /// When the bounded way has carried all that was given to it.
     camphorpoint::instant way_free_;
 };
--- a/standins/metadata/metadata_store.cpp
+++ b/standins/metadata/metadata_store.cpp
@@ -35,8 +35,9 @@
                                 : found->second.newest;
 }
 
-std::uint64_t metadata_store::end(std::string const& topic) const {
-    auto const found = logs_.find({topic, 0});
+std::uint64_t
+metadata_store::end(std::string const& topic, unsigned part) const {
+    auto const found = logs_.find({topic, part});
     return found == logs_.end()
                ? 0
                : found->second.first + found->second.records.size();
--- a/standins/metadata/metadata_store.hpp
+++ b/standins/metadata/metadata_store.hpp
@@ -29,8 +29,8 @@
     append(std::string const& topic, unsigned part, std::string record);
     /// @returns the newest record of each key
     std::map<std::string, std::string> newest(std::string const& topic) const;
-    /// @returns the place of the next record of a topic's first partition
-    std::uint64_t end(std::string const& topic) const;
+    /// @returns the place of the next record of a topic's partition
+    std::uint64_t end(std::string const& topic, unsigned part = 0) const;
     /// @returns the records from a place on, nothing when they are forgotten
     std::optional<std::vector<stored_record>>
     read(std::string const& topic, std::uint64_t from) const;
--- a/test/gateway/software_versions_test.cpp
+++ b/test/gateway/software_versions_test.cpp
@@ -41,9 +41,16 @@
 /// those below /alone/ to one.
 class mixed_versions_fixture {
 public:
-    /// @param both false to list the replicas of the old version only
-    explicit mixed_versions_fixture(bool both = true)
-        : both_(both) {
+    /// @param both     false to list the replicas of the old version only
+    /// @param lifetime how long streams may be resumed
+    explicit mixed_versions_fixture(
+        bool both = true,
+        milliseconds lifetime = gateway_settings().stream_lifetime)
+        : both_(both)
+        , world_([&](gateway_fixture& before) {
+            before.settings.stream_lifetime = lifetime;
+        }) {
+        REQUIRE(world_.loop.run_until([&] { return world_.node->ready(); }));
         world_.configure(2, route("runs", 4) + route("alone", 1));
         for (unsigned each = 0; each < replicas_per_version; ++each) {
             list(old_, fmt::format("old{}", each), "v1");
@@ -361,6 +368,51 @@
     CHECK(seen.refused == 3);
 }
 
+// Guards against the record of a single version that a node has sent before a
+// second version appeared: the store has not answered, and carries the write
+// out seconds later, behind the record of several versions.
+TEST_CASE("a stream is not joined after a late write of an older record") {
+    constexpr milliseconds lifetime{2'500};
+    mixed_versions_fixture world(false, lifetime);
+    auto& metadata = world.world().metadata;
+    auto const record = [&] {
+        return metadata.store().newest("keyed.software")["scripted"];
+    };
+    std::string const several = R"({"service":"scripted"})";
+
+    SUBCASE("a newer record is written meanwhile") {
+        metadata.store().put("keyed.software", "scripted", "");
+    }
+    SUBCASE("the record in the store is right again meanwhile") {
+        metadata.store().put("keyed.software", "scripted", several);
+    }
+    metadata.delays_appends_to = "keyed.software";
+    world.world().restart_nodes();
+    REQUIRE(within(world.world(), lifetime + milliseconds(1'500), [&] {
+        return metadata.delayed() > 0;
+    }));
+    metadata.delays_appends_to.clear();
+    world.list_new();
+    world.pass(milliseconds(3'000));
+    REQUIRE(record() == several);
+    metadata.carry_out_delayed();
+    CHECK(record() == several);
+
+    continuations seen;
+    std::string const id = "s";
+    do {
+        world.begin_stream(0, "alone", id);
+    } while (world.began_at_old());
+    world.unlist("new", milliseconds(0));
+    world.world().restart_nodes();
+    constexpr std::size_t nodes = 3;
+    for (std::size_t each = 0; each < nodes; ++each) {
+        world.add(world.resume(each, id, id), seen);
+    }
+    CHECK(seen.mixed == 0);
+    CHECK(seen.refused == nodes);
+}
+
 // Guards against a stream that goes on at another service, since the record of
 // its origin is looked for under the service to which its route leads now.
 TEST_CASE("a stream is not joined of two services when its route moves") {
--- a/test/gateway/store_rollback_test.cpp
+++ b/test/gateway/store_rollback_test.cpp
@@ -1,12 +1,16 @@
+#include "platform/store_client.hpp"
 #include "test/gateway/gateway_fixture.hpp"
 
+#include <boost/asio/awaitable.hpp>
 #include <doctest/doctest.h>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -261,4 +265,97 @@
     CHECK(within(world, bound, quarantine_stored));
 }
 
+// Guards against a write that got no answer and is carried out behind a newer
+// one.
+TEST_CASE("a record is written only where its topic ends for the writer") {
+    using platform::store_failure;
+    testing::loopback loop;
+    standins::metadata_http metadata;
+    http_server server(
+        loop.executor(), http_limits(),
+        [&](http_exchange& exchange) { return metadata.answer(exchange); });
+    REQUIRE(server.listen(testing::local(0)).empty());
+    platform::store_client client(
+        loop.executor(), testing::local(server.port()), milliseconds(100));
+    std::string const topic = "keyed.software";
+    auto const put = [&](std::string value, std::uint64_t at) {
+        std::optional<platform::store_result<store_position>> result;
+        loop.run([&]() -> boost::asio::awaitable<void> {
+            result = co_await client.put(
+                platform::store_topic::software, "s", std::move(value),
+                {store_epoch{1}, at});
+        });
+        REQUIRE(result);
+        return *result;
+    };
+    auto const stored = [&] {
+        return metadata.store().newest(topic)["s"];
+    };
+    auto const first = put("first", 0);
+    REQUIRE(first);
+    CHECK(first.value() == store_position{store_epoch{1}, 1});
+
+    SUBCASE("a writer that has not read the last record learns of it") {
+        auto const outdated = put("second", 0);
+        REQUIRE_FALSE(outdated);
+        CHECK(outdated.error() == store_failure::outdated);
+        CHECK(stored() == "first");
+    }
+    SUBCASE("a write that was not answered is carried out late") {
+        metadata.delays_appends_to = topic;
+        auto const lost = put("older", 1);
+        REQUIRE_FALSE(lost);
+        CHECK(lost.error() == store_failure::no_answer);
+        metadata.delays_appends_to.clear();
+        SUBCASE("behind a newer one") {
+            CHECK(put("newer", 1));
+            metadata.carry_out_delayed();
+            CHECK(stored() == "newer");
+        }
+        SUBCASE("before a newer one, whose writer learns of it") {
+            metadata.carry_out_delayed();
+            auto const newer = put("newer", 1);
+            REQUIRE_FALSE(newer);
+            CHECK(newer.error() == store_failure::outdated);
+            CHECK(stored() == "older");
+        }
+    }
+}
+
+// Guards against the record of a quarantine that was sent before another writer
+// stored a newer one: the store has not answered, and carries the write out
+// seconds later, or the node repeats it.
+TEST_CASE("a late write of a quarantine doesn't replace a newer record") {
+    gateway_fixture world;
+    constexpr unsigned replicas = 6;
+    world.add_replicas(replicas, "deadly");
+    auto& metadata = world.metadata;
+    std::string const topic = "keyed.quarantine";
+    auto const snapshot = metadata.store();
+    for (int each = 0; each < 4; ++each) {
+        std::string const id = std::to_string(each);
+        world.send_to_node(0, "/gen/a", "m", id, "deadly");
+    }
+    auto const stored = [&] {
+        return metadata.store().newest(topic);
+    };
+    REQUIRE(world.loop.run_until([&] { return !stored().empty(); }));
+    auto const [key, older] = *stored().begin();
+    std::string newer = older;
+    std::string const revision = R"("turn":1)";
+    REQUIRE(newer.find(revision) != std::string::npos);
+    newer.replace(newer.find(revision), revision.size(), R"("turn":3)");
+
+    // After a rollback the node writes the quarantine again.
+    metadata.delays_appends_to = topic;
+    metadata.come_back(snapshot);
+    REQUIRE(within(world, bound, [&] { return metadata.delayed() > 0; }));
+    metadata.delays_appends_to.clear();
+    metadata.store().put(topic, key, newer);
+    within(world, bound, [] { return false; });
+    CHECK(stored()[key] == newer);
+    metadata.carry_out_delayed();
+    CHECK(stored()[key] == newer);
+}
+
 } // namespace camphorpoint
