Choice of a replica: one that looked full is asked for again

Callers met failures at a replica whose controller advised against it, and others queued behind full replicas while one was idle.

Cause: replicas that look full are left out of the usage queries by a report of any age. When those that are asked for turn out full, too, all are compared, and the old report wins.

Change: replicas that look full are asked for, too, while that makes no more than are compared: always for a plain service, up to three for an adapter. The send is decided as before. No constant and no message is new; a plain service of which a part looks full has more usage queries.

New test "a replica that looked full is asked for again": 4 checks failed on the unchanged selector, passes.

--- a/src/Fleet/replica_selector.cpp
+++ b/src/Fleet/replica_selector.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <ranges>
 #include <utility>
 
@@ -106,6 +107,16 @@
     }
 }
 
+/// @param avoided one of these is asked for in place of a compared one
+/// @returns the number of replicas that are compared for the request at most
+std::size_t compared_limit(
+    replica_requirements const& requirements,
+    std::vector<replica*> const& avoided) {
+    return requirements.adapter.empty()
+               ? std::numeric_limits<std::size_t>::max()
+               : max_compared - std::min<std::size_t>(avoided.size(), 1);
+}
+
 bool runs_software(
     replica const& each, replica_requirements const& requirements) {
     return !requirements.software ||
@@ -196,15 +207,21 @@
 }
 
 replica_selector::choice replica_selector::make_choice(
-    replica_requirements const& requirements, instant now) const {
+    replica_requirements const& requirements, choice_step step,
+    instant now) const {
     auto all = candidates(requirements, now);
     bool const in_common = fail_in_common(all, now);
     std::vector<replica*> avoided = remove_avoided(all, requirements, now);
+    // A replica that looked full long ago may be idle or fail by now. Were it
+    // not asked for, it would be left out, or chosen, by that old report.
+    bool const with_full = step == choice_step::ask &&
+                           all.size() <= compared_limit(requirements, avoided);
     auto const others =
         std::partition(all.begin(), all.end(), [&](replica* each) {
             return !each->health.suspected(now) &&
                    !each->yields_to_others(now) &&
-                   utilization(*each, now) < max_compared_utilization;
+                   (with_full ||
+                    utilization(*each, now) < max_compared_utilization);
         });
     if (others != all.begin()) {
         all.erase(others, all.end());
@@ -215,8 +232,7 @@
             avoided.clear();
         }
     }
-    bool const few = !requirements.adapter.empty();
-    if (few && !avoided.empty()) {
+    if (!requirements.adapter.empty() && !avoided.empty()) {
         // One of them is asked for in place of the last compared one.
         std::swap(
             avoided.front(),
@@ -230,7 +246,7 @@
     // Reference: M. Mitzenmacher, "How useful is old information?", IEEE
     // Transactions on Parallel and Distributed Systems 11(1), 2000.
     std::size_t const compared_count =
-        few ? std::min(all.size(), max_compared - avoided.size()) : all.size();
+        std::min(all.size(), compared_limit(requirements, avoided));
     std::uint64_t random_left = requirements.random_sample;
     for (std::size_t index = 0; index < compared_count; ++index) {
         std::size_t const remaining = all.size() - index;
@@ -243,14 +259,14 @@
 
 std::vector<replica*> replica_selector::compared_replicas(
     replica_requirements const& requirements, instant now) const {
-    choice of = make_choice(requirements, now);
+    choice of = make_choice(requirements, choice_step::ask, now);
     of.compared.insert(of.compared.end(), of.avoided.begin(), of.avoided.end());
     return std::move(of.compared);
 }
 
 replica* replica_selector::best(
     replica_requirements const& requirements, instant now) const {
-    choice const of = make_choice(requirements, now);
+    choice const of = make_choice(requirements, choice_step::send, now);
     auto const permitted = [&](replica const* each) {
         return can_probe(*each, requirements, now);
     };
--- a/src/Fleet/replica_selector.hpp
+++ b/src/Fleet/replica_selector.hpp
@@ -61,8 +61,9 @@
     ///          is resident, for a plain service the one with the lowest cost
     ///          of all; null when no replica can run it
     replica* best(replica_requirements const& requirements, instant now) const;
-    /// @returns the replicas that `best` compares, and avoided ones that the
-    ///          request might try; their usage reports should be fresh
+    /// @returns the replicas that `best` might compare, with those that looked
+    ///          full when that makes no more than it compares, and avoided ones
+    ///          that the request might try; their usage reports should be fresh
     std::vector<replica*> compared_replicas(
         replica_requirements const& requirements, instant now) const;
     /// @returns the replica at which the adapter should be loaded next: the
@@ -134,8 +135,11 @@
         /// Those that the request might try, when their controllers permit it.
         std::vector<replica*> avoided;
     };
-    choice
-    make_choice(replica_requirements const& requirements, instant now) const;
+    /// What the choice is for: a query of the replicas' usage, or the send.
+    enum class choice_step : unsigned char { ask, send };
+    choice make_choice(
+        replica_requirements const& requirements, choice_step step,
+        instant now) const;
     std::vector<replica*>
     candidates(replica_requirements const& requirements, instant now) const;
 
--- a/test/replica_outcomes_test.cpp
+++ b/test/replica_outcomes_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <string>
@@ -249,6 +250,19 @@
         replicas.update_usage(
             fleet::id_hash(endpoint_id(name(number))), usage, now);
     }
+    /// Makes the adapter of the request resident at the first replicas.
+    void make_resident(unsigned count) {
+        need.adapter = adapter_id("m/hot");
+        for (unsigned each = 1; each <= count; ++each) {
+            replicas.mark_resident(
+                endpoint_id(name(each)), {need.adapter, 1}, now);
+        }
+    }
+    bool asks_for(std::string const& id) const {
+        return std::ranges::any_of(
+            selector.compared_replicas(need, now),
+            [&](replica const* each) { return each->record.id.str() == id; });
+    }
     std::string best() const {
         replica const* const found = selector.best(need, now);
         return found == nullptr ? "" : found->record.id.str();
@@ -316,12 +330,7 @@
     // Guards against requests that are refused for want of room at a full
     // replica, which is tried, although others have room.
     SUBCASE("for an adapter a replica without room is not tried") {
-        fixture.need.adapter = adapter_id("m/hot");
-        for (unsigned each = 1; each <= 2; ++each) {
-            fixture.replicas.mark_resident(
-                endpoint_id(fixture.name(each)), {fixture.need.adapter, 1},
-                fixture.now);
-        }
+        fixture.make_resident(2);
         fixture.report(2, 0, 0, false);
         fixture.report(1, 2 * slots, 1, true, true);
         CHECK(fixture.best() == "r2");
@@ -337,6 +346,48 @@
     }
 }
 
+// Guards against a replica that is left out for a report that is seconds old:
+// it stays idle, and when the others fill up it is chosen by that report,
+// although its controller advises against it by now.
+TEST_CASE("a replica that looked full is asked for again") {
+    choice_fixture fixture(4);
+    fixture.report(1, slots + 1, 0, false);
+    fixture.now += milliseconds(300);
+    for (unsigned each = 2; each <= 4; ++each) {
+        fixture.report(each, each, 0, false);
+    }
+    SUBCASE("by a request of a plain service") {
+        CHECK(fixture.asks_for("r1"));
+        SUBCASE("which goes elsewhere while it gets no answer") {
+            CHECK(fixture.best() == "r2");
+        }
+        SUBCASE("which goes there when it is idle") {
+            fixture.report(1, 0, 0, false);
+            CHECK(fixture.best() == "r1");
+        }
+        SUBCASE("which goes elsewhere when it is avoided") {
+            for (unsigned each = 2; each <= 4; ++each) {
+                fixture.report(each, 2 * slots + each, 0, false);
+            }
+            fixture.report(1, 0, 1, true);
+            CHECK(fixture.best() == "r2");
+        }
+    }
+    SUBCASE("by a request for an adapter that three replicas have") {
+        fixture.make_resident(3);
+        CHECK(fixture.asks_for("r1"));
+    }
+    SUBCASE("but not in place of one of three others that have room") {
+        fixture.make_resident(4);
+        CHECK_FALSE(fixture.asks_for("r1"));
+    }
+    SUBCASE("but not while this node suspects it") {
+        replica& first = *fixture.replicas.find(endpoint_id("r1"));
+        first.health.add_outcome(health_signal::no_response, fixture.now);
+        CHECK_FALSE(fixture.asks_for("r1"));
+    }
+}
+
 // Guards against the loss of half of a service's room for a cause that is not
 // the replicas: the other half could not take the load.
 TEST_CASE("replicas of which half fail are chosen by their cost") {
