Probes that have not ended hold back further ones

A replica of streams that still fails got a caller's request every 50 ms from the first answered probe on, until a second probe ended.

Cause: the short interval held while one answered probe was counted, whether or not later ones had ended.

Change: after an answered probe one more is permitted at once; then two a second, as at a failing replica. No constant or message is new; without failures nothing changes.

"probes that have not ended", unchanged code: 40 in two seconds after an answered one, 5 allowed; now it passes, 10 of 10 runs, with the other cases of probes. decision_tests whole: passes (one run, beside load).

--- a/src/Fleet/replica_outcomes.cpp
+++ b/src/Fleet/replica_outcomes.cpp
@@ -24,8 +24,8 @@
 /// Two attempts a second are too few for callers to notice, and enough for a
 /// replica that has recovered to be found within half a second.
 constexpr duration failing_probe_interval = std::chrono::milliseconds(500);
-/// After an answered probe the next ones follow at once, so that a replica that
-/// answers one request in ten is not taken for a recovered one for long.
+/// After an answered probe one more follows at once, so that a replica that has
+/// recovered is found by two probes and not by the interval between them.
 constexpr duration recovering_probe_interval = std::chrono::milliseconds(50);
 /// With a single one, a replica that fails most requests would get its full
 /// load again after each answer.
@@ -71,15 +71,18 @@
     next_probe_at_ = now + failing_probe_interval;
     probes_ = 0;
     answered_probes_ = 0;
+    probe_follows_ = false;
 }
 
 avoidance_change replica_outcomes::add_probe(bool failed, instant now) {
+    probe_follows_ = false;
     if (failed) {
         answered_probes_ = 0;
         return avoidance_change::none;
     }
     next_probe_at_ = std::min(next_probe_at_, now);
     if (++answered_probes_ < probes_to_recover) {
+        probe_follows_ = true;
         return avoidance_change::none;
     }
     // The failures describe the replica as it was.
@@ -110,15 +113,18 @@
 // ended there for as long as between two probes.
 bool replica_outcomes::take_probe(bool suitable, instant now) {
     bool const cleared = failed_attempts(now) < negligible_count;
-    duration const interval = answered_probes_ == 0 ? failing_probe_interval
-                                                    : recovering_probe_interval;
+    duration const interval =
+        probe_follows_ ? recovering_probe_interval : failing_probe_interval;
     instant const idle_from = avoided_ ? instant() : updated_at_ + interval;
     instant const due = std::max(next_probe_at_, idle_from) +
                         (suitable ? duration::zero() : interval);
     if ((!avoided_ && cleared) || now < due) {
         return false;
     }
-    next_probe_at_ = now + interval;
+    // It counts when it ends, which may take as long as a stream: until then
+    // further ones are no more frequent than at a failing replica.
+    next_probe_at_ = now + failing_probe_interval;
+    probe_follows_ = false;
     ++probes_;
     return true;
 }
--- a/src/Fleet/replica_outcomes.hpp
+++ b/src/Fleet/replica_outcomes.hpp
@@ -67,6 +67,8 @@
     unsigned probes_ = 0;
     /// Probes that were answered, with no failed one between them.
     unsigned answered_probes_ = 0;
+    /// The latest probe that ended was answered, and none was permitted since.
+    bool probe_follows_ = false;
 };
 
 } // namespace camphorpoint
