A node with older routes lets no stream go on; a new route is not a moved one

A review of the joined code, by reading: a node that had not read a move of a route yet took the only version of the earlier service for the origin of a stream that had begun at the new one, since peers with other routes said nothing that contradicts it; a node younger than a stream's life took each new streaming route for a moved one, and so refused resumptions that all other nodes would have allowed; each change of any route had the records of all services written again; records that can't be read looked like a first start.

Change: a question names the version of the asking node's configuration, and a peer with newer and other routes answers that there are several versions; a new route of which a node can't be sure leaves the conclusion to nodes that have run for longer; the fingerprint covers streaming routes only; a first start has no unreadable records.

Not shown by a test of its own: the late asker and the start beside a new route; route_history_test (200 random plays) and software_versions_test cover the rest.

--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -456,10 +456,12 @@
     std::string service;
     /// Fingerprint of the asking node's routes.
     std::uint64_t routes = 0;
+    /// Version of the asking node's configuration.
+    std::uint64_t configuration = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(number, stream, service, routes);
+        archive(number, stream, service, routes, configuration);
     }
 };
 
--- a/src/Gateway/peer_messenger_streams.cpp
+++ b/src/Gateway/peer_messenger_streams.cpp
@@ -112,7 +112,8 @@
     peer_stream_question const question{
         ++last_stream_question_, static_cast<std::uint64_t>(stream),
         service.str(),
-        static_cast<std::uint64_t>(state_->route_changes.fingerprint())};
+        static_cast<std::uint64_t>(state_->route_changes.fingerprint()),
+        state_->configuration.version};
     asio::steady_timer timer(state_->io);
     pending_stream_question& pending =
         pending_stream_questions_[question.number];
@@ -165,10 +166,15 @@
         origin_evidence evidence =
             evidence_of(stream, service_id(each.service), now);
         // One of the nodes has not read the newest configuration yet, by which
-        // the route may have moved.
+        // the route may have moved. An asking node that has not can't tell at
+        // which service the stream began.
         bool const same_routes = route_fingerprint{each.routes} ==
                                  state_->route_changes.fingerprint();
-        if (evidence.versions.only() && !same_routes) {
+        bool const asker_is_late =
+            each.configuration < state_->configuration.version;
+        if (!same_routes && asker_is_late) {
+            evidence.versions = {version_knowledge::several, {}};
+        } else if (!same_routes && evidence.versions.only()) {
             evidence.versions.knowledge = version_knowledge::seen;
         }
         auto answer = to_wire(stream, evidence);
--- a/src/Gateway/software_persistence.cpp
+++ b/src/Gateway/software_persistence.cpp
@@ -130,7 +130,8 @@
     bool const first = !loaded_ && !may_lack_records_;
     loaded_ = true;
     saved_.clear();
-    if (first && (absent || batch.value().records.empty())) {
+    if (first && (absent || (batch.value().records.empty() &&
+                             batch.value().unreadable == 0))) {
         state_->route_changes.adopt_first_start();
     }
     end_ = absent ? store_position{epoch, 0} : batch.value().next;
--- a/src/Gateway/software_persistence.hpp
+++ b/src/Gateway/software_persistence.hpp
@@ -15,8 +15,8 @@
 /// Records in the store which service has a single software version, and reads
 /// that when the node starts. Guards against the refusal of every resumption
 /// after a restart of all nodes, which no longer know at which version a stream
-/// began, although one version has served all along. A record is written only
-/// when it changes, by the lease holder of one fixed partition.
+/// began, although one version has served all along. A record is written
+/// by the lease holder of one fixed partition.
 ///
 /// Guards also against a write without an answer that the store carries out
 /// late: each write names the end of the log that its writer has read, so that
--- a/src/Routing/route_history.cpp
+++ b/src/Routing/route_history.cpp
@@ -58,6 +58,9 @@
 route_fingerprint make_fingerprint(route_table const& routes) {
     std::uint64_t sum = 0;
     for (service_route const& route : routes.all()) {
+        if (route.kind != route_kind::streaming) {
+            continue;
+        }
         std::uint64_t hash =
             combine_hashes(hash_text(route.host), hash_text(route.path_prefix));
         for (service_share const& each : stream_shares(&route)) {
@@ -84,13 +87,14 @@
         if (!old_shares.empty() && new_shares.empty()) {
             removed_at_ = now;
         }
-        // A route to which no other one led has no streams of another service.
-        if (old_shares.empty() && sure_of_new) {
+        bool const is_new = old_shares.empty();
+        // A route that was never there has no streams of another service.
+        if (is_new && sure_of_new) {
             return;
         }
         for (service_share const& each : new_shares) {
             if (!covers(old_shares, each)) {
-                moved_at_[each.service] = now;
+                (is_new ? unsure_at_ : moved_at_)[each.service] = now;
             }
         }
     };
@@ -112,17 +116,23 @@
     return first_start_ || (began_ && now >= *began_ + memory_);
 }
 
+bool route_history::is_recent(
+    change_times const& times, service_id const& service, instant now) const {
+    auto const found = times.find(service);
+    return found != times.end() && now < found->second + memory_;
+}
+
 bool route_history::knows_origin(service_id const& service, instant now) const {
     auto const adopted = adopted_.find(service);
     bool const stated =
         adopted != adopted_.end() && adopted->second == fingerprint_;
-    return began_ && (stated || observed(now));
+    return began_ && !is_recent(unsure_at_, service, now) &&
+           (stated || observed(now));
 }
 
 service_versions route_history::limit(
     service_versions versions, service_id const& service, instant now) const {
-    auto const moved = moved_at_.find(service);
-    if (moved != moved_at_.end() && now < moved->second + memory_) {
+    if (is_recent(moved_at_, service, now)) {
         return {version_knowledge::several, {}};
     }
     if (versions.only() && !knows_origin(service, now)) {
--- a/src/Routing/route_history.hpp
+++ b/src/Routing/route_history.hpp
@@ -45,7 +45,12 @@
     route_fingerprint fingerprint() const noexcept { return fingerprint_; }
 
 private:
+    using change_times = std::unordered_map<service_id, instant>;
+
     bool observed(instant now) const;
+    bool is_recent(
+        change_times const& times, service_id const& service,
+        instant now) const;
     bool knows_origin(service_id const& service, instant now) const;
 
     duration memory_;
@@ -53,7 +58,10 @@
     std::optional<instant> began_;
     route_fingerprint fingerprint_{};
     /// When a service was last given requests that another one got before.
-    std::unordered_map<service_id, instant> moved_at_;
+    change_times moved_at_;
+    /// When a service was last given a new route that may have led elsewhere
+    /// before this node started. Nodes that have run for longer know.
+    change_times unsure_at_;
     /// When a route was last removed.
     std::optional<instant> removed_at_;
     std::unordered_map<service_id, route_fingerprint> adopted_;
--- a/test/gateway/software_versions_test.cpp
+++ b/test/gateway/software_versions_test.cpp
@@ -516,7 +516,7 @@
         CHECK(read->stream_records.front().software == 2);
     }
     SUBCASE("a question and its answer") {
-        message.stream_questions = {{1, 2, "llm", 3}};
+        message.stream_questions = {{1, 2, "llm", 3, 4}};
         peer_stream_answer answer;
         answer.number = 1;
         answer.state = origin_state::ambiguous;
@@ -527,6 +527,7 @@
         REQUIRE(read->stream_questions.size() == 1);
         CHECK(read->stream_questions.front().service == "llm");
         CHECK(read->stream_questions.front().routes == 3);
+        CHECK(read->stream_questions.front().configuration == 4);
         REQUIRE(read->stream_answers.size() == 1);
         CHECK(read->stream_answers.front().state == origin_state::ambiguous);
         CHECK(
