--- a/src/Routing/route_history.cpp
+++ b/src/Routing/route_history.cpp
@@ -58,9 +58,6 @@
 route_fingerprint make_fingerprint(route_table const& routes) {
     std::uint64_t sum = 0;
     for (service_route const& route : routes.all()) {
-        if (route.kind != route_kind::streaming) {
-            continue;
-        }
         std::uint64_t hash =
             combine_hashes(hash_text(route.host), hash_text(route.path_prefix));
         for (service_share const& each : stream_shares(&route)) {
@@ -77,8 +74,8 @@
     route_table const& before, route_table const& after, instant now) {
     // Paths below a prefix may get another route by routes with other prefixes,
     // so that the prefixes of both tables are looked up in both.
-    bool const sure_of_new =
-        observed(now) && (!removed_at_ || now >= *removed_at_ + memory_);
+    bool const knows_past = observed(now);
+    bool const removed = removed_at_ && now < *removed_at_ + memory_;
     auto const compare = [&](service_route const& region) {
         auto const old_shares =
             stream_shares(before.find(region.host, region.path_prefix));
@@ -89,12 +86,13 @@
         }
         bool const is_new = old_shares.empty();
         // A route that was never there has no streams of another service.
-        if (is_new && sure_of_new) {
+        if (is_new && knows_past && !removed) {
             return;
         }
         for (service_share const& each : new_shares) {
             if (!covers(old_shares, each)) {
-                (is_new ? unsure_at_ : moved_at_)[each.service] = now;
+                bool const unsure = is_new && !removed;
+                (unsure ? unsure_at_ : moved_at_)[each.service] = now;
             }
         }
     };
