--- a/test/gateway/store_rollback_test.cpp
+++ b/test/gateway/store_rollback_test.cpp
@@ -281,8 +281,9 @@
     auto const put = [&](std::string value, std::uint64_t at) {
         std::optional<platform::store_result<store_position>> result;
         loop.run([&]() -> boost::asio::awaitable<void> {
+            auto const record = std::make_shared<std::string>(std::move(value));
             result = co_await client.put(
-                platform::store_topic::software, "s", std::move(value),
+                platform::store_topic::software, "s", *record,
                 {store_epoch{1}, at});
         });
         REQUIRE(result);
