The soak stops nodes as planned, in calm, and finds requests that are cut

Callers of other operators lost requests in planned stops of one machine. The soak could send SIGTERM, but beside other disruptions only, with a grace of 3 s and answers within milliseconds, and nothing compared cut connections with what the replicas had run.

The stand-in of a replica writes the end of each run into the ledger. The check LOST uses what callers and replicas saw only: a request that was sent whole and ran ends without a complete answer with a planned stop. Excused are a deadline that has passed, a replica that broke off, and a request sent in the first 3 s of the stop whose replica was still at work in the last sixth of the grace. Of the rule, the part about requests that are never passed on and are cut later than loss_slack_ms is not checked.

--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -23,7 +23,9 @@
     std::string, ledger, "",
     "file to which a line is added when a request begins to run: its id, the "
     "replica and the number of the run, the software version, the event after "
-    "which it was resumed, its body");
+    "which it was resumed, its body; and one when it ends: \"end\", the run, "
+    "the "
+    "software version, \"whole\" or \"broke\", milliseconds since the boot");
 ABSL_FLAG(std::string, software, "v1", "version of its software");
 ABSL_FLAG(unsigned, events, 8, "of a stream");
 ABSL_FLAG(unsigned, pause_ms, 5, "before each event");
@@ -31,6 +33,9 @@
     unsigned, fault_percent, 0, "how many of a hundred requests meet a fault");
 ABSL_FLAG(
     unsigned, refusal_percent, 0, "how many of a hundred requests are refused");
+ABSL_FLAG(
+    unsigned, slow_percent, 0,
+    "how many of a hundred requests without a model take 2 to 6 s");
 ABSL_FLAG(std::uint64_t, seed, 1, "of the faults");
 
 namespace {
@@ -54,12 +59,23 @@
         std::string const line = fmt::format(
             "{} {} {} {}\n", request.fields.get("X-Request-Id"), run,
             last.empty() ? "0" : last, request.body);
+        write(line);
+    }
+    /// @param run   names the run
+    /// @param broke its answer was broken off
+    void end(std::string const& run, bool broke) const {
+        write(fmt::format(
+            "end {} {} {}\n", run, broke ? "broke" : "whole",
+            standins::in_milliseconds(standins::clock_now())));
+    }
+
+private:
+    void write(std::string const& line) const {
         // One call for a line, so that lines of several processes don't mix.
         [[maybe_unused]] auto const written =
             ::write(file_, line.data(), line.size());
     }
 
-private:
     int file_;
 };
 
@@ -97,6 +113,28 @@
     unsigned refusals_;
 };
 
+/// Draws how long requests take.
+class work_times {
+public:
+    work_times(std::uint64_t seed, unsigned slow_percent)
+        : random_(seed)
+        , slow_percent_(slow_percent) {}
+
+    std::chrono::milliseconds draw() {
+        constexpr unsigned whole = 100;
+        constexpr std::chrono::milliseconds least{2'000};
+        constexpr std::uint64_t more_ms = 4'000;
+        if (slow_percent_ == 0 || random_() % whole >= slow_percent_) {
+            return std::chrono::milliseconds(0);
+        }
+        return least + std::chrono::milliseconds(random_() % more_ms);
+    }
+
+private:
+    std::mt19937_64 random_;
+    unsigned slow_percent_;
+};
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -107,6 +145,8 @@
         absl::GetFlag(FLAGS_id), absl::GetFlag(FLAGS_model),
         absl::GetFlag(FLAGS_slots));
     run_ledger const ledger(absl::GetFlag(FLAGS_ledger));
+    work_times times(
+        absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_slow_percent));
     auto const name_run = [&](std::uint64_t run) {
         // The process may have been started again under its id.
         return fmt::format(
@@ -116,6 +156,10 @@
     if (!absl::GetFlag(FLAGS_ledger).empty()) {
         replica.on_run = [&](camphorpoint::http_request const& request) {
             ledger.add(request, name_run(replica.run_count()));
+            replica.service_time = times.draw();
+        };
+        replica.on_end = [&](std::uint64_t run, bool broke) {
+            ledger.end(name_run(run), broke);
         };
         replica.event_text = [&](std::uint64_t run, unsigned number) {
             return fmt::format("{} {}", name_run(run), number);
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -195,7 +195,7 @@
     return next;
 }
 
-void replica_engine::begin_run(http_request const& request) {
+std::uint64_t replica_engine::begin_run(http_request const& request) {
     std::string const id(request.fields.get("X-Request-Id"));
     ++runs[id];
     ++run_count_;
@@ -203,6 +203,13 @@
     if (on_run) {
         on_run(request);
     }
+    return run_count_;
+}
+
+void replica_engine::end_run(std::uint64_t run, bool broke) const {
+    if (on_end) {
+        on_end(run, broke);
+    }
 }
 
 asio::awaitable<void> replica_engine::run(http_exchange& exchange) {
@@ -227,7 +234,7 @@
         co_await respond(exchange, std::move(response));
         co_return;
     }
-    begin_run(exchange.request());
+    std::uint64_t const number = begin_run(exchange.request());
     if (is_poison(exchange.request())) {
         if (on_crash) {
             on_crash();
@@ -236,6 +243,7 @@
     }
     if (fault == replica_fault::answer_lost) {
         // Returning without an answer ends the connection.
+        end_run(number, true);
         co_return;
     }
     if (fault == replica_fault::silence) {
@@ -243,7 +251,8 @@
         co_return;
     }
     if (!model.empty() && fault != replica_fault::failure) {
-        co_await stream(exchange, fault);
+        co_await stream(exchange, fault, number);
+        end_run(number, fault == replica_fault::cut);
         co_return;
     }
     if (service_time > milliseconds(0)) {
@@ -262,11 +271,11 @@
     response.body = "answer of " + id_ + " to " + exchange.request().body;
     co_await end_of_silence();
     co_await respond(exchange, std::move(response));
+    end_run(number, false);
 }
 
-asio::awaitable<void>
-replica_engine::stream(http_exchange& exchange, replica_fault fault) {
-    std::uint64_t const run = run_count_;
+asio::awaitable<void> replica_engine::stream(
+    http_exchange& exchange, replica_fault fault, std::uint64_t run) {
     http_fields answer;
     answer.add("Content-Type", "text/event-stream");
     answer.add("X-Response-Signature", "signed." + id_);
--- a/standins/replica/replica_engine.hpp
+++ b/standins/replica/replica_engine.hpp
@@ -68,6 +68,10 @@
     bool failure_signed = true;
     /// Called when a request begins to run.
     std::function<void(camphorpoint::http_request const& request)> on_run;
+    /// Called when a run has ended.
+    /// @param run   its number
+    /// @param broke the replica has broken its answer off
+    std::function<void(std::uint64_t run, bool broke)> on_end;
     /// @returns how many requests have begun to run
     std::uint64_t run_count() const noexcept { return run_count_; }
     /// How often each request has run.
@@ -124,8 +128,9 @@
     camphorpoint::http_response order(std::string const& body);
     camphorpoint::http_response report() const;
     boost::asio::awaitable<void> run(camphorpoint::http_exchange& exchange);
-    boost::asio::awaitable<void>
-    stream(camphorpoint::http_exchange& exchange, replica_fault fault);
+    boost::asio::awaitable<void> stream(
+        camphorpoint::http_exchange& exchange, replica_fault fault,
+        std::uint64_t run);
     /// Waits until it is not silent.
     boost::asio::awaitable<void> end_of_silence() const;
     bool holds(std::string const& model) const;
@@ -133,7 +138,9 @@
     bool is_poison(camphorpoint::http_request const& request) const;
     void record_rejection();
     replica_fault next_fault();
-    void begin_run(camphorpoint::http_request const& request);
+    /// @returns the run's number
+    std::uint64_t begin_run(camphorpoint::http_request const& request);
+    void end_run(std::uint64_t run, bool broke) const;
     void name_state(camphorpoint::http_fields& answer) const;
     /// Sends an answer with the request's id and what the replica says of
     /// itself.
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -90,6 +90,7 @@
     constexpr std::uint64_t kinds = 10;
     std::uint64_t const kind = draw(kinds);
     request wanted;
+    wanted.patience = settings_.time_out;
     wanted.path = kind < 6 ? "/book/" : kind < 8 ? "/look/" : "/once/";
     wanted.events = kind >= 8;
     if (wanted.events) {
@@ -140,6 +141,7 @@
     for (std::size_t each = 0; each < pair.size(); ++each) {
         request& wanted = pair.at(each);
         wanted.path = "/book/";
+        wanted.patience = settings_.time_out;
         wanted.id = fmt::format("{}-{}-p{}", name_, number, each);
         records_->once_only.insert(wanted.id);
         text += text_of(wanted);
@@ -210,7 +212,9 @@
     if (socket_ != nullptr) {
         co_return true;
     }
-    node_ = draw(target_->nodes.size());
+    if (!settings_.same_node || !node_takes_connections_) {
+        node_ = draw(target_->nodes.size());
+    }
     ip_address const& to = target_->nodes[node_].callers;
     tcp::endpoint const remote(asio::ip::make_address(to.host), to.port);
     socket_ = std::make_unique<tcp::socket>(co_await asio::this_coro::executor);
@@ -220,7 +224,8 @@
     if (error || !socket_->is_open()) {
         socket_.reset();
     }
-    co_return socket_ != nullptr;
+    node_takes_connections_ = socket_ != nullptr;
+    co_return node_takes_connections_;
 }
 
 std::string caller::text_of(request const& wanted) {
@@ -238,19 +243,43 @@
         co_return fate::unconnected;
     }
     std::string const text = text_of(wanted);
+    sent_ = {wanted.id, node_, boot_clock::now(), wanted.patience};
     time_limit const limit(*socket_, wanted.patience + grace);
-    auto const [error, size] =
-        co_await asio::async_write(*socket_, asio::buffer(text), use_result);
-    if (error) {
+    bool const written = co_await write(text);
+    if (!written) {
         co_return note(fate::reset, wanted.id);
     }
-    co_return co_await read_answer(wanted);
+    sent_.sent = boot_clock::now();
+    fate const what = co_await read_answer(wanted);
+    records_->sent.push_back(sent_);
+    co_return what;
+}
+
+asio::awaitable<bool> caller::write(std::string const& text) {
+    constexpr std::uint64_t whole = 100;
+    constexpr std::uint64_t longest_pause_ms = 2'800;
+    std::size_t first = 0;
+    if (settings_.two_parts > 0 && draw(whole) < settings_.two_parts) {
+        first = 1 + draw(text.size() - 1);
+        auto const [error, size] = co_await asio::async_write(
+            *socket_, asio::buffer(text.data(), first), use_result);
+        if (error) {
+            co_return false;
+        }
+        milliseconds const pause(draw(longest_pause_ms));
+        co_await standins::wait_for(pause);
+    }
+    auto const [error, size] = co_await asio::async_write(
+        *socket_, asio::buffer(text) + first, use_result);
+    co_return !error;
 }
 
 asio::awaitable<caller::fate> caller::read_answer(request const& wanted) {
     http::response_parser<http::string_body> parser;
     auto const [error, size] =
         co_await http::async_read(*socket_, buffer_, parser, use_result);
+    sent_.ended = boot_clock::now();
+    sent_.answered = !error;
     if (parser.is_header_done()) {
         answer_.status = static_cast<int>(parser.get().result_int());
         answer_.body = parser.get().body();
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -2,6 +2,7 @@
 
 #include "test/soak/deployment.hpp"
 #include "test/soak/ledger.hpp"
+#include "test/soak/lost_requests.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace camphorpoint::soak {
 
@@ -22,6 +24,8 @@
     told_fates told;
     /// Ids of requests that may run once at most.
     std::set<std::string> once_only;
+    /// Requests that were sent whole, and their ends.
+    std::vector<sent_request> sent;
     /// Set when no further requests are to be sent.
     bool stopping = false;
     unsigned callers = 0;
@@ -59,7 +63,7 @@
         /// Further lines of its head.
         std::string fields;
         bool events = false;
-        std::chrono::milliseconds patience{2'500};
+        std::chrono::milliseconds patience{0};
     };
     /// What the last answer was.
     struct answer {
@@ -77,6 +81,9 @@
     boost::asio::awaitable<void> run_stream(unsigned number);
     static std::string text_of(request const& wanted);
     boost::asio::awaitable<fate> send(request const& wanted);
+    /// Writes a request, or its first part and after a pause the other one.
+    /// @returns false when the connection has ended
+    boost::asio::awaitable<bool> write(std::string const& text);
     boost::asio::awaitable<fate> read_answer(request const& wanted);
     boost::asio::awaitable<bool> connect();
     fate judge(request const& wanted);
@@ -90,7 +97,11 @@
     std::mt19937_64 random_;
     /// The node that it is connected to.
     std::size_t node_ = 0;
+    /// The last attempt to connect has succeeded.
+    bool node_takes_connections_ = false;
     answer answer_;
+    /// Of the request that is under way.
+    sent_request sent_;
     std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
     boost::beast::flat_buffer buffer_;
 };
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -65,17 +65,17 @@
         std::move(words), settings_.work + "/" + name + ".log");
 }
 
-std::string deployment::configuration(unsigned version) {
+std::string deployment::configuration(unsigned version) const {
     std::string routes;
     auto const add = [&](std::string_view name, std::string_view type,
                          std::string_view service, unsigned attempts,
                          bool resumable = false) {
         routes += fmt::format(
             R"({}{{"name":"{}","hostname":"h","path_prefix":"/{}/",)"
-            R"("type":"{}","timeout_ms":2500,"target_latency_ms":800,)"
+            R"("type":"{}","timeout_ms":{},"target_latency_ms":800,)"
             R"("priority":0,"service":"{}","attempts":{},"resumable":{}}})",
-            routes.empty() ? "" : ",", name, name, type, service, attempts,
-            resumable);
+            routes.empty() ? "" : ",", name, name, type,
+            settings_.time_out.count(), service, attempts, resumable);
     };
     add("book", "unsafe", "app", 1 + version % 2);
     add("look", "safe", "app", 2);
@@ -124,6 +124,7 @@
          fmt::format("--events={}", stream_events()),
          fmt::format("--pause_ms={}", settings_.streams > 0 ? 60 : 5),
          fmt::format("--refusal_percent={}", settings_.refusals),
+         fmt::format("--slow_percent={}", settings_.slow_requests),
          fmt::format("--fault_percent={}", settings_.replica_faults),
          fmt::format("--seed={}", settings_.seed * 1'000 + number)});
     replicas.push_back(std::move(made));
@@ -182,17 +183,18 @@
     unsigned const base = first_node + number * ports_of_node;
     std::string const file = fmt::format("{}/n{}.toml", settings_.work, number);
     write_file(
-        file, fmt::format(
-                  "[gateway]\nname = \"n{0}\"\nfailure_domain = \"z\"\n"
-                  "caller_address = \"{1}\"\nreadiness_address = \"{2}\"\n"
-                  "peer_address = \"{3}\"\nmetrics_address = \"{4}\"\n"
-                  "stop_limit = \"3s\"\n[store]\naddress = \"{5}\"\n"
-                  "replica_heartbeat = \"500ms\"\n[second_sends]\n"
-                  "ratio = \"1\"\nslack = \"100\"\nwindow = \"10s\"\n"
-                  "[leases]\nlease = \"2s\"\n",
-                  number, text_of(at(base)), text_of(at(base + 1)),
-                  text_of(at(base + 2)), text_of(at(base + 3)),
-                  text_of(at(first_view + number))));
+        file,
+        fmt::format(
+            "[gateway]\nname = \"n{0}\"\nfailure_domain = \"z\"\n"
+            "caller_address = \"{1}\"\nreadiness_address = \"{2}\"\n"
+            "peer_address = \"{3}\"\nmetrics_address = \"{4}\"\n"
+            "stop_limit = \"{6}ms\"\n[store]\naddress = \"{5}\"\n"
+            "replica_heartbeat = \"500ms\"\n[second_sends]\n"
+            "ratio = \"1\"\nslack = \"100\"\nwindow = \"10s\"\n"
+            "[leases]\nlease = \"2s\"\n",
+            number, text_of(at(base)), text_of(at(base + 1)),
+            text_of(at(base + 2)), text_of(at(base + 3)),
+            text_of(at(first_view + number)), settings_.stop_limit.count()));
     std::vector<std::string> ways;
     for (unsigned each = 0; each < total_replicas(settings_); ++each) {
         unsigned const port = first_replica + each;
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -53,6 +53,18 @@
     unsigned releases = 0;
     unsigned herd_kills = 0;
     unsigned odd_entries = 0;
+    /// Share of disruptions: SIGTERM to one node, one at a time.
+    unsigned planned_stops = 0;
+    /// How many of a hundred requests without a model take 2 to 6 s.
+    unsigned slow_requests = 0;
+    /// How many of a hundred requests arrive in two parts.
+    unsigned two_parts = 0;
+    /// Callers connect to the node that they had until it takes no connection.
+    bool same_node = false;
+    /// Of the routes, and of the callers of all but the streams.
+    std::chrono::milliseconds time_out{2'500};
+    /// Of the nodes.
+    std::chrono::milliseconds stop_limit{3'000};
     /// The longest time between two disruptions.
     std::chrono::milliseconds disruption_pause{600};
 };
@@ -94,7 +106,7 @@
     /// Ends all processes.
     void end();
     /// @returns the configuration with this version
-    static std::string configuration(unsigned version);
+    std::string configuration(unsigned version) const;
     /// @returns the names of the processes that have ended unasked
     std::vector<std::string> crashed() const;
     /// Ends a replica and starts it under another id at its address.
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -84,7 +84,7 @@
 }
 
 asio::awaitable<void> disruptions::run(bool const& stopping) {
-    while (!stopping) {
+    while (!stopping && shares_of_others() + settings_.planned_stops > 0) {
         ++begun_;
         asio::co_spawn(executor_, begin_one(), asio::detached);
         milliseconds const rest =
@@ -93,13 +93,29 @@
     }
 }
 
+unsigned disruptions::shares_of_others() const noexcept {
+    return settings_.process_faults + settings_.renewals + settings_.releases +
+           settings_.herd_kills + settings_.odd_entries;
+}
+
 asio::awaitable<void> disruptions::begin_one() {
     ++active_;
-    replica_processes& replica =
-        target_->replicas[draw(target_->replicas.size())];
-    std::uint64_t drawn = draw(
-        settings_.process_faults + settings_.renewals + settings_.releases +
-        settings_.herd_kills + settings_.odd_entries);
+    std::size_t const replica = draw(target_->replicas.size());
+    unsigned const others = shares_of_others();
+    std::uint64_t const drawn = draw(others + settings_.planned_stops);
+    if (drawn >= others) {
+        co_await stop_as_planned();
+    } else {
+        std::size_t const at = stops_.disturbances.size();
+        stops_.disturbances.push_back({boot_clock::now(), instant::max()});
+        co_await disturb(drawn, target_->replicas[replica]);
+        stops_.disturbances[at].end = boot_clock::now();
+    }
+    --active_;
+}
+
+asio::awaitable<void>
+disruptions::disturb(std::uint64_t drawn, replica_processes& replica) {
     auto const is = [&](unsigned share) {
         bool const hit = drawn < share;
         drawn -= hit ? 0 : share;
@@ -116,7 +132,18 @@
     } else {
         co_await add_odd_entry();
     }
-    --active_;
+}
+
+asio::awaitable<void> disruptions::stop_as_planned() {
+    if (std::exchange(stopping_, true)) {
+        co_return;
+    }
+    // Since the nodes were started, or one was started again.
+    co_await standins::wait_for(calm_before_stop);
+    std::size_t const number = draw(target_->nodes.size());
+    stops_.stops.push_back({number, boot_clock::now()});
+    co_await end_process(*target_->nodes[number].node, SIGTERM);
+    stopping_ = false;
 }
 
 asio::awaitable<void> disruptions::disturb_processes() {
@@ -190,7 +217,7 @@
 
 asio::awaitable<void> disruptions::publish() {
     ++version_;
-    co_await append("keyed.op", "config", deployment::configuration(version_));
+    co_await append("keyed.op", "config", target_->configuration(version_));
 }
 
 asio::awaitable<void> disruptions::append(
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "test/soak/deployment.hpp"
+#include "test/soak/lost_requests.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,9 +31,21 @@
     unsigned begun() const noexcept { return begun_; }
     /// @returns how many are under way
     unsigned active() const noexcept { return active_; }
+    /// @returns the planned stops, and when there were other disruptions
+    stop_records const& stops() const noexcept { return stops_; }
 
 private:
     boost::asio::awaitable<void> begin_one();
+    /// @returns the sum of the shares of all but the planned stops
+    unsigned shares_of_others() const noexcept;
+    /// Begins a disruption that is no planned stop.
+    /// @param drawn   below the sum of their shares
+    /// @param replica the one that it concerns if it concerns one
+    boost::asio::awaitable<void>
+    disturb(std::uint64_t drawn, replica_processes& replica);
+    /// Stops a node by SIGTERM and starts it again, unless another such stop is
+    /// under way.
+    boost::asio::awaitable<void> stop_as_planned();
     /// Sends a signal, and starts the process again when it has ended.
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
     boost::asio::awaitable<void>
@@ -63,6 +76,8 @@
     soak_settings settings_;
     std::mt19937_64 random_;
     std::string software_ = "v1";
+    stop_records stops_;
+    bool stopping_ = false;
     bool releasing_ = false;
     unsigned odd_entries_ = 0;
     unsigned version_ = 1;
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -14,7 +14,17 @@
         stream_run run;
         std::string name;
         std::string software;
-        words >> run.request >> name >> software >> run.after;
+        words >> run.request >> name >> software;
+        if (run.request == "end") {
+            std::string how;
+            std::int64_t since_boot_ms = 0;
+            words >> how >> since_boot_ms;
+            records.ends[name] = {
+                instant(std::chrono::milliseconds(since_boot_ms)),
+                how == "broke"};
+            continue;
+        }
+        words >> run.after;
         ++records.counts[run.request];
         records.runs[name] = run;
     }
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/time.hpp"
 #include "test/soak/stream_reading.hpp"
 
 #include <cstdint>
@@ -30,18 +31,27 @@
 
 /// One broken promise.
 struct violation {
-    /// REFUSED, TWICE, RESET, MIXED or ORDER.
+    /// REFUSED, TWICE, RESET, MIXED, ORDER or LOST.
     std::string rule;
     /// The id of a request, and what is wrong with a stream.
     std::string what;
 };
 
+/// How a run has ended.
+struct run_end {
+    instant at;
+    /// Its replica broke the answer off.
+    bool broke = false;
+};
+
 /// What the replicas have written.
 struct run_records {
     /// How often each id has run.
     std::map<std::string, unsigned> counts;
     /// All runs by their names.
     std::map<std::string, stream_run> runs;
+    /// The ends of runs by their names.
+    std::map<std::string, run_end> ends;
 };
 
 /// Reads the ledger that the replicas have written together.
--- /dev/null
+++ b/test/soak/lost_requests.cpp
@@ -0,0 +1,91 @@
+#include "test/soak/lost_requests.hpp"
+
+#include "test/soak/ledger.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace camphorpoint::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A request that is sent later after SIGTERM is never excused by its replica.
+constexpr milliseconds last_excused{3'000};
+/// A process may end so long after its grace.
+constexpr milliseconds after_grace{1'000};
+
+using runs_by_request = std::multimap<std::string, std::string>;
+
+/// The stop that a request ended with, null when there is none.
+planned_stop const* stop_of(
+    sent_request const& request, std::vector<planned_stop> const& stops,
+    milliseconds grace) {
+    auto const found =
+        std::ranges::find_if(stops, [&](planned_stop const& each) {
+            return each.node == request.node && each.begun <= request.ended &&
+                   request.ended <= each.begun + grace + after_grace;
+        });
+    return found == stops.end() ? nullptr : &*found;
+}
+
+bool in_calm(
+    sent_request const& request, std::vector<disturbance> const& disturbances) {
+    return std::ranges::none_of(disturbances, [&](disturbance const& each) {
+        return each.begun <= request.ended &&
+               each.end >= request.begun - calm_before_stop;
+    });
+}
+
+/// @returns true when the end of a request is not the node's to answer for
+bool is_excused(
+    sent_request const& request, planned_stop const& stop,
+    run_records const& records, runs_by_request const& runs,
+    milliseconds grace) {
+    auto const [first, last] = runs.equal_range(request.id);
+    return std::any_of(first, last, [&](auto const& each) {
+        auto const end = records.ends.find(each.second);
+        bool const ended = end != records.ends.end();
+        bool const busy_late =
+            !ended || end->second.at >= stop.begun + grace * 5 / 6;
+        return (ended && end->second.broke) ||
+               (busy_late && request.sent <= stop.begun + last_excused);
+    });
+}
+
+} // namespace
+
+std::vector<violation> find_lost(
+    run_records const& records, std::vector<sent_request> const& requests,
+    stop_records const& stops, milliseconds grace) {
+    runs_by_request runs;
+    for (auto const& [name, run] : records.runs) {
+        runs.emplace(run.request, name);
+    }
+    std::vector<violation> found;
+    for (sent_request const& each : requests) {
+        planned_stop const* const stop = stop_of(each, stops.stops, grace);
+        bool const in_time = each.ended < each.begun + each.patience;
+        if (each.answered || stop == nullptr || !in_time ||
+            !runs.contains(each.id) || !in_calm(each, stops.disturbances) ||
+            is_excused(each, *stop, records, runs, grace)) {
+            continue;
+        }
+        auto const after = [&](instant at) {
+            return std::chrono::duration_cast<milliseconds>(at - stop->begun)
+                .count();
+        };
+        found.push_back(
+            {"LOST",
+             fmt::format(
+                 "{} at node {}: last byte {} ms after SIGTERM, cut at "
+                 "{} ms",
+                 each.id, each.node, after(each.sent), after(each.ended))});
+    }
+    return found;
+}
+
+} // namespace camphorpoint::soak
--- /dev/null
+++ b/test/soak/lost_requests.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace camphorpoint::soak {
+
+struct run_records;
+struct violation;
+
+/// A node is in calm when nothing was disturbed for so long.
+inline constexpr std::chrono::milliseconds calm_before_stop{3'000};
+
+/// A request whose last byte was sent.
+struct sent_request {
+    std::string id;
+    /// The index of the node that it was sent to.
+    std::size_t node = 0;
+    /// When its first byte was sent.
+    instant begun;
+    /// How long its caller waits from then on.
+    std::chrono::milliseconds patience{0};
+    /// When its last byte was sent.
+    instant sent{};
+    /// When its answer was complete, or its connection ended.
+    instant ended{};
+    /// Its answer was complete.
+    bool answered = false;
+};
+
+/// A planned stop of a node.
+struct planned_stop {
+    /// The index of the node.
+    std::size_t node = 0;
+    /// When SIGTERM was sent.
+    instant begun;
+};
+
+/// A span of time in which something else than a planned stop was disturbed.
+struct disturbance {
+    instant begun;
+    instant end;
+};
+
+/// What a run did to its processes.
+struct stop_records {
+    std::vector<planned_stop> stops;
+    std::vector<disturbance> disturbances;
+};
+
+/// Finds requests that a replica ran and that ended with a planned stop of
+/// their node, in calm, without a complete answer. A request whose deadline has
+/// passed does not count, nor one that was sent soon after SIGTERM and on which
+/// the replica was still at work in the last sixth of the grace.
+/// @param grace the time that a node has for a stop
+std::vector<violation> find_lost(
+    run_records const& records, std::vector<sent_request> const& requests,
+    stop_records const& stops, std::chrono::milliseconds grace);
+
+} // namespace camphorpoint::soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -47,6 +47,12 @@
 ABSL_FLAG(unsigned, releases, 0, "share of disruptions: software versions");
 ABSL_FLAG(unsigned, herd_kills, 0, "share of disruptions: all nodes at once");
 ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
+ABSL_FLAG(unsigned, planned_stops, 0, "share of disruptions: SIGTERM, in calm");
+ABSL_FLAG(unsigned, slow_requests, 0, "percent of requests that take 2 to 6 s");
+ABSL_FLAG(unsigned, two_parts, 0, "percent of requests that come in two parts");
+ABSL_FLAG(bool, same_node, false, "callers stay with a node while it accepts");
+ABSL_FLAG(unsigned, time_out_ms, 2'500, "of routes and of their callers");
+ABSL_FLAG(unsigned, stop_limit_ms, 3'000, "of nodes");
 ABSL_FLAG(unsigned, disruption_ms, 600, "longest time between disruptions");
 
 namespace camphorpoint::soak {
@@ -122,7 +128,7 @@
         }
         ready = !active();
         // What runs after its refusal runs within the deadline.
-        co_await wait_for(milliseconds(2'500));
+        co_await wait_for(settings_.time_out);
     }
 
     bool active() const {
@@ -136,6 +142,11 @@
             find_stream_violations(
                 runs, records_.told, target_.stream_events()),
             std::back_inserter(found));
+        std::ranges::copy(
+            find_lost(
+                runs, records_.sent, disruptions_.stops(),
+                settings_.stop_limit),
+            std::back_inserter(found));
         if (played) {
             for (std::string const& each : target_.unseen_replicas()) {
                 found.push_back({"UNSEEN", each});
@@ -157,14 +168,15 @@
         fmt::print(
             "seed {}: {} requests that may run once, {} runs, {} served, {} "
             "refused, {} reset, {} streams, {} resumed, {} whole, {} "
-            "disruptions, {} violations{}\n",
+            "disruptions, {} planned stops, {} violations{}\n",
             settings_.seed, records_.once_only.size(), runs.counts.size(),
             records_.told.served, records_.told.refused.size(),
             records_.told.reset.size(), records_.told.streams.size(),
             records_.told.resumed,
             std::ranges::count(
                 records_.told.streams, true, &stream_reading::whole),
-            disruptions_.begun(), found.size(), played ? "" : ", not played");
+            disruptions_.begun(), disruptions_.stops().stops.size(),
+            found.size(), played ? "" : ", not played");
         std::fflush(stdout);
         return played && found.empty() && crashed.empty();
     }
@@ -199,6 +211,12 @@
     settings.releases = absl::GetFlag(FLAGS_releases);
     settings.herd_kills = absl::GetFlag(FLAGS_herd_kills);
     settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
+    settings.planned_stops = absl::GetFlag(FLAGS_planned_stops);
+    settings.slow_requests = absl::GetFlag(FLAGS_slow_requests);
+    settings.two_parts = absl::GetFlag(FLAGS_two_parts);
+    settings.same_node = absl::GetFlag(FLAGS_same_node);
+    settings.time_out = milliseconds(absl::GetFlag(FLAGS_time_out_ms));
+    settings.stop_limit = milliseconds(absl::GetFlag(FLAGS_stop_limit_ms));
     settings.disruption_pause =
         milliseconds(absl::GetFlag(FLAGS_disruption_ms));
     for (unsigned each = 0; each < absl::GetFlag(FLAGS_runs); ++each) {
