The soak answers without end, and watches the memory of the nodes

A faulty replica of another operator sent bytes without end, and the machine that had called it ran out of memory. Each answer is bounded here, all of them together are not, and no test ran many of them against a real node.

--- a/standins/link/faulty_link.cpp
+++ b/standins/link/faulty_link.cpp
@@ -80,8 +80,8 @@
     , random_(seed) {}
 
 std::string faulty_link::listen(
-    camphorpoint::ip_address const& at,
-    camphorpoint::ip_address const& target) {
+    camphorpoint::ip_address const& at, camphorpoint::ip_address const& target,
+    bool endless) {
     auto const acceptor = std::make_shared<tcp::acceptor>(*io_);
     boost::system::error_code error;
     acceptor->open(tcp::v4(), error);
@@ -93,24 +93,27 @@
     if (error) {
         return error.message();
     }
-    asio::co_spawn(*io_, accept_all(acceptor, target), asio::detached);
+    asio::co_spawn(*io_, accept_all(acceptor, target, endless), asio::detached);
     return {};
 }
 
 asio::awaitable<void> faulty_link::accept_all(
-    std::shared_ptr<tcp::acceptor> acceptor, camphorpoint::ip_address target) {
+    std::shared_ptr<tcp::acceptor> acceptor, camphorpoint::ip_address target,
+    bool endless) {
     while (true) {
         auto [error, socket] = co_await acceptor->async_accept(use_result);
         if (error) {
             continue;
         }
         auto const link = std::make_shared<connection>(std::move(socket));
-        asio::co_spawn(*io_, forward_requests(link, target), asio::detached);
+        asio::co_spawn(
+            *io_, forward_requests(link, target, endless), asio::detached);
     }
 }
 
 asio::awaitable<void> faulty_link::forward_requests(
-    std::shared_ptr<connection> link, camphorpoint::ip_address target) {
+    std::shared_ptr<connection> link, camphorpoint::ip_address target,
+    bool endless) {
     tcp::endpoint const remote = endpoint_of(target);
     auto const [refused] =
         co_await link->server.async_connect(remote, use_result);
@@ -134,6 +137,10 @@
             co_await asio::async_write(
                 link->client, asio::buffer(text), use_result);
         }
+        if (endless && occurs(faults_.endless)) {
+            co_await answer_without_end(link);
+            break;
+        }
         co_await delay();
         bool const cut = occurs(faults_.cut);
         if (cut && occurs(50)) {
@@ -148,6 +155,32 @@
     link->close(occurs(50));
 }
 
+asio::awaitable<void>
+faulty_link::answer_without_end(std::shared_ptr<connection> link) {
+    constexpr std::array<std::string_view, 3> lengths{
+        "", "Content-Length: 999999999999\r\n",
+        "Transfer-Encoding: chunked\r\n"};
+    std::size_t const kind = random_() % lengths.size();
+    bool const chunked = kind == 2;
+    // A slow one takes a second to fill what a node keeps of one answer.
+    bool const slow = random_() % 2 == 0;
+    std::string text = fmt::format(
+        "HTTP/1.1 200 OK\r\nX-Response-Signature: endless\r\n{}\r\n",
+        lengths.at(kind));
+    std::string const bytes(piece_bytes, 'e');
+    bool failed = false;
+    while (!failed) {
+        auto const [error, size] = co_await asio::async_write(
+            link->client, asio::buffer(text), use_result);
+        failed = error.failed();
+        if (slow) {
+            co_await wait_for(std::chrono::milliseconds(1));
+        }
+        text = chunked ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes)
+                       : bytes;
+    }
+}
+
 asio::awaitable<void>
 faulty_link::forward_answers(std::shared_ptr<connection> link) {
     std::array<char, piece_bytes> bytes{};
--- a/standins/link/faulty_link.hpp
+++ b/standins/link/faulty_link.hpp
@@ -31,6 +31,10 @@
     unsigned copy = 0;
     /// An answer ends in the middle of a piece, and the connection with it.
     unsigned broken = 0;
+    /// The request is not passed on: what answers it has no end. It names no
+    /// length, or a huge one, or is chunked, and comes at once or at 16 MB
+    /// a second at most.
+    unsigned endless = 0;
 };
 
 /// Forwards TCP connections and disturbs them.
@@ -41,10 +45,11 @@
         boost::asio::io_context& io, link_faults faults, std::uint64_t seed);
 
     /// Forwards what connects to an address.
+    /// @param endless whether answers without end occur there
     /// @returns why it can't listen; empty when it does
     std::string listen(
         camphorpoint::ip_address const& at,
-        camphorpoint::ip_address const& target);
+        camphorpoint::ip_address const& target, bool endless);
 
 private:
     using socket_type = boost::asio::ip::tcp::socket;
@@ -52,9 +57,13 @@
 
     boost::asio::awaitable<void> accept_all(
         std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
-        camphorpoint::ip_address target);
+        camphorpoint::ip_address target, bool endless);
     boost::asio::awaitable<void> forward_requests(
-        std::shared_ptr<connection> link, camphorpoint::ip_address target);
+        std::shared_ptr<connection> link, camphorpoint::ip_address target,
+        bool endless);
+    /// Answers until the client closes.
+    boost::asio::awaitable<void>
+    answer_without_end(std::shared_ptr<connection> link);
     boost::asio::awaitable<void>
     forward_answers(std::shared_ptr<connection> link);
     void
--- a/standins/link/main.cpp
+++ b/standins/link/main.cpp
@@ -21,6 +21,8 @@
 ABSL_FLAG(unsigned, delay_percent, 0, "pieces that are held back");
 ABSL_FLAG(unsigned, copy_percent, 0, "short answers that arrive twice");
 ABSL_FLAG(unsigned, broken_percent, 0, "pieces of answers that break off");
+ABSL_FLAG(unsigned, endless_percent, 0, "requests answered without end");
+ABSL_FLAG(unsigned, endless_ways, 0, "first ways where that occurs");
 
 int main(int argc, char** argv) {
     absl::SetProgramUsageMessage(
@@ -33,12 +35,16 @@
     faults.delay = absl::GetFlag(FLAGS_delay_percent);
     faults.copy = absl::GetFlag(FLAGS_copy_percent);
     faults.broken = absl::GetFlag(FLAGS_broken_percent);
+    faults.endless = absl::GetFlag(FLAGS_endless_percent);
+    unsigned endless_ways = absl::GetFlag(FLAGS_endless_ways);
     standins::faulty_link link(io, faults, absl::GetFlag(FLAGS_seed));
     for (std::string const& each : absl::GetFlag(FLAGS_ways)) {
         std::size_t const equals = each.find('=');
         std::string const problem = link.listen(
             camphorpoint::parse_address(each.substr(0, equals)),
-            camphorpoint::parse_address(each.substr(equals + 1)));
+            camphorpoint::parse_address(each.substr(equals + 1)),
+            endless_ways > 0);
+        endless_ways -= endless_ways > 0 ? 1 : 0;
         if (!problem.empty()) {
             fmt::print(stderr, "cannot listen on {}: {}\n", each, problem);
             return 1;
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -214,6 +214,8 @@
          fmt::format("--seed={}", settings_.seed * 1'000 + number),
          fmt::format("--copy_percent={}", settings_.copies),
          fmt::format("--broken_percent={}", settings_.broken_answers),
+         fmt::format("--endless_percent={}", settings_.endless_answers),
+         fmt::format("--endless_ways={}", settings_.endless_replicas),
          fmt::format("--stray_percent={}", settings_.link_faults),
          fmt::format("--cut_percent={}", settings_.link_faults / 2),
          fmt::format("--delay_percent={}", settings_.link_faults)});
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -34,6 +34,10 @@
     unsigned copies = 0;
     /// How many of a hundred pieces of answers break off, with the connection.
     unsigned broken_answers = 0;
+    /// How many of a hundred requests get an answer without end at some of the
+    /// replicas of the plain service.
+    unsigned endless_answers = 0;
+    unsigned endless_replicas = 1;
     /// How many of a hundred operations send two requests at once on one
     /// connection.
     unsigned pipelined = 0;
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -31,9 +31,9 @@
 
 /// One broken promise.
 struct violation {
-    /// REFUSED, TWICE, RESET, MIXED, ORDER or LOST.
+    /// REFUSED, TWICE, RESET, MIXED, ORDER, LOST or MEMORY.
     std::string rule;
-    /// The id of a request, and what is wrong with a stream.
+    /// The id of a request or a node, and what is wrong.
     std::string what;
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "common/standin_main.hpp"
 #include "test/soak/caller.hpp"
 #include "test/soak/disruptions.hpp"
+#include "test/soak/memory_watch.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -35,6 +36,8 @@
 ABSL_FLAG(unsigned, refusals, 0, "percent of requests that replicas refuse");
 ABSL_FLAG(unsigned, copies, 0, "percent of short answers that arrive twice");
 ABSL_FLAG(unsigned, broken_answers, 0, "percent of pieces of answers");
+ABSL_FLAG(unsigned, endless_answers, 0, "percent of requests to some replicas");
+ABSL_FLAG(unsigned, endless_replicas, 1, "plain replicas that send them");
 ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
 ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
 ABSL_FLAG(
@@ -120,6 +123,7 @@
         }
         asio::co_spawn(
             io_, disruptions_.run(records_.stopping), asio::detached);
+        asio::co_spawn(io_, memory_.run(), asio::detached);
         co_await wait_for(seconds(settings_.seconds));
         records_.stopping = true;
         instant const until = boot_clock::now() + seconds(20);
@@ -147,6 +151,7 @@
                 runs, records_.sent, disruptions_.stops(),
                 settings_.stop_limit),
             std::back_inserter(found));
+        std::ranges::copy(memory_.excesses(), std::back_inserter(found));
         if (played) {
             for (std::string const& each : target_.unseen_replicas()) {
                 found.push_back({"UNSEEN", each});
@@ -168,7 +173,7 @@
         fmt::print(
             "seed {}: {} requests that may run once, {} runs, {} served, {} "
             "refused, {} reset, {} streams, {} resumed, {} whole, {} "
-            "disruptions, {} planned stops, {} violations{}\n",
+            "disruptions, {} planned stops, {} MB at most, {} violations{}\n",
             settings_.seed, records_.once_only.size(), runs.counts.size(),
             records_.told.served, records_.told.refused.size(),
             records_.told.reset.size(), records_.told.streams.size(),
@@ -176,7 +181,7 @@
             std::ranges::count(
                 records_.told.streams, true, &stream_reading::whole),
             disruptions_.begun(), disruptions_.stops().stops.size(),
-            found.size(), played ? "" : ", not played");
+            memory_.peak_mb(), found.size(), played ? "" : ", not played");
         std::fflush(stdout);
         return played && found.empty() && crashed.empty();
     }
@@ -187,6 +192,7 @@
     caller_records records_;
     std::deque<caller> callers_;
     disruptions disruptions_;
+    memory_watch memory_{target_};
 };
 
 bool play_all() {
@@ -202,6 +208,8 @@
     settings.refusals = absl::GetFlag(FLAGS_refusals);
     settings.copies = absl::GetFlag(FLAGS_copies);
     settings.broken_answers = absl::GetFlag(FLAGS_broken_answers);
+    settings.endless_answers = absl::GetFlag(FLAGS_endless_answers);
+    settings.endless_replicas = absl::GetFlag(FLAGS_endless_replicas);
     settings.pipelined = absl::GetFlag(FLAGS_pipelined);
     settings.streams = absl::GetFlag(FLAGS_streams);
     settings.long_patience = absl::GetFlag(FLAGS_long_patience);
