--- a/test/soak/memory_watch.cpp
+++ b/test/soak/memory_watch.cpp
@@ -34,9 +34,10 @@
 
 boost::asio::awaitable<void> memory_watch::run() {
     constexpr std::chrono::milliseconds step{100};
+    auto const peaks = peaks_kb_;
     while (true) {
         for (node_processes const& each : target_->nodes) {
-            std::uint64_t& peak_kb = peaks_kb_[each.node->name()];
+            std::uint64_t& peak_kb = (*peaks)[each.node->name()];
             peak_kb = std::max(peak_kb, peak_of(each.node->id()));
         }
         co_await standins::wait_for(step);
@@ -45,7 +46,7 @@
 
 std::vector<violation> memory_watch::excesses() const {
     std::vector<violation> found;
-    for (auto const& [name, peak_kb] : peaks_kb_) {
+    for (auto const& [name, peak_kb] : *peaks_kb_) {
         if (peak_kb >= machine_mb * kb_in_mb) {
             found.push_back(
                 {"MEMORY", fmt::format("{}: {} MB", name, peak_kb / kb_in_mb)});
@@ -56,7 +57,7 @@
 
 std::uint64_t memory_watch::peak_mb() const {
     std::uint64_t most_kb = 0;
-    for (auto const& [name, peak_kb] : peaks_kb_) {
+    for (auto const& [name, peak_kb] : *peaks_kb_) {
         most_kb = std::max(most_kb, peak_kb);
     }
     return most_kb / kb_in_mb;
--- a/test/soak/memory_watch.hpp
+++ b/test/soak/memory_watch.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,8 @@
 private:
     deployment const* target_;
     /// By the nodes' names, in kilobytes, over all of their processes.
-    std::map<std::string, std::uint64_t> peaks_kb_;
+    std::shared_ptr<std::map<std::string, std::uint64_t>> peaks_kb_ =
+        std::make_shared<std::map<std::string, std::uint64_t>>();
 };
 
 } // namespace camphorpoint::soak
