--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -332,6 +332,9 @@
 }
 
 caller::fate caller::note(fate what, std::string const& id) {
+    if (what == fate::refused || what == fate::reset) {
+        records_->last_promise = boot_clock::now();
+    }
     if (what == fate::refused) {
         records_->told.refused.insert(id);
     } else if (what == fate::reset) {
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -26,6 +26,8 @@
     std::set<std::string> once_only;
     /// Requests that were sent whole, and their ends.
     std::vector<sent_request> sent;
+    /// When a caller was last told that its request has not run.
+    instant last_promise{};
     /// Set when no further requests are to be sent.
     bool stopping = false;
     unsigned callers = 0;
