Answers: what all bodies hold together is counted and shown

A replica that answers each request with a body without end fills a node's memory: each body is bounded at 16 MB, all together are not, and nothing showed how much a node holds for answers, or for whom.

Gauges answer_bytes, answer_bytes_peak, answers_yielded; event answer-yielded.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -122,6 +122,14 @@
         [this](connection_end_report const& end) { caller_ends_.add(end); });
     relay_server_.observe_ends(
         [this](connection_end_report const& end) { relay_ends_.add(end); });
+    state_.answers->observe_yields([this](answer_yield const& yielded) {
+        state_.log_event(
+            log_line(event_code::answer_yielded, log_level::warning)
+                .with("server", yielded.server)
+                .with("bytes", yielded.bytes)
+                .with("of_server", yielded.of_server)
+                .with("in_all", yielded.in_all));
+    });
     store_.on_era([this](store_epoch epoch) {
         monitor_.observe_epoch(epoch, epoch_from_answer);
     });
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -89,6 +89,13 @@
         "replicas_unreachable", state_.reachability.partitioned() ? 1 : 0);
     state_.metrics.set_gauge(
         "store_calls", static_cast<double>(store_.calls()));
+    answer_budget const& answers = *state_.answers;
+    state_.metrics.set_gauge(
+        "answer_bytes", static_cast<double>(answers.held()));
+    state_.metrics.set_gauge(
+        "answer_bytes_peak", static_cast<double>(answers.peak()));
+    state_.metrics.set_gauge(
+        "answers_yielded", static_cast<double>(answers.yields()));
     http_response answer;
     answer.fields.add("Content-Type", "text/plain");
     answer.body = state_.metrics.to_text();
--- a/src/Gateway/gateway_state.cpp
+++ b/src/Gateway/gateway_state.cpp
@@ -34,7 +34,7 @@
     , random(std::random_device()())
     , waiters(loop.get_executor())
     , resends(settings.resends)
-    , replica_connections(connection_limits)
+    , replica_connections(connection_limits, answers)
     , leases(settings.leases) {}
 
 service_versions
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -14,6 +14,7 @@
 #include "Gateway/gateway_metrics.hpp"
 #include "Gateway/gateway_settings.hpp"
 #include "Gateway/waiter_list.hpp"
+#include "Limits/answer_budget.hpp"
 #include "Ports/http_pool.hpp"
 #include "ReplicaControl/partition_leases.hpp"
 #include "Routing/declared_versions.hpp"
@@ -28,6 +29,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -100,9 +102,11 @@
     resend_budget resends;
     request_quarantine quarantine;
     quarantine_sync quarantine_sync_state;
+    /// Bounds the bodies of the answers of replicas and other nodes.
+    std::shared_ptr<answer_budget> answers = std::make_shared<answer_budget>();
     http_pool replica_connections;
     /// Connections over which requests are relayed to other nodes.
-    http_pool peer_connections;
+    http_pool peer_connections{http_pool_limits(), answers};
     replica_reachability reachability;
     partition_leases leases;
     /// Peer addresses of the known nodes, with the time of the last message
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -209,11 +209,15 @@
     http_response answer;
     answer.status = status;
     answer.fields = platform::pass_fields(call->fields());
-    bool const whole = co_await read_body(*call, answer.body);
+    kept_body body;
+    body_terms const terms;
+    bool const whole = co_await read_body(*call, body, terms);
     if (!whole) {
         attempt->trace.body = "cut";
         co_return attempt_outcome::silent;
     }
+    answer.body = std::move(body.text);
+    answer.memory = std::move(body.memory);
     note_completed(*attempt);
     attempt->timing.add(1, boot_clock::now());
     constexpr int first_failure = 500;
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -502,6 +502,26 @@
     state_->reject();
 }
 
+answer_budget* http_call::budget() const noexcept {
+    return state_->pool_ == nullptr ? nullptr : &state_->pool_->answers();
+}
+
+asio::any_io_executor const& http_call::executor() const noexcept {
+    return state_->executor_;
+}
+
+std::string http_call::server() const {
+    return fmt::format("{}:{}", state_->to_.host, state_->to_.port);
+}
+
+instant http_call::close_at() const noexcept {
+    return state_->times_.close_at;
+}
+
+void http_call::limit_silence(std::chrono::milliseconds longest) {
+    state_->times_.each_step = longest;
+}
+
 void http_call::cancel() {
     state_->cancelled_ = true;
     state_->close();
@@ -557,46 +577,4 @@
     return times;
 }
 
-asio::awaitable<bool>
-read_body(http_call& call, std::string& body, std::size_t largest) {
-    while (auto const piece = co_await call.next_piece()) {
-        if (piece->empty()) {
-            co_return true;
-        }
-        body += *piece;
-        if (body.size() > largest) {
-            call.reject();
-            break;
-        }
-    }
-    co_return false;
-}
-
-asio::awaitable<fetch_result> fetch(
-    http_call& call, ip_address to, http_request request, call_times times,
-    std::size_t largest) {
-    fetch_result result;
-    result.how = co_await call.open(std::move(to), std::move(request), times);
-    if (result.how != call_result::answered) {
-        co_return result;
-    }
-    result.how = call_result::lost;
-    result.response.status = call.status();
-    result.response.fields = call.fields();
-    bool const whole = co_await read_body(call, result.response.body, largest);
-    if (whole) {
-        result.how = call_result::answered;
-    }
-    co_return result;
-}
-
-asio::awaitable<fetch_result> fetch(
-    asio::any_io_executor executor, ip_address to, http_request request,
-    std::chrono::milliseconds timeout) {
-    http_call call(std::move(executor));
-    call_times times = short_call_times(timeout);
-    times.close_at += longest_answer;
-    co_return co_await fetch(call, std::move(to), std::move(request), times);
-}
-
 } // namespace camphorpoint
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -109,6 +110,15 @@
     /// can be used again. Closes the connection when the rest is longer, or
     /// takes longer, than a new connection is worth.
     boost::asio::awaitable<void> skip_rest();
+    /// Bounds the wait for each piece from here on.
+    void limit_silence(std::chrono::milliseconds longest);
+    /// @returns what the answer's body counts against; null without a pool
+    answer_budget* budget() const noexcept;
+    boost::asio::any_io_executor const& executor() const noexcept;
+    /// @returns the server's address, after open
+    std::string server() const;
+    /// @returns when the call is closed, after open
+    instant close_at() const noexcept;
     /// Closes the connection, since what came is no answer.
     void reject();
     /// Closes the connection; a read in progress ends as cut.
@@ -186,13 +196,29 @@
 /// @param step for the connection, the request, the header, and each piece
 call_times short_call_times(std::chrono::milliseconds step);
 
-/// Reads the body of an answer whose header was read.
-/// @param body    receives what has come, also of a body that is cut; must
-///                outlive the reading
-/// @param largest in bytes; a longer body is rejected
+/// A body that was read.
+struct kept_body {
+    std::string text;
+    /// Counts the text against its budget; see http_response.
+    std::shared_ptr<void const> memory = nullptr;
+};
+
+/// How a body is read.
+struct body_terms {
+    /// In bytes; a longer body is rejected.
+    std::size_t largest = largest_answer;
+    /// Called with the size of each piece, unless empty.
+    std::function<void(std::size_t)> progress = {};
+};
+
+/// Reads the body of an answer whose header was read. Where the budget of the
+/// call's pool is used up, the rest stays unread until memory is released, or
+/// the call is rejected as one that yields.
+/// @param body  empty unless it came whole; must outlive the reading
+/// @param terms must outlive the reading
 /// @returns true when the body came whole
-boost::asio::awaitable<bool> read_body(
-    http_call& call, std::string& body, std::size_t largest = largest_answer);
+boost::asio::awaitable<bool>
+read_body(http_call& call, kept_body& body, body_terms const& terms);
 
 /// Makes a whole call.
 /// @param executor where it runs
--- a/src/Ports/http_message.hpp
+++ b/src/Ports/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,9 @@
     int status = 200;
     http_fields fields;
     std::string body;
+    /// Counts the body against a budget for as long as the answer exists; null
+    /// for an answer that counts against none.
+    std::shared_ptr<void const> memory = nullptr;
 };
 
 /// @returns the part of the target before the question mark
--- a/src/Ports/http_pool.cpp
+++ b/src/Ports/http_pool.cpp
@@ -39,8 +39,10 @@
 
 } // namespace internal
 
-http_pool::http_pool(http_pool_limits limits)
-    : limits_(limits) {}
+http_pool::http_pool(
+    http_pool_limits limits, std::shared_ptr<answer_budget> answers)
+    : limits_(limits)
+    , answers_(std::move(answers)) {}
 
 http_pool::~http_pool() = default;
 
--- a/src/Ports/http_pool.hpp
+++ b/src/Ports/http_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/time.hpp"
+#include "Limits/answer_budget.hpp"
 #include "Settings/node_settings.hpp"
 
 #include <chrono>
@@ -24,12 +25,16 @@
     std::chrono::milliseconds idle_time{4'000};
 };
 
-/// Keeps idle connections for reuse, the newest in use first.
+/// Keeps idle connections for reuse, the newest in use first, and the budget of
+/// the answers that its calls read.
 class http_pool {
 public:
     using connection_ptr = std::unique_ptr<internal::http_connection>;
 
-    explicit http_pool(http_pool_limits limits = {});
+    /// @param answers bounds the bodies of its calls' answers; not null
+    explicit http_pool(
+        http_pool_limits limits = {}, std::shared_ptr<answer_budget> answers =
+                                          std::make_shared<answer_budget>());
     ~http_pool();
     http_pool(http_pool const&) = delete;
     http_pool& operator=(http_pool const&) = delete;
@@ -57,6 +62,8 @@
     void drop(ip_address const& to);
     /// @returns how many connections are idle
     std::size_t idle() const noexcept { return count_; }
+    /// @returns what bounds the bodies of its calls' answers
+    answer_budget& answers() const noexcept { return *answers_; }
 
 private:
     struct kept {
@@ -70,6 +77,7 @@
     void drop_oldest();
 
     http_pool_limits limits_;
+    std::shared_ptr<answer_budget> answers_;
     std::map<ip_address, kept_list> idle_;
     std::size_t count_ = 0;
 };
--- a/src/Ports/service_http.cpp
+++ b/src/Ports/service_http.cpp
@@ -65,13 +65,14 @@
         co_await call.skip_rest();
         co_return end;
     }
-    std::string body;
-    bool const whole = co_await read_body(call, body);
+    kept_body body;
+    body_terms const terms;
+    bool const whole = co_await read_body(call, body, terms);
     if (!whole) {
         end.how = end_of_loss(call, request.deadline);
         co_return end;
     }
-    auto const answer = parse_json_object(body);
+    auto const answer = parse_json_object(body.text);
     // A late answer to an earlier call on the same connection bears that call's
     // id; it is dropped.
     if (!answer || json_text(*answer, "id") != request.id.str()) {
@@ -79,7 +80,8 @@
         co_return end;
     }
     end.how = attempt_result::completed;
-    end.answer = std::move(body);
+    end.answer = std::move(body.text);
+    end.memory = std::move(body.memory);
     co_return end;
 }
 
--- a/src/Ports/service_http.hpp
+++ b/src/Ports/service_http.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <memory>
 #include <string>
 
 namespace camphorpoint {
@@ -30,6 +31,8 @@
     attempt_result how = attempt_result::not_sent;
     /// The whole answer; empty unless completed.
     std::string answer;
+    /// Counts the answer against its budget; see http_response.
+    std::shared_ptr<void const> memory = nullptr;
     int status = 0;
     /// What the service's answer says of its next requests.
     endpoint_notice notice{};
--- a/src/Telemetry/event_names.cpp
+++ b/src/Telemetry/event_names.cpp
@@ -106,6 +106,7 @@
         event_code::brittle_replica_rejected, "brittle-replica-rejected"},
     event_name{event_code::replica_avoided, "replica-avoided"},
     event_name{event_code::replica_readmitted, "replica-readmitted"},
+    event_name{event_code::answer_yielded, "answer-yielded"},
     event_name{event_code::lines_left_out, "lines-left-out"},
 };
 
--- a/src/Telemetry/log_event.hpp
+++ b/src/Telemetry/log_event.hpp
@@ -109,6 +109,7 @@
     brittle_replica_rejected = 949,
     replica_avoided = 950,
     replica_readmitted = 951,
+    answer_yielded = 952,
     lines_left_out = 991
 };
 
