The log says when a request was read in a planned stop

Of a request that ends in a planned stop, request-ended (915) did not tell whether it was read before SIGTERM, while the node still accepts callers, or later: only requests of the last kind may neither be passed on nor be cut. It has `stop_ms` now, the time from the beginning of the stop until the request was read. The flag of the stop became shutdown_schedule, which knows that time.

No decision changes.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -203,7 +203,7 @@
 }
 
 bool gateway::ready() {
-    return state_.may_serve(boot_clock::now()) && !state_.stopping &&
+    return state_.may_serve(boot_clock::now()) && !state_.shutdown.begun() &&
            !state_.replicas.all().empty() &&
            software_persistence_.settled(boot_clock::now());
 }
@@ -259,10 +259,10 @@
 }
 
 void gateway::drain(std::function<void()> stopped) {
-    if (state_.stopping) {
+    if (state_.shutdown.begun()) {
         return;
     }
-    state_.stopping = true;
+    state_.shutdown.begin(boot_clock::now());
     state_.log_event(log_line(event_code::gateway_stopping)
                          .with("running", state_.live_requests));
     controller_.stop();
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 #include "Delivery/quarantine_sync.hpp"
 #include "Delivery/request_quarantine.hpp"
 #include "Delivery/resend_budget.hpp"
+#include "Delivery/shutdown_schedule.hpp"
 #include "Fleet/adapter_demand.hpp"
 #include "Fleet/fleet.hpp"
 #include "Fleet/registry_outage_tracker.hpp"
@@ -82,7 +83,7 @@
     /// Empty when callers need no API keys.
     team_table teams;
     bool configured = false;
-    bool stopping = false;
+    shutdown_schedule shutdown;
     declared_versions versions;
     startup_gate startup;
     /// Position up to which this node has read the operator's declarations.
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -248,17 +248,21 @@
     duration const first = first_sent_at_ == instant{}
                                ? duration::zero()
                                : first_sent_at_ - arrived_at_;
-    state_->log_event(log_line(event_code::request_ended)
-                          .with("id", demand_.id.str())
-                          .with("first_ms", first)
-                          .with("pause_ms", longest_pause_)
-                          .with("route", route_ ? route_->name : "")
-                          .with("reason", reason)
-                          .with("status", status_)
-                          .with("whole", static_cast<int>(response_complete_))
-                          .with("may_run", static_cast<int>(tracker_.may_run()))
-                          .with("sends", tracker_.sends())
-                          .with("took_ms", boot_clock::now() - arrived_at_));
+    log_line line(event_code::request_ended);
+    line.with("id", demand_.id.str())
+        .with("first_ms", first)
+        .with("pause_ms", longest_pause_)
+        .with("route", route_ ? route_->name : "")
+        .with("reason", reason)
+        .with("status", status_)
+        .with("whole", static_cast<int>(response_complete_))
+        .with("may_run", static_cast<int>(tracker_.may_run()))
+        .with("sends", tracker_.sends())
+        .with("took_ms", boot_clock::now() - arrived_at_);
+    if (state_->shutdown.begun()) {
+        line.with("stop_ms", arrived_at_ - state_->shutdown.began_at());
+    }
+    state_->log_event(line);
 }
 
 asio::awaitable<void> request_handler::finish(std::string_view why) {
