A resumed stream's line tells how old the view of the replicas was

Without it, the log does not show whether a stream went on by a view that was current or by one of seconds ago, which the hypotheses about streams of two software versions differ in. view_ms is the time since the node last heard of the registry, by an answer of the store or an update of a peer.

--- a/src/Fleet/software_history.cpp
+++ b/src/Fleet/software_history.cpp
@@ -34,6 +34,11 @@
     return is_current(now) ? now - observed_since_ : duration::zero();
 }
 
+std::optional<duration> software_history::view_age(instant now) const {
+    return observed_since_ == instant::max() ? std::nullopt
+                                             : std::optional(now - current_at_);
+}
+
 service_versions software_history::versions(
     service_id const& service, duration memory, instant now) {
     if (!is_current(now)) {
--- a/src/Fleet/software_history.hpp
+++ b/src/Fleet/software_history.hpp
@@ -42,6 +42,9 @@
     /// @returns for how long this node has observed the replicas without a
     ///          pause
     duration observed_for(instant now) const;
+    /// @returns how long ago the view of the replicas was last current; nothing
+    ///          when it never was
+    std::optional<duration> view_age(instant now) const;
 
 private:
     struct cached_result {
--- a/src/Gateway/request_handler_streams.cpp
+++ b/src/Gateway/request_handler_streams.cpp
@@ -21,21 +21,25 @@
         co_return need_.software.has_value();
     }
     instant const began = boot_clock::now();
+    auto const view_age = state_->software.view_age(began);
     stream_resumption const found = co_await messenger_->find_stream_origin(
         stream_, service_id(need_.service));
     need_.software = found.choice.software;
     bool const known = need_.software.has_value();
     state_->metrics.count_resumption(known ? "known" : "unknown");
-    state_->log_event(
-        log_line(event_code::stream_resumed)
-            .with("id", demand_.id.str())
-            .with("resumes", demand_.resumes.str())
-            .with("known", known ? 1 : 0)
-            .with("by", name_of(found.choice.source))
-            .with("observed_ms", state_->software.observed_for(began))
-            .with("asked", found.asked)
-            .with("answered", found.answered)
-            .with("waited_ms", boot_clock::now() - began));
+    log_line line(event_code::stream_resumed);
+    line.with("id", demand_.id.str())
+        .with("resumes", demand_.resumes.str())
+        .with("known", known ? 1 : 0)
+        .with("by", name_of(found.choice.source))
+        .with("observed_ms", state_->software.observed_for(began));
+    if (view_age) {
+        line.with("view_ms", *view_age);
+    }
+    line.with("asked", found.asked)
+        .with("answered", found.answered)
+        .with("waited_ms", boot_clock::now() - began);
+    state_->log_event(line);
     if (!known) {
         reason_ = "stream-unknown";
         refusal_retry_after_ = duration::zero();
