The soak hides a release from one node, and finds streams of two versions

In the soak's releases every node saw the new version, or all nodes were killed.

--out_of_step waits until one version has been alone for the lifetime of streams (--stream_lifetime_ms). Then a node gets SIGSTOP for 1.5 to 3 s, junk fills the buffer of its peer address so that the datagrams of that time are lost, its link to the store stands still, and half of the replicas of the model service change to the other version. The other nodes are killed as it goes on, and start again 1 to 2 s later, when its link to the store goes on too. Such nodes reach the store over a link of their own; runs without the flag are as they were. The check is ORDER.

--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned store_port = 7'000;
 /// A node's view of the store, and its own addresses.
 constexpr unsigned first_view = 7'010;
+/// The link of a node to its view.
+constexpr unsigned first_store_link = 7'100;
 constexpr unsigned first_node = 8'000;
 constexpr unsigned ports_of_node = 10;
 constexpr unsigned first_replica = 10'000;
@@ -182,19 +184,22 @@
 void deployment::add_node(unsigned number) {
     unsigned const base = first_node + number * ports_of_node;
     std::string const file = fmt::format("{}/n{}.toml", settings_.work, number);
+    unsigned const store_port_of_node =
+        (settings_.out_of_step > 0 ? first_store_link : first_view) + number;
     write_file(
-        file,
-        fmt::format(
-            "[gateway]\nname = \"n{0}\"\nfailure_domain = \"z\"\n"
-            "caller_address = \"{1}\"\nreadiness_address = \"{2}\"\n"
-            "peer_address = \"{3}\"\nmetrics_address = \"{4}\"\n"
-            "stop_limit = \"{6}ms\"\n[store]\naddress = \"{5}\"\n"
-            "replica_heartbeat = \"500ms\"\n[second_sends]\n"
-            "ratio = \"1\"\nslack = \"100\"\nwindow = \"10s\"\n"
-            "[leases]\nlease = \"2s\"\n",
-            number, text_of(at(base)), text_of(at(base + 1)),
-            text_of(at(base + 2)), text_of(at(base + 3)),
-            text_of(at(first_view + number)), settings_.stop_limit.count()));
+        file, fmt::format(
+                  "[gateway]\nname = \"n{0}\"\nfailure_domain = \"z\"\n"
+                  "caller_address = \"{1}\"\nreadiness_address = \"{2}\"\n"
+                  "peer_address = \"{3}\"\nmetrics_address = \"{4}\"\n"
+                  "stop_limit = \"{6}ms\"\nstream_lifetime = \"{7}ms\"\n"
+                  "[store]\naddress = \"{5}\"\n"
+                  "replica_heartbeat = \"500ms\"\n[second_sends]\n"
+                  "ratio = \"1\"\nslack = \"100\"\nwindow = \"10s\"\n"
+                  "[leases]\nlease = \"2s\"\n",
+                  number, text_of(at(base)), text_of(at(base + 1)),
+                  text_of(at(base + 2)), text_of(at(base + 3)),
+                  text_of(at(store_port_of_node)), settings_.stop_limit.count(),
+                  settings_.stream_lifetime.count()));
     std::vector<std::string> ways;
     for (unsigned each = 0; each < total_replicas(settings_); ++each) {
         unsigned const port = first_replica + each;
@@ -205,6 +210,13 @@
     node_processes made;
     made.callers = at(base);
     made.readiness = at(base + 1);
+    made.peers = at(base + 2);
+    made.store_link = process(
+        fmt::format("store-link-{}", number),
+        {"standin-link",
+         fmt::format(
+             "--ways={}={}", text_of(at(first_store_link + number)),
+             text_of(at(first_view + number)))});
     made.node = process(
         fmt::format("node-{}", number),
         {"camphorpoint", "serve", "--settings=" + file});
@@ -229,6 +241,9 @@
     }
     for (node_processes& each : nodes) {
         each.link->start();
+        if (settings_.out_of_step > 0) {
+            each.store_link->start();
+        }
         each.node->start();
     }
 }
@@ -237,6 +252,7 @@
     for (node_processes& each : nodes) {
         each.node->end();
         each.link->end();
+        each.store_link->end();
     }
     for (replica_processes const& each : replicas) {
         each.process->end();
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -59,6 +59,10 @@
     unsigned odd_entries = 0;
     /// Share of disruptions: SIGTERM to one node, one at a time.
     unsigned planned_stops = 0;
+    /// Share of disruptions: a release that one node does not see.
+    unsigned out_of_step = 0;
+    /// Of the nodes.
+    std::chrono::milliseconds stream_lifetime{60'000};
     /// How many of a hundred requests without a model take 2 to 6 s.
     unsigned slow_requests = 0;
     /// How many of a hundred requests arrive in two parts.
@@ -81,8 +85,11 @@
 struct node_processes {
     ip_address callers;
     ip_address readiness;
+    ip_address peers;
     std::unique_ptr<child_process> node;
     std::unique_ptr<child_process> link;
+    /// Carries its connections to the store.
+    std::unique_ptr<child_process> store_link;
 };
 
 /// A replica: its address stays, its process and its id do not.
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -95,7 +95,7 @@
 
 unsigned disruptions::shares_of_others() const noexcept {
     return settings_.process_faults + settings_.renewals + settings_.releases +
-           settings_.herd_kills + settings_.odd_entries;
+           settings_.herd_kills + settings_.odd_entries + settings_.out_of_step;
 }
 
 asio::awaitable<void> disruptions::begin_one() {
@@ -129,6 +129,8 @@
         co_await release();
     } else if (is(settings_.herd_kills)) {
         co_await kill_all_nodes();
+    } else if (is(settings_.out_of_step)) {
+        co_await release_unseen();
     } else {
         co_await add_odd_entry();
     }
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -62,6 +62,15 @@
     /// meanwhile, or soon after.
     boost::asio::awaitable<void> release();
     boost::asio::awaitable<void> kill_all_nodes();
+    /// Replaces half of the replicas of the model service with those of another
+    /// software version while one node stands still, reaches no store and loses
+    /// its datagrams; the other nodes are killed before it goes on. Begins when
+    /// one version has been alone for the lifetime of streams.
+    boost::asio::awaitable<void> release_unseen();
+    /// Replaces the replicas of the model service that have this version, a
+    /// number of them at most.
+    void replace(
+        std::string const& former, std::string const& later, std::size_t most);
     /// Adds an entry to the registry that is no replica's.
     boost::asio::awaitable<void> add_odd_entry();
     /// Adds a record to a keyed topic of the store.
