A stopping node passes on nothing late and ends requests with an answer

Callers saw connections that ended without an answer at the end of a planned stop in calm, among them of requests that may run once (LOST).

Cause: after stop_accepts the node still read requests on connections that were accepted before (a request in two parts, the first of its connection) and passed them on whatever time they might take; at stop_limit they were cut.

Fix: from stop_accepts on a request of which no replica has anything is refused as not run unless its deadline comes before the end of the stop; checked after each wait and before each send. Waits end at that moment; a relayed request is declined. At the end each request in progress is ended with 502, or 503 when it has not run; a relayed one that may run ends bare, so that its node may resend it. stop_accepts no longer outlasts stop_limit. The count of requests is shared with the handlers, which the event loop may destroy after the gateway.

--- a/src/Delivery/shutdown_schedule.hpp
+++ b/src/Delivery/shutdown_schedule.hpp
@@ -2,24 +2,45 @@
 
 #include "Core/time.hpp"
 
+#include <algorithm>
+
 namespace camphorpoint {
 
-/// The course of a node's shutdown.
+/// Decides which requests a node may still send to a replica while it shuts
+/// down. Guards against a request that is sent late in the shutdown and cut at
+/// its end, although nothing had been sent and another node could have taken
+/// it.
 class shutdown_schedule {
 public:
     /// Begins the shutdown.
-    void begin(instant now) {
+    /// @param accepts for how long requests may be sent although they may take
+    ///                longer than the shutdown
+    /// @param lasts   when requests in progress are ended, from now
+    void begin(instant now, duration accepts, duration lasts) {
         begun_ = true;
         began_at_ = now;
+        ends_at_ = now + std::max(lasts, duration::zero());
+        accepts_until_ = std::min(now + accepts, ends_at_);
     }
     /// @returns true when the shutdown has begun
     bool begun() const noexcept { return begun_; }
     /// @returns when the shutdown began
     instant began_at() const noexcept { return began_at_; }
+    /// @returns until when requests may be sent that may outlast the shutdown
+    instant accepts_until() const noexcept { return accepts_until_; }
+    /// @returns when requests in progress are ended
+    instant ends_at() const noexcept { return ends_at_; }
+    /// @param deadline when the request ends at the latest
+    /// @returns true when a request of which nothing has been sent may be sent
+    bool may_send(instant deadline, instant now) const noexcept {
+        return !begun_ || now < accepts_until_ || deadline <= ends_at_;
+    }
 
 private:
     bool begun_ = false;
     instant began_at_{};
+    instant accepts_until_{};
+    instant ends_at_{};
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -45,7 +45,9 @@
     /// The replica is silent for longer than usual. The attempt goes on.
     stalled,
     /// Another attempt of the same request went on instead.
-    superseded
+    superseded,
+    /// The node has ended the attempt, since it shuts down.
+    ended
 };
 
 /// Details of one attempt, for the log.
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -25,6 +25,8 @@
 /// Part of the stop limit that is reserved for closing connections and stopping
 /// the services.
 constexpr milliseconds shutdown_reserve{400};
+/// Part of it in which requests that were ended get their answers.
+constexpr milliseconds time_for_answers{150};
 
 http_limits default_limits() {
     http_limits limits;
@@ -262,9 +264,11 @@
     if (state_.shutdown.begun()) {
         return;
     }
-    state_.shutdown.begin(boot_clock::now());
+    state_.shutdown.begin(
+        boot_clock::now(), state_.settings.stop_accepts,
+        state_.settings.stop_limit - shutdown_reserve);
     state_.log_event(log_line(event_code::gateway_stopping)
-                         .with("running", state_.live_requests));
+                         .with("running", state_.requests.size()));
     controller_.stop();
     caller_server_.announce_end();
     relay_server_.stop_accepting();
@@ -275,27 +279,45 @@
         asio::detached);
 }
 
+// Callers whose requests get an answer, be it that the outcome is unknown, need
+// not find out by a closed connection.
+asio::awaitable<void> gateway::end_requests() {
+    state_.requests.end_all();
+    state_.waiters.notify_all();
+    instant const until = boot_clock::now() + time_for_answers;
+    asio::steady_timer timer(*io_);
+    while (state_.requests.size() > 0 && boot_clock::now() < until) {
+        timer.expires_after(milliseconds(10));
+        co_await timer.async_wait(use_result);
+    }
+}
+
 asio::awaitable<void> gateway::await_drain(std::function<void()> stopped) {
-    instant const began = boot_clock::now();
-    instant const limit = began + state_.settings.stop_limit - shutdown_reserve;
-    asio::steady_timer timer(*io_, state_.settings.stop_accepts);
+    instant const limit = state_.shutdown.ends_at();
+    asio::steady_timer timer(*io_, time_until(state_.shutdown.accepts_until()));
     co_await timer.async_wait(use_result);
     // New callers must see at once that this node no longer serves: a request
     // that is read late in the shutdown would be cut off at its end.
     caller_server_.stop_accepting();
     caller_server_.finish_connections();
+    // Those that may not be sent from here on are refused.
+    state_.waiters.notify_all();
     // A request that is being read is on a connection and is not live yet.
     auto const open = [this] {
         return caller_server_.open_connections() +
                relay_server_.open_connections();
     };
-    while (state_.live_requests + open() > 0 && boot_clock::now() < limit) {
+    while (state_.requests.size() + open() > 0 && boot_clock::now() < limit) {
         timer.expires_after(milliseconds(50));
         co_await timer.async_wait(use_result);
     }
-    state_.log_event(log_line(event_code::gateway_stopped)
-                         .with("running", state_.live_requests)
-                         .with("took_ms", boot_clock::now() - began));
+    std::size_t const ended = state_.requests.size();
+    co_await end_requests();
+    state_.log_event(
+        log_line(event_code::gateway_stopped)
+            .with("running", ended)
+            .with("unanswered", state_.requests.size())
+            .with("took_ms", boot_clock::now() - state_.shutdown.began_at()));
     state_.log.flush(boot_clock::now());
     kernel_.stop();
     caller_ends_.finish();
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -72,6 +72,7 @@
     boost::asio::awaitable<void> answer_metrics(http_exchange& exchange);
     http_response make_metrics_response();
     boost::asio::awaitable<void> await_drain(std::function<void()> stopped);
+    boost::asio::awaitable<void> end_requests();
     boost::asio::awaitable<void> tick();
     void add_services();
     void on_update();
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -63,7 +63,7 @@
 }
 
 http_response gateway::make_metrics_response() {
-    state_.metrics.set_gauge("requests", state_.live_requests);
+    state_.metrics.set_gauge("requests", state_.requests.size());
     state_.metrics.set_gauge(
         "connections_refused",
         static_cast<double>(caller_server_.refused_connections()));
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -14,6 +14,7 @@
 #include "Fleet/software_history.hpp"
 #include "Gateway/gateway_metrics.hpp"
 #include "Gateway/gateway_settings.hpp"
+#include "Gateway/live_requests.hpp"
 #include "Gateway/waiter_list.hpp"
 #include "Ports/http_pool.hpp"
 #include "ReplicaControl/partition_leases.hpp"
@@ -120,7 +121,7 @@
     instant store_reachable_since;
     /// The highest epoch of the store that this node has observed.
     store_epoch epoch{};
-    unsigned live_requests = 0;
+    live_requests requests;
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -42,12 +42,13 @@
     , relayed_(std::move(relayed))
     , counted_(relayed_ && relayed_->counted)
     , resends_(relayed_ ? relayed_->sends : 0)
-    , caller_(std::make_shared<caller_state>()) {
-    ++state_->live_requests;
-}
+    , caller_(std::make_shared<caller_state>())
+    , live_(state.requests, [state = caller_.get()] {
+        state->ended = true;
+        state->cancel_calls();
+    }) {}
 
 request_handler::~request_handler() {
-    --state_->live_requests;
     // The callback for the caller's disconnection may still run.
     caller_->calls.clear();
     caller_->waiters = nullptr;
@@ -161,13 +162,15 @@
     caller_->adapter = need_.adapter;
     exchange_->on_caller_gone([state = caller] {
         state->gone = true;
-        for (auto const& each : state->calls) {
-            each->cancel();
-        }
+        state->cancel_calls();
         if (state->waiters != nullptr) {
             state->waiters->notify(state->adapter);
         }
     });
+    if (refuse_in_shutdown()) {
+        co_await finish(reason_);
+        co_return;
+    }
     if (!co_await take_usage()) {
         co_await finish(reason_);
         co_return;
@@ -237,7 +240,7 @@
 
 asio::awaitable<request_handler::next_step> request_handler::try_once() {
     auto const caller = caller_;
-    if (refuse_quarantined()) {
+    if (refuse_in_shutdown() || refuse_quarantined()) {
         co_return next_step::give_up;
     }
     bool const refused = std::exchange(search_failed_, false);
@@ -246,7 +249,7 @@
     }
     record_demand();
     replica* const at = co_await find_replica();
-    if (stall_has_ended()) {
+    if (stall_has_ended() || refuse_in_shutdown()) {
         co_return next_step::give_up;
     }
     if (at == nullptr && unreached_ > 0) {
@@ -268,6 +271,10 @@
     if (!co_await clear_to_send(id)) {
         co_return next_step::search;
     }
+    if (refuse_in_shutdown()) {
+        leave_gate(attempt_outcome::unreached);
+        co_return next_step::give_up;
+    }
     replica& target = *state_->replicas.find(id);
     ip_address to = target.record.address;
     attempt_ref const attempt = begin_attempt(target);
@@ -275,23 +282,6 @@
     co_return co_await after_attempt(attempt, end);
 }
 
-asio::awaitable<bool> request_handler::clear_to_send(endpoint_id at) {
-    auto const caller = caller_;
-    if (!co_await acquire_permit(at)) {
-        co_return false;
-    }
-    if (!co_await enter_gate(at)) {
-        co_return false;
-    }
-    bool const claimed = co_await claim_slot(at);
-    bool const clear =
-        claimed && !stall_has_ended() && may_send(at, boot_clock::now());
-    if (!clear) {
-        leave_gate(attempt_outcome::unreached);
-    }
-    co_return clear;
-}
-
 asio::awaitable<request_handler::next_step>
 request_handler::after_attempt(attempt_ref attempt, attempt_outcome end) {
     auto const caller = caller_;
@@ -431,6 +421,9 @@
         end == attempt_outcome::superseded) {
         return end;
     }
+    if (caller_->ended) {
+        return attempt_outcome::ended;
+    }
     if (boot_clock::now() >= deadline_) {
         return attempt_outcome::late;
     }
@@ -462,6 +455,10 @@
 
 bool request_handler::may_retry(attempt_outcome end) {
     instant const now = boot_clock::now();
+    if (caller_->ended) {
+        reason_ = "stopping";
+        return false;
+    }
     if (trial_part_ && state_->quarantine.quarantined_for(*trial_part_, now)) {
         // A trial has one attempt.
         reason_ = "part-held";
@@ -475,6 +472,7 @@
     switch (end) {
     case attempt_outcome::finished:
     case attempt_outcome::superseded:
+    case attempt_outcome::ended:
         return false;
     case attempt_outcome::late:
         reason_ = "too-late";
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -82,6 +82,15 @@
     /// Records the request in the statistics of demand, and the credit that it
     /// earns for resends, once.
     void record_demand();
+    /// @returns true when the node shuts down and has ended the request, or may
+    ///          not send it any more
+    bool ended_by_shutdown(instant now) const;
+    /// Sets the reason of a refusal because the node shuts down.
+    /// @returns true when there is such a reason
+    bool refuse_in_shutdown();
+    /// Waits, unless the caller disconnects or the shutdown ends the request
+    /// before.
+    boost::asio::awaitable<void> pause_until(instant until);
     /// @param refused true when this node would refuse the request
     /// @returns the peer to which the request should be relayed now; nothing
     ///          when this node should handle it itself
@@ -320,12 +329,21 @@
     /// outlive the handler.
     struct caller_state {
         bool gone = false;
+        /// The node has ended the request, since it shuts down.
+        bool ended = false;
         /// Calls of the attempts in progress.
         std::set<std::shared_ptr<http_call>> calls;
         waiter_list* waiters = nullptr;
         adapter_id adapter;
+
+        void cancel_calls() const {
+            for (auto const& each : calls) {
+                each->cancel();
+            }
+        }
     };
     std::shared_ptr<caller_state> caller_;
+    live_requests::entry live_;
 };
 
 } // namespace camphorpoint
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -47,7 +47,8 @@
     // A replica that is not the one meant has shown nothing about that one.
     bool const misdirected =
         end == attempt_outcome::refused && !attempt.trace.rejected;
-    if (caller_->gone || misdirected || end == attempt_outcome::superseded) {
+    if (caller_->gone || caller_->ended || misdirected ||
+        end == attempt_outcome::superseded) {
         return std::nullopt;
     }
     health_signal evidence = health_signal::answered;
@@ -182,8 +183,8 @@
 void request_handler::log_attempt(
     forwarded_attempt const& attempt, attempt_outcome end) {
     constexpr std::string_view names[] = {
-        "finished", "refused",  "unreached", "failed",  "silent",
-        "broken",   "unproven", "late",      "stalled", "superseded"};
+        "finished", "refused", "unreached", "failed",     "silent", "broken",
+        "unproven", "late",    "stalled",   "superseded", "ended"};
     attempt_trace const& trace = attempt.trace;
     http_call const& call = *attempt.call;
     state_->metrics.count_untrusted_answers("stray", call.strays());
@@ -269,7 +270,11 @@
     auto const caller = caller_;
     std::string const reason(why);
     return_unused_usage();
-    if (!response_complete_ && !caller->gone && !response_started_) {
+    // The node that has relayed a request resends it when it is idempotent and
+    // the connection ends, but not after an answer.
+    bool const left_open = relayed_ && caller->ended && tracker_.may_run();
+    if (!response_complete_ && !caller->gone && !response_started_ &&
+        !left_open) {
         http_response answer = final_answer();
         status_ = answer.status;
         if (relayed_ && !tracker_.may_run()) {
--- a/src/Gateway/request_handler_permits.cpp
+++ b/src/Gateway/request_handler_permits.cpp
@@ -1,10 +1,6 @@
 #include "Gateway/request_handler.hpp"
 #include "Ports/endpoint_notice_fields.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -53,6 +49,23 @@
     return wait.has_value();
 }
 
+asio::awaitable<bool> request_handler::clear_to_send(endpoint_id at) {
+    auto const caller = caller_;
+    if (!co_await acquire_permit(at)) {
+        co_return false;
+    }
+    if (!co_await enter_gate(at)) {
+        co_return false;
+    }
+    bool const claimed = co_await claim_slot(at);
+    bool const clear =
+        claimed && !stall_has_ended() && may_send(at, boot_clock::now());
+    if (!clear) {
+        leave_gate(attempt_outcome::unreached);
+    }
+    co_return clear;
+}
+
 asio::awaitable<bool> request_handler::acquire_permit(endpoint_id at) {
     auto const caller = caller_;
     replica const* const target = state_->replicas.find(at);
@@ -74,8 +87,7 @@
         co_return false;
     }
     if (permit.wait > duration::zero()) {
-        asio::steady_timer timer(state_->io, permit.wait);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause_until(now + permit.wait);
     }
     replica const* const awaited = state_->replicas.find(at);
     co_return awaited != nullptr && awaited->accepts_requests() &&
@@ -97,9 +109,7 @@
     need_.slot_denials.push_back({at, now + wait});
     ++slot_denials_;
     if (slot_denials_ % denials_before_wait == 0) {
-        asio::steady_timer timer(
-            state_->io, std::min(wait, permit_budget(now)));
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause_until(now + std::min(wait, permit_budget(now)));
     }
 }
 
--- a/src/Gateway/request_handler_replica_search.cpp
+++ b/src/Gateway/request_handler_replica_search.cpp
@@ -347,7 +347,8 @@
             reason_ = "too-late";
             co_return nullptr;
         }
-        if (stall_has_ended() || select_relay(false, now)) {
+        if (stall_has_ended() || ended_by_shutdown(now) ||
+            select_relay(false, now)) {
             co_return nullptr;
         }
         endpoint_id const previous_target = load_target_;
--- /dev/null
+++ b/src/Gateway/request_handler_shutdown.cpp
@@ -0,0 +1,37 @@
+#include "Gateway/request_handler.hpp"
+
+#include <utility>
+
+namespace camphorpoint {
+
+namespace asio = boost::asio;
+
+bool request_handler::refuse_in_shutdown() {
+    if (!ended_by_shutdown(boot_clock::now())) {
+        return false;
+    }
+    reason_ = "stopping";
+    // Another node serves the caller at once.
+    refusal_retry_after_ = duration::zero();
+    unsigned const earlier_sends = relayed_ ? relayed_->sends : 0;
+    declined_ = declined_ || tracker_.sends() == earlier_sends;
+    return true;
+}
+
+bool request_handler::ended_by_shutdown(instant now) const {
+    bool const late =
+        !tracker_.may_run() && !state_->shutdown.may_send(deadline_, now);
+    return late || caller_->ended;
+}
+
+asio::awaitable<void> request_handler::pause_until(instant until) {
+    auto const caller = caller_;
+    for (instant now = boot_clock::now();
+         now < until && !caller->gone && !ended_by_shutdown(now);
+         now = boot_clock::now()) {
+        adapter_id adapter = need_.adapter;
+        co_await state_->waiters.wait(std::move(adapter), until);
+    }
+}
+
+} // namespace camphorpoint
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -51,9 +51,7 @@
     }
     if (end == attempt_outcome::finished) {
         // An attempt that was to replace this one is no longer needed.
-        for (auto const& each : caller->calls) {
-            each->cancel();
-        }
+        caller->cancel_calls();
     }
     attempt->set_end(end);
 }
--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -133,6 +133,10 @@
 
 void gateway_fixture::retire(std::unique_ptr<gateway> which) {
     stop(which);
+    keep_stopped(std::move(which));
+}
+
+void gateway_fixture::keep_stopped(std::unique_ptr<gateway> which) {
     stopped_nodes_.push_back(std::move(which));
 }
 
--- a/test/gateway/gateway_fixture.hpp
+++ b/test/gateway/gateway_fixture.hpp
@@ -85,6 +85,8 @@
     /// Stops a node and keeps it until the fixture ends, since its last pending
     /// operations still complete on the loop.
     void retire(std::unique_ptr<gateway> which);
+    /// Keeps a node that a test has stopped until the fixture ends.
+    void keep_stopped(std::unique_ptr<gateway> which);
     /// Lists additional replicas of the model. From then on each replica of the
     /// model crashes when it runs a request with the given body.
     void add_replicas(unsigned count, std::string const& poison_body);
--- /dev/null
+++ b/test/shutdown_schedule_test.cpp
@@ -0,0 +1,47 @@
+#include "Delivery/shutdown_schedule.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against requests that a node sends to a replica late in its shutdown
+// and cuts at its end.
+TEST_CASE("a shutdown sends only what ends before it does") {
+    instant const start{seconds(100)};
+    shutdown_schedule schedule;
+    SUBCASE("before the shutdown everything is sent") {
+        CHECK_FALSE(schedule.begun());
+        CHECK(schedule.may_send(start + seconds(900), start));
+    }
+    SUBCASE("during the shutdown") {
+        schedule.begin(start, milliseconds(2'600), milliseconds(7'600));
+        CHECK(schedule.begun());
+        CHECK(schedule.ends_at() == start + milliseconds(7'600));
+        SUBCASE("new callers still arrive at first") {
+            instant const now = start + milliseconds(2'599);
+            CHECK(schedule.may_send(now + seconds(15), now));
+        }
+        SUBCASE("a request that may outlast it is not sent later") {
+            instant const now = start + milliseconds(2'600);
+            CHECK_FALSE(schedule.may_send(now + seconds(15), now));
+            CHECK_FALSE(schedule.may_send(now + milliseconds(5'001), now));
+        }
+        SUBCASE("a request that ends in time is") {
+            instant const now = start + milliseconds(2'600);
+            CHECK(schedule.may_send(now + milliseconds(5'000), now));
+            CHECK(schedule.may_send(schedule.ends_at(), schedule.ends_at()));
+        }
+    }
+    SUBCASE("a shutdown shorter than the time in which callers arrive") {
+        schedule.begin(start, milliseconds(2'600), milliseconds(1'000));
+        instant const late = start + milliseconds(1'000);
+        CHECK_FALSE(schedule.may_send(late + milliseconds(1), late));
+    }
+}
+
+} // namespace camphorpoint
