A node that may have missed a software version refuses unrecorded streams

Callers saw a stream go on at a replica of another software version: during a release a node was cut off from the store and its peers while replicas of a new version joined, and a stream that had begun there through another node was resumed at it.

Cause: what the node had not seen counted as evidence, by a view of the registry of up to 10 s ago, and peers that did not answer did not count. A stream may have begun a moment before its resumption arrives, so only evidence from after the arrival shows that nothing was missed.

A version that is single by this node's own view now needs an answer of the store to a read that was sent after the arrival, which shows no declaration and no version that the node lacks; otherwise all nodes that were asked, up to eight, must have answered and agree. Records need neither.

The simulation has no such reads yet: it passes both kinds of evidence as given, so it neither shows this failure nor the refusals that the fix adds.

--- a/src/Delivery/stream_origins.cpp
+++ b/src/Delivery/stream_origins.cpp
@@ -21,6 +21,8 @@
         return "ambiguous";
     case origin_source::several_versions:
         return "several-versions";
+    case origin_source::unconfirmed:
+        return "unconfirmed";
     case origin_source::own_record:
         return "record";
     case origin_source::peer_record:
@@ -74,10 +76,11 @@
 }
 
 /// @returns the version that one node knows to be the only one, unless any node
-///          has seen another one
-resumption_choice
-choose_single_version(std::span<origin_evidence const> evidence) {
+///          has seen another one or may have missed it
+resumption_choice choose_single_version(
+    std::span<origin_evidence const> evidence, view_evidence const& view) {
     std::optional<software_key> seen;
+    bool own_knowledge = false;
     resumption_choice result;
     for (origin_evidence const& each : evidence) {
         service_versions const& versions = each.versions;
@@ -90,19 +93,26 @@
         }
         seen = versions.software;
         if (versions.only() && !result.software) {
-            bool const own = &each == evidence.data();
-            result = {versions.software, source_of(versions.knowledge, own)};
+            own_knowledge = &each == evidence.data();
+            result = {
+                versions.software,
+                source_of(versions.knowledge, own_knowledge)};
         }
     }
+    bool const current = view.all_answered || (own_knowledge && view.confirmed);
+    if (result.software && !current) {
+        return {std::nullopt, origin_source::unconfirmed};
+    }
     return result;
 }
 
 } // namespace
 
-resumption_choice choose_resumption(std::span<origin_evidence const> evidence) {
+resumption_choice choose_resumption(
+    std::span<origin_evidence const> evidence, view_evidence const& view) {
     resumption_choice const recorded = choose_recorded(evidence);
     bool const found = recorded.source != origin_source::unknown;
-    return found ? recorded : choose_single_version(evidence);
+    return found ? recorded : choose_single_version(evidence, view);
 }
 
 void stream_origins::add(stream_record const& record, instant now) {
--- a/src/Delivery/stream_origins.hpp
+++ b/src/Delivery/stream_origins.hpp
@@ -68,6 +68,9 @@
     ambiguous,
     /// Not recorded, and the nodes have seen several versions.
     several_versions,
+    /// Not recorded, and one node knows a single version, but its view may be
+    /// older than the stream.
+    unconfirmed,
     own_record,
     peer_record,
     /// Not recorded, but the service has a single version, as this node or a
@@ -88,9 +91,34 @@
     origin_source source = origin_source::unknown;
 };
 
-/// Decides at which software version a stream may be resumed.
+/// At which software version a stream may be resumed, and how that was found.
+struct stream_resumption {
+    resumption_choice choice;
+    /// Nodes that were asked, and those that have answered.
+    unsigned asked = 0;
+    unsigned answered = 0;
+    /// The store has shown that this node's view was current.
+    bool confirmed = false;
+};
+
+/// What shows that the nodes that have seen no other version would have seen
+/// it. The stream may have begun a moment before its resumption arrived, at a
+/// version that appeared just then.
+struct view_evidence {
+    /// The store has answered a read that was sent after the resumption
+    /// arrived, and this node's view lacks nothing.
+    bool confirmed = false;
+    /// Other nodes were asked, and all of them have answered.
+    bool all_answered = false;
+};
+
+/// Decides at which software version a stream may be resumed. One that is
+/// recorded needs no further evidence. A single version counts if this node
+/// knows it and its view is confirmed, or if all nodes that were asked agree.
 /// @param evidence what the nodes know that have been asked, this one first
-resumption_choice choose_resumption(std::span<origin_evidence const> evidence);
+/// @param view     how current that is
+resumption_choice choose_resumption(
+    std::span<origin_evidence const> evidence, view_evidence const& view);
 
 /// The software versions of streams that callers may still resume: of streams
 /// that began at this node, and of those for which this node is a keeper.
--- a/src/Fleet/registry_poll_schedule.hpp
+++ b/src/Fleet/registry_poll_schedule.hpp
@@ -95,6 +95,12 @@
     bool needs_full_poll() const noexcept {
         return full_poll_needed_ || epoch_outdated();
     }
+    /// @returns true when this node knows all records up to its position that
+    ///          are still in force, so that the records behind it are all that
+    ///          it lacks
+    bool can_read_on() const noexcept {
+        return polled_once_ && !expired_ && !epoch_outdated();
+    }
     /// @returns the position from which the next poll continues
     store_position position() const noexcept { return position_; }
 
--- a/src/Fleet/software_history.cpp
+++ b/src/Fleet/software_history.cpp
@@ -67,6 +67,20 @@
     return result;
 }
 
+bool software_history::has_seen(
+    service_id const& service, software_version const& version) {
+    return std::ranges::any_of(
+               replicas_->of_service(service),
+               [&](replica const* each) {
+                   return each->record.software == version;
+               }) ||
+           std::ranges::any_of(
+               replicas_->former_versions(service),
+               [&](former_software const& each) {
+                   return each.version == version;
+               });
+}
+
 service_versions software_history::find_versions(service_id const& service) {
     software_version const* only = nullptr;
     auto const differs = [&](software_version const& each) {
--- a/src/Fleet/software_history.hpp
+++ b/src/Fleet/software_history.hpp
@@ -39,6 +39,9 @@
     only_version(service_id const& service, duration memory, instant now) {
         return versions(service, memory, now).only();
     }
+    /// @returns true when a replica of the version serves the service, or did
+    ///          so while its streams may still be resumed
+    bool has_seen(service_id const& service, software_version const& version);
     /// @returns for how long this node has observed the replicas without a
     ///          pause
     duration observed_for(instant now) const;
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -94,6 +94,8 @@
     , software_persistence_(state_, store_)
     , registry_follower_(
           state_, store_, monitor_, messenger_, [this] { on_update(); })
+    , view_reader_(
+          state_, store_, [this] { return registry_follower_.position(); })
     , reachability_prober_(state_, [this] { on_reachability_change(); })
     , caller_ends_(state_, "callers")
     , relay_ends_(state_, "relays")
@@ -114,6 +116,7 @@
     , loop_delay_(io)
     , kernel_(services_) {
     controller_.set_messenger(messenger_);
+    messenger_.set_view_reader(view_reader_);
     caller_server_.refuse_while([this] {
         return loop_delay_.sustained(boot_clock::now()) >
                state_.settings.max_loop_delay;
@@ -155,6 +158,7 @@
             reachability_prober_.stop();
             declarations_.stop();
             registry_follower_.stop();
+            view_reader_.stop();
         }};
     readiness_service_ = {
         [this, &settings]() -> start_result {
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "Gateway/registry_follower.hpp"
 #include "Gateway/replica_controller.hpp"
 #include "Gateway/software_persistence.hpp"
+#include "Gateway/view_reader.hpp"
 #include "Kernel/kernel.hpp"
 #include "Kernel/service_registry.hpp"
 #include "Node/port_service.hpp"
@@ -88,6 +89,7 @@
     quarantine_persistence quarantine_persistence_;
     software_persistence software_persistence_;
     registry_follower registry_follower_;
+    view_reader view_reader_;
     reachability_prober reachability_prober_;
     connection_end_log caller_ends_;
     connection_end_log relay_ends_;
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -5,6 +5,7 @@
 #include "Delivery/stream_origins.hpp"
 #include "Gateway/gateway_state.hpp"
 #include "Gateway/peer_datagram.hpp"
+#include "Gateway/view_reader.hpp"
 #include "Limits/rate_schedule.hpp"
 #include "Limits/slot_grants.hpp"
 #include "Ports/probe_link.hpp"
@@ -47,14 +48,6 @@
     duration retry_after{0};
 };
 
-/// At which software version a stream may be resumed, and how that was found.
-struct stream_resumption {
-    resumption_choice choice;
-    /// Nodes that were asked, and those that have answered.
-    unsigned asked = 0;
-    unsigned answered = 0;
-};
-
 /// The answer to a question for a slot of a brittle replica.
 struct slot_permit {
     rate_permit permit;
@@ -98,6 +91,9 @@
     /// @param handlers called for messages that other components handle
     peer_messenger(gateway_state& state, message_handlers handlers);
 
+    /// Sets what reads whether this node's view is current; must be called
+    /// before `start`.
+    void set_view_reader(view_reader& reader) { view_reader_ = &reader; }
     /// Binds the peer address and starts the periodic broadcasts.
     /// @returns the reason when the address can't be bound, empty on success
     std::string start();
@@ -273,6 +269,7 @@
     void set_lease_holder(std::size_t partition, std::string const& member);
 
 private:
+    struct pending_stream_question;
     struct use_count {
         unsigned running = 0;
         /// How often it is still to be reported that none is running.
@@ -397,10 +394,13 @@
     void announce_deferred_streams(instant now);
     origin_evidence
     evidence_of(stream_key stream, service_id const& service, instant now);
-    /// Sends a question to the keepers that have not answered it.
-    void ask_stream_keepers(
-        peer_stream_question const& question,
-        std::vector<std::string> const& keepers);
+    /// Asks the keepers until all have answered, one of them has a record, or
+    /// the questions have been repeated often enough.
+    boost::asio::awaitable<void>
+    ask_stream_keepers(pending_stream_question& pending);
+    void send_stream_questions(pending_stream_question const& pending);
+    resumption_choice
+    choose_origin(pending_stream_question const& pending, bool confirmed);
     void handle_stream_messages(peer_datagram const& message, instant now);
     void send_gate_message(std::string const& to, peer_gate_message message);
     void handle_gate_message(
@@ -423,12 +423,15 @@
     };
     /// A question about a stream's origin, until the keepers have answered.
     struct pending_stream_question {
+        peer_stream_question question;
         boost::asio::steady_timer* timer = nullptr;
-        std::size_t asked = 0;
+        std::vector<std::string> asked;
         std::map<std::string, origin_evidence> answers;
 
-        /// @returns true when no further answer is needed
-        bool settled() const;
+        /// @returns true when a node that has answered has a record
+        bool found() const;
+        /// @returns true when all nodes that were asked have answered
+        bool answered() const;
     };
     /// A crash that this node has seen, and how long its report is repeated.
     struct reported_crash {
@@ -444,6 +447,7 @@
 
     gateway_state* state_;
     message_handlers handlers_;
+    view_reader* view_reader_ = nullptr;
     probe_link link_;
     std::map<std::size_t, std::string> lease_holders_;
     /// The latest two changes of each partition's lease holder that this node
--- a/src/Gateway/peer_messenger_streams.cpp
+++ b/src/Gateway/peer_messenger_streams.cpp
@@ -21,9 +21,11 @@
 constexpr milliseconds origin_answer_timeout{50};
 constexpr int max_origin_questions = 3;
 /// A node that has just started does not know all nodes yet, so that its
-/// ranking differs from that of the others. It asks more of them.
+/// ranking differs from that of the others. It asks more of them, and so does
+/// one to which the store does not show that its view is current: nodes that
+/// are cut off together are seldom all those that one of them asks.
 constexpr duration peers_known_after = std::chrono::seconds(4);
-constexpr std::size_t keepers_asked_after_start = 8;
+constexpr std::size_t max_keepers_asked = 8;
 /// Streams that are announced at a time when a second software version appears.
 constexpr std::size_t max_deferred_per_broadcast = 64;
 
@@ -97,61 +99,97 @@
 peer_messenger::find_stream_origin(stream_key stream, service_id service) {
     instant const began = boot_clock::now();
     stream_resumption result;
-    std::vector<origin_evidence> evidence{evidence_of(stream, service, began)};
-    if (evidence.front().origin.state != origin_state::unknown) {
-        result.choice = choose_resumption(evidence);
+    origin_evidence const own = evidence_of(stream, service, began);
+    if (own.origin.state != origin_state::unknown) {
+        result.choice = choose_resumption({&own, 1}, {});
         co_return result;
     }
+    view_reader_->request(began);
     bool const just_started = began < started_at_ + peers_known_after;
     std::size_t const count =
-        just_started ? keepers_asked_after_start
+        just_started ? max_keepers_asked
                      : stream_keeper_count(state_->peers.size() + 1) +
                            extra_keepers_asked;
-    auto const keepers = rank_stream_keepers(stream, state_->peers, count);
-    result.asked = static_cast<unsigned>(keepers.size());
-    peer_stream_question const question{
-        ++last_stream_question_, static_cast<std::uint64_t>(stream),
-        service.str(),
+    std::uint64_t const number = ++last_stream_question_;
+    pending_stream_question& pending = pending_stream_questions_[number];
+    pending.question = {
+        number, static_cast<std::uint64_t>(stream), service.str(),
         static_cast<std::uint64_t>(state_->route_changes.fingerprint()),
         state_->configuration.version};
+    pending.asked = rank_stream_keepers(stream, state_->peers, count);
+    co_await ask_stream_keepers(pending);
+    if (!pending.found()) {
+        result.confirmed = co_await view_reader_->wait(began);
+    }
+    result.choice = choose_origin(pending, result.confirmed);
+    if (result.choice.source == origin_source::unconfirmed) {
+        auto const more =
+            rank_stream_keepers(stream, state_->peers, max_keepers_asked);
+        if (more.size() > pending.asked.size()) {
+            pending.asked = more;
+            co_await ask_stream_keepers(pending);
+            result.choice = choose_origin(pending, result.confirmed);
+        }
+    }
+    result.asked = static_cast<unsigned>(pending.asked.size());
+    result.answered = static_cast<unsigned>(pending.answers.size());
+    pending_stream_questions_.erase(number);
+    co_return result;
+}
+
+resumption_choice peer_messenger::choose_origin(
+    pending_stream_question const& pending, bool confirmed) {
+    std::vector<origin_evidence> evidence{evidence_of(
+        stream_key{pending.question.stream},
+        service_id(pending.question.service), boot_clock::now())};
+    for (auto const& [from, answer] : pending.answers) {
+        evidence.push_back(answer);
+    }
+    // A configuration that came meanwhile may have moved the route.
+    bool const same_routes =
+        pending.question.configuration == state_->configuration.version;
+    view_evidence view;
+    view.confirmed = same_routes && confirmed;
+    view.all_answered =
+        same_routes && !pending.asked.empty() && pending.answered();
+    return choose_resumption(evidence, view);
+}
+
+asio::awaitable<void>
+peer_messenger::ask_stream_keepers(pending_stream_question& pending) {
     asio::steady_timer timer(state_->io);
-    pending_stream_question& pending =
-        pending_stream_questions_[question.number];
     pending.timer = &timer;
-    pending.asked = keepers.size();
-    for (int each = 0; each < max_origin_questions && !pending.settled();
+    for (int each = 0;
+         each < max_origin_questions && !pending.found() && !pending.answered();
          ++each) {
         timer.expires_after(origin_answer_timeout);
-        ask_stream_keepers(question, keepers);
+        send_stream_questions(pending);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    auto const answered = pending_stream_questions_.extract(question.number);
-    for (auto const& [from, answer] : answered.mapped().answers) {
-        evidence.push_back(answer);
-    }
-    result.answered = static_cast<unsigned>(evidence.size() - 1);
-    result.choice = choose_resumption(evidence);
-    co_return result;
+    pending.timer = nullptr;
 }
 
-void peer_messenger::ask_stream_keepers(
-    peer_stream_question const& question,
-    std::vector<std::string> const& keepers) {
-    auto const& answers = pending_stream_questions_.at(question.number).answers;
-    for (std::string const& each : keepers) {
-        if (!answers.contains(each)) {
+void peer_messenger::send_stream_questions(
+    pending_stream_question const& pending) {
+    for (std::string const& each : pending.asked) {
+        if (!pending.answers.contains(each)) {
             peer_datagram message;
-            message.stream_questions.push_back(question);
+            message.stream_questions.push_back(pending.question);
             send(each, std::move(message));
         }
     }
 }
 
-bool peer_messenger::pending_stream_question::settled() const {
-    bool const found = std::ranges::any_of(answers, [](auto const& each) {
+bool peer_messenger::pending_stream_question::found() const {
+    return std::ranges::any_of(answers, [](auto const& each) {
         return each.second.origin.state != origin_state::unknown;
     });
-    return found || answers.size() >= asked;
+}
+
+bool peer_messenger::pending_stream_question::answered() const {
+    return std::ranges::all_of(asked, [this](std::string const& each) {
+        return answers.contains(each);
+    });
 }
 
 void peer_messenger::handle_stream_messages(
@@ -189,9 +227,11 @@
         if (found == pending_stream_questions_.end()) {
             continue;
         }
-        found->second.answers[message.from] = from_wire(each);
-        if (found->second.settled()) {
-            found->second.timer->cancel();
+        pending_stream_question& pending = found->second;
+        pending.answers[message.from] = from_wire(each);
+        if (pending.timer != nullptr &&
+            (pending.found() || pending.answered())) {
+            pending.timer->cancel();
         }
     }
 }
--- a/src/Gateway/registry_follower.hpp
+++ b/src/Gateway/registry_follower.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace camphorpoint {
 
@@ -43,6 +44,12 @@
     /// snapshot.
     /// @param read_at when this node should poll
     void on_store_rollback(store_epoch epoch, instant read_at);
+    /// @returns up to where this node knows the registry; nothing when records
+    ///          before that may be missing
+    std::optional<store_position> position() const {
+        return schedule_.can_read_on() ? std::optional(schedule_.position())
+                                       : std::nullopt;
+    }
 
 private:
     boost::asio::awaitable<void> follow();
--- a/src/Gateway/request_handler_streams.cpp
+++ b/src/Gateway/request_handler_streams.cpp
@@ -38,6 +38,7 @@
     }
     line.with("asked", found.asked)
         .with("answered", found.answered)
+        .with("confirmed", found.confirmed ? 1 : 0)
         .with("waited_ms", boot_clock::now() - began);
     state_->log_event(line);
     if (!known) {
--- a/test/gateway/gateway_fixture.cpp
+++ b/test/gateway/gateway_fixture.cpp
@@ -136,6 +136,10 @@
     stopped_nodes_.push_back(std::move(which));
 }
 
+void gateway_fixture::retire_node(std::size_t which) {
+    retire(std::move(additional_nodes_.at(which - 1).node));
+}
+
 void gateway_fixture::restart_nodes() {
     retire(std::move(node));
     for (additional_node& each : additional_nodes_) {
--- a/test/gateway/gateway_fixture.hpp
+++ b/test/gateway/gateway_fixture.hpp
@@ -82,6 +82,8 @@
     void reconnect_store(std::size_t which);
     /// Stops all nodes and starts as many new ones, which have no state.
     void restart_nodes();
+    /// Stops one of the additional nodes.
+    void retire_node(std::size_t which);
     /// Stops a node and keeps it until the fixture ends, since its last pending
     /// operations still complete on the loop.
     void retire(std::unique_ptr<gateway> which);
--- /dev/null
+++ b/test/gateway/outdated_view_test.cpp
@@ -0,0 +1,98 @@
+#include "test/gateway/mixed_versions_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using testing::continuations;
+using testing::mixed_versions_fixture;
+
+namespace {
+
+/// How long streams may be resumed.
+constexpr milliseconds lifetime{1'500};
+
+/// Three nodes that have seen one version for as long as streams may be
+/// resumed.
+class single_version_fixture : public mixed_versions_fixture {
+public:
+    single_version_fixture()
+        : mixed_versions_fixture(false, lifetime) {
+        pass(lifetime + milliseconds(500));
+    }
+
+    void retire_first_node() { world().retire(std::move(world().node)); }
+    /// Resumes a stream whose first event came through a node that is gone.
+    continuations resume_unrecorded(std::size_t node) {
+        continuations seen;
+        forget_requests();
+        add(resume(node, "s", "s"), seen);
+        return seen;
+    }
+};
+
+} // namespace
+
+// Guards against a node that is cut off from the store and the other nodes
+// while replicas of a second software version join: it takes the one version
+// that it knows for the only one, and a stream that began on the other one at
+// another node goes on there.
+TEST_CASE("a node that is cut off in a release refuses unrecorded streams") {
+    single_version_fixture world;
+    world.retire_first_node();
+    world.world().disconnect_store(2);
+    SUBCASE("alone") {
+        world.world().retire_node(1);
+    }
+    SUBCASE("with another node that is cut off as well") {
+        world.world().disconnect_store(1);
+    }
+    world.list_new();
+    world.pass(milliseconds(300));
+    continuations const seen = world.resume_unrecorded(2);
+    CHECK_FALSE(world.began_at_old());
+    CHECK(seen.complete == 0);
+    CHECK(seen.refused == 1);
+}
+
+// Guards against a view that counts as current since the store or a peer has
+// answered, before what was missed has been read.
+TEST_CASE("a node that is in touch again reads what it has missed") {
+    single_version_fixture world;
+    world.retire_first_node();
+    world.world().disconnect_store(1);
+    world.world().disconnect_store(2);
+    world.pass(milliseconds(300));
+    SUBCASE("and refuses unrecorded streams when a version has joined") {
+        world.list_new();
+        world.world().reconnect_store(2);
+        continuations const seen = world.resume_unrecorded(2);
+        CHECK_FALSE(world.began_at_old());
+        CHECK(seen.refused == 1);
+    }
+    SUBCASE("and goes on with streams when none has joined") {
+        world.world().reconnect_store(2);
+        CHECK(world.resume_unrecorded(2).complete == 1);
+    }
+}
+
+TEST_CASE("streams of a single version go on at other nodes") {
+    single_version_fixture world;
+    SUBCASE("while all nodes run") {}
+    SUBCASE("when the node that began them is gone") {
+        world.retire_first_node();
+    }
+    SUBCASE("when this node does not reach the store") {
+        world.world().disconnect_store(2);
+        world.pass(milliseconds(300));
+    }
+    CHECK(world.resume_unrecorded(2).complete == 1);
+}
+
+} // namespace camphorpoint
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -19,6 +19,7 @@
 constexpr software_key first_version{11};
 constexpr software_key second_version{12};
 constexpr stream_key stream{5};
+constexpr view_evidence current{true, true};
 
 instant at(seconds time) {
     return instant{} + std::chrono::hours(1) + time;
@@ -91,25 +92,25 @@
 TEST_CASE("the evidence of several nodes decides where a stream goes on") {
     std::vector<origin_evidence> evidence(2);
     SUBCASE("no node knows the stream") {
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
     }
     SUBCASE("one node knows it") {
         evidence.push_back(known(second_version));
-        CHECK(choose_resumption(evidence).software == second_version);
+        CHECK(choose_resumption(evidence, current).software == second_version);
     }
     SUBCASE("a record goes before the only version that a node has seen") {
         evidence.push_back(only(first_version));
         evidence.push_back(known(second_version));
-        CHECK(choose_resumption(evidence).software == second_version);
+        CHECK(choose_resumption(evidence, current).software == second_version);
     }
     SUBCASE("one version alone has served for long enough") {
         evidence.push_back(only(first_version));
-        CHECK(choose_resumption(evidence).software == first_version);
+        CHECK(choose_resumption(evidence, current).software == first_version);
     }
     SUBCASE("two nodes disagree") {
         evidence.push_back(known(first_version));
         evidence.push_back(known(second_version));
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
     }
 }
 
@@ -119,23 +120,50 @@
     std::vector<origin_evidence> evidence{only(first_version)};
     SUBCASE("another node has seen several") {
         evidence.push_back({{}, {version_knowledge::several, {}}});
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
     }
     SUBCASE("another node has just started and has seen another one") {
         evidence.push_back(seen(second_version));
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
     }
     SUBCASE("another node knows another one to be single") {
         evidence.push_back(only(second_version));
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
     }
     SUBCASE("another node has just started and has seen the same") {
         evidence.push_back(seen(first_version));
-        CHECK(choose_resumption(evidence).software == first_version);
+        CHECK(choose_resumption(evidence, current).software == first_version);
     }
     SUBCASE("nodes that have just started know of no other time") {
         evidence = {seen(first_version), seen(first_version)};
-        CHECK_FALSE(choose_resumption(evidence).software);
+        CHECK_FALSE(choose_resumption(evidence, current).software);
+    }
+}
+
+// Guards against a node that was cut off when a second version appeared: what
+// it has not seen proves nothing.
+TEST_CASE("a single version counts only by views that are current") {
+    std::vector<origin_evidence> evidence{only(first_version)};
+    auto const choose = [&](bool confirmed, bool all_answered) {
+        return choose_resumption(evidence, {confirmed, all_answered});
+    };
+    SUBCASE("by this node's own, if the store confirms it") {
+        CHECK(choose(true, false).software == first_version);
+        CHECK(choose(false, false).source == origin_source::unconfirmed);
+    }
+    SUBCASE("by those of all nodes that were asked") {
+        evidence.push_back(seen(first_version));
+        CHECK(choose(false, true).software == first_version);
+        CHECK_FALSE(choose(false, false).software);
+    }
+    SUBCASE("by a peer's, if all nodes that were asked have answered") {
+        evidence = {seen(first_version), only(first_version)};
+        CHECK(choose(false, true).software == first_version);
+        CHECK(choose(true, false).source == origin_source::unconfirmed);
+    }
+    SUBCASE("a record needs no view") {
+        evidence.push_back(known(second_version));
+        CHECK(choose(false, false).software == second_version);
     }
 }
 
--- a/test/support/stream_simulation.cpp
+++ b/test/support/stream_simulation.cpp
@@ -433,7 +433,7 @@
                 }
             }
         }
-        return choose_resumption(evidence).software;
+        return choose_resumption(evidence, {true, true}).software;
     }
 
     origin_evidence
