A late answer without an id is not the answer to the next order

What callers saw: where replicas name no call in answers to orders, a late answer to one order counted as the answer to the next: of a 412 the node concludes that another node controls the replica, of a 421 that it is gone (503 for a request whose adapter was there).

Cause: on a kept connection the first answer without an id was the order's.

Change: of several answers without an id that have arrived the last one counts, as a server answers in order. Orders share connections as before.

A late 200, 202, 400 or 409 that arrives alone still counts.

--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/replica_controller.hpp"
 
-#include "Gateway/command_times.hpp"
+#include "Gateway/order_call.hpp"
 #include "Gateway/reachability_prober.hpp"
 #include "Ports/http_client.hpp"
 #include "platform/configuration_reader.hpp"
@@ -322,7 +322,6 @@
     endpoint_id id, controlled_ptr controlled, replica_command command) {
     replica const* const at = state_->replicas.find(id);
     ip_address to = at->record.address;
-    http_call call(state_->io.get_executor(), &state_->replica_connections);
     http_request request = platform::make_order(
         command, id, state_->settings.name.str(), controlled->token);
     // The token is read again right before the command is sent, because this
@@ -333,21 +332,11 @@
         controlled->tracker.on_result(command, command_result::not_sent, now);
         co_return;
     }
-    call_times times = command_times(state_->leases);
-    times.echoed = platform::id_field;
-    times.own_id = true;
-    auto const got = co_await fetch(
-        call, std::move(to), std::move(request), times, largest_control_answer);
-    record_reachability(state_->reachability, id, got.how, call);
-    command_result answer = command_result::no_answer;
-    if (got.how == call_result::answered) {
-        answer = platform::read_order_answer(got.response.status);
-        if (answer != command_result::wrong_replica &&
-            platform::announces_leaving(got.response.fields)) {
-            messenger_->report_leaving(id);
-        }
-    } else if (got.how == call_result::not_sent) {
-        answer = command_result::not_sent;
+    order_outcome const outcome =
+        co_await send_order(*state_, id, std::move(to), std::move(request));
+    command_result const answer = outcome.answer;
+    if (outcome.leaving) {
+        messenger_->report_leaving(id);
     }
     state_->metrics.count_command(to_string(answer));
     // A command that is repeated to check its progress is not logged as a new
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -129,6 +129,9 @@
     asio::awaitable<bool> skip_stray();
     /// @returns true when the answer whose header was read may be this call's
     bool is_own_answer();
+    /// @returns true when a further answer has arrived behind the one whose
+    ///          header was read
+    bool another_follows() const;
     void reject();
     void give_back();
     void close();
@@ -280,13 +283,21 @@
     named_ = got == id_;
     bool const only_unnamed =
         !reused_ || (times_.own_id && !link_->carried.unnamed());
-    bool const own = named_ || (got.empty() && only_unnamed);
+    // A server answers in the order of the requests, so that of several answers
+    // without an id the last one is this call's.
+    bool const own = named_ || (got.empty() && only_unnamed &&
+                                !(reused_ && another_follows()));
     if (got.empty() && !times_.own_id) {
         link_->carried.note_unnamed();
     }
     return own;
 }
 
+bool http_call::state::another_follows() const {
+    auto const body = parser_->content_length_remaining();
+    return body && link_->buffer.size() > *body;
+}
+
 asio::awaitable<bool> http_call::state::read_own_header() {
     // More than one answer too many is no accident of timing.
     constexpr unsigned most_strays = 2;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -56,9 +56,9 @@
     /// Gives the call an id of its own in the field `echoed`, for a call that
     /// is not a caller's request, such as an order. The server need not repeat
     /// this id: an answer without one counts on a connection on which no other
-    /// kind of call was answered without one. With a server that repeats no
-    /// such id, a late copy of the answer to one of these calls still counts
-    /// as the answer to the next one.
+    /// kind of call was answered without one, unless a further answer has
+    /// arrived behind it. A late answer without an id that arrives alone still
+    /// counts as the answer to the next of these calls.
     bool own_id = false;
 };
 
