--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -63,7 +63,8 @@
 }
 
 http_response gateway::make_metrics_response() {
-    state_.metrics.set_gauge("requests", state_.requests.size());
+    state_.metrics.set_gauge(
+        "requests", static_cast<double>(state_.requests.size()));
     state_.metrics.set_gauge(
         "connections_refused",
         static_cast<double>(caller_server_.refused_connections()));
--- a/test/gateway/stopping_node_test.cpp
+++ b/test/gateway/stopping_node_test.cpp
@@ -57,6 +57,7 @@
 };
 
 asio::awaitable<void> read_to_end(raw_caller& caller) {
+    auto const executor = caller.socket.get_executor();
     std::array<char, 4'096> piece{};
     while (!caller.ended) {
         auto const [error, size] = co_await caller.socket.async_read_some(
