--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -214,7 +214,8 @@
 /// Reads the body of an answer whose header was read. Where the budget of the
 /// call's pool is used up, the rest stays unread until memory is released, or
 /// the call is rejected as one that yields.
-/// @param body  empty unless it came whole; must outlive the reading
+/// @param body  receives what has come, also of a body that is cut, but not
+///              of an answer that is rejected; must outlive the reading
 /// @param terms must outlive the reading
 /// @returns true when the body came whole
 boost::asio::awaitable<bool>
--- a/src/Ports/http_client_bodies.cpp
+++ b/src/Ports/http_client_bodies.cpp
@@ -105,8 +105,11 @@
         }
         body.text += *piece;
     }
-    // The memory is released once it is free.
-    body = {};
+    if (call.invalid()) {
+        body = {};
+    } else {
+        body.memory = memory.complete();
+    }
     co_return false;
 }
 
@@ -127,9 +130,9 @@
     bool const whole = co_await read_body(call, body, terms);
     if (whole) {
         result.how = call_result::answered;
-        result.response.body = std::move(body.text);
-        result.response.memory = std::move(body.memory);
     }
+    result.response.body = std::move(body.text);
+    result.response.memory = std::move(body.memory);
     co_return result;
 }
 
