Versions that a node has just read count in what it knows of a stream

Cause: the node in touch again had read the new version, so the store confirmed its view, but the versions of the service came from a result that was up to 250 ms old (by=observed, confirmed=1, waited 165 and 253 ms). The evidence of a resumption, and the answer to another node's question, look anew.

The decision test fails without the call by its construction; that was not run.

--- a/src/Fleet/software_history.hpp
+++ b/src/Fleet/software_history.hpp
@@ -33,6 +33,8 @@
     /// @returns the versions that have served the service
     service_versions
     versions(service_id const& service, duration memory, instant now);
+    /// The next call of versions looks at the replicas of the service anew.
+    void forget_cached(service_id const& service) { cache_.erase(service); }
     /// @returns the only version that has served the service for that time;
     ///          nothing when there were several, or this node does not know
     std::optional<software_key>
--- a/src/Gateway/peer_messenger_streams.cpp
+++ b/src/Gateway/peer_messenger_streams.cpp
@@ -90,6 +90,8 @@
 
 origin_evidence peer_messenger::evidence_of(
     stream_key stream, service_id const& service, instant now) {
+    // A version that was read a moment ago must not be missing.
+    state_->software.forget_cached(service);
     return {
         stream_origins_.find(stream, now),
         state_->stream_versions(service, now)};
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -291,6 +291,25 @@
     }
 }
 
+// Guards against a stream that goes on at a version which is no longer alone,
+// since what was found of the replicas is a moment old.
+TEST_CASE("a version that has just joined is found when it matters") {
+    fleet replicas;
+    software_history history(replicas);
+    service_id const service("llm");
+    replicas.apply(record_of("a", "v1"), at(seconds(0)));
+    history.note_current(at(seconds(0)));
+    auto const knowledge = [&] {
+        return history
+            .versions(service, default_stream_lifetime, at(seconds(1)))
+            .knowledge;
+    };
+    REQUIRE(knowledge() == version_knowledge::seen);
+    replicas.apply(record_of("b", "v2"), at(seconds(1)));
+    history.forget_cached(service);
+    CHECK(knowledge() == version_knowledge::several);
+}
+
 // Guards against a version that came and went while a node could not read the
 // registry: what the store stated before the pause no longer holds.
 TEST_CASE("what the store stated of a service holds until the view pauses") {
