A node that the store does not confirm asks more nodes before it believes them

Found by review, not seen by callers: if the first three nodes that were asked answered, their agreement counted at once, also where all of them were cut off together with the asking node. The wider question came only when one had not answered. It now comes whenever the store has not confirmed the view.

Test: four of five nodes are cut off, twelve streams: 12 of 12 refused.

--- a/src/Gateway/peer_messenger_streams.cpp
+++ b/src/Gateway/peer_messenger_streams.cpp
@@ -123,16 +123,16 @@
     if (!pending.found()) {
         result.confirmed = co_await view_reader_->wait(began);
     }
-    result.choice = choose_origin(pending, result.confirmed);
-    if (result.choice.source == origin_source::unconfirmed) {
+    if (!pending.found() && !result.confirmed) {
+        // A few nodes that are cut off together must not confirm each other.
         auto const more =
             rank_stream_keepers(stream, state_->peers, max_keepers_asked);
         if (more.size() > pending.asked.size()) {
             pending.asked = more;
             co_await ask_stream_keepers(pending);
-            result.choice = choose_origin(pending, result.confirmed);
         }
     }
+    result.choice = choose_origin(pending, result.confirmed);
     result.asked = static_cast<unsigned>(pending.asked.size());
     result.answered = static_cast<unsigned>(pending.answers.size());
     pending_stream_questions_.erase(number);
--- a/test/gateway/outdated_view_test.cpp
+++ b/test/gateway/outdated_view_test.cpp
@@ -61,6 +61,32 @@
     CHECK(seen.refused == 1);
 }
 
+// Guards against nodes that are cut off together and confirm each other, since
+// the few that one of them asks are all of that group.
+TEST_CASE("nodes that are cut off together do not confirm each other") {
+    single_version_fixture world;
+    world.world().add_node();
+    world.world().add_node();
+    world.pass(milliseconds(500));
+    world.retire_first_node();
+    constexpr std::size_t nodes = 5;
+    for (std::size_t each = 1; each < nodes; ++each) {
+        world.world().disconnect_store(each);
+    }
+    world.list_new();
+    world.pass(milliseconds(300));
+    // Which nodes are asked first depends on the stream.
+    constexpr unsigned streams = 12;
+    continuations seen;
+    for (unsigned each = 0; each < streams; ++each) {
+        std::string const id = "s" + std::to_string(each);
+        world.forget_requests();
+        world.add(world.resume(2, id, id), seen);
+    }
+    CHECK(seen.complete == 0);
+    CHECK(seen.refused == streams);
+}
+
 // Guards against a view that counts as current since the store or a peer has
 // answered, before what was missed has been read.
 TEST_CASE("a node that is in touch again reads what it has missed") {
