An order is sent again only while its fencing number is the node's own

Found by review, not seen by callers: between the two sends of an order whose answer may be an earlier one's, the lease can end, and the second send did not look.

--- a/src/Gateway/order_call.cpp
+++ b/src/Gateway/order_call.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/order_call.hpp"
 
 #include "Gateway/command_times.hpp"
+#include "Gateway/peer_messenger.hpp"
 #include "Gateway/reachability_prober.hpp"
 #include "Ports/http_client.hpp"
 #include "platform/order_wire.hpp"
@@ -28,20 +29,21 @@
 
 /// @returns true when the answer has consequences for the whole replica and may
 ///          be the answer to an earlier order
-bool is_doubtful(command_result answer, http_call const& call) {
-    bool const grave = answer == command_result::fenced ||
-                       answer == command_result::wrong_replica;
-    return grave && call.reused() && !call.names_request();
+bool may_be_stale(command_result answer, http_call const& call) {
+    bool const ends_control = answer == command_result::fenced ||
+                              answer == command_result::wrong_replica;
+    return ends_control && call.reused() && !call.names_request();
 }
 
 } // namespace
 
 asio::awaitable<order_outcome> send_order(
-    gateway_state& state, endpoint_id id, ip_address to, http_request request) {
+    gateway_state& state, endpoint_id id, ip_address to, http_request request,
+    std::uint64_t token) {
     order_outcome outcome;
     bool fresh = false;
-    bool doubtful = true;
-    while (doubtful) {
+    bool sends = true;
+    while (sends) {
         http_call call(state.io.get_executor(), &state.replica_connections);
         call_times times = command_times(state.leases);
         times.echoed = platform::id_field;
@@ -54,7 +56,13 @@
         if (fresh && outcome.answer == command_result::not_sent) {
             outcome.answer = command_result::no_answer;
         }
-        doubtful = is_doubtful(outcome.answer, call);
+        bool const stale = may_be_stale(outcome.answer, call);
+        // The lease may have moved on during the first send.
+        sends = stale && state.leases.token(
+                             partition_of(id), boot_clock::now()) == token;
+        if (stale && !sends) {
+            outcome.answer = command_result::no_answer;
+        }
         fresh = true;
     }
     co_return outcome;
--- a/src/Gateway/order_call.hpp
+++ b/src/Gateway/order_call.hpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+
 namespace camphorpoint {
 
 /// How an order to a replica ended.
@@ -23,8 +25,11 @@
 /// @param id      the replica, whose reachability is recorded
 /// @param to      its address
 /// @param request the order
+/// @param token   the fencing number in it, without which this node sends no
+///                order again
 /// @returns the result that the last answer states
 boost::asio::awaitable<order_outcome> send_order(
-    gateway_state& state, endpoint_id id, ip_address to, http_request request);
+    gateway_state& state, endpoint_id id, ip_address to, http_request request,
+    std::uint64_t token);
 
 } // namespace camphorpoint
--- a/src/Gateway/replica_controller.cpp
+++ b/src/Gateway/replica_controller.cpp
@@ -332,8 +332,8 @@
         controlled->tracker.on_result(command, command_result::not_sent, now);
         co_return;
     }
-    order_outcome const outcome =
-        co_await send_order(*state_, id, std::move(to), std::move(request));
+    order_outcome const outcome = co_await send_order(
+        *state_, id, std::move(to), std::move(request), *token);
     command_result const answer = outcome.answer;
     if (outcome.leaving) {
         messenger_->report_leaving(id);
