Findings of the review: an answer that yields asks for no more; comments

An answer that had itself yielded could make a second one yield. Comments of the stop and of bodies reworded, a holder without use removed.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -291,8 +291,8 @@
         asio::detached);
 }
 
-// Callers whose requests get an answer, be it that the outcome is unknown, need
-// not find out by a closed connection.
+// Answers the requests in progress, so that callers need not interpret a closed
+// connection.
 asio::awaitable<void> gateway::end_requests() {
     state_.requests.end_all();
     state_.waiters.notify_all();
--- a/src/Gateway/view_reader.cpp
+++ b/src/Gateway/view_reader.cpp
@@ -96,7 +96,6 @@
 }
 
 asio::awaitable<bool> view_reader::knows_declarations() {
-    auto const alive = running_;
     store_position const from = state_->declared_position;
     platform::store_reading reading;
     platform::reading_times const times = times_of_reads();
--- a/src/Limits/answer_budget.cpp
+++ b/src/Limits/answer_budget.cpp
@@ -33,7 +33,8 @@
     }
     std::size_t const for_reading = from_->left_by_complete(limit);
     bool one_yields = true;
-    while (one_yields && from_->held_by_reading() + more > for_reading) {
+    while (!yields_ && one_yields &&
+           from_->held_by_reading() + more > for_reading) {
         one_yields = from_->yield_one();
     }
     return false;
