A replacement that follows what was written after it: test, failing

A caller got events of one run up to 17 and then event 18 of another run, which had begun after event 13.

Cause, by reading: a stream that is stalled for 1.5 s goes on being forwarded while a replacement is sent with the position of that moment. If the stalled replica writes more before the replacement answers, the replacement's events up to the caller's position are dropped as duplicates, and the next one is joined behind those of another run.

--- a/test/gateway/caller_stream.hpp
+++ b/test/gateway/caller_stream.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace camphorpoint::testing {
 
@@ -22,8 +23,9 @@
         , last_(after) {}
 
     /// Checks and adds the events of an answer, complete or truncated.
-    /// @param runs number of attempts so far
-    void add_answer(fetch_result const& answer, std::size_t runs) {
+    /// @param run_starts Last-Event-Id of each attempt so far, 0 for none
+    void add_answer(
+        fetch_result const& answer, std::vector<unsigned> const& run_starts) {
         std::string_view rest = answer.response.body;
         while (!rest.empty()) {
             std::size_t const end = rest.find("\n\n");
@@ -31,7 +33,7 @@
                 problem_ += fmt::format("incomplete event '{}'; ", rest);
                 break;
             }
-            add_event(rest.substr(0, end + 2), runs);
+            add_event(rest.substr(0, end + 2), run_starts);
             rest.remove_prefix(end + 2);
         }
         complete_ = answer.how == call_result::answered &&
@@ -47,20 +49,28 @@
     bool complete() const noexcept { return complete_; }
 
 private:
-    void add_event(std::string_view event, std::size_t runs) {
-        bool known = false;
-        for (std::size_t run = 1; run <= runs; ++run) {
-            known = known || event == scripted_replica::event(run, last_ + 1);
+    void
+    add_event(std::string_view event, std::vector<unsigned> const& run_starts) {
+        std::size_t run = run_starts.size();
+        while (run > 0 && event != scripted_replica::event(run, last_ + 1)) {
+            --run;
         }
-        if (!known) {
+        if (run == 0) {
             problem_ += fmt::format("'{}' after {}; ", event, last_);
+        } else if (run != run_ && run_starts[run - 1] != last_) {
+            problem_ += fmt::format(
+                "event {} of run {}, which began after {}; ", last_ + 1, run,
+                run_starts[run - 1]);
         }
+        run_ = run;
         ++last_;
     }
 
     std::string problem_;
     unsigned events_;
     unsigned last_;
+    /// The attempt that has written the last event, 0 for none.
+    std::size_t run_ = 0;
     bool complete_ = false;
 };
 
--- a/test/gateway/silent_replica_test.cpp
+++ b/test/gateway/silent_replica_test.cpp
@@ -111,7 +111,7 @@
     /// @returns what the caller of a request has received
     caller_stream stream(std::size_t which) const {
         caller_stream caller(stream_events);
-        caller.add_answer(*answers_[which], replica_.records.size());
+        caller.add_answer(*answers_[which], replica_.last_event_ids);
         return caller;
     }
 
@@ -263,6 +263,26 @@
     }
 }
 
+// Guards against a stream that goes on with a replacement although its silent
+// replica has written more since the replacement was sent: the events of two
+// runs do not fit together.
+TEST_CASE("a replacement does not follow events that were written after it") {
+    constexpr milliseconds brief{1'700};
+    constexpr milliseconds reply_time{600};
+    silent_fixture world;
+    scripted_attempt first = silent_at(body_bytes(1), brief);
+    SUBCASE("the silent replica writes more and breaks off") {
+        first.bytes = body_bytes(3);
+    }
+    SUBCASE("the silent replica writes its first events and breaks off") {
+        first = silent_at(0, brief);
+        first.bytes = body_bytes(2);
+    }
+    world.start("runs", {first, silent_before_head(reply_time)});
+    world.finish();
+    check_complete(world);
+}
+
 // Guards against events that are missing, doubled or joined from two attempts,
 // and against attempts beyond those that the route allows.
 TEST_CASE(
--- a/test/gateway/stream_attempts_test.cpp
+++ b/test/gateway/stream_attempts_test.cpp
@@ -114,7 +114,7 @@
     world.replica().script = std::move(runs);
     caller_stream caller(stream_events, after);
     auto const answer = world.ask(path, 0, after);
-    caller.add_answer(answer, world.replica().last_event_ids.size());
+    caller.add_answer(answer, world.replica().last_event_ids);
     return caller;
 }
 
@@ -129,7 +129,7 @@
     for (std::size_t each = 0; each < most_requests && !caller.complete();
          ++each) {
         auto const answer = world.ask("alone", each % nodes, caller.last());
-        caller.add_answer(answer, world.replica().last_event_ids.size());
+        caller.add_answer(answer, world.replica().last_event_ids);
     }
     return caller;
 }
