A replacement follows a stalled stream only where its run begins

Callers got a stream whose events came from two runs that do not fit together: events of a run that had been silent for 1.5 s and went on, then the later events of its replacement, which had begun further back.

Cause: a conclusion from a state that another attempt may have changed since. The replacement is sent with the caller's position of that moment; the stalled attempt is still forwarded and may move the position before the replacement answers. Only the software version was compared then.

The attempt keeps the position with which it was sent, and may write only if the caller still stands there and the stalled attempt is not writing just then; else it is dropped as superseded, as before where versions differ, and the stalled stream goes on, or is replaced anew from the new position if it ends or falls silent. The same holds for a relay to a peer.

--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -56,9 +56,6 @@
     int status = 0;
     /// The answer states that the request has not run.
     bool states_not_run = false;
-    /// Number of the last event that was passed to the caller before the
-    /// attempt.
-    std::uint64_t after = 0;
     /// How the body of the answer ended.
     std::string_view body = "none";
     /// Set when the connection ended before the answer was complete.
@@ -117,6 +114,9 @@
     answer_timing timing;
     /// Software version that writes the answer, where it is known.
     std::optional<software_key> software;
+    /// Number of the last event that the caller had when the attempt was sent,
+    /// if any: its run goes on after that event.
+    std::optional<std::uint64_t> after;
     attempt_stream stream;
     attempt_trace trace;
     /// The complete answer was received.
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -363,7 +363,7 @@
         state_->io.get_executor(), state_->replica_connections, now);
     attempt->replica = id;
     attempt->software = make_software_key(at.record.software);
-    attempt->trace.after = position_.last().value_or(0);
+    attempt->after = position_.last();
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     ++attempts_;
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -80,6 +80,7 @@
     auto const attempt = std::make_shared<forwarded_attempt>(
         state_->io.get_executor(), state_->peer_connections, now);
     attempt->peer = peer;
+    attempt->after = position_.last();
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     tried_peers_.insert(peer);
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -123,10 +123,16 @@
 
 bool request_handler::may_replace_stalled(
     forwarded_attempt const& attempt) const {
-    // The stalled attempt may have begun the stream since the new one was sent.
-    bool const continues =
-        position_.may_resume() && need_.software == attempt.software;
-    return !stalled_ || !response_started_ || continues;
+    if (!stalled_ || !response_started_) {
+        return true;
+    }
+    // The stalled attempt may have begun the stream, or gone on with it, since
+    // the new one was sent. Events of two runs do not fit together unless the
+    // later run begins where the earlier one has ended.
+    bool const writes = !stalled_->end && !stalled_->waiting_since;
+    return !writes && position_.may_resume() &&
+           position_.last() == attempt.after &&
+           need_.software == attempt.software;
 }
 
 asio::awaitable<void> request_handler::stop_stalled() {
