--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -61,6 +61,9 @@
     unsigned planned_stops = 0;
     /// Share of disruptions: a release that one node does not see.
     unsigned out_of_step = 0;
+    /// Share of disruptions: a replica stands still for about as long as a node
+    /// waits before it looks for another one.
+    unsigned stalls = 0;
     /// Of the nodes.
     std::chrono::milliseconds stream_lifetime{60'000};
     /// How many of a hundred requests without a model take 2 to 6 s.
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -23,6 +23,10 @@
 /// is not.
 constexpr milliseconds longest_stale_entry{1'500};
 
+/// A node looks for another replica after 1.5 s of silence.
+constexpr milliseconds shortest_stall{1'450};
+constexpr milliseconds longest_stall{1'900};
+
 std::string odd_entry(std::uint64_t kind, std::string const& host) {
     constexpr std::size_t levels = 100'000;
     auto const with = [&](std::string_view address, std::string_view more) {
@@ -95,7 +99,8 @@
 
 unsigned disruptions::shares_of_others() const noexcept {
     return settings_.process_faults + settings_.renewals + settings_.releases +
-           settings_.herd_kills + settings_.odd_entries + settings_.out_of_step;
+           settings_.herd_kills + settings_.odd_entries +
+           settings_.out_of_step + settings_.stalls;
 }
 
 asio::awaitable<void> disruptions::begin_one() {
@@ -131,6 +136,9 @@
         co_await kill_all_nodes();
     } else if (is(settings_.out_of_step)) {
         co_await release_unseen();
+    } else if (is(settings_.stalls)) {
+        co_await stop_process(
+            *replica.process, draw_time(shortest_stall, longest_stall));
     } else {
         co_await add_odd_entry();
     }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -52,6 +52,7 @@
 ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
 ABSL_FLAG(unsigned, planned_stops, 0, "share of disruptions: SIGTERM, in calm");
 ABSL_FLAG(unsigned, out_of_step, 0, "share of disruptions: unseen releases");
+ABSL_FLAG(unsigned, stalls, 0, "share of disruptions: replicas, about 1.5 s");
 ABSL_FLAG(unsigned, stream_lifetime_ms, 60'000, "of nodes");
 ABSL_FLAG(unsigned, slow_requests, 0, "percent of requests that take 2 to 6 s");
 ABSL_FLAG(unsigned, two_parts, 0, "percent of requests that come in two parts");
@@ -225,6 +226,7 @@
     settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
     settings.planned_stops = absl::GetFlag(FLAGS_planned_stops);
     settings.out_of_step = absl::GetFlag(FLAGS_out_of_step);
+    settings.stalls = absl::GetFlag(FLAGS_stalls);
     settings.stream_lifetime =
         milliseconds(absl::GetFlag(FLAGS_stream_lifetime_ms));
     settings.slow_requests = absl::GetFlag(FLAGS_slow_requests);
