A replacement that is overtaken is cancelled

The position with which an attempt is sent is read once.

Test on the code before: the stream was not complete, 2 of 3 attempts.

--- a/src/Gateway/forwarded_attempt.hpp
+++ b/src/Gateway/forwarded_attempt.hpp
@@ -116,7 +116,7 @@
     std::optional<software_key> software;
     /// Number of the last event that the caller had when the attempt was sent,
     /// if any: its run goes on after that event.
-    std::optional<std::uint64_t> after;
+    std::optional<std::uint64_t> after_event;
     attempt_stream stream;
     attempt_trace trace;
     /// The complete answer was received.
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -298,6 +298,7 @@
         co_return next_step::complete;
     }
     if (end == attempt_outcome::superseded) {
+        reason_ = "overtaken";
         co_return next_step::give_up;
     }
     // A replica whose answer ended with its connection is healthy and may be
@@ -363,7 +364,6 @@
         state_->io.get_executor(), state_->replica_connections, now);
     attempt->replica = id;
     attempt->software = make_software_key(at.record.software);
-    attempt->after = position_.last();
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     ++attempts_;
@@ -390,29 +390,36 @@
 request_handler::send_attempt(attempt_ref attempt, ip_address to) {
     auto const caller = caller_;
     instant const now = boot_clock::now();
-    http_request request = platform::make_send(
-        exchange_->request(),
-        make_send_terms(*state_->replicas.find(attempt->replica), now));
+    platform::send_terms const terms =
+        make_send_terms(*state_->replicas.find(attempt->replica), now);
+    attempt->after_event = terms.after_event;
+    http_request request = platform::make_send(exchange_->request(), terms);
     call_times times = send_times(now);
     call_result const opened = co_await attempt->call->open(
         std::move(to), std::move(request), std::move(times));
     bool const in_time = boot_clock::now() < deadline_ - min_attempt_time;
-    if (in_time && !response_complete_) {
+    bool const superseded = response_complete_ || is_overtaken(*attempt);
+    if (in_time && !superseded) {
         record_reachability(
             state_->reachability, attempt->replica, opened, *attempt->call);
+        unreached_ += opened == call_result::not_sent ? 1 : 0;
     }
-    unreached_ += in_time && opened == call_result::not_sent ? 1 : 0;
     if (opened != call_result::not_sent) {
         tracker_.on_sent();
     }
-    if (response_complete_) {
-        co_return attempt_outcome::superseded;
-    }
-    if (opened == call_result::answered) {
+    if (opened == call_result::answered && !response_complete_) {
         co_return co_await read_answer(attempt);
     }
-    co_return opened == call_result::not_sent ? attempt_outcome::unreached
-                                              : attempt_outcome::silent;
+    co_return classify_unanswered(*attempt, opened);
+}
+
+attempt_outcome request_handler::classify_unanswered(
+    forwarded_attempt const& attempt, call_result opened) const {
+    if (response_complete_ || is_overtaken(attempt)) {
+        return attempt_outcome::superseded;
+    }
+    return opened == call_result::not_sent ? attempt_outcome::unreached
+                                           : attempt_outcome::silent;
 }
 
 attempt_outcome request_handler::classify_end(
@@ -427,6 +434,9 @@
     if (boot_clock::now() >= deadline_) {
         return attempt_outcome::late;
     }
+    if (end == attempt_outcome::silent && is_overtaken(attempt)) {
+        return attempt_outcome::superseded;
+    }
     if (end != attempt_outcome::silent || attempt.call->timed_out()) {
         return end;
     }
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -210,9 +210,18 @@
     /// @returns true when the events of a new attempt may follow what the
     ///          caller has received until now
     bool may_replace_stalled(forwarded_attempt const& attempt) const;
+    /// @returns true when the stalled attempt has written more since another
+    ///          one was sent, which therefore begins too far back
+    bool is_overtaken(forwarded_attempt const& attempt) const;
+    /// Cancels the attempt that was to replace the stalled one.
+    void cancel_replacement();
     /// Ends the stalled attempt, before another one writes to the caller.
     boost::asio::awaitable<void> stop_stalled();
     void on_stalled(attempt_ref const& attempt);
+    /// @param opened how the call has ended, other than with an answer
+    /// @returns what this says about the attempt
+    attempt_outcome classify_unanswered(
+        forwarded_attempt const& attempt, call_result opened) const;
     /// Decides what follows the end of an attempt at a replica.
     boost::asio::awaitable<next_step>
     after_attempt(attempt_ref attempt, attempt_outcome end);
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -201,7 +201,7 @@
                           .with("stated", trace.states_not_run ? 1 : 0)
                           .with("strays", call.strays())
                           .with("may_run", static_cast<int>(tracker_.may_run()))
-                          .with("after", attempt.after.value_or(0))
+                          .with("after", attempt.after_event.value_or(0))
                           .with("events", position_.last().value_or(0))
                           .with("body", body)
                           .with("half_bytes", attempt.stream.incomplete_bytes())
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -103,7 +103,11 @@
         caller->gone = caller->gone || !started;
     }
     bool const passed = co_await write_to_caller(events.text);
+    bool const moves = events.position.last() != position_.last();
     position_ = passed ? events.position : position_;
+    if (moves && attempt == stalled_) {
+        cancel_replacement();
+    }
     co_return passed && !caller->gone;
 }
 
--- a/src/Gateway/request_handler_relay.cpp
+++ b/src/Gateway/request_handler_relay.cpp
@@ -80,7 +80,7 @@
     auto const attempt = std::make_shared<forwarded_attempt>(
         state_->io.get_executor(), state_->peer_connections, now);
     attempt->peer = peer;
-    attempt->after = position_.last();
+    attempt->after_event = terms.after_event;
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     tried_peers_.insert(peer);
@@ -95,10 +95,7 @@
     if (opened == call_result::answered && !response_complete_) {
         step = co_await pass_relayed_answer(attempt);
     } else if (!response_complete_) {
-        step = finish_relay(
-            *attempt, opened == call_result::not_sent
-                          ? attempt_outcome::unreached
-                          : attempt_outcome::silent);
+        step = finish_relay(*attempt, classify_unanswered(*attempt, opened));
     }
     caller_->calls.erase(attempt->call);
     co_return step;
@@ -159,6 +156,10 @@
     if (end == attempt_outcome::finished) {
         return next_step::complete;
     }
+    if (end == attempt_outcome::superseded) {
+        reason_ = "overtaken";
+        return next_step::give_up;
+    }
     bool const retry = !caller_->gone && may_retry(end);
     return retry ? next_step::search : next_step::give_up;
 }
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -121,6 +121,19 @@
     co_return co_await after_attempt(attempt, end);
 }
 
+bool request_handler::is_overtaken(forwarded_attempt const& attempt) const {
+    return stalled_ && stalled_.get() != &attempt &&
+           position_.last() != attempt.after_event;
+}
+
+void request_handler::cancel_replacement() {
+    for (auto const& each : caller_->calls) {
+        if (each != stalled_->call) {
+            each->cancel();
+        }
+    }
+}
+
 bool request_handler::may_replace_stalled(
     forwarded_attempt const& attempt) const {
     if (!stalled_ || !response_started_) {
@@ -130,8 +143,7 @@
     // the new one was sent. Events of two runs do not fit together unless the
     // later run begins where the earlier one has ended.
     bool const writes = !stalled_->end && !stalled_->waiting_since;
-    return !writes && position_.may_resume() &&
-           position_.last() == attempt.after &&
+    return !writes && position_.may_resume() && !is_overtaken(attempt) &&
            need_.software == attempt.software;
 }
 
--- a/test/gateway/silent_replica_test.cpp
+++ b/test/gateway/silent_replica_test.cpp
@@ -283,6 +283,25 @@
     check_complete(world);
 }
 
+// Guards against a stream that waits for a replacement which can no longer go
+// on with it, while its own replica has ended.
+TEST_CASE("a replacement is given up once the silent replica writes again") {
+    constexpr milliseconds brief{1'700};
+    constexpr milliseconds soon{400};
+    silent_fixture world;
+    scripted_attempt first = silent_at(body_bytes(1), brief);
+    first.bytes = body_bytes(3);
+    world.start("runs", {first, silent_before_head(for_good)});
+    world.finish();
+    check_complete(world);
+    auto const attempts = world.attempts(0);
+    REQUIRE(attempts.size() == 3);
+    REQUIRE(attempts[0].ended);
+    REQUIRE(attempts[1].ended);
+    CHECK(*attempts[1].ended < *attempts[0].ended + soon);
+    CHECK(attempts[2].began < *attempts[0].ended + soon);
+}
+
 // Guards against events that are missing, doubled or joined from two attempts,
 // and against attempts beyond those that the route allows.
 TEST_CASE(
