A node that stood still reads on before it takes a stream for stalled

When it went on, the timer of a stream's silence had passed and was judged before the sockets were read: 29 replacements were sent and healthy replicas suspected, also at the other nodes, and all streams went on within 10 ms.

A timer that is more than 100 ms late shows that the node stood still. It then reads on for 50 ms, once in a silence, before it judges.

Test on the code before: 4 of 4 streams had a second attempt.

--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -7,6 +7,7 @@
 
 #include <cassert>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,12 @@
 /// again at this interval.
 constexpr milliseconds stalled_search_interval{300};
 
+/// A timer that is later than this shows that the node itself stood still, and
+/// what its replicas have sent meanwhile is not read yet.
+constexpr milliseconds longest_timer_delay{100};
+/// Time in which a node reads what has arrived while it stood still.
+constexpr milliseconds catch_up_time{50};
+
 } // namespace
 
 asio::awaitable<attempt_outcome>
@@ -59,12 +66,18 @@
 asio::awaitable<attempt_outcome>
 request_handler::await_end(attempt_ref attempt) {
     auto const caller = caller_;
+    // The silence during which the node has caught up once.
+    std::optional<instant> caught_up;
     while (!attempt->end) {
+        instant const now = boot_clock::now();
         // A caller that reads slowly does not make a silent replica.
-        instant const silent_since =
-            attempt->waiting_since.value_or(boot_clock::now());
-        instant const stalls_at = silent_since + stream_idle_timeout;
-        if (boot_clock::now() >= stalls_at) {
+        instant const silent_since = attempt->waiting_since.value_or(now);
+        instant stalls_at = silent_since + stream_idle_timeout;
+        bool const stood_still = now >= stalls_at + longest_timer_delay;
+        if (stood_still && caught_up != silent_since) {
+            caught_up = silent_since;
+            stalls_at = now + catch_up_time;
+        } else if (now >= stalls_at) {
             co_return attempt_outcome::stalled;
         }
         attempt->changed.expires_after(time_until(stalls_at));
--- a/test/gateway/silent_replica_test.cpp
+++ b/test/gateway/silent_replica_test.cpp
@@ -13,6 +13,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -283,6 +284,27 @@
     check_complete(world);
 }
 
+// Guards against a node that stands still and takes the time for a silence of
+// its replicas: it would send replacements, and tell other nodes that these
+// replicas are silent, though their events wait in its sockets.
+TEST_CASE("a pause of the node is not a silence of its replicas") {
+    constexpr milliseconds almost{1'480};
+    constexpr milliseconds before_pause{1'300};
+    constexpr milliseconds pause{400};
+    silent_fixture world;
+    for (unsigned each = 0; each < 4; ++each) {
+        world.start("runs", {silent_at(body_bytes(2), almost)});
+    }
+    within(world.world(), before_pause, [] { return false; });
+    // Node and replicas share a loop, so that all of them stand still.
+    std::this_thread::sleep_for(pause);
+    world.finish();
+    check_complete(world);
+    for (std::size_t each = 0; each < world.size(); ++each) {
+        CHECK(world.attempts(each).size() == 1);
+    }
+}
+
 // Guards against a stream that waits for a replacement which can no longer go
 // on with it, while its own replica has ended.
 TEST_CASE("a replacement is given up once the silent replica writes again") {
