A request that waits behind the last answer is reset at the end of a stop

Callers that send two requests at once saw the first one answered with Connection: close and, when the node's process ended within half a second of that, a bare close for the second: it may have been read, so one that may run once could not be sent again, although nothing had run.

Cause: the bytes of the second request are in the node's buffer, so the kernel does not reset the connection by itself. reset_unread() asks for it when the caller has had 500 ms to read the answer; http_server::close() ended such connections without it. It does so now, and the end of what is sent, which SIOCOUTQ counts as a byte, no longer counts as a part of an answer that has not arrived.

Soak: requests of pairs count as sent, the second of a pair is read behind an answer that ends the connection, the record says closed or reset, and a caller waits 700 ms for the reset (200 ms before; the node takes up to 500 ms).

Evidence: the new case of connection_end_test fails on the unfixed code (read_unanswered instead of reset).

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -51,6 +51,8 @@
         why_ = why_.value_or(connection_end::closed);
         end = take_report();
         discard_behind_request();
+    } else {
+        reset_unread();
     }
     close_socket();
     return end;
@@ -151,21 +153,29 @@
 // what its caller has not acknowledged. A request in the buffer counts as
 // unread, unless the reset would drop a part of the answer in front of it.
 void http_exchange::connection::reset_unread() {
-    int unacknowledged = 0;
-    bool const delivered =
-        stream_.socket().is_open() &&
-        ::ioctl(stream_.socket().native_handle(), SIOCOUTQ, &unacknowledged) ==
-            0 &&
-        unacknowledged == 0;
     skip_empty_lines();
     if (answer_ == answer_state::whole && request_whole_ && !write_error_ &&
-        buffer_.size() > 0 && delivered) {
-        beast::error_code ignored;
-        stream_.socket().set_option(
-            asio::socket_base::linger(true, 0), ignored);
+        buffer_.size() > 0 && answers_arrived()) {
+        reset_at_close();
     }
 }
 
+bool http_exchange::connection::answers_arrived() {
+    // The end of what is sent counts as a byte, and is acknowledged later.
+    int const end_of_sent = sent_all_ ? 1 : 0;
+    int unacknowledged = 0;
+    return stream_.socket().is_open() &&
+           ::ioctl(
+               stream_.socket().native_handle(), SIOCOUTQ, &unacknowledged) ==
+               0 &&
+           unacknowledged <= end_of_sent;
+}
+
+void http_exchange::connection::reset_at_close() {
+    beast::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 // Closing with unread bytes resets the connection. To its caller a reset means
 // that nothing was read, so bytes behind a request that may have run must not
 // cause one. Behind an answered request they may: they are another request.
@@ -190,6 +200,7 @@
     if (answer_ != answer_state::none) {
         beast::error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        sent_all_ = !ignored;
         if (request_whole_) {
             co_await await_reader();
         } else {
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -123,6 +123,9 @@
     void close_socket();
     /// Lets the caller know that the bytes in the buffer were not read.
     void reset_unread();
+    /// @returns true when the caller's kernel has all that was written
+    bool answers_arrived();
+    void reset_at_close();
     /// Reads what has arrived behind a request that has no whole answer.
     void discard_behind_request();
     bool note_write(boost::beast::error_code error);
@@ -156,6 +159,8 @@
     boost::beast::error_code write_error_;
     std::optional<connection_end> why_;
     bool reported_ = false;
+    /// The caller is told that nothing more follows.
+    bool sent_all_ = false;
     /// The current request is a HEAD, whose answer has no body.
     bool head_only_ = false;
 };
--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds idle_timeout{200};
 /// Bytes that are sent arrive within this time.
 constexpr milliseconds delivery_time{20};
+/// Bytes that have arrived are acknowledged within this time.
+constexpr milliseconds acknowledgement_time{100};
 constexpr std::string_view request_text =
     "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
 
@@ -290,6 +292,17 @@
         CHECK(world.await_fate(caller) == request_fate::reset);
         CHECK(world.handled == 2);
     }
+    SUBCASE("the server is closed behind the answer of the first one") {
+        std::string const two = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n" +
+                                std::string(request_text);
+        send_now(caller, two);
+        read_all();
+        CHECK(count("HTTP/1.1 200") == 1);
+        world.run_for(acknowledgement_time);
+        world.server.close();
+        CHECK(world.await_fate(caller) == request_fate::reset);
+        CHECK(world.handled == 2);
+    }
 }
 
 // Guards against a caller that always has a request waiting: its connection is
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -147,10 +147,26 @@
         text += text_of(wanted);
     }
     time_limit const limit(*socket_, pair.front().patience * 2 + grace);
+    instant const begun = boot_clock::now();
     // What becomes of a write that fails is seen by the reads.
-    co_await asio::async_write(*socket_, asio::buffer(text), use_result);
-    for (std::size_t each = 0; each < pair.size() && socket_; ++each) {
-        co_await read_answer(pair.at(each));
+    auto const [error, size] =
+        co_await asio::async_write(*socket_, asio::buffer(text), use_result);
+    instant const sent = boot_clock::now();
+    for (std::size_t each = 0; each < pair.size(); ++each) {
+        request const& wanted = pair.at(each);
+        sent_request const former = std::exchange(
+            sent_, {wanted.id, node_, begun, wanted.patience, sent});
+        if (socket_) {
+            // The second one is on this connection also when the first one's
+            // answer announces its end.
+            co_await read_answer(wanted, each + 1 < pair.size());
+        } else {
+            sent_.ended = former.ended;
+            sent_.reset = former.reset;
+        }
+        if (!error) {
+            records_->sent.push_back(sent_);
+        }
     }
 }
 
@@ -274,7 +290,8 @@
     co_return !error;
 }
 
-asio::awaitable<caller::fate> caller::read_answer(request const& wanted) {
+asio::awaitable<caller::fate>
+caller::read_answer(request const& wanted, bool another_follows) {
     http::response_parser<http::string_body> parser;
     auto const [error, size] =
         co_await http::async_read(*socket_, buffer_, parser, use_result);
@@ -291,7 +308,7 @@
         error ? error.message() : "whole"));
     if (!error) {
         fate const what = judge(wanted);
-        if (!parser.keep_alive()) {
+        if (!parser.keep_alive() && !another_follows) {
             socket_.reset();
         }
         co_return what;
@@ -303,12 +320,17 @@
         // was sent at the same time.
         constexpr milliseconds step{10};
         bool reset = error == asio::error::connection_reset;
-        for (int each = 0; each < 20 && !reset; ++each) {
+        constexpr int steps = 70;
+        for (int each = 0; each < steps && !reset && socket_->is_open();
+             ++each) {
             co_await standins::wait_for(step);
             reset = was_reset(*socket_);
         }
+        sent_.reset = reset;
         what = reset ? fate::reset : fate::final;
     }
+    target_->note(fmt::format(
+        "ended {} n{} {}", wanted.id, node_, sent_.reset ? "reset" : "closed"));
     socket_.reset();
     co_return note(what, wanted.id);
 }
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -86,7 +86,10 @@
     /// Writes a request, or its first part and after a pause the other one.
     /// @returns false when the connection has ended
     boost::asio::awaitable<bool> write(std::string const& text);
-    boost::asio::awaitable<fate> read_answer(request const& wanted);
+    /// @param another_follows a further answer is read on the connection, also
+    ///                        when this one announces its end
+    boost::asio::awaitable<fate>
+    read_answer(request const& wanted, bool another_follows = false);
     boost::asio::awaitable<bool> connect();
     fate judge(request const& wanted);
     fate note(fate what, std::string const& id);
--- a/test/soak/lost_requests.hpp
+++ b/test/soak/lost_requests.hpp
@@ -30,6 +30,8 @@
     instant ended{};
     /// Its answer was complete.
     bool answered = false;
+    /// Its connection was reset before any part of an answer.
+    bool reset = false;
 };
 
 /// A planned stop of a node.
