A request that is half read at the end of a stop is reset

Callers saw a bare close when the process ended while a request was on its way. PROTOCOL: a request that may run once is sent again only after a promise, or when the node closed the connection without having read it. A bare close can also end a request that was read whole; a reset tells that it was not.

Cause: http_server::close() closes the socket, and what has arrived is in the node's buffer, so that the kernel sends no reset. Change: it resets a connection whose request was not read whole, unless a former answer on it has not been acknowledged, which the reset could drop.

Evidence: both cases of the new port test (a part of the head; all but the body) give read_unanswered on the unfixed code, reset after it.

--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -51,6 +51,7 @@
         why_ = why_.value_or(connection_end::closed);
         end = take_report();
         discard_behind_request();
+        reset_half_read();
     } else {
         reset_unread();
     }
@@ -160,6 +161,14 @@
     }
 }
 
+// A connection that ends without a reset may have been read to the end of the
+// request: its caller could not send a request again that may run once.
+void http_exchange::connection::reset_half_read() {
+    if (!request_whole_ && answer_ == answer_state::none && answers_arrived()) {
+        reset_at_close();
+    }
+}
+
 bool http_exchange::connection::answers_arrived() {
     // The end of what is sent counts as a byte, and is acknowledged later.
     int const end_of_sent = sent_all_ ? 1 : 0;
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -123,6 +123,8 @@
     void close_socket();
     /// Lets the caller know that the bytes in the buffer were not read.
     void reset_unread();
+    /// Lets the caller know that its request was not read whole.
+    void reset_half_read();
     /// @returns true when the caller's kernel has all that was written
     bool answers_arrived();
     void reset_at_close();
--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -305,6 +305,25 @@
     }
 }
 
+// Guards against a caller that cannot send a request again, since its
+// connection ends as if the request had been read whole.
+TEST_CASE("a request that is half read when its server is closed is reset") {
+    kept_connections world;
+    tcp::socket& caller = world.connect();
+    std::size_t size = 0;
+    SUBCASE("in its head") {
+        size = 9;
+    }
+    SUBCASE("in front of its body") {
+        size = request_text.size() - 1;
+    }
+    send_now(caller, request_text.substr(0, size));
+    world.run_for(delivery_time);
+    world.server.close();
+    CHECK(world.await_fate(caller) == request_fate::reset);
+    CHECK(world.handled == 1);
+}
+
 // Guards against a caller that always has a request waiting: its connection is
 // kept, and is cut within a request when the process ends.
 TEST_CASE("a server that ends tells a caller that always has one waiting") {
