Soak: a request that a stopping node held and cut counts as lost

find_lost judged only requests that a replica had run. RULES.md, LOST, also counts a request that a process has read whole and whose connection ends later than loss_slack_ms (200 ms) after its last byte, in a planned stop and in calm. A request counts as read when its connection was closed without a reset, or when a node's log names it as routed or ended.

--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -6,9 +6,11 @@
 #include <absl/time/time.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace camphorpoint::soak {
@@ -181,6 +183,28 @@
     return unseen;
 }
 
+std::set<std::string> deployment::requests_read() const {
+    constexpr std::array<std::string_view, 2> names{
+        R"("name":"request-routed","id":")",
+        R"("name":"request-ended","id":")"};
+    std::set<std::string> ids;
+    for (std::size_t each = 0; each < nodes.size(); ++each) {
+        std::ifstream log(fmt::format("{}/node-{}.log", settings_.work, each));
+        std::string line;
+        while (std::getline(log, line)) {
+            for (std::string_view const name : names) {
+                std::size_t const at = line.find(name);
+                if (at != std::string::npos) {
+                    std::size_t const first = at + name.size();
+                    ids.insert(
+                        line.substr(first, line.find('"', first) - first));
+                }
+            }
+        }
+    }
+    return ids;
+}
+
 void deployment::add_node(unsigned number) {
     unsigned const base = first_node + number * ports_of_node;
     std::string const file = fmt::format("{}/n{}.toml", settings_.work, number);
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -130,6 +131,8 @@
     /// @returns for each node that runs the replicas that it has not seen in
     ///          the registry
     std::vector<std::string> unseen_replicas() const;
+    /// @returns the ids of requests that nodes have read whole, as they log
+    std::set<std::string> requests_read() const;
     /// @returns how many events a stream has
     std::uint64_t stream_events() const noexcept;
 
--- a/test/soak/lost_requests.cpp
+++ b/test/soak/lost_requests.cpp
@@ -18,6 +18,9 @@
 /// A process may end so long after its grace.
 constexpr milliseconds after_grace{1'000};
 
+/// A request that no replica runs may end so long after its last byte.
+constexpr milliseconds loss_slack{200};
+
 using runs_by_request = std::multimap<std::string, std::string>;
 
 /// The stop that a request ended with, null when there is none.
@@ -56,11 +59,19 @@
     });
 }
 
+/// @returns true when a node has read the request and has not passed it on
+bool was_held(
+    sent_request const& request, std::set<std::string> const& logged) {
+    return request.ended > request.sent + loss_slack &&
+           (!request.reset || logged.contains(request.id));
+}
+
 } // namespace
 
 std::vector<violation> find_lost(
     run_records const& records, std::vector<sent_request> const& requests,
-    stop_records const& stops, milliseconds grace) {
+    std::set<std::string> const& logged, stop_records const& stops,
+    milliseconds grace) {
     runs_by_request runs;
     for (auto const& [name, run] : records.runs) {
         runs.emplace(run.request, name);
@@ -69,8 +80,10 @@
     for (sent_request const& each : requests) {
         planned_stop const* const stop = stop_of(each, stops.stops, grace);
         bool const in_time = each.ended < each.begun + each.patience;
+        bool const ran = runs.contains(each.id);
         if (each.answered || stop == nullptr || !in_time ||
-            !runs.contains(each.id) || !in_calm(each, stops.disturbances) ||
+            !(ran || was_held(each, logged)) ||
+            !in_calm(each, stops.disturbances) ||
             is_excused(each, *stop, records, runs, grace)) {
             continue;
         }
@@ -81,9 +94,10 @@
         found.push_back(
             {"LOST",
              fmt::format(
-                 "{} at node {}: last byte {} ms after SIGTERM, cut at "
+                 "{} at node {}: {}, last byte {} ms after SIGTERM, {} at "
                  "{} ms",
-                 each.id, each.node, after(each.sent), after(each.ended))});
+                 each.id, each.node, ran ? "ran" : "held", after(each.sent),
+                 each.reset ? "reset" : "cut", after(each.ended))});
     }
     return found;
 }
--- a/test/soak/lost_requests.hpp
+++ b/test/soak/lost_requests.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,13 +55,17 @@
     std::vector<disturbance> disturbances;
 };
 
-/// Finds requests that a replica ran and that ended with a planned stop of
-/// their node, in calm, without a complete answer. A request whose deadline has
-/// passed does not count, nor one that was sent soon after SIGTERM and on which
-/// the replica was still at work in the last sixth of the grace.
-/// @param grace the time that a node has for a stop
+/// Finds requests that ended with a planned stop of their node, in calm,
+/// without a complete answer: those that a replica ran, and those that the node
+/// had read and held. A request counts as read when its connection was closed
+/// without a reset, or when a node has logged it. One whose deadline has passed
+/// does not count, nor one that was sent soon after SIGTERM and on which the
+/// replica was still at work in the last sixth of the grace.
+/// @param logged ids of requests that a node has read, as its log says
+/// @param grace  the time that a node has for a stop
 std::vector<violation> find_lost(
     run_records const& records, std::vector<sent_request> const& requests,
-    stop_records const& stops, std::chrono::milliseconds grace);
+    std::set<std::string> const& logged, stop_records const& stops,
+    std::chrono::milliseconds grace);
 
 } // namespace camphorpoint::soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -152,8 +152,8 @@
             std::back_inserter(found));
         std::ranges::copy(
             find_lost(
-                runs, records_.sent, disruptions_.stops(),
-                settings_.stop_limit),
+                runs, records_.sent, target_.requests_read(),
+                disruptions_.stops(), settings_.stop_limit),
             std::back_inserter(found));
         std::ranges::copy(memory_.excesses(), std::back_inserter(found));
         if (played) {
