--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -58,8 +58,10 @@
     unsigned releases = 0;
     unsigned herd_kills = 0;
     unsigned odd_entries = 0;
-    /// Share of disruptions: SIGTERM to one node, one at a time.
+    /// Share of disruptions: SIGTERM to one node.
     unsigned planned_stops = 0;
+    /// So many nodes stop at a time, at most.
+    unsigned stops_at_once = 1;
     /// Share of disruptions: a release that one node does not see.
     unsigned out_of_step = 0;
     /// Of the nodes.
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -137,15 +137,21 @@
 }
 
 asio::awaitable<void> disruptions::stop_as_planned() {
-    if (std::exchange(stopping_, true)) {
+    std::size_t const nodes = target_->nodes.size();
+    if (planned_ >= settings_.stops_at_once || planned_ >= nodes) {
         co_return;
     }
+    ++planned_;
     // Since the nodes were started, or one was started again.
     co_await standins::wait_for(calm_before_stop);
-    std::size_t const number = draw(target_->nodes.size());
+    std::size_t number = draw(nodes);
+    while (!stopping_.insert(number).second) {
+        number = (number + 1) % nodes;
+    }
     stops_.stops.push_back({number, boot_clock::now()});
     co_await end_process(*target_->nodes[number].node, SIGTERM);
-    stopping_ = false;
+    stopping_.erase(number);
+    --planned_;
 }
 
 asio::awaitable<void> disruptions::disturb_processes() {
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -7,8 +7,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <random>
+#include <set>
 #include <string>
 
 namespace camphorpoint::soak {
@@ -43,8 +45,8 @@
     /// @param replica the one that it concerns if it concerns one
     boost::asio::awaitable<void>
     disturb(std::uint64_t drawn, replica_processes& replica);
-    /// Stops a node by SIGTERM and starts it again, unless another such stop is
-    /// under way.
+    /// Stops a node by SIGTERM and starts it again, unless as many such stops
+    /// are under way as the settings allow.
     boost::asio::awaitable<void> stop_as_planned();
     /// Sends a signal, and starts the process again when it has ended.
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
@@ -86,7 +88,10 @@
     std::mt19937_64 random_;
     std::string software_ = "v1";
     stop_records stops_;
-    bool stopping_ = false;
+    /// Planned stops that are under way or begin soon.
+    unsigned planned_ = 0;
+    /// The nodes that they stop.
+    std::set<std::size_t> stopping_;
     bool releasing_ = false;
     unsigned odd_entries_ = 0;
     unsigned version_ = 1;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -51,6 +51,7 @@
 ABSL_FLAG(unsigned, herd_kills, 0, "share of disruptions: all nodes at once");
 ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
 ABSL_FLAG(unsigned, planned_stops, 0, "share of disruptions: SIGTERM, in calm");
+ABSL_FLAG(unsigned, stops_at_once, 1, "planned stops under way, at most");
 ABSL_FLAG(unsigned, out_of_step, 0, "share of disruptions: unseen releases");
 ABSL_FLAG(unsigned, stream_lifetime_ms, 60'000, "of nodes");
 ABSL_FLAG(unsigned, slow_requests, 0, "percent of requests that take 2 to 6 s");
@@ -224,6 +225,7 @@
     settings.herd_kills = absl::GetFlag(FLAGS_herd_kills);
     settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
     settings.planned_stops = absl::GetFlag(FLAGS_planned_stops);
+    settings.stops_at_once = absl::GetFlag(FLAGS_stops_at_once);
     settings.out_of_step = absl::GetFlag(FLAGS_out_of_step);
     settings.stream_lifetime =
         milliseconds(absl::GetFlag(FLAGS_stream_lifetime_ms));
