A test of a request behind one that the end of a stop answers

The first of two requests on a connection is in progress at the end of a stop and gets 502; the second one is reset.

--- a/test/gateway/stopping_node_test.cpp
+++ b/test/gateway/stopping_node_test.cpp
@@ -252,6 +252,37 @@
     CHECK(*with.stopped_at - with.stop_began < stop_limit);
 }
 
+// Guards against a request that may run once and cannot be sent again, since
+// its connection ends as if it had been read, behind one that the stop ends.
+TEST_CASE("a request behind one that is ended with a stop is left unread") {
+    stopping_fixture with;
+    scripted_attempt created;
+    created.status = 201;
+    with.replica.scripts["/order/first"] = {created};
+    with.silence("order/long");
+    // The kernel of a caller that sends requests and reads answers in turn
+    // acknowledges answers late.
+    raw_caller& caller = with.begin(stopping_fixture::request("order/first"));
+    REQUIRE(with.world.loop.run_until([&] { return caller.got(" 201"); }));
+    REQUIRE_FALSE(testing::send_now(
+        caller.socket, stopping_fixture::request("order/long") +
+                           stopping_fixture::request("order/next")));
+    REQUIRE(with.world.loop.run_until(
+        [&] { return with.replica.records.size() == 2; }));
+    with.stop();
+    CHECK(with.world.loop.run_until([&] { return caller.ended; }));
+    CHECK(caller.got("HTTP/1.1 502"));
+    CHECK(
+        with.world.loop.run_until([&] { return with.stopped_at.has_value(); }));
+    CHECK(*with.stopped_at - with.stop_began < stop_limit);
+    testing::request_fate next = testing::request_fate::pending;
+    with.world.loop.run([&]() -> asio::awaitable<void> {
+        next = co_await testing::read_fate(caller.socket);
+    });
+    CHECK(next == testing::request_fate::reset);
+    CHECK(with.replica.records.size() == 2);
+}
+
 // Guards against an answer of a stopping peer that keeps the node which has
 // relayed a request from sending it once more.
 TEST_CASE("a repeatable request whose peer stops goes on at another peer") {
