A stop lets its last answers be acknowledged before connections are reset

Cause: the second request is reset only once the answer in front of it has been acknowledged, since the reset could drop that answer. The services were stopped within 10 ms of it, before acknowledgements that a kernel delays, by 40 ms as a rule. end_requests() now waits for connections for up to 100 ms more, within the 0.4 s that a stop reserves.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -27,6 +27,10 @@
 constexpr milliseconds shutdown_reserve{400};
 /// Part of it in which requests that were ended get their answers.
 constexpr milliseconds time_for_answers{150};
+/// Part of it in which the callers' kernels acknowledge these answers. Until
+/// then a request that waits behind one cannot be reset, as the reset could
+/// drop the answer.
+constexpr milliseconds time_for_acknowledgements{100};
 
 http_limits default_limits() {
     http_limits limits;
@@ -298,8 +302,15 @@
     state_.waiters.notify_all();
     instant const until = boot_clock::now() + time_for_answers;
     asio::steady_timer timer(*io_);
+    constexpr milliseconds step{10};
     while (state_.requests.size() > 0 && boot_clock::now() < until) {
-        timer.expires_after(milliseconds(10));
+        timer.expires_after(step);
+        co_await timer.async_wait(use_result);
+    }
+    instant const acknowledged = boot_clock::now() + time_for_acknowledgements;
+    while (caller_server_.open_connections() > 0 &&
+           boot_clock::now() < acknowledged) {
+        timer.expires_after(step);
         co_await timer.async_wait(use_result);
     }
 }
