--- a/test/ports/connection_end_test.cpp
+++ b/test/ports/connection_end_test.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds idle_timeout{200};
 /// Bytes that are sent arrive within this time.
 constexpr milliseconds delivery_time{20};
+/// Bytes that have arrived are acknowledged within this time.
+constexpr milliseconds acknowledgement_time{100};
 constexpr std::string_view request_text =
     "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
 
@@ -290,6 +292,36 @@
         CHECK(world.await_fate(caller) == request_fate::reset);
         CHECK(world.handled == 2);
     }
+    SUBCASE("the server is closed behind the answer of the first one") {
+        std::string const two = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n" +
+                                std::string(request_text);
+        send_now(caller, two);
+        read_all();
+        CHECK(count("HTTP/1.1 200") == 1);
+        world.run_for(acknowledgement_time);
+        world.server.close();
+        CHECK(world.await_fate(caller) == request_fate::reset);
+        CHECK(world.handled == 2);
+    }
+}
+
+// Guards against a caller that cannot send a request again, since its
+// connection ends as if the request had been read whole.
+TEST_CASE("a request that is half read when its server is closed is reset") {
+    kept_connections world;
+    tcp::socket& caller = world.connect();
+    std::size_t size = 0;
+    SUBCASE("in its head") {
+        size = 9;
+    }
+    SUBCASE("in front of its body") {
+        size = request_text.size() - 1;
+    }
+    send_now(caller, request_text.substr(0, size));
+    world.run_for(delivery_time);
+    world.server.close();
+    CHECK(world.await_fate(caller) == request_fate::reset);
+    CHECK(world.handled == 1);
 }
 
 // Guards against a caller that always has a request waiting: its connection is
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,8 +58,10 @@
     unsigned releases = 0;
     unsigned herd_kills = 0;
     unsigned odd_entries = 0;
-    /// Share of disruptions: SIGTERM to one node, one at a time.
+    /// Share of disruptions: SIGTERM to one node.
     unsigned planned_stops = 0;
+    /// So many nodes stop at a time, at most.
+    unsigned stops_at_once = 1;
     /// Share of disruptions: a release that one node does not see.
     unsigned out_of_step = 0;
     /// Share of disruptions: a replica stands still for about as long as a node
@@ -133,6 +136,8 @@
     /// @returns for each node that runs the replicas that it has not seen in
     ///          the registry
     std::vector<std::string> unseen_replicas() const;
+    /// @returns the ids of requests that nodes have read whole, as they log
+    std::set<std::string> requests_read() const;
     /// @returns how many events a stream has
     std::uint64_t stream_events() const noexcept;
 
