A node that gets no slot learns that a replica is brittle no more

Callers of one node got 503 `replica-limited` for every request to a service whose replicas had ceased to say that they are brittle, for as long as the other nodes kept a replica busier than its slots; callers of those were served.

Cause: a node learns the end of brittleness by an answer of the replica only. The nodes that learn it first send without slots and fill the replica beyond them. Its controller counts these requests and grants no slot to a node that still asks; without a slot that node sends nothing, and gets no answer that would tell it. Brittleness does not expire.

The answers name nothing from 18:54:52.68 on; two nodes note the end (948) at 52.874 to 53.060. All 82 requests of n3 from 52.45 to 54.60 and one more end as `replica-limited` with 0 sends, most after 0.6 to 0.8 s, while the loads in lines 912 of the others are 1.25 to 2.75. n3's first answer, at 55.488 after the demand had ended, shows it the end.

Change: a node that has an answer without the header tells the replica's controller, at once and then once a second for a minute, since a datagram may be lost and the controller may change. A question for a slot names the age of what its sender knows; a controller that knows a later answer grants without counting and says so, as for rate limits. The datagram format number stays: the new list is the last one, and a node of the former version drops only datagrams with it.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -33,6 +33,10 @@
     std::chrono::milliseconds(1);
 /// A smaller difference changes no choice.
 constexpr double min_slowdown_difference = 0.25;
+/// The controller of a replica that is no longer brittle is told so at this
+/// interval, for this long after an answer has last named it.
+constexpr duration brittleness_end_interval = std::chrono::seconds(1);
+constexpr duration brittleness_end_period = std::chrono::seconds(60);
 
 void insert_by_id(std::vector<replica*>& into, replica& target) {
     auto const place = std::ranges::lower_bound(
@@ -435,10 +439,28 @@
     return was_brittle && !is_brittle(*target);
 }
 
+bool fleet::begin_telling_brittleness_end(
+    endpoint_id const& id, bool news, instant now) {
+    replica* const target = find(id);
+    if (target == nullptr || is_brittle(*target)) {
+        return false;
+    }
+    auto const found = brittle_services_.find(target->record.service);
+    bool const recent = found != brittle_services_.end() &&
+                        now < found->second.named_at + brittleness_end_period;
+    bool const due =
+        now >= target->brittleness_end_told_at + brittleness_end_interval;
+    if (!recent || !(news || due)) {
+        return false;
+    }
+    target->brittleness_end_told_at = now;
+    return true;
+}
+
 std::optional<service_brittleness> fleet::brittleness(replica const& of) const {
     auto const found = brittle_services_.find(of.record.service);
     bool const brittle = found != brittle_services_.end() &&
-                         found->second.named_at >= of.not_brittle_at;
+                         !not_brittle_since(of, found->second.named_at);
     return brittle ? std::optional(found->second) : std::nullopt;
 }
 
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -125,6 +125,8 @@
     /// When the request was sent whose answer last did not say that the replica
     /// is brittle.
     instant not_brittle_at;
+    /// When this node last told the controller that it is no longer brittle.
+    instant brittleness_end_told_at;
     /// The controller of a brittle replica has not answered, and is not asked
     /// for a slot before this time.
     instant unanswered_until;
@@ -296,6 +298,17 @@
     /// @param sent_at when the request was sent
     /// @returns true when this lifts it
     bool clear_brittle(endpoint_id const& id, instant sent_at);
+    /// @returns true when a request that was sent there after the given time
+    ///          was answered without saying that the replica is brittle
+    static bool not_brittle_since(replica const& of, instant named_at) {
+        return of.not_brittle_at > named_at;
+    }
+    /// Decides whether the controller of a replica that has answered is told
+    /// now that it is no longer brittle. That is repeated, since a datagram may
+    /// be lost and the controller may change.
+    /// @param news the answer has shown it
+    bool begin_telling_brittleness_end(
+        endpoint_id const& id, bool news, instant now);
     /// @returns what the replica bears; nothing when it is not brittle
     std::optional<service_brittleness> brittleness(replica const& of) const;
     /// @returns true when each request to the replica needs a granted slot
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -361,6 +361,19 @@
     }
 };
 
+/// An answer of a replica whose service is brittle has not said so any more,
+/// for its controller.
+struct peer_brittleness_end {
+    std::uint64_t replica = 0;
+    /// Time since the answer's request was sent.
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, age_ms);
+    }
+};
+
 /// A brittle replica has rejected a request, for its controller.
 struct peer_rejection {
     std::uint64_t replica = 0;
@@ -377,7 +390,9 @@
 /// request, or the controller of a brittle replica for a slot.
 struct peer_permit_request {
     std::uint64_t number = 0;
-    /// The limit that the sender knows: the controller may be a new one.
+    /// The limit that the sender knows: the controller may be a new one. In a
+    /// question for a slot, `age_ms` is the time since an answer last said that
+    /// the replica is brittle, as far as the sender knows.
     peer_rate_limit limit;
     /// How long the request may wait.
     std::uint32_t budget_ms = 0;
@@ -396,7 +411,7 @@
 struct peer_permit_reply {
     std::uint64_t number = 0;
     bool granted = false;
-    /// The replica no longer has a limit.
+    /// The replica no longer has a limit, or is no longer brittle.
     bool unlimited = false;
     /// When granted, the request is to be sent after this time; otherwise the
     /// time until the next permit.
@@ -512,6 +527,7 @@
     std::vector<peer_gate_message> gate_messages;
     std::vector<peer_rate_limit> rate_limits;
     std::vector<peer_brittle_service> brittle_services;
+    std::vector<peer_brittleness_end> brittleness_ends;
     std::vector<peer_rejection> rejections;
     /// Replicas that have said in answers that they leave.
     std::vector<std::uint64_t> leaving_replicas;
@@ -582,7 +598,7 @@
             of.permit_replies, of.usage_messages, of.stream_records,
             of.stream_questions, of.stream_answers, of.registry_updates,
             of.part_crashes, of.part_inquiries, of.attempt_reports,
-            of.slowdowns);
+            of.slowdowns, of.brittleness_ends);
     }
     std::uint32_t present_lists() const noexcept {
         std::uint32_t present = 0;
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -208,8 +208,9 @@
     /// Applies an answer of a replica that announces its shutdown, and tells
     /// all nodes when it is news.
     void report_leaving(endpoint_id const& at);
-    /// Applies what an answer of a replica says about its brittleness, and
-    /// tells all nodes when it is news.
+    /// Applies what an answer of a replica says about its brittleness. Tells
+    /// all nodes when it is news that it is brittle, and the replica's
+    /// controller that it is no longer.
     /// @param max_rejections as it names it; nothing when it names none
     /// @param sent_at when the request was sent
     void report_brittleness(
@@ -344,6 +345,15 @@
     /// @returns true when it was not known that the service is brittle
     bool apply_brittleness(
         peer_brittle_service const& message, std::string_view by, instant now);
+    /// Applies an answer that does not say that the replica is brittle.
+    /// @param sent_at when its request was sent
+    /// @returns true when the replica was taken for brittle
+    bool end_brittleness(
+        endpoint_id const& at, instant sent_at, std::string_view by);
+    /// Tells the controller of a replica that has answered that it is no longer
+    /// brittle, unless it was told lately.
+    /// @param news the answer has shown it
+    void tell_brittleness_end(endpoint_id const& at, bool news, instant now);
     /// @returns true when it was not known that the replica leaves
     bool apply_leaving(endpoint_id const& id, std::string_view by);
     /// @returns the replicas whose shutdown this node has reported lately
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -179,6 +179,13 @@
     for (peer_brittle_service const& each : message.brittle_services) {
         apply_brittleness(each, "message", now);
     }
+    for (peer_brittleness_end const& each : message.brittleness_ends) {
+        if (replica const* const at =
+                state_->replicas.find_by_hash(each.replica)) {
+            end_brittleness(
+                at->record.id, now - milliseconds(each.age_ms), "message");
+        }
+    }
     for (std::uint64_t const each : message.leaving_replicas) {
         if (replica const* const at = state_->replicas.find_by_hash(each)) {
             apply_leaving(at->record.id, "message");
--- a/src/Gateway/peer_messenger_slots.cpp
+++ b/src/Gateway/peer_messenger_slots.cpp
@@ -62,14 +62,40 @@
     return found;
 }
 
+bool peer_messenger::end_brittleness(
+    endpoint_id const& at, instant sent_at, std::string_view by) {
+    bool const news = state_->replicas.clear_brittle(at, sent_at);
+    if (news) {
+        state_->log_event(log_line(event_code::replica_not_brittle)
+                              .with("replica", at.str())
+                              .with("by", by));
+    }
+    return news;
+}
+
+void peer_messenger::tell_brittleness_end(
+    endpoint_id const& at, bool news, instant now) {
+    auto const holder = lease_holders_.find(partition_of(at));
+    if (holder == lease_holders_.end() ||
+        holder->second == state_->own_address ||
+        !state_->replicas.begin_telling_brittleness_end(at, news, now)) {
+        return;
+    }
+    replica const* const target = std::as_const(state_->replicas).find(at);
+    duration const age = now - target->not_brittle_at;
+    peer_datagram report;
+    report.brittleness_ends.push_back(
+        {fleet::id_hash(at),
+         clamped_milliseconds(std::chrono::ceil<milliseconds>(age))});
+    send(holder->second, std::move(report));
+}
+
 void peer_messenger::report_brittleness(
     endpoint_id const& at, std::optional<unsigned> max_rejections,
     instant sent_at) {
     if (!max_rejections) {
-        if (state_->replicas.clear_brittle(at, sent_at)) {
-            state_->log_event(log_line(event_code::replica_not_brittle)
-                                  .with("replica", at.str()));
-        }
+        bool const news = end_brittleness(at, sent_at, "answer");
+        tell_brittleness_end(at, news, boot_clock::now());
         return;
     }
     replica const* const target = state_->replicas.find(at);
@@ -134,6 +160,19 @@
         slot_grants_.erase(hash);
         return std::nullopt;
     }
+    peer_permit_reply reply;
+    reply.number = request.number;
+    // Guards against a node that is refused for as long as others, which know
+    // that the replica is no longer brittle, fill it beyond its slots: without
+    // a slot no answer of the replica would tell that node.
+    if (!state_->replicas.is_brittle(*at) &&
+        fleet::not_brittle_since(
+            *at, now - milliseconds(request.limit.age_ms))) {
+        slot_grants_.erase(hash);
+        reply.granted = true;
+        reply.unlimited = true;
+        return reply;
+    }
     auto const gained_at =
         state_->leases.exclusive_since(partition_of(at->record.id));
     bool const counted = gained_at && now >= *gained_at + counting_time;
@@ -146,8 +185,6 @@
     rate_permit const permit = grants.request(
         {hash_text(from), request.number}, request_tracker_.running(hash),
         milliseconds(request.budget_ms), now);
-    peer_permit_reply reply;
-    reply.number = request.number;
     reply.granted = permit.granted;
     reply.wait_ms =
         clamped_milliseconds(std::chrono::ceil<milliseconds>(permit.wait));
@@ -168,6 +205,8 @@
     peer_permit_request request;
     request.number = permit.number = ++last_permit_request_;
     request.limit.replica = fleet::id_hash(at);
+    request.limit.age_ms =
+        clamped_milliseconds(boot_clock::now() - brittleness->named_at);
     request.budget_ms = clamped_milliseconds(budget);
     request.for_slot = true;
     request.max_rejections = brittleness->max_rejections;
@@ -181,6 +220,9 @@
         reply =
             co_await ask_controller(controller, request, slot_answer_timeout);
     }
+    if (reply && reply->unlimited) {
+        end_brittleness(at, brittleness->named_at + duration(1), "controller");
+    }
     if (reply) {
         permit.permit = {reply->granted, milliseconds(reply->wait_ms)};
     } else {
--- a/test/gateway/attempt_report_message_test.cpp
+++ b/test/gateway/attempt_report_message_test.cpp
@@ -46,6 +46,7 @@
     usage.flags = usage_avoided | usage_probe_permitted;
     sent.replica_usages.push_back(usage);
     sent.slowdowns.push_back({9, 250});
+    sent.brittleness_ends.push_back({9, 70});
     auto const read = decode_peer_datagram(encode(sent));
     REQUIRE(read);
     REQUIRE(read->replica_usages.size() == 1);
@@ -58,4 +59,7 @@
     CHECK(each.slowdown_age_ms == 120);
     CHECK(each.flags == (usage_avoided | usage_probe_permitted));
     CHECK(read->slowdowns.front().percent == 250);
+    REQUIRE(read->brittleness_ends.size() == 1);
+    CHECK(read->brittleness_ends.front().replica == 9);
+    CHECK(read->brittleness_ends.front().age_ms == 70);
 }
--- a/test/gateway/brittle_replica_test.cpp
+++ b/test/gateway/brittle_replica_test.cpp
@@ -26,18 +26,20 @@
 constexpr milliseconds notice_time{500};
 constexpr milliseconds request_interval{8};
 
-/// Sends requests to three nodes by turns, three times as many as one replica
-/// can run.
+/// Sends requests to the first nodes by turns, three times as many as one
+/// replica can run.
 /// @param at_once requests that are sent at the same moment
+/// @param nodes   how many of the nodes get requests
 void send_for(
     gateway_fixture& world, milliseconds time, std::size_t& sent,
-    std::vector<int>& statuses, std::size_t at_once = 1) {
+    std::vector<int>& statuses, std::size_t at_once = 1,
+    std::size_t nodes = 3) {
     instant const until = boot_clock::now() + time;
     while (boot_clock::now() < until) {
         for (std::size_t each = 0; each < at_once; ++each) {
             std::string const id = "q" + std::to_string(sent);
             world.send_to_node_async(
-                sent++ % 3, "/look/b", "", id, "body " + id, statuses);
+                sent++ % nodes, "/look/b", "", id, "body " + id, statuses);
         }
         within(world, request_interval, [] { return false; });
     }
@@ -163,6 +165,38 @@
     within(world, milliseconds(400), [] { return false; });
 }
 
+// Guards against nodes that refuse all requests for a replica that is brittle
+// no more: the others keep more requests running there than it has slots, and
+// a node that is granted no slot gets no answer of the replica.
+TEST_CASE("a node without a slot learns that a replica is brittle no more") {
+    std::vector<int> earlier;
+    std::vector<int> statuses;
+    std::size_t sent = 0;
+    gateway_fixture world;
+    world.add_node();
+    world.add_node();
+    world.plain.engine.service_time = milliseconds(200);
+    world.plain.engine.room = 8;
+    world.plain.engine.brittle = std::to_string(max_rejections);
+    // One node alone learns it from the replica, and that it has ended.
+    send_for(world, notice_time, sent, earlier, 1, 1);
+    world.plain.engine.brittle.clear();
+    world.plain.engine.room = 0;
+    // In parts: a loop that stands still shortens one of them.
+    for (int part = 0; part < 15; ++part) {
+        send_for(world, milliseconds(100), sent, earlier, 1, 1);
+    }
+    std::size_t const before = sent;
+    send_for(world, milliseconds(1'000), sent, statuses, 3);
+    within(world, milliseconds(3'000), [&] {
+        return statuses.size() == sent - before;
+    });
+    CHECK(
+        std::ranges::count(statuses, 200) ==
+        static_cast<std::ptrdiff_t>(sent - before));
+    within(world, milliseconds(400), [] { return false; });
+}
+
 // Guards against brittle replicas that fall over again and again: a replica
 // that is back has a new id, and all nodes send it what the others have no room
 // for.
--- a/test/slot_grants_test.cpp
+++ b/test/slot_grants_test.cpp
@@ -127,4 +127,39 @@
     }
 }
 
+// Guards against a controller that goes on refusing slots since the one
+// datagram that tells it of the end was lost.
+TEST_CASE("the end of brittleness is told to the controller again") {
+    fleet replicas;
+    replica_record record;
+    record.service = service_id("s");
+    record.id = endpoint_id("r");
+    replicas.apply(record, start);
+    auto const tells = [&](bool news, instant now) {
+        return replicas.begin_telling_brittleness_end(record.id, news, now);
+    };
+    CHECK_FALSE(tells(false, start));
+    replicas.mark_brittle(record.service, 3, start);
+    CHECK_FALSE(tells(false, start));
+    CHECK_FALSE(fleet::not_brittle_since(*replicas.find(record.id), start));
+    instant const ended = start + milliseconds(1);
+    REQUIRE(replicas.clear_brittle(record.id, ended));
+    CHECK(fleet::not_brittle_since(*replicas.find(record.id), start));
+    CHECK_FALSE(fleet::not_brittle_since(*replicas.find(record.id), ended));
+
+    REQUIRE(tells(true, ended));
+    SUBCASE("once a second") {
+        CHECK_FALSE(tells(false, ended + milliseconds(999)));
+        CHECK(tells(false, ended + seconds(1)));
+        CHECK_FALSE(tells(false, ended + seconds(1)));
+    }
+    SUBCASE("at once when it has ended anew") {
+        CHECK(tells(true, ended + milliseconds(1)));
+    }
+    SUBCASE("for a minute") {
+        CHECK(tells(false, start + milliseconds(59'999)));
+        CHECK_FALSE(tells(false, start + seconds(61)));
+    }
+}
+
 } // namespace camphorpoint
