--- a/standins/link/faulty_link.cpp
+++ b/standins/link/faulty_link.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <chrono>
 #include <cstdlib>
+#include <poll.h>
 #include <string_view>
 #include <utility>
 
@@ -81,7 +82,7 @@
 
 std::string faulty_link::listen(
     camphorpoint::ip_address const& at, camphorpoint::ip_address const& target,
-    bool endless) {
+    way_faults of_way) {
     auto const acceptor = std::make_shared<tcp::acceptor>(*io_);
     boost::system::error_code error;
     acceptor->open(tcp::v4(), error);
@@ -93,13 +94,13 @@
     if (error) {
         return error.message();
     }
-    asio::co_spawn(*io_, accept_all(acceptor, target, endless), asio::detached);
+    asio::co_spawn(*io_, accept_all(acceptor, target, of_way), asio::detached);
     return {};
 }
 
 asio::awaitable<void> faulty_link::accept_all(
     std::shared_ptr<tcp::acceptor> acceptor, camphorpoint::ip_address target,
-    bool endless) {
+    way_faults of_way) {
     while (true) {
         auto [error, socket] = co_await acceptor->async_accept(use_result);
         if (error) {
@@ -107,13 +108,17 @@
         }
         auto const link = std::make_shared<connection>(std::move(socket));
         asio::co_spawn(
-            *io_, forward_requests(link, target, endless), asio::detached);
+            *io_, forward_requests(link, target, of_way), asio::detached);
     }
 }
 
 asio::awaitable<void> faulty_link::forward_requests(
     std::shared_ptr<connection> link, camphorpoint::ip_address target,
-    bool endless) {
+    way_faults of_way) {
+    if (of_way.deaf) {
+        co_await read_nothing(link);
+        co_return;
+    }
     tcp::endpoint const remote = endpoint_of(target);
     auto const [refused] =
         co_await link->server.async_connect(remote, use_result);
@@ -137,7 +142,7 @@
             co_await asio::async_write(
                 link->client, asio::buffer(text), use_result);
         }
-        if (endless && occurs(faults_.endless)) {
+        if (of_way.endless && occurs(faults_.endless)) {
             co_await answer_without_end(link);
             break;
         }
@@ -155,6 +160,18 @@
     link->close(occurs(50));
 }
 
+// Bytes that have arrived hide the client's end from a read; a wait for an
+// error sees only a reset.
+asio::awaitable<void>
+faulty_link::read_nothing(std::shared_ptr<connection> link) {
+    constexpr std::chrono::milliseconds step{100};
+    pollfd state{link->client.native_handle(), POLLRDHUP, 0};
+    while (::poll(&state, 1, 0) == 0) {
+        co_await wait_for(step);
+    }
+    link->close(true);
+}
+
 asio::awaitable<void>
 faulty_link::answer_without_end(std::shared_ptr<connection> link) {
     constexpr std::array<std::string_view, 3> lengths{
--- a/standins/link/faulty_link.hpp
+++ b/standins/link/faulty_link.hpp
@@ -37,6 +37,14 @@
     unsigned endless = 0;
 };
 
+/// What occurs on one way only.
+struct way_faults {
+    /// Answers without end occur.
+    bool endless = false;
+    /// Connections are accepted, and nothing is read from them.
+    bool deaf = false;
+};
+
 /// Forwards TCP connections and disturbs them.
 class faulty_link {
 public:
@@ -45,11 +53,11 @@
         boost::asio::io_context& io, link_faults faults, std::uint64_t seed);
 
     /// Forwards what connects to an address.
-    /// @param endless whether answers without end occur there
+    /// @param of_way what occurs there
     /// @returns why it can't listen; empty when it does
     std::string listen(
         camphorpoint::ip_address const& at,
-        camphorpoint::ip_address const& target, bool endless);
+        camphorpoint::ip_address const& target, way_faults of_way);
 
 private:
     using socket_type = boost::asio::ip::tcp::socket;
@@ -57,10 +65,13 @@
 
     boost::asio::awaitable<void> accept_all(
         std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
-        camphorpoint::ip_address target, bool endless);
+        camphorpoint::ip_address target, way_faults of_way);
     boost::asio::awaitable<void> forward_requests(
         std::shared_ptr<connection> link, camphorpoint::ip_address target,
-        bool endless);
+        way_faults of_way);
+    /// Waits until the client closes.
+    static boost::asio::awaitable<void>
+    read_nothing(std::shared_ptr<connection> link);
     /// Answers until the client closes.
     boost::asio::awaitable<void>
     answer_without_end(std::shared_ptr<connection> link);
--- a/standins/link/main.cpp
+++ b/standins/link/main.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/usage.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <cstdio>
 #include <string>
@@ -24,6 +25,10 @@
 ABSL_FLAG(unsigned, endless_percent, 0, "requests answered without end");
 ABSL_FLAG(unsigned, endless_ways, 0, "first ways where that occurs");
 
+ABSL_FLAG(
+    std::vector<std::string>, deaf_ways, {},
+    "addresses of ways that accept connections and read nothing");
+
 int main(int argc, char** argv) {
     absl::SetProgramUsageMessage(
         "A stand-in of the links between a node and replicas.");
@@ -38,12 +43,15 @@
     faults.endless = absl::GetFlag(FLAGS_endless_percent);
     unsigned endless_ways = absl::GetFlag(FLAGS_endless_ways);
     standins::faulty_link link(io, faults, absl::GetFlag(FLAGS_seed));
+    std::vector<std::string> const deaf = absl::GetFlag(FLAGS_deaf_ways);
     for (std::string const& each : absl::GetFlag(FLAGS_ways)) {
         std::size_t const equals = each.find('=');
+        bool const is_deaf =
+            std::ranges::count(deaf, each.substr(0, equals)) > 0;
         std::string const problem = link.listen(
             camphorpoint::parse_address(each.substr(0, equals)),
             camphorpoint::parse_address(each.substr(equals + 1)),
-            endless_ways > 0);
+            {.endless = endless_ways > 0, .deaf = is_deaf});
         endless_ways -= endless_ways > 0 ? 1 : 0;
         if (!problem.empty()) {
             fmt::print(stderr, "cannot listen on {}: {}\n", each, problem);
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -201,11 +201,16 @@
                   text_of(at(store_port_of_node)), settings_.stop_limit.count(),
                   settings_.stream_lifetime.count()));
     std::vector<std::string> ways;
+    std::vector<std::string> deaf;
     for (unsigned each = 0; each < total_replicas(settings_); ++each) {
         unsigned const port = first_replica + each;
         ways.push_back(fmt::format(
             "{}={}", text_of(at(port + shift_of_node * (number + 1))),
             text_of(at(port))));
+        if (each < settings_.replicas &&
+            each + settings_.deaf_replicas >= settings_.replicas) {
+            deaf.push_back(text_of(at(port + shift_of_node * (number + 1))));
+        }
     }
     node_processes made;
     made.callers = at(base);
@@ -228,6 +233,7 @@
          fmt::format("--broken_percent={}", settings_.broken_answers),
          fmt::format("--endless_percent={}", settings_.endless_answers),
          fmt::format("--endless_ways={}", settings_.endless_replicas),
+         fmt::format("--deaf_ways={}", fmt::join(deaf, ",")),
          fmt::format("--stray_percent={}", settings_.link_faults),
          fmt::format("--cut_percent={}", settings_.link_faults / 2),
          fmt::format("--delay_percent={}", settings_.link_faults)});
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -38,6 +38,10 @@
     /// replicas of the plain service.
     unsigned endless_answers = 0;
     unsigned endless_replicas = 1;
+    /// The last ones of the plain service, behind links that read nothing.
+    unsigned deaf_replicas = 0;
+    /// Callers that send bodies of almost 4 MB.
+    unsigned large_bodies = 0;
     /// How many of a hundred operations send two requests at once on one
     /// connection.
     unsigned pipelined = 0;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "common/standin_main.hpp"
 #include "test/soak/caller.hpp"
 #include "test/soak/disruptions.hpp"
+#include "test/soak/large_bodies.hpp"
 #include "test/soak/memory_watch.hpp"
 
 #include <absl/flags/flag.h>
@@ -38,6 +39,8 @@
 ABSL_FLAG(unsigned, broken_answers, 0, "percent of pieces of answers");
 ABSL_FLAG(unsigned, endless_answers, 0, "percent of requests to some replicas");
 ABSL_FLAG(unsigned, endless_replicas, 1, "plain replicas that send them");
+ABSL_FLAG(unsigned, deaf_replicas, 0, "plain replicas that read nothing");
+ABSL_FLAG(unsigned, large_bodies, 0, "callers that send bodies of 4 MB");
 ABSL_FLAG(unsigned, pipelined, 0, "percent of operations with two requests");
 ABSL_FLAG(unsigned, streams, 0, "percent of operations: streams, resumed");
 ABSL_FLAG(
@@ -123,6 +126,13 @@
                 settings_.seed * 10'000 + each);
             asio::co_spawn(io_, callers_.back().run(), asio::detached);
         }
+        for (unsigned each = 0; ready && each < settings_.large_bodies;
+             ++each) {
+            large_bodies_.emplace_back(target_, each);
+            asio::co_spawn(
+                io_, large_bodies_.back().run(records_.stopping),
+                asio::detached);
+        }
         asio::co_spawn(
             io_, disruptions_.run(records_.stopping), asio::detached);
         asio::co_spawn(io_, memory_.run(), asio::detached);
@@ -195,6 +205,7 @@
     deployment target_;
     caller_records records_;
     std::deque<caller> callers_;
+    std::deque<large_body_caller> large_bodies_;
     disruptions disruptions_;
     memory_watch memory_{target_};
 };
@@ -214,6 +225,8 @@
     settings.broken_answers = absl::GetFlag(FLAGS_broken_answers);
     settings.endless_answers = absl::GetFlag(FLAGS_endless_answers);
     settings.endless_replicas = absl::GetFlag(FLAGS_endless_replicas);
+    settings.deaf_replicas = absl::GetFlag(FLAGS_deaf_replicas);
+    settings.large_bodies = absl::GetFlag(FLAGS_large_bodies);
     settings.pipelined = absl::GetFlag(FLAGS_pipelined);
     settings.streams = absl::GetFlag(FLAGS_streams);
     settings.long_patience = absl::GetFlag(FLAGS_long_patience);
