One budget for the bodies of all requests, and one text for all attempts

Callers saw: a node that many callers send large bodies to passes the 260 MB of its machine and is ended, with all requests on it. And callers that only announce 4 MB, or send chunked bodies of three bytes, had every other request with a body refused with 503 while they waited.

Cause: 64 MB for each of four servers, counted by the length that a head names; a copy of the body for each attempt and each hop counted nowhere.

Change: body_budget, 64 MB for all servers of a node, of which 8 MB only for bodies up to 64 KB, counts what is allocated. A body that has not arrived for a second yields to any, the largest that is being read to short ones; what is refused is 503 as not run with Connection: close and Retry-After: 1. Requests and attempts share one immutable text (shared_body). Gauges request_bytes, request_bytes_peak, requests_yielded.

--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -28,15 +28,17 @@
 /// Part of it in which requests that were ended get their answers.
 constexpr milliseconds time_for_answers{150};
 
-http_limits default_limits() {
+http_limits default_limits(gateway_state const& state) {
     http_limits limits;
+    limits.bodies = state.bodies;
     limits.body_bytes = 4U << 20U;
     limits.connections = 3'000;
     return limits;
 }
 
-http_limits limits_of(caller_limits const& declared) {
-    http_limits limits = default_limits();
+http_limits limits_of(gateway_state const& state) {
+    caller_limits const& declared = state.configuration.limits;
+    http_limits limits = default_limits(state);
     limits.body_bytes = declared.body_bytes;
     limits.header_bytes = declared.header_bytes;
     limits.read_timeout =
@@ -45,6 +47,12 @@
     return limits;
 }
 
+http_limits status_limits(gateway_state const& state) {
+    http_limits limits;
+    limits.bodies = state.bodies;
+    return limits;
+}
+
 start_result to_start_result(std::string problem, ip_address const& address) {
     if (problem.empty()) {
         return boost::outcome_v2::success();
@@ -102,18 +110,18 @@
     , caller_ends_(state_, "callers")
     , relay_ends_(state_, "relays")
     , caller_server_(
-          io.get_executor(), default_limits(),
+          io.get_executor(), default_limits(state_),
           [this](http_exchange& exchange) { return answer(exchange); })
     , relay_server_(
-          io.get_executor(), default_limits(),
+          io.get_executor(), default_limits(state_),
           [this](http_exchange& exchange) { return answer_relayed(exchange); })
     , readiness_server_(
-          io.get_executor(), http_limits(),
+          io.get_executor(), status_limits(state_),
           [this](http_exchange& exchange) {
               return answer_readiness(exchange);
           })
     , metrics_server_(
-          io.get_executor(), http_limits(),
+          io.get_executor(), status_limits(state_),
           [this](http_exchange& exchange) { return answer_metrics(exchange); })
     , loop_delay_(io)
     , kernel_(services_) {
@@ -226,8 +234,8 @@
     controller_.wake_workers();
     if (state_.configuration.version != limits_version_) {
         limits_version_ = state_.configuration.version;
-        caller_server_.set_limits(limits_of(state_.configuration.limits));
-        relay_server_.set_limits(limits_of(state_.configuration.limits));
+        caller_server_.set_limits(limits_of(state_));
+        relay_server_.set_limits(limits_of(state_));
     }
     log_if_ready();
 }
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -97,6 +97,13 @@
         "answer_bytes_peak", static_cast<double>(answers.peak()));
     state_.metrics.set_gauge(
         "answers_yielded", static_cast<double>(answers.yields()));
+    body_budget const& bodies = *state_.bodies;
+    state_.metrics.set_gauge(
+        "request_bytes", static_cast<double>(bodies.held()));
+    state_.metrics.set_gauge(
+        "request_bytes_peak", static_cast<double>(bodies.peak()));
+    state_.metrics.set_gauge(
+        "requests_yielded", static_cast<double>(bodies.yields()));
     http_response answer;
     answer.fields.add("Content-Type", "text/plain");
     answer.body = state_.metrics.to_text();
--- a/src/Gateway/gateway_state.hpp
+++ b/src/Gateway/gateway_state.hpp
@@ -17,6 +17,7 @@
 #include "Gateway/live_requests.hpp"
 #include "Gateway/waiter_list.hpp"
 #include "Limits/answer_budget.hpp"
+#include "Limits/body_budget.hpp"
 #include "Ports/http_pool.hpp"
 #include "ReplicaControl/partition_leases.hpp"
 #include "Routing/declared_versions.hpp"
@@ -104,6 +105,8 @@
     resend_budget resends;
     request_quarantine quarantine;
     quarantine_sync quarantine_sync_state;
+    /// Bounds the bodies of requests.
+    std::shared_ptr<body_budget> bodies = std::make_shared<body_budget>();
     /// Bounds the bodies of the answers of replicas and other nodes.
     std::shared_ptr<answer_budget> answers = std::make_shared<answer_budget>();
     http_pool replica_connections;
--- a/src/Node/operator_interface.cpp
+++ b/src/Node/operator_interface.cpp
@@ -98,7 +98,7 @@
         co_return read(path);
     }
     if (request.method == "POST" && path == changes_path) {
-        std::string record = request.body;
+        std::string record = request.body.text();
         co_return co_await publish(std::move(record));
     }
     if (request.method == "POST" && path == "/drain") {
--- a/src/Node/ports_driver.cpp
+++ b/src/Node/ports_driver.cpp
@@ -24,15 +24,19 @@
     return boot_clock::now();
 }
 
-http_limits caller_limits(node_settings const& settings) {
+http_limits caller_limits(
+    node_settings const& settings, std::shared_ptr<body_budget> bodies) {
     http_limits limits;
+    limits.bodies = std::move(bodies);
     limits.body_bytes = settings.body_limit;
     return limits;
 }
 
-http_limits operator_limits(node_settings const& settings) {
+http_limits operator_limits(
+    node_settings const& settings, std::shared_ptr<body_budget> bodies) {
     constexpr std::size_t most_connections = 64;
     http_limits limits;
+    limits.bodies = std::move(bodies);
     limits.body_bytes = settings.body_limit;
     limits.connections = most_connections;
     return limits;
@@ -64,9 +68,10 @@
           settings_.platform_timeout)
     , engines_(io.get_executor(), pool_, settings_.platform_timeout)
     , callers_(
-          io.get_executor(), caller_limits(settings_), settings_.name, run,
-          [this](node_event event) { handle(std::move(event)); })
-    , operators_(io.get_executor(), operator_limits(settings_), make_view())
+          io.get_executor(), caller_limits(settings_, bodies_), settings_.name,
+          run, [this](node_event event) { handle(std::move(event)); })
+    , operators_(
+          io.get_executor(), operator_limits(settings_, bodies_), make_view())
     , peers_(
           io.get_executor(), peer_identity{settings_.name, run},
           peer_link_limits(), run,
--- a/src/Node/ports_driver.hpp
+++ b/src/Node/ports_driver.hpp
@@ -111,6 +111,8 @@
     instance_list_http instances_;
     engine_http engines_;
     connection_end_summary connection_ends_;
+    /// Bounds the bodies of requests of callers and operators.
+    std::shared_ptr<body_budget> bodies_ = std::make_shared<body_budget>();
     caller_interface callers_;
     operator_interface operators_;
     peer_link peers_;
--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -38,8 +38,11 @@
     return boot_clock::now();
 }
 
-http::request<http::string_body> message_of(http_request request) {
-    http::request<http::string_body> message;
+using body_view = http::span_body<char const>;
+
+/// @param request must outlive the message
+http::request<body_view> message_of(http_request const& request) {
+    http::request<body_view> message;
     message.version(http_1_1);
     message.method_string(request.method);
     message.target(request.target);
@@ -49,7 +52,7 @@
     for (http_field const& each : request.fields.all()) {
         message.insert(each.name, each.value);
     }
-    message.body() = std::move(request.body);
+    message.body() = {request.body.text().data(), request.body.size()};
     message.prepare_payload();
     return message;
 }
@@ -222,7 +225,7 @@
     head_only_ = request.method == "HEAD";
     watched_ = request.body.size() > watched_request;
     begin_answer();
-    auto const message = message_of(std::move(request));
+    auto const message = message_of(request);
     trace_ = {};
     silent_since_ = now();
     link_->stream.expires_after(time_until(step_end(times_.send_before)));
--- a/src/Ports/http_message.hpp
+++ b/src/Ports/http_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Ports/shared_body.hpp"
+
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,7 +34,7 @@
     std::string method = "GET";
     std::string target = "/";
     http_fields fields;
-    std::string body;
+    shared_body body;
 };
 
 /// An answer, whole.
--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -39,7 +39,11 @@
         , acceptor_(executor_)
         , limits_(std::make_shared<http_limits>(limits))
         , handler_(std::move(handler))
-        , bodies_(std::make_shared<byte_budget>(limits.bodies_in_all)) {}
+        , bodies_(
+              limits.bodies != nullptr
+                  ? limits.bodies
+                  : std::make_shared<body_budget>(
+                        body_budget_limits{.in_all = limits.bodies_in_all})) {}
 
     std::string listen(ip_address const& address);
     asio::awaitable<void> accept_all();
@@ -74,7 +78,7 @@
     // Shared with the connections.
     std::shared_ptr<http_limits> limits_;
     http_handler handler_;
-    std::shared_ptr<byte_budget> bodies_;
+    std::shared_ptr<body_budget> bodies_;
     std::set<std::shared_ptr<http_exchange::connection>> open_;
     std::function<bool()> overloaded_ = [] {
         return false;
--- a/src/Ports/http_server.hpp
+++ b/src/Ports/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Limits/body_budget.hpp"
 #include "Ports/connection_end.hpp"
 #include "Ports/http_message.hpp"
 #include "Settings/node_settings.hpp"
@@ -63,8 +64,11 @@
     /// How long a caller may leave a piece of the answer unread.
     std::chrono::milliseconds write_timeout{10'000};
     std::size_t connections = 4'096;
-    /// Bytes of all requests' bodies together; past it a request is refused.
+    /// Bytes of all requests' bodies together; past it requests are refused.
     std::uint64_t bodies_in_all = 64U << 20U;
+    /// What the bodies count against. Null for a budget of bodies_in_all that
+    /// the server has for itself.
+    std::shared_ptr<body_budget> bodies = nullptr;
 };
 
 /// Answers one exchange.
--- a/src/Ports/http_server_connection.cpp
+++ b/src/Ports/http_server_connection.cpp
@@ -33,7 +33,7 @@
 
 http_exchange::connection::connection(
     tcp::socket socket, std::shared_ptr<http_limits const> limits,
-    std::shared_ptr<byte_budget> bodies)
+    std::shared_ptr<body_budget> bodies)
     : stream_(std::move(socket))
     , limits_(std::move(limits))
     , first_idle_timeout_(limits_->idle_timeout)
@@ -127,7 +127,6 @@
         if (request) {
             co_await run_handler(handler, std::move(*request));
         }
-        body_share_.reset();
         if (!why_) {
             in_request_ = false;
             request_bytes_ = 0;
--- a/src/Ports/http_server_connection.hpp
+++ b/src/Ports/http_server_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/time.hpp"
+#include "Limits/body_budget.hpp"
 #include "Ports/connection_end.hpp"
 #include "Ports/http_server.hpp"
 #include "Ports/request_reader.hpp"
@@ -22,36 +23,6 @@
 
 namespace camphorpoint {
 
-/// Counts bytes that all connections of a server hold, within a limit.
-class byte_budget {
-public:
-    explicit byte_budget(std::uint64_t limit)
-        : left_(limit) {}
-
-    /// Bytes taken from the budget, for as long as this lives.
-    class share {
-    public:
-        share(byte_budget& from, std::uint64_t bytes)
-            : from_(&from)
-            , bytes_(bytes) {
-            from.left_ -= bytes;
-        }
-        ~share() { from_->left_ += bytes_; }
-        share(share const&) = delete;
-        share& operator=(share const&) = delete;
-
-    private:
-        byte_budget* from_;
-        std::uint64_t bytes_;
-    };
-
-    /// @returns true when so many bytes are left
-    bool has(std::uint64_t bytes) const noexcept { return bytes <= left_; }
-
-private:
-    std::uint64_t left_;
-};
-
 /// One connection of a server: its requests are answered one after another.
 class http_exchange::connection
     : public std::enable_shared_from_this<connection> {
@@ -59,7 +30,7 @@
     connection(
         boost::asio::ip::tcp::socket socket,
         std::shared_ptr<http_limits const> limits,
-        std::shared_ptr<byte_budget> bodies);
+        std::shared_ptr<body_budget> bodies);
 
     /// Answers requests until the connection ends.
     /// @returns why it has ended; nothing when its caller ended it after a
@@ -94,7 +65,12 @@
     boost::asio::awaitable<std::optional<http_request>> read_request();
     boost::asio::awaitable<boost::beast::error_code>
     read_more(request_reader& reader, instant limit);
-    boost::asio::awaitable<bool> reserve_body(std::uint64_t size);
+    boost::asio::awaitable<std::optional<http_request>>
+    read_whole(request_reader& reader);
+    /// Asks for memory for the body of the current request.
+    /// @param bytes what the body holds in all from here on
+    /// @returns false when there is not as much
+    bool take_memory(std::size_t bytes);
     boost::asio::awaitable<bool> await_request();
     boost::asio::awaitable<void> await_bytes();
     boost::asio::awaitable<void> read_within(std::chrono::milliseconds time);
@@ -131,8 +107,11 @@
     // The server's, which may change between two requests.
     std::shared_ptr<http_limits const> limits_;
     std::chrono::milliseconds first_idle_timeout_;
-    std::shared_ptr<byte_budget> bodies_;
-    std::optional<byte_budget::share> body_share_;
+    std::shared_ptr<body_budget> bodies_;
+    /// Of the body that is being read.
+    std::shared_ptr<body_budget::share> body_memory_;
+    /// Set while a request is read.
+    request_reader* reader_ = nullptr;
     boost::beast::flat_buffer buffer_;
     std::function<void()> gone_;
     boost::asio::steady_timer look_timer_;
--- a/src/Ports/http_server_reading.cpp
+++ b/src/Ports/http_server_reading.cpp
@@ -24,6 +24,9 @@
 constexpr int status_too_large = 413;
 constexpr int status_not_implemented = 501;
 constexpr int status_unavailable = 503;
+/// In seconds. In this time callers take many answers, which releases memory,
+/// and bodies that no longer arrive count as such.
+constexpr std::string_view retry_after = "1";
 constexpr std::size_t longest_id = 128;
 constexpr std::size_t read_size = 4U << 10U;
 
@@ -51,11 +54,21 @@
     bool const handled = why_ == connection_end::handler_failed;
     http_response response =
         error_response(status, handled ? "unknown" : "not-run", why);
+    if (status == status_unavailable) {
+        response.fields.add("Retry-After", std::string(retry_after));
+    }
     co_await respond(std::move(response));
 }
 
 asio::awaitable<void>
 http_exchange::connection::refuse(request_refusal refusal) {
+    if (refusal == request_refusal::no_memory) {
+        why_ = connection_end::body_budget;
+        body_memory_.reset();
+        co_await refuse_with(status_unavailable, "limit-reached");
+        broken_ = true;
+        co_return;
+    }
     bool const too_large = refusal == request_refusal::head_too_large ||
                            refusal == request_refusal::body_too_large;
     why_ = too_large ? connection_end::too_large : connection_end::bad_request;
@@ -174,34 +187,44 @@
             auto const [error, size] = co_await stream_.async_read_some(
                 buffer_.prepare(read_size), use_result);
             buffer_.commit(size);
+            if (body_memory_ != nullptr && size > 0) {
+                body_memory_->note_arrival(boot_clock::now());
+            }
             failure = size > 0 ? beast::error_code() : error;
         }
     }
     co_return failure;
 }
 
-// Thousands of connections with a large body each would add up to more than a
-// node has.
-asio::awaitable<bool>
-http_exchange::connection::reserve_body(std::uint64_t size) {
-    if (!bodies_->has(size)) {
-        why_ = connection_end::body_budget;
-        co_await refuse_with(status_unavailable, "limit-reached");
-        broken_ = true;
-        co_return false;
+bool http_exchange::connection::take_memory(std::size_t bytes) {
+    if (body_memory_ == nullptr) {
+        body_memory_ = std::make_shared<body_budget::share>(*bodies_, [this] {
+            reader_->give_up_body();
+            stream_.cancel();
+        });
     }
-    body_share_.emplace(*bodies_, size);
-    co_return true;
+    return body_memory_->resize(bytes, boot_clock::now());
 }
 
 asio::awaitable<std::optional<http_request>>
 http_exchange::connection::read_request() {
-    using progress = request_reader::progress;
     bool const begun = co_await await_request();
     if (!begun) {
         co_return std::nullopt;
     }
-    request_reader reader(limits_->header_bytes, limits_->body_bytes);
+    request_reader reader(
+        limits_->header_bytes, limits_->body_bytes,
+        [this](std::size_t bytes) { return take_memory(bytes); });
+    reader_ = &reader;
+    auto request = co_await read_whole(reader);
+    body_memory_.reset();
+    reader_ = nullptr;
+    co_return request;
+}
+
+asio::awaitable<std::optional<http_request>>
+http_exchange::connection::read_whole(request_reader& reader) {
+    using progress = request_reader::progress;
     instant const limit = boot_clock::now() + limits_->read_timeout;
     stream_.expires_never();
     cancel_guard const guard(stream_, limits_->read_timeout);
@@ -214,24 +237,26 @@
             request_id_.resize(std::min(request_id_.size(), longest_id));
             head_only_ = head.method == "HEAD";
         }
-        if (error) {
-            co_await give_up_request(error);
-            co_return std::nullopt;
+        if (in_head && reader.state() != progress::refused &&
+            !bodies_->may_fit(reader.named_length())) {
+            reader.give_up_body();
         }
+        // A body that yields ends a read in progress.
         if (reader.state() == progress::refused) {
             co_await refuse(reader.refusal());
             co_return std::nullopt;
         }
-        if (in_head && reader.state() != progress::head) {
-            bool const admitted = co_await reserve_body(reader.expected_body());
-            if (!admitted) {
-                co_return std::nullopt;
-            }
+        if (error) {
+            co_await give_up_request(error);
+            co_return std::nullopt;
         }
     }
     request_whole_ = true;
     keep_alive_ = reader.keep_alive();
-    co_return reader.release();
+    if (body_memory_ != nullptr) {
+        body_memory_->complete();
+    }
+    co_return reader.release(std::move(body_memory_));
 }
 
 bool http_exchange::connection::request_waits() {
--- a/src/Ports/request_reader.cpp
+++ b/src/Ports/request_reader.cpp
@@ -255,10 +255,52 @@
     return taken;
 }
 
+// Steps that double: a length that was only named takes no memory. Beyond the
+// largest step the whole body is allocated at once, since both the old and the
+// new memory are held while it grows.
+bool request_reader::allocate(std::size_t size) {
+    constexpr std::size_t first_step = std::size_t{4} << 10U;
+    constexpr std::size_t largest_step = std::size_t{4} << 20U;
+    // What a string has without an allocation counts for nothing.
+    std::size_t const had = body_.empty() ? 0 : body_.capacity();
+    if (size <= had) {
+        return true;
+    }
+    std::uint64_t const most = chunked_ ? body_limit_ : body_.size() + left_;
+    std::uint64_t const step =
+        had >= largest_step
+            ? most
+            : std::max<std::uint64_t>({size, 2 * had, first_step});
+    auto const next = static_cast<std::size_t>(std::min(most, step));
+    if (take_memory_ && !take_memory_(had + next)) {
+        return false;
+    }
+    std::string longer;
+    longer.reserve(next);
+    longer.append(body_);
+    body_.swap(longer);
+    // Memory that is given back is always granted.
+    return !take_memory_ || had == 0 || take_memory_(next);
+}
+
+void request_reader::give_up_body() {
+    std::string().swap(body_);
+    refuse(request_refusal::no_memory);
+}
+
+http_request request_reader::release(std::shared_ptr<void const> memory) {
+    request_.body = shared_body(std::move(body_), std::move(memory));
+    return std::move(request_);
+}
+
 std::size_t request_reader::take_data(std::string_view arrived) {
     auto const taken = static_cast<std::size_t>(
         std::min<std::uint64_t>(left_, arrived.size()));
-    request_.body.append(arrived.substr(0, taken));
+    if (!allocate(body_.size() + taken)) {
+        give_up_body();
+        return 0;
+    }
+    body_.append(arrived.substr(0, taken));
     left_ -= taken;
     return taken;
 }
@@ -306,7 +348,7 @@
         !parse_chunk_size(arrived.substr(0, end - 1))) {
         return refuse(request_refusal::malformed);
     }
-    if (left_ > body_limit_ - request_.body.size()) {
+    if (left_ > body_limit_ - body_.size()) {
         return refuse(request_refusal::body_too_large);
     }
     if (extensions_ > head_limit_) {
--- a/src/Ports/request_reader.hpp
+++ b/src/Ports/request_reader.hpp
@@ -4,6 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -21,7 +24,9 @@
     /// The body is chunked, and coded in a further way.
     unsupported_coding,
     head_too_large,
-    body_too_large
+    body_too_large,
+    /// There is no memory for the body.
+    no_memory
 };
 
 /// Reads one request from the bytes of a connection. It alone decides where a
@@ -32,11 +37,19 @@
     /// How far the request has been read.
     enum class progress : std::uint8_t { head, body, whole, refused };
 
-    /// @param head_limit longest head in bytes, with its empty line
-    /// @param body_limit longest body in bytes
-    request_reader(std::size_t head_limit, std::uint64_t body_limit)
+    /// Asked before memory is allocated for a body, with what the body holds in
+    /// all from then on, in bytes. Returns false when there is not as much.
+    using memory_request = std::function<bool(std::size_t bytes)>;
+
+    /// @param head_limit  longest head in bytes, with its empty line
+    /// @param body_limit  longest body in bytes
+    /// @param take_memory empty where memory is not bounded
+    request_reader(
+        std::size_t head_limit, std::uint64_t body_limit,
+        memory_request take_memory = {})
         : head_limit_(head_limit)
-        , body_limit_(body_limit) {}
+        , body_limit_(body_limit)
+        , take_memory_(std::move(take_memory)) {}
 
     /// Takes bytes off the front of what has arrived. A head that has ended
     /// ends the call, so that its caller can look at the request.
@@ -48,16 +61,20 @@
     progress state() const noexcept { return state_; }
     /// @returns why it is refused
     request_refusal refusal() const noexcept { return refusal_; }
-    /// @returns what has been read so far; of a head that is refused, the
-    ///          fields in front of the fault
+    /// @returns what has been read so far, without the body; of a head that is
+    ///          refused, the fields in front of the fault
     http_request const& request() const noexcept { return request_; }
+    /// @param memory what counts the body against a budget
     /// @returns the request, which must be whole
-    http_request release() { return std::move(request_); }
-    /// @returns bytes that the body may have: all that are allowed when it is
-    ///          chunked
-    std::uint64_t expected_body() const noexcept {
-        return chunked_ ? body_limit_ : left_ + request_.body.size();
+    http_request release(std::shared_ptr<void const> memory = nullptr);
+    /// @returns the length of the body as the head names it; 0 for a chunked
+    ///          one
+    std::uint64_t named_length() const noexcept {
+        return chunked_ ? 0 : left_ + body_.size();
     }
+    /// Releases the memory of the body and refuses the request, for lack of
+    /// memory.
+    void give_up_body();
     /// @returns true when another request may follow on the connection
     bool keep_alive() const noexcept { return keep_alive_; }
 
@@ -71,6 +88,7 @@
     std::size_t read_chunk_size(std::string_view arrived);
     std::size_t read_line_end(std::string_view arrived);
     std::size_t take_data(std::string_view arrived);
+    bool allocate(std::size_t size);
     bool parse_head(std::string_view head);
     bool parse_request_line(std::string_view line);
     bool parse_field(std::string_view line);
@@ -81,9 +99,11 @@
 
     std::size_t head_limit_;
     std::uint64_t body_limit_;
+    memory_request take_memory_;
     progress state_ = progress::head;
     request_refusal refusal_ = request_refusal::none;
     http_request request_;
+    std::string body_;
     bool http_1_1_ = false;
     bool keep_alive_ = false;
     bool chunked_ = false;
--- a/standins/instances/instances_http.cpp
+++ b/standins/instances/instances_http.cpp
@@ -14,11 +14,11 @@
     camphorpoint::http_request const& request = exchange.request();
     std::string_view const path = camphorpoint::path_of(request.target);
     if (path == "/admin") {
-        co_await exchange.respond(administer(request.body));
+        co_await exchange.respond(administer(request.body.text()));
     } else if (path != "/instances") {
         co_await exchange.respond(json_response(404, "{}"));
     } else if (request.method == "PUT") {
-        co_await exchange.respond(replace(request.body));
+        co_await exchange.respond(replace(request.body.text()));
     } else if (outage_) {
         co_await exchange.respond(json_response(503, "{}"));
     } else {
--- a/standins/log/log_http.cpp
+++ b/standins/log/log_http.cpp
@@ -91,7 +91,7 @@
         co_return;
     }
     std::uint64_t const offset =
-        stream.append(exchange.request().body, calendar_now());
+        stream.append(exchange.request().body.text(), calendar_now());
     if (fate == append_fate::answer_lost) {
         co_await lose_answer(exchange, longest_hold);
         co_return;
--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -90,7 +90,7 @@
     bool const adds = camphorpoint::path_of(target) == "/log-append";
     if (adds && !delays_appends_to.empty() &&
         query(target, "topic") == delays_appends_to) {
-        delayed_.push_back({target, exchange.request().body});
+        delayed_.push_back({target, exchange.request().body.text()});
         co_await lose_answer(exchange, longest_hold);
         co_return;
     }
--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -58,7 +58,7 @@
         std::string_view const last = request.fields.get("Last-Event-Id");
         std::string const line = fmt::format(
             "{} {} {} {}\n", request.fields.get("X-Request-Id"), run,
-            last.empty() ? "0" : last, request.body);
+            last.empty() ? "0" : last, request.body.text());
         write(line);
     }
     /// @param run   names the run
--- a/standins/service/service_http.cpp
+++ b/standins/service/service_http.cpp
@@ -79,8 +79,8 @@
     camphorpoint::http_request const& request = exchange.request();
     std::string const id(request.fields.get("X-Request-Id"));
     camphorpoint::http_response response = json_response(
-        200, boost::json::serialize(
-                 boost::json::object{{"id", id}, {"echo", request.body}}));
+        200, boost::json::serialize(boost::json::object{
+                 {"id", id}, {"echo", request.body.text()}}));
     response.fields.add("X-Request-Id", id);
     co_return co_await exchange.respond(std::move(response));
 }
--- a/test/ports/request_framing_fuzz_test.cpp
+++ b/test/ports/request_framing_fuzz_test.cpp
@@ -176,7 +176,7 @@
             bool const open = reader.keep_alive();
             http_request const request = reader.release();
             reading.requests.push_back(
-                {request.method, request.target, request.body, taken});
+                {request.method, request.target, request.body.text(), taken});
             if (!open) {
                 reading.end = reference_end::last;
                 return reading;
@@ -227,7 +227,8 @@
 
     asio::awaitable<void> answer(http_exchange& exchange) {
         http_request const& request = exchange.request();
-        read.push_back({request.method, request.target, request.body, 0});
+        read.push_back(
+            {request.method, request.target, request.body.text(), 0});
         co_await exchange.respond(http_response());
     }
 
