--- a/standins/metadata/metadata_http.cpp
+++ b/standins/metadata/metadata_http.cpp
@@ -98,7 +98,7 @@
     if (camphorpoint::path_of(target) == "/log-read") {
         response = co_await read(target);
     } else {
-        response = respond(target, exchange.request().body);
+        response = respond(target, exchange.request().body.text());
     }
     if (epoch != 0) {
         response.fields.add("Store-Era", std::to_string(epoch));
--- a/standins/replica/replica_engine.cpp
+++ b/standins/replica/replica_engine.cpp
@@ -156,7 +156,7 @@
     } else if (!meant.empty() && meant != id_) {
         response = not_run(421);
     } else if (target == "/order") {
-        response = order(exchange.request().body);
+        response = order(exchange.request().body.text());
     } else {
         co_await run(exchange);
         co_return;
@@ -268,7 +268,8 @@
     if (is_signed) {
         response.fields.add("X-Response-Signature", "signed." + id_);
     }
-    response.body = "answer of " + id_ + " to " + exchange.request().body;
+    response.body =
+        "answer of " + id_ + " to " + exchange.request().body.text();
     co_await end_of_silence();
     co_await respond(exchange, std::move(response));
     end_run(number, false);
--- a/test/platform/request_wire_test.cpp
+++ b/test/platform/request_wire_test.cpp
@@ -295,7 +295,7 @@
     for (std::string const part :
          {R"("operation":"load")", R"("adapter":"a3")", R"("version":2)",
           R"("expect":4)", R"("fencing_token":17)", R"("holder":"n1")"}) {
-        CHECK(sent.body.find(part) != std::string::npos);
+        CHECK(sent.body.text().find(part) != std::string::npos);
     }
     CHECK(read_order_answer(200) == command_result::already_done);
     CHECK(read_order_answer(202) == command_result::accepted);
