Records of the registry that a node can't read end its observation

What callers saw: a stream that began at a version which came and went while a node did not read went on there at another version.

Cause: a full poll (after a 410, after a rollback, every 20 s) set the node's position behind records that it had not read; "one version alone" held on. The writer of the records of versions also adopted its own statement again.

Change: the periodic full poll leaves the position, and the records are read by the next poll or update; those older than the known entry add their version. Where they can't be read, the observation begins anew and what was adopted ends. A record in the store is adopted at the first read only. Full polls without a gap change nothing (a test of its own).

--- a/src/Fleet/registry_poll_schedule.cpp
+++ b/src/Fleet/registry_poll_schedule.cpp
@@ -8,6 +8,7 @@
         return;
     }
     position_ = expired_ ? end : max_position(position_, end);
+    snapshot_end_ = expired_ ? end : snapshot_end_;
     expired_ = false;
     epoch_ = end.epoch;
     polled_once_ = true;
@@ -16,9 +17,22 @@
     last_poll_at_ = now;
 }
 
+bool registry_poll_schedule::full_poll_completed(
+    store_position end, instant now) {
+    if (can_read_on() && end.epoch == position_.epoch) {
+        snapshot_end_ = max_position(snapshot_end_, end);
+        full_poll_needed_ = false;
+        last_poll_at_ = now;
+        return true;
+    }
+    bool const complete = !polled_once_ || end == position_;
+    poll_completed(end, now);
+    return complete;
+}
+
 store_position registry_poll_schedule::claimed_from(
     store_position const& from, store_position const& end) const noexcept {
-    return is_ahead(end, position_) ? max_position(from, position_) : end;
+    return is_ahead(end, known_end()) ? max_position(from, known_end()) : end;
 }
 
 void registry_poll_schedule::enter_epoch(store_epoch epoch, instant poll_at) {
--- a/src/Fleet/registry_poll_schedule.hpp
+++ b/src/Fleet/registry_poll_schedule.hpp
@@ -48,6 +48,11 @@
     /// nothing new in them, and broadcast their range without them.
     /// @param end position up to which the poll has read
     void poll_completed(store_position end, instant now);
+    /// Records a successful full poll. While this node can read on, its
+    /// position stays: the newest entries lack what came and went between two
+    /// polls, so the records are read as well.
+    /// @returns false when records behind the position can't be read any more
+    bool full_poll_completed(store_position end, instant now);
     /// @param full true when the full registry was requested, false when the
     ///             records from a position on were
     /// @param from position that was requested
@@ -69,7 +74,7 @@
     /// @returns true when this node knows the record at this position, or a
     ///          newer one of the same replica
     bool is_known(store_position const& record) const noexcept {
-        return polled_once_ && !expired_ && is_ahead(position_, record);
+        return polled_once_ && !expired_ && is_ahead(known_end(), record);
     }
     /// Processes a registry update by another node, which covers the records
     /// between two positions of one epoch.
@@ -111,9 +116,14 @@
     static constexpr double min_interval_fraction = 0.7;
 
     bool epoch_outdated() const noexcept { return epoch_ > position_.epoch; }
+    store_position known_end() const noexcept {
+        return max_position(position_, snapshot_end_);
+    }
 
     duration max_interval_;
     store_position position_;
+    /// The newest entries are known up to here by a full poll.
+    store_position snapshot_end_;
     store_epoch epoch_{};
     instant epoch_poll_at_;
     bool full_poll_needed_ = true;
--- a/src/Fleet/software_history.cpp
+++ b/src/Fleet/software_history.cpp
@@ -30,6 +30,22 @@
     current_at_ = now;
 }
 
+void software_history::note_gap(instant now) {
+    adopted_.clear();
+    observed_since_ = now;
+    current_at_ = now;
+}
+
+void software_history::note_former(
+    service_id const& service, software_version const& version, instant now) {
+    auto& versions = former_[service];
+    std::erase_if(versions, [&](former_software const& each) {
+        return each.version == version || now >= each.until + removed_retention;
+    });
+    versions.push_back({version, now});
+    forget_cached(service);
+}
+
 duration software_history::observed_for(instant now) const {
     return is_current(now) ? now - observed_since_ : duration::zero();
 }
@@ -47,7 +63,7 @@
     cached_result& cached = cache_[service];
     if (cached.computed_at == instant{} ||
         now >= cached.computed_at + cache_lifetime) {
-        cached = {now, find_versions(service)};
+        cached = {now, find_versions(service, now)};
     }
     service_versions result = cached.versions;
     if (result.knowledge == version_knowledge::none) {
@@ -81,12 +97,23 @@
                });
 }
 
-service_versions software_history::find_versions(service_id const& service) {
+service_versions
+software_history::find_versions(service_id const& service, instant now) {
     software_version const* only = nullptr;
     auto const differs = [&](software_version const& each) {
         only = only == nullptr ? &each : only;
         return *only != each;
     };
+    auto const noted = former_.find(service);
+    if (noted != former_.end()) {
+        std::erase_if(noted->second, [&](former_software const& each) {
+            return now >= each.until + removed_retention;
+        });
+        if (std::ranges::any_of(
+                noted->second, differs, &former_software::version)) {
+            return {version_knowledge::several, {}};
+        }
+    }
     // Replicas that were removed are part of the fleet for as long as streams
     // of theirs may be resumed, and so are versions that entries named before.
     if (std::ranges::any_of(
--- a/src/Fleet/software_history.hpp
+++ b/src/Fleet/software_history.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace camphorpoint {
 
@@ -22,6 +23,14 @@
     /// pause, versions may have come and gone unseen, so that neither what was
     /// observed before nor what was adopted holds any longer.
     void note_current(instant now);
+    /// Records that the view of the replicas is current, but that records
+    /// before it were not read, in which versions may have come and gone.
+    void note_gap(instant now);
+    /// Records a version whose entry was replaced or removed before this node
+    /// read it.
+    void note_former(
+        service_id const& service, software_version const& version,
+        instant now);
     /// Records that all streams which callers may resume now were written by
     /// one version, as nodes that have run for longer know. It holds until this
     /// node sees another version.
@@ -57,13 +66,15 @@
         service_versions versions;
     };
 
-    service_versions find_versions(service_id const& service);
+    service_versions find_versions(service_id const& service, instant now);
     bool is_current(instant now) const;
 
     fleet* replicas_;
     instant observed_since_ = instant::max();
     instant current_at_;
     std::unordered_map<service_id, cached_result> cache_;
+    /// Versions that were in no view of the replicas.
+    std::unordered_map<service_id, std::vector<former_software>> former_;
     /// The only version of the time before this node started.
     std::unordered_map<service_id, software_key> adopted_;
 };
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -28,6 +28,10 @@
     std::chrono::milliseconds store_timeout{800};
     /// Minimum time between polls of the replica registry.
     std::chrono::milliseconds registry_poll_interval{670};
+    /// Interval of full polls of the replica registry. Residency of adapters is
+    /// reported by the replicas' controllers, so a full poll only repairs what
+    /// was lost of these reports.
+    std::chrono::milliseconds registry_full_poll_interval{20'000};
     /// Interval at which each replica writes its registry entry.
     std::chrono::milliseconds replica_heartbeat{1'000};
 
--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -25,10 +25,6 @@
 /// Delay after a failed call. A shorter delay would use up calls to the store
 /// that all nodes share.
 constexpr milliseconds retry_delay{250};
-/// Interval of full polls of the registry. Residency of adapters is reported by
-/// the replicas' controllers, so a full poll only repairs what was lost of
-/// these reports.
-constexpr duration full_poll_interval = std::chrono::seconds(20);
 /// Delay after a full poll whose answer was overtaken by other nodes' updates.
 constexpr duration overtaken_poll_delay = std::chrono::seconds(2);
 constexpr auto topic = platform::store_topic::replicas;
@@ -184,6 +180,15 @@
     return true;
 }
 
+void registry_follower::note_former(replica_record const& record) {
+    replica const* const known = state_->replicas.find(record.id);
+    if (known == nullptr || known->record.service != record.service ||
+        known->record.software != record.software) {
+        state_->software.note_former(
+            record.service, record.software, boot_clock::now());
+    }
+}
+
 registry_follower::record_effect
 registry_follower::apply_record(platform::keyed_record const& record) {
     if (!record.value) {
@@ -229,6 +234,9 @@
     if (fit == registry_update_fit::applies) {
         for (peer_registry_entry const& each : update.changes) {
             if (before.is_known({update.to.epoch, each.position})) {
+                if (each.listed) {
+                    note_former(from_wire(each, state_->replicas));
+                }
                 continue;
             }
             if (each.listed) {
@@ -256,6 +264,12 @@
     update.to = batch.next;
     for (platform::keyed_record const& each : batch.records) {
         if (schedule_.is_known({batch.next.epoch, each.place})) {
+            auto const parsed =
+                each.value ? platform::read_replica(each.key, *each.value)
+                           : std::nullopt;
+            if (parsed) {
+                note_former(*parsed);
+            }
             continue;
         }
         record_effect const effect = apply_record(each);
@@ -325,11 +339,11 @@
     }
     monitor_->note_answer();
     state_->registry_outages.note_answer(boot_clock::now());
-    state_->software.note_current(boot_clock::now());
     store_position const next = batch.value().next;
     if (!schedule_.is_valid_answer(full, from, next)) {
         co_return false;
     }
+    state_->software.note_current(boot_clock::now());
     if (full && schedule_.is_known(next)) {
         // Updates by other nodes have overtaken the snapshot: it lists replicas
         // whose removal is known, and lacks replicas that have joined.
@@ -340,7 +354,12 @@
     } else {
         apply_and_broadcast(from, batch.value());
     }
-    schedule_.poll_completed(next, boot_clock::now());
+    instant const now = boot_clock::now();
+    if (!full) {
+        schedule_.poll_completed(next, now);
+    } else if (!schedule_.full_poll_completed(next, now)) {
+        state_->software.note_gap(now);
+    }
     co_return true;
 }
 
@@ -364,7 +383,8 @@
 
 asio::awaitable<void> registry_follower::follow() {
     auto const alive = running_;
-    full_poll_at_ = boot_clock::now() + full_poll_interval;
+    full_poll_at_ =
+        boot_clock::now() + state_->settings.registry_full_poll_interval;
     std::uniform_real_distribution<double> part(0, 1);
     double random_sample = part(state_->random);
     while (*alive) {
@@ -380,7 +400,7 @@
             state_->store_unreachable_since != instant::max();
         if (now >= full_poll_at_) {
             schedule_.require_full_poll();
-            full_poll_at_ = now + full_poll_interval;
+            full_poll_at_ = now + state_->settings.registry_full_poll_interval;
         }
         if (store_unreachable ||
             now >= schedule_.next_poll_time(random_sample)) {
--- a/src/Gateway/registry_follower.hpp
+++ b/src/Gateway/registry_follower.hpp
@@ -69,6 +69,8 @@
         bool changed = false;
     };
     record_effect apply_record(platform::keyed_record const& record);
+    /// Notes the version of an entry that is older than the known one.
+    void note_former(replica_record const& record);
     void apply_removal(endpoint_id const& id);
     void log_kept(endpoint_id const& id);
     void apply_snapshot(platform::keyed_batch const& batch);
--- a/src/Gateway/software_persistence.cpp
+++ b/src/Gateway/software_persistence.cpp
@@ -127,6 +127,9 @@
     if ((!batch && !absent) || epoch != state_->epoch) {
         co_return false;
     }
+    // A record that is read again, perhaps this node's own, proves no more than
+    // the node has seen since, and one that a rollback has brought back
+    // nothing.
     bool const first = !loaded_ && !may_lack_records_;
     loaded_ = true;
     saved_.clear();
@@ -142,7 +145,9 @@
     for (platform::keyed_record const& each : batch.value().records) {
         record const kept = parse(each);
         saved_[kept.service] = kept;
-        adopt(kept);
+        if (first) {
+            adopt(kept);
+        }
     }
     co_return true;
 }
--- a/test/gateway/mixed_versions_fixture.hpp
+++ b/test/gateway/mixed_versions_fixture.hpp
@@ -33,12 +33,16 @@
 public:
     /// @param both     false to list the replicas of the old version only
     /// @param lifetime how long streams may be resumed
+    /// @param full_polls interval of the nodes' full polls of the registry
     explicit mixed_versions_fixture(
         bool both = true,
-        std::chrono::milliseconds lifetime = gateway_settings().stream_lifetime)
+        std::chrono::milliseconds lifetime = gateway_settings().stream_lifetime,
+        std::chrono::milliseconds full_polls =
+            gateway_settings().registry_full_poll_interval)
         : both_(both)
         , world_([&](gateway_fixture& before) {
             before.settings.stream_lifetime = lifetime;
+            before.settings.registry_full_poll_interval = full_polls;
         }) {
         REQUIRE(world_.loop.run_until([&] { return world_.node->ready(); }));
         world_.configure(2, route("runs", 4) + route("alone", 1));
@@ -66,6 +70,13 @@
         }
     }
 
+    /// Writes the entries of the replicas of the old version again.
+    void list_old() {
+        for (unsigned each = 0; each < replicas_per_version; ++each) {
+            list(old_, fmt::format("old{}", each), "v1");
+        }
+    }
+
     /// Lists the replicas of the old version as ones of the new version.
     void change_old() {
         for (unsigned each = 0; each < replicas_per_version; ++each) {
--- a/test/gateway/outdated_view_test.cpp
+++ b/test/gateway/outdated_view_test.cpp
@@ -22,12 +22,27 @@
 /// resumed.
 class single_version_fixture : public mixed_versions_fixture {
 public:
-    single_version_fixture()
-        : mixed_versions_fixture(false, lifetime) {
+    explicit single_version_fixture(
+        milliseconds full_polls =
+            gateway_settings().registry_full_poll_interval)
+        : mixed_versions_fixture(false, lifetime, full_polls) {
         pass(lifetime + milliseconds(500));
     }
 
     void retire_first_node() { world().retire(std::move(world().node)); }
+    /// Leaves the third node alone, without the store.
+    void cut_off_third_node() {
+        retire_first_node();
+        world().retire_node(1);
+        world().disconnect_store(2);
+        pass(milliseconds(100));
+    }
+    /// Reconnects the third node, which reads the registry.
+    void reconnect_third_node() {
+        world().reconnect_store(2);
+        pass(milliseconds(700));
+    }
+    void forget_history() { world().metadata.store().forget("keyed.servers"); }
     /// Resumes a stream whose first event came through a node that is gone.
     continuations resume_unrecorded(std::size_t node) {
         continuations seen;
@@ -108,6 +123,46 @@
     }
 }
 
+// Guards against a node that takes one version for the only one, although
+// replicas of another one came and went in records of the registry that it has
+// not read: a stream may have begun there at another node.
+TEST_CASE("a version that came and went unread is not overlooked") {
+    SUBCASE("when the store has deleted the records") {
+        single_version_fixture world;
+        world.cut_off_third_node();
+        world.list_new();
+        world.unlist("new", milliseconds(0));
+        world.forget_history();
+        world.reconnect_third_node();
+        CHECK(world.resume_unrecorded(2).refused == 1);
+        world.pass(lifetime + milliseconds(300));
+        CHECK(world.resume_unrecorded(2).complete == 1);
+    }
+    SUBCASE("when the node reads the newest record of each replica") {
+        single_version_fixture world(milliseconds(100));
+        world.cut_off_third_node();
+        world.list_new();
+        world.unlist("new", milliseconds(0));
+        world.reconnect_third_node();
+        CHECK(world.resume_unrecorded(2).refused == 1);
+    }
+}
+
+// Guards against refusals of streams for which nothing was missed.
+TEST_CASE("full reads of the registry do not end an observation") {
+    single_version_fixture world(milliseconds(100));
+    SUBCASE("in calm") {
+        world.retire_first_node();
+        world.world().retire_node(1);
+    }
+    SUBCASE("after entries were written that the node has not read") {
+        world.cut_off_third_node();
+        world.list_old();
+        world.reconnect_third_node();
+    }
+    CHECK(world.resume_unrecorded(2).complete == 1);
+}
+
 TEST_CASE("streams of a single version go on at other nodes") {
     single_version_fixture world;
     SUBCASE("while all nodes run") {}
--- a/test/registry_poll_schedule_test.cpp
+++ b/test/registry_poll_schedule_test.cpp
@@ -142,6 +142,63 @@
     CHECK(polls < 60 * 8);
 }
 
+// Guards against a software version that came and went between two polls of a
+// node: the newest entries do not show it, the records do.
+TEST_CASE("a full poll does not skip records that can still be read") {
+    registry_poll_schedule schedule(max_interval);
+    instant const now = instant() + seconds(100);
+    REQUIRE(schedule.full_poll_completed(at(40), now));
+    REQUIRE(schedule.position() == at(40));
+    schedule.require_full_poll();
+    REQUIRE(schedule.full_poll_completed(at(50), now));
+    CHECK_FALSE(schedule.needs_full_poll());
+    CHECK(schedule.position() == at(40));
+
+    SUBCASE("but what it brought is known") {
+        CHECK(schedule.is_known(at(49)));
+        CHECK_FALSE(schedule.is_known(at(50)));
+        CHECK(schedule.claimed_from(at(40), at(60)) == at(50));
+        CHECK(schedule.claimed_from(at(40), at(45)) == at(45));
+    }
+    SUBCASE("a poll reads them") {
+        schedule.poll_completed(at(60), now);
+        CHECK(schedule.position() == at(60));
+    }
+    SUBCASE("an update brings them") {
+        CHECK(
+            schedule.handle_update(at(40), at(45), now) ==
+            registry_update_fit::applies);
+        CHECK(schedule.position() == at(45));
+    }
+    SUBCASE("an update that lacks them leads to a poll at once") {
+        CHECK(
+            schedule.handle_update(at(50), at(55), now + seconds(1)) ==
+            registry_update_fit::gap);
+        CHECK(schedule.next_poll_time(1) <= now);
+    }
+}
+
+// Guards against a node that overlooks versions in records which it can't read.
+TEST_CASE("a full poll tells whether records were skipped") {
+    registry_poll_schedule schedule(max_interval);
+    instant const now = instant() + seconds(100);
+    REQUIRE(schedule.full_poll_completed(at(40), now));
+    SUBCASE("the store has deleted them") {
+        schedule.position_expired();
+        CHECK_FALSE(schedule.full_poll_completed(at(50), now));
+        CHECK(schedule.position() == at(50));
+    }
+    SUBCASE("the store has deleted only what the node knows") {
+        schedule.position_expired();
+        CHECK(schedule.full_poll_completed(at(40), now));
+    }
+    SUBCASE("the store was rolled back") {
+        schedule.enter_epoch(store_epoch{2}, now);
+        CHECK_FALSE(schedule.full_poll_completed(after_rollback(40), now));
+        CHECK(schedule.position() == after_rollback(40));
+    }
+}
+
 // The store is restored from a snapshot that is some seconds old. Guards
 // against a node that continues from its former position: a replica that starts
 // to leave is written below it, and the node would send requests there until
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -338,6 +338,34 @@
     }
 }
 
+// Guards against a version that served between two reads of the registry.
+TEST_CASE("a version that was in no view is not overlooked") {
+    fleet replicas;
+    software_history history(replicas);
+    service_id const service("llm");
+    replicas.apply(record_of("a", "v1"), at(seconds(0)));
+    auto const only = [&](seconds time) {
+        history.note_current(at(time));
+        return history.only_version(service, default_stream_lifetime, at(time));
+    };
+    software_key const v1 = make_software_key(software_version("v1"));
+    for (int second = 0; second < 100; ++second) {
+        only(seconds(second));
+    }
+    REQUIRE(only(seconds(100)) == v1);
+    SUBCASE("when its record is read later") {
+        history.note_former(service, software_version("v2"), at(seconds(100)));
+    }
+    SUBCASE("when its record may be lost") {
+        history.adopt(service, v1);
+        history.note_gap(at(seconds(100)));
+    }
+    for (int second = 100; second < 160; ++second) {
+        CHECK_FALSE(only(seconds(second)));
+    }
+    CHECK(only(seconds(160)) == v1);
+}
+
 TEST_CASE("nodes agree on the keepers of a stream") {
     std::map<std::string, int> peers;
     for (int each = 0; each < 50; ++each) {
