A node that has missed an update lets its view grow old

What callers saw: nothing shown at a caller. A node without the store that had missed an update told other nodes that one version was observed, for as long as later updates came.

Cause: each update of the store's epoch counted as proof that the view was current, also one behind a gap.

Evidence: missed_update_test, 12 s of updates behind a gap: the node still answers "observed" (2, none wanted) with the former condition and the new test, "none" with the change; updates that go on where it stands keep "observed" in both.

Change: an update counts only if the node then stands at its end and can read on.

--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -229,7 +229,10 @@
     }
     if (update.to.epoch == state_->epoch) {
         state_->registry_outages.note_answer(now);
-        state_->software.note_current(now);
+        // After an update that was missed the later ones prove nothing.
+        if (schedule_.can_read_on() && schedule_.position() == update.to) {
+            state_->software.note_current(now);
+        }
     }
     if (fit == registry_update_fit::applies) {
         for (peer_registry_entry const& each : update.changes) {
