Signals are held before all libraries but the C library are loaded

Cause: a program can block signals only after the loader has loaded what it is linked with; prometheus-cpp, fmt and tomlplusplus have no archives, and with libstdc++ they take most of that time.

Change: `camphorpoint` is a launcher that is linked with the C library alone. The folder comes from /proc/self/exe, since AddressSanitizer's dlopen takes $ORIGIN for that of its own library.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -43,7 +43,10 @@
 
 } // namespace camphorpoint
 
-int main(int argc, char** argv) {
+/// Runs the command that the arguments name. The launcher calls it, with
+/// SIGHUP, SIGTERM and SIGINT blocked.
+/// @returns the exit code of the process
+extern "C" int camphorpoint_main(int argc, char** argv) {
     auto const given = camphorpoint::parse_arguments({argv + 1, argv + argc});
     return static_cast<int>(camphorpoint::run(given));
 }
--- a/test/start/start_signals_test.cpp
+++ b/test/start/start_signals_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -143,9 +145,43 @@
     return unprepared;
 }
 
+bool exited_with(soak::child_process const& process, int code) {
+    int const status = process.wait_status();
+    return WIFEXITED(status) && WEXITSTATUS(status) == code;
+}
+
 bool ended_in_order(starting_node const& node) {
-    int const status = node.process.wait_status();
-    return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    return exited_with(node.process, 0);
+}
+
+void await_end(soak::child_process& process) {
+    while (process.running()) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+}
+
+/// The program's launcher in a folder without its library.
+struct lone_launcher {
+    lone_launcher() {
+        std::filesystem::copy_file(CAMPHORPOINT_PROGRAM, program);
+    }
+
+    test_folder folder;
+    std::string program = folder.file("camphorpoint");
+    std::string library = folder.file("libcamphorpoint.so");
+    std::string log = folder.file("launcher.log");
+    soak::child_process process{{program, "version"}, log};
+};
+
+/// @returns parts of the names of the libraries that the launcher may need: the
+///          C library, the loader, the kernel's, and those of the sanitizers
+std::vector<std::string> expected_libraries() {
+    std::vector<std::string> names{"libc.so", "/ld-linux", "linux-vdso"};
+#ifdef __SANITIZE_ADDRESS__
+    names.insert(
+        names.end(), {"libasan", "libubsan", "libstdc++", "libm.", "libgcc"});
+#endif
+    return names;
 }
 
 /// Checks that a node that runs stops in order.
@@ -216,6 +252,73 @@
     MESSAGE("unprepared for at most " << longest.count() << " us");
 }
 
+// Guards against more libraries than the C library that the loader loads before
+// the program can block signals: their number decides how long a signal ends a
+// node that starts.
+TEST_CASE("the loader loads the C library alone before the program begins") {
+    test_folder const folder;
+    std::string const log = folder.file("libraries.log");
+    soak::child_process process({CAMPHORPOINT_PROGRAM, "version"}, log);
+    ::setenv("LD_TRACE_LOADED_OBJECTS", "1", 1);
+    process.start();
+    ::unsetenv("LD_TRACE_LOADED_OBJECTS");
+    await_end(process);
+    std::vector<std::string> const expected = expected_libraries();
+    std::ifstream lines(log);
+    unsigned loaded = 0;
+    for (std::string line; std::getline(lines, line); ++loaded) {
+        CAPTURE(line);
+        CHECK(std::ranges::any_of(expected, [&](std::string const& name) {
+            return line.find(name) != std::string::npos;
+        }));
+    }
+    CHECK(loaded >= 2);
+}
+
+// Guards against a signal that ends a node while the program's library and
+// those that it is linked with are loaded: the launcher opens a pipe in its
+// place, which lasts as long as the test needs.
+TEST_CASE("a signal while the program's library is loaded waits") {
+    lone_launcher launcher;
+    REQUIRE(::mkfifo(launcher.library.c_str(), S_IRUSR | S_IWUSR) == 0);
+    for (int const number : {SIGHUP, SIGTERM, SIGINT}) {
+        CAPTURE(number);
+        launcher.process.start();
+        await_prepared(launcher.process, number);
+        launcher.process.send_signal(number);
+        std::this_thread::sleep_for(milliseconds(50));
+        CHECK(launcher.process.running());
+        int writer = -1;
+        while (writer < 0 && launcher.process.running()) {
+            writer = ::open(launcher.library.c_str(), O_WRONLY | O_NONBLOCK);
+        }
+        ::close(writer);
+        await_end(launcher.process);
+        CHECK(exited_with(launcher.process, 1));
+    }
+}
+
+TEST_CASE("a program without its library says which file is missing") {
+    lone_launcher launcher;
+    launcher.process.start();
+    await_end(launcher.process);
+    CHECK(exited_with(launcher.process, 1));
+    std::ifstream log(launcher.log);
+    std::string line;
+    std::getline(log, line);
+    CHECK(line.find(launcher.library) != std::string::npos);
+}
+
+TEST_CASE("a program that is started by a link finds its library") {
+    test_folder const folder;
+    std::string const link = folder.file("another-name");
+    std::filesystem::create_symlink(CAMPHORPOINT_PROGRAM, link);
+    soak::child_process process({link, "version"}, folder.file("version.log"));
+    process.start();
+    await_end(process);
+    CHECK(exited_with(process, 0));
+}
+
 // Guards against signals that stay blocked in a command that does not serve.
 TEST_CASE("a command other than serve is ended by SIGTERM") {
     test_folder const folder;
@@ -225,9 +328,7 @@
         early_signal const early(SIGTERM);
         process.start();
     }
-    while (process.running()) {
-        std::this_thread::sleep_for(milliseconds(1));
-    }
+    await_end(process);
     CHECK(WIFSIGNALED(process.wait_status()));
     CHECK(WTERMSIG(process.wait_status()) == SIGTERM);
 }
