--- a/src/Node/operator_interface.cpp
+++ b/src/Node/operator_interface.cpp
@@ -77,7 +77,7 @@
     operator_view view)
     : view_(std::move(view))
     , desk_(executor)
-    , server_(executor, limits, [this](http_exchange& exchange) {
+    , server_(executor, std::move(limits), [this](http_exchange& exchange) {
         return answer(exchange);
     }) {}
 
--- a/src/Ports/caller_interface.cpp
+++ b/src/Ports/caller_interface.cpp
@@ -57,7 +57,7 @@
     , run_(run)
     , random_(std::random_device()())
     , events_(std::move(events))
-    , server_(executor, limits, [this](http_exchange& exchange) {
+    , server_(executor, std::move(limits), [this](http_exchange& exchange) {
         return answer(exchange);
     }) {}
 
--- a/src/Ports/http_server.cpp
+++ b/src/Ports/http_server.cpp
@@ -37,13 +37,14 @@
         http_handler handler)
         : executor_(std::move(executor))
         , acceptor_(executor_)
-        , limits_(std::make_shared<http_limits>(limits))
+        , limits_(std::make_shared<http_limits>(std::move(limits)))
         , handler_(std::move(handler))
         , bodies_(
-              limits.bodies != nullptr
-                  ? limits.bodies
+              limits_->bodies != nullptr
+                  ? limits_->bodies
                   : std::make_shared<body_budget>(
-                        body_budget_limits{.in_all = limits.bodies_in_all})) {}
+                        body_budget_limits{.in_all = limits_->bodies_in_all})) {
+    }
 
     std::string listen(ip_address const& address);
     asio::awaitable<void> accept_all();
@@ -55,7 +56,7 @@
 
     tcp::acceptor& acceptor() noexcept { return acceptor_; }
     std::size_t open() const noexcept { return open_.size(); }
-    void set_limits(http_limits limits) { *limits_ = limits; }
+    void set_limits(http_limits limits) { *limits_ = std::move(limits); }
     void refuse_while(std::function<bool()> overloaded) {
         overloaded_ = std::move(overloaded);
     }
@@ -214,7 +215,7 @@
 http_server::http_server(
     asio::any_io_executor executor, http_limits limits, http_handler handler)
     : state_(std::make_shared<state>(
-          std::move(executor), limits, std::move(handler))) {}
+          std::move(executor), std::move(limits), std::move(handler))) {}
 
 http_server::~http_server() {
     state_->close();
@@ -257,7 +258,7 @@
 }
 
 void http_server::set_limits(http_limits limits) {
-    state_->set_limits(limits);
+    state_->set_limits(std::move(limits));
 }
 
 void http_server::close() {
--- a/test/ports/http_server_test.cpp
+++ b/test/ports/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 namespace camphorpoint {
 
@@ -21,9 +22,9 @@
 
 struct test_server {
     test_server(loopback& loop, http_limits limits)
-        : server(loop.executor(), limits, [this](http_exchange& exchange) {
-            return answer(exchange);
-        }) {
+        : server(
+              loop.executor(), std::move(limits),
+              [this](http_exchange& exchange) { return answer(exchange); }) {
         REQUIRE(server.listen(testing::local(0)).empty());
     }
 
