--- a/src/Delivery/delivery_position.cpp
+++ b/src/Delivery/delivery_position.cpp
@@ -10,6 +10,9 @@
     if (resumable_ && (numbered ? has_unnumbered_ : last_.has_value())) {
         return event_continuity::out_of_sequence;
     }
+    if (resumable_ && last_ && numbered && *event.number <= *last_) {
+        return event_continuity::duplicate;
+    }
     if (resumable_ && last_ && numbered && *event.number != *last_ + 1) {
         return event_continuity::out_of_sequence;
     }
--- a/src/Delivery/delivery_position.hpp
+++ b/src/Delivery/delivery_position.hpp
@@ -11,9 +11,9 @@
 enum class event_continuity : std::uint8_t {
     /// The event follows the last one that the caller has.
     next,
-    /// An event before this one is missing, the caller already has it, or its
-    /// position is unknown. A run that writes again what the caller has did not
-    /// begin where the caller stands, so its later events do not fit either.
+    /// The caller already has the event.
+    duplicate,
+    /// An event before this one is missing, or its position is unknown.
     out_of_sequence
 };
 
