--- a/test/gateway/stopping_node_test.cpp
+++ b/test/gateway/stopping_node_test.cpp
@@ -277,6 +277,7 @@
     CHECK(*with.stopped_at - with.stop_began < stop_limit);
     testing::request_fate next = testing::request_fate::pending;
     with.world.loop.run([&]() -> asio::awaitable<void> {
+        auto const executor = caller.socket.get_executor();
         next = co_await testing::read_fate(caller.socket);
     });
     CHECK(next == testing::request_fate::reset);
