--- a/test/soak/large_bodies.cpp
+++ b/test/soak/large_bodies.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -39,7 +40,8 @@
 
 asio::awaitable<void>
 close_after(std::shared_ptr<tcp::socket> socket, milliseconds time) {
-    co_await standins::wait_for(time);
+    asio::steady_timer timer(socket->get_executor(), time);
+    co_await timer.async_wait(use_result);
     boost::system::error_code ignored;
     socket->close(ignored);
 }
@@ -55,31 +57,31 @@
     , number_(number) {}
 
 asio::awaitable<void> large_body_caller::run(bool const& stopping) {
+    std::string const name = fmt::format("l{}", number_);
     for (; !stopping; ++sent_) {
-        co_await send();
+        co_await send(name);
         co_await standins::wait_for(pause);
     }
 }
 
-asio::awaitable<void> large_body_caller::send() const {
+asio::awaitable<void> large_body_caller::send(std::string const& name) const {
+    std::string const& body = text_of_body();
+    std::string const head = fmt::format(
+        "POST /look/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}-{}\r\n"
+        "X-Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n",
+        name, sent_, patience.count(), body.size());
     auto const executor = co_await asio::this_coro::executor;
     auto const socket = std::make_shared<tcp::socket>(executor);
     tcp::endpoint const remote(asio::ip::make_address(to_.host), to_.port);
     asio::co_spawn(executor, close_after(socket, patience), asio::detached);
-    auto const [refused] = co_await socket->async_connect(remote, use_result);
-    std::string const& body = text_of_body();
-    std::string const head = fmt::format(
-        "POST /look/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: l{}-{}\r\n"
-        "X-Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n",
-        number_, sent_, patience.count(), body.size());
+    // What becomes of each step does not matter to this caller.
+    co_await socket->async_connect(remote, use_result);
     std::array const parts{
         asio::buffer(head),
         asio::buffer(body.data(), body.size() - (whole_ ? 0 : 1))};
-    auto const [failed, size] =
-        co_await asio::async_write(*socket, parts, use_result);
+    co_await asio::async_write(*socket, parts, use_result);
     std::array<char, 512> answer{};
-    auto const [ended, got] =
-        co_await socket->async_read_some(asio::buffer(answer), use_result);
+    co_await socket->async_read_some(asio::buffer(answer), use_result);
     boost::system::error_code ignored;
     socket->close(ignored);
 }
--- a/test/soak/large_bodies.hpp
+++ b/test/soak/large_bodies.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
+#include <string>
 
 namespace camphorpoint::soak {
 
@@ -22,7 +23,7 @@
     boost::asio::awaitable<void> run(bool const& stopping);
 
 private:
-    boost::asio::awaitable<void> send() const;
+    boost::asio::awaitable<void> send(std::string const& name) const;
 
     ip_address to_;
     bool whole_;
