--- a/test/ports/connection_end_report_test.cpp
+++ b/test/ports/connection_end_report_test.cpp
@@ -38,9 +38,9 @@
 struct observed_server {
     explicit observed_server(http_limits limits = short_limits())
         : caller(loop.executor())
-        , server(loop.executor(), limits, [this](http_exchange& exchange) {
-            return handler(exchange);
-        }) {
+        , server(
+              loop.executor(), std::move(limits),
+              [this](http_exchange& exchange) { return handler(exchange); }) {
         server.observe_ends(
             [this](connection_end_report const& end) { ends.push_back(end); });
         REQUIRE(server.listen(testing::local(0)).empty());
