--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -302,6 +302,8 @@
     delivery_position position_;
     /// The attempt that has stalled while its stream may go on.
     attempt_ref stalled_;
+    /// How often attempts of the request have stalled.
+    unsigned stalls_ = 0;
     /// API keys are in force for this request.
     bool authenticated_ = false;
     /// The request is delayed until its replica has processed other prompts,
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -259,6 +259,7 @@
         .with("whole", static_cast<int>(response_complete_))
         .with("may_run", static_cast<int>(tracker_.may_run()))
         .with("sends", tracker_.sends())
+        .with("stalls", stalls_)
         .with("took_ms", boot_clock::now() - arrived_at_);
     if (state_->shutdown.begun()) {
         line.with("stop_ms", arrived_at_ - state_->shutdown.began_at());
--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -93,6 +93,7 @@
     assert(!stalled_ && "the attempt that writes has replaced the earlier one");
     attempt->stalled = true;
     stalled_ = attempt;
+    ++stalls_;
     auto const report = make_attempt_report(*attempt, attempt_outcome::stalled);
     if (report) {
         record_health(*attempt, *report);
@@ -102,6 +103,7 @@
         log_line(event_code::stream_stalled)
             .with("id", demand_.id.str())
             .with("replica", attempt->replica.str())
+            .with("stalls", stalls_)
             .with("events", position_.last().value_or(0))
             .with("half_bytes", attempt->stream.incomplete_bytes()));
 }
