--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -89,7 +89,7 @@
     co_return true;
 }
 
-asio::awaitable<bool> write_body(
+asio::awaitable<bool> write_pieces(
     tcp::socket& socket, scripted_attempt const& attempt,
     std::string_view body) {
     bool const chunked = attempt.framing == body_framing::chunked;
@@ -108,6 +108,25 @@
     co_return true;
 }
 
+asio::awaitable<bool> write_body(
+    tcp::socket& socket, scripted_attempt const& attempt, std::string body) {
+    std::size_t sent = 0;
+    for (auto const& [place, time] : attempt.silences) {
+        std::size_t const until = std::min(place, body.size());
+        std::string const part = body.substr(sent, until - sent);
+        bool goes_on = co_await write_pieces(socket, attempt, part);
+        if (goes_on) {
+            goes_on = co_await stay_silent(socket, time);
+        }
+        if (!goes_on) {
+            co_return false;
+        }
+        sent = until;
+    }
+    std::string const rest = body.substr(sent);
+    co_return co_await write_pieces(socket, attempt, rest);
+}
+
 } // namespace
 
 scripted_replica::scripted_replica(loopback& loop, unsigned events)
@@ -201,10 +220,7 @@
     bool const cut = attempt.bytes < complete_body.size();
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    bool written = true;
-    if (attempt.silent_before_head) {
-        written = co_await stay_silent(socket, attempt.silence);
-    }
+    bool written = co_await stay_silent(socket, attempt.silence_before_head);
     if (!written) {
         co_return;
     }
@@ -217,17 +233,8 @@
         std::string body = complete_body;
         written = co_await write(socket, std::move(body));
     } else if (written) {
-        std::string const part = complete_body.substr(0, attempt.bytes);
-        std::size_t const pause = std::min(attempt.silent_at, part.size());
-        std::string const first = part.substr(0, pause);
-        std::string const rest = part.substr(pause);
-        written = co_await write_body(socket, attempt, first);
-        if (written && attempt.silent_at != scripted_attempt::all) {
-            written = co_await stay_silent(socket, attempt.silence);
-        }
-        if (written) {
-            written = co_await write_body(socket, attempt, rest);
-        }
+        std::string part = complete_body.substr(0, attempt.bytes);
+        written = co_await write_body(socket, attempt, std::move(part));
     }
     if (written && !cut && attempt.framing == body_framing::chunked &&
         attempt.status == 200) {
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -55,11 +55,12 @@
     int status = 200;
     /// Status other than 200: the answer says that the request has not run.
     bool not_executed = false;
-    /// The attempt falls silent before this byte of its body, and then goes on.
-    std::size_t silent_at = all;
-    /// The attempt falls silent before its head.
-    bool silent_before_head = false;
-    std::chrono::milliseconds silence{0};
+    /// The attempt falls silent before these bytes of its body, each time for
+    /// the time given, and then goes on. Places behind its last byte count as
+    /// that one.
+    std::map<std::size_t, std::chrono::milliseconds> silences;
+    /// How long the attempt is silent before its head.
+    std::chrono::milliseconds silence_before_head{0};
 };
 
 /// What a replica has seen of one attempt.
--- a/test/gateway/silent_replica_test.cpp
+++ b/test/gateway/silent_replica_test.cpp
@@ -41,15 +41,13 @@
 
 scripted_attempt silent_at(std::size_t byte, milliseconds time = silence) {
     scripted_attempt attempt;
-    attempt.silent_at = byte;
-    attempt.silence = time;
+    attempt.silences[byte] = time;
     return attempt;
 }
 
 scripted_attempt silent_before_head(milliseconds time) {
     scripted_attempt attempt;
-    attempt.silent_before_head = true;
-    attempt.silence = time;
+    attempt.silence_before_head = time;
     return attempt;
 }
 
@@ -61,8 +59,8 @@
 }
 
 /// One node in front of replicas that answer as scripted. Streams below /runs/
-/// allow four attempts, those below /alone/ one, and those below /bare/ may not
-/// be resumed.
+/// allow four attempts, those below /pair/ two, those below /alone/ one, and
+/// those below /bare/ may not be resumed.
 class silent_fixture {
 public:
     /// @param replicas number of replicas
@@ -75,9 +73,7 @@
         })
         , replica_(world_.loop, stream_events) {
         REQUIRE(world_.loop.run_until([this] { return world_.node->ready(); }));
-        world_.configure(
-            2, route("runs", 4, true) + route("alone", 1, true) +
-                   route("bare", 4, false));
+        configure(2);
         for (unsigned each = 0; each < replicas; ++each) {
             world_.metadata.store().put(
                 "keyed.servers", fmt::format("s{}", each),
@@ -90,6 +86,13 @@
         }));
     }
 
+    /// Publishes the routes as a configuration.
+    void configure(unsigned version) {
+        world_.configure(
+            version, route("runs", 4, true) + route("pair", 2, true) +
+                         route("alone", 1, true) + route("bare", 4, false));
+    }
+
     /// Starts a request with a fingerprint of its own.
     void start(std::string_view route, std::deque<scripted_attempt> attempts) {
         std::string path = fmt::format("/{}/{}", route, answers_.size());
@@ -186,6 +189,27 @@
     }
 }
 
+/// Starts streams that fall silent three times, at any places.
+void start_with_three_silences(
+    silent_fixture& world, std::string_view route,
+    std::deque<scripted_attempt> const& then = {}) {
+    constexpr milliseconds brief{1'700};
+    constexpr std::size_t step = 7;
+    std::size_t const event = body_bytes(1);
+    std::size_t const last = body_bytes(stream_events);
+    for (std::size_t const gap : {std::size_t{1}, event, event + 3}) {
+        for (std::size_t at = 0; at + 2 * gap <= last; at += step) {
+            scripted_attempt first;
+            for (std::size_t more = 0; more < 3; ++more) {
+                first.silences[at + more * gap] = brief;
+            }
+            std::deque<scripted_attempt> attempts = then;
+            attempts.push_front(std::move(first));
+            world.start(route, std::move(attempts));
+        }
+    }
+}
+
 } // namespace
 
 // Guards against a stream that its node ends while its replica is only silent.
@@ -246,6 +270,60 @@
     check_overlaps(world);
 }
 
+// Guards against a stream that its node ends when its replica, which has gone
+// on after a silence, falls silent again.
+TEST_CASE("a replica that falls silent again goes on each time") {
+    SUBCASE("the route allows one attempt") {
+        silent_fixture world;
+        start_with_three_silences(world, "alone");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the budget for resends is exhausted") {
+        silent_fixture world(4, 0);
+        start_with_three_silences(world, "runs");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("there is no other replica") {
+        silent_fixture world(1);
+        start_with_three_silences(world, "runs");
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the only other attempt is overtaken") {
+        silent_fixture world;
+        start_with_three_silences(
+            world, "pair", {silent_before_head(for_good)});
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the only other attempt is refused") {
+        silent_fixture world;
+        start_with_three_silences(world, "pair", {refusal()});
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the node is being stopped") {
+        silent_fixture world(1);
+        start_with_three_silences(world, "runs");
+        within(world.world(), milliseconds(300), [] { return false; });
+        world.world().node->drain([] {});
+        world.finish();
+        check_complete(world);
+    }
+    SUBCASE("the configuration changes during each silence") {
+        silent_fixture world;
+        start_with_three_silences(world, "alone");
+        for (unsigned version = 3; version < 8; ++version) {
+            within(world.world(), milliseconds(1'000), [] { return false; });
+            world.configure(version);
+        }
+        world.finish();
+        check_complete(world);
+    }
+}
+
 // Guards against a stream that waits for a replica that is gone.
 TEST_CASE("a stream of a replica that stays silent goes on elsewhere") {
     // The time after which another replica is sought, and some to find it.
@@ -340,10 +418,12 @@
         std::deque<scripted_attempt> attempts;
         bool all_sound = true;
         for (unsigned more = 0; more < route_attempts; ++more) {
-            scripted_attempt attempt =
-                silent_at(below(body_bytes(stream_events)));
-            attempt.silence = milliseconds(200 + below(2'800));
-            attempt.silent_before_head = more > 0 && below(4) == 0;
+            std::size_t const place = below(body_bytes(stream_events));
+            milliseconds const time(200 + below(2'800));
+            scripted_attempt attempt = silent_at(place, time);
+            if (more > 0 && below(4) == 0) {
+                attempt.silence_before_head = time;
+            }
             attempt.piece = below(2) == 0 ? 1 + below(30) : attempt.piece;
             if (below(4) == 0) {
                 attempt.bytes = below(body_bytes(stream_events));
--- a/test/gateway/stopping_node_test.cpp
+++ b/test/gateway/stopping_node_test.cpp
@@ -107,8 +107,7 @@
     /// The replica answers nothing to a request.
     void silence(std::string const& path) {
         scripted_attempt silent;
-        silent.silent_before_head = true;
-        silent.silence = milliseconds(8'000);
+        silent.silence_before_head = milliseconds(8'000);
         replica.scripts["/" + path] = {silent, silent, silent, silent};
     }
     void stop() {
