Times of the settings take decimal fractions

Change: a time is a decimal number with a unit, rounded to a millisecond. The window of the resend budget is rounded up to whole seconds, not down: a shorter one would allow the slack more often. A ratio that is not a number (nan) passed the comparisons with its bounds; it is a finding now.

That a finding in the settings keeps a node from starting stands as it was.

--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -32,7 +32,8 @@
     char* end = nullptr;
     double const value = std::strtod(text.c_str(), &end);
     bool const fully_parsed = end != text.c_str() && *end == '\0';
-    if (!fully_parsed || value < 0 || value > max_value) {
+    // No comparison holds for a value that is not a number.
+    if (!fully_parsed || !(value >= 0 && value <= max_value)) {
         from.complain(key, "must be a number such as \"0.2\"");
         return fallback;
     }
@@ -79,7 +80,8 @@
     into.slack = read_real(section, "slack", into.slack, max_slack);
     milliseconds const window =
         section.time("window", into.window, milliseconds(1'000), max_time);
-    into.window = std::chrono::duration_cast<std::chrono::seconds>(window);
+    // A longer window allows no more resends than the one that is stated.
+    into.window = std::chrono::ceil<std::chrono::seconds>(window);
     section.refuse_unknown_keys();
 }
 
--- a/src/Settings/toml_section.cpp
+++ b/src/Settings/toml_section.cpp
@@ -2,12 +2,15 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
 namespace camphorpoint {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 toml::table const empty_table;
@@ -24,24 +27,51 @@
     {"h", std::chrono::milliseconds(3'600'000)},
 }};
 
-/// @returns the time that the text states, or nothing when it has no such form
+/// Nine digits of the largest unit still fit into 64 bits.
+constexpr std::size_t most_digits = 9;
+
+/// @returns the number of digits with which the text begins
+std::size_t count_digits(std::string_view text) {
+    std::size_t const end = text.find_first_not_of("0123456789");
+    return std::min(end, text.size());
+}
+
+/// @param digits nothing but digits
+std::int64_t read_digits(std::string_view digits) {
+    std::int64_t number = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    return number;
+}
+
+/// Reads a decimal number with its unit, such as "7.5s".
+/// @returns the time that the text states, to the nearest millisecond, or
+///          nothing when it has no such form
 std::optional<std::chrono::milliseconds> parse_time(std::string_view text) {
-    // Nine digits of the largest unit still fit into 64 bits.
-    constexpr std::size_t most_digits = 9;
-    std::int64_t count = 0;
-    auto const [end, error] =
-        std::from_chars(text.data(), text.data() + text.size(), count);
-    auto const digits = static_cast<std::size_t>(end - text.data());
-    if (error != std::errc() || count < 0 || digits > most_digits) {
+    std::string_view const whole = text.substr(0, count_digits(text));
+    std::string_view rest = text.substr(whole.size());
+    std::string_view fraction;
+    bool const has_point = rest.starts_with('.');
+    if (has_point) {
+        rest.remove_prefix(1);
+        fraction = rest.substr(0, count_digits(rest));
+        rest.remove_prefix(fraction.size());
+    }
+    bool const complete = !whole.empty() && has_point != fraction.empty();
+    if (!complete || whole.size() > most_digits) {
         return std::nullopt;
     }
-    std::string_view const unit = text.substr(digits);
-    for (time_unit const& each : time_units) {
-        if (each.name == unit) {
-            return count * each.size;
-        }
+    // Further digits are too small to change a millisecond.
+    fraction = fraction.substr(0, most_digits);
+    std::int64_t parts = 1;
+    for (std::size_t each = 0; each < fraction.size(); ++each) {
+        parts *= 10;
     }
-    return std::nullopt;
+    auto const unit = std::ranges::find(time_units, rest, &time_unit::name);
+    if (unit == time_units.end()) {
+        return std::nullopt;
+    }
+    auto const part = read_digits(fraction) * unit->size;
+    return read_digits(whole) * unit->size + (part + parts / 2 * 1ms) / parts;
 }
 
 } // namespace
--- a/src/Settings/toml_section.hpp
+++ b/src/Settings/toml_section.hpp
@@ -43,8 +43,8 @@
     /// @returns the truth value at the key; without fallback its absence is a
     /// finding
     bool boolean(std::string const& key, std::optional<bool> fallback);
-    /// Reads a time with its unit, such as "250ms", "5s", "2min" or "1h".
-    /// @returns the time at the key, or the fallback
+    /// Reads a time with its unit, such as "250ms", "7.5s", "2min" or "1h".
+    /// @returns the time at the key, to the nearest millisecond, or the fallback
     std::chrono::milliseconds time(
         std::string const& key, std::chrono::milliseconds fallback,
         std::chrono::milliseconds least, std::chrono::milliseconds most);
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -2,12 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <fstream>
 #include <iterator>
 #include <string>
 
 namespace camphorpoint {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 std::string const good_node = R"([node]
@@ -119,6 +122,50 @@
     }
 }
 
+// Guards against a node that does not start because a time of its settings is
+// a fraction.
+TEST_CASE("times are decimal numbers with a unit") {
+    auto const close_wait = [](std::string const& text) {
+        node_settings settings;
+        std::string const report = read(
+            good_node + good_platform + "[limits]\nclose_wait = \"" + text +
+                "\"\n",
+            &settings);
+        CHECK(report == "");
+        return settings.requests.close_timeout;
+    };
+
+    SUBCASE("whole numbers and fractions have every unit") {
+        CHECK(close_wait("7s") == milliseconds(7'000));
+        CHECK(close_wait("7.5s") == milliseconds(7'500));
+        CHECK(close_wait("250.0ms") == milliseconds(250));
+        CHECK(close_wait("0.25min") == milliseconds(15'000));
+        CHECK(close_wait("0.01h") == milliseconds(36'000));
+    }
+    SUBCASE("they are rounded to a millisecond") {
+        CHECK(close_wait("7.4ms") == milliseconds(7));
+        CHECK(close_wait("7.5ms") == milliseconds(8));
+        CHECK(close_wait("1.0004s") == milliseconds(1'000));
+        CHECK(
+            close_wait("1.00000000000000000000000000009s") ==
+            milliseconds(1'000));
+        CHECK(
+            close_wait("3.333333333333333333333min") == milliseconds(200'000));
+    }
+    SUBCASE("nothing else is a time") {
+        for (std::string const text :
+             {"", "s", ".5s", "5.s", "5", "5.5", "-1s", "+1s", "1e3s", "1,5s",
+              "1.5.5s", "5 s", "0x5s", "nans", "infs", "9999999999s"}) {
+            INFO(text);
+            CHECK(
+                has(read(
+                        good_node + good_platform +
+                        "[limits]\nclose_wait = \"" + text + "\"\n"),
+                    "limits.close_wait: must be a time in ms"));
+        }
+    }
+}
+
 TEST_CASE("docs/SETTINGS.md lists the settings as the code has them") {
     std::ifstream stream(
         std::string(CAMPHORPOINT_SOURCE_DIR) + "/docs/SETTINGS.md");
