The soak: replicas that fall silent again and again, and streams that are closed early

- Disruption `--silences`: all replicas of the model service or half of them, drawn, stand still three to six times for 1.3 to 2.4 s with pauses of 0.1 to 0.6 s, at the same times or each at its own.
In runs with it the route of the streams allows one attempt or two, by the version of the configuration.
- Disruption `--configurations`: a configuration, or SIGHUP to a node, without the kills of `--process_faults`.
- `--event_pause_ms`, `--stream_patience_ms`: streams of several seconds.
- Check (LOST): a stream with status 200 whose connection was closed before its end, before the time-out and the deadline, although the run that wrote the last event which the caller has read went on: its replica has neither broken off, as the ledger says, nor been killed.
It uses what callers, replicas and the soak have seen, not the nodes' logs.
In runs whose links cut connections it judges nothing, since only the link knows.
- `child_process` keeps the signals that have ended it.

--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -174,6 +174,9 @@
     constexpr std::uint64_t whole = 100;
     constexpr milliseconds brief{2'500};
     constexpr std::array lengthy{milliseconds(6'000), milliseconds(9'000)};
+    if (settings_.stream_patience > milliseconds(0)) {
+        return settings_.stream_patience;
+    }
     bool const is_long = draw(whole) < settings_.long_patience;
     return is_long ? lengthy.at(draw(lengthy.size())) : brief;
 }
@@ -301,6 +304,9 @@
         answer_.status = static_cast<int>(parser.get().result_int());
         answer_.body = parser.get().body();
         answer_.whole = !error;
+        sent_.status = answer_.status;
+        auto const events = parse_events(answer_.body);
+        sent_.last_run = events.empty() ? "" : events.back().run;
     }
     target_->note(fmt::format(
         "answered {} n{} {} {}", wanted.id, node_,
--- a/test/soak/child_process.cpp
+++ b/test/soak/child_process.cpp
@@ -81,6 +81,7 @@
     }
     if (number == SIGKILL || number == SIGTERM) {
         ended_by_ = number;
+        end_signals_.push_back({id_, number, boot_clock::now()});
     }
     ::kill(id_, number);
 }
--- a/test/soak/child_process.hpp
+++ b/test/soak/child_process.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/time.hpp"
+
 #include <sys/types.h>
 
 #include <string>
@@ -7,6 +9,13 @@
 
 namespace camphorpoint::soak {
 
+/// A signal that ends a process.
+struct end_signal {
+    pid_t process = 0;
+    int number = 0;
+    instant at;
+};
+
 /// A process of the run. It is killed and reaped at the latest with this
 /// object.
 class child_process {
@@ -34,6 +43,10 @@
     int wait_status() const noexcept { return wait_status_; }
     /// @returns the file to which its output is added
     std::string const& name() const noexcept { return log_; }
+    /// @returns the signals sent here that end a process, in order
+    std::vector<end_signal> const& end_signals() const noexcept {
+        return end_signals_;
+    }
     /// @returns how often it was started
     unsigned starts() const noexcept { return starts_; }
     /// @returns true when it has ended by itself with a failure, or by a signal
@@ -52,6 +65,7 @@
     /// The last signal sent here that ends a process, 0 for none.
     int ended_by_ = 0;
     int wait_status_ = 0;
+    std::vector<end_signal> end_signals_;
     bool crashed_ = false;
 };
 
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -84,7 +84,9 @@
     add("book", "unsafe", "app", 1 + version % 2);
     add("look", "safe", "app", 2);
     add("once", "streaming", "llm", 1 + version % 3);
-    add("draft", "streaming", "llm", 2, true);
+    // A stream with one attempt depends on the replica that has begun it.
+    unsigned const drafts = settings_.silences > 0 ? 1 + version % 2 : 2;
+    add("draft", "streaming", "llm", drafts, true);
     add("new" + std::to_string(version), "unsafe", "app", 1);
     return fmt::format(
         R"({{"version":{},"routes":[{}],"services":[{{"name":"llm",)"
@@ -126,7 +128,9 @@
         {"standin-replica", "--listen=" + text_of(made.address),
          "--id=" + made.id, "--model=" + made.model, "--ledger=" + ledger,
          fmt::format("--events={}", stream_events()),
-         fmt::format("--pause_ms={}", settings_.streams > 0 ? 60 : 5),
+         fmt::format(
+             "--pause_ms={}",
+             settings_.streams > 0 ? settings_.event_pause.count() : 5),
          fmt::format("--refusal_percent={}", settings_.refusals),
          fmt::format("--slow_percent={}", settings_.slow_requests),
          fmt::format("--fault_percent={}", settings_.replica_faults),
@@ -183,6 +187,20 @@
     return unseen;
 }
 
+end_records deployment::ends() const {
+    end_records records;
+    for (node_processes const& each : nodes) {
+        records.nodes.push_back(each.node->end_signals());
+        records.links.push_back(each.link->end_signals());
+    }
+    for (replica_processes const& each : replicas) {
+        for (end_signal const& signal : each.process->end_signals()) {
+            records.replicas.try_emplace(signal.process, signal.at);
+        }
+    }
+    return records;
+}
+
 std::set<std::string> deployment::requests_read() const {
     constexpr std::array<std::string_view, 2> names{
         R"("name":"request-routed","id":")",
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -48,6 +49,10 @@
     unsigned pipelined = 0;
     /// How many of a hundred operations are streams that callers resume.
     unsigned streams = 0;
+    /// The time between two events of a stream.
+    std::chrono::milliseconds event_pause{60};
+    /// How long the callers of streams wait; 0 for 2.5, 6 or 9 s.
+    std::chrono::milliseconds stream_patience{0};
     /// How many of a hundred of their callers wait longer than the route's
     /// time-out.
     unsigned long_patience = 66;
@@ -71,6 +76,11 @@
     /// Share of disruptions: a replica stands still for about as long as a node
     /// waits before it looks for another one.
     unsigned stalls = 0;
+    /// Share of disruptions: replicas of the model service stand still several
+    /// times, at the same time or each at its own times.
+    unsigned silences = 0;
+    /// Share of disruptions: a configuration, or SIGHUP to a node.
+    unsigned configurations = 0;
     /// Of the nodes.
     std::chrono::milliseconds stream_lifetime{60'000};
     /// How many of a hundred requests without a model take 2 to 6 s.
@@ -114,6 +124,18 @@
     unsigned renewals = 0;
     /// One renewal is under way.
     bool renewing = false;
+    /// A series of silences is under way.
+    bool silenced = false;
+};
+
+/// The signals of a run that end processes.
+struct end_records {
+    /// To each node, by its index.
+    std::vector<std::vector<end_signal>> nodes;
+    /// To the process that carries the connections of each node.
+    std::vector<std::vector<end_signal>> links;
+    /// To replicas, by process id.
+    std::map<pid_t, instant> replicas;
 };
 
 /// Real processes on one loopback address: the store, replicas, nodes, and for
@@ -142,6 +164,8 @@
     std::vector<std::string> unseen_replicas() const;
     /// @returns the ids of requests that nodes have read whole, as they log
     std::set<std::string> requests_read() const;
+    /// @returns the signals that have ended processes
+    end_records ends() const;
     /// @returns how many events a stream has
     std::uint64_t stream_events() const noexcept;
 
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -100,7 +100,8 @@
 unsigned disruptions::shares_of_others() const noexcept {
     return settings_.process_faults + settings_.renewals + settings_.releases +
            settings_.herd_kills + settings_.odd_entries +
-           settings_.out_of_step + settings_.stalls;
+           settings_.out_of_step + settings_.stalls + settings_.silences +
+           settings_.configurations;
 }
 
 asio::awaitable<void> disruptions::begin_one() {
@@ -139,6 +140,10 @@
     } else if (is(settings_.stalls)) {
         co_await stop_process(
             *replica.process, draw_time(shortest_stall, longest_stall));
+    } else if (is(settings_.silences)) {
+        co_await silence_replicas();
+    } else if (is(settings_.configurations)) {
+        co_await configure();
     } else {
         co_await add_odd_entry();
     }
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -12,9 +12,16 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace camphorpoint::soak {
 
+/// A pause, and the silence of a replica that follows it.
+struct silent_span {
+    std::chrono::milliseconds pause;
+    std::chrono::milliseconds silence;
+};
+
 /// Ends, stops and restarts processes and publishes configurations. Several
 /// disruptions are under way at a time.
 class disruptions {
@@ -52,6 +59,15 @@
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
     boost::asio::awaitable<void>
     stop_process(child_process& which, std::chrono::milliseconds time);
+    /// Lets all replicas of the model service, or a drawn share of them, stand
+    /// still several times.
+    boost::asio::awaitable<void> silence_replicas();
+    /// Stops a replica several times, with brief pauses.
+    boost::asio::awaitable<void>
+    silence(replica_processes& which, std::vector<silent_span> spans);
+    std::vector<silent_span> draw_silences();
+    /// Publishes a configuration, or sends SIGHUP to a node.
+    boost::asio::awaitable<void> configure();
     /// Ends, stops or restarts a process, or publishes a configuration.
     boost::asio::awaitable<void> disturb_processes();
     boost::asio::awaitable<void> publish();
--- a/test/soak/lost_requests.hpp
+++ b/test/soak/lost_requests.hpp
@@ -33,6 +33,11 @@
     bool answered = false;
     /// Its connection was reset before any part of an answer.
     bool reset = false;
+    /// Of its answer, 0 without one.
+    int status = 0;
+    /// The run that wrote the last whole event of its answer, empty without
+    /// one.
+    std::string last_run{};
 };
 
 /// A planned stop of a node.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "common/standin_main.hpp"
 #include "test/soak/caller.hpp"
 #include "test/soak/disruptions.hpp"
+#include "test/soak/ended_streams.hpp"
 #include "test/soak/large_bodies.hpp"
 #include "test/soak/memory_watch.hpp"
 
@@ -48,6 +49,10 @@
     "percent of streams whose caller waits longer than the time-out");
 ABSL_FLAG(
     unsigned, always_named, 25, "percent of streams: patience named as whole");
+ABSL_FLAG(unsigned, event_pause_ms, 60, "between two events of a stream");
+ABSL_FLAG(
+    unsigned, stream_patience_ms, 0,
+    "of the callers of streams; 0 for 2.5, 6 or 9 s");
 ABSL_FLAG(unsigned, process_faults, 10, "share of disruptions");
 ABSL_FLAG(unsigned, renewals, 0, "share of disruptions: replicas' other ids");
 ABSL_FLAG(unsigned, releases, 0, "share of disruptions: software versions");
@@ -57,6 +62,9 @@
 ABSL_FLAG(unsigned, stops_at_once, 1, "planned stops under way, at most");
 ABSL_FLAG(unsigned, out_of_step, 0, "share of disruptions: unseen releases");
 ABSL_FLAG(unsigned, stalls, 0, "share of disruptions: replicas, about 1.5 s");
+ABSL_FLAG(unsigned, silences, 0, "share of disruptions: series of silences");
+ABSL_FLAG(
+    unsigned, configurations, 0, "share of disruptions: those, and SIGHUP");
 ABSL_FLAG(unsigned, stream_lifetime_ms, 60'000, "of nodes");
 ABSL_FLAG(unsigned, slow_requests, 0, "percent of requests that take 2 to 6 s");
 ABSL_FLAG(unsigned, two_parts, 0, "percent of requests that come in two parts");
@@ -167,6 +175,9 @@
                 runs, records_.sent, target_.requests_read(),
                 disruptions_.stops(), settings_.stop_limit),
             std::back_inserter(found));
+        auto const ended =
+            find_ended_streams(runs, records_.sent, target_.ends(), settings_);
+        std::ranges::copy(ended.found, std::back_inserter(found));
         std::ranges::copy(memory_.excesses(), std::back_inserter(found));
         if (played) {
             for (std::string const& each : target_.unseen_replicas()) {
@@ -189,7 +200,8 @@
         fmt::print(
             "seed {}: {} requests that may run once, {} runs, {} served, {} "
             "refused, {} reset, {} streams, {} resumed, {} whole, {} "
-            "disruptions, {} planned stops, {} MB at most, {} violations{}\n",
+            "disruptions, {} planned stops, {} streams ended early, {} of them "
+            "excused, {} MB at most, {} violations{}\n",
             settings_.seed, records_.once_only.size(), runs.counts.size(),
             records_.told.served, records_.told.refused.size(),
             records_.told.reset.size(), records_.told.streams.size(),
@@ -197,7 +209,8 @@
             std::ranges::count(
                 records_.told.streams, true, &stream_reading::whole),
             disruptions_.begun(), disruptions_.stops().stops.size(),
-            memory_.peak_mb(), found.size(), played ? "" : ", not played");
+            ended.early, ended.early - ended.found.size(), memory_.peak_mb(),
+            found.size(), played ? "" : ", not played");
         std::fflush(stdout);
         return played && found.empty() && crashed.empty();
     }
@@ -242,6 +255,11 @@
     settings.stops_at_once = absl::GetFlag(FLAGS_stops_at_once);
     settings.out_of_step = absl::GetFlag(FLAGS_out_of_step);
     settings.stalls = absl::GetFlag(FLAGS_stalls);
+    settings.silences = absl::GetFlag(FLAGS_silences);
+    settings.configurations = absl::GetFlag(FLAGS_configurations);
+    settings.event_pause = milliseconds(absl::GetFlag(FLAGS_event_pause_ms));
+    settings.stream_patience =
+        milliseconds(absl::GetFlag(FLAGS_stream_patience_ms));
     settings.stream_lifetime =
         milliseconds(absl::GetFlag(FLAGS_stream_lifetime_ms));
     settings.slow_requests = absl::GetFlag(FLAGS_slow_requests);
--- /dev/null
+++ b/test/soak/silences.cpp
@@ -0,0 +1,76 @@
+#include "common/standin_main.hpp"
+#include "test/soak/disruptions.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <signal.h>
+#include <utility>
+
+namespace camphorpoint::soak {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t fewest_silences = 3;
+constexpr std::size_t more_silences = 4;
+constexpr milliseconds shortest_pause{100};
+constexpr milliseconds longest_pause{600};
+constexpr milliseconds shortest_silence{1'300};
+constexpr milliseconds longest_silence{2'400};
+
+} // namespace
+
+std::vector<silent_span> disruptions::draw_silences() {
+    std::vector<silent_span> spans(fewest_silences + draw(more_silences));
+    for (silent_span& each : spans) {
+        each.pause = draw_time(shortest_pause, longest_pause);
+        each.silence = draw_time(shortest_silence, longest_silence);
+    }
+    return spans;
+}
+
+asio::awaitable<void> disruptions::silence_replicas() {
+    bool const all = draw(2) == 0;
+    bool const at_once = draw(2) == 0;
+    std::vector<silent_span> spans = draw_silences();
+    for (replica_processes& each : target_->replicas) {
+        if (each.model.empty() || each.silenced || (!all && draw(2) == 0)) {
+            continue;
+        }
+        each.silenced = true;
+        ++active_;
+        asio::co_spawn(
+            executor_, silence(each, at_once ? spans : draw_silences()),
+            asio::detached);
+    }
+    co_return;
+}
+
+asio::awaitable<void>
+disruptions::silence(replica_processes& which, std::vector<silent_span> spans) {
+    std::size_t const at = stops_.disturbances.size();
+    stops_.disturbances.push_back({boot_clock::now(), instant::max()});
+    for (silent_span const& each : spans) {
+        co_await standins::wait_for(each.pause);
+        co_await stop_process(*which.process, each.silence);
+    }
+    stops_.disturbances[at].end = boot_clock::now();
+    which.silenced = false;
+    --active_;
+}
+
+asio::awaitable<void> disruptions::configure() {
+    if (draw(2) == 0) {
+        co_await publish();
+        co_return;
+    }
+    child_process& node = *target_->nodes[draw(target_->nodes.size())].node;
+    target_->note("SIGHUP to " + node.name());
+    node.send_signal(SIGHUP);
+}
+
+} // namespace camphorpoint::soak
