--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -59,8 +59,8 @@
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
     boost::asio::awaitable<void>
     stop_process(child_process& which, std::chrono::milliseconds time);
-    /// Lets all replicas of the model service, or a drawn share of them, stand
-    /// still several times.
+    /// Lets all replicas of the model service, or half of them, stand still
+    /// several times, unless some still do.
     boost::asio::awaitable<void> silence_replicas();
     /// Stops a replica several times, with brief pauses.
     boost::asio::awaitable<void>
