The soak: a stream whose second replica was killed is excused

The check looked at the run of the last event only, which was r15's.

It excuses a stream now when a run of it that began behind the last event which the caller has read was at a replica that was killed within the second before the end. A stream whose second run was refused, has failed or is silent is judged as before.

--- a/test/soak/lost_requests.hpp
+++ b/test/soak/lost_requests.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,8 +36,9 @@
     bool reset = false;
     /// Of its answer, 0 without one.
     int status = 0;
-    /// The run that wrote the last whole event of its answer, empty without
-    /// one.
+    /// The last whole event of its answer: its number and the run that wrote
+    /// it; 0 and empty without one.
+    std::uint64_t last_event = 0;
     std::string last_run{};
 };
 
