The soak: a killed replica excuses a later end only without another run

The check excused each stream whose last replica had been killed at any time before its end, so also one that is closed long afterwards because its second run is silent.

--- a/test/soak/ended_streams.cpp
+++ b/test/soak/ended_streams.cpp
@@ -86,14 +86,40 @@
         return names;
     }
 
+    /// @returns when a run's replica broke off or was killed, at the end of
+    ///          time when it did not
+    instant break_of(std::string const& run) const {
+        auto const killed = ends_->replicas.find(process_of(run));
+        auto const end = records_->ends.find(run);
+        instant const at =
+            killed == ends_->replicas.end() ? instant::max() : killed->second;
+        return end != records_->ends.end() && end->second.broke
+                   ? std::min(at, end->second.at)
+                   : at;
+    }
+
+    /// @returns true when a run that begins behind the last event went on
+    bool has_successor(sent_request const& request) const {
+        auto const [first, last] = runs_.equal_range(request.id);
+        return std::any_of(first, last, [&](auto const& each) {
+            return is_successor(each.second, request) &&
+                   break_of(each.second) > request.ended;
+        });
+    }
+
+    bool
+    is_successor(std::string const& run, sent_request const& request) const {
+        return request.last_event > 0 && run != request.last_run &&
+               records_->runs.at(run).after == request.last_event;
+    }
+
     bool has_broken(sent_request const& request) const {
         return std::ranges::any_of(
             runs_of(request), [&](std::string const& run) {
-                auto const killed = ends_->replicas.find(process_of(run));
-                auto const end = records_->ends.find(run);
-                return (killed != ends_->replicas.end() &&
-                        killed->second <= request.ended) ||
-                       (end != records_->ends.end() && end->second.broke);
+                instant const at = break_of(run);
+                return at <= request.ended &&
+                       (at >= request.ended - end_slack ||
+                        !has_successor(request));
             });
     }
 
@@ -103,10 +129,8 @@
     bool has_lost_successor(sent_request const& request) const {
         auto const [first, last] = runs_.equal_range(request.id);
         return std::any_of(first, last, [&](auto const& each) {
-            std::string const& run = each.second;
-            auto const killed = ends_->replicas.find(process_of(run));
-            return request.last_event > 0 && run != request.last_run &&
-                   records_->runs.at(run).after == request.last_event &&
+            auto const killed = ends_->replicas.find(process_of(each.second));
+            return is_successor(each.second, request) &&
                    killed != ends_->replicas.end() &&
                    killed->second <= request.ended &&
                    killed->second >= request.ended - end_slack;
