Announcements: a stream that was resumed is announced until its last minute ends

Callers saw: reading only, no case is known. A caller that has resumed its stream at a node, and resumes it again at another one after a second software version has appeared, would be refused: the other nodes don't know at which version the stream began.

Cause: while one version serves alone, a node queues each beginning and each resumption of a stream, to announce them when a second version appears, and keeps the set of streams that may still be announced. When the entry of the beginning expired, the stream was taken out of this set although its resumption was queued behind it; so it was not announced at all. The class is "a state that can be entered again is handled once".

Change: the queue remembers when a stream was last queued, and only the end of that lifetime drops it. Each stream is still announced once.

--- a/src/Delivery/stream_origins.cpp
+++ b/src/Delivery/stream_origins.cpp
@@ -155,11 +155,15 @@
     service_id const& service, stream_record const& record, instant now) {
     auto& queue = deferred_[service];
     while (!queue.empty() && now >= queue.front().queued_at + lifetime_) {
-        pending_streams_.erase(queue.front().record.stream);
+        auto const pending = pending_streams_.find(queue.front().record.stream);
+        if (pending != pending_streams_.end() &&
+            now >= pending->second + lifetime_) {
+            pending_streams_.erase(pending);
+        }
         queue.pop_front();
     }
     queue.push_back({record, now});
-    pending_streams_.insert(record.stream);
+    pending_streams_[record.stream] = now;
 }
 
 void stream_origins::cancel_announcement(stream_key stream) {
@@ -183,8 +187,9 @@
     while (!queue.empty() && taken.size() < max_count) {
         deferred_record const next = queue.front();
         queue.pop_front();
-        bool const pending = pending_streams_.erase(next.record.stream) > 0;
-        if (pending && now < next.queued_at + lifetime_) {
+        // A stream that was resumed is queued several times.
+        auto const pending = pending_streams_.extract(next.record.stream);
+        if (pending && now < pending.mapped() + lifetime_) {
             taken.push_back(next.record);
         }
     }
--- a/src/Delivery/stream_origins.hpp
+++ b/src/Delivery/stream_origins.hpp
@@ -13,7 +13,6 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -168,8 +167,9 @@
     /// Every recording, the oldest first.
     std::deque<std::pair<stream_key, instant>> recorded_;
     std::unordered_map<service_id, std::deque<deferred_record>> deferred_;
-    /// The streams of these queues that may still be announced.
-    std::unordered_set<stream_key> pending_streams_;
+    /// The streams of these queues that may still be announced, and when each
+    /// was last queued.
+    std::unordered_map<stream_key, instant> pending_streams_;
 };
 
 } // namespace camphorpoint
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -191,6 +191,41 @@
     }
 }
 
+// Guards against a stream that cannot be resumed at another node, because the
+// announcement of its resumption was dropped with that of its beginning.
+TEST_CASE("a stream that was resumed is announced after its first minute") {
+    stream_origins origins;
+    service_id const service("llm");
+    stream_record const record{stream, first_version};
+    origins.defer_announcement(service, record, at(seconds(0)));
+    origins.defer_announcement(service, record, at(seconds(40)));
+    SUBCASE("when a second version appears then") {
+        CHECK(origins.take_deferred(service, 9, at(seconds(70))).size() == 1);
+    }
+    SUBCASE("also when other streams have begun before that") {
+        origins.defer_announcement(
+            service, {stream_key{6}, first_version}, at(seconds(65)));
+        CHECK(origins.take_deferred(service, 9, at(seconds(70))).size() == 2);
+    }
+    SUBCASE("and again when it was resumed a second time") {
+        origins.defer_announcement(service, record, at(seconds(80)));
+        origins.defer_announcement(service, record, at(seconds(120)));
+        CHECK(origins.take_deferred(service, 9, at(seconds(150))).size() == 1);
+    }
+    SUBCASE("once, however often it was resumed") {
+        origins.defer_announcement(service, record, at(seconds(50)));
+        CHECK(origins.take_deferred(service, 9, at(seconds(55))).size() == 1);
+        CHECK(origins.take_deferred(service, 9, at(seconds(55))).empty());
+    }
+    SUBCASE("unless its caller has all of it") {
+        origins.cancel_announcement(stream);
+        CHECK(origins.take_deferred(service, 9, at(seconds(70))).empty());
+    }
+    SUBCASE("or it is too old to be resumed again") {
+        CHECK(origins.take_deferred(service, 9, at(seconds(100))).empty());
+    }
+}
+
 TEST_CASE("one version alone has served a service") {
     fleet replicas;
     software_history history(replicas);
