Outages: a refuted outage does not end the grace of the one before it

Callers saw: reading only, no case is known. In the 2.3 s after an outage or a rollback of the store, replicas that have yet to write their entries again could be dropped, so that requests wait or are refused.

Cause: a node knew one suspected outage. A second one, as of a full link of its own, replaced the first; when a peer refuted the second, the node took the registry for settled at once, although entries that had expired in the first outage were still due. After a rollback it was the same.

Change: each suspected outage is kept until its entries have been written again, and a peer's report removes those that it covers.

--- a/src/Fleet/registry_outage_tracker.hpp
+++ b/src/Fleet/registry_outage_tracker.hpp
@@ -3,6 +3,7 @@
 #include "Core/time.hpp"
 
 #include <optional>
+#include <vector>
 
 namespace camphorpoint {
 
@@ -32,18 +33,18 @@
 
     /// Records that the store has answered a poll of the registry, by this node
     /// or, as shown by its update, by another one.
-    void note_answer(instant now) noexcept;
+    void note_answer(instant now);
     /// Records that a poll of the registry by this node has failed.
     void note_failure() noexcept;
     /// Records that the store was restored from an older snapshot. Entries that
     /// are missing there are written again as after an outage.
-    void note_rollback(instant now) noexcept;
+    void note_rollback(instant now);
 
     /// Applies a peer's report that polls of the registry were answered without
     /// an outage for a time before now.
     /// @returns true when this shows that an outage that this node has
     ///          suspected was none
-    bool note_answered_at_peer(duration answered_for, instant now) noexcept;
+    bool note_answered_at_peer(duration answered_for, instant now);
 
     /// @returns for how long before now polls were answered without an outage;
     ///          zero when the latest answer is too old
@@ -53,18 +54,24 @@
     bool may_have_expired(instant now) const noexcept;
     /// @returns when the entries that expired in the last outage have been
     ///          written again
-    instant settled_from() const noexcept { return settled_from_; }
+    instant settled_from() const noexcept;
 
 private:
+    struct suspected_outage {
+        /// The latest answer before it; not set when there was none, or when
+        /// the store has rolled back.
+        std::optional<instant> began;
+        /// When the entries that expired in it have been written again.
+        instant settled_from;
+    };
+
     duration min_outage_;
     std::optional<instant> last_answer_;
     bool failed_before_first_answer_ = false;
     /// Start of the time in which polls were answered without an outage.
     instant answered_since_;
-    /// The latest answer before the suspected outage; not set when there was
-    /// none, or when the store has rolled back.
-    std::optional<instant> outage_began_;
-    instant settled_from_;
+    /// Outages whose entries may still be missing, the latest last.
+    std::vector<suspected_outage> unsettled_;
 };
 
 } // namespace camphorpoint
--- a/test/registry_outage_tracker_test.cpp
+++ b/test/registry_outage_tracker_test.cpp
@@ -101,6 +101,48 @@
     }
 }
 
+// Guards against a node that drops replicas whose entries have expired in an
+// outage of the store, since a second outage right after it was none.
+TEST_CASE("entries are kept after an outage while a second one is refuted") {
+    constexpr seconds heartbeat{1};
+    constexpr milliseconds second_outage{1'600};
+    registry_outage_tracker tracker(heartbeat);
+    instant now = instant() + seconds(100);
+    tracker.note_answer(now);
+    SUBCASE("after an outage of the store") {
+        now += 3 * heartbeat;
+        tracker.note_answer(now);
+    }
+    SUBCASE("after a rollback of the store") {
+        tracker.note_rollback(now);
+    }
+    instant const settled_from = tracker.settled_from();
+    REQUIRE(settled_from > now + second_outage);
+    now += second_outage;
+    tracker.note_answer(now);
+    REQUIRE(tracker.settled_from() > settled_from);
+    CHECK(tracker.note_answered_at_peer(second_outage, now));
+    CHECK(tracker.settled_from() == settled_from);
+    CHECK(tracker.may_have_expired(now));
+    answer_until(tracker, now, settled_from);
+    CHECK_FALSE(tracker.may_have_expired(now));
+}
+
+TEST_CASE("two outages in succession are refuted together") {
+    constexpr seconds heartbeat{1};
+    registry_outage_tracker tracker(heartbeat);
+    instant now = instant() + seconds(100);
+    tracker.note_answer(now);
+    now += 2 * heartbeat;
+    tracker.note_answer(now);
+    now += 2 * heartbeat;
+    tracker.note_answer(now);
+    REQUIRE(tracker.may_have_expired(now));
+    CHECK(tracker.note_answered_at_peer(4 * heartbeat, now));
+    CHECK_FALSE(tracker.may_have_expired(now));
+    CHECK(tracker.answered_for(now) == 4 * heartbeat);
+}
+
 TEST_CASE("a starting node does not know how long the store was unreachable") {
     constexpr seconds heartbeat{1};
     registry_outage_tracker tracker(heartbeat);
