A finding in one key of the settings does not keep a gateway node from starting

A node that runs keeps the settings that it had and serves on.

Change: in place of a key that can't be read a starting node uses the documented default where that is safe, and says so: event 905 with file, line, key and what (for a changed file of a running node, too), the gauge settings_findings, and the readiness address. Names, addresses, a file that is no TOML, and [leases], on which all nodes must agree, end the start as before. check-config accepts no finding. Nodes of the profile path are as strict as before, as their tables must be the same on all nodes.

--- a/app/gateway_command.cpp
+++ b/app/gateway_command.cpp
@@ -48,6 +48,7 @@
             node_->reload(read);
         } else {
             fmt::print(stderr, "{}", problems.report());
+            node_->report_findings(problems);
         }
     }
 
@@ -78,9 +79,11 @@
 
 exit_code run_gateway(std::string const& file, std::string_view text) {
     findings problems;
-    gateway_settings settings = read_gateway_settings(file, text, problems);
+    findings replaced;
+    gateway_settings settings =
+        read_gateway_settings(file, text, problems, replaced);
+    fmt::print(stderr, "{}{}", problems.report(), replaced.report());
     if (!problems.empty()) {
-        fmt::print(stderr, "{}", problems.report());
         return exit_code::usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -90,6 +93,7 @@
         fmt::print(stderr, "{}", problems.report());
         return exit_code::failed;
     }
+    running.report_findings(replaced);
     settings_watch watch(running, file, text);
     asio::co_spawn(io, look_at_file(watch), asio::detached);
     asio::signal_set reloads(io, SIGHUP);
--- a/src/Gateway/gateway.cpp
+++ b/src/Gateway/gateway.cpp
@@ -281,9 +281,22 @@
     state_.settings.resends = settings.resends;
     state_.settings.stop_limit = settings.stop_limit;
     state_.resends.set_limits(settings.resends);
+    settings_findings_ = 0;
     state_.log_event(log_line(event_code::settings_reloaded));
 }
 
+void gateway::report_findings(findings const& problems) {
+    settings_findings_ = problems.all().size();
+    for (finding const& each : problems.all()) {
+        state_.log_event(
+            log_line(event_code::settings_reloaded, log_level::warning)
+                .with("file", each.where.file)
+                .with("line", each.where.line)
+                .with("key", each.where.key)
+                .with("what", each.what));
+    }
+}
+
 void gateway::drain(std::function<void()> stopped) {
     if (state_.shutdown.begun()) {
         return;
--- a/src/Gateway/gateway.hpp
+++ b/src/Gateway/gateway.hpp
@@ -65,6 +65,9 @@
     }
     /// Applies those of the new settings that can change while the node runs.
     void reload(gateway_settings const& settings);
+    /// Tells operators what is wrong with the settings file that was read last:
+    /// by log lines, a metric and the answer to questions for readiness.
+    void report_findings(findings const& problems);
 
 private:
     boost::asio::awaitable<void> answer(http_exchange& exchange);
@@ -114,6 +117,8 @@
         std::make_shared<std::size_t>(0);
     std::uint64_t limits_version_ = 0;
     bool ready_logged_ = false;
+    /// Findings in the settings file that was read last.
+    std::size_t settings_findings_ = 0;
     bool running_ = true;
 };
 
--- a/src/Gateway/gateway_answers.cpp
+++ b/src/Gateway/gateway_answers.cpp
@@ -1,6 +1,8 @@
 #include "Gateway/gateway.hpp"
 #include "Gateway/request_handler.hpp"
 
+#include <fmt/format.h>
+
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -59,6 +61,10 @@
     active_exchange_guard const counted(active_exchanges_);
     http_response answer;
     answer.status = ready() ? status_ok : status_unavailable;
+    if (settings_findings_ > 0) {
+        answer.body =
+            fmt::format("settings: {} findings\n", settings_findings_);
+    }
     co_await exchange.respond(std::move(answer));
 }
 
@@ -90,6 +96,8 @@
         "replicas_unreachable", state_.reachability.partitioned() ? 1 : 0);
     state_.metrics.set_gauge(
         "store_calls", static_cast<double>(store_.calls()));
+    state_.metrics.set_gauge(
+        "settings_findings", static_cast<double>(settings_findings_));
     answer_budget const& answers = *state_.answers;
     state_.metrics.set_gauge(
         "answer_bytes", static_cast<double>(answers.held()));
--- a/src/Gateway/gateway_settings.cpp
+++ b/src/Gateway/gateway_settings.cpp
@@ -34,7 +34,7 @@
     bool const fully_parsed = end != text.c_str() && *end == '\0';
     // No comparison holds for a value that is not a number.
     if (!fully_parsed || !(value >= 0 && value <= max_value)) {
-        from.complain(key, "must be a number such as \"0.2\"");
+        from.complain_replaced(key, "must be a number such as \"0.2\"");
         return fallback;
     }
     return value;
@@ -86,6 +86,8 @@
 }
 
 void read_leases(toml_section section, lease_times& into) {
+    // Nodes with different leases would not agree on who holds one.
+    section.distrust_defaults();
     into.lease = section.time("lease", into.lease, milliseconds(200), max_time);
     into.renewal =
         section.time("renewal", into.renewal, milliseconds(50), max_time);
@@ -106,13 +108,14 @@
 } // namespace
 
 gateway_settings read_gateway_settings(
-    std::string const& file, std::string_view text, findings& problems) {
+    std::string const& file, std::string_view text, findings& problems,
+    findings& replaced) {
     gateway_settings result;
     std::optional<toml::table> const parsed = parse_toml(file, text, problems);
     if (!parsed) {
         return result;
     }
-    toml_section root(file, "", *parsed, problems);
+    toml_section root(file, "", *parsed, problems, replaced);
     read_node(root.table("gateway"), result);
     read_store(root.table("store"), result);
     read_second_sends(root.table("second_sends"), result.resends);
@@ -121,6 +124,11 @@
     return result;
 }
 
+gateway_settings read_gateway_settings(
+    std::string const& file, std::string_view text, findings& problems) {
+    return read_gateway_settings(file, text, problems, problems);
+}
+
 bool is_gateway_settings(std::string_view text) {
     findings ignored;
     auto const parsed = parse_toml("", text, ignored);
--- a/src/Gateway/gateway_settings.hpp
+++ b/src/Gateway/gateway_settings.hpp
@@ -56,6 +56,12 @@
 ///                 used
 gateway_settings read_gateway_settings(
     std::string const& file, std::string_view text, findings& problems);
+/// Parses the settings of a gateway node that starts whenever it can.
+/// @param replaced receives the findings in whose place a default is used that
+///                 is safe
+gateway_settings read_gateway_settings(
+    std::string const& file, std::string_view text, findings& problems,
+    findings& replaced);
 
 /// @returns true when the text contains the settings of a gateway node rather
 ///          than those of a node that serves profiles
--- a/src/Settings/toml_section.cpp
+++ b/src/Settings/toml_section.cpp
@@ -92,10 +92,17 @@
 toml_section::toml_section(
     std::string file, std::string prefix, toml::table const& table,
     findings& problems)
+    : toml_section(
+          std::move(file), std::move(prefix), table, problems, problems) {}
+
+toml_section::toml_section(
+    std::string file, std::string prefix, toml::table const& table,
+    findings& problems, findings& replaced)
     : file_(std::move(file))
     , prefix_(std::move(prefix))
     , table_(&table)
-    , problems_(&problems) {}
+    , problems_(&problems)
+    , replaced_(&replaced) {}
 
 toml::node const* toml_section::find(std::string const& key) {
     asked_.insert(key);
@@ -115,13 +122,26 @@
     problems_->add(place_of(key), std::move(what));
 }
 
+void toml_section::complain_replaced(std::string const& key, std::string what) {
+    replaced_->add(place_of(key), std::move(what));
+}
+
+void toml_section::complain_unless(
+    bool replaced, std::string const& key, std::string what) {
+    if (replaced) {
+        complain_replaced(key, std::move(what));
+    } else {
+        complain(key, std::move(what));
+    }
+}
+
 std::string toml_section::text(std::string const& key, std::string fallback) {
     toml::node const* node = find(key);
     if (node == nullptr) {
         return fallback;
     }
     if (!node->is_string()) {
-        complain(key, "must be a text");
+        complain_replaced(key, "must be a text");
         return fallback;
     }
     return **node->as_string();
@@ -146,12 +166,14 @@
         return fallback.value_or(least);
     }
     if (!node->is_integer()) {
-        complain(key, "must be a whole number");
+        complain_unless(fallback.has_value(), key, "must be a whole number");
         return fallback.value_or(least);
     }
     std::int64_t const value = **node->as_integer();
     if (value < least || value > most) {
-        complain(key, fmt::format("must be from {} to {}", least, most));
+        complain_unless(
+            fallback.has_value(), key,
+            fmt::format("must be from {} to {}", least, most));
         return fallback.value_or(least);
     }
     return value;
@@ -167,7 +189,7 @@
         return fallback.value_or(false);
     }
     if (!node->is_boolean()) {
-        complain(key, "must be true or false");
+        complain_unless(fallback.has_value(), key, "must be true or false");
         return fallback.value_or(false);
     }
     return **node->as_boolean();
@@ -181,16 +203,18 @@
         return fallback;
     }
     if (!node->is_string()) {
-        complain(key, "must be a time with its unit, such as \"250ms\"");
+        complain_replaced(
+            key, "must be a time with its unit, such as \"250ms\"");
         return fallback;
     }
     auto const value = parse_time(**node->as_string());
     if (!value) {
-        complain(key, "must be a time in ms, s, min or h, such as \"250ms\"");
+        complain_replaced(
+            key, "must be a time in ms, s, min or h, such as \"250ms\"");
         return fallback;
     }
     if (*value < least || *value > most) {
-        complain(
+        complain_replaced(
             key, fmt::format(
                      "must be from {}ms to {}ms", least.count(), most.count()));
         return fallback;
@@ -202,13 +226,13 @@
     toml::node const* node = find(key);
     std::string const inner = prefix_ + key + ".";
     if (node == nullptr) {
-        return {file_, inner, empty_table, *problems_};
+        return {file_, inner, empty_table, *problems_, *replaced_};
     }
     if (!node->is_table()) {
-        complain(key, "must be a table");
-        return {file_, inner, empty_table, *problems_};
+        complain_replaced(key, "must be a table");
+        return {file_, inner, empty_table, *problems_, *replaced_};
     }
-    return {file_, inner, *node->as_table(), *problems_};
+    return {file_, inner, *node->as_table(), *problems_, *replaced_};
 }
 
 std::vector<toml_section> toml_section::tables(std::string const& key) {
@@ -224,7 +248,8 @@
     for (toml::node const& each : *node->as_array()) {
         std::string const inner =
             fmt::format("{}{}[{}].", prefix_, key, result.size());
-        result.emplace_back(file_, inner, *each.as_table(), *problems_);
+        result.emplace_back(
+            file_, inner, *each.as_table(), *problems_, *replaced_);
     }
     return result;
 }
@@ -253,7 +278,7 @@
     for (auto const& [key, node] : *table_) {
         std::string const name(key.str());
         if (!asked_.contains(name)) {
-            complain(name, "is not a known key");
+            complain_replaced(name, "is not a known key");
         }
     }
 }
--- a/src/Settings/toml_section.hpp
+++ b/src/Settings/toml_section.hpp
@@ -30,6 +30,10 @@
     toml_section(
         std::string file, std::string prefix, toml::table const& table,
         findings& problems);
+    /// @param replaced where findings go in whose place a default is used
+    toml_section(
+        std::string file, std::string prefix, toml::table const& table,
+        findings& problems, findings& replaced);
 
     /// @returns the text at the key, or the fallback
     std::string text(std::string const& key, std::string fallback);
@@ -44,7 +48,8 @@
     /// finding
     bool boolean(std::string const& key, std::optional<bool> fallback);
     /// Reads a time with its unit, such as "250ms", "7.5s", "2min" or "1h".
-    /// @returns the time at the key, to the nearest millisecond, or the fallback
+    /// @returns the time at the key, to the nearest millisecond, or the
+    /// fallback
     std::chrono::milliseconds time(
         std::string const& key, std::chrono::milliseconds fallback,
         std::chrono::milliseconds least, std::chrono::milliseconds most);
@@ -57,17 +62,24 @@
 
     /// Adds a finding at a key of this table.
     void complain(std::string const& key, std::string what);
+    /// Adds a finding at a key whose default is used instead.
+    void complain_replaced(std::string const& key, std::string what);
+    /// No default of this table is safe to use in place of what can't be read.
+    void distrust_defaults() noexcept { replaced_ = problems_; }
     /// Adds a finding for each key that nothing has asked for.
     void refuse_unknown_keys();
 
 private:
     toml::node const* find(std::string const& key);
+    void
+    complain_unless(bool replaced, std::string const& key, std::string what);
     place place_of(std::string const& key) const;
 
     std::string file_;
     std::string prefix_;
     toml::table const* table_;
     findings* problems_;
+    findings* replaced_;
     std::set<std::string> asked_;
 };
 
--- a/test/gateway/gateway_settings_test.cpp
+++ b/test/gateway/gateway_settings_test.cpp
@@ -90,4 +90,42 @@
     }
 }
 
+// Guards against nodes of which none starts again because of a figure.
+TEST_CASE("a figure that can't be read is replaced by its default") {
+    figures from;
+    findings problems;
+    findings replaced;
+    SUBCASE("where the default is safe") {
+        from = {"soon", "-1", "1e9", "much", "true", "99999999999", "true"};
+        gateway_settings const settings =
+            read_gateway_settings("n.toml", text_of(from), problems, replaced);
+        CHECK(problems.empty());
+        CHECK(replaced.all().size() == 6);
+        gateway_settings const defaults;
+        CHECK(settings.stop_limit == defaults.stop_limit);
+        CHECK(settings.resends.ratio == defaults.resends.ratio);
+        CHECK(settings.resends.window == defaults.resends.window);
+    }
+    SUBCASE("where it is a key that no version knows") {
+        read_gateway_settings(
+            "n.toml", text_of(from) + "[more]\nkey = 1\n", problems, replaced);
+        CHECK(problems.empty());
+        CHECK(replaced.all().size() == 1);
+    }
+    SUBCASE("but not where nodes must agree") {
+        from.fences_checked = "7";
+        read_gateway_settings("n.toml", text_of(from), problems, replaced);
+        CHECK_FALSE(problems.empty());
+    }
+    SUBCASE("but not where there is no default") {
+        read_gateway_settings("n.toml", "[gateway]\n", problems, replaced);
+        CHECK_FALSE(problems.empty());
+    }
+    SUBCASE("but not in a file that is no TOML") {
+        read_gateway_settings(
+            "n.toml", text_of(from) + "[", problems, replaced);
+        CHECK_FALSE(problems.empty());
+    }
+}
+
 } // namespace camphorpoint
