Findings of the review: stops of the silence tests, the end of run_attempts

The case of a configuration each second had a name that promised more.

run_attempts asserts that no attempt is stalled when it finishes a request, unless the caller has gone.

--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/reachability_prober.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <exception>
 #include <iterator>
 #include <utility>
@@ -218,8 +219,9 @@
     auto const caller = caller_;
     next_step step = next_step::search;
     while (step == next_step::search && !caller->gone) {
-        step = next_step::give_up;
-        if (!stall_has_ended()) {
+        if (stall_has_ended()) {
+            step = next_step::give_up;
+        } else {
             step = co_await try_once();
         }
         // An attempt that has gone on may stall again.
@@ -227,6 +229,9 @@
             step = co_await await_stalled();
         }
     }
+    assert(
+        (!stalled_ || caller->gone) &&
+        "a request ends only when no attempt of it goes on");
     bool const answered = step == next_step::complete || response_complete_;
     std::string const reason = caller->gone ? "caller-gone"
                                : answered   ? "answered"
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -203,10 +203,10 @@
     boost::asio::awaitable<void> forward_to_end(attempt_ref attempt);
     /// @returns how the attempt has ended, or that it has stalled
     boost::asio::awaitable<attempt_outcome> await_end(attempt_ref attempt);
-    /// Waits while the stalled attempt is silent and no other is possible, and
-    /// until it ends or stalls again once it has gone on.
-    /// @returns the next step; `give_up` is final only when no attempt is
-    ///          stalled any more
+    /// Waits while the stalled attempt is silent and no other is possible. One
+    /// that goes on is followed until it ends or stalls again.
+    /// @returns the next step; `give_up` is not final while an attempt is
+    ///          stalled
     boost::asio::awaitable<next_step> await_stalled();
     /// @returns true when an attempt has stalled that writes again or has ended
     bool stall_has_ended() const;
--- a/test/gateway/silent_replica_test.cpp
+++ b/test/gateway/silent_replica_test.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds patience{8'000};
 /// Longer than a node waits before it looks for another replica.
 constexpr milliseconds silence{2'200};
+constexpr milliseconds short_silence{1'700};
+/// The time that a stop allows for the requests in progress.
+constexpr milliseconds short_stop{4'000};
 constexpr milliseconds for_good{60'000};
 
 std::size_t body_bytes(unsigned events) {
@@ -63,14 +66,17 @@
 /// those below /bare/ may not be resumed.
 class silent_fixture {
 public:
-    /// @param replicas number of replicas
-    /// @param slack    resends that the budget allows
-    explicit silent_fixture(unsigned replicas = 4, double slack = 1e6)
-        : world_([slack](gateway_fixture& before) {
+    /// @param replicas   number of replicas
+    /// @param slack      resends that the budget allows
+    /// @param stop_limit longest time of a stop
+    explicit silent_fixture(
+        unsigned replicas = 4, double slack = 1e6,
+        milliseconds stop_limit = short_stop)
+        : world_([=](gateway_fixture& before) {
             before.settings.resends.slack = slack;
             before.settings.resends.ratio = 0;
             before.settings.stream_lifetime = milliseconds(0);
-            before.settings.stop_limit = patience;
+            before.settings.stop_limit = stop_limit;
         })
         , replica_(world_.loop, stream_events) {
         REQUIRE(world_.loop.run_until([this] { return world_.node->ready(); }));
@@ -194,7 +200,6 @@
 void start_with_three_silences(
     silent_fixture& world, std::string_view route,
     std::deque<scripted_attempt> const& then = {}) {
-    constexpr milliseconds brief{1'700};
     constexpr std::size_t step = 7;
     std::size_t const event = body_bytes(1);
     std::size_t const last = body_bytes(stream_events);
@@ -202,7 +207,7 @@
         for (std::size_t at = 0; at + 2 * gap <= last; at += step) {
             scripted_attempt first;
             for (std::size_t more = 0; more < 3; ++more) {
-                first.silences[at + more * gap] = brief;
+                first.silences[at + more * gap] = short_silence;
             }
             std::deque<scripted_attempt> attempts = then;
             attempts.push_front(std::move(first));
@@ -306,14 +311,20 @@
         check_complete(world);
     }
     SUBCASE("the node is being stopped") {
-        silent_fixture world;
-        start_with_three_silences(world, "alone");
+        // The streams last longer than a short stop.
+        silent_fixture world(4, 1e6, patience);
+        SUBCASE("and the route allows one attempt") {
+            start_with_three_silences(world, "alone");
+        }
+        SUBCASE("and more attempts are allowed") {
+            start_with_three_silences(world, "runs", {refusal(), refusal()});
+        }
         within(world.world(), milliseconds(300), [] { return false; });
         world.world().node->drain([] {});
         world.finish();
         check_complete(world);
     }
-    SUBCASE("the configuration changes during each silence") {
+    SUBCASE("a configuration comes each second") {
         silent_fixture world;
         start_with_three_silences(world, "alone");
         for (unsigned version = 3; version < 8; ++version) {
