A status that HTTP does not define is no answer

What callers saw: a replica's 600 or 999 came through to them, signed, with body. After 000, 020, 099 or 101 a caller waited until its deadline, got the answer that stood behind on the same connection, or, when the odd answer had a body, a failure after that body had been read as a head.

Cause: the client's reader of heads knew two kinds of status only: whatever is below 200 is interim, whatever is not is the answer.

Change: status_kind_of (Ports/http_status.hpp) says which status is interim (100 to 199 without 101, since no request asks for an upgrade), final (200 to 599) or invalid (RFC 9110, section 15). read_header ends a call with an invalid one like any other bytes that are no answer: the attempt has failed and may have run, the connection is closed. So a safe request or a stream that may be resumed goes on elsewhere as its route allows, and one that may run once gets the node's own 502 at once, unsigned. All HTTP calls of the program read heads there: replicas, relays between nodes, orders and reports, the store, the profile path, the command line and load tools.

Statuses without three digits (20, 1000, 2000, -20, 0200, 2x0) were rejected before.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -1,6 +1,7 @@
 #include "Ports/http_client.hpp"
 
 #include "Ports/http_connection.hpp"
+#include "Ports/http_status.hpp"
 #include "Ports/send_watch.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -241,7 +242,6 @@
 asio::awaitable<bool> http_call::state::read_header() {
     // Whoever sends more means no end of them.
     constexpr int most_interim = 8;
-    constexpr unsigned first_final = 200;
     for (int interim = 0; interim <= most_interim; ++interim) {
         link_->stream.expires_after(time_until(step_end(instant::max())));
         auto const [error, size] = co_await http::async_read_header(
@@ -250,9 +250,13 @@
         if (error) {
             co_return false;
         }
-        if (parser_->get().result_int() >= first_final) {
+        auto const kind = status_kind_of(parser_->get().result_int());
+        if (kind == status_kind::final) {
             co_return true;
         }
+        if (kind == status_kind::invalid) {
+            break;
+        }
         begin_answer();
     }
     invalid_ = true;
--- a/src/Ports/http_client.hpp
+++ b/src/Ports/http_client.hpp
@@ -133,7 +133,8 @@
     ///          the call was cancelled
     bool broke_off() const noexcept;
     /// @returns true when the server has sent bytes that are no answer:
-    ///          malformed, longer than any answer, or not this request's
+    ///          malformed, longer than any answer, not this request's, or with
+    ///          a status that is none
     bool invalid() const noexcept;
     /// @returns true when the answer names the request, or the request has no
     ///          name; after open
