--- a/test/ports/invalid_status_test.cpp
+++ b/test/ports/invalid_status_test.cpp
@@ -1,5 +1,6 @@
 #include "Ports/engine_http.hpp"
 #include "Ports/http_client.hpp"
+#include "Ports/http_connection.hpp"
 #include "Ports/service_http.hpp"
 #include "Serving/request_tracker.hpp"
 #include "platform/store_client.hpp"
@@ -238,6 +239,32 @@
     }
 }
 
+// Guards against the body of an answer that can't have one being read as the
+// answer to the next request.
+TEST_CASE("bytes behind an answer without body are no answer") {
+    loopback loop;
+    for (std::string_view const status : {"204", "304"}) {
+        for (std::string const& behind :
+             {std::string("odd"), sound_answer("stale")}) {
+            CAPTURE(status);
+            CAPTURE(behind);
+            http_pool pool;
+            std::string const fields =
+                fmt::format("Content-Length: {}\r\n", behind.size());
+            text_server const server(loop, {answer(status, fields, behind)});
+            auto const result = fetch_from(loop, pool, server);
+            CHECK(result.got.how == call_result::answered);
+            CHECK(std::to_string(result.got.response.status) == status);
+            CHECK(result.got.response.body.empty());
+            CHECK(
+                pool.take(
+                    server.address(), boot_clock::now(), duration::max(),
+                    "r2") == nullptr);
+            CHECK(loop.run_until([&] { return server.closed(); }));
+        }
+    }
+}
+
 // Guards against a request of a profile that counts as not run, or as failed by
 // a stated status, or that waits until its deadline, after an invalid status.
 TEST_CASE("an invalid status leaves a profile's request truncated") {
