A connection is closed after a 204 that announces a body

What callers saw: by reading, a failure of a request whose kept connection had brought a 204 with a length before: a 204 has no body (RFC 9110, section 15.3.5), so the client gave the connection back at the end of its head, and a body that came late stood where the next answer was expected. That answer was rejected, and a request that may run once got 502.

Change: a connection whose 204 announces a body, by a length above 0 or as chunks, is not kept. A 304 may name the length of another answer and keeps its connection, as does a 204 that announces nothing.

The late body itself was not played against a node.

--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -137,6 +137,9 @@
     ///          header was read
     bool another_follows() const;
     void reject();
+    /// @returns true when the answer announces a body that its status excludes,
+    ///          so that bytes may follow that are no answer
+    bool announces_excluded_body() const;
     void give_back();
     void close();
     void note_loss(beast::error_code const& error);
@@ -368,11 +371,18 @@
     co_return piece;
 }
 
+bool http_call::state::announces_excluded_body() const {
+    bool const announced =
+        parser_->chunked() || parser_->content_length().value_or(0) > 0;
+    return announced && parser_->get().result() == http::status::no_content;
+}
+
 void http_call::state::give_back() {
     if (link_ == nullptr || cancelled_) {
         return;
     }
-    if (pool_ != nullptr && parser_->keep_alive()) {
+    if (pool_ != nullptr && parser_->keep_alive() &&
+        !announces_excluded_body()) {
         if (watched_) {
             internal::bound_silence(link_->stream.socket().native_handle());
         }
--- a/test/ports/invalid_status_test.cpp
+++ b/test/ports/invalid_status_test.cpp
@@ -265,6 +265,33 @@
     }
 }
 
+// Guards against a body that comes late, behind an answer that can't have one,
+// spoiling the answer to the next request on the connection.
+TEST_CASE("a connection is closed after a 204 that announces a body") {
+    loopback loop;
+    struct variant {
+        std::string status;
+        std::string fields;
+        bool kept;
+    };
+    for (variant const& each :
+         {variant{"204", "Content-Length: 3\r\n", false},
+          variant{"204", "Transfer-Encoding: chunked\r\n", false},
+          variant{"204", "Content-Length: 0\r\n", true},
+          variant{"204", "", true},
+          // The length that the answer to an unconditional request has.
+          variant{"304", "Content-Length: 3\r\n", true}}) {
+        CAPTURE(each.status);
+        CAPTURE(each.fields);
+        http_pool pool;
+        text_server const server(loop, {answer(each.status, each.fields, "")});
+        auto const result = fetch_from(loop, pool, server);
+        CHECK(result.got.how == call_result::answered);
+        CHECK(std::to_string(result.got.response.status) == each.status);
+        CHECK(pool.idle() == (each.kept ? 1 : 0));
+    }
+}
+
 // Guards against a request of a profile that counts as not run, or as failed by
 // a stated status, or that waits until its deadline, after an invalid status.
 TEST_CASE("an invalid status leaves a profile's request truncated") {
