--- a/src/Ports/http_client.cpp
+++ b/src/Ports/http_client.cpp
@@ -1,6 +1,7 @@
 #include "Ports/http_client.hpp"
 
 #include "Ports/http_connection.hpp"
+#include "Ports/http_status.hpp"
 #include "Ports/send_watch.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -136,6 +137,9 @@
     ///          header was read
     bool another_follows() const;
     void reject();
+    /// @returns true when the answer announces a body that its status excludes,
+    ///          so that bytes may follow that are no answer
+    bool announces_excluded_body() const;
     void give_back();
     void close();
     void note_loss(beast::error_code const& error);
@@ -241,7 +245,6 @@
 asio::awaitable<bool> http_call::state::read_header() {
     // Whoever sends more means no end of them.
     constexpr int most_interim = 8;
-    constexpr unsigned first_final = 200;
     for (int interim = 0; interim <= most_interim; ++interim) {
         link_->stream.expires_after(time_until(step_end(instant::max())));
         auto const [error, size] = co_await http::async_read_header(
@@ -250,9 +253,13 @@
         if (error) {
             co_return false;
         }
-        if (parser_->get().result_int() >= first_final) {
+        auto const kind = status_kind_of(parser_->get().result_int());
+        if (kind == status_kind::final) {
             co_return true;
         }
+        if (kind == status_kind::invalid) {
+            break;
+        }
         begin_answer();
     }
     invalid_ = true;
@@ -364,11 +371,18 @@
     co_return piece;
 }
 
+bool http_call::state::announces_excluded_body() const {
+    bool const announced =
+        parser_->chunked() || parser_->content_length().value_or(0) > 0;
+    return announced && parser_->get().result() == http::status::no_content;
+}
+
 void http_call::state::give_back() {
     if (link_ == nullptr || cancelled_) {
         return;
     }
-    if (pool_ != nullptr && parser_->keep_alive()) {
+    if (pool_ != nullptr && parser_->keep_alive() &&
+        !announces_excluded_body()) {
         if (watched_) {
             internal::bound_silence(link_->stream.socket().native_handle());
         }
