Registry: a gap that shows during a poll stays open until it is read

Callers saw: reading only, no case is known.

Cause: a gap was a flag that the end of any poll cleared, and any update that applied. A gap that showed while the poll was under way, beyond what the poll had read, was cleared with the first. Updates that arrive in another order did the same.

Change: the schedule knows where the gap ends. A poll or an update closes it once this node's position has reached that, and a poll that began after the gap had shown closes it in any case, so that a message with a position that the store does not have leads to one poll only.

--- a/src/Fleet/registry_poll_schedule.cpp
+++ b/src/Fleet/registry_poll_schedule.cpp
@@ -11,7 +11,7 @@
     expired_ = false;
     epoch_ = end.epoch;
     polled_once_ = true;
-    gap_ = false;
+    gap_ = gap_in_poll_ && gap_open();
     full_poll_needed_ = false;
     last_poll_at_ = now;
 }
@@ -38,13 +38,15 @@
         return registry_update_fit::nothing_new;
     }
     if (is_ahead(from, position_)) {
+        gap_end_ = gap_ ? max_position(gap_end_, from) : from;
         gap_ = true;
+        gap_in_poll_ = true;
         return registry_update_fit::gap;
     }
     bool const has_new_records = is_ahead(to, position_);
     position_ = to;
     last_poll_at_ = now;
-    gap_ = false;
+    gap_ = gap_open();
     return has_new_records ? registry_update_fit::applies
                            : registry_update_fit::nothing_new;
 }
--- a/src/Fleet/registry_poll_schedule.hpp
+++ b/src/Fleet/registry_poll_schedule.hpp
@@ -42,6 +42,9 @@
     explicit registry_poll_schedule(duration max_interval)
         : max_interval_(max_interval) {}
 
+    /// Records that this node begins a poll. A gap that shows from now on may
+    /// lie beyond what the poll reads.
+    void poll_started() noexcept { gap_in_poll_ = false; }
     /// Records a successful poll by this node. The position moves back only
     /// after `position_expired`. Guards against a poll that was overtaken by
     /// another node's update: this node would read the same changes again, find
@@ -111,6 +114,9 @@
     static constexpr double min_interval_fraction = 0.7;
 
     bool epoch_outdated() const noexcept { return epoch_ > position_.epoch; }
+    bool gap_open() const noexcept {
+        return gap_ && is_ahead(gap_end_, position_);
+    }
 
     duration max_interval_;
     store_position position_;
@@ -119,7 +125,11 @@
     bool full_poll_needed_ = true;
     bool expired_ = false;
     bool polled_once_ = false;
+    /// Updates before `gap_end_` were missed.
     bool gap_ = false;
+    store_position gap_end_;
+    /// The gap has shown since the latest poll began.
+    bool gap_in_poll_ = false;
     instant last_poll_at_;
 };
 
--- a/src/Gateway/registry_follower.cpp
+++ b/src/Gateway/registry_follower.cpp
@@ -302,6 +302,7 @@
     bool const full = schedule_.needs_full_poll();
     store_position const from = schedule_.position();
     instant const began = boot_clock::now();
+    schedule_.poll_started();
     reading_ = platform::store_reading();
     auto const batch = co_await fetch_batch(full, from);
     log_store_read(
--- a/test/registry_poll_schedule_test.cpp
+++ b/test/registry_poll_schedule_test.cpp
@@ -65,6 +65,48 @@
     }
 }
 
+// Guards against a replica that gets requests although it leaves: a second
+// lost update was forgotten when the poll for the first one ended.
+TEST_CASE("a gap that shows while a poll is under way is polled as well") {
+    registry_poll_schedule schedule(max_interval);
+    instant const now = instant() + seconds(100);
+    schedule.poll_completed(at(40), now);
+    schedule.handle_update(at(45), at(50), now);
+    schedule.poll_started();
+    REQUIRE(
+        schedule.handle_update(at(60), at(65), now) ==
+        registry_update_fit::gap);
+    SUBCASE("when the poll has not reached it") {
+        schedule.poll_completed(at(50), now);
+        CHECK(schedule.next_poll_time(1) <= now);
+        SUBCASE("once, when the store has no records there") {
+            schedule.poll_started();
+            schedule.poll_completed(at(50), now);
+            CHECK(schedule.next_poll_time(1) == now + max_interval);
+        }
+        SUBCASE("in full after a rollback of the store, once") {
+            schedule.enter_epoch(store_epoch{2}, now);
+            schedule.poll_started();
+            schedule.poll_completed(after_rollback(5), now);
+            CHECK(schedule.next_poll_time(1) == now + max_interval);
+        }
+    }
+    SUBCASE("unless the poll has reached it") {
+        schedule.poll_completed(at(60), now);
+        CHECK(schedule.next_poll_time(1) == now + max_interval);
+    }
+    SUBCASE("nor when an update that arrives late fills the first gap only") {
+        CHECK(
+            schedule.handle_update(at(40), at(45), now) ==
+            registry_update_fit::applies);
+        CHECK(schedule.next_poll_time(1) <= now);
+        SUBCASE("and updates that arrive late fill both") {
+            schedule.handle_update(at(45), at(60), now);
+            CHECK(schedule.next_poll_time(1) == now + max_interval);
+        }
+    }
+}
+
 // The datagram with the update that a replica is leaving is lost on its way to
 // one node. Guards against that node relying on the next update and sending
 // requests to the replica until it is gone.
