Leaving replicas: the message names the process that leaves

Callers saw: nothing that was reported. In a trial a replica that restarts under its id within three seconds of announcing its end gets no more requests of any node but the one that had read the announcement: its room is lost until it restarts again, and where it is the only replica of a service, its callers are refused by all other nodes.

Cause: a node that has read in an answer that a replica leaves repeats that to all nodes for three seconds, by the replica's id alone. The others apply it to the process that runs under this id by then; and a replica that leaves stays so until it restarts. The class is "a state that can be entered again is handled once": the message held for the id and not for one of its lives.

The older test of a restart did not show it, since it counts the requests of both nodes together.

Change: the message bears the start time of the process, and a node applies it to this process only. A node that does not know the start time of one of them applies it as before. The wire format is 19; nodes of different formats ignore each other's datagrams, as after each such change.

--- a/src/Fleet/fleet.cpp
+++ b/src/Fleet/fleet.cpp
@@ -464,11 +464,16 @@
     return brittle ? std::optional(found->second) : std::nullopt;
 }
 
-bool fleet::mark_leaving(endpoint_id const& id) {
+bool fleet::mark_leaving(
+    endpoint_id const& id, std::optional<incarnation> process) {
     replica* const target = find(id);
     if (target == nullptr || target->record.leaving) {
         return false;
     }
+    std::optional<incarnation> const& known = target->record.started_at;
+    if (process && known && *process != *known) {
+        return false;
+    }
     target->record.leaving = true;
     return true;
 }
--- a/src/Fleet/fleet.hpp
+++ b/src/Fleet/fleet.hpp
@@ -322,8 +322,11 @@
     }
     /// Records that a replica has announced its shutdown. Entries that do not
     /// say so yet do not withdraw it.
+    /// @param process the process that has announced it; nothing when that is
+    ///                not known. Another one does not leave.
     /// @returns true when that was unknown
-    bool mark_leaving(endpoint_id const& id);
+    bool
+    mark_leaving(endpoint_id const& id, std::optional<incarnation> process);
     /// Records that a replica wants no requests of this node. A shorter rest
     /// does not end a longer one, a restart of the replica ends it.
     void mark_resting(endpoint_id const& id, instant until);
--- a/src/Gateway/peer_datagram.hpp
+++ b/src/Gateway/peer_datagram.hpp
@@ -94,6 +94,18 @@
     }
 };
 
+/// A replica has said in an answer that it leaves.
+struct peer_leaving_replica {
+    std::uint64_t replica = 0;
+    /// Start of the process that leaves; 0 when it is not known.
+    std::int64_t started_at_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replica, started_at_ms);
+    }
+};
+
 /// Sent by the controller of a replica: an adapter would be ready there too
 /// late for the request that waits for it.
 struct peer_load_rejection {
@@ -529,8 +541,7 @@
     std::vector<peer_brittle_service> brittle_services;
     std::vector<peer_brittleness_end> brittleness_ends;
     std::vector<peer_rejection> rejections;
-    /// Replicas that have said in answers that they leave.
-    std::vector<std::uint64_t> leaving_replicas;
+    std::vector<peer_leaving_replica> leaving_replicas;
     std::vector<peer_permit_request> permit_requests;
     std::vector<peer_permit_reply> permit_replies;
     std::vector<peer_usage_message> usage_messages;
@@ -558,7 +569,7 @@
     /// What the sender reaches of the replicas.
     replica_links links = replica_links::intact;
 
-    static constexpr std::uint32_t current_format = 18;
+    static constexpr std::uint32_t current_format = 19;
 
     template <class Archive>
     void serialize(Archive& archive) {
--- a/src/Gateway/peer_messenger.hpp
+++ b/src/Gateway/peer_messenger.hpp
@@ -355,9 +355,12 @@
     /// @param news the answer has shown it
     void tell_brittleness_end(endpoint_id const& at, bool news, instant now);
     /// @returns true when it was not known that the replica leaves
-    bool apply_leaving(endpoint_id const& id, std::string_view by);
+    bool apply_leaving(
+        endpoint_id const& id, std::optional<incarnation> process,
+        std::string_view by);
     /// @returns the replicas whose shutdown this node has reported lately
-    std::vector<std::uint64_t> recently_leaving(instant now);
+    void handle_leaving(peer_leaving_replica const& message);
+    std::vector<peer_leaving_replica> recently_leaving(instant now);
     /// @returns the services whose answers have said lately that they are
     ///          brittle
     std::vector<peer_brittle_service> brittle_services(instant now) const;
@@ -480,7 +483,11 @@
     std::unordered_map<std::uint64_t, rate_schedule> rate_schedules_;
     std::unordered_map<std::uint64_t, pending_permit> pending_permits_;
     /// Replicas whose shutdown this node has reported, and when.
-    std::unordered_map<std::uint64_t, instant> reported_leaving_;
+    struct reported_leaving {
+        peer_leaving_replica message;
+        instant reported_at;
+    };
+    std::unordered_map<std::uint64_t, reported_leaving> reported_leaving_;
     /// Slots of the brittle replicas that this node controls.
     std::unordered_map<std::uint64_t, slot_grants> slot_grants_;
     std::uint64_t last_permit_request_ = 0;
--- a/src/Gateway/peer_messenger_receive.cpp
+++ b/src/Gateway/peer_messenger_receive.cpp
@@ -186,10 +186,8 @@
                 at->record.id, now - milliseconds(each.age_ms), "message");
         }
     }
-    for (std::uint64_t const each : message.leaving_replicas) {
-        if (replica const* const at = state_->replicas.find_by_hash(each)) {
-            apply_leaving(at->record.id, "message");
-        }
+    for (peer_leaving_replica const& each : message.leaving_replicas) {
+        handle_leaving(each);
     }
     for (peer_rejection const& each : message.rejections) {
         handle_rejection(each, message.from, now);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -201,6 +201,13 @@
         CHECK_FALSE(
             fixture.replicas.find(id)->has_cached(adapter_id("m/cold")));
     }
+    SUBCASE("nor does a late message that the earlier process leaves") {
+        incarnation const earlier{milliseconds(1'000)};
+        incarnation const later{milliseconds(2'000)};
+        fixture.replicas.apply(record_of(2'000, {}), fixture.now);
+        CHECK_FALSE(fixture.replicas.mark_leaving(id, earlier));
+        CHECK(fixture.replicas.mark_leaving(id, later));
+    }
     SUBCASE("nor does the leaving of the earlier process") {
         replica_record leaving = record_of(1'000, {hot()});
         leaving.leaving = true;
--- a/test/gateway/leaving_replica_test.cpp
+++ b/test/gateway/leaving_replica_test.cpp
@@ -37,6 +37,24 @@
     return replica.engine.arrivals.size() - before;
 }
 
+/// Sends requests to one node.
+/// @returns how many of them arrive at the replica
+std::size_t arrivals_from(
+    gateway_fixture& world, std::size_t node, served_replica const& replica,
+    std::string const& path) {
+    std::size_t const before = replica.engine.arrivals.size();
+    std::vector<int> statuses;
+    constexpr std::size_t count = 20;
+    for (std::size_t each = 0; each < count; ++each) {
+        std::string const id =
+            "from" + std::to_string(node) + "-" + std::to_string(each);
+        world.send_to_node_async(node, path, "", id, "body " + id, statuses);
+        within(world, milliseconds(5), [] { return false; });
+    }
+    world.loop.run_until([&] { return statuses.size() == count; });
+    return replica.engine.arrivals.size() - before;
+}
+
 } // namespace
 
 // Guards against requests that are sent to a replica which says in its answers
@@ -78,6 +96,36 @@
     }
 }
 
+// Guards against a replica that stays unused after its restart, since a node
+// goes on telling the others that the process before it leaves.
+TEST_CASE("every node takes in a replica that restarts soon after it left") {
+    gateway_fixture world;
+    world.add_node();
+    served_replica other(world.loop, "p2", "", 0);
+    world.list(other, "app");
+    REQUIRE(world.loop.run_until([&] {
+        return world.node->knows_replica(endpoint_id("p2")) &&
+               world.node_at(1).knows_replica(endpoint_id("p2"));
+    }));
+    for (int restart = 1; restart <= 2; ++restart) {
+        CAPTURE(restart);
+        world.plain.engine.leaves = true;
+        std::size_t const before = world.plain.engine.arrivals.size();
+        while (world.plain.engine.arrivals.size() == before) {
+            world.ask("/look/b");
+        }
+        within(world, notice_time, [] { return false; });
+        world.plain.engine.leaves = false;
+        world.plain.engine.start_again();
+        world.list(world.plain, "app");
+        within(world, notice_time, [] { return false; });
+        for (std::size_t node = 0; node < 2; ++node) {
+            CAPTURE(node);
+            CHECK(arrivals_from(world, node, world.plain, "/look/b") > 0);
+        }
+    }
+}
+
 TEST_CASE("answers to commands and reports say that a replica leaves") {
     gateway_fixture world;
     world.add_node();
