Endpoint health: requests that fail together count as one failure

Callers saw: reading and the test only, no case is known. An endpoint of a plain service on the path of profiles that has crashed once with many requests in flight is skipped for up to 15 s instead of half a second, though it may answer again; where all endpoints are so, callers are refused.

Cause: while an endpoint is skipped, each further failure doubled the time before the next probe, as if it had been a failed probe. The requests that were in flight when it failed all report that same failure. The class is "a state that can be entered again is handled once", the other way round: one event is handled many times.

Change: a failure of an endpoint that is skipped and not being probed changes nothing. A failed probe doubles the time as before.

--- a/src/Limits/endpoint_health.hpp
+++ b/src/Limits/endpoint_health.hpp
@@ -52,8 +52,14 @@
     /// @param random source of the jitter in the time before the next probe
     void on_failure(
         health_settings const& settings, instant now, std::mt19937_64& random) {
-        ++consecutive_failures_;
+        bool const skipped =
+            suspect(settings) && !probing_ && now < skip_until_;
         probing_ = false;
+        if (skipped) {
+            // Requests that were in flight report the same failure.
+            return;
+        }
+        ++consecutive_failures_;
         if (suspect(settings)) {
             skip_until_ = now + skip_time(settings, random);
             skip_doublings_ = std::min(skip_doublings_ + 1, max_doublings);
--- a/test/limits_router_test.cpp
+++ b/test/limits_router_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <random>
 #include <string>
 
 namespace camphorpoint::test {
@@ -297,4 +299,35 @@
     }
 }
 
+// Guards against an endpoint that stays unused for many seconds after a crash,
+// since each request that it has broken off counts as a failed probe.
+TEST_CASE("requests that fail together count as one failure of an endpoint") {
+    health_settings const settings;
+    std::mt19937_64 random(1);
+    endpoint_health health;
+    instant now = instant() + seconds(100);
+    for (int crash = 1; crash <= 2; ++crash) {
+        CAPTURE(crash);
+        constexpr int in_flight = 50;
+        for (int each = 0; each < in_flight; ++each) {
+            health.on_dispatch(settings);
+        }
+        for (int each = 0; each < in_flight; ++each) {
+            health.on_failure(settings, now, random);
+        }
+        CHECK(health.skip_until() <= now + settings.initial_skip_time);
+        now = health.skip_until();
+        REQUIRE(health.usable(settings, now));
+        health.on_dispatch(settings);
+        REQUIRE_FALSE(health.usable(settings, now));
+        // A failed probe doubles the time.
+        health.on_failure(settings, now, random);
+        CHECK(health.skip_until() >= now + settings.initial_skip_time);
+        now = health.skip_until();
+        health.on_dispatch(settings);
+        health.on_success();
+        CHECK(health.usable(settings, now));
+    }
+}
+
 } // namespace camphorpoint::test
