A node that stands still twice catches up twice

What callers saw: nothing alone; a node that stood still again right after a pause took what it had not read yet for a silence of its replicas: it sent replacements, and reported the replicas as silent.

Cause: await_end let the node catch up once in each silence, and measured each delay from the first time at which the stream would have stalled: a state that can be entered again was handled once.

Found by reading; no run has shown it outside this test.

Change: each wait is compared with its own end, so that each delay is followed by the time to catch up.

--- a/src/Gateway/request_handler_stalls.cpp
+++ b/src/Gateway/request_handler_stalls.cpp
@@ -5,9 +5,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <exception>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -66,17 +66,18 @@
 asio::awaitable<attempt_outcome>
 request_handler::await_end(attempt_ref attempt) {
     auto const caller = caller_;
-    // The silence during which the node has caught up once.
-    std::optional<instant> caught_up;
+    // When the node will have read what arrived while it stood still.
+    instant caught_up_at{};
     while (!attempt->end) {
         instant const now = boot_clock::now();
         // A caller that reads slowly does not make a silent replica.
         instant const silent_since = attempt->waiting_since.value_or(now);
-        instant stalls_at = silent_since + stream_idle_timeout;
+        instant stalls_at =
+            std::max(silent_since + stream_idle_timeout, caught_up_at);
         bool const stood_still = now >= stalls_at + longest_timer_delay;
-        if (stood_still && caught_up != silent_since) {
-            caught_up = silent_since;
-            stalls_at = now + catch_up_time;
+        if (stood_still) {
+            caught_up_at = now + catch_up_time;
+            stalls_at = caught_up_at;
         } else if (now >= stalls_at) {
             co_return attempt_outcome::stalled;
         }
--- a/test/gateway/caller_stream.hpp
+++ b/test/gateway/caller_stream.hpp
@@ -46,6 +46,9 @@
     /// @returns the errors in the received events, empty for none
     std::string const& problem() const noexcept { return problem_; }
     unsigned last() const noexcept { return last_; }
+    /// @returns number of the attempt that has written the last event, 0 for
+    ///          none
+    std::size_t run() const noexcept { return run_; }
     bool complete() const noexcept { return complete_; }
 
 private:
--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -54,6 +54,9 @@
     if (attempt.not_executed) {
         head += "X-Not-Executed: 1\r\n";
     }
+    if (attempt.leaves) {
+        head += "Server-Leaving: 1\r\n";
+    }
     if (!stream) {
         head += "Content-Length: 2\r\n";
     } else if (attempt.framing == body_framing::chunked) {
@@ -201,7 +204,7 @@
         co_return;
     }
     std::size_t const record = records.size();
-    records.push_back({target_of(head), boot_clock::now(), {}, {}});
+    records.push_back({target_of(head), boot_clock::now(), {}, {}, false});
     co_await answer(*link, head);
     records[record].ended = boot_clock::now();
     boost::system::error_code ignored;
@@ -221,7 +224,8 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     bool written = co_await stay_silent(socket, attempt.silence_before_head);
-    if (!written) {
+    if (!written || attempt.closes_before_head) {
+        records[record].dropped = !written;
         co_return;
     }
     if (attempt.status == 200) {
@@ -236,6 +240,7 @@
         std::string part = complete_body.substr(0, attempt.bytes);
         written = co_await write_body(socket, attempt, std::move(part));
     }
+    records[record].dropped = !written;
     if (written && !cut && attempt.framing == body_framing::chunked &&
         attempt.status == 200) {
         std::string end = "0\r\n\r\n";
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -61,6 +61,10 @@
     std::map<std::size_t, std::chrono::milliseconds> silences;
     /// How long the attempt is silent before its head.
     std::chrono::milliseconds silence_before_head{0};
+    /// The attempt closes its connection instead of sending a head.
+    bool closes_before_head = false;
+    /// The head says that the replica leaves.
+    bool leaves = false;
 };
 
 /// What a replica has seen of one attempt.
@@ -71,6 +75,8 @@
     std::optional<instant> streaming;
     /// When the attempt was over, or its connection was closed.
     std::optional<instant> ended;
+    /// The node has closed the connection before the attempt was over.
+    bool dropped = false;
 };
 
 /// Replicas that send streams byte by byte as scripted, for any request. All of
