--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -1,6 +1,7 @@
 #include <Camphorpoint/Settings>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <chrono>
 #include <fstream>
@@ -125,13 +126,14 @@
 // Guards against a node that does not start because a time of its settings is
 // a fraction.
 TEST_CASE("times are decimal numbers with a unit") {
-    auto const close_wait = [](std::string const& text) {
+    auto const with_close_wait = [](std::string const& text) {
+        return fmt::format(
+            "{}{}[limits]\nclose_wait = \"{}\"\n", good_node, good_platform,
+            text);
+    };
+    auto const close_wait = [&](std::string const& text) {
         node_settings settings;
-        std::string const report = read(
-            good_node + good_platform + "[limits]\nclose_wait = \"" + text +
-                "\"\n",
-            &settings);
-        CHECK(report == "");
+        CHECK(read(with_close_wait(text), &settings) == "");
         return settings.requests.close_timeout;
     };
 
@@ -158,9 +160,7 @@
               "1.5.5s", "5 s", "0x5s", "nans", "infs", "9999999999s"}) {
             INFO(text);
             CHECK(
-                has(read(
-                        good_node + good_platform +
-                        "[limits]\nclose_wait = \"" + text + "\"\n"),
+                has(read(with_close_wait(text)),
                     "limits.close_wait: must be a time in ms"));
         }
     }
