Events: when an attempt was sent within a stop

Both bear stop_ms now, counted from the beginning of the stop; 914 has it of the attempt's beginning. No logic changes.

--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -368,19 +368,20 @@
     caller_->calls.insert(attempt->call);
     tracker_.begin();
     ++attempts_;
-    state_->log_event(
-        log_line(event_code::request_sent)
-            .with("id", demand_.id.str())
-            .with("replica", id.str())
-            .with("software", at.record.software.str())
-            .with("adapter", need_.adapter.str())
-            .with("backlog", static_cast<int>(at.backlog(now)))
-            .with("load", static_cast<int>(100 * at.load()))
-            .with("pace", static_cast<int>(100 * at.speed.pace))
-            .with("slowdown", static_cast<int>(100 * at.slowdown.factor(now)))
-            .with("prompt", demand_.prompt_tokens)
-            .with("try", attempts_)
-            .with("waited_ms", now - arrived_at_));
+    log_line line(event_code::request_sent);
+    line.with("id", demand_.id.str())
+        .with("replica", id.str())
+        .with("software", at.record.software.str())
+        .with("adapter", need_.adapter.str())
+        .with("backlog", static_cast<int>(at.backlog(now)))
+        .with("load", static_cast<int>(100 * at.load()))
+        .with("pace", static_cast<int>(100 * at.speed.pace))
+        .with("slowdown", static_cast<int>(100 * at.slowdown.factor(now)))
+        .with("prompt", demand_.prompt_tokens)
+        .with("try", attempts_)
+        .with("waited_ms", now - arrived_at_);
+    add_stop_time(line, now);
+    state_->log_event(line);
     attempt->probe =
         state_->replicas.request_started(id, demand_.prompt_tokens, now);
     messenger_->begin_use(id, need_.adapter, demand_.prompt_tokens);
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -237,6 +237,9 @@
     bool conclude(forwarded_attempt& attempt, attempt_outcome end);
     boost::asio::awaitable<bool> write_to_caller(std::string_view piece);
     http_response final_answer();
+    /// Adds to a line how long after the beginning of a shutdown something has
+    /// happened, negative when before; nothing without a shutdown.
+    void add_stop_time(log_line& line, instant when) const;
     void log_completion(std::string_view reason);
     boost::asio::awaitable<void> finish(std::string_view why);
     bool may_retry(attempt_outcome end);
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -189,24 +189,26 @@
     http_call const& call = *attempt.call;
     state_->metrics.count_untrusted_answers("stray", call.strays());
     std::string_view const body = call.invalid() ? "invalid" : trace.body;
-    state_->log_event(log_line(event_code::attempt_ended)
-                          .with("id", demand_.id.str())
-                          .with("replica", attempt.replica.str())
-                          .with("peer", attempt.peer)
-                          .with("end", names[static_cast<std::size_t>(end)])
-                          .with("status", trace.status)
-                          .with("connection", call.connection())
-                          .with("kept", call.reused() ? 1 : 0)
-                          .with("named", call.names_request() ? 1 : 0)
-                          .with("stated", trace.states_not_run ? 1 : 0)
-                          .with("strays", call.strays())
-                          .with("may_run", static_cast<int>(tracker_.may_run()))
-                          .with("after", attempt.after_event.value_or(0))
-                          .with("events", position_.last().value_or(0))
-                          .with("body", body)
-                          .with("half_bytes", attempt.stream.incomplete_bytes())
-                          .with("silent_ms", trace.silence)
-                          .with("rest_ms", trace.rest));
+    log_line line(event_code::attempt_ended);
+    line.with("id", demand_.id.str())
+        .with("replica", attempt.replica.str())
+        .with("peer", attempt.peer)
+        .with("end", names[static_cast<std::size_t>(end)])
+        .with("status", trace.status)
+        .with("connection", call.connection())
+        .with("kept", call.reused() ? 1 : 0)
+        .with("named", call.names_request() ? 1 : 0)
+        .with("stated", trace.states_not_run ? 1 : 0)
+        .with("strays", call.strays())
+        .with("may_run", static_cast<int>(tracker_.may_run()))
+        .with("after", attempt.after_event.value_or(0))
+        .with("events", position_.last().value_or(0))
+        .with("body", body)
+        .with("half_bytes", attempt.stream.incomplete_bytes())
+        .with("silent_ms", trace.silence)
+        .with("rest_ms", trace.rest);
+    add_stop_time(line, attempt.began_at);
+    state_->log_event(line);
 }
 
 milliseconds request_handler::retry_after() const {
@@ -242,6 +244,12 @@
     return platform::own_answer(status, request, std::nullopt);
 }
 
+void request_handler::add_stop_time(log_line& line, instant when) const {
+    if (state_->shutdown.begun()) {
+        line.with("stop_ms", when - state_->shutdown.began_at());
+    }
+}
+
 void request_handler::log_completion(std::string_view reason) {
     // A relayed request is counted by the reason at its entry node.
     std::string_view const counted = relayed_ ? "relayed" : reason;
@@ -261,9 +269,7 @@
         .with("sends", tracker_.sends())
         .with("stalls", stalls_)
         .with("took_ms", boot_clock::now() - arrived_at_);
-    if (state_->shutdown.begun()) {
-        line.with("stop_ms", arrived_at_ - state_->shutdown.began_at());
-    }
+    add_stop_time(line, arrived_at_);
     state_->log_event(line);
 }
 
