--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -57,8 +57,10 @@
         std::string const& run) const {
         std::string_view const last = request.fields.get("Last-Event-Id");
         std::string const line = fmt::format(
-            "{} {} {} {}\n", request.fields.get("X-Request-Id"), run,
-            last.empty() ? "0" : last, request.body.text());
+            "{} {} {} {} {}\n", request.fields.get("X-Request-Id"), run,
+            last.empty() ? "0" : last,
+            standins::in_milliseconds(standins::clock_now()),
+            request.body.text());
         write(line);
     }
     /// @param run   names the run
--- a/test/gateway/scripted_replica.cpp
+++ b/test/gateway/scripted_replica.cpp
@@ -204,7 +204,8 @@
         co_return;
     }
     std::size_t const record = records.size();
-    records.push_back({target_of(head), boot_clock::now(), {}, {}, false});
+    records.push_back(
+        {target_of(head), boot_clock::now(), {}, {}, false, false});
     co_await answer(*link, head);
     records[record].ended = boot_clock::now();
     boost::system::error_code ignored;
@@ -226,6 +227,7 @@
     bool written = co_await stay_silent(socket, attempt.silence_before_head);
     if (!written || attempt.closes_before_head) {
         records[record].dropped = !written;
+        records[record].broke_off = written;
         co_return;
     }
     if (attempt.status == 200) {
@@ -241,6 +243,7 @@
         written = co_await write_body(socket, attempt, std::move(part));
     }
     records[record].dropped = !written;
+    records[record].broke_off = written && cut;
     if (written && !cut && attempt.framing == body_framing::chunked &&
         attempt.status == 200) {
         std::string end = "0\r\n\r\n";
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -77,6 +77,8 @@
     std::optional<instant> ended;
     /// The node has closed the connection before the attempt was over.
     bool dropped = false;
+    /// The replica has closed the connection before its answer was whole.
+    bool broke_off = false;
 };
 
 /// Replicas that send streams byte by byte as scripted, for any request. All of
--- /dev/null
+++ b/test/gateway/stopping_streams_test.cpp
@@ -0,0 +1,165 @@
+#include "test/gateway/silent_replica_fixture.hpp"
+#include "test/gateway/stop_ends.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <string_view>
+#include <utility>
+
+namespace camphorpoint {
+
+using std::chrono::milliseconds;
+using namespace testing;
+
+namespace {
+
+/// The time of a stop that leaves no request the time that its caller has.
+constexpr milliseconds brief_stop{4'000};
+/// The time of a stop in which all requests run until their deadline.
+constexpr milliseconds long_stop = patience + milliseconds(3'000);
+/// From the start of the streams until SIGTERM.
+constexpr milliseconds before_stop{300};
+/// From the start of the streams; the node has stopped to accept requests.
+constexpr milliseconds late{600};
+
+/// Streams that are under way at a node when its stop begins.
+class stopping_streams {
+public:
+    explicit stopping_streams(milliseconds limit)
+        : world_(4, 1e6, limit)
+        , stop_{{}, world_.world().settings.stop_accepts, limit} {}
+    ~stopping_streams() {
+        world_.world().loop.run_until([this] { return stopped_; });
+        world_.world().keep_stopped(std::move(world_.world().node));
+    }
+
+    /// Starts a stream for each place between two of its bytes.
+    template <class Script>
+    void start(std::string_view route, Script const& script_at) {
+        constexpr std::size_t step = 5;
+        for (std::size_t at = 1; at < body_bytes(silent_stream_events);
+             at += step) {
+            world_.start(route, script_at(at));
+        }
+    }
+    void stop() {
+        within(world_.world(), before_stop, [] { return false; });
+        stop_.begun = boot_clock::now();
+        world_.world().node->drain([this] { stopped_ = true; });
+    }
+    /// Runs until all streams have ended, and checks each cut of the stop.
+    void finish() {
+        world_.finish();
+        for (std::size_t each = 0; each < world_.size(); ++each) {
+            auto const attempts = world_.attempts(each);
+            INFO("stream " << each);
+            CHECK(world_.stream(each).problem() == "");
+            CHECK(late_send_problem(attempts, stop_, ends_at(each)) == "");
+            if (!world_.stream(each).complete()) {
+                CHECK(stop_end_problem(attempts, stop_) == "");
+            }
+        }
+    }
+    silent_fixture& world() noexcept { return world_; }
+    duration since_stop() const { return boot_clock::now() - stop_.begun; }
+    void check_attempts(std::size_t count) const {
+        for (std::size_t each = 0; each < world_.size(); ++each) {
+            INFO("stream " << each);
+            CHECK(world_.attempts(each).size() == count);
+        }
+    }
+
+private:
+    instant ends_at(std::size_t which) const {
+        return world_.attempts(which).front().began + patience;
+    }
+
+    silent_fixture world_;
+    stop_times stop_;
+    bool stopped_ = false;
+};
+
+} // namespace
+
+// Guards against a stream that a stopping node takes from a silent replica,
+// sends to another one and cuts there at the end of the stop, although the
+// first replica would have finished it.
+TEST_CASE("a stopping node waits for the replica that is at work on a stream") {
+    stopping_streams streams(brief_stop);
+    SUBCASE("which goes on before the stop ends") {
+        streams.start("pair", [](std::size_t at) {
+            return std::deque{silent_at(at), silent_at(at, for_good)};
+        });
+        streams.stop();
+        streams.finish();
+        check_complete(streams.world());
+    }
+    SUBCASE("which goes on and falls silent again") {
+        streams.start("runs", [](std::size_t at) {
+            scripted_attempt twice = silent_at(at, short_silence);
+            twice.silences[at + body_bytes(1)] = short_silence;
+            scripted_attempt const forever = silent_at(at, for_good);
+            return std::deque{twice, forever, forever, forever};
+        });
+        streams.stop();
+        streams.finish();
+    }
+    SUBCASE("which stays silent until the stop ends") {
+        streams.start("runs", [](std::size_t at) {
+            scripted_attempt const forever = silent_at(at, for_good);
+            return std::deque{forever, forever, forever, forever};
+        });
+        streams.stop();
+        streams.finish();
+        CHECK(streams.since_stop() > brief_stop * 5 / 6);
+    }
+    streams.check_attempts(1);
+}
+
+// Guards against a stream that a stopping node resumes too late to finish it:
+// its caller can resume it at another node at once.
+TEST_CASE("a stopping node ends a stream that breaks off") {
+    stopping_streams streams(brief_stop);
+    streams.start("runs", [](std::size_t at) {
+        scripted_attempt broken = silent_at(at, late);
+        broken.bytes = at;
+        scripted_attempt const forever = silent_at(at, for_good);
+        return std::deque{broken, forever, forever, forever};
+    });
+    streams.stop();
+    streams.finish();
+    CHECK(streams.since_stop() < late + milliseconds(200));
+    streams.check_attempts(1);
+}
+
+// Guards against streams that are given up in a stop although another attempt
+// ends in time.
+TEST_CASE("a stopping node sends a stream on again while there is time") {
+    SUBCASE("before its deadline, which the stop leaves") {
+        stopping_streams streams(long_stop);
+        streams.start("pair", [](std::size_t at) {
+            return std::deque{silent_at(at, for_good)};
+        });
+        streams.stop();
+        streams.finish();
+        check_complete(streams.world());
+        streams.check_attempts(2);
+    }
+    SUBCASE("to learn whether an answer without a length was whole") {
+        stopping_streams streams(brief_stop);
+        streams.start("pair", [](std::size_t at) {
+            scripted_attempt unframed = silent_at(at, late);
+            unframed.framing = body_framing::connection;
+            return std::deque{unframed};
+        });
+        streams.stop();
+        streams.world().finish();
+        check_complete(streams.world());
+        streams.check_attempts(2);
+    }
+}
+
+} // namespace camphorpoint
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -223,6 +223,14 @@
     return ids;
 }
 
+node_sends deployment::sends() const {
+    node_sends all;
+    for (node_processes const& each : nodes) {
+        read_sends(each.node->name(), all);
+    }
+    return all;
+}
+
 void deployment::add_node(unsigned number) {
     unsigned const base = first_node + number * ports_of_node;
     std::string const file = fmt::format("{}/n{}.toml", settings_.work, number);
--- a/test/soak/deployment.hpp
+++ b/test/soak/deployment.hpp
@@ -2,6 +2,7 @@
 
 #include "Settings/node_settings.hpp"
 #include "test/soak/child_process.hpp"
+#include "test/soak/node_sends.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -71,6 +72,8 @@
     unsigned planned_stops = 0;
     /// So many nodes stop at a time, at most.
     unsigned stops_at_once = 1;
+    /// How many of a hundred of these stops bring a further signal.
+    unsigned more_signals = 0;
     /// Share of disruptions: a release that one node does not see.
     unsigned out_of_step = 0;
     /// Share of disruptions: a replica stands still for about as long as a node
@@ -164,6 +167,8 @@
     std::vector<std::string> unseen_replicas() const;
     /// @returns the ids of requests that nodes have read whole, as they log
     std::set<std::string> requests_read() const;
+    /// @returns the sends of all nodes, as they log
+    node_sends sends() const;
     /// @returns the signals that have ended processes
     end_records ends() const;
     /// @returns how many events a stream has
--- a/test/soak/disruptions.cpp
+++ b/test/soak/disruptions.cpp
@@ -104,6 +104,14 @@
            settings_.configurations;
 }
 
+bool disruptions::disturbs_calm(std::uint64_t drawn) const noexcept {
+    unsigned const before = settings_.process_faults + settings_.renewals +
+                            settings_.releases + settings_.herd_kills +
+                            settings_.out_of_step + settings_.stalls;
+    return drawn < before ||
+           drawn >= before + settings_.silences + settings_.configurations;
+}
+
 asio::awaitable<void> disruptions::begin_one() {
     ++active_;
     std::size_t const replica = draw(target_->replicas.size());
@@ -111,6 +119,8 @@
     std::uint64_t const drawn = draw(others + settings_.planned_stops);
     if (drawn >= others) {
         co_await stop_as_planned();
+    } else if (!disturbs_calm(drawn)) {
+        co_await disturb(drawn, target_->replicas[replica]);
     } else {
         std::size_t const at = stops_.disturbances.size();
         stops_.disturbances.push_back({boot_clock::now(), instant::max()});
@@ -162,11 +172,31 @@
         number = (number + 1) % nodes;
     }
     stops_.stops.push_back({number, boot_clock::now()});
+    constexpr std::uint64_t whole = 100;
+    if (settings_.more_signals > 0 && draw(whole) < settings_.more_signals) {
+        asio::co_spawn(
+            executor_, repeat_signal(*target_->nodes[number].node),
+            asio::detached);
+    }
     co_await end_process(*target_->nodes[number].node, SIGTERM);
     stopping_.erase(number);
     --planned_;
 }
 
+asio::awaitable<void> disruptions::repeat_signal(child_process& node) {
+    ++active_;
+    int const signal = draw(2) == 0 ? SIGTERM : SIGHUP;
+    unsigned const starts = node.starts();
+    milliseconds const later = draw_time(milliseconds(0), milliseconds(6'000));
+    co_await standins::wait_for(later);
+    if (node.starts() == starts) {
+        target_->note(
+            fmt::format("signal {} again to {}", signal, node.name()));
+        node.send_signal(signal);
+    }
+    --active_;
+}
+
 asio::awaitable<void> disruptions::disturb_processes() {
     node_processes& node = target_->nodes[draw(target_->nodes.size())];
     child_process& replica =
--- a/test/soak/disruptions.hpp
+++ b/test/soak/disruptions.hpp
@@ -47,6 +47,9 @@
     boost::asio::awaitable<void> begin_one();
     /// @returns the sum of the shares of all but the planned stops
     unsigned shares_of_others() const noexcept;
+    /// @returns true when a drawn disruption excuses the end of a request: a
+    ///          configuration is planned, and a silent replica goes on
+    bool disturbs_calm(std::uint64_t drawn) const noexcept;
     /// Begins a disruption that is no planned stop.
     /// @param drawn   below the sum of their shares
     /// @param replica the one that it concerns if it concerns one
@@ -55,6 +58,8 @@
     /// Stops a node by SIGTERM and starts it again, unless as many such stops
     /// are under way as the settings allow.
     boost::asio::awaitable<void> stop_as_planned();
+    /// Sends a node that is being stopped one more signal, in some cases.
+    boost::asio::awaitable<void> repeat_signal(child_process& node);
     /// Sends a signal, and starts the process again when it has ended.
     boost::asio::awaitable<void> end_process(child_process& which, int signal);
     boost::asio::awaitable<void>
--- a/test/soak/ended_streams.cpp
+++ b/test/soak/ended_streams.cpp
@@ -1,5 +1,7 @@
 #include "test/soak/ended_streams.hpp"
 
+#include "test/soak/stop_excuse.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -16,9 +18,6 @@
 using std::chrono::milliseconds;
 using runs_by_request = std::multimap<std::string, std::string>;
 
-/// A request that is sent later after SIGTERM is never excused by its replica.
-constexpr milliseconds last_excused{3'000};
-
 /// A stream ends so soon after its replica.
 constexpr milliseconds end_slack{1'000};
 
@@ -43,6 +42,16 @@
     });
 }
 
+/// @returns true for the first SIGTERM to a process
+bool begins_stop(
+    std::vector<end_signal> const& signals, end_signal const& which) {
+    auto const first =
+        std::ranges::find_if(signals, [&](end_signal const& each) {
+            return each.process == which.process && each.number == SIGTERM;
+        });
+    return first != signals.end() && first->at == which.at;
+}
+
 /// @param run a name: the replica, its process and a number, with dots
 /// @returns the process, 0 when the name has none
 pid_t process_of(std::string const& run) {
@@ -140,23 +149,25 @@
     /// @returns true when the node has stopped, and the stop's limit left no
     ///          more time
     bool ended_with_stop(sent_request const& request) const {
-        return std::ranges::any_of(
-            ends_->nodes[request.node], [&](end_signal const& each) {
-                instant const last_sixth =
-                    each.at + settings_->stop_limit * 5 / 6;
-                return each.number == SIGTERM && each.at <= request.ended &&
-                       request.sent <= each.at + last_excused &&
-                       request.ended >= last_sixth &&
-                       is_at_work(request, last_sixth);
-            });
+        milliseconds const limit = settings_->stop_limit;
+        auto const& signals = ends_->nodes[request.node];
+        return std::ranges::any_of(signals, [&](end_signal const& each) {
+            return begins_stop(signals, each) &&
+                   request.sent <= each.at + last_excused_send &&
+                   request.ended >= each.at + limit * 5 / 6 &&
+                   request.ended <= each.at + limit + after_grace &&
+                   is_at_work(request, each.at);
+        });
     }
 
-    bool is_at_work(sent_request const& request, instant at) const {
-        return std::ranges::any_of(
-            runs_of(request), [&](std::string const& run) {
-                auto const end = records_->ends.find(run);
-                return end == records_->ends.end() || end->second.at >= at;
-            });
+    /// @returns true when any run of the request, of which the node may have
+    ///          ended one to go on with another, excuses its end
+    bool is_at_work(sent_request const& request, instant stop_begun) const {
+        auto const [first, last] = runs_.equal_range(request.id);
+        return std::any_of(first, last, [&](auto const& each) {
+            return works_until_stop_ends(
+                *records_, each.second, stop_begun, settings_->stop_limit);
+        });
     }
 
     run_records const* records_;
--- a/test/soak/ended_streams.hpp
+++ b/test/soak/ended_streams.hpp
@@ -26,8 +26,8 @@
 /// that event went on. Not counted are streams that had gone over to a run
 /// behind that event whose replica was killed right before the end, streams
 /// whose node, or whose node's link, was killed meanwhile, and those sent in
-/// the first 3 s of a stop on which the replica was still at work in the last
-/// sixth of its limit.
+/// the first 3 s of a stop, by their callers and by the node, on which the
+/// replica was still at work in the last sixth of its limit.
 /// With links that cut connections nothing is judged: such a cut is known to
 /// nobody but the link.
 ended_streams find_ended_streams(
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -24,7 +24,9 @@
                 how == "broke"};
             continue;
         }
-        words >> run.after;
+        std::int64_t since_boot_ms = 0;
+        words >> run.after >> since_boot_ms;
+        run.sent = instant(std::chrono::milliseconds(since_boot_ms));
         ++records.counts[run.request];
         records.runs[name] = run;
     }
--- a/test/soak/lost_requests.cpp
+++ b/test/soak/lost_requests.cpp
@@ -1,6 +1,7 @@
 #include "test/soak/lost_requests.hpp"
 
 #include "test/soak/ledger.hpp"
+#include "test/soak/stop_excuse.hpp"
 
 #include <fmt/format.h>
 
@@ -13,11 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// A request that is sent later after SIGTERM is never excused by its replica.
-constexpr milliseconds last_excused{3'000};
-/// A process may end so long after its grace.
-constexpr milliseconds after_grace{1'000};
-
 /// A request that no replica runs may end so long after its last byte.
 constexpr milliseconds loss_slack{200};
 
@@ -51,11 +47,10 @@
     auto const [first, last] = runs.equal_range(request.id);
     return std::any_of(first, last, [&](auto const& each) {
         auto const end = records.ends.find(each.second);
-        bool const ended = end != records.ends.end();
-        bool const busy_late =
-            !ended || end->second.at >= stop.begun + grace * 5 / 6;
-        return (ended && end->second.broke) ||
-               (busy_late && request.sent <= stop.begun + last_excused);
+        bool const broke = end != records.ends.end() && end->second.broke;
+        return broke ||
+               (request.sent <= stop.begun + last_excused_send &&
+                works_until_stop_ends(records, each.second, stop.begun, grace));
     });
 }
 
--- a/test/soak/lost_requests.hpp
+++ b/test/soak/lost_requests.hpp
@@ -66,8 +66,9 @@
 /// without a complete answer: those that a replica ran, and those that the node
 /// had read and held. A request counts as read when its connection was closed
 /// without a reset, or when a node has logged it. One whose deadline has passed
-/// does not count, nor one that was sent soon after SIGTERM and on which the
-/// replica was still at work in the last sixth of the grace.
+/// does not count, nor one that was sent soon after SIGTERM, by its caller and
+/// by the node, and on which the replica was still at work in the last sixth of
+/// the grace.
 /// @param logged ids of requests that a node has read, as its log says
 /// @param grace  the time that a node has for a stop
 std::vector<violation> find_lost(
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -5,6 +5,7 @@
 #include "test/soak/ended_streams.hpp"
 #include "test/soak/large_bodies.hpp"
 #include "test/soak/memory_watch.hpp"
+#include "test/soak/node_sends.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -60,6 +61,9 @@
 ABSL_FLAG(unsigned, odd_entries, 0, "share of disruptions: odd registry");
 ABSL_FLAG(unsigned, planned_stops, 0, "share of disruptions: SIGTERM, in calm");
 ABSL_FLAG(unsigned, stops_at_once, 1, "planned stops under way, at most");
+ABSL_FLAG(
+    unsigned, more_signals, 0,
+    "percent of planned stops with a second SIGTERM, or SIGHUP");
 ABSL_FLAG(unsigned, out_of_step, 0, "share of disruptions: unseen releases");
 ABSL_FLAG(unsigned, stalls, 0, "share of disruptions: replicas, about 1.5 s");
 ABSL_FLAG(unsigned, silences, 0, "share of disruptions: series of silences");
@@ -164,7 +168,8 @@
     }
 
     bool report(bool played) const {
-        auto const runs = read_ledger(target_.ledger);
+        auto runs = read_ledger(target_.ledger);
+        apply_sends(target_.sends(), runs);
         auto found = find_violations(runs, records_.told, records_.once_only);
         std::ranges::copy(
             find_stream_violations(
@@ -253,6 +258,7 @@
     settings.odd_entries = absl::GetFlag(FLAGS_odd_entries);
     settings.planned_stops = absl::GetFlag(FLAGS_planned_stops);
     settings.stops_at_once = absl::GetFlag(FLAGS_stops_at_once);
+    settings.more_signals = absl::GetFlag(FLAGS_more_signals);
     settings.out_of_step = absl::GetFlag(FLAGS_out_of_step);
     settings.stalls = absl::GetFlag(FLAGS_stalls);
     settings.silences = absl::GetFlag(FLAGS_silences);
--- a/test/soak/silences.cpp
+++ b/test/soak/silences.cpp
@@ -57,13 +57,10 @@
 
 asio::awaitable<void>
 disruptions::silence(replica_processes& which, std::vector<silent_span> spans) {
-    std::size_t const at = stops_.disturbances.size();
-    stops_.disturbances.push_back({boot_clock::now(), instant::max()});
     for (silent_span const& each : spans) {
         co_await standins::wait_for(each.pause);
         co_await stop_process(*which.process, each.silence);
     }
-    stops_.disturbances[at].end = boot_clock::now();
     which.silenced = false;
     --active_;
 }
--- a/test/soak/stream_reading.hpp
+++ b/test/soak/stream_reading.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/time.hpp"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -31,6 +33,9 @@
     std::string request;
     /// The number of the event after which it went on.
     std::uint64_t after = 0;
+    /// When its node sent the request, or when the run began where that is not
+    /// known.
+    instant sent{};
 };
 
 /// @returns the whole events of a body
--- a/test/soak_ended_streams_test.cpp
+++ b/test/soak_ended_streams_test.cpp
@@ -152,6 +152,34 @@
         stream.records.ends["r1.11.1"] = {at(3'000), false};
         CHECK(stream.is_found());
     }
+    SUBCASE("but not when SIGTERM only came again") {
+        stream.ends.nodes[0] = {
+            {1, SIGTERM, at(-3'001)}, {1, SIGTERM, at(-1'000)}};
+        CHECK(stream.is_found());
+    }
+}
+
+// Guards against streams that a stopping node sends on a second time and cuts.
+TEST_CASE("soak: a stop excuses the run that was sent early") {
+    one_stream stream;
+    stream.ends.nodes[0] = {{1, SIGTERM, at(-1'000)}};
+    stream.records.runs["r2.12.1"] = {"s", 6, at(2'001)};
+
+    SUBCASE("which the node has ended for one that was sent late") {
+        stream.records.ends["r1.11.1"] = {at(3'000), false};
+        CHECK(stream.is_found());
+        SUBCASE("and that has written the last event") {
+            stream.request.last_run = "r2.12.1";
+            CHECK(stream.is_found());
+        }
+        SUBCASE("in time for the stop") {
+            stream.records.runs["r2.12.1"].sent = at(2'000);
+            CHECK_FALSE(stream.is_found());
+        }
+    }
+    SUBCASE("and is at work until the stop ends") {
+        CHECK_FALSE(stream.is_found());
+    }
 }
 
 } // namespace camphorpoint::soak
