A stopping node sends nothing again that may outlast the stop

Cause: whether the stop leaves time was asked for a request of which nothing had been sent (ended_by_shutdown), not for one that is sent again. A stream that stalled or broke off after the accepting part was sent to another replica, the stalled attempt was closed at the head of the replacement, and the stop cut the replacement.

Change: shutdown_schedule::may_send decides for all sends of a request. A stream whose replica is silent stays with it until the stop ends; one whose replica has broken off is ended at once, so that its caller resumes it at another node. The attempt that only confirms the end of an answer without a length is still sent: it has nothing more to write, and without it a whole answer would be cut. A relayed request that is given up so leaves its connection open, as at the end of a stop, so that the entry node sends it elsewhere.

--- a/src/Delivery/shutdown_schedule.hpp
+++ b/src/Delivery/shutdown_schedule.hpp
@@ -7,9 +7,9 @@
 namespace camphorpoint {
 
 /// Decides which requests a node may still send to a replica while it shuts
-/// down. Guards against a request that is sent late in the shutdown and cut at
-/// its end, although nothing had been sent and another node could have taken
-/// it.
+/// down, for the first time or again. Guards against a request that is sent
+/// late in the shutdown and cut at its end, although another node could have
+/// taken it or an earlier attempt was still at work.
 class shutdown_schedule {
 public:
     /// Begins the shutdown.
@@ -31,7 +31,7 @@
     /// @returns when requests in progress are ended
     instant ends_at() const noexcept { return ends_at_; }
     /// @param deadline when the request ends at the latest
-    /// @returns true when a request of which nothing has been sent may be sent
+    /// @returns true when the request may be sent
     bool may_send(instant deadline, instant now) const noexcept {
         return !begun_ || now < accepts_until_ || deadline <= ends_at_;
     }
--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -467,6 +467,8 @@
 
 bool request_handler::may_retry(attempt_outcome end) {
     instant const now = boot_clock::now();
+    refused_in_shutdown_ = false;
+    confirms_end_ = end == attempt_outcome::unproven;
     if (caller_->ended) {
         reason_ = "stopping";
         return false;
@@ -510,6 +512,9 @@
         }
         break;
     }
+    if (refuse_in_shutdown()) {
+        return false;
+    }
     // Checked before the search for a replica, whose capacity would go unused
     // if the budget is exhausted.
     if (!state_->resends.available(need_.service, now)) {
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -83,7 +83,7 @@
     /// earns for resends, once.
     void record_demand();
     /// @returns true when the node shuts down and has ended the request, or may
-    ///          not send it any more
+    ///          not send it, for the first time or again
     bool ended_by_shutdown(instant now) const;
     /// Sets the reason of a refusal because the node shuts down.
     /// @returns true when there is such a reason
@@ -329,6 +329,10 @@
     std::set<std::string> tried_peers_;
     /// The request was refused before it was handled: another node may do it.
     bool declined_ = false;
+    /// The request is not sent again, since the node shuts down.
+    bool refused_in_shutdown_ = false;
+    /// The next attempt is to show that the answer of the last one was whole.
+    bool confirms_end_ = false;
     /// The latest search has found no replica.
     bool search_failed_ = false;
     /// The request is in the statistics of demand.
--- a/src/Gateway/request_handler_completion.cpp
+++ b/src/Gateway/request_handler_completion.cpp
@@ -279,7 +279,8 @@
     return_unused_usage();
     // The node that has relayed a request resends it when it is idempotent and
     // the connection ends, but not after an answer.
-    bool const left_open = relayed_ && caller->ended && tracker_.may_run();
+    bool const stopping = caller->ended || refused_in_shutdown_;
+    bool const left_open = relayed_ && stopping && tracker_.may_run();
     if (!response_complete_ && !caller->gone && !response_started_ &&
         !left_open) {
         http_response answer = final_answer();
--- a/src/Gateway/request_handler_shutdown.cpp
+++ b/src/Gateway/request_handler_shutdown.cpp
@@ -7,7 +7,8 @@
 namespace asio = boost::asio;
 
 bool request_handler::refuse_in_shutdown() {
-    if (!ended_by_shutdown(boot_clock::now())) {
+    refused_in_shutdown_ = ended_by_shutdown(boot_clock::now());
+    if (!refused_in_shutdown_) {
         return false;
     }
     reason_ = "stopping";
@@ -19,8 +20,9 @@
 }
 
 bool request_handler::ended_by_shutdown(instant now) const {
+    // A run that only confirms the end of a stream has nothing more to write.
     bool const late =
-        !tracker_.may_run() && !state_->shutdown.may_send(deadline_, now);
+        !confirms_end_ && !state_->shutdown.may_send(deadline_, now);
     return late || caller_->ended;
 }
 
