--- a/src/Gateway/request_handler.cpp
+++ b/src/Gateway/request_handler.cpp
@@ -468,7 +468,7 @@
 bool request_handler::may_retry(attempt_outcome end) {
     instant const now = boot_clock::now();
     refused_in_shutdown_ = false;
-    confirms_end_ = end == attempt_outcome::unproven;
+    confirms_end_ = confirms_end_ || end == attempt_outcome::unproven;
     if (caller_->ended) {
         reason_ = "stopping";
         return false;
--- a/src/Gateway/request_handler.hpp
+++ b/src/Gateway/request_handler.hpp
@@ -331,7 +331,8 @@
     bool declined_ = false;
     /// The request is not sent again, since the node shuts down.
     bool refused_in_shutdown_ = false;
-    /// The next attempt is to show that the answer of the last one was whole.
+    /// The attempt that has written the last event may have been whole, and
+    /// another one is to show it.
     bool confirms_end_ = false;
     /// The latest search has found no replica.
     bool search_failed_ = false;
--- a/src/Gateway/request_handler_forwarding.cpp
+++ b/src/Gateway/request_handler_forwarding.cpp
@@ -105,6 +105,7 @@
     bool const passed = co_await write_to_caller(events.text);
     bool const moves = events.position.last() != position_.last();
     position_ = passed ? events.position : position_;
+    confirms_end_ = confirms_end_ && !moves;
     if (moves && attempt == stalled_) {
         cancel_replacement();
     }
--- a/test/gateway/scripted_replica.hpp
+++ b/test/gateway/scripted_replica.hpp
@@ -20,6 +20,9 @@
 
 namespace camphorpoint::testing {
 
+/// A silence that outlasts each test.
+inline constexpr std::chrono::milliseconds for_good{60'000};
+
 /// How the end of a body is marked on the wire.
 enum class body_framing : std::uint8_t {
     chunked,
--- a/test/gateway/silent_replica_fixture.hpp
+++ b/test/gateway/silent_replica_fixture.hpp
@@ -29,7 +29,6 @@
 inline constexpr milliseconds short_silence{1'700};
 /// The time that a stop allows for the requests in progress.
 inline constexpr milliseconds short_stop{4'000};
-inline constexpr milliseconds for_good{60'000};
 
 inline std::size_t body_bytes(unsigned events) {
     return events * scripted_replica::event(1, 1).size();
