Property test of streams in a stop

Requests of three routes are sent before and during a stop; their replicas fall silent, break off, fail and refuse as drawn; configurations, changes of the registry and further signals come in between. Each cut is judged by the work of the replicas, and no attempt that may outlast the stop may be sent late.

--- /dev/null
+++ b/test/gateway/stopping_streams_property_test.cpp
@@ -0,0 +1,110 @@
+#include "test/gateway/attempt_overlaps.hpp"
+#include "test/gateway/disturbed_world.hpp"
+#include "test/gateway/stop_ends.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace camphorpoint {
+
+using namespace testing;
+
+namespace {
+
+/// Streams of each route.
+constexpr std::size_t steps = 70;
+
+/// @returns true when an answer of the request may have ended without a length:
+///          an attempt that confirms its end may be sent until the stop ends
+bool may_be_unframed(disturbed_request const& request, std::size_t attempts) {
+    auto const last =
+        request.script.begin() +
+        static_cast<std::ptrdiff_t>(std::min(attempts, request.script.size()));
+    return std::any_of(
+        request.script.begin(), last, [](scripted_attempt const& each) {
+            return each.framing == body_framing::connection;
+        });
+}
+
+/// Streams of all routes, under way at a node when its stop begins, sent at any
+/// time before and after.
+void start_streams(
+    disturbed_world& world, random_numbers& random, stop_times& stop) {
+    script_generator scripts(random);
+    std::size_t const stop_at = 20 + random.below(steps - 30);
+    for (std::size_t step = 0; step < steps; ++step) {
+        world.start("runs", 4, scripts.draw());
+        world.start("pair", 2, scripts.draw());
+        world.start("alone", 1, scripts.draw());
+        if (step == stop_at || (step > stop_at && random.one_in(20))) {
+            stop.begun = step == stop_at ? boot_clock::now() : stop.begun;
+            world.stop();
+        }
+        if (random.one_in(12)) {
+            world.disturb();
+        }
+        world.wait(milliseconds(random.below(60)));
+    }
+}
+
+void check_stream(
+    disturbed_world const& world, disturbed_request const& request,
+    stop_times const& stop) {
+    std::vector<attempt_record> attempts;
+    for (std::size_t const each : world.attempts(request)) {
+        attempts.push_back(world.record(each));
+    }
+    caller_stream const caller = world.stream(request);
+    INFO("request " << request.path << ", events " << caller.last());
+    CHECK(caller.problem() == "");
+    CHECK(overlap_problem(attempts) == "");
+    instant const time_up = world.began(request) + stream_patience;
+    bool const begun = request.answer->response.status == 200;
+    bool const cut = begun && !caller.complete() && *request.ended < time_up;
+    if (attempts.empty() || may_be_unframed(request, attempts.size())) {
+        return;
+    }
+    CHECK(late_send_problem(attempts, stop, time_up) == "");
+    if (cut && !request.brief) {
+        CHECK(stop_end_problem(attempts, stop) == "");
+    }
+}
+
+} // namespace
+
+// Guards against streams that a stopping node cuts although no attempt that was
+// sent in time is at work, and against attempts that it sends too late to
+// finish: stalls, breaks, refusals, configurations, changes of the registry and
+// further signals come at any time of a stop.
+TEST_CASE("a stop cuts only streams that were sent in time") {
+    unsigned seed = 0;
+    SUBCASE("seed 21") {
+        seed = 21;
+    }
+    SUBCASE("seed 22") {
+        seed = 22;
+    }
+    SUBCASE("seed 23") {
+        seed = 23;
+    }
+    random_numbers random(seed);
+    stop_times stop;
+    stop.accepts = milliseconds(100 + random.below(900));
+    stop.limit = milliseconds(3'500 + random.below(1'500));
+    disturbed_world world(random, stop.accepts, stop.limit);
+    start_streams(world, random, stop);
+    CHECK(world.pass(stream_patience));
+    world.wait(milliseconds(50));
+    std::size_t begun_before = 0;
+    for (disturbed_request const& each : world.requests()) {
+        check_stream(world, each, stop);
+        begun_before += each.began < stop.begun ? 1 : 0;
+    }
+    CHECK(begun_before > steps / 2);
+}
+
+} // namespace camphorpoint
