A node that knows of no version confirms no single version

What callers would see: a stream joined of two software versions (ORDER).

Cause: choose_single_version passes over the answer of a node that knows of no version, since it has read nothing of the store yet or its own view is old, but view.all_answered counted it, so that such nodes confirmed an old view.

Change: such an answer counts as missing. If the store confirms this node's own view nothing changes; otherwise the resumption is refused as after a node that does not answer.

One subcase of 'the evidence of several nodes decides' demanded the fault: it took a peer's single version while another peer knew of none. It now has both arrangements, with one peer that states the version (goes on) and with the other peer that knows none (refused).

--- a/src/Delivery/stream_origins.cpp
+++ b/src/Delivery/stream_origins.cpp
@@ -3,6 +3,7 @@
 #include "Core/hash.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace camphorpoint {
@@ -75,6 +76,16 @@
     return result;
 }
 
+/// @param evidence what the nodes know, this one first
+/// @returns true when every other node has stated which versions it has seen
+bool all_state_versions(std::span<origin_evidence const> evidence) {
+    return std::ranges::none_of(
+        evidence.subspan(std::min<std::size_t>(1, evidence.size())),
+        [](origin_evidence const& each) {
+            return each.versions.knowledge == version_knowledge::none;
+        });
+}
+
 /// @returns the version that one node knows to be the only one, unless any node
 ///          has seen another one or may have missed it
 resumption_choice choose_single_version(
@@ -99,7 +110,8 @@
                 source_of(versions.knowledge, own_knowledge)};
         }
     }
-    bool const current = view.all_answered || (own_knowledge && view.confirmed);
+    bool const all_agree = view.all_answered && all_state_versions(evidence);
+    bool const current = all_agree || (own_knowledge && view.confirmed);
     if (result.software && !current) {
         return {std::nullopt, origin_source::unconfirmed};
     }
--- a/src/Delivery/stream_origins.hpp
+++ b/src/Delivery/stream_origins.hpp
@@ -107,13 +107,15 @@
     /// The store has answered a read that was sent after the resumption
     /// arrived, and this node's view lacks nothing.
     bool confirmed = false;
-    /// Other nodes were asked, and all of them have answered.
+    /// Other nodes were asked, and all of them have answered. The answer of a
+    /// node that knows of no version confirms none.
     bool all_answered = false;
 };
 
 /// Decides at which software version a stream may be resumed. One that is
 /// recorded needs no further evidence. A single version counts if this node
-/// knows it and its view is confirmed, or if all nodes that were asked agree.
+/// knows it and its view is confirmed, or if all nodes that were asked agree: a
+/// node that knows of no version, as after its start, does not.
 /// @param evidence what the nodes know that have been asked, this one first
 /// @param view     how current that is
 resumption_choice choose_resumption(
--- a/test/stream_origins_test.cpp
+++ b/test/stream_origins_test.cpp
@@ -104,9 +104,13 @@
         CHECK(choose_resumption(evidence, current).software == second_version);
     }
     SUBCASE("one version alone has served for long enough") {
-        evidence.push_back(only(first_version));
+        evidence.back() = only(first_version);
         CHECK(choose_resumption(evidence, current).software == first_version);
     }
+    SUBCASE("one peer knows it to be alone, another knows of no version") {
+        evidence.push_back(only(first_version));
+        CHECK_FALSE(choose_resumption(evidence, current).software);
+    }
     SUBCASE("two nodes disagree") {
         evidence.push_back(known(first_version));
         evidence.push_back(known(second_version));
@@ -167,6 +171,31 @@
     }
 }
 
+// Guards against a stream that goes on by an old view, since nodes that have
+// just started and know of no version count as nodes that confirm it.
+TEST_CASE("a node that knows of no version confirms no single version") {
+    origin_evidence const just_started;
+    constexpr view_evidence by_answers{false, true};
+    std::vector<origin_evidence> evidence{only(first_version)};
+    SUBCASE("all peers have just started") {
+        evidence.insert(evidence.end(), 2, just_started);
+    }
+    SUBCASE("one of two has") {
+        evidence.push_back(only(first_version));
+        evidence.push_back(just_started);
+    }
+    SUBCASE("one of two has, the other has read the store since its start") {
+        evidence.push_back(just_started);
+        evidence.push_back(seen(first_version));
+    }
+    SUBCASE("the version is known by a peer") {
+        evidence = {seen(first_version), only(first_version), just_started};
+    }
+    CHECK(
+        choose_resumption(evidence, by_answers).source ==
+        origin_source::unconfirmed);
+}
+
 TEST_CASE("streams of a time with one version are announced when it ends") {
     stream_origins origins;
     service_id const service("llm");
