Soak: a run is judged by its own send, and a break by the newest run

From the review: two sends of a request to one replica counted as one, the first; any run that had broken off excused the end of its request, also one long before; an end before the last sixth was excused by a run that went on. The judge takes the last send before the run, the newest run's break, and ends in the last sixth only.

--- a/test/soak/lost_requests.cpp
+++ b/test/soak/lost_requests.cpp
@@ -45,13 +45,24 @@
     run_records const& records, runs_by_request const& runs,
     milliseconds grace) {
     auto const [first, last] = runs.equal_range(request.id);
-    return std::any_of(first, last, [&](auto const& each) {
-        auto const end = records.ends.find(each.second);
-        bool const broke = end != records.ends.end() && end->second.broke;
-        return broke ||
-               (request.sent <= stop.begun + last_excused_send &&
-                works_until_stop_ends(records, each.second, stop.begun, grace));
-    });
+    auto const newest =
+        std::max_element(first, last, [&](auto const& one, auto const& other) {
+            return records.runs.at(one.second).sent <
+                   records.runs.at(other.second).sent;
+        });
+    if (newest == last) {
+        return false;
+    }
+    auto const end = records.ends.find(newest->second);
+    if (end != records.ends.end() && end->second.broke) {
+        return true;
+    }
+    bool const in_time = request.sent <= stop.begun + last_excused_send &&
+                         request.ended >= stop.begun + grace * 5 / 6;
+    return in_time && std::any_of(first, last, [&](auto const& each) {
+               return works_until_stop_ends(
+                   records, each.second, stop.begun, grace);
+           });
 }
 
 /// @returns true when a node has read the request and has not passed it on
--- a/test/soak/node_sends.cpp
+++ b/test/soak/node_sends.cpp
@@ -49,10 +49,8 @@
             continue;
         }
         if (auto const when = time_of(line)) {
-            auto const [at, added] = sends.emplace(
-                std::pair(field_of(line, "id"), field_of(line, "replica")),
+            sends[{field_of(line, "id"), field_of(line, "replica")}].push_back(
                 *when);
-            at->second = std::min(at->second, *when);
         }
     }
 }
@@ -61,9 +59,16 @@
     for (auto& [name, run] : records.runs) {
         std::string const replica = name.substr(0, name.find('.'));
         auto const at = sends.find({run.request, replica});
-        if (at != sends.end()) {
-            run.sent = std::min(run.sent, at->second);
+        if (at == sends.end()) {
+            continue;
+        }
+        // The last send before the run; the times of both are rounded.
+        constexpr std::chrono::milliseconds rounding{5};
+        instant last = instant::min();
+        for (instant const each : at->second) {
+            last = each <= run.sent + rounding ? std::max(last, each) : last;
         }
+        run.sent = last == instant::min() ? run.sent : std::min(last, run.sent);
     }
 }
 
--- a/test/soak/node_sends.hpp
+++ b/test/soak/node_sends.hpp
@@ -5,13 +5,15 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace camphorpoint::soak {
 
 struct run_records;
 
-/// When a request was sent to a replica for the first time, by the ids of both.
-using node_sends = std::map<std::pair<std::string, std::string>, instant>;
+/// When a request was sent to a replica, by the ids of both.
+using node_sends =
+    std::map<std::pair<std::string, std::string>, std::vector<instant>>;
 
 /// Adds the sends that a node has logged.
 /// @param log a file with the node's log
