--- a/test/gateway/stopping_streams_test.cpp
+++ b/test/gateway/stopping_streams_test.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds long_stop = patience + milliseconds(3'000);
 /// From the start of the streams until SIGTERM.
 constexpr milliseconds before_stop{300};
-/// From the start of the streams; the node has stopped to accept requests.
+/// From the start of the streams; the node no longer accepts requests.
 constexpr milliseconds late{600};
 
 /// Streams that are under way at a node when its stop begins.
